Lay the workspace, the shared types and the protocol contract

Cause: an empty repository; parallel work needs fixed edges between crates first. Conclusion: the crates can be built side by side against this.

--- /dev/null
+++ b/crates/peppercrank-core/src/blackboard.rs
@@ -0,0 +1,143 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The blackboard: what a process knows of the fleet, written by its controllers.
+//!
+//! The membership controller writes targets, the load controller means, the configuration
+//! controller what operators published; the request path reads them all. It is plain data: a
+//! daemon wraps it in the lock of its choice.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::names::PoolName;
+use crate::names::TargetName;
+use crate::names::VmName;
+use crate::names::ZoneName;
+use crate::time::Moment;
+use crate::units::Cost;
+
+new_key_type! {
+    /// `TargetKey` is the small key of a target in one process's blackboard.
+    pub struct TargetKey;
+}
+
+/// `TargetState` is what a process believes of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum TargetState {
+    /// Its agent answers.
+    Live,
+    /// Its agent was not heard lately; it still ranks.
+    Suspect,
+    /// It takes no new work, what runs goes on.
+    Leaving,
+    /// Its agent is held to have failed.
+    Dead,
+}
+
+/// `Target` is one target as the members describe it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// The target's name.
+    pub name: TargetName,
+    /// The pool that it belongs to.
+    pub pool: PoolName,
+    /// The VM of its agent.
+    pub vm: VmName,
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// Where its agent takes requests.
+    pub address: SocketAddr,
+    /// Relative capacity; 0 takes no new work.
+    pub weight: u32,
+    /// What this process believes of it.
+    pub state: TargetState,
+}
+
+/// `Mean` is the mean load of a pool's targets, as known here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mean {
+    /// The mean per unit of weight.
+    pub cost: Cost,
+    /// How many targets it was taken over.
+    pub targets: u32,
+    /// When it was last renewed.
+    pub at: Moment,
+}
+
+/// `Blackboard` holds what a process knows of the fleet.
+#[derive(Debug, Default)]
+pub struct Blackboard {
+    /// The targets, by key.
+    pub targets: SlotMap<TargetKey, Target>,
+    /// The keys by name.
+    pub names: BTreeMap<TargetName, TargetKey>,
+    /// The keys of each pool's targets, in order of the targets' names.
+    pub pools: BTreeMap<PoolName, Vec<TargetKey>>,
+    /// The mean load of each pool.
+    pub means: BTreeMap<PoolName, Mean>,
+}
+
+impl Blackboard {
+    /// `put` writes a target, new or known, and returns its key.
+    pub fn put(&mut self, target: Target) -> TargetKey {
+        if let Some(key) = self.names.get(&target.name).copied() {
+            self.replace(key, target);
+            return key;
+        }
+        let name = target.name.clone();
+        let pool = target.pool.clone();
+        let key = self.targets.insert(target);
+        self.names.insert(name, key);
+        self.enlist(&pool, key);
+        key
+    }
+
+    /// `remove` forgets a target.
+    pub fn remove(&mut self, name: &TargetName) -> Option<Target> {
+        let key = self.names.remove(name)?;
+        let target = self.targets.remove(key)?;
+        self.delist(&target.pool, key);
+        Some(target)
+    }
+
+    /// `pool` lists the keys of a pool's targets.
+    #[must_use]
+    pub fn pool(&self, pool: &PoolName) -> &[TargetKey] {
+        self.pools.get(pool).map_or(&[], Vec::as_slice)
+    }
+
+    fn replace(&mut self, key: TargetKey, target: Target) {
+        let pool = target.pool.clone();
+        let Some(slot) = self.targets.get_mut(key) else {
+            return;
+        };
+        let old = std::mem::replace(slot, target);
+        if old.pool != pool {
+            self.delist(&old.pool, key);
+            self.enlist(&pool, key);
+        }
+    }
+
+    fn enlist(&mut self, pool: &PoolName, key: TargetKey) {
+        let keys = self.pools.entry(pool.clone()).or_default();
+        keys.push(key);
+        let targets = &self.targets;
+        keys.sort_by(|a, b| targets[*a].name.cmp(&targets[*b].name));
+    }
+
+    fn delist(&mut self, pool: &PoolName, key: TargetKey) {
+        let Some(keys) = self.pools.get_mut(pool) else {
+            return;
+        };
+        keys.retain(|k| *k != key);
+        if keys.is_empty() {
+            self.pools.remove(pool);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-core/src/events.rs
@@ -0,0 +1,109 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Numbered log events; docs/EVENTS.md catalogues them.
+
+/// `Level` is how serious an event is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// For a closer look.
+    Debug,
+    /// Ordinary life.
+    Info,
+    /// Something to watch.
+    Warning,
+    /// Something to act on.
+    Error,
+}
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $number:literal $level:ident $text:literal;)*) => {
+        /// `Event` is one kind of log line; its number never changes its meaning.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Event {
+            $($(#[$doc])* $name = $number,)*
+        }
+
+        impl Event {
+            /// All events, in the order of their numbers.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// `number` is the event's number.
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                self as u16
+            }
+
+            /// `level` is how serious the event is.
+            #[must_use]
+            pub const fn level(self) -> Level {
+                match self {
+                    $(Self::$name => Level::$level,)*
+                }
+            }
+
+            /// `text` is the event's fixed message.
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    /// A daemon has begun to serve.
+    Started = 1001 Info "daemon started";
+    /// A daemon was told to stop and takes no new work.
+    Stopping = 1002 Info "daemon stopping";
+    /// A daemon has ended.
+    Stopped = 1003 Info "daemon stopped";
+    /// Streams were still open when the time for stopping ran out.
+    StopCut = 1004 Warning "streams cut at the end of the time for stopping";
+    /// The readiness of a daemon changed.
+    Ready = 1005 Info "readiness changed";
+    /// A request was refused.
+    Refused = 2001 Info "request refused";
+    /// A request is tried at another target.
+    Retried = 2002 Info "request retried";
+    /// An attempt ended with an unknown fate.
+    Unknown = 2003 Warning "attempt may have run";
+    /// An answer was to another attempt.
+    WrongAnswer = 2004 Error "answer of another attempt discarded";
+    /// A caller went away.
+    CallerGone = 2005 Info "caller gone, work cancelled";
+    /// A stream was cut and resumed.
+    Resumed = 2006 Warning "stream resumed";
+    /// A stream was cut and ended with an error.
+    StreamCut = 2007 Warning "stream ended with an error";
+    /// A member joined, or came back.
+    MemberAlive = 3001 Info "member alive";
+    /// A member is suspected.
+    MemberSuspect = 3002 Info "member suspected";
+    /// A member is held to have failed.
+    MemberDead = 3003 Warning "member dead";
+    /// A control message was not authentic.
+    Forged = 3004 Error "control message refused";
+    /// Nothing was heard from peers or platform past the limit.
+    OutOfTouch = 3005 Error "out of touch";
+    /// A newer configuration object is in force.
+    ConfigApplied = 4001 Info "configuration in force";
+    /// An object failed the checks; the last good one stays in force.
+    ConfigInvalid = 4002 Error "invalid configuration object held back";
+    /// The platform's API does not answer.
+    PlatformDown = 4003 Warning "platform not answering";
+    /// The platform's API answers again.
+    PlatformUp = 4004 Info "platform answering";
+    /// A target was marked as leaving.
+    Leaving = 5001 Info "target leaving";
+    /// A leaving target has no work left.
+    Drained = 5002 Info "target drained";
+    /// An order was refused for its fencing number.
+    OrderRefused = 5003 Warning "order refused";
+    /// An order was passed to the engine.
+    OrderPassed = 5004 Info "order passed";
+    /// Keys were read anew.
+    KeysRotated = 5005 Info "keys rotated";
+}
--- /dev/null
+++ b/crates/peppercrank-core/src/units.rs
@@ -0,0 +1,76 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Units of work and load.
+
+use std::iter::Sum;
+use std::ops::Add;
+use std::ops::AddAssign;
+use std::ops::Sub;
+use std::ops::SubAssign;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Work of one prompt token that is not cached, in cost units.
+pub const PROMPT_COST: u64 = 1;
+
+/// Work of one generated token, in cost units.
+///
+/// A generated token takes one decoding step, a prompt token a share of a wide prefill step.
+pub const OUTPUT_COST: u64 = 4;
+
+/// `Cost` is the load unit: work reserved on a target, in uncached prompt tokens' worth.
+///
+/// A call of a plain service costs what its pool's parameters say, 1 unless set.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Cost(pub u64);
+
+impl Cost {
+    /// No work.
+    pub const ZERO: Self = Self(0);
+
+    /// `of_chat` is the cost of `uncached` prompt tokens and `output` expected tokens.
+    #[must_use]
+    pub const fn of_chat(uncached: u64, output: u64) -> Self {
+        let prompt = uncached.saturating_mul(PROMPT_COST);
+        let answer = output.saturating_mul(OUTPUT_COST);
+        Self(prompt.saturating_add(answer))
+    }
+}
+
+impl Add for Cost {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl AddAssign for Cost {
+    fn add_assign(&mut self, rhs: Self) {
+        *self = *self + rhs;
+    }
+}
+
+impl Sub for Cost {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        Self(self.0.saturating_sub(rhs.0))
+    }
+}
+
+impl SubAssign for Cost {
+    fn sub_assign(&mut self, rhs: Self) {
+        *self = *self - rhs;
+    }
+}
+
+impl Sum for Cost {
+    fn sum<I: Iterator<Item = Self>>(iter: I) -> Self {
+        iter.fold(Self::ZERO, Add::add)
+    }
+}
