Add the daemon's clock, chat reading, logs and metrics

Cause: the daemons need the plain edges of a process before the parts land. Conclusion: ready to drive the sans-I/O parts.

--- a/crates/peppercrank-daemon/src/lib.rs
+++ b/crates/peppercrank-daemon/src/lib.rs
@@ -2,3 +2,11 @@
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
 //! The thin daemons: router and agent.
+//!
+//! They read the clock and move bytes; every decision is made by the sans-I/O crates.
+
+pub mod chat;
+pub mod clock;
+pub mod errors;
+pub mod log;
+pub mod metrics;
