Add typed settings of the daemons

The daemons and the command line need one reading of the settings files, with the place of each fault. The types check units and ranges while they deserialize, so that errors carry line and column.

--- /dev/null
+++ b/crates/peppercrank-settings/src/checked.rs
@@ -0,0 +1,146 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Deserializers that check a value's range where it stands, so that its place is known.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Deserializer;
+use serde::de::Error;
+use serde::de::Visitor;
+
+use crate::errors;
+use crate::units;
+
+/// `duration` reads a duration of `LEAST` to `MOST` milliseconds.
+///
+/// # Errors
+///
+/// Fails for anything but a text with a unit, and outside the range.
+pub fn duration<'de, D, const LEAST: u64, const MOST: u64>(from: D) -> Result<Duration, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    from.deserialize_any(Text {
+        what: "a duration with its unit, such as \"250ms\", \"2s\" or \"5m\"",
+        read: |text: &str| {
+            let time = units::parse_duration(text)?;
+            let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+            if (LEAST..=MOST).contains(&millis) {
+                return Ok(time);
+            }
+            let least = units::duration_text(LEAST);
+            Err(errors::range(text, &least, &units::duration_text(MOST)))
+        },
+    })
+}
+
+/// `bytes` reads a size of `LEAST` to `MOST` bytes.
+///
+/// # Errors
+///
+/// Fails for anything but a text with a unit, and outside the range.
+pub fn bytes<'de, D, const LEAST: u64, const MOST: u64>(from: D) -> Result<usize, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    from.deserialize_any(Text {
+        what: "a size with its unit, such as \"64KiB\" or \"1MiB\"",
+        read: |text: &str| {
+            let size = units::parse_bytes(text)?;
+            let whole = usize::try_from(size).ok();
+            let fits = (LEAST..=MOST).contains(&size);
+            let least = units::bytes_text(LEAST);
+            whole
+                .filter(|_| fits)
+                .ok_or_else(|| errors::range(text, &least, &units::bytes_text(MOST)))
+        },
+    })
+}
+
+/// `count` reads a whole number of `LEAST` to `MOST`.
+///
+/// # Errors
+///
+/// Fails for anything but a whole number, and outside the range.
+pub fn count<'de, D, const LEAST: u32, const MOST: u32>(from: D) -> Result<u32, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    from.deserialize_any(Count::<LEAST, MOST>)
+}
+
+/// `share` reads a number of 0 to 1.
+///
+/// # Errors
+///
+/// Fails for anything but a number, and outside the range.
+pub fn share<'de, D>(from: D) -> Result<f64, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    from.deserialize_any(Share)
+}
+
+/// Reads a text by a function.
+struct Text<F> {
+    what: &'static str,
+    read: F,
+}
+
+impl<T, F: FnOnce(&str) -> crate::Result<T>> Visitor<'_> for Text<F> {
+    type Value = T;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.what)
+    }
+
+    fn visit_str<E: Error>(self, v: &str) -> Result<T, E> {
+        (self.read)(v).map_err(E::custom)
+    }
+}
+
+/// Reads a whole number in a range.
+struct Count<const LEAST: u32, const MOST: u32>;
+
+impl<const LEAST: u32, const MOST: u32> Visitor<'_> for Count<LEAST, MOST> {
+    type Value = u32;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "a whole number of {LEAST} to {MOST}")
+    }
+
+    fn visit_u64<E: Error>(self, v: u64) -> Result<u32, E> {
+        let small = u32::try_from(v).ok();
+        let fits = small.filter(|n| (LEAST..=MOST).contains(n));
+        let (least, most) = (LEAST.to_string(), MOST.to_string());
+        fits.ok_or_else(|| E::custom(errors::range(&v.to_string(), &least, &most)))
+    }
+}
+
+/// Reads a number of 0 to 1.
+struct Share;
+
+impl Visitor<'_> for Share {
+    type Value = f64;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a number of 0 to 1")
+    }
+
+    fn visit_f64<E: Error>(self, v: f64) -> Result<f64, E> {
+        if (0.0..=1.0).contains(&v) {
+            return Ok(v);
+        }
+        Err(E::custom(errors::range(&v.to_string(), "0", "1")))
+    }
+
+    fn visit_u64<E: Error>(self, v: u64) -> Result<f64, E> {
+        match v {
+            0 => Ok(0.0),
+            1 => Ok(1.0),
+            _ => Err(E::custom(errors::range(&v.to_string(), "0", "1"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-settings/src/router.rs
@@ -0,0 +1,143 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Settings of the router daemon.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::FleetSettings;
+use crate::Limits;
+use crate::Result;
+use crate::checked;
+use crate::file;
+
+/// Time that open streams get when a router stops, unless set.
+pub const DEFAULT_STOP_TIME: Duration = Duration::from_secs(120);
+
+/// Wait before the second attempt, unless set; it doubles with each further one.
+pub const DEFAULT_BACKOFF: Duration = Duration::from_millis(5);
+
+/// Share of each wait that is drawn at random, unless set.
+pub const DEFAULT_JITTER: f64 = 0.5;
+
+/// Time that a claim may take before its request is refused as not run, unless set.
+pub const DEFAULT_CLAIM_WAIT: Duration = Duration::from_secs(2);
+
+/// Time that claims gather before one write carries them all, unless set.
+pub const DEFAULT_FLUSH: Duration = Duration::from_millis(5);
+
+/// Objects that claims are spread over, unless set; equal on every router.
+pub const DEFAULT_SHARDS: u32 = 64;
+
+/// `RouterSettings` is the whole settings file of a router.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouterSettings {
+    /// What routers and agents share.
+    pub fleet: FleetSettings,
+    /// TCP address for callers.
+    pub listen: SocketAddr,
+    /// Bounds on callers.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Time for open streams on a stop; 0 s to 1 h, [`DEFAULT_STOP_TIME`] unless set.
+    #[serde(default = "default_stop_time")]
+    #[serde(deserialize_with = "checked::duration::<_, 0, 3_600_000>")]
+    pub stop_time: Duration,
+    /// Waits between attempts.
+    #[serde(default)]
+    pub retry: Retry,
+    /// Claims that keep a request from running twice.
+    #[serde(default)]
+    pub claims: Claims,
+}
+
+/// `Retry` is how long a router waits between attempts; how many is the pool's policy.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Retry {
+    /// Wait before the second attempt; 0 ms to 10 s, [`DEFAULT_BACKOFF`] unless set.
+    #[serde(deserialize_with = "checked::duration::<_, 0, 10_000>")]
+    pub backoff: Duration,
+    /// Random share of each wait; 0 to 1, [`DEFAULT_JITTER`] unless set.
+    #[serde(deserialize_with = "checked::share")]
+    pub jitter: f64,
+}
+
+/// `Claims` is how requests with an idempotency key are claimed before they run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Claims {
+    /// Longest wait for a claim; 10 ms to 60 s, [`DEFAULT_CLAIM_WAIT`] unless set.
+    #[serde(deserialize_with = "checked::duration::<_, 10, 60_000>")]
+    pub wait: Duration,
+    /// Time to gather claims for one write; 0 ms to 1 s, [`DEFAULT_FLUSH`] unless set.
+    #[serde(deserialize_with = "checked::duration::<_, 0, 1_000>")]
+    pub flush: Duration,
+    /// Objects to spread claims over; 1 to 4,096, [`DEFAULT_SHARDS`] unless set.
+    ///
+    /// The same on every router: two that differ would look for one claim in two places.
+    #[serde(deserialize_with = "checked::count::<_, 1, 4_096>")]
+    pub shards: u32,
+}
+
+impl RouterSettings {
+    /// `new` makes settings with all defaults.
+    #[must_use]
+    pub fn new(fleet: FleetSettings, listen: SocketAddr) -> Self {
+        Self {
+            fleet,
+            listen,
+            limits: Limits::default(),
+            stop_time: DEFAULT_STOP_TIME,
+            retry: Retry::default(),
+            claims: Claims::default(),
+        }
+    }
+
+    /// `parse` reads a settings text.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::Error::Text`] with the line and column of the first fault.
+    pub fn parse(text: &str) -> Result<Self> {
+        Ok(peppercrank_core::settings::parse(text)?)
+    }
+
+    /// `load` reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::parse`], and [`crate::Error::File`] when it cannot be read.
+    pub fn load(path: &Path) -> Result<Self> {
+        Self::parse(&file::read(path)?)
+    }
+}
+
+impl Default for Retry {
+    fn default() -> Self {
+        Self {
+            backoff: DEFAULT_BACKOFF,
+            jitter: DEFAULT_JITTER,
+        }
+    }
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Self {
+            wait: DEFAULT_CLAIM_WAIT,
+            flush: DEFAULT_FLUSH,
+            shards: DEFAULT_SHARDS,
+        }
+    }
+}
+
+/// Serde takes defaults as functions.
+const fn default_stop_time() -> Duration {
+    DEFAULT_STOP_TIME
+}
--- /dev/null
+++ b/crates/peppercrank-settings/src/units.rs
@@ -0,0 +1,84 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Texts of durations and sizes, each with its unit.
+
+use std::time::Duration;
+
+use crate::Result;
+use crate::errors;
+
+/// Units of a duration, with their lengths in milliseconds, longest suffix first.
+const TIMES: &[(&str, u64)] = &[("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
+
+/// Units of a size, with their lengths in bytes, longest suffix first.
+const SIZES: &[(&str, u64)] = &[
+    ("KiB", 1 << 10),
+    ("MiB", 1 << 20),
+    ("GiB", 1 << 30),
+    ("B", 1),
+];
+
+/// `parse_duration` reads a whole number with `ms`, `s`, `m` or `h`.
+///
+/// # Errors
+///
+/// Returns [`crate::Error::Duration`] for a missing or other unit, a fraction or an overflow.
+///
+/// # Examples
+///
+/// ```
+/// use peppercrank_settings::units::parse_duration;
+///
+/// assert_eq!(parse_duration("5m").unwrap().as_secs(), 300);
+/// assert!(parse_duration("5").is_err());
+/// ```
+pub fn parse_duration(text: &str) -> Result<Duration> {
+    let millis = scaled(text, TIMES).ok_or_else(|| errors::duration(text))?;
+    Ok(Duration::from_millis(millis))
+}
+
+/// `parse_bytes` reads a whole number with `B`, `KiB`, `MiB` or `GiB`.
+///
+/// # Errors
+///
+/// Returns [`crate::Error::Bytes`] for a missing or other unit, a fraction or an overflow.
+pub fn parse_bytes(text: &str) -> Result<u64> {
+    scaled(text, SIZES).ok_or_else(|| errors::bytes(text))
+}
+
+/// `duration_text` writes `millis` milliseconds in the longest unit that fits whole.
+#[must_use]
+pub fn duration_text(millis: u64) -> String {
+    text(millis, TIMES)
+}
+
+/// `bytes_text` writes `bytes` in the longest unit that fits whole.
+#[must_use]
+pub fn bytes_text(bytes: u64) -> String {
+    text(bytes, SIZES)
+}
+
+/// Reads a number and scales it by its unit.
+fn scaled(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let (digits, scale) = units
+        .iter()
+        .find_map(|(unit, scale)| Some((text.strip_suffix(unit)?, *scale)))?;
+    // `u64::from_str` would take a sign.
+    if !digits.bytes().all(|b| b.is_ascii_digit()) {
+        return None;
+    }
+    digits.parse::<u64>().ok()?.checked_mul(scale)
+}
+
+/// Writes `value` with the greatest unit that divides it.
+fn text(value: u64, units: &[(&str, u64)]) -> String {
+    let fits = units
+        .iter()
+        .filter(|(_, scale)| value > 0 && value.is_multiple_of(*scale));
+    let least = units.iter().min_by_key(|(_, scale)| *scale);
+    let unit = fits.max_by_key(|(_, scale)| *scale).or(least);
+    unit.map_or_else(String::new, |(unit, scale)| {
+        format!("{}{unit}", value / scale)
+    })
+}
