Carry a mean as a sum and its weight

Cause: with the default weight of 100, a mean load of a few cost units per target rounds to zero per unit of weight, and the cap of a plain service's pool would fall back to its floor. Change: `Mean` holds the summed load and weight; `share(weight)` divides once. Measured: a table of five cases; 9 over 300 gives a target of weight 100 its 3, before 0.

--- a/crates/peppercrank-core/src/blackboard.rs
+++ b/crates/peppercrank-core/src/blackboard.rs
@@ -60,16 +60,33 @@
 }
 
 /// `Mean` is the mean load of a pool's targets, as known here.
+///
+/// It holds a sum and its weight rather than their quotient: a mean below one cost unit per unit of
+/// weight would round to nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Mean {
-    /// The mean per unit of weight.
-    pub cost: Cost,
+    /// The load of the targets that it was taken over, added up.
+    pub load: Cost,
+    /// The weight of these targets, added up.
+    pub weight: u64,
     /// How many targets it was taken over.
     pub targets: u32,
     /// When it was last renewed.
     pub at: Moment,
 }
 
+impl Mean {
+    /// `share` is the mean load of a target of this weight, rounded down; zero without weight.
+    #[must_use]
+    pub fn share(&self, weight: u32) -> Cost {
+        if self.weight == 0 {
+            return Cost::ZERO;
+        }
+        let part = u128::from(self.load.0) * u128::from(weight) / u128::from(self.weight);
+        Cost(u64::try_from(part).unwrap_or(u64::MAX))
+    }
+}
+
 /// `Blackboard` holds what a process knows of the fleet.
 #[derive(Debug, Default)]
 pub struct Blackboard {
--- a/crates/peppercrank-core/tests/verify_blackboard.rs
+++ b/crates/peppercrank-core/tests/verify_blackboard.rs
@@ -4,12 +4,15 @@
 //! The blackboard keeps its indexes true to its targets.
 
 use peppercrank_core::blackboard::Blackboard;
+use peppercrank_core::blackboard::Mean;
 use peppercrank_core::blackboard::Target;
 use peppercrank_core::blackboard::TargetState;
 use peppercrank_core::names::PoolName;
 use peppercrank_core::names::TargetName;
 use peppercrank_core::names::VmName;
 use peppercrank_core::names::ZoneName;
+use peppercrank_core::time::Moment;
+use peppercrank_core::units::Cost;
 
 fn target(name: &str, pool: &str) -> Target {
     Target {
@@ -60,3 +63,27 @@
     assert!(board.pool(&PoolName::new("pool").unwrap()).is_empty());
     assert!(board.targets.get(key).is_none());
 }
+
+#[test]
+fn verify_a_mean_is_shared_by_weight() {
+    let table = [
+        (9, 300, 100, 3),
+        (2, 400, 100, 0),
+        (2, 400, 200, 1),
+        (5, 0, 100, 0),
+        (u64::MAX, 1, u32::MAX, u64::MAX),
+    ];
+    for (load, weight, own, share) in table {
+        let mean = Mean {
+            load: Cost(load),
+            weight,
+            targets: 3,
+            at: Moment::ZERO,
+        };
+        assert_eq!(
+            mean.share(own),
+            Cost(share),
+            "{load} over {weight} for {own}"
+        );
+    }
+}
