Serve and call HTTP/1.1 with streamed answers and limits

Change: an HTTP edge and a client on hyper 1.x, HTTP/1 only. The edge checks each head on its raw bytes before hyper sees it, since hyper drops a length that stands beside a transfer coding. The client tells whether any of a request can have been seen, and closes a connection whose answer was not read to its end. httparse, which hyper brings, becomes a direct dependency. Proved: four tests on streaming, broken answers, cancellation and reuse.

--- /dev/null
+++ b/crates/peppercrank-wire/src/client/mod.rs
@@ -0,0 +1,241 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The HTTP/1.1 client between our processes and towards targets.
+//!
+//! Its errors tell the truth about what the other side can have seen, and dropping what it
+//! returns closes the connection, which is how cancellation travels.
+
+mod answer;
+mod counters;
+mod link;
+mod pool;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::body::Body;
+
+pub use answer::AnswerBody;
+pub use answer::Framing;
+pub use counters::Count;
+pub use counters::Counters;
+
+use link::Link;
+use pool::Pool;
+
+/// `Answer` is the head of an answer with the body that follows.
+pub type Answer = Response<AnswerBody>;
+
+/// `Times` are the client's limits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Times {
+    /// Time for a connection to be made.
+    pub connect: Duration,
+    /// Time from the request's hand-over to the answer's head.
+    pub first_byte: Duration,
+    /// Time between two parts of an answer's body.
+    pub idle: Duration,
+    /// Time for which an unused connection is kept; shorter than the server's own.
+    pub keep: Duration,
+    /// Unused connections kept for each address.
+    pub spare: usize,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            first_byte: Duration::from_secs(120),
+            idle: Duration::from_secs(30),
+            keep: Duration::from_secs(20),
+            spare: 8,
+        }
+    }
+}
+
+/// `Reuse` is whether a request may go out on a connection that was used before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// A kept connection will do.
+    Allowed,
+    /// Only a new connection will do.
+    ///
+    /// A server may close a kept connection just as the request goes out, and then nobody knows
+    /// whether it ran: requests that are not repeatable pay for a new one.
+    Never,
+}
+
+/// `Cause` is what went wrong with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// The connection could not be made.
+    Connect(io::ErrorKind),
+    /// The connection was not made in time.
+    ConnectTimeout,
+    /// The connection closed.
+    Closed,
+    /// No head of an answer came in time.
+    FirstByte,
+    /// The answer's head is not HTTP/1.1.
+    Malformed,
+    /// The request's own body broke off.
+    Aborted,
+}
+
+/// `SendError` is a request without an answer, and whether the other side can have seen it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendError {
+    /// Not one byte of the request went out.
+    NotSent(Cause),
+    /// Some or all of the request may have arrived.
+    MayHaveBeenSent(Cause),
+}
+
+impl std::fmt::Display for SendError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotSent(cause) => write!(f, "request not sent: {cause:?}"),
+            Self::MayHaveBeenSent(cause) => write!(f, "request may have been sent: {cause:?}"),
+        }
+    }
+}
+
+impl std::error::Error for SendError {}
+
+/// `Client` sends requests and keeps a few connections for each address.
+#[derive(Debug, Clone)]
+pub struct Client {
+    times: Arc<Times>,
+    pool: Arc<Pool>,
+    counters: Arc<Counters>,
+}
+
+impl Client {
+    /// `new` makes a client with no connections yet.
+    #[must_use]
+    pub fn new(times: Times) -> Self {
+        let pool = Pool::new(times.keep, times.spare);
+        Self {
+            times: Arc::new(times),
+            pool: Arc::new(pool),
+            counters: Arc::default(),
+        }
+    }
+
+    /// `counters` are the client's counters.
+    #[must_use]
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// `send` sends a request and returns the head of its answer.
+    ///
+    /// Dropping the future, or the answer's body before its end, closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] only when the other side cannot have seen any of it.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        mut request: Request<Body>,
+        reuse: Reuse,
+    ) -> Result<Answer, SendError> {
+        name_host(&mut request, to);
+        let sent = self.attempt(to, request, reuse).await;
+        if let Err(error) = &sent {
+            self.counters.failed(*error);
+        }
+        sent
+    }
+
+    async fn attempt(
+        &self,
+        to: SocketAddr,
+        mut request: Request<Body>,
+        reuse: Reuse,
+    ) -> Result<Answer, SendError> {
+        if reuse == Reuse::Allowed {
+            while let Some(link) = self.pool.take(to) {
+                match self.try_on(link, to, request).await {
+                    // The kept connection had closed unseen, so the request is still ours.
+                    Tried::Back(unsent, _) => request = unsent,
+                    Tried::Answer(answer) => {
+                        self.counters.add(Count::Reused);
+                        return Ok(answer);
+                    }
+                    Tried::Failed(cause) => return Err(SendError::MayHaveBeenSent(cause)),
+                }
+            }
+        }
+        let opened = Link::open(to, self.times.connect).await;
+        let link = opened.map_err(SendError::NotSent)?;
+        self.counters.add(Count::Connected);
+        match self.try_on(link, to, request).await {
+            Tried::Answer(answer) => Ok(answer),
+            Tried::Back(_, cause) => Err(SendError::NotSent(cause)),
+            Tried::Failed(cause) => Err(SendError::MayHaveBeenSent(cause)),
+        }
+    }
+
+    async fn try_on(&self, mut link: Link, to: SocketAddr, request: Request<Body>) -> Tried {
+        let Ok(Ok(())) = timeout(self.times.connect, link.sender.ready()).await else {
+            return Tried::Back(request, Cause::Closed);
+        };
+        let sending = link.sender.try_send_request(request);
+        let Ok(sent) = timeout(self.times.first_byte, sending).await else {
+            return Tried::Failed(Cause::FirstByte);
+        };
+        match sent {
+            Ok(answer) => Tried::Answer(self.wrap(answer, link, to)),
+            Err(mut e) => match e.take_message() {
+                Some(request) => Tried::Back(request, Cause::Closed),
+                None => Tried::Failed(cause(e.error())),
+            },
+        }
+    }
+
+    fn wrap(&self, answer: Response<Incoming>, link: Link, to: SocketAddr) -> Answer {
+        let framing = Framing::of(&answer);
+        let home = framing.keeps(&answer).then(|| (Arc::clone(&self.pool), to));
+        answer.map(|inner| AnswerBody::new(inner, framing, link, home, self.times.idle))
+    }
+}
+
+/// `Tried` is how a request fared on one connection.
+enum Tried {
+    Answer(Answer),
+    Back(Request<Body>, Cause),
+    Failed(Cause),
+}
+
+fn cause(error: &hyper::Error) -> Cause {
+    if error.is_user() {
+        return Cause::Aborted;
+    }
+    if error.is_parse() {
+        return Cause::Malformed;
+    }
+    Cause::Closed
+}
+
+/// Names the host, which HTTP/1.1 demands of every request.
+fn name_host(request: &mut Request<Body>, to: SocketAddr) {
+    if request.headers().contains_key(header::HOST) {
+        return;
+    }
+    // An address holds no character that a header forbids.
+    if let Ok(host) = HeaderValue::from_str(&to.to_string()) {
+        request.headers_mut().insert(header::HOST, host);
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-wire/src/edge/call.rs
@@ -0,0 +1,201 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! One call at an edge, and its body as it comes in.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use hyper::body::Body as HttpBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep_until;
+
+use crate::Error;
+use crate::Result;
+use crate::body;
+use crate::body::Body;
+
+use super::flow::after;
+use super::refusal::Counters;
+use super::refusal::Refused;
+
+/// `Reply` is the answer to one call.
+pub type Reply = http::Response<Body>;
+
+/// `Call` is one request of a caller.
+///
+/// The future that answers it is dropped when the caller goes away.
+#[derive(Debug)]
+pub struct Call {
+    /// Method, path and headers.
+    pub head: Parts,
+    /// The body, within the edge's limits of size and time.
+    pub body: CallBody,
+    /// Where the caller's connection comes from.
+    pub peer: SocketAddr,
+}
+
+/// `CallBody` reads the body of a call within the edge's limits of size and time.
+#[derive(Debug)]
+pub struct CallBody {
+    inner: Incoming,
+    left: u64,
+    time: Duration,
+    begun: Instant,
+    sleep: Option<Pin<Box<Sleep>>>,
+    counters: Arc<Counters>,
+}
+
+impl CallBody {
+    pub(super) fn new(inner: Incoming, left: u64, time: Duration, counters: Arc<Counters>) -> Self {
+        Self {
+            inner,
+            left,
+            time,
+            begun: Instant::now(),
+            sleep: None,
+            counters,
+        }
+    }
+
+    /// `read` reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::BodyTooBig`], [`Error::BodyTimeout`] or [`Error::BodyBroken`];
+    /// [`refuse_body`] makes the reply for each.
+    pub async fn read(self) -> Result<Bytes> {
+        let whole = self.collect().await?;
+        Ok(whole.to_bytes())
+    }
+
+    fn fail(&self, reason: Refused, error: Error) -> Poll<Option<Result<Frame<Bytes>>>> {
+        self.counters.refuse(reason);
+        Poll::Ready(Some(Err(error)))
+    }
+
+    fn poll_time(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let end = after(self.begun, self.time);
+        // Most bodies are there at once, so the timer is made only when one is not.
+        let sleep = self.sleep.get_or_insert_with(|| Box::pin(sleep_until(end)));
+        sleep.as_mut().poll(cx)
+    }
+}
+
+impl HttpBody for CallBody {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>>>> {
+        let next = Pin::new(&mut self.inner).poll_frame(cx);
+        let Poll::Ready(next) = next else {
+            ready!(self.poll_time(cx));
+            return self.fail(Refused::BodyTimeout, Error::BodyTimeout);
+        };
+        let frame = match next {
+            None => return Poll::Ready(None),
+            Some(Err(_)) => return self.fail(Refused::BadBody, Error::BodyBroken),
+            Some(Ok(frame)) => frame,
+        };
+        let len = frame.data_ref().map_or(0, |d| d.len() as u64);
+        if len > self.left {
+            return self.fail(Refused::BodyTooBig, Error::BodyTooBig);
+        }
+        self.left -= len;
+        Poll::Ready(Some(Ok(frame)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// `refuse_body` makes the reply to a call whose body could not be read.
+#[must_use]
+pub fn refuse_body(error: Error) -> Reply {
+    match error {
+        Error::BodyTooBig => refuse(Refused::BodyTooBig),
+        Error::BodyTimeout => refuse(Refused::BodyTimeout),
+        _ => refuse(Refused::BadBody),
+    }
+}
+
+/// `refuse` makes the reply of an edge that refuses; the connection is closed after it.
+#[must_use]
+pub fn refuse(reason: Refused) -> Reply {
+    let mut reply = Reply::new(body::full(text(reason)));
+    *reply.status_mut() = reason.status();
+    let headers = reply.headers_mut();
+    let code = http::HeaderValue::from_static(reason.code());
+    headers.insert(
+        header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    headers.insert(header::CONNECTION, http::HeaderValue::from_static("close"));
+    headers.insert("x-peppercrank-reason", code);
+    headers.insert(
+        "x-peppercrank-run",
+        http::HeaderValue::from_static(run(reason)),
+    );
+    reply
+}
+
+/// The refusal as the bytes of a whole answer, for a caller that hyper does not serve.
+pub(super) fn raw(reason: Refused) -> Vec<u8> {
+    let text = text(reason);
+    let head = format!(
+        "HTTP/1.1 {}\r\nconnection: close\r\ncontent-type: application/json\r\n         content-length: {}\r\nx-peppercrank-reason: {}\r\nx-peppercrank-run: {}\r\n{}\r\n",
+        reason.status(),
+        text.len(),
+        reason.code(),
+        run(reason),
+        retry(reason),
+    );
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(text.as_bytes());
+    bytes
+}
+
+fn text(reason: Refused) -> String {
+    format!(
+        r#"{{"error":{{"code":"{}","run":"{}","message":"{}","request":null}}}}"#,
+        reason.code(),
+        run(reason),
+        reason.text(),
+    )
+}
+
+/// Whether a call that ended so may have run.
+const fn run(reason: Refused) -> &'static str {
+    match reason {
+        Refused::TotalTime | Refused::WriteTimeout => "may_have_run",
+        _ => "not_run",
+    }
+}
+
+const fn retry(reason: Refused) -> &'static str {
+    match reason {
+        Refused::Connections => "retry-after: 1\r\n",
+        _ => "",
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-wire/src/edge/head.rs
@@ -0,0 +1,116 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The checks of a request's head, on the bytes as they came.
+//!
+//! hyper resolves a length that stands beside a transfer coding by dropping the length, so that
+//! nothing above it can refuse such a request. These checks run before hyper sees the head.
+
+use http::Method;
+use http::header;
+use httparse::EMPTY_HEADER;
+use httparse::Error;
+use httparse::Header;
+use httparse::Request;
+use httparse::Status;
+
+use super::limits::Limits;
+use super::refusal::Refused;
+
+/// Most headers of one request; hyper's own default.
+const MAX_HEADERS: usize = 100;
+
+/// The minor version of HTTP/1.1.
+const MINOR: u8 = 1;
+
+/// `Framing` is how a request's body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Framing {
+    /// After this many bytes.
+    Length(u64),
+    /// With the last chunk.
+    Chunked,
+}
+
+/// `Seen` is what the bytes so far hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Seen {
+    /// A head that goes on.
+    Part,
+    /// A whole head of `len` bytes.
+    Whole { len: usize, framing: Framing },
+    /// A head to refuse.
+    Bad(Refused),
+}
+
+/// Inspects a head that ends somewhere within `bytes`.
+pub(super) fn inspect(bytes: &[u8], limits: &Limits) -> Seen {
+    let mut headers = [EMPTY_HEADER; MAX_HEADERS];
+    let mut request = Request::new(&mut headers);
+    let len = match request.parse(bytes) {
+        Ok(Status::Partial) => return Seen::Part,
+        Ok(Status::Complete(len)) => len,
+        Err(Error::TooManyHeaders) => return Seen::Bad(Refused::HeadTooBig),
+        Err(_) => return Seen::Bad(Refused::BadHead),
+    };
+    if len > limits.head {
+        return Seen::Bad(Refused::HeadTooBig);
+    }
+    if std::str::from_utf8(&bytes[..len]).is_err() {
+        return Seen::Bad(Refused::BadHead);
+    }
+    match check(&request, limits) {
+        Ok(framing) => Seen::Whole { len, framing },
+        Err(reason) => Seen::Bad(reason),
+    }
+}
+
+fn check(request: &Request<'_, '_>, limits: &Limits) -> Result<Framing, Refused> {
+    // An older caller could not tell a broken answer from a whole one.
+    if request.version != Some(MINOR) {
+        return Err(Refused::Version);
+    }
+    if request.method == Some(Method::CONNECT.as_str()) {
+        return Err(Refused::Method);
+    }
+    if values(request.headers, header::HOST.as_str()).count() != 1 {
+        return Err(Refused::BadHead);
+    }
+    framing(request.headers, limits)
+}
+
+fn framing(headers: &[Header<'_>], limits: &Limits) -> Result<Framing, Refused> {
+    let mut lengths = values(headers, header::CONTENT_LENGTH.as_str());
+    let mut codings = values(headers, header::TRANSFER_ENCODING.as_str());
+    let length = lengths.next();
+    let coding = codings.next();
+    if lengths.next().is_some() || codings.next().is_some() {
+        return Err(Refused::Framing);
+    }
+    match (length, coding) {
+        (None, None) => Ok(Framing::Length(0)),
+        (None, Some(coding)) if coding.eq_ignore_ascii_case(b"chunked") => Ok(Framing::Chunked),
+        (Some(length), None) => sized(length, limits),
+        _ => Err(Refused::Framing),
+    }
+}
+
+fn sized(value: &[u8], limits: &Limits) -> Result<Framing, Refused> {
+    // Parsing takes a sign, which the field does not allow.
+    if value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+        return Err(Refused::Framing);
+    }
+    let length = std::str::from_utf8(value).ok().and_then(|t| t.parse().ok());
+    match length {
+        Some(length) if length <= limits.body => Ok(Framing::Length(length)),
+        // Digits that overflow are a length beyond every limit.
+        _ => Err(Refused::BodyTooBig),
+    }
+}
+
+fn values<'a>(headers: &'a [Header<'a>], name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+    headers
+        .iter()
+        .filter(move |h| h.name.eq_ignore_ascii_case(name))
+        .map(|h| h.value)
+}
--- /dev/null
+++ b/crates/peppercrank-wire/src/edge/mod.rs
@@ -0,0 +1,194 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! HTTP/1.1 edges: servers that stream their answers and bound what callers can hold.
+
+mod call;
+mod connection;
+mod flow;
+mod gate;
+mod head;
+mod limits;
+mod refusal;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::Result;
+use crate::errors;
+use crate::errors::Step;
+use crate::stop::Stop;
+
+pub use call::Call;
+pub use call::CallBody;
+pub use call::Reply;
+pub use call::refuse;
+pub use call::refuse_body;
+pub use limits::Limits;
+pub use refusal::Counters;
+pub use refusal::Refused;
+
+use connection::Shared;
+
+/// Pause after a failed accept, so that a full descriptor table is not polled in a tight loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Callers over the limit that are told so at once; those beyond are closed without a word.
+const TURNED_AWAY: u64 = 64;
+
+/// `Edge` is a listening HTTP/1.1 server.
+#[derive(Debug)]
+pub struct Edge {
+    listener: TcpListener,
+    address: SocketAddr,
+    counters: Arc<Counters>,
+}
+
+/// `Finished` is how an edge ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Finished {
+    /// Calls taken up since the start.
+    pub calls: u64,
+    /// Calls cut off since they outlasted the time for stopping.
+    pub cut: u64,
+}
+
+impl Edge {
+    /// `bind` listens on an address; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::Error::Io`] when the address cannot be bound.
+    pub async fn bind(address: SocketAddr) -> Result<Self> {
+        let bound = TcpListener::bind(address).await;
+        let listener = bound.map_err(|e| errors::io(Step::Bind, &e))?;
+        let address = listener.local_addr();
+        Ok(Self {
+            address: address.map_err(|e| errors::io(Step::Bind, &e))?,
+            listener,
+            counters: Arc::default(),
+        })
+    }
+
+    /// `local_addr` is where the edge listens.
+    #[must_use]
+    pub const fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// `counters` are the edge's counters, which outlive it.
+    #[must_use]
+    pub fn counters(&self) -> Arc<Counters> {
+        Arc::clone(&self.counters)
+    }
+
+    /// `serve` answers callers until told to stop, then finishes what is in progress.
+    ///
+    /// Each call's answering future is dropped when its caller goes away. Once stopping, answers
+    /// close their connections and what outlasts [`Limits::drain`] is cut.
+    pub async fn serve<F, R>(self, limits: Limits, mut stop: Stop, answer: F) -> Finished
+    where
+        F: Fn(Call) -> R + Send + Sync + 'static,
+        R: Future<Output = Reply> + Send + 'static,
+    {
+        let shared = Arc::new(Shared {
+            limits: Arc::new(limits),
+            counters: Arc::clone(&self.counters),
+            answer,
+        });
+        let mut tasks = JoinSet::new();
+        loop {
+            tokio::select! {
+                () = stop.wait() => break,
+                accepted = self.listener.accept() => {
+                    let Ok((io, peer)) = accepted else {
+                        self.counters.accept_failed();
+                        sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    };
+                    admit(&mut tasks, io, peer, &shared, &stop);
+                }
+                Some(_) = tasks.join_next(), if !tasks.is_empty() => {}
+            }
+        }
+        // Callers that the system has connected already would be reset with the listener.
+        while let Some(Ok((io, peer))) = self.listener.accept().now_or_never() {
+            admit(&mut tasks, io, peer, &shared, &stop);
+        }
+        drop(self.listener);
+        let cut = drain(tasks, &shared.limits, &self.counters).await;
+        let calls = self.counters.calls();
+        Finished { calls, cut }
+    }
+}
+
+/// `Open` counts a connection as open until it is dropped.
+struct Open(Arc<Counters>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.closed();
+    }
+}
+
+fn admit<F, R>(
+    tasks: &mut JoinSet<()>,
+    io: TcpStream,
+    peer: SocketAddr,
+    shared: &Arc<Shared<F>>,
+    stop: &Stop,
+) where
+    F: Fn(Call) -> R + Send + Sync + 'static,
+    R: Future<Output = Reply> + Send + 'static,
+{
+    let now = shared.counters.opened();
+    let open = Open(Arc::clone(&shared.counters));
+    let most = shared.limits.connections as u64;
+    if now > most {
+        shared.counters.refuse(Refused::Connections);
+        if now - most <= TURNED_AWAY {
+            tasks.spawn(turn_away(io, open, Arc::clone(&shared.limits)));
+        }
+        return;
+    }
+    // Without it only the latency suffers.
+    let _set = io.set_nodelay(true);
+    let shared = Arc::clone(shared);
+    let stop = stop.clone();
+    tasks.spawn(async move {
+        connection::run(io, peer, shared, stop).await;
+        drop(open);
+    });
+}
+
+async fn turn_away(mut io: TcpStream, open: Open, limits: Arc<Limits>) {
+    let told = timeout(
+        limits.linger,
+        io.write_all(&call::raw(Refused::Connections)),
+    )
+    .await;
+    if matches!(told, Ok(Ok(()))) {
+        connection::close(io, &limits).await;
+    }
+    drop(open);
+}
+
+/// Waits for the connections' ends and returns how many calls were cut.
+async fn drain(mut tasks: JoinSet<()>, limits: &Limits, counters: &Counters) -> u64 {
+    let all = async { while tasks.join_next().await.is_some() {} };
+    if timeout(limits.drain, all).await.is_ok() {
+        return 0;
+    }
+    let cut = counters.busy();
+    tasks.shutdown().await;
+    cut
+}
--- a/crates/peppercrank-wire/src/lib.rs
+++ b/crates/peppercrank-wire/src/lib.rs
@@ -2,3 +2,17 @@
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
 //! Adapters of sockets and clocks: HTTP edges, the platform's client, control calls, gossip datagrams.
+//!
+//! Everything that reads a clock or opens a socket for the fleet stands here; the parts that
+//! decide stand in crates without input or output.
+
+pub mod body;
+pub mod client;
+
+pub mod edge;
+pub mod errors;
+pub mod headers;
+pub mod stop;
+
+pub use errors::Error;
+pub use errors::Result;
--- /dev/null
+++ b/crates/peppercrank-wire/tests/verify_stream.rs
@@ -0,0 +1,159 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Answers stream event by event, break loudly, and are cancelled with their callers.
+
+#[path = "support/edge.rs"]
+mod edges;
+#[path = "support/http.rs"]
+mod requests;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use peppercrank_wire::Error;
+use peppercrank_wire::body;
+use peppercrank_wire::client::Client;
+use peppercrank_wire::client::Count;
+use peppercrank_wire::client::Reuse;
+use peppercrank_wire::client::Times;
+use peppercrank_wire::edge::Limits;
+use peppercrank_wire::edge::Reply;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+
+use edges::echo;
+use edges::start;
+use requests::get;
+use requests::text;
+
+#[tokio::test]
+async fn verify_events_arrive_one_by_one() {
+    let step = Arc::new(Semaphore::new(0));
+    let gate = Arc::clone(&step);
+    let running = start(Limits::default(), move |_call| {
+        let (feed, body) = body::channel(1);
+        let gate = Arc::clone(&gate);
+        tokio::spawn(async move {
+            for n in 0..3 {
+                let event = Bytes::from(format!("data: {n}\n\n"));
+                feed.send(event).await.expect("a reader");
+                // The next event leaves only once the caller has this one.
+                gate.acquire().await.expect("an open gate").forget();
+            }
+            feed.finish();
+        });
+        std::future::ready(Reply::new(body))
+    })
+    .await;
+    let client = Client::new(Times::default());
+    let answer = client.send(running.address, get("/"), Reuse::Allowed).await;
+    let mut body = answer.expect("an answer").into_body();
+    for n in 0..3 {
+        let frame = body.frame().await.expect("an event").expect("a whole one");
+        assert_eq!(
+            frame.data_ref(),
+            Some(&Bytes::from(format!("data: {n}\n\n")))
+        );
+        step.add_permits(1);
+    }
+    assert!(body.frame().await.is_none());
+}
+
+#[tokio::test]
+async fn verify_broken_answer_is_an_error() {
+    let step = Arc::new(Semaphore::new(0));
+    let gate = Arc::clone(&step);
+    let running = start(Limits::default(), move |_call| {
+        let (feed, body) = body::channel(1);
+        let gate = Arc::clone(&gate);
+        tokio::spawn(async move {
+            let half = Bytes::from_static(b"half");
+            feed.send(half).await.expect("a reader");
+            // Dropped unfinished, once the caller has the head.
+            gate.acquire().await.expect("an open gate").forget();
+            drop(feed);
+        });
+        std::future::ready(Reply::new(body))
+    })
+    .await;
+    let client = Client::new(Times::default());
+    let answer = client.send(running.address, get("/"), Reuse::Allowed).await;
+    let body = answer.expect("a head").into_body();
+    step.add_permits(1);
+    assert_eq!(text(body).await, Err(Error::AnswerCut));
+    assert_eq!(running.counters.gone(), 0);
+    assert_eq!(running.stop().await.cut, 0);
+}
+
+#[tokio::test]
+async fn verify_caller_gone_drops_answer() {
+    let (dropped, mut heard) = mpsc::unbounded_channel();
+    let running = start(Limits::default(), move |call| {
+        let guard = Told(dropped.clone());
+        let early = call.head.uri.path() == "/head";
+        async move {
+            if early {
+                // No answer has begun when the caller goes.
+                std::future::pending::<()>().await;
+            }
+            let (feed, body) = body::channel(1);
+            tokio::spawn(async move {
+                feed.send(Bytes::from_static(b"one"))
+                    .await
+                    .expect("a reader");
+                feed.closed().await;
+                drop(guard);
+            });
+            Reply::new(body)
+        }
+    })
+    .await;
+    let client = Client::new(Times::default());
+    let answer = client
+        .send(running.address, get("/body"), Reuse::Allowed)
+        .await;
+    let mut body = answer.expect("a head").into_body();
+    body.frame().await.expect("a frame").expect("a whole one");
+    drop(body);
+    heard.recv().await.expect("the stream dropped");
+    let mut sending = Box::pin(client.send(running.address, get("/head"), Reuse::Allowed));
+    while running.counters.calls() < 2 {
+        assert!(futures::poll!(&mut sending).is_pending());
+        tokio::task::yield_now().await;
+    }
+    drop(sending);
+    heard.recv().await.expect("the future dropped");
+    assert_eq!(client.counters().get(Count::Reused), 0);
+}
+
+#[tokio::test]
+async fn verify_unread_connection_is_not_reused() {
+    let running = start(Limits::default(), echo).await;
+    let client = Client::new(Times::default());
+    let cases = [("read", true, 1), ("dropped", false, 1), ("read", true, 2)];
+    for (name, whole, connected) in cases {
+        let answer = client
+            .send(running.address, get("/a"), Reuse::Allowed)
+            .await;
+        let body = answer.expect("an answer").into_body();
+        if whole {
+            assert_eq!(text(body).await.expect("a body"), "GET /a ");
+        }
+        assert_eq!(client.counters().get(Count::Connected), connected, "{name}");
+    }
+    let answer = client.send(running.address, get("/a"), Reuse::Never).await;
+    drop(answer.expect("an answer"));
+    assert_eq!(client.counters().get(Count::Connected), 3);
+}
+
+/// Tells when it is dropped.
+struct Told(mpsc::UnboundedSender<()>);
+
+impl Drop for Told {
+    fn drop(&mut self) {
+        // The test may be over.
+        let _told = self.0.send(());
+    }
+}
