Add the reason of a refusal that only points elsewhere

Cause: an agent that has room, but knows that another target holds the context, had no true reason to give. Change: NotRun::Elsewhere, code "elsewhere". Additive; no other reason changes.

--- a/crates/peppercrank-core/src/refusal.rs
+++ b/crates/peppercrank-core/src/refusal.rs
@@ -72,6 +72,8 @@
         NotReady "not_ready",
         /// The message between our processes was not authentic.
         Unauthentic "unauthentic",
+        /// Another target holds the context; the refusal's hint names it.
+        Elsewhere "elsewhere",
         /// The attempt was seen before: a duplicate delivery of one message.
         DuplicateAttempt "duplicate_attempt",
     }
