--- /dev/null
+++ b/crates/peppercrank-route/src/attempt.rs
@@ -0,0 +1,478 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! One request over all its attempts: what to send where, when to stop, what to tell the caller.
+//!
+//! [`Request::on`] takes each event and says what to do next. The rules that it keeps:
+//!
+//! - no two attempts are in flight at once, and an event of an earlier attempt changes nothing;
+//! - only a refusal as not run, or a repeatable request of unknown fate with nothing delivered
+//!   yet, is tried again, within the tries, the deadline and the retry budget;
+//! - a refusal says "not run" only when no attempt may have run;
+//! - a request that is given up on is refused in the same call.
+
+use std::time::Duration;
+
+use peppercrank_core::blackboard::TargetKey;
+use peppercrank_core::hash::hash64;
+use peppercrank_core::keys::AttemptId;
+use peppercrank_core::keys::RequestId;
+use peppercrank_core::refusal::MayHaveRun;
+use peppercrank_core::refusal::NotRun;
+use peppercrank_core::refusal::Outcome;
+use peppercrank_core::time::Moment;
+
+use crate::classes::After;
+use crate::classes::after;
+use crate::classes::is_worth_waiting;
+use crate::classes::tells_unreachable;
+use crate::retry::Retries;
+
+/// `Event` is what happened to a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// The candidates are known, the best first; sent once, to begin.
+    Ranked(Vec<TargetKey>),
+    /// The target refused the attempt as not run, or could not be connected to.
+    NotRun {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Why.
+        reason: NotRun,
+        /// The target that holds the context, when the refusal named one that ranks here.
+        ///
+        /// [`crate::Ranking::find`] gives it, so that a target that is leaving, dead or unknown
+        /// here is no hint.
+        hint: Option<TargetKey>,
+    },
+    /// The attempt ended with an unknown fate.
+    MayHaveRun {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Why.
+        reason: MayHaveRun,
+    },
+    /// The first byte of an answer that echoes the attempt's id is there.
+    FirstByte {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The whole answer of the attempt was delivered.
+    Done {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The caller went away.
+    CallerGone,
+    /// The moment that [`Next::Wait`] named has come, or any other.
+    Tick,
+}
+
+/// `Next` is what to do next with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Send the request to `target`, then report events of `attempt`, and a tick at the deadline.
+    Send {
+        /// The target.
+        target: TargetKey,
+        /// The id of the attempt.
+        attempt: AttemptId,
+        /// Whether the agent may refuse with [`NotRun::Elsewhere`].
+        redirect: bool,
+        /// Whether no further target will be tried, so that the agent may queue the request.
+        last: bool,
+    },
+    /// Do nothing until `until`, then send a tick.
+    Wait {
+        /// The moment.
+        until: Moment,
+    },
+    /// Pass the answer of the attempt in flight on to the caller.
+    Deliver,
+    /// The request is over and the caller needs no more from us.
+    Finish {
+        /// The attempt to cancel, when the caller went away under it.
+        cancel: Option<AttemptId>,
+    },
+    /// Refuse the request now; after [`Next::Deliver`], end the stream with this as its error.
+    Refuse {
+        /// The outcome of the request over all its attempts, never `Done`.
+        outcome: Outcome,
+        /// When the caller may come back, where that helps.
+        retry_after: Option<Duration>,
+        /// The attempt to cancel, when one is in flight.
+        cancel: Option<AttemptId>,
+    },
+    /// Do nothing: the event was of an attempt that is over, or came after the end.
+    Ignore,
+}
+
+/// `Terms` are the limits of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Terms {
+    /// The request's id.
+    pub id: RequestId,
+    /// Whether it may run twice.
+    pub repeatable: bool,
+    /// When its time is over.
+    pub deadline: Moment,
+    /// Tries at most, [`peppercrank_core::objects::Policy::tries`]; 0 counts as 1.
+    pub tries: u32,
+}
+
+/// `Phase` is how far a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Its candidates are not known.
+    New,
+    /// An attempt is in flight and nothing of its answer was delivered.
+    Sent(AttemptId),
+    /// An answer is being delivered.
+    Delivering(AttemptId),
+    /// It waits to try again.
+    Pausing(Moment),
+    /// It is over.
+    Over,
+}
+
+/// `Request` is the state of one request over all its attempts.
+#[derive(Debug)]
+pub struct Request {
+    /// The limits.
+    terms: Terms,
+    /// How far it is.
+    phase: Phase,
+    /// The candidates that were not yet looked at, the best last.
+    candidates: Vec<TargetKey>,
+    /// The targets that were sent to, the latest last.
+    sent: Vec<TargetKey>,
+    /// The target that the latest refusal named.
+    hint: Option<TargetKey>,
+    /// A target that has room but pointed elsewhere.
+    spare: Option<TargetKey>,
+    /// Whether a hint has jumped the queue.
+    jumped: bool,
+    /// The latest refusal as not run.
+    refused: Option<NotRun>,
+    /// The first fate that is unknown.
+    doubt: Option<MayHaveRun>,
+}
+
+impl Request {
+    /// `new` begins a request that has sent nothing yet.
+    #[must_use]
+    pub fn new(terms: Terms) -> Self {
+        Self {
+            terms,
+            phase: Phase::New,
+            candidates: Vec::new(),
+            sent: Vec::new(),
+            hint: None,
+            spare: None,
+            jumped: false,
+            refused: None,
+            doubt: None,
+        }
+    }
+
+    /// `tries` is the number of attempts sent so far.
+    #[must_use]
+    pub fn tries(&self) -> u32 {
+        u32::try_from(self.sent.len()).unwrap_or(u32::MAX)
+    }
+
+    /// `target` is the target of the latest attempt.
+    #[must_use]
+    pub fn target(&self) -> Option<TargetKey> {
+        self.sent.last().copied()
+    }
+
+    /// `is_over` tells whether the request has been finished or refused.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.phase == Phase::Over
+    }
+
+    /// `on` takes in one event and says what to do next.
+    pub fn on(&mut self, now: Moment, event: Event, retries: &mut Retries) -> Next {
+        match event {
+            Event::Ranked(targets) => self.on_ranked(now, targets, retries),
+            Event::NotRun {
+                attempt,
+                reason,
+                hint,
+            } => self.on_not_run(now, attempt, reason, hint, retries),
+            Event::MayHaveRun { attempt, reason } => self.on_doubt(now, attempt, reason, retries),
+            Event::FirstByte { attempt } => self.on_first_byte(attempt, retries),
+            Event::Done { attempt } => self.on_done(attempt, retries),
+            Event::CallerGone => self.on_caller_gone(),
+            Event::Tick => self.on_tick(now, retries),
+        }
+    }
+
+    fn on_ranked(&mut self, now: Moment, targets: Vec<TargetKey>, retries: &mut Retries) -> Next {
+        if self.phase != Phase::New {
+            return Next::Ignore;
+        }
+        self.candidates = targets;
+        self.candidates.reverse();
+        if self.is_late(now) {
+            return self.refuse(NotRun::Deadline, retries);
+        }
+        self.send(now, retries)
+    }
+
+    fn on_not_run(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        reason: NotRun,
+        hint: Option<TargetKey>,
+        retries: &mut Retries,
+    ) -> Next {
+        if self.phase != Phase::Sent(attempt) {
+            // An answer that has begun cannot be refused as not run: the peer broke the protocol.
+            return self.on_doubt(now, attempt, MayHaveRun::BadAnswer, retries);
+        }
+        if reason == NotRun::DuplicateAttempt {
+            // The message came twice, and the first of the two may be running.
+            return self.on_doubt(now, attempt, MayHaveRun::AlreadyBegun, retries);
+        }
+        self.note_reachable(now, tells_unreachable(reason), retries);
+        self.refused = Some(reason);
+        self.hint = hint.filter(|_| !self.jumped);
+        if reason == NotRun::Elsewhere {
+            return self.redirect(now, retries);
+        }
+        match after(reason) {
+            After::Stop => self.refuse(reason, retries),
+            After::Next => self.again(now, Duration::ZERO, retries),
+            After::Pause => {
+                let pause = retries.backoff(self.tries());
+                self.again(now, pause, retries)
+            }
+        }
+    }
+
+    fn on_doubt(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        reason: MayHaveRun,
+        retries: &mut Retries,
+    ) -> Next {
+        let delivered = match self.phase {
+            Phase::Sent(current) if current == attempt => false,
+            Phase::Delivering(current) if current == attempt => true,
+            Phase::New
+            | Phase::Sent(_)
+            | Phase::Delivering(_)
+            | Phase::Pausing(_)
+            | Phase::Over => {
+                return Next::Ignore;
+            }
+        };
+        self.doubt = self.doubt.or(Some(reason));
+        self.note_reachable(now, !delivered && reason == MayHaveRun::Cut, retries);
+        if delivered || !self.terms.repeatable || reason == MayHaveRun::AlreadyBegun {
+            return self.refuse(NotRun::NoTarget, retries);
+        }
+        let pause = retries.backoff(self.tries());
+        self.again(now, pause, retries)
+    }
+
+    fn on_first_byte(&mut self, attempt: AttemptId, retries: &mut Retries) -> Next {
+        if self.phase != Phase::Sent(attempt) {
+            return Next::Ignore;
+        }
+        self.phase = Phase::Delivering(attempt);
+        self.close_breaker(retries);
+        Next::Deliver
+    }
+
+    fn on_done(&mut self, attempt: AttemptId, retries: &mut Retries) -> Next {
+        match self.phase {
+            Phase::Sent(current) | Phase::Delivering(current) if current == attempt => {}
+            Phase::New
+            | Phase::Sent(_)
+            | Phase::Delivering(_)
+            | Phase::Pausing(_)
+            | Phase::Over => {
+                return Next::Ignore;
+            }
+        }
+        self.phase = Phase::Over;
+        self.close_breaker(retries);
+        retries.budget.earn();
+        Next::Finish { cancel: None }
+    }
+
+    fn on_caller_gone(&mut self) -> Next {
+        if self.is_over() {
+            return Next::Ignore;
+        }
+        let cancel = self.in_flight();
+        self.phase = Phase::Over;
+        Next::Finish { cancel }
+    }
+
+    fn on_tick(&mut self, now: Moment, retries: &mut Retries) -> Next {
+        if self.is_over() {
+            return Next::Ignore;
+        }
+        if self.is_late(now) {
+            if self.in_flight().is_some() {
+                self.doubt = self.doubt.or(Some(MayHaveRun::Timeout));
+            }
+            return self.refuse(NotRun::Deadline, retries);
+        }
+        match self.phase {
+            Phase::Pausing(until) if until <= now => self.send(now, retries),
+            Phase::Pausing(until) => Next::Wait { until },
+            Phase::New | Phase::Sent(_) | Phase::Delivering(_) | Phase::Over => Next::Wait {
+                until: self.terms.deadline,
+            },
+        }
+    }
+
+    /// Goes where a target with room pointed, which spends nothing: it happens once a request.
+    fn redirect(&mut self, now: Moment, retries: &mut Retries) -> Next {
+        let target = self.target();
+        let free = self.hint.is_some_and(|hint| !self.sent.contains(&hint));
+        let first = !self.jumped;
+        self.jumped = true;
+        if first {
+            self.spare = target;
+        }
+        if first && free && self.tries() < self.terms.tries && !self.is_late(now) {
+            return self.send(now, retries);
+        }
+        self.again(now, Duration::ZERO, retries)
+    }
+
+    /// Tries again after `pause` where tries, time and budget allow, else refuses at once.
+    fn again(&mut self, now: Moment, pause: Duration, retries: &mut Retries) -> Next {
+        let reason = self.refused.unwrap_or(NotRun::NoTarget);
+        let until = now + pause;
+        if self.is_late(now) {
+            return self.refuse(NotRun::Deadline, retries);
+        }
+        // A pause that outlasts the deadline would only hold the refusal back.
+        if until >= self.terms.deadline {
+            return self.refuse(reason, retries);
+        }
+        if self.tries() >= self.terms.tries || !self.has_more(now, retries) {
+            return self.refuse(reason, retries);
+        }
+        if !retries.budget.spend() {
+            return self.refuse(NotRun::RetryBudget, retries);
+        }
+        if pause.is_zero() {
+            return self.send(now, retries);
+        }
+        self.phase = Phase::Pausing(until);
+        Next::Wait { until }
+    }
+
+    /// Sends to the next target that the breakers admit, else refuses.
+    fn send(&mut self, now: Moment, retries: &mut Retries) -> Next {
+        let known = !self.candidates.is_empty();
+        let Some(target) = self.pick(now, retries) else {
+            let fallback = if known {
+                NotRun::Connect
+            } else {
+                NotRun::NoTarget
+            };
+            return self.refuse(self.refused.unwrap_or(fallback), retries);
+        };
+        let attempt = attempt_id(self.terms.id, self.tries());
+        self.sent.push(target);
+        self.phase = Phase::Sent(attempt);
+        let more = self.tries() < self.terms.tries;
+        let paid = more && retries.budget.can_spend();
+        Next::Send {
+            target,
+            attempt,
+            redirect: more && !self.jumped,
+            last: !paid || !self.has_more(now, retries),
+        }
+    }
+
+    /// Takes the next target: a hint first, then one with room that pointed elsewhere, then by rank.
+    fn pick(&mut self, now: Moment, retries: &mut Retries) -> Option<TargetKey> {
+        if let Some(hint) = self.hint.take() {
+            // Set even when the hint is of no use: one chance a request.
+            self.jumped = true;
+            if !self.sent.contains(&hint) && retries.breakers.admits(now, hint) {
+                return Some(hint);
+            }
+        }
+        if let Some(spare) = self.spare.take() {
+            return Some(spare);
+        }
+        while let Some(target) = self.candidates.pop() {
+            if !self.sent.contains(&target) && retries.breakers.admits(now, target) {
+                return Some(target);
+            }
+        }
+        None
+    }
+
+    /// Tells whether a target is left that may be tried now.
+    fn has_more(&self, now: Moment, retries: &Retries) -> bool {
+        let open = |t: &TargetKey| retries.breakers.left(now, *t).is_zero();
+        let fresh = |t: &TargetKey| !self.sent.contains(t) && open(t);
+        self.spare.is_some() || self.hint.iter().chain(&self.candidates).any(fresh)
+    }
+
+    /// Ends the request with a refusal that tells the truth over all its attempts.
+    fn refuse(&mut self, reason: NotRun, retries: &mut Retries) -> Next {
+        let cancel = self.in_flight();
+        self.phase = Phase::Over;
+        let (outcome, helps) = match self.doubt {
+            Some(doubt) => (Outcome::MayHaveRun(doubt), false),
+            None => (Outcome::NotRun(reason), is_worth_waiting(reason)),
+        };
+        let retry_after = helps.then(|| retries.retry_after());
+        Next::Refuse {
+            outcome,
+            retry_after,
+            cancel,
+        }
+    }
+
+    /// The attempt in flight, with its answer begun or not.
+    fn in_flight(&self) -> Option<AttemptId> {
+        match self.phase {
+            Phase::Sent(attempt) | Phase::Delivering(attempt) => Some(attempt),
+            Phase::New | Phase::Pausing(_) | Phase::Over => None,
+        }
+    }
+
+    fn is_late(&self, now: Moment) -> bool {
+        now >= self.terms.deadline
+    }
+
+    /// Opens the breaker of the latest target when it could not be reached, else closes it.
+    fn note_reachable(&self, now: Moment, unreachable: bool, retries: &mut Retries) {
+        match self.target() {
+            Some(target) if unreachable => retries.failed(now, target),
+            Some(_) | None => self.close_breaker(retries),
+        }
+    }
+
+    fn close_breaker(&self, retries: &mut Retries) {
+        if let Some(target) = self.target() {
+            retries.breakers.succeeded(target);
+        }
+    }
+}
+
+/// The id of the attempt after `tries` others: no two of one request share one.
+fn attempt_id(request: RequestId, tries: u32) -> AttemptId {
+    let bytes = request.0.to_be_bytes();
+    let seed = u64::from(tries);
+    let high = u128::from(hash64(seed, &bytes));
+    let low = u128::from(hash64(!seed, &bytes));
+    AttemptId(high << 64 | low)
+}
--- a/crates/peppercrank-route/src/lib.rs
+++ b/crates/peppercrank-route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod breaker;
 pub mod budget;
+pub mod classes;
 pub mod hints;
 pub mod rank;
 pub mod retry;
@@ -17,6 +18,7 @@
 pub use attempt::Event;
 pub use attempt::Next;
 pub use attempt::Request;
+pub use attempt::Terms;
 pub use hints::Hints;
 pub use rank::RankKey;
 pub use rank::Ranking;
