Add the admission of a target

Cause: the agent daemon needs the one place that decides for its target. Conclusion: the public API may be built against; fairness is to be measured next.

--- /dev/null
+++ b/crates/peppercrank-admit/src/admission.rs
@@ -0,0 +1,544 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The one place that decides for a target.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use peppercrank_core::keys::AttemptId;
+use peppercrank_core::names::OrganisationName;
+use peppercrank_core::objects::Parameters;
+use peppercrank_core::objects::Policy;
+use peppercrank_core::refusal::NotRun;
+use peppercrank_core::time::Moment;
+use peppercrank_core::units::Cost;
+
+use crate::cap::Cap;
+use crate::drain::Drain;
+use crate::messages::Action;
+use crate::messages::Arrival;
+use crate::messages::Input;
+use crate::messages::Ticket;
+use crate::organisations::OrganisationKey;
+use crate::organisations::Organisations;
+use crate::queue::Entry;
+use crate::queue::EntryKey;
+use crate::queue::Queue;
+use crate::queue::Standing;
+use crate::queue::TOP;
+use crate::rate::Rate;
+use crate::seen::Seen;
+use crate::seen::Sight;
+use crate::settings::MILLE;
+use crate::settings::Oversize;
+use crate::settings::Settings;
+
+/// Most that one request can cost; a greater claim is cut to it, so that sums never overflow.
+pub const MAX_COST: Cost = Cost(1 << 40);
+
+/// `Running` is one request that was admitted and has not ended.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    attempt: AttemptId,
+    organisation: OrganisationKey,
+    cost: Cost,
+}
+
+/// `Place` is where a request that arrived now is.
+#[derive(Debug, Clone, Copy)]
+enum Place {
+    Waiting(EntryKey),
+    Running(Running),
+}
+
+/// `Status` is what an operator may want to know of a target's admission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Status {
+    /// What is reserved by the requests that run.
+    pub reserved: Cost,
+    /// How many requests run.
+    pub running: usize,
+    /// How many requests wait.
+    pub waiting: usize,
+    /// The load that the target may carry now.
+    pub cap: Cost,
+    /// Whether no mean is known that counts in full.
+    pub stale: bool,
+    /// Whether the target takes no new work because it leaves.
+    pub leaving: bool,
+    /// Whether neither peer nor platform was heard past the limit.
+    pub cut: bool,
+}
+
+/// `Admission` decides for one target what runs, what waits and what is refused.
+///
+/// Every arrival is answered by exactly one [`Action::Admit`] or [`Action::Refuse`]. Whatever
+/// was given up is refused in the very call in which it was given up.
+#[derive(Debug)]
+pub struct Admission {
+    settings: Settings,
+    policy: Policy,
+    now: Moment,
+    touched: Moment,
+    cap: Cap,
+    drain: Drain,
+    organisations: Organisations,
+    queue: Queue,
+    rate: Rate,
+    seen: Seen,
+    places: HashMap<Ticket, Place>,
+    running: usize,
+    reserved: Cost,
+}
+
+impl Admission {
+    /// `new` starts with nothing in flight, no organisation, no mean and no mark.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::Error::Range`] when a setting lies outside its range.
+    pub fn new(now: Moment, settings: Settings, policy: Policy) -> crate::Result<Self> {
+        settings.check()?;
+        Ok(Self {
+            cap: Cap::new(&settings, &policy),
+            drain: Drain::default(),
+            organisations: Organisations::new(&settings),
+            queue: Queue::default(),
+            rate: Rate::default(),
+            seen: Seen::default(),
+            places: HashMap::new(),
+            running: 0,
+            reserved: Cost::ZERO,
+            touched: now,
+            now,
+            settings,
+            policy,
+        })
+    }
+
+    /// `on` takes an input in and returns what the daemon must do, in order.
+    ///
+    /// A moment before an earlier one counts as that earlier one.
+    pub fn on(&mut self, now: Moment, input: Input) -> Vec<Action> {
+        self.now = self.now.max(now);
+        let mut actions = Vec::new();
+        self.expire(&mut actions);
+        match input {
+            Input::Arrive(arrival) => self.arrive(&arrival, &mut actions),
+            Input::Actual { ticket, cost } => self.revise(ticket, cost.min(MAX_COST)),
+            Input::End(ticket) | Input::CallerGone(ticket) if self.is_waiting(ticket) => {
+                self.abandon(ticket, &mut actions);
+            }
+            Input::End(ticket) => self.end(ticket),
+            Input::MeanHeard(mean) => self.cap.hear(self.now, mean),
+            Input::TargetsHeard(targets) => self.organisations.hear_targets(targets),
+            Input::PolicyChanged(policy) => self.change_policy(policy, &mut actions),
+            Input::WeightChanged(weight) => self.change_weight(weight, &mut actions),
+            Input::ParametersChanged(name, parameters) => {
+                self.change_parameters(name, parameters.as_ref(), &mut actions);
+            }
+            Input::Marked(mark) => {
+                self.drain.mark(self.now, mark);
+                self.expire(&mut actions);
+            }
+            Input::Unmarked => self.drain.unmark(),
+            Input::Stopping => {
+                self.drain.stop();
+                self.expire(&mut actions);
+            }
+            Input::HandedOver => self.drain.hand_over(),
+            Input::Touched => self.touched = self.now,
+            // What runs stays reserved until its guard says that it has ended.
+            Input::CallerGone(_) | Input::Tick => {}
+        }
+        self.dispatch(&mut actions);
+        if self.drain.take_drained(self.running == 0) {
+            actions.push(Action::Drained);
+        }
+        actions
+    }
+
+    /// `next_wake` is when `on` is to be called with a tick if nothing else comes before.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Moment> {
+        let grace = self.drain.grace_end();
+        if self.queue.is_empty() {
+            return grace;
+        }
+        let cut = self.touched + self.settings.touch;
+        let share = self.organisations.next_check();
+        let wakes = [grace, self.queue.next_end(), Some(cut), share];
+        wakes.into_iter().flatten().min()
+    }
+
+    /// `ticket` finds the arrival that brought an attempt, while it runs or waits.
+    #[must_use]
+    pub fn ticket(&self, attempt: AttemptId) -> Option<Ticket> {
+        let ticket = self.seen.ticket(attempt)?;
+        self.places.contains_key(&ticket).then_some(ticket)
+    }
+
+    /// `status` is what an operator may want to know.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        Status {
+            reserved: self.reserved,
+            running: self.running,
+            waiting: self.queue.len(),
+            cap: self.cap.at(self.now),
+            stale: self.cap.is_stale(self.now),
+            leaving: self.drain.is_leaving(),
+            cut: self.is_cut(),
+        }
+    }
+
+    /// `load` is the load to report to peers: what is reserved by the requests that run.
+    #[must_use]
+    pub fn load(&self) -> Cost {
+        self.reserved
+    }
+
+    /// `in_use` is what an organisation has running here.
+    #[must_use]
+    pub fn in_use(&self, organisation: &OrganisationName) -> Cost {
+        let key = self.organisations.find(organisation);
+        key.map_or(Cost::ZERO, |key| self.organisations.running(key))
+    }
+
+    /// Takes an arrival in, or refuses it.
+    fn arrive(&mut self, arrival: &Arrival, actions: &mut Vec<Action>) {
+        match self.check(arrival) {
+            Ok(organisation) => self.accept(arrival, organisation, actions),
+            Err(reason) => actions.push(self.refusal(arrival.ticket, arrival.attempt, reason)),
+        }
+    }
+
+    /// Finds what speaks against a request that does not depend on the load.
+    fn check(&mut self, arrival: &Arrival) -> Result<OrganisationKey, NotRun> {
+        let now = self.now;
+        if self.places.contains_key(&arrival.ticket) {
+            return Err(NotRun::DuplicateAttempt);
+        }
+        // Seen even if refused: its router goes on elsewhere, and a late copy must not run.
+        let sight = self
+            .seen
+            .see(now, arrival.attempt, arrival.ticket, arrival.deadline);
+        match sight {
+            Sight::New => {}
+            Sight::Known => return Err(NotRun::DuplicateAttempt),
+            Sight::Full => return Err(NotRun::QueueFull),
+        }
+        if self.drain.is_leaving() {
+            return Err(NotRun::Leaving);
+        }
+        if self.is_cut() {
+            return Err(NotRun::OutOfTouch);
+        }
+        let found = self.organisations.find(&arrival.organisation);
+        let organisation = found.ok_or(NotRun::NotReady)?;
+        if now + arrival.need >= arrival.deadline {
+            return Err(NotRun::Deadline);
+        }
+        let waiting = self.queue.waiting(organisation);
+        if !self
+            .organisations
+            .allows(organisation, waiting, arrival.cost)
+        {
+            return Err(NotRun::OrganisationLimit);
+        }
+        if !self.may_ever_fit(arrival.cost) {
+            return Err(NotRun::OverCap);
+        }
+        Ok(organisation)
+    }
+
+    /// Queues a request, runs it if its turn is now, and else keeps it only if it may wait.
+    fn accept(
+        &mut self,
+        arrival: &Arrival,
+        organisation: OrganisationKey,
+        actions: &mut Vec<Action>,
+    ) {
+        let entry = self.entry(arrival, organisation);
+        self.organisations.come(self.now, organisation);
+        let key = self.queue.push(entry);
+        self.places.insert(arrival.ticket, Place::Waiting(key));
+        self.dispatch(actions);
+        if self.queue.contains(key) && !arrival.may_wait {
+            self.give_up(key, NotRun::OverCap, actions);
+        }
+        self.shorten(organisation, actions);
+    }
+
+    fn entry(&self, arrival: &Arrival, organisation: OrganisationKey) -> Entry {
+        let most = self.organisations.priority(organisation).min(TOP);
+        let longest = self.now + Duration::from_millis(self.policy.wait_ms);
+        // A request that starts later than this could not end in time.
+        let left = arrival.deadline.since(self.now + arrival.need);
+        let latest = self.now + left;
+        Entry {
+            ticket: arrival.ticket,
+            attempt: arrival.attempt,
+            organisation,
+            cost: arrival.cost.min(MAX_COST),
+            class: arrival.priority.min(most),
+            since: self.now,
+            until: longest.min(latest),
+            dated: latest < longest,
+        }
+    }
+
+    /// Gives up requests until the queue is no longer than it may be.
+    fn shorten(&mut self, newest: OrganisationKey, actions: &mut Vec<Action>) {
+        let most = usize::try_from(self.policy.queue).unwrap_or(usize::MAX);
+        while self.queue.len() > most {
+            let organisations = &self.organisations;
+            let weight = |key| organisations.weight(key);
+            let Some(key) = self.queue.victim(newest, weight) else {
+                return;
+            };
+            self.give_up(key, NotRun::QueueFull, actions);
+        }
+    }
+
+    /// Runs what may run, in its turn.
+    fn dispatch(&mut self, actions: &mut Vec<Action>) {
+        while let Some(entry) = self.next_entry() {
+            self.organisations.reserve(entry.organisation, entry.cost);
+            self.reserved += entry.cost;
+            self.running += 1;
+            let running = Running {
+                attempt: entry.attempt,
+                organisation: entry.organisation,
+                cost: entry.cost,
+            };
+            self.places.insert(entry.ticket, Place::Running(running));
+            actions.push(Action::Admit {
+                ticket: entry.ticket,
+                attempt: entry.attempt,
+            });
+        }
+    }
+
+    fn next_entry(&mut self) -> Option<Entry> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        let room = Room {
+            cap: self.cap.at(self.now),
+            reserved: self.reserved,
+            idle: self.running == 0,
+            settings: &self.settings,
+            organisations: &self.organisations,
+        };
+        let weight = |key| room.organisations.weight(key);
+        self.queue.pop(weight, |entry| room.standing(entry))
+    }
+
+    /// Tells whether a request could run on this target, were it idle.
+    fn may_ever_fit(&self, cost: Cost) -> bool {
+        if self.cap.is_closed() {
+            return false;
+        }
+        cost <= self.cap.at(self.now) || self.settings.oversize == Oversize::Alone
+    }
+
+    /// Gives up what has waited long enough, what a leaving or cut off target holds, and what
+    /// runs past the grace of a removal.
+    fn expire(&mut self, actions: &mut Vec<Action>) {
+        let places = &self.places;
+        self.seen
+            .expire(self.now, |ticket| places.contains_key(&ticket));
+        for gone in self.organisations.expire(self.now) {
+            self.queue.forget(gone);
+        }
+        while let Some(entry) = self.queue.take_expired(self.now) {
+            let reason = if entry.dated {
+                NotRun::Deadline
+            } else {
+                NotRun::QueueTimeout
+            };
+            self.refuse(&entry, reason, actions);
+        }
+        if self.drain.is_leaving() {
+            self.refuse_all(NotRun::Leaving, actions);
+        }
+        if self.is_cut() {
+            self.refuse_all(NotRun::OutOfTouch, actions);
+        }
+        if self.drain.take_cancel(self.now) {
+            self.cancel_all(actions);
+        }
+    }
+
+    fn refuse_all(&mut self, reason: NotRun, actions: &mut Vec<Action>) {
+        while let Some(entry) = self.queue.take_any() {
+            self.refuse(&entry, reason, actions);
+        }
+    }
+
+    fn cancel_all(&self, actions: &mut Vec<Action>) {
+        let cancel = |(ticket, place): (&Ticket, &Place)| match place {
+            Place::Running(running) => Some((*ticket, running.attempt)),
+            Place::Waiting(_) => None,
+        };
+        let mut cut: Vec<_> = self.places.iter().filter_map(cancel).collect();
+        cut.sort_unstable();
+        let act = |(ticket, attempt)| Action::Cancel { ticket, attempt };
+        actions.extend(cut.into_iter().map(act));
+    }
+
+    fn give_up(&mut self, key: EntryKey, reason: NotRun, actions: &mut Vec<Action>) {
+        if let Some(entry) = self.queue.remove(key) {
+            self.refuse(&entry, reason, actions);
+        }
+    }
+
+    /// Answers a request that was taken out of the queue.
+    fn refuse(&mut self, entry: &Entry, reason: NotRun, actions: &mut Vec<Action>) {
+        self.places.remove(&entry.ticket);
+        self.organisations.go(entry.organisation);
+        actions.push(self.refusal(entry.ticket, entry.attempt, reason));
+    }
+
+    fn refusal(&self, ticket: Ticket, attempt: AttemptId, reason: NotRun) -> Action {
+        let loaded = matches!(
+            reason,
+            NotRun::OverCap | NotRun::QueueFull | NotRun::QueueTimeout | NotRun::OrganisationLimit
+        );
+        let retry_after = loaded.then(|| self.rate.wait(self.queue.cost()));
+        Action::Refuse {
+            ticket,
+            attempt,
+            reason,
+            retry_after,
+        }
+    }
+
+    fn is_waiting(&self, ticket: Ticket) -> bool {
+        matches!(self.places.get(&ticket), Some(Place::Waiting(_)))
+    }
+
+    /// Takes out a waiting request whose caller is gone.
+    fn abandon(&mut self, ticket: Ticket, actions: &mut Vec<Action>) {
+        if let Some(Place::Waiting(key)) = self.places.get(&ticket).copied() {
+            self.give_up(key, NotRun::CallerGone, actions);
+        }
+    }
+
+    fn end(&mut self, ticket: Ticket) {
+        let Some(Place::Running(running)) = self.places.remove(&ticket) else {
+            return;
+        };
+        self.organisations
+            .release(running.organisation, running.cost);
+        self.organisations.go(running.organisation);
+        self.reserved -= running.cost;
+        self.running -= 1;
+        self.rate.release(self.now, running.cost);
+        self.seen.ended(self.now, running.attempt);
+        if self.running == 0 {
+            self.queue.rest();
+        }
+    }
+
+    /// Puts the true cost of a running request in place of the expected one.
+    fn revise(&mut self, ticket: Ticket, cost: Cost) {
+        let Some(Place::Running(running)) = self.places.get_mut(&ticket) else {
+            return;
+        };
+        let was = std::mem::replace(&mut running.cost, cost);
+        let organisation = running.organisation;
+        self.organisations.release(organisation, was);
+        self.organisations.reserve(organisation, cost);
+        self.reserved -= was;
+        self.reserved += cost;
+    }
+
+    fn change_policy(&mut self, policy: Policy, actions: &mut Vec<Action>) {
+        self.cap.apply(&policy);
+        self.policy = policy;
+        self.shorten(OrganisationKey::default(), actions);
+    }
+
+    fn change_weight(&mut self, weight: u32, actions: &mut Vec<Action>) {
+        self.cap.weigh(weight);
+        if weight == 0 {
+            self.refuse_all(NotRun::OverCap, actions);
+        }
+    }
+
+    fn change_parameters(
+        &mut self,
+        name: OrganisationName,
+        parameters: Option<&Parameters>,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(parameters) = parameters {
+            self.organisations.put(name, parameters);
+            return;
+        }
+        let Some(gone) = self.organisations.remove(&name) else {
+            return;
+        };
+        while let Some(entry) = self.queue.take_of(gone) {
+            self.refuse(&entry, NotRun::NotReady, actions);
+        }
+        self.queue.forget(gone);
+    }
+
+    fn is_cut(&self) -> bool {
+        self.now.since(self.touched) >= self.settings.touch
+    }
+}
+
+/// `Room` is what speaks for or against running one more request now.
+#[derive(Debug)]
+struct Room<'a> {
+    cap: Cost,
+    reserved: Cost,
+    idle: bool,
+    settings: &'a Settings,
+    organisations: &'a Organisations,
+}
+
+impl Room<'_> {
+    fn standing(&self, entry: &Entry) -> Standing {
+        if entry.cost > self.cap {
+            return self.alone();
+        }
+        let total = self.reserved + entry.cost;
+        if self.is_held_back(entry, total) {
+            return Standing::Skipped;
+        }
+        if total > self.cap {
+            return Standing::Blocked;
+        }
+        Standing::Fits
+    }
+
+    /// A request that alone exceeds the cap holds nobody up, and runs with nothing beside it.
+    fn alone(&self) -> Standing {
+        let alone = self.idle && self.settings.oversize == Oversize::Alone;
+        if alone {
+            return Standing::Fits;
+        }
+        Standing::Skipped
+    }
+
+    /// Tells whether the rest of the room is kept for organisations below their fair share.
+    fn is_held_back(&self, entry: &Entry, total: Cost) -> bool {
+        let running = self.organisations.running(entry.organisation);
+        if running == Cost::ZERO {
+            return false;
+        }
+        let fair = self.organisations.fair(entry.organisation, self.cap);
+        if running + entry.cost <= fair {
+            return false;
+        }
+        let kept = u128::from(self.cap.0) * u128::from(self.settings.reserve) / u128::from(MILLE);
+        let open = Cost(self.cap.0 - u64::try_from(kept).unwrap_or(self.cap.0));
+        total > open
+    }
+}
