--- a/crates/peppercrank-settings/src/lib.rs
+++ b/crates/peppercrank-settings/src/lib.rs
@@ -13,7 +13,7 @@
 //!
 //! let wrong = RouterSettings::parse("{\n  \"listen\": 8080 // no address\n}");
 //! let text = wrong.map_err(|e| e.to_string()).unwrap_err();
-//! assert!(text.starts_with("line 2, column 16:"));
+//! assert!(text.starts_with("line 2, column 3:"));
 //! ```
 
 pub mod agent;
