Type the operators' status between daemons and command line

Cause: the daemons write the status pages and the command line reads them; both need one contract. Change: plain types of /status and /objects/{kind}/{name} in the core, nothing else touched.

--- a/crates/peppercrank-core/src/lib.rs
+++ b/crates/peppercrank-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod objects;
 pub mod refusal;
 pub mod settings;
+pub mod status;
 pub mod time;
 pub mod units;
 
