--- a/crates/peppercrank-wire/src/lib.rs
+++ b/crates/peppercrank-wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod edge;
 pub mod errors;
 pub mod headers;
+pub mod platform;
 pub mod stop;
 
 pub use errors::Error;
--- /dev/null
+++ b/crates/peppercrank-wire/src/platform/exchange.rs
@@ -0,0 +1,187 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! One exchange with the platform, and what its failures mean.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Method;
+use http::Request;
+use http::Response;
+use http::header;
+use serde::de::DeserializeOwned;
+use ureq::Agent;
+use ureq::Body;
+use ureq::Error;
+use ureq::Timeout;
+
+use super::Access;
+use super::Condition;
+use super::Failure;
+
+/// Unused connections kept: a few watches and the calls beside them.
+const SPARE: usize = 8;
+
+/// The longest pause that the platform can ask for; a daemon must not sleep for days by one answer.
+const MOST_PAUSE: Duration = Duration::from_secs(60);
+
+/// `Raw` is an answer that came whole.
+#[derive(Debug)]
+pub(super) struct Raw {
+    pub(super) status: u16,
+    after: Option<Duration>,
+    body: Vec<u8>,
+}
+
+impl Raw {
+    pub(super) fn parse<T: DeserializeOwned>(&self) -> Result<T, Failure> {
+        let parsed = serde_json::from_slice(&self.body);
+        parsed.map_err(|_malformed| Failure::Bad(self.status))
+    }
+
+    /// What an answer to a read means that is neither a result nor an absence.
+    pub(super) fn failure(&self) -> Failure {
+        match self.status {
+            429 => Failure::Throttled(self.after),
+            500..=599 => Failure::Down,
+            status => Failure::Bad(status),
+        }
+    }
+
+    /// What an answer to a write means that the platform did not decide on.
+    pub(super) fn write_failure(&self) -> Failure {
+        match self.status {
+            429 => Failure::Throttled(self.after),
+            503 => Failure::Down,
+            // An answer of the platform's own failure does not say how far the write got.
+            500..=599 => Failure::Unknown,
+            status => Failure::Bad(status),
+        }
+    }
+}
+
+/// `Exchange` sends requests to the platform and reads its answers.
+#[derive(Debug, Clone)]
+pub(super) struct Exchange {
+    agent: Agent,
+    address: SocketAddr,
+    token: Option<Secret>,
+    call: Duration,
+    answer: u64,
+}
+
+/// `Secret` is an `Authorization` value that no log shows.
+#[derive(Clone)]
+struct Secret(String);
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret")
+    }
+}
+
+impl Exchange {
+    pub(super) fn new(access: &Access) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
+            // The environment must not send our calls elsewhere.
+            .proxy(None)
+            .timeout_connect(Some(access.connect))
+            .max_idle_connections_per_host(SPARE)
+            .build();
+        let token = access.token.as_ref();
+        Self {
+            agent: Agent::new_with_config(config),
+            address: access.address,
+            token: token.map(|t| Secret(format!("Bearer {t}"))),
+            call: access.call,
+            answer: access.answer,
+        }
+    }
+
+    /// Reads a path; the platform may hold the answer back for `wait`.
+    pub(super) fn read(&self, path: &str, wait: Duration) -> Result<Raw, Failure> {
+        let request = self.request(Method::GET, path).body(());
+        let request = request.map_err(|_malformed| Failure::Name)?;
+        let agent = &self.agent;
+        let within = Some(self.call.saturating_add(wait));
+        let request = agent.configure_request(request);
+        let request = request.timeout_per_call(within).build();
+        let read = agent.run(request).and_then(|r| self.whole(r));
+        read.map_err(|e| read_failure(&e))
+    }
+
+    /// Writes under a condition.
+    pub(super) fn write(
+        &self,
+        method: Method,
+        path: &str,
+        condition: Condition,
+        text: &str,
+    ) -> Result<Raw, Failure> {
+        let request = self.request(method, path);
+        let request = match condition {
+            Condition::New => request.header(header::IF_NONE_MATCH, "*"),
+            Condition::Version(version) => request.header(header::IF_MATCH, version),
+        };
+        let request = request.header(header::CONTENT_TYPE, "application/json");
+        let request = request.body(text.to_owned());
+        let request = request.map_err(|_malformed| Failure::Name)?;
+        let agent = &self.agent;
+        let request = agent.configure_request(request);
+        let request = request.timeout_per_call(Some(self.call)).build();
+        let wrote = agent.run(request).and_then(|r| self.whole(r));
+        wrote.map_err(|e| write_failure(&e))
+    }
+
+    fn request(&self, method: Method, path: &str) -> http::request::Builder {
+        let uri = format!("http://{}{path}", self.address);
+        let request = Request::builder().method(method).uri(uri);
+        match &self.token {
+            Some(token) => request.header(header::AUTHORIZATION, &token.0),
+            None => request,
+        }
+    }
+
+    fn whole(&self, mut response: Response<Body>) -> Result<Raw, Error> {
+        let status = response.status().as_u16();
+        let after = pause(&response);
+        let body = response.body_mut();
+        let body = body.with_config().limit(self.answer).read_to_vec()?;
+        Ok(Raw {
+            status,
+            after,
+            body,
+        })
+    }
+}
+
+/// The seconds of `Retry-After`.
+fn pause(response: &Response<Body>) -> Option<Duration> {
+    let value = response.headers().get(header::RETRY_AFTER)?;
+    let seconds = value.to_str().ok()?.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).min(MOST_PAUSE))
+}
+
+fn read_failure(error: &Error) -> Failure {
+    match error {
+        Error::Timeout(_) => Failure::Slow,
+        Error::Io(e) if e.kind() == io::ErrorKind::TimedOut => Failure::Slow,
+        Error::Io(_) | Error::HostNotFound | Error::ConnectionFailed => Failure::Down,
+        _ => Failure::Bad(0),
+    }
+}
+
+/// A write is known not to be sent only when no connection was made.
+fn write_failure(error: &Error) -> Failure {
+    match error {
+        Error::Timeout(Timeout::Connect | Timeout::Resolve) => Failure::Slow,
+        Error::HostNotFound | Error::ConnectionFailed => Failure::Down,
+        Error::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => Failure::Down,
+        _ => Failure::Unknown,
+    }
+}
