Add configuration checks, store, relay and publishing

Cause: daemons and the command line need the parts that check, merge, relay and publish configuration. Change: checks with field paths; a store that keeps per object the highest version seen and the highest valid one, with tombstones and complete revisions; a relay with watchers per availability zone, epidemic push, digest repair, slow polls and a readiness rule; a publisher with conditional updates and publish ids. New dependency serde_path_to_error, for the field path of a fault.

--- /dev/null
+++ b/crates/peppercrank-config/src/publish.rs
@@ -0,0 +1,415 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Publishing: check first, conditional update, never a silent overwrite.
+//!
+//! Each act of publishing has an id that travels in the object's envelope. When the answer to a
+//! write is lost, the object is read again: its id tells whether the write took effect.
+
+use std::time::Duration;
+
+use peppercrank_core::names::ObjectName;
+use peppercrank_core::objects::Kind;
+use peppercrank_core::objects::ObjectKey;
+use peppercrank_core::time::Moment;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+
+use crate::checks;
+use crate::diff::Difference;
+use crate::diff::diff;
+use crate::errors::Fault;
+use crate::errors::Flaw;
+use crate::errors::fault;
+use crate::object::Envelope;
+use crate::object::MAX_BODY;
+use crate::object::PublishId;
+use crate::object::Version;
+
+/// The first pause after a failed call, doubled up to [`MAX_PAUSE`].
+pub const MIN_PAUSE: Duration = Duration::from_millis(200);
+/// The longest pause after a failed call.
+pub const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// `Base` is what the operator saw before changing it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Base {
+    /// No such object, or a deleted one.
+    Absent,
+    /// This version.
+    Version(Version),
+}
+
+/// `Change` is what is to be published.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// This content.
+    Put(Value),
+    /// No such object.
+    Delete,
+}
+
+/// `Current` is an object as the platform's API holds it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Current {
+    /// Its version.
+    pub version: Version,
+    /// Its body.
+    pub body: Value,
+}
+
+/// `Failure` is why a call gave no answer that counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// The API asked to wait (429): the call had no effect.
+    Busy {
+        /// How long to wait.
+        after: Duration,
+    },
+    /// No connection was made: the call had no effect.
+    Unreached,
+    /// The answer was lost, late or 5xx: a write may have taken effect.
+    Lost,
+}
+
+/// `Input` is what the publisher is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Input {
+    /// Begin.
+    Begin,
+    /// The answer to a read, none for 404.
+    Read(Result<Option<Current>, Failure>),
+    /// The answer to a write or removal.
+    Written(Result<Written, Failure>),
+    /// The time named by [`Next::Wait`] has come.
+    Due,
+}
+
+/// `Written` is the API's answer to a conditional write or removal.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Written {
+    /// It took effect as this version.
+    Version(Version),
+    /// The condition failed (412): the object as it stands, none when there is none.
+    Refused(Option<Current>),
+}
+
+/// `Next` is what to do next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Next {
+    /// Read the object.
+    Read,
+    /// Write this body on this condition.
+    Write {
+        /// The condition: `If-Match` or `If-None-Match: *`.
+        base: Base,
+        /// The body, envelope included.
+        body: Value,
+    },
+    /// Delete the object on the condition that it has this version.
+    Remove {
+        /// `If-Match`.
+        base: Version,
+    },
+    /// Come back at this time with [`Input::Due`].
+    Wait {
+        /// When.
+        until: Moment,
+    },
+    /// It is published.
+    Done(Done),
+    /// Somebody else changed the object: nothing of theirs was overwritten.
+    Conflict(Box<Conflict>),
+    /// The content failed its checks: nothing was sent.
+    Invalid(Fault),
+    /// The time is up.
+    GiveUp(Fate),
+}
+
+/// `Done` is a change that took effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Done {
+    /// The version to wait for; for a lost answer to a removal, the least that it can have.
+    pub version: Version,
+    /// How it came about.
+    pub how: How,
+}
+
+/// `How` is how a change came about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum How {
+    /// By this write.
+    Written,
+    /// By an earlier write of the same act, the answer to which was lost.
+    Recognised,
+    /// It stood so already, by another act: nothing was written.
+    Unchanged,
+}
+
+/// `Fate` is what is known of a change that was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// No write took effect.
+    NotWritten,
+    /// A write may have taken effect; publishing again with the same id tells.
+    MayBeWritten,
+}
+
+/// `Conflict` is the object as somebody else left it, beside what the operator saw.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Conflict {
+    /// The object.
+    pub key: ObjectKey,
+    /// What the operator saw.
+    pub base: Base,
+    /// The object as it stands, none when there is none.
+    pub current: Option<Current>,
+    /// The fields in which ours and theirs differ.
+    pub differences: Vec<Difference>,
+    /// What is known of our own change: it may have been in force before theirs.
+    pub fate: Fate,
+}
+
+/// `Publish` carries one act of publishing through.
+#[derive(Debug)]
+pub struct Publish {
+    key: ObjectKey,
+    id: PublishId,
+    base: Base,
+    change: Change,
+    deadline: Moment,
+    /// Whether a write was sent whose fate is unknown.
+    unsure: bool,
+    pauses: u32,
+    /// What to do when a pause is over.
+    resume: Resume,
+    rng: ChaCha8Rng,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Resume {
+    Read,
+    Write,
+}
+
+impl Publish {
+    /// `new` prepares an act of publishing that gives up at `deadline`.
+    ///
+    /// The id must be fresh for each act, and kept to publish the same act again.
+    #[must_use]
+    pub fn new(
+        key: ObjectKey,
+        id: PublishId,
+        base: Base,
+        change: Change,
+        deadline: Moment,
+    ) -> Self {
+        let [a, b] = [id.0 >> 64, id.0].map(|half| u64::try_from(half & u128::from(u64::MAX)));
+        let seed = a.unwrap_or(0) ^ b.unwrap_or(0);
+        Self {
+            key,
+            id,
+            base,
+            change,
+            deadline,
+            unsure: false,
+            pauses: 0,
+            resume: Resume::Read,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// `id` is the id of this act.
+    #[must_use]
+    pub const fn id(&self) -> PublishId {
+        self.id
+    }
+
+    /// `on` takes an answer in and tells what to do next.
+    pub fn on(&mut self, now: Moment, input: Input) -> Next {
+        let next = match input {
+            Input::Begin => self.begin(),
+            Input::Read(Ok(current)) => self.compare(current),
+            Input::Read(Err(failure)) => self.pause(now, failure, Resume::Read),
+            Input::Written(Ok(written)) => self.written(written),
+            Input::Written(Err(failure)) => self.unwritten(now, failure),
+            Input::Due => self.resumed(),
+        };
+        match next {
+            Next::Read | Next::Write { .. } | Next::Remove { .. } if now >= self.deadline => {
+                self.give_up()
+            }
+            Next::Wait { until } if until >= self.deadline => self.give_up(),
+            next => next,
+        }
+    }
+
+    fn begin(&self) -> Next {
+        match self.check() {
+            Ok(()) => Next::Read,
+            Err(fault) => Next::Invalid(fault),
+        }
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        let Change::Put(spec) = &self.change else {
+            return Ok(());
+        };
+        let kind = self.key.kind;
+        if self.body(spec).to_string().len() > MAX_BODY {
+            return Err(fault(kind, "", Flaw::TooLong { most: MAX_BODY }));
+        }
+        checks::validate_spec(kind, &self.key.name, spec.clone()).map(drop)
+    }
+
+    fn body(&self, spec: &Value) -> Value {
+        serde_json::json!({ "publish": self.id.to_string(), "spec": spec })
+    }
+
+    fn give_up(&self) -> Next {
+        Next::GiveUp(self.fate())
+    }
+
+    const fn fate(&self) -> Fate {
+        if self.unsure {
+            Fate::MayBeWritten
+        } else {
+            Fate::NotWritten
+        }
+    }
+
+    fn compare(&mut self, current: Option<Current>) -> Next {
+        self.pauses = 0;
+        match (&current, self.base) {
+            (Some(c), _) if self.is_ours(c) => done(c.version, How::Recognised),
+            (Some(c), Base::Version(base)) if c.version == base => self.write(),
+            (None, Base::Absent) if self.change != Change::Delete => self.write(),
+            (None, base) if self.change == Change::Delete => self.removed(base),
+            (Some(c), _) if self.is_same(c) => done(c.version, How::Unchanged),
+            _ => self.conflict(current),
+        }
+    }
+
+    /// The object that was to be deleted is not there.
+    const fn removed(&self, base: Base) -> Next {
+        // Any version above the one that we meant to delete is its deletion, or came after it.
+        let version = match base {
+            Base::Absent => Version(0),
+            Base::Version(base) => Version(base.0.saturating_add(1)),
+        };
+        let how = if self.unsure {
+            How::Recognised
+        } else {
+            How::Unchanged
+        };
+        done(version, how)
+    }
+
+    fn is_ours(&self, current: &Current) -> bool {
+        let envelope = envelope(&current.body);
+        envelope.and_then(|e| e.publish) == Some(self.id)
+    }
+
+    fn is_same(&self, current: &Current) -> bool {
+        match &self.change {
+            Change::Put(spec) => envelope(&current.body).is_some_and(|e| e.spec == *spec),
+            Change::Delete => false,
+        }
+    }
+
+    fn write(&self) -> Next {
+        match (&self.change, self.base) {
+            (Change::Put(spec), base) => Next::Write {
+                base,
+                body: self.body(spec),
+            },
+            (Change::Delete, Base::Version(base)) => Next::Remove { base },
+            (Change::Delete, Base::Absent) => self.removed(Base::Absent),
+        }
+    }
+
+    fn written(&mut self, written: Written) -> Next {
+        match written {
+            Written::Version(version) => done(version, How::Written),
+            Written::Refused(current) => self.refused(current),
+        }
+    }
+
+    fn refused(&mut self, current: Option<Current>) -> Next {
+        match current {
+            // Our own earlier write, still on its way when we looked, made the condition fail.
+            Some(c) if self.is_ours(&c) => done(c.version, How::Recognised),
+            None if self.change == Change::Delete => self.removed(self.base),
+            current => self.conflict(current),
+        }
+    }
+
+    fn conflict(&self, current: Option<Current>) -> Next {
+        let theirs = current.as_ref().map_or(Value::Null, |c| {
+            let envelope = envelope(&c.body);
+            envelope.map_or_else(|| c.body.clone(), |e| e.spec)
+        });
+        let ours = match &self.change {
+            Change::Put(spec) => spec,
+            Change::Delete => &Value::Null,
+        };
+        Next::Conflict(Box::new(Conflict {
+            key: self.key.clone(),
+            base: self.base,
+            differences: diff(ours, &theirs),
+            current,
+            fate: self.fate(),
+        }))
+    }
+
+    fn unwritten(&mut self, now: Moment, failure: Failure) -> Next {
+        match failure {
+            Failure::Busy { .. } | Failure::Unreached => self.pause(now, failure, Resume::Write),
+            Failure::Lost => {
+                self.unsure = true;
+                self.pause(now, failure, Resume::Read)
+            }
+        }
+    }
+
+    fn pause(&mut self, now: Moment, failure: Failure, resume: Resume) -> Next {
+        self.resume = resume;
+        let doubled = MIN_PAUSE.saturating_mul(1 << self.pauses.min(10));
+        let full = doubled.min(MAX_PAUSE);
+        let jitter = full.mul_f64(self.rng.random_range(0.5..=1.0));
+        self.pauses += 1;
+        let pause = match failure {
+            Failure::Busy { after } => after.saturating_add(jitter),
+            Failure::Unreached | Failure::Lost => jitter,
+        };
+        Next::Wait { until: now + pause }
+    }
+
+    fn resumed(&self) -> Next {
+        match self.resume {
+            Resume::Read => Next::Read,
+            Resume::Write => self.write(),
+        }
+    }
+}
+
+const fn done(version: Version, how: How) -> Next {
+    Next::Done(Done { version, how })
+}
+
+/// The envelope of a body, none when it was written past our tools.
+fn envelope(body: &Value) -> Option<Envelope> {
+    serde_json::from_value(body.clone()).ok()
+}
+
+/// `key` makes the key of an object.
+///
+/// # Errors
+///
+/// Returns the core's error when `name` is not a name.
+pub fn key(kind: Kind, name: &str) -> peppercrank_core::Result<ObjectKey> {
+    let name = ObjectName::new(name)?;
+    Ok(ObjectKey { kind, name })
+}
--- /dev/null
+++ b/crates/peppercrank-config/src/relay/peers.rs
@@ -0,0 +1,140 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The live members, and which of them watch the platform's API.
+
+use std::collections::BTreeMap;
+
+use peppercrank_core::hash::hash64;
+use peppercrank_core::names::VmName;
+use peppercrank_core::names::ZoneName;
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+use super::action::Member;
+
+/// How many members of each availability zone watch the platform's API.
+///
+/// Two, so that a zone still hears at once when one of them has just failed.
+pub const WATCHERS: usize = 2;
+
+const WATCH_SEED: u64 = 0x7761_7463_6865_7273;
+
+/// The live members, as seen by one of them.
+#[derive(Debug)]
+pub(super) struct Peers {
+    me: Member,
+    /// All members but this one, in the order of their names.
+    others: Vec<Member>,
+    /// What each said of its readiness.
+    ready: BTreeMap<VmName, bool>,
+    watcher: bool,
+}
+
+impl Peers {
+    pub(super) const fn new(me: Member) -> Self {
+        Self {
+            me,
+            others: Vec::new(),
+            ready: BTreeMap::new(),
+            // Alone until told otherwise, and so the first in its zone.
+            watcher: true,
+        }
+    }
+
+    pub(super) fn replace(&mut self, members: Vec<Member>) {
+        self.others = members;
+        self.others.retain(|m| m.name != self.me.name);
+        self.others.sort();
+        self.others.dedup();
+        let live = &self.others;
+        let is_live = |name: &VmName| live.binary_search_by(|m| m.name.cmp(name)).is_ok();
+        self.ready.retain(|name, _| is_live(name));
+        self.watcher = self.ranks_first();
+    }
+
+    pub(super) fn note_ready(&mut self, name: &VmName, ready: bool) {
+        self.ready.insert(name.clone(), ready);
+    }
+
+    /// Whether this process watches the platform's API for its zone.
+    pub(super) const fn is_watcher(&self) -> bool {
+        self.watcher
+    }
+
+    /// How many members there are, this one included.
+    pub(super) const fn count(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    pub(super) const fn is_alone(&self) -> bool {
+        self.others.is_empty()
+    }
+
+    /// How many peers said that they are ready.
+    pub(super) fn ready_count(&self) -> usize {
+        self.ready.values().filter(|r| **r).count()
+    }
+
+    /// Picks up to `count` peers at random, none of them `source`.
+    pub(super) fn sample(
+        &self,
+        rng: &mut ChaCha8Rng,
+        count: usize,
+        source: Option<&VmName>,
+    ) -> Vec<VmName> {
+        // One more than asked for, so that leaving the source out still fills the sample.
+        let picked = self.others.sample(rng, count + 1).map(|m| &m.name);
+        let others = picked.filter(|name| Some(*name) != source);
+        others.take(count).cloned().collect()
+    }
+
+    /// Picks a peer to compare with: one that is ready, else one of unknown state; half of the
+    /// time in the own zone, where it is cheapest.
+    pub(super) fn candidate(
+        &self,
+        rng: &mut ChaCha8Rng,
+        skip: impl Fn(&VmName) -> bool,
+    ) -> Option<VmName> {
+        let near = rng.random_range(0..2) == 0;
+        let ready = |m: &&Member| self.ready.get(&m.name) == Some(&true);
+        let unknown = |m: &&Member| !self.ready.contains_key(&m.name);
+        let open: Vec<&Member> = self.others.iter().filter(|m| !skip(&m.name)).collect();
+        let picks = [
+            pick(rng, &open, |m| ready(m) && near && m.zone == self.me.zone),
+            pick(rng, &open, ready),
+            pick(rng, &open, unknown),
+        ];
+        picks.into_iter().flatten().next()
+    }
+
+    fn ranks_first(&self) -> bool {
+        let mine = rank(&self.me);
+        let zone = &self.me.zone;
+        let above = self.others.iter().filter(|m| m.zone == *zone);
+        above.filter(|m| rank(m) > mine).count() < WATCHERS
+    }
+}
+
+/// `watchers` lists the members that watch the platform's API for a zone.
+///
+/// The choice is by rendezvous hashing: it changes by one when one of them leaves, and whoever
+/// has the same members makes the same choice.
+#[must_use]
+pub fn watchers<'a>(members: &'a [Member], zone: &ZoneName) -> Vec<&'a Member> {
+    let mut ranked: Vec<&Member> = members.iter().filter(|m| m.zone == *zone).collect();
+    ranked.sort_by_key(|m| std::cmp::Reverse(rank(m)));
+    ranked.truncate(WATCHERS);
+    ranked
+}
+
+fn pick(rng: &mut ChaCha8Rng, open: &[&Member], fits: impl Fn(&&Member) -> bool) -> Option<VmName> {
+    let fitting: Vec<&&Member> = open.iter().filter(|m| fits(m)).collect();
+    fitting.choose(rng).map(|m| m.name.clone())
+}
+
+fn rank(member: &Member) -> (u64, &VmName) {
+    let seed = hash64(WATCH_SEED, member.zone.as_str().as_bytes());
+    (hash64(seed, member.name.as_str().as_bytes()), &member.name)
+}
