Add membership by probes and gossip, with load means over it

Cause: routers and agents must know which members live and the mean load of each pool, within a few kilobytes a second and without a coordination service. Change: the sans-I/O part Members (probes, relays, suspicion, refutation, rejoin, byte budget, flap damping), load reports riding on the probes, and a controller that writes targets and means to the blackboard. Measured: not yet; the tests bring about a death, a restart with the clock set back and a pause at 13 members.

--- /dev/null
+++ b/crates/peppercrank-member/src/join.rs
@@ -0,0 +1,198 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Joining: reading a peer's table page by page, and trying those held dead or never heard.
+
+use std::net::SocketAddr;
+
+use peppercrank_core::time::Moment;
+
+use crate::compose::Class;
+use crate::compose::Draft;
+use crate::description::MemberId;
+use crate::members::Members;
+use crate::message::Body;
+use crate::message::MAX_MESSAGE;
+use crate::message::News;
+use crate::message::State;
+use crate::size;
+use crate::table::Member;
+
+/// Bytes kept free beside the records of a page.
+const PAGE_SPARE: usize = 120;
+
+/// Members asked for in one message.
+const MAX_ASKED: usize = 40;
+
+/// Live members with unknown description that are asked for in one sweep.
+const VAGUE: usize = 8;
+
+/// Others told when this process leaves.
+const FAREWELLS: usize = 5;
+
+/// `Join` is how far the reading of a peer's table has come.
+#[derive(Debug)]
+pub(crate) struct Join {
+    /// The last id read; `None` when all was read.
+    cursor: Option<MemberId>,
+}
+
+impl Default for Join {
+    fn default() -> Self {
+        Self {
+            cursor: Some(MemberId([0; 8])),
+        }
+    }
+}
+
+impl Join {
+    pub const fn is_done(&self) -> bool {
+        self.cursor.is_none()
+    }
+}
+
+impl Members {
+    /// Asks a peer for the next page.
+    pub(crate) fn run_pull(&mut self, now: Moment) {
+        let Some(after) = self.join.cursor else {
+            return;
+        };
+        let live = self.table.pick(&mut self.rng, |m| m.state == State::Alive);
+        let pause = if live.is_some() {
+            self.settings.pull
+        } else {
+            self.settings.period
+        };
+        self.due.pull = now + pause;
+        let listed = |m: &Member| m.listing.is_some();
+        let peer = live.or_else(|| self.table.pick(&mut self.rng, listed));
+        let draft = peer.and_then(|key| self.draft(key, Body::Pull { after }, Class::Vital));
+        let Some(mut draft) = draft else {
+            return;
+        };
+        draft.news.extend(self.tell(self.me, true));
+        self.send(now, draft);
+    }
+
+    pub(crate) fn on_pull(
+        &mut self,
+        now: Moment,
+        from: MemberId,
+        address: SocketAddr,
+        after: MemberId,
+    ) {
+        let mut room = MAX_MESSAGE - PAGE_SPARE - self.facts.digest.len();
+        let mut news = Vec::new();
+        let mut last = after;
+        let mut next = None;
+        for member in self.table.after(after).filter(|m| m.id != from) {
+            let Some(record) = member.record() else {
+                continue;
+            };
+            let record = News::Record(record);
+            let Some(rest) = room.checked_sub(size::news(&record)) else {
+                next = Some(last);
+                break;
+            };
+            room = rest;
+            last = member.id;
+            news.push(record);
+        }
+        let body = Body::Page { after, next };
+        let mut draft = Draft::new(from, address, body, Class::Bulk);
+        draft.news = news;
+        self.send(now, draft);
+    }
+
+    pub(crate) fn on_page(&mut self, after: MemberId, next: Option<MemberId>) {
+        if self.join.cursor == Some(after) {
+            self.join.cursor = next;
+        }
+    }
+
+    pub(crate) fn ask(
+        &mut self,
+        now: Moment,
+        from: MemberId,
+        address: SocketAddr,
+        mut ids: Vec<MemberId>,
+    ) {
+        if ids.is_empty() {
+            return;
+        }
+        ids.truncate(MAX_ASKED);
+        let draft = Draft::new(from, address, Body::Ask { ids }, Class::Bulk);
+        self.send(now, draft);
+    }
+
+    pub(crate) fn on_ask(
+        &mut self,
+        now: Moment,
+        from: MemberId,
+        address: SocketAddr,
+        ids: &[MemberId],
+    ) {
+        let keys = ids.iter().filter_map(|id| self.table.key(*id));
+        let news: Vec<_> = keys.filter_map(|key| self.tell(key, true)).collect();
+        let mut draft = Draft::new(from, address, Body::Gossip, Class::Bulk);
+        draft.news = news;
+        self.send(now, draft);
+    }
+
+    /// Asks a peer for descriptions that got lost on their way.
+    pub(crate) fn ask_vague(&mut self, now: Moment) {
+        let vague = self.table.iter().filter(|(_, m)| m.is_vague());
+        let ids: Vec<_> = vague.map(|(_, m)| m.id).take(VAGUE).collect();
+        if ids.is_empty() {
+            return;
+        }
+        let peer = self
+            .table
+            .pick(&mut self.rng, |m| m.state == State::Alive && !m.is_vague());
+        let draft = peer.and_then(|key| self.draft(key, Body::Ask { ids }, Class::Bulk));
+        if let Some(draft) = draft {
+            self.send(now, draft);
+        }
+    }
+
+    /// Tries a member that is held dead or was never heard.
+    pub(crate) fn run_rejoin(&mut self, now: Moment) {
+        let lost = |m: &Member| m.state == State::Dead && m.address().is_some();
+        let alone = self.table.live() * 2 < self.iter().filter(|m| m.listing.is_some()).count();
+        let pause = if alone {
+            self.settings.period
+        } else {
+            self.settings.rejoin
+        };
+        self.due.rejoin = now + pause;
+        let Some(key) = self.table.pick(&mut self.rng, lost) else {
+            return;
+        };
+        self.seq = self.seq.wrapping_add(1);
+        let body = Body::Probe {
+            seq: self.seq,
+            check: None,
+        };
+        let Some(mut draft) = self.draft(key, body, Class::Bulk) else {
+            return;
+        };
+        draft.news.extend(self.tell(self.me, true));
+        self.send(now, draft);
+    }
+
+    /// Says that this process goes.
+    pub(crate) fn leave(&mut self, now: Moment) {
+        let Some(own) = self.table.get_mut(self.me) else {
+            return;
+        };
+        own.state = State::Left;
+        self.renew(None, false);
+        for _ in 0..FAREWELLS {
+            let to = self.table.pick(&mut self.rng, |m| m.state == State::Alive);
+            let draft = to.and_then(|key| self.draft(key, Body::Gossip, Class::Exchange));
+            if let Some(draft) = draft {
+                self.send(now, draft);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-member/src/news.rs
@@ -0,0 +1,150 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! What is still to be spread: members whose state is news, and the relay's rumours.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use crate::table::MemberKey;
+
+/// `copies` is how often a piece of news is sent in a fleet of `members`: about log2 / 2.
+///
+/// Hearing it from others counts as a copy too; what is missed all the same, the digests mend.
+#[must_use]
+pub fn copies(members: usize) -> u32 {
+    let log = (members + 1).next_power_of_two().ilog2();
+    2 + log.div_ceil(2)
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Item {
+    left: u32,
+    full: bool,
+}
+
+/// `Queue` holds which members are news; what is said of them is read when it is sent.
+#[derive(Debug, Clone, Default)]
+pub struct Queue {
+    items: BTreeMap<MemberKey, Item>,
+}
+
+impl Queue {
+    /// `put` makes a member news; `full` if its description is too.
+    pub fn put(&mut self, key: MemberKey, full: bool, copies: u32) {
+        let item = Item { left: copies, full };
+        let slot = self.items.entry(key).or_insert(item);
+        slot.left = copies;
+        slot.full |= full;
+    }
+
+    /// `drop_member` is for a member that is no more.
+    pub fn drop_member(&mut self, key: MemberKey) {
+        self.items.remove(&key);
+    }
+
+    /// `spent` notes that a copy was sent or heard.
+    pub fn spent(&mut self, key: MemberKey) {
+        let Some(item) = self.items.get_mut(&key) else {
+            return;
+        };
+        item.left = item.left.saturating_sub(1);
+        if item.left == 0 {
+            self.items.remove(&key);
+        }
+    }
+
+    /// `is_empty` tells whether nothing is news.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// `next` lists up to `most` members, least spread first, and whether in full.
+    #[must_use]
+    pub fn next(&self, most: usize) -> Vec<(MemberKey, bool)> {
+        let mut order: Vec<_> = self
+            .items
+            .iter()
+            .map(|(k, i)| (i.left, *k, i.full))
+            .collect();
+        order.sort_by_key(|it| std::cmp::Reverse(*it));
+        order.truncate(most);
+        order
+            .into_iter()
+            .map(|(_, key, full)| (key, full))
+            .collect()
+    }
+}
+
+/// `Rumours` holds the pieces of the configuration relay that are still to be spread.
+#[derive(Debug, Clone, Default)]
+pub struct Rumours {
+    pieces: VecDeque<(u32, Vec<u8>)>,
+    bytes: usize,
+}
+
+impl Rumours {
+    /// `put` adds a piece and returns how many old ones it pushed out.
+    pub fn put(&mut self, piece: Vec<u8>, copies: u32, limit: usize) -> u64 {
+        if self.pieces.iter().any(|(_, p)| *p == piece) {
+            return 0;
+        }
+        self.bytes += piece.len();
+        self.pieces.push_front((copies, piece));
+        let mut dropped = 0;
+        while self.bytes > limit {
+            let Some((_, old)) = self.pieces.pop_back() else {
+                break;
+            };
+            self.bytes -= old.len();
+            dropped += 1;
+        }
+        dropped
+    }
+
+    /// `heard` notes that another member sent this piece too.
+    pub fn heard(&mut self, piece: &[u8]) {
+        let Some(at) = self.pieces.iter().position(|(_, p)| p == piece) else {
+            return;
+        };
+        self.spend(at);
+    }
+
+    /// `is_empty` tells whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.pieces.is_empty()
+    }
+
+    /// `take` gives pieces that fit into `room` bytes and counts a copy of each as sent.
+    pub fn take(&mut self, room: usize) -> Vec<Vec<u8>> {
+        let mut rest = room;
+        let mut picked = Vec::new();
+        for (at, (_, piece)) in self.pieces.iter().enumerate() {
+            let size = crate::size::bytes(piece.len());
+            if size <= rest {
+                rest -= size;
+                picked.push(at);
+            }
+        }
+        let taken = picked.iter().map(|at| self.pieces[*at].1.clone()).collect();
+        // From the back, so that the places before stay true.
+        for at in picked.into_iter().rev() {
+            self.spend(at);
+        }
+        taken
+    }
+
+    fn spend(&mut self, at: usize) {
+        let Some((left, piece)) = self.pieces.remove(at) else {
+            return;
+        };
+        if left > 1 {
+            // To the end of the row, so that pieces take turns.
+            self.pieces.push_back((left - 1, piece));
+        } else {
+            self.bytes -= piece.len();
+        }
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-member/src/suspicion.rs
@@ -0,0 +1,87 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! How long a suspicion lasts before the member is declared dead.
+
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+
+use crate::description::MemberId;
+use crate::settings::Settings;
+
+/// Accusers after which a suspicion lasts its shortest time.
+pub const ACCUSERS: usize = 3;
+
+/// `Suspicion` is one running suspicion.
+#[derive(Debug, Clone)]
+pub struct Suspicion {
+    /// When it began.
+    start: Moment,
+    /// The members whose own probes failed, at most [`ACCUSERS`].
+    accusers: Vec<MemberId>,
+    /// Accusers needed for the shortest time.
+    needed: usize,
+    shortest: Duration,
+    longest: Duration,
+}
+
+impl Suspicion {
+    /// `new` begins a suspicion in a fleet of `members`; `stretch` is for a slow process.
+    #[must_use]
+    pub fn new(
+        start: Moment,
+        by: Option<MemberId>,
+        members: usize,
+        settings: &Settings,
+        stretch: u32,
+    ) -> Self {
+        let tenths = u32::try_from(log10_tenths(members)).unwrap_or(10);
+        let shortest = settings.period * settings.suspicion * tenths / 10 * stretch;
+        let needed = members.saturating_sub(2).clamp(1, ACCUSERS);
+        Self {
+            start,
+            accusers: by.into_iter().collect(),
+            needed,
+            shortest,
+            longest: shortest * settings.stretch.max(1),
+        }
+    }
+
+    /// `accuse` adds an accuser and tells whether it was news.
+    pub fn accuse(&mut self, by: MemberId) -> bool {
+        if self.accusers.len() >= self.needed || self.accusers.contains(&by) {
+            return false;
+        }
+        self.accusers.push(by);
+        true
+    }
+
+    /// `accuser` is the latest member whose own probe failed.
+    #[must_use]
+    pub fn accuser(&self) -> Option<MemberId> {
+        self.accusers.last().copied()
+    }
+
+    /// `ends` is when the member is to be declared dead.
+    #[must_use]
+    pub fn ends(&self) -> Moment {
+        let missing = self.needed.saturating_sub(self.accusers.len());
+        let spare = self.longest.saturating_sub(self.shortest);
+        let missing = u32::try_from(missing).unwrap_or(0);
+        let needed = u32::try_from(self.needed).unwrap_or(1);
+        self.start + self.shortest + spare * missing / needed
+    }
+
+    /// `postpone` moves the whole suspicion later, for time in which this process slept.
+    pub fn postpone(&mut self, by: Duration) {
+        self.start = self.start + by;
+    }
+}
+
+/// Ten times log10 of the members, at least 10.
+fn log10_tenths(members: usize) -> usize {
+    // log10(n) = log2(n) / 3.32; the whole part of log2 is near enough for a timeout.
+    let log2 = members.max(2).next_power_of_two().ilog2() as usize;
+    (log2 * 100 / 33).max(10)
+}
--- /dev/null
+++ b/crates/peppercrank-member/tests/verify_members/main.rs
@@ -0,0 +1,9 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Tests of membership over message passing in memory.
+
+mod net;
+mod verify_detection;
+mod verify_join;
+mod verify_loads;
