Write the insides of the engine and platform stand-ins

Cause: the whole path needs something to route to before any real engine is near. Conclusion: compiles and lints clean; not served over HTTP and not tested yet.

--- /dev/null
+++ b/crates/peppercrank-standin/src/engine.rs
@@ -0,0 +1,14 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The model engine's stand-in.
+
+pub mod answer;
+pub mod batch;
+pub mod cache;
+pub mod journal;
+pub mod orders;
+pub mod prompt;
+pub mod settings;
+
+pub use settings::EngineSettings;
--- /dev/null
+++ b/crates/peppercrank-standin/src/lag.rs
@@ -0,0 +1,49 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! A value that readers see late.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+
+/// `Lagged` keeps a value's recent past, so that readers can be shown it as it was.
+#[derive(Debug, Clone)]
+pub struct Lagged<T> {
+    first: T,
+    past: VecDeque<(Moment, T)>,
+}
+
+impl<T: PartialEq> Lagged<T> {
+    /// `new` starts with `value`, which is visible at once.
+    pub const fn new(value: T) -> Self {
+        Self {
+            first: value,
+            past: VecDeque::new(),
+        }
+    }
+
+    /// `set` takes the value as it is from `now` on.
+    pub fn set(&mut self, now: Moment, value: T) {
+        if *self.latest() != value {
+            self.past.push_back((now, value));
+        }
+    }
+
+    /// `latest` is the value as it is.
+    pub fn latest(&self) -> &T {
+        self.past.back().map_or(&self.first, |(_, value)| value)
+    }
+
+    /// `seen` is the value as it was `lag` before `now`; what came before it is forgotten.
+    pub fn seen(&mut self, now: Moment, lag: Duration) -> &T {
+        while self.past.front().is_some_and(|(at, _)| *at + lag <= now) {
+            let Some((_, value)) = self.past.pop_front() else {
+                break;
+            };
+            self.first = value;
+        }
+        &self.first
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-standin/src/platform/store.rs
@@ -0,0 +1,175 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The objects: store-wide versions, conditional writes, tombstones.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::Error;
+use crate::Result;
+
+/// The longest value, in bytes of JSON text: a megabyte, as the platform says.
+pub const MAX_VALUE: usize = 1_000_000;
+
+/// `Condition` is what must hold for a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    /// The object is absent or a tombstone.
+    Absent,
+    /// The object has this version and is no tombstone.
+    Version(u64),
+}
+
+/// `Object` is one object of one kind.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Object {
+    /// Its name.
+    pub name: String,
+    /// The version of its last write.
+    pub version: u64,
+    /// Its body; absent for a tombstone.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub body: Option<Value>,
+}
+
+/// `Listing` is the objects of one kind at one revision of the store.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Listing {
+    /// The store's revision: the version of its last write.
+    pub revision: u64,
+    /// The objects.
+    pub objects: Vec<Object>,
+}
+
+/// `Store` holds the objects; each write takes the next version of the whole store.
+#[derive(Debug)]
+pub struct Store {
+    revision: u64,
+    /// Tombstones up to this version may be gone.
+    horizon: u64,
+    tombstones: usize,
+    kinds: BTreeMap<String, BTreeMap<String, Object>>,
+}
+
+impl Store {
+    /// `new` makes an empty store that keeps at most `tombstones` tombstones of each kind.
+    #[must_use]
+    pub const fn new(tombstones: usize) -> Self {
+        Self {
+            revision: 0,
+            horizon: 0,
+            tombstones,
+            kinds: BTreeMap::new(),
+        }
+    }
+
+    /// `get` finds an object that is no tombstone.
+    #[must_use]
+    pub fn get(&self, kind: &str, name: &str) -> Option<&Object> {
+        let object = self.kinds.get(kind)?.get(name)?;
+        object.body.is_some().then_some(object)
+    }
+
+    /// `put` writes a body and returns its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Conflict`] with the object as it is when the condition does not hold.
+    pub fn put(&mut self, kind: &str, name: &str, on: Condition, body: Value) -> Result<u64> {
+        self.check(kind, name, on)?;
+        Ok(self.write(kind, name, Some(body)))
+    }
+
+    /// `delete` leaves a tombstone and returns its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Conflict`] with the object as it is when the condition does not hold.
+    pub fn delete(&mut self, kind: &str, name: &str, on: Condition) -> Result<u64> {
+        self.check(kind, name, on)?;
+        let version = self.write(kind, name, None);
+        self.prune(kind);
+        Ok(version)
+    }
+
+    /// `list` is all objects of a kind, tombstones included.
+    #[must_use]
+    pub fn list(&self, kind: &str) -> Listing {
+        self.after(kind, 0)
+    }
+
+    /// `newer` is the objects of a kind written after `since`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::TooOld`] when tombstones since then may be gone, or when the store
+    /// never was at `since`, as after its restart.
+    pub fn newer(&self, kind: &str, since: u64) -> Result<Listing> {
+        if since < self.horizon || since > self.revision {
+            return Err(Error::TooOld);
+        }
+        Ok(self.after(kind, since))
+    }
+
+    fn after(&self, kind: &str, since: u64) -> Listing {
+        let objects = self.kinds.get(kind).into_iter().flat_map(BTreeMap::values);
+        Listing {
+            revision: self.revision,
+            objects: objects.filter(|o| o.version > since).cloned().collect(),
+        }
+    }
+
+    fn check(&self, kind: &str, name: &str, on: Condition) -> Result<()> {
+        let found = self.kinds.get(kind).and_then(|objects| objects.get(name));
+        let live = found.filter(|object| object.body.is_some());
+        let holds = match on {
+            Condition::Absent => live.is_none(),
+            Condition::Version(version) => live.is_some_and(|object| object.version == version),
+        };
+        if holds {
+            return Ok(());
+        }
+        let current = match found {
+            Some(Object {
+                version,
+                body: Some(body),
+                ..
+            }) => json!({"version": version, "body": body}),
+            Some(Object { version, .. }) => json!({"version": version}),
+            None => json!({"version": 0}),
+        };
+        Err(Error::Conflict { current })
+    }
+
+    fn write(&mut self, kind: &str, name: &str, body: Option<Value>) -> u64 {
+        self.revision += 1;
+        let object = Object {
+            name: name.to_owned(),
+            version: self.revision,
+            body,
+        };
+        let objects = self.kinds.entry(kind.to_owned()).or_default();
+        objects.insert(name.to_owned(), object);
+        self.revision
+    }
+
+    /// Forgets the oldest tombstones of a kind past the number that is kept.
+    fn prune(&mut self, kind: &str) {
+        let Some(objects) = self.kinds.get_mut(kind) else {
+            return;
+        };
+        let gone = objects.values().filter(|object| object.body.is_none());
+        let mut versions: Vec<u64> = gone.map(|object| object.version).collect();
+        if versions.len() <= self.tombstones {
+            return;
+        }
+        versions.sort_unstable();
+        let last = versions[versions.len() - self.tombstones - 1];
+        objects.retain(|_, object| object.body.is_some() || object.version > last);
+        self.horizon = self.horizon.max(last);
+    }
+}
