--- a/crates/peppercrank-standin/src/engine.rs
+++ b/crates/peppercrank-standin/src/engine.rs
@@ -9,6 +9,8 @@
 pub mod journal;
 pub mod orders;
 pub mod prompt;
+mod serve;
 pub mod settings;
 
+pub use serve::start;
 pub use settings::EngineSettings;
--- a/crates/peppercrank-standin/src/engine/batch.rs
+++ b/crates/peppercrank-standin/src/engine/batch.rs
@@ -111,6 +111,7 @@
     waiting: BTreeSet<((u8, u64), StreamKey)>,
     running: BTreeSet<(Moment, StreamKey)>,
     ended: VecDeque<(Moment, StreamKey)>,
+    news: BTreeSet<StreamKey>,
     tokens: u64,
     arrivals: u64,
 }
@@ -138,6 +139,7 @@
             waiting: BTreeSet::new(),
             running: BTreeSet::new(),
             ended: VecDeque::new(),
+            news: BTreeSet::new(),
             tokens: 0,
             arrivals: 0,
             set,
@@ -179,18 +181,32 @@
         self.running.first().map(|(due, _)| *due)
     }
 
-    /// `advance` generates what is due by `now` and returns the streams that got something.
-    pub fn advance(&mut self, now: Moment) -> BTreeSet<StreamKey> {
-        let mut woken = BTreeSet::new();
+    /// `advance` generates what is due by `now`.
+    pub fn advance(&mut self, now: Moment) {
         while let Some((due, key)) = self.running.first().copied()
             && due <= now
         {
             self.running.pop_first();
             self.step(due, key);
-            woken.insert(key);
         }
         self.report(now);
-        woken
+    }
+
+    /// `take_news` is the streams that got something or ended since it was last asked.
+    pub fn take_news(&mut self) -> BTreeSet<StreamKey> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// `len` is how many streams are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// `is_empty` tells whether no stream is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
     }
 
     /// `find` finds the stream that answers an attempt.
@@ -314,6 +330,7 @@
 
     /// Generates one token of a stream.
     fn step(&mut self, due: Moment, key: StreamKey) {
+        self.news.insert(key);
         let stream = &mut self.streams[key];
         stream.usage.made += 1;
         if stream.usage.made < stream.output {
@@ -326,6 +343,7 @@
 
     /// Ends a stream that is in no queue any more and gives its slot away.
     fn end(&mut self, now: Moment, key: StreamKey, phase: Phase) {
+        self.news.insert(key);
         let stream = &mut self.streams[key];
         let ran = stream.phase == Phase::Running;
         stream.phase = phase;
--- a/crates/peppercrank-standin/src/errors.rs
+++ b/crates/peppercrank-standin/src/errors.rs
@@ -4,7 +4,6 @@
 //! The crate's error type, its result and small constructors.
 
 use std::fmt;
-use std::io;
 
 use serde_json::Value;
 use serde_json::json;
@@ -17,7 +16,7 @@
 #[non_exhaustive]
 pub enum Error {
     /// A stand-in could not listen.
-    Listen(io::Error),
+    Listen(peppercrank_wire::Error),
     /// A body is not the JSON that the call takes.
     Body(String),
     /// A header or a parameter of the path is missing or malformed.
--- a/crates/peppercrank-standin/src/lib.rs
+++ b/crates/peppercrank-standin/src/lib.rs
@@ -12,6 +12,9 @@
 pub mod lag;
 pub mod platform;
 pub mod runs;
+pub mod service;
+mod web;
 
 pub use errors::Error;
 pub use errors::Result;
+pub use web::Running;
--- a/crates/peppercrank-standin/src/platform.rs
+++ b/crates/peppercrank-standin/src/platform.rs
@@ -4,4 +4,14 @@
 //! The platform's stand-in: object API and VM list, all in memory.
 
 pub mod limits;
+mod serve;
+pub mod settings;
 pub mod store;
+pub mod vms;
+
+pub use serve::MAX_WAIT_MS;
+pub use serve::start;
+pub use settings::PlatformSettings;
+pub use vms::Vm;
+pub use vms::VmList;
+pub use vms::VmRole;
--- /dev/null
+++ b/crates/peppercrank-standin/src/service.rs
@@ -0,0 +1,227 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The plain service's stand-in: it echoes every call and counts how often each ran.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use peppercrank_wire::edge::Call;
+use peppercrank_wire::edge::Reply;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::Error;
+use crate::Result;
+use crate::engine::prompt::hex;
+use crate::faults::Faults;
+use crate::faults::Identity;
+use crate::faults::Plan;
+use crate::faults::Role;
+use crate::runs::Runs;
+use crate::runs::Tags;
+use crate::web;
+use crate::web::Running;
+use crate::web::Unit;
+
+/// The header by which a caller asks for a status, so that pass-through of it can be tested.
+pub const STATUS_HEADER: &str = "x-standin-status";
+
+/// `ServiceSettings` are the settings of one plain service stand-in.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ServiceSettings {
+    /// Where it listens; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Time of one call, in milliseconds.
+    pub work_ms: u64,
+    /// Faults from the start.
+    pub faults: Faults,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            work_ms: 0,
+            faults: Faults::default(),
+        }
+    }
+}
+
+/// `Echo` is the answer to one call.
+#[derive(Debug, Clone, Serialize)]
+struct Echo {
+    method: String,
+    /// Path and query.
+    path: String,
+    /// The first 16 hexadecimal digits of the body's SHA-256.
+    digest: String,
+    /// The body's length, in bytes.
+    bytes: usize,
+    /// The caller's request, `x-peppercrank-request`, or else the attempt.
+    request: String,
+    /// The attempt, `x-request-id`.
+    attempt: String,
+    /// How often this attempt ran, this time included.
+    runs: u32,
+}
+
+/// `State` is what the service remembers.
+#[derive(Debug)]
+struct State {
+    faults: Faults,
+    runs: Runs,
+    calls: u64,
+    running: usize,
+    last: Option<Echo>,
+}
+
+/// `Shared` is what all calls share.
+#[derive(Debug)]
+struct Shared {
+    work: Duration,
+    state: Mutex<State>,
+}
+
+/// `Work` counts a call as running until it is dropped.
+struct Work<'a>(&'a Shared);
+
+impl Drop for Work<'_> {
+    fn drop(&mut self) {
+        self.0.state().running -= 1;
+    }
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        web::lock(&self.state)
+    }
+}
+
+/// `start` serves a plain service stand-in on the caller's runtime.
+///
+/// # Errors
+///
+/// Returns [`Error::Listen`] when the address cannot be taken, [`Error::Switch`] for a fault
+/// that a plain service does not have.
+pub async fn start(set: ServiceSettings) -> Result<Running> {
+    set.faults.check(Role::Service)?;
+    let shared = Arc::new(Shared {
+        work: Duration::from_millis(set.work_ms),
+        state: Mutex::new(State {
+            faults: set.faults,
+            runs: Runs::default(),
+            calls: 0,
+            running: 0,
+            last: None,
+        }),
+    });
+    let answer = move |call| respond(Arc::clone(&shared), call);
+    web::serve(set.listen, answer, std::future::pending()).await
+}
+
+/// Answers one call.
+async fn respond(shared: Arc<Shared>, call: Call) -> Reply {
+    let path = call.head.uri.path().to_owned();
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    let method = call.head.method.clone();
+    match (&method, parts.as_slice()) {
+        (&Method::GET, ["load"]) => {
+            let plan = shared.state().faults.plan("load");
+            web::play(plan, Unit::Bytes, async { Ok(load(&shared)) }).await
+        }
+        (&Method::GET, ["runs"]) => web::runs_of(&shared.state().runs, None),
+        (&Method::GET, ["runs", id]) => web::runs_of(&shared.state().runs, Some(id)),
+        (&Method::GET, ["faults"]) => web::reply(&shared.state().faults),
+        (&Method::PUT, ["faults"]) => match web::set_faults(Role::Service, call).await {
+            Ok(faults) => {
+                shared.state().faults = faults;
+                web::ok()
+            }
+            Err(e) => web::failed(&e),
+        },
+        (&Method::GET, ["healthz"]) => web::ok(),
+        _ => {
+            let plan = shared.state().faults.plan("call");
+            web::play(plan, Unit::Bytes, run(&shared, call, plan)).await
+        }
+    }
+}
+
+/// The load report; a plain service takes in all and keeps none waiting.
+fn load(shared: &Shared) -> Reply {
+    let running = shared.state().running;
+    web::reply(&json!({"incarnation": 0, "running": running, "waiting": 0, "tokens": 0}))
+}
+
+/// Does one call's work, which is to be counted, and echoes the call.
+async fn run(shared: &Shared, call: Call, plan: Plan) -> Result<Reply> {
+    let head = call.head.clone();
+    let bytes = web::read(call).await?;
+    let status = status(web::header(&head.headers, STATUS_HEADER))?;
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let (echo, before, _work) = {
+        let mut state = shared.state();
+        state.calls += 1;
+        let tags = web::tags(&head.headers, state.calls);
+        let runs = state.runs.add(&tags);
+        state.running += 1;
+        let echo = echo(head.method.as_str(), path, &bytes, tags, runs);
+        let before = state.last.replace(echo.clone());
+        (echo, before, Work(shared))
+    };
+    if !shared.work.is_zero() {
+        tokio::time::sleep(shared.work).await;
+    }
+    Ok(told(plan.identity, echo, before, status))
+}
+
+fn echo(method: &str, path: &str, bytes: &Bytes, tags: Tags, runs: u32) -> Echo {
+    Echo {
+        method: method.to_owned(),
+        path: path.to_owned(),
+        digest: hex(&Sha256::digest(bytes)[..8]),
+        bytes: bytes.len(),
+        request: tags.request.unwrap_or_else(|| tags.attempt.clone()),
+        attempt: tags.attempt,
+        runs,
+    }
+}
+
+/// The answer to a call, or another's.
+fn told(identity: Identity, echo: Echo, before: Option<Echo>, status: StatusCode) -> Reply {
+    let own = echo.attempt.clone();
+    let (id, echo) = match identity {
+        Identity::Own => (own, echo),
+        Identity::Crossed => (own, before.unwrap_or(echo)),
+        Identity::WrongId => (web::other(&own), echo),
+    };
+    let mut reply = web::with_status(status, &echo);
+    if let Ok(id) = HeaderValue::from_str(&id) {
+        reply.headers_mut().insert("x-request-id", id);
+    }
+    reply
+}
+
+fn status(text: Option<String>) -> Result<StatusCode> {
+    let Some(text) = text else {
+        return Ok(StatusCode::OK);
+    };
+    match StatusCode::from_bytes(text.as_bytes()) {
+        // Those below 200 would not end the call.
+        Ok(status) if status.as_u16() >= 200 => Ok(status),
+        _ => Err(Error::Parameter(STATUS_HEADER)),
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-standin/src/web.rs
@@ -0,0 +1,338 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! What the stand-ins share on their HTTP side.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Body as HttpBody;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use peppercrank_core::time::Moment;
+use peppercrank_wire::body;
+use peppercrank_wire::body::Body;
+use peppercrank_wire::edge::Call;
+use peppercrank_wire::edge::Edge;
+use peppercrank_wire::edge::Limits;
+use peppercrank_wire::edge::Reply;
+use peppercrank_wire::stop::Stopper;
+use peppercrank_wire::stop::stop;
+use serde::Serialize;
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+use crate::Error;
+use crate::Result;
+use crate::faults::Ending;
+use crate::faults::Faults;
+use crate::faults::Plan;
+use crate::faults::Role;
+use crate::faults::Start;
+use crate::runs::Runs;
+use crate::runs::Tags;
+
+/// Time left to answers in progress when a stand-in is told to stop.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// `Running` is a stand-in that serves until it is stopped or dropped.
+#[derive(Debug)]
+pub struct Running {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    stopper: Stopper,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Running {
+    /// `stop` lets answers in progress end, for two seconds at most, and returns when all has.
+    pub async fn stop(mut self) {
+        self.stopper.stop();
+        for task in std::mem::take(&mut self.tasks) {
+            // A task that failed has stopped as well.
+            let _over = task.await;
+        }
+    }
+
+    /// `kill` closes all connections at once, as a killed process would.
+    pub fn kill(self) {
+        drop(self);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// `serve` starts an edge on the caller's runtime, with `also` beside it.
+pub(crate) async fn serve<F, R, A>(listen: SocketAddr, answer: F, also: A) -> Result<Running>
+where
+    F: Fn(Call) -> R + Send + Sync + 'static,
+    R: Future<Output = Reply> + Send + 'static,
+    A: Future<Output = ()> + Send + 'static,
+{
+    let edge = Edge::bind(listen).await.map_err(Error::Listen)?;
+    let addr = edge.local_addr();
+    let (stopper, mut signal) = stop();
+    let limits = Limits {
+        drain: DRAIN,
+        ..Limits::default()
+    };
+    let served = signal.clone();
+    let edge = tokio::spawn(async move {
+        // How many were cut is of no interest to a stand-in.
+        let _finished = edge.serve(limits, served, answer).await;
+    });
+    let also = tokio::spawn(async move {
+        tokio::select! {
+            () = also => {}
+            () = signal.wait() => {}
+        }
+    });
+    Ok(Running {
+        addr,
+        stopper,
+        tasks: vec![edge, also],
+    })
+}
+
+/// `Clock` turns the process's clock into moments.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Clock(Instant);
+
+impl Clock {
+    pub(crate) fn new() -> Self {
+        Self(Instant::now())
+    }
+
+    pub(crate) fn now(self) -> Moment {
+        Moment::from_origin(self.0.elapsed())
+    }
+
+    /// The clock's reading at a moment.
+    pub(crate) fn instant(self, at: Moment) -> tokio::time::Instant {
+        tokio::time::Instant::from_std(self.0 + at.since_origin())
+    }
+}
+
+/// `lock` takes a lock; what a panicked holder left is still whole enough for a stand-in.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// `reply` is a JSON answer.
+pub(crate) fn reply<T: Serialize>(value: &T) -> Reply {
+    with_status(StatusCode::OK, value)
+}
+
+/// `with_status` is a JSON answer of another status.
+pub(crate) fn with_status<T: Serialize>(status: StatusCode, value: &T) -> Reply {
+    // Only maps with keys that are no strings fail, and none is answered.
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut reply = Reply::new(body::full(bytes));
+    *reply.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(header::CONTENT_TYPE, kind);
+    reply
+}
+
+/// `failed` is the answer that tells of an error.
+pub(crate) fn failed(error: &Error) -> Reply {
+    let status = StatusCode::from_u16(error.status());
+    let mut reply = with_status(
+        status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
+        &error.to_json(),
+    );
+    if matches!(error, Error::Throttled) {
+        let second = HeaderValue::from_static("1");
+        reply.headers_mut().insert(header::RETRY_AFTER, second);
+    }
+    reply
+}
+
+/// `dropped` closes the connection without an answer.
+///
+/// A body that fails at once fails before its head is flushed.
+pub(crate) fn dropped() -> Reply {
+    Reply::new(cut(body::empty(), 0, Unit::Frames, false))
+}
+
+/// `play` does a call's work and answers it as the switches say.
+pub(crate) async fn play<W>(plan: Plan, unit: Unit, work: W) -> Reply
+where
+    W: Future<Output = Result<Reply>>,
+{
+    let reply = match plan.start {
+        Start::Run => work.await,
+        Start::Drop => return dropped(),
+        Start::Outage => Err(Error::Outage),
+        Start::Throttle => Err(Error::Throttled),
+    };
+    if !plan.delay.is_zero() {
+        tokio::time::sleep(plan.delay).await;
+    }
+    let reply = reply.unwrap_or_else(|e| failed(&e));
+    match plan.ending {
+        Ending::Whole => reply,
+        Ending::Dropped => dropped(),
+        Ending::Lost => std::future::pending().await,
+        Ending::Cut(after) => reply.map(|body| cut(body, after, unit, true)),
+    }
+}
+
+/// `Unit` is what a cut counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Unit {
+    /// Frames, each of which is an event.
+    Frames,
+    /// Bytes.
+    Bytes,
+}
+
+/// `cut` breaks a body off after so many frames or bytes.
+fn cut(inner: Body, left: u32, unit: Unit, flush: bool) -> Body {
+    Cut {
+        inner,
+        left: left as usize,
+        unit,
+        flush,
+    }
+    .boxed_unsync()
+}
+
+/// `Cut` is a body that breaks off.
+struct Cut {
+    inner: Body,
+    left: usize,
+    unit: Unit,
+    flush: bool,
+}
+
+impl HttpBody for Cut {
+    type Data = Bytes;
+    type Error = peppercrank_wire::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, Self::Error>>> {
+        if self.left == 0 {
+            if !self.flush {
+                return Poll::Ready(Some(Err(peppercrank_wire::Error::Aborted)));
+            }
+            // The server flushes what it has when a body has to wait.
+            self.flush = false;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        let Poll::Ready(Some(Ok(frame))) = polled else {
+            return polled;
+        };
+        let Ok(mut bytes) = frame.into_data() else {
+            return Poll::Ready(None);
+        };
+        match self.unit {
+            Unit::Frames => self.left -= 1,
+            Unit::Bytes => {
+                bytes.truncate(self.left);
+                self.left -= bytes.len();
+            }
+        }
+        Poll::Ready(Some(Ok(Frame::data(bytes))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        if self.left == 0 && !self.flush {
+            // A body known to be empty would never be polled, and so never fail.
+            return SizeHint::default();
+        }
+        // Without a length the broken body would be a chunked one, whatever it was before.
+        self.inner.size_hint()
+    }
+}
+
+/// `read` reads a call's body.
+pub(crate) async fn read(call: Call) -> Result<Bytes> {
+    call.body
+        .read()
+        .await
+        .map_err(|e| Error::Body(e.to_string()))
+}
+
+/// `header` is a header's text, if it has one.
+pub(crate) fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
+
+/// `tags` are the ids that a call carries; one without an attempt's id gets `spare`.
+pub(crate) fn tags(headers: &HeaderMap, spare: u64) -> Tags {
+    let attempt = header(headers, "x-request-id");
+    Tags {
+        attempt: attempt.unwrap_or_else(|| format!("{spare:032x}")),
+        request: header(headers, "x-peppercrank-request"),
+        key: header(headers, "idempotency-key"),
+    }
+}
+
+/// `number` is a number of the query, or `None` when it is not there.
+pub(crate) fn number(uri: &Uri, name: &'static str) -> Result<Option<u64>> {
+    let query = uri.query().unwrap_or_default();
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    match pairs.into_iter().find(|(key, _)| *key == name) {
+        None => Ok(None),
+        Some((_, text)) => match text.parse() {
+            Ok(number) => Ok(Some(number)),
+            Err(_) => Err(Error::Parameter(name)),
+        },
+    }
+}
+
+/// `runs_of` answers `GET /runs` and `GET /runs/{id}`.
+pub(crate) fn runs_of(runs: &Runs, id: Option<&str>) -> Reply {
+    match id {
+        Some(id) => reply(&json!({"id": id, "runs": runs.count(id)})),
+        None => reply(runs),
+    }
+}
+
+/// `set_faults` answers `PUT /faults`.
+pub(crate) async fn set_faults(role: Role, call: Call) -> Result<Faults> {
+    let bytes = read(call).await?;
+    Faults::parse(role, &bytes)
+}
+
+/// `parse` reads a JSON body.
+pub(crate) fn parse<T: serde::de::DeserializeOwned>(bytes: &Bytes) -> Result<T> {
+    serde_json::from_slice(bytes).map_err(|e| crate::errors::body(&e))
+}
+
+/// `ok` is the answer to what has no other.
+pub(crate) fn ok() -> Reply {
+    reply(&json!({"ok": true}))
+}
+
+/// `other` is another id than this one, as well formed.
+pub(crate) fn other(id: &str) -> String {
+    let first = if id.starts_with('0') { '1' } else { '0' };
+    first.to_string() + id.get(1..).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/peppercrank-standin/tests/support/mod.rs
@@ -0,0 +1,163 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! A raw HTTP client and a runtime for the stand-ins under test.
+
+#![expect(dead_code, reason = "each test file uses its own part of these")]
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::runtime::Runtime;
+use ureq::Agent;
+use ureq::http::Request;
+use ureq::http::Response;
+
+/// Long enough for a busy machine; a test waits so long only when it fails.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// How long a caller waits for an answer that is lost.
+const LOST: Duration = Duration::from_millis(300);
+
+pub type Sent = Result<Seen, ureq::Error>;
+
+/// An answer, read to its end.
+#[derive(Debug)]
+pub struct Seen {
+    pub status: u16,
+    pub id: String,
+    pub retry: Option<String>,
+    pub text: String,
+}
+
+impl Seen {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).expect("a JSON answer")
+    }
+}
+
+pub fn runtime() -> Runtime {
+    Runtime::new().expect("a runtime")
+}
+
+fn agent(patience: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        // A kept connection that was closed would be tried again unseen.
+        .max_idle_connections(0)
+        .timeout_global(Some(patience));
+    Agent::new_with_config(config.build())
+}
+
+fn request(at: SocketAddr, call: &str, headers: &[(&str, &str)], body: &str) -> Request<String> {
+    let (method, path) = call.split_once(' ').expect("a method and a path");
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{at}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(body.to_owned()).expect("a request")
+}
+
+/// Sends `METHOD /path` and reads the answer whole.
+pub fn send(at: SocketAddr, call: &str, headers: &[(&str, &str)], body: &str) -> Sent {
+    seen(agent(PATIENCE).run(request(at, call, headers, body))?)
+}
+
+/// Sends what gets no answer, and gives up soon.
+pub fn send_briefly(at: SocketAddr, call: &str, headers: &[(&str, &str)], body: &str) -> Sent {
+    seen(agent(LOST).run(request(at, call, headers, body))?)
+}
+
+fn seen(mut answer: Response<ureq::Body>) -> Sent {
+    let text_of = |answer: &Response<ureq::Body>, name: &str| {
+        let value = answer.headers().get(name)?;
+        Some(value.to_str().expect("a text").to_owned())
+    };
+    Ok(Seen {
+        status: answer.status().as_u16(),
+        id: text_of(&answer, "x-request-id").unwrap_or_default(),
+        retry: text_of(&answer, "retry-after"),
+        text: answer.body_mut().read_to_string()?,
+    })
+}
+
+/// What came of a streamed answer.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Events {
+    pub events: Vec<Value>,
+    /// Whether it ended as it should.
+    pub whole: bool,
+}
+
+impl Events {
+    pub fn text(&self) -> String {
+        let pieces = self.events.iter();
+        pieces
+            .filter_map(|e| e["choices"][0]["delta"]["content"].as_str())
+            .collect()
+    }
+}
+
+/// Sends and reads the events until the answer ends or breaks.
+pub fn stream(at: SocketAddr, call: &str, headers: &[(&str, &str)], body: &str) -> Events {
+    let answer = agent(PATIENCE).run(request(at, call, headers, body));
+    let answer = answer.expect("a head");
+    assert_eq!(answer.status(), 200, "a stream");
+    let mut events = Vec::new();
+    for line in BufReader::new(answer.into_body().into_reader()).lines() {
+        let Ok(line) = line else { break };
+        match line.strip_prefix("data: ") {
+            Some("[DONE]") => {
+                return Events {
+                    events,
+                    whole: true,
+                };
+            }
+            Some(event) => events.push(serde_json::from_str(event).expect("an event")),
+            None => {}
+        }
+    }
+    Events {
+        events,
+        whole: false,
+    }
+}
+
+pub fn faults(at: SocketAddr, faults: &Value) {
+    let set = send(at, "PUT /faults", &[], &faults.to_string()).expect("an answer");
+    assert_eq!(set.status, 200, "{}", set.text);
+}
+
+pub fn runs(at: SocketAddr, id: &str) -> Value {
+    let seen = send(at, &format!("GET /runs/{id}"), &[], "").expect("an answer");
+    seen.json()["runs"].clone()
+}
+
+/// Asks again until the answer is as awaited, and gives the last one.
+pub fn settled<T: PartialEq>(awaited: &T, ask: impl Fn() -> T) -> T {
+    let begun = Instant::now();
+    loop {
+        let seen = ask();
+        if seen == *awaited || begun.elapsed() > PATIENCE {
+            return seen;
+        }
+    }
+}
+
+/// A chat of these messages by turns of user and assistant.
+pub fn chat(stream: bool, messages: &[&str]) -> String {
+    let roles = ["user", "assistant"];
+    let messages: Vec<Value> = messages
+        .iter()
+        .zip(roles.iter().cycle())
+        .map(|(text, role)| json!({"role": role, "content": text}))
+        .collect();
+    json!({"model": "m", "stream": stream, "max_tokens": 6, "messages": messages}).to_string()
+}
--- /dev/null
+++ b/crates/peppercrank-standin/tests/verify_engine.rs
@@ -0,0 +1,275 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The engine stand-in's contract, by a raw HTTP client.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use peppercrank_standin::Running;
+use peppercrank_standin::engine;
+use peppercrank_standin::engine::EngineSettings;
+use serde_json::Value;
+use serde_json::json;
+use support::chat;
+use support::faults;
+use support::runs;
+use support::send;
+use support::send_briefly;
+use support::settled;
+use support::stream;
+use tokio::runtime::Runtime;
+
+const CHAT: &str = "POST /v1/chat/completions";
+
+/// The first 16 digits of the SHA-256 of `abc`, as FIPS 180 gives it.
+const ABC: &str = "ba7816bf8f01cfea";
+
+/// An engine that takes no time.
+fn quick() -> EngineSettings {
+    EngineSettings {
+        incarnation: 7,
+        prefill_us: 0,
+        step_us: 0,
+        load_lag_ms: 0,
+        events_late_ms: 0,
+        ..EngineSettings::default()
+    }
+}
+
+/// An engine whose answers do not end by themselves while a test runs.
+fn stuck() -> EngineSettings {
+    EngineSettings {
+        slots: 1,
+        step_us: 3_600_000_000,
+        ..quick()
+    }
+}
+
+fn started(set: EngineSettings) -> (Runtime, Running, SocketAddr) {
+    let runtime = support::runtime();
+    let running = runtime.block_on(engine::start(set)).expect("a start");
+    let at = running.addr;
+    (runtime, running, at)
+}
+
+fn get(at: SocketAddr, path: &str) -> Value {
+    send(at, &format!("GET {path}"), &[], "")
+        .expect("an answer")
+        .json()
+}
+
+#[test]
+fn verify_answer_tells_digest_and_ids() {
+    let (_runtime, _running, at) = started(quick());
+    let ids = [
+        ("x-request-id", "a1"),
+        ("x-peppercrank-request", "r1"),
+        ("idempotency-key", "k1"),
+    ];
+    let whole = send(at, CHAT, &ids, &chat(false, &["abc"])).expect("an answer");
+    let body = whole.json();
+    let text = body["choices"][0]["message"]["content"]
+        .as_str()
+        .expect("a text");
+    assert_eq!(
+        text,
+        format!("digest:{ABC} request:r1 attempt:a1 t03 t04 t05")
+    );
+    assert_eq!((whole.id.as_str(), &body["id"]), ("a1", &json!("a1")));
+    assert_eq!(body["usage"]["completion_tokens"], 6);
+    let ids = [
+        ("x-request-id", "a2"),
+        ("x-peppercrank-request", "r1"),
+        ("idempotency-key", "k1"),
+    ];
+    let told = stream(at, CHAT, &ids, &chat(true, &["abc"]));
+    assert!(told.whole);
+    assert_eq!(told.text(), text.replace("a1", "a2"));
+    assert_eq!(told.events.len(), 7, "six tokens and the usage");
+    assert_eq!(
+        runs(at, "a1"),
+        json!({"attempts": 1, "requests": 0, "keys": 0})
+    );
+    assert_eq!(
+        runs(at, "r1"),
+        json!({"attempts": 0, "requests": 2, "keys": 0})
+    );
+    assert_eq!(
+        runs(at, "k1"),
+        json!({"attempts": 0, "requests": 0, "keys": 2})
+    );
+}
+
+#[test]
+fn verify_returning_chat_reuses_its_context() {
+    let (_runtime, _running, at) = started(quick());
+    let question = "q".repeat(1_000);
+    let keys = [
+        ("x-chat-key", "00000000000000aa"),
+        ("x-prefix-key", "00000000000000bb"),
+    ];
+    let first = send(at, CHAT, &keys, &chat(false, &[&question]))
+        .expect("an answer")
+        .json();
+    assert_eq!(first["usage"]["prompt_tokens_details"]["cached_tokens"], 0);
+    let answer = first["choices"][0]["message"]["content"]
+        .as_str()
+        .expect("a text");
+    let second = chat(false, &[&question, answer, "and then?"]);
+    let second = send(at, CHAT, &keys, &second).expect("an answer").json();
+    let usage = &second["usage"];
+    let cached = usage["prompt_tokens_details"]["cached_tokens"]
+        .as_u64()
+        .expect("a number");
+    // "user\n" + 1,000 + "\n" + "assistant\n" is 1,016 bytes; the answer adds 89 of its own.
+    assert_eq!(cached, (1_016 + answer.len() as u64 + 1) / 64 * 16);
+    let page = get(at, "/cache-events?since=0");
+    let kinds: Vec<&Value> = page["events"].as_array().expect("events").iter().collect();
+    assert_eq!(
+        kinds,
+        [
+            &json!({"seq": 0, "kind": "stored", "key": "00000000000000aa"}),
+            &json!({"seq": 1, "kind": "stored", "key": "00000000000000bb"}),
+        ]
+    );
+    assert_eq!(page["next"], 2);
+}
+
+#[test]
+fn verify_limited_memory_evicts_the_oldest() {
+    let set = EngineSettings {
+        cache_tokens: 320,
+        events_gap: 2,
+        ..quick()
+    };
+    let (_runtime, _running, at) = started(set);
+    for (key, letter) in [("0a", "a"), ("0b", "b")] {
+        let body = chat(false, &[&letter.repeat(1_000)]);
+        let keys = [("x-chat-key", key)];
+        send(at, CHAT, &keys, &body).expect("an answer");
+    }
+    let page = get(at, "/cache-events?since=0");
+    // Events 0 stored 0a, 1 stored 0b (a gap), 2 evicted 0a, which lost half of its context.
+    let told = json!([
+        {"seq": 0, "kind": "stored", "key": "0a"},
+        {"seq": 2, "kind": "evicted", "key": "0a"},
+    ]);
+    assert_eq!((&page["events"], &page["next"]), (&told, &json!(3)));
+}
+
+#[test]
+fn verify_streams_resume_and_cancel() {
+    let (_runtime, _running, at) = started(quick());
+    let ids = [("x-request-id", "a1")];
+    faults(at, &json!({"only": "chat", "times": 1, "cut_after": 2}));
+    let cut = stream(at, CHAT, &ids, &chat(true, &["abc"]));
+    assert_eq!((cut.whole, cut.events.len()), (false, 2));
+    let rest = stream(at, "GET /v1/streams/a1?from=2", &[], "");
+    assert_eq!((rest.whole, rest.events.len()), (true, 5));
+    let text = cut.text() + &rest.text();
+    assert_eq!(
+        text,
+        format!("digest:{ABC} request:a1 attempt:a1 t03 t04 t05")
+    );
+    assert_eq!(runs(at, "a1")["attempts"], 1, "a resumed stream runs once");
+    let cases = [
+        ("GET /v1/streams/a1?from=7", 200),
+        ("GET /v1/streams/a1?from=x", 400),
+        ("GET /v1/streams/zz?from=0", 404),
+        ("DELETE /v1/streams/a1", 404),
+        ("DELETE /v1/streams/zz", 404),
+    ];
+    for (call, status) in cases {
+        assert_eq!(
+            send(at, call, &[], "").expect("an answer").status,
+            status,
+            "{call}"
+        );
+    }
+}
+
+#[test]
+fn verify_waiting_chat_cancelled_never_runs() {
+    let (_runtime, _running, at) = started(stuck());
+    // Callers give up at once; what they asked for goes on, as with an engine.
+    for (waiting, id) in ["a1", "a2", "a3"].into_iter().enumerate() {
+        let sent = send_briefly(at, CHAT, &[("x-request-id", id)], &chat(false, &["abc"]));
+        assert!(sent.is_err(), "{id} does not end");
+        let awaited = (json!(1), json!(waiting));
+        let seen = settled(&awaited, || {
+            let load = get(at, "/load");
+            (load["running"].clone(), load["waiting"].clone())
+        });
+        assert_eq!(seen, awaited, "after {id}");
+    }
+    let again = send(at, CHAT, &[("x-request-id", "a2")], &chat(false, &["abc"]));
+    assert_eq!(again.expect("an answer").status, 409);
+    for (id, ran) in [("a2", 0), ("a1", 1)] {
+        let cancelled = send(at, &format!("DELETE /v1/streams/{id}"), &[], "");
+        assert_eq!(cancelled.expect("an answer").status, 200);
+        assert_eq!(runs(at, id)["attempts"], ran, "{id}");
+    }
+    assert_eq!(runs(at, "a3")["attempts"], 1, "the free slot is taken");
+    let gone = send(at, "GET /v1/streams/a1?from=0", &[], "").expect("an answer");
+    assert_eq!(gone.status, 404);
+}
+
+#[test]
+fn verify_orders_with_and_without_a_check() {
+    for (check_fence, old) in [(true, 409), (false, 200)] {
+        let set = EngineSettings {
+            check_fence,
+            models: vec!["m".to_owned()],
+            ..quick()
+        };
+        let (_runtime, _running, at) = started(set);
+        let cases = [
+            (json!({"fence": 5, "order": {"load_model": "n"}}), 200),
+            (json!({"fence": 4, "order": {"set_role": "prefill"}}), old),
+            (json!({"fence": 5, "order": {"load_adapter": "x"}}), 200),
+            (json!({"fence": 6, "order": {"dance": "x"}}), 400),
+            (json!({"order": {"set_role": "x"}}), 400),
+        ];
+        for (body, status) in cases {
+            let answer = send(at, "POST /orders", &[], &body.to_string()).expect("an answer");
+            assert_eq!(answer.status, status, "{body} checked: {check_fence}");
+        }
+        assert_eq!(get(at, "/orders")["highest"], 5);
+        let named = |model: &str| chat(false, &["abc"]).replace("\"m\"", &format!("\"{model}\""));
+        for (model, status) in [("m", 200), ("n", 200), ("o", 404)] {
+            let answer = send(at, CHAT, &[], &named(model)).expect("an answer");
+            assert_eq!(answer.status, status, "{model}");
+        }
+    }
+}
+
+#[test]
+fn verify_malformed_calls_are_refused() {
+    let (_runtime, _running, at) = started(quick());
+    let cases = [
+        ("POST /v1/chat/completions", "{", 400, "bad_body"),
+        (
+            "POST /v1/chat/completions",
+            "{\"messages\":3}",
+            400,
+            "bad_body",
+        ),
+        ("PUT /faults", "{\"delay\":3}", 400, "bad_body"),
+        ("PUT /faults", "{\"throttle\":true}", 400, "no_such_switch"),
+        ("PUT /faults", "{\"only\":\"vms\"}", 400, "no_such_switch"),
+        ("GET /cache-events?since=-1", "", 400, "bad_parameter"),
+        ("GET /nowhere", "", 404, "unknown"),
+    ];
+    for (call, body, status, code) in cases {
+        let sent = send(at, call, &[], body).expect("an answer");
+        assert_eq!(
+            (sent.status, &sent.json()["error"]["code"]),
+            (status, &json!(code)),
+            "{call}"
+        );
+    }
+    let sent = send(at, CHAT, &[("x-priority", "10")], &chat(false, &["abc"]));
+    assert_eq!(sent.expect("an answer").status, 400);
+}
--- /dev/null
+++ b/crates/peppercrank-standin/tests/verify_faults.rs
@@ -0,0 +1,202 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Each fault switch does what it says, at the engine and the plain service.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use peppercrank_standin::engine;
+use peppercrank_standin::engine::EngineSettings;
+use peppercrank_standin::service;
+use peppercrank_standin::service::ServiceSettings;
+use serde_json::Value;
+use serde_json::json;
+use support::chat;
+use support::faults;
+use support::runs;
+use support::send;
+use support::send_briefly;
+use support::settled;
+use support::stream;
+
+/// What a caller sees.
+#[derive(Debug, PartialEq, Eq)]
+enum Outcome {
+    /// An answer of this status under this id.
+    Answer(u16, &'static str),
+    /// A connection that ends before the answer does.
+    Broken,
+    /// Nothing.
+    Nothing,
+}
+
+/// The id of the call; its other, by the `wrong_id` switch.
+const OWN: &str = "a1";
+const OTHER: &str = "01";
+
+fn outcome(at: SocketAddr, call: &str, body: &str, expected: &Outcome) -> Outcome {
+    let headers = [("x-request-id", OWN)];
+    // Only where nothing is expected does the caller give up soon.
+    let sent = match expected {
+        Outcome::Nothing => send_briefly(at, call, &headers, body),
+        Outcome::Answer(..) | Outcome::Broken => send(at, call, &headers, body),
+    };
+    match sent {
+        Ok(seen) if seen.id == OWN => Outcome::Answer(seen.status, OWN),
+        Ok(seen) if seen.id == OTHER => Outcome::Answer(seen.status, OTHER),
+        Ok(seen) => Outcome::Answer(seen.status, ""),
+        Err(ureq::Error::Timeout(_)) => Outcome::Nothing,
+        Err(_) => Outcome::Broken,
+    }
+}
+
+/// Switches, what the caller sees, how often the work ran.
+fn cases() -> Vec<(Value, Outcome, u32)> {
+    vec![
+        (json!({}), Outcome::Answer(200, OWN), 1),
+        (
+            json!({"times": 0, "outage": true}),
+            Outcome::Answer(200, OWN),
+            1,
+        ),
+        (
+            json!({"skip": 1, "outage": true}),
+            Outcome::Answer(200, OWN),
+            1,
+        ),
+        (
+            json!({"only": "load", "outage": true}),
+            Outcome::Answer(200, OWN),
+            1,
+        ),
+        (json!({"outage": true}), Outcome::Answer(503, ""), 0),
+        (json!({"drop_before": true}), Outcome::Broken, 0),
+        (json!({"drop_after": true}), Outcome::Broken, 1),
+        (json!({"lose_answer": true}), Outcome::Nothing, 1),
+        (json!({"delay_ms": 60_000}), Outcome::Nothing, 1),
+        (json!({"cut_after": 0}), Outcome::Broken, 1),
+        (json!({"wrong_id": true}), Outcome::Answer(200, OTHER), 1),
+    ]
+}
+
+#[test]
+fn verify_engine_faults() {
+    for (switches, expected, ran) in cases() {
+        let runtime = support::runtime();
+        let set = EngineSettings {
+            prefill_us: 0,
+            step_us: 0,
+            ..EngineSettings::default()
+        };
+        let running = runtime.block_on(engine::start(set)).expect("a start");
+        let at = running.addr;
+        faults(at, &switches);
+        let seen = outcome(
+            at,
+            "POST /v1/chat/completions",
+            &chat(false, &["abc"]),
+            &expected,
+        );
+        assert_eq!(seen, expected, "{switches}");
+        let ran = json!(ran);
+        let counted = settled(&ran, || runs(at, OWN)["attempts"].clone());
+        assert_eq!(counted, ran, "{switches}");
+    }
+}
+
+#[test]
+fn verify_service_faults() {
+    for (switches, expected, ran) in cases() {
+        let runtime = support::runtime();
+        let start = service::start(ServiceSettings::default());
+        let running = runtime.block_on(start).expect("a start");
+        let at = running.addr;
+        faults(at, &switches);
+        let seen = outcome(at, "PATCH /any/path?x=1", "abc", &expected);
+        assert_eq!(seen, expected, "{switches}");
+        let ran = json!(ran);
+        let counted = settled(&ran, || runs(at, OWN)["attempts"].clone());
+        assert_eq!(counted, ran, "{switches}");
+    }
+}
+
+#[test]
+fn verify_service_echoes() {
+    let runtime = support::runtime();
+    let start = service::start(ServiceSettings::default());
+    let running = runtime.block_on(start).expect("a start");
+    let headers = [
+        ("x-request-id", "a1"),
+        ("x-peppercrank-request", "r1"),
+        ("idempotency-key", "k1"),
+        ("x-standin-status", "418"),
+    ];
+    for runs in 1..=2 {
+        let seen = send(running.addr, "PATCH /any/path?x=1", &headers, "abc").expect("an answer");
+        let echo = json!({
+            "method": "PATCH", "path": "/any/path?x=1", "digest": "ba7816bf8f01cfea", "bytes": 3,
+            "request": "r1", "attempt": "a1", "runs": runs,
+        });
+        assert_eq!(
+            (seen.status, seen.id.as_str(), seen.json()),
+            (418, "a1", echo)
+        );
+    }
+    for (id, column) in [("a1", "attempts"), ("r1", "requests"), ("k1", "keys")] {
+        assert_eq!(runs(running.addr, id)[column], 2, "{id}");
+    }
+}
+
+#[test]
+fn verify_answers_cross() {
+    let runtime = support::runtime();
+    let set = EngineSettings {
+        prefill_us: 0,
+        step_us: 0,
+        ..EngineSettings::default()
+    };
+    let running = runtime.block_on(engine::start(set)).expect("a start");
+    let at = running.addr;
+    faults(at, &json!({"only": "chat", "skip": 1, "crossed": true}));
+    let call = "POST /v1/chat/completions";
+    let first = stream(at, call, &[("x-request-id", "a1")], &chat(true, &["abc"]));
+    let second = stream(at, call, &[("x-request-id", "a2")], &chat(true, &["xyz"]));
+    assert_eq!(
+        second, first,
+        "the second caller gets the first one's answer"
+    );
+    assert_eq!(second.events[0]["id"], "a1");
+    assert_eq!(
+        runs(at, "a2")["attempts"],
+        1,
+        "its own work ran all the same"
+    );
+}
+
+#[test]
+fn verify_streams_are_cut_after_the_event_told() {
+    let runtime = support::runtime();
+    let set = EngineSettings {
+        prefill_us: 0,
+        step_us: 0,
+        ..EngineSettings::default()
+    };
+    let running = runtime.block_on(engine::start(set)).expect("a start");
+    for events in 1..=8 {
+        faults(running.addr, &json!({"cut_after": events}));
+        let cut = stream(
+            running.addr,
+            "POST /v1/chat/completions",
+            &[],
+            &chat(true, &["abc"]),
+        );
+        // The seventh is the last before the end's mark, which makes an eighth frame.
+        assert_eq!(
+            (cut.events.len(), cut.whole),
+            (events.min(7), events == 8),
+            "{events}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-standin/tests/verify_platform.rs
@@ -0,0 +1,277 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The platform stand-in's contract, by a raw HTTP client.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::thread;
+
+use peppercrank_standin::Running;
+use peppercrank_standin::platform;
+use peppercrank_standin::platform::PlatformSettings;
+use serde_json::Value;
+use serde_json::json;
+use support::faults;
+use support::send;
+use support::send_briefly;
+use support::settled;
+use tokio::runtime::Runtime;
+
+const NEW: [(&str, &str); 1] = [("if-none-match", "*")];
+
+fn started(set: PlatformSettings) -> (Runtime, Running, SocketAddr) {
+    let runtime = support::runtime();
+    let running = runtime.block_on(platform::start(set)).expect("a start");
+    let at = running.addr;
+    (runtime, running, at)
+}
+
+fn get(at: SocketAddr, path: &str) -> Value {
+    send(at, &format!("GET {path}"), &[], "")
+        .expect("an answer")
+        .json()
+}
+
+/// Returns once a watch has come in.
+fn await_watch(at: SocketAddr) {
+    let one = json!(1);
+    let seen = settled(&one, || get(at, "/calls")["calls"]["watch"].clone());
+    assert_eq!(seen, one);
+}
+
+#[test]
+fn verify_versions_are_of_the_whole_store() {
+    let (_runtime, _running, at) = started(PlatformSettings::default());
+    let on = |version| [("if-match", version)];
+    let cases = [
+        ("PUT /objects/pool/a", NEW, "1", 200, json!({"version": 1})),
+        ("PUT /objects/mark/a", NEW, "2", 200, json!({"version": 2})),
+        (
+            "PUT /objects/pool/a",
+            NEW,
+            "3",
+            412,
+            json!({"version": 1, "body": 1}),
+        ),
+        (
+            "PUT /objects/pool/a",
+            on("2"),
+            "3",
+            412,
+            json!({"version": 1, "body": 1}),
+        ),
+        (
+            "PUT /objects/pool/a",
+            on("1"),
+            "3",
+            200,
+            json!({"version": 3}),
+        ),
+        (
+            "GET /objects/pool/a",
+            NEW,
+            "",
+            200,
+            json!({"version": 3, "body": 3}),
+        ),
+        (
+            "DELETE /objects/pool/a",
+            on("1"),
+            "",
+            412,
+            json!({"version": 3, "body": 3}),
+        ),
+        (
+            "DELETE /objects/pool/a",
+            on("3"),
+            "",
+            200,
+            json!({"version": 4}),
+        ),
+        (
+            "DELETE /objects/pool/a",
+            on("4"),
+            "",
+            412,
+            json!({"version": 4}),
+        ),
+        (
+            "PUT /objects/pool/b",
+            on("4"),
+            "5",
+            412,
+            json!({"version": 0}),
+        ),
+        (
+            "GET /watch/pool?since=3",
+            NEW,
+            "",
+            200,
+            json!({"revision": 4, "objects": [{"name": "a", "version": 4}]}),
+        ),
+        ("PUT /objects/pool/a", NEW, "5", 200, json!({"version": 5})),
+        (
+            "GET /objects/pool",
+            NEW,
+            "",
+            200,
+            json!({"revision": 5, "objects": [{"name": "a", "version": 5, "body": 5}]}),
+        ),
+        (
+            "GET /watch/pool?since=5",
+            NEW,
+            "",
+            200,
+            json!({"revision": 5, "objects": []}),
+        ),
+    ];
+    for (call, headers, body, status, answer) in cases {
+        let seen = send(at, call, &headers, body).expect("an answer");
+        assert_eq!(
+            (seen.status, seen.json()),
+            (status, answer),
+            "{call} {headers:?}"
+        );
+    }
+    let calls = get(at, "/calls");
+    let counted = json!({"get": 1, "put": 7, "delete": 3, "list": 1, "watch": 2});
+    assert_eq!((&calls["calls"], &calls["writes"]), (&counted, &json!(5)));
+}
+
+#[test]
+fn verify_malformed_calls_are_refused() {
+    let (_runtime, _running, at) = started(PlatformSettings::default());
+    let long = format!("\"{}\"", "x".repeat(1_000_000));
+    let cases = [
+        ("PUT /objects/pool/a", vec![], "1", 400),
+        ("PUT /objects/pool/a", vec![("if-match", "x")], "1", 400),
+        (
+            "PUT /objects/pool/a",
+            vec![("if-match", "1"), ("if-none-match", "*")],
+            "1",
+            400,
+        ),
+        ("PUT /objects/pool/a", NEW.to_vec(), "{", 400),
+        ("PUT /objects/pool/a", NEW.to_vec(), &long, 413),
+        ("PUT /vms", vec![], "{\"vms\":[{\"name\":\"a\"}]}", 400),
+        ("PUT /faults", vec![], "{\"wrong_id\":true}", 400),
+        ("GET /objects/pool/a", vec![], "", 404),
+        ("GET /watch/pool?since=1", vec![], "", 410),
+        ("GET /watch/pool?since=x", vec![], "", 400),
+    ];
+    for (call, headers, body, status) in cases {
+        let seen = send(at, call, &headers, body).expect("an answer");
+        assert_eq!(seen.status, status, "{call} {headers:?}");
+    }
+    assert_eq!(get(at, "/calls")["writes"], 0);
+}
+
+#[test]
+fn verify_watch_tells_of_a_later_write() {
+    let (_runtime, _running, at) = started(PlatformSettings::default());
+    let waiting = thread::spawn(move || get(at, "/watch/pool?since=0&wait_ms=60000"));
+    await_watch(at);
+    send(at, "PUT /objects/pool/a", &NEW, "1").expect("an answer");
+    let told = json!({"revision": 1, "objects": [{"name": "a", "version": 1, "body": 1}]});
+    assert_eq!(waiting.join().expect("an answer"), told);
+}
+
+#[test]
+fn verify_outage_ends_a_waiting_watch() {
+    let (_runtime, _running, at) = started(PlatformSettings::default());
+    let waiting = thread::spawn(move || {
+        send(at, "GET /watch/pool?since=0&wait_ms=60000", &[], "").expect("an answer")
+    });
+    await_watch(at);
+    faults(at, &json!({"outage": true}));
+    assert_eq!(waiting.join().expect("an answer").status, 503);
+}
+
+#[test]
+fn verify_old_tombstones_are_forgotten() {
+    let set = PlatformSettings {
+        tombstones: 1,
+        ..PlatformSettings::default()
+    };
+    let (_runtime, _running, at) = started(set);
+    for (name, version) in [("a", "1"), ("b", "3")] {
+        let path = format!("/objects/pool/{name}");
+        send(at, &format!("PUT {path}"), &NEW, "1").expect("an answer");
+        let gone = send(at, &format!("DELETE {path}"), &[("if-match", version)], "");
+        assert_eq!(gone.expect("an answer").status, 200);
+    }
+    // The tombstone of `a`, version 2, is gone: who saw only 1 must list anew.
+    for (since, status) in [(1, 410), (2, 200), (4, 200), (5, 410)] {
+        let seen = send(at, &format!("GET /watch/pool?since={since}"), &[], "");
+        assert_eq!(seen.expect("an answer").status, status, "since {since}");
+    }
+}
+
+#[test]
+fn verify_vm_list_lags() {
+    let vm = json!({"name": "v", "zone": "rae", "address": "127.0.0.1:1", "role": "agent"});
+    for (vms_lag_ms, revision) in [(0, 2), (3_600_000, 1)] {
+        let set = PlatformSettings {
+            vms_lag_ms,
+            ..PlatformSettings::default()
+        };
+        let (_runtime, _running, at) = started(set);
+        let set = send(at, "PUT /vms", &[], &json!({"vms": [vm]}).to_string());
+        assert_eq!(set.expect("an answer").json()["revision"], 2);
+        let seen = get(at, "/vms");
+        assert_eq!(seen["revision"], revision, "lag {vms_lag_ms} ms");
+        assert_eq!(seen["vms"].as_array().map(Vec::len), Some(revision - 1));
+    }
+}
+
+#[test]
+fn verify_platform_faults() {
+    // Switches, the status that the writer sees (none: no answer), whether the write took effect.
+    let cases = [
+        (json!({"outage": true, "only": "put"}), Some(503), false),
+        (json!({"throttle": true, "only": "put"}), Some(429), false),
+        (json!({"drop_before": true, "only": "put"}), None, false),
+        (json!({"drop_after": true, "only": "put"}), None, true),
+        (json!({"lose_answer": true, "only": "put"}), None, true),
+        (json!({"delay_ms": 60_000, "only": "put"}), None, true),
+        (json!({"cut_after": 3, "only": "put"}), None, true),
+        (json!({"outage": true, "only": "get"}), Some(200), true),
+    ];
+    for (switches, status, effect) in cases {
+        let (_runtime, _running, at) = started(PlatformSettings::default());
+        faults(at, &switches);
+        let hangs = switches["lose_answer"] == true || switches["delay_ms"] == 60_000;
+        let put = if hangs { send_briefly } else { send };
+        let seen = put(at, "PUT /objects/pool/a", &NEW, "1").ok();
+        assert_eq!(seen.as_ref().map(|s| s.status), status, "{switches}");
+        let retry = seen.and_then(|s| s.retry);
+        assert_eq!(retry.is_some(), status == Some(429), "{switches}");
+        faults(at, &json!({}));
+        let found = settled(&effect, || {
+            let found = send(at, "GET /objects/pool/a", &[], "").expect("an answer");
+            found.status == 200
+        });
+        assert_eq!(found, effect, "{switches}");
+    }
+}
+
+#[test]
+fn verify_rates_are_limited() {
+    let set = PlatformSettings {
+        writes: 1,
+        reads: 0,
+        ..PlatformSettings::default()
+    };
+    let (_runtime, _running, at) = started(set);
+    faults(at, &json!({"throttle": true, "times": 1}));
+    let seen = send(at, "PUT /objects/pool/a", &NEW, "1").expect("an answer");
+    assert_eq!((seen.status, seen.retry.as_deref()), (429, Some("1")));
+    assert_eq!(get(at, "/calls")["throttled"], 1);
+    let seen = send(at, "GET /objects/pool", &[], "").expect("an answer");
+    assert_eq!(
+        seen.status, 200,
+        "reads have a limit of their own, here none"
+    );
+}
