--- a/crates/peppercrank-route/src/attempt.rs
+++ b/crates/peppercrank-route/src/attempt.rs
@@ -26,100 +26,11 @@
 use crate::classes::after;
 use crate::classes::is_worth_waiting;
 use crate::classes::tells_unreachable;
+use crate::event::Event;
+use crate::event::Next;
+use crate::event::Terms;
 use crate::retry::Retries;
 
-/// `Event` is what happened to a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Event {
-    /// The candidates are known, the best first; sent once, to begin.
-    Ranked(Vec<TargetKey>),
-    /// The target refused the attempt as not run, or could not be connected to.
-    NotRun {
-        /// The attempt.
-        attempt: AttemptId,
-        /// Why.
-        reason: NotRun,
-        /// The target that holds the context, when the refusal named one that ranks here.
-        ///
-        /// [`crate::Ranking::find`] gives it, so that a target that is leaving, dead or unknown
-        /// here is no hint.
-        hint: Option<TargetKey>,
-    },
-    /// The attempt ended with an unknown fate.
-    MayHaveRun {
-        /// The attempt.
-        attempt: AttemptId,
-        /// Why.
-        reason: MayHaveRun,
-    },
-    /// The first byte of an answer that echoes the attempt's id is there.
-    FirstByte {
-        /// The attempt.
-        attempt: AttemptId,
-    },
-    /// The whole answer of the attempt was delivered.
-    Done {
-        /// The attempt.
-        attempt: AttemptId,
-    },
-    /// The caller went away.
-    CallerGone,
-    /// The moment that [`Next::Wait`] named has come, or any other.
-    Tick,
-}
-
-/// `Next` is what to do next with a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Next {
-    /// Send the request to `target`, then report events of `attempt`, and a tick at the deadline.
-    Send {
-        /// The target.
-        target: TargetKey,
-        /// The id of the attempt.
-        attempt: AttemptId,
-        /// Whether the agent may refuse with [`NotRun::Elsewhere`].
-        redirect: bool,
-        /// Whether no further target will be tried, so that the agent may queue the request.
-        last: bool,
-    },
-    /// Do nothing until `until`, then send a tick.
-    Wait {
-        /// The moment.
-        until: Moment,
-    },
-    /// Pass the answer of the attempt in flight on to the caller.
-    Deliver,
-    /// The request is over and the caller needs no more from us.
-    Finish {
-        /// The attempt to cancel, when the caller went away under it.
-        cancel: Option<AttemptId>,
-    },
-    /// Refuse the request now; after [`Next::Deliver`], end the stream with this as its error.
-    Refuse {
-        /// The outcome of the request over all its attempts, never `Done`.
-        outcome: Outcome,
-        /// When the caller may come back, where that helps.
-        retry_after: Option<Duration>,
-        /// The attempt to cancel, when one is in flight.
-        cancel: Option<AttemptId>,
-    },
-    /// Do nothing: the event was of an attempt that is over, or came after the end.
-    Ignore,
-}
-
-/// `Terms` are the limits of one request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Terms {
-    /// The request's id.
-    pub id: RequestId,
-    /// Whether it may run twice.
-    pub repeatable: bool,
-    /// When its time is over.
-    pub deadline: Moment,
-    /// Tries at most, [`peppercrank_core::objects::Policy::tries`]; 0 counts as 1.
-    pub tries: u32,
-}
-
 /// `Phase` is how far a request is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -152,6 +63,8 @@
     spare: Option<TargetKey>,
     /// Whether a hint has jumped the queue.
     jumped: bool,
+    /// Whether the hint of a target with room was followed.
+    redirected: bool,
     /// The latest refusal as not run.
     refused: Option<NotRun>,
     /// The first fate that is unknown.
@@ -170,6 +83,7 @@
             hint: None,
             spare: None,
             jumped: false,
+            redirected: false,
             refused: None,
             doubt: None,
         }
@@ -187,6 +101,14 @@
         self.sent.last().copied()
     }
 
+    /// `is_redirected` tells whether the latest attempt went where the first target pointed.
+    ///
+    /// Then that target knows already where the context is.
+    #[must_use]
+    pub fn is_redirected(&self) -> bool {
+        self.redirected && self.tries() == 2
+    }
+
     /// `is_over` tells whether the request has been finished or refused.
     #[must_use]
     pub fn is_over(&self) -> bool {
@@ -343,6 +265,7 @@
         self.jumped = true;
         if first {
             self.spare = target;
+            self.redirected = free;
         }
         if first && free && self.tries() < self.terms.tries && !self.is_late(now) {
             return self.send(now, retries);
--- a/crates/peppercrank-route/src/rank.rs
+++ b/crates/peppercrank-route/src/rank.rs
@@ -6,6 +6,8 @@
 //! Every process with the same view of a pool gets the same order, and a target that comes or goes
 //! moves only the keys that it gains or loses.
 
+use std::cmp::Ordering;
+
 use peppercrank_core::blackboard::Blackboard;
 use peppercrank_core::blackboard::Target;
 use peppercrank_core::blackboard::TargetKey;
@@ -14,12 +16,14 @@
 use peppercrank_core::keys::ChatKey;
 use peppercrank_core::keys::PrefixKey;
 use peppercrank_core::names::PoolName;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Seed of the hash of a target's name; a change of it moves every chat.
 const NAME_SEED: u64 = 0x7065_7070_6572_0001;
 
 /// `TargetHash` stands for a target's name in rankings and between processes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TargetHash(pub u64);
 
 impl TargetHash {
@@ -31,7 +35,7 @@
 }
 
 /// `RankKey` is what a request is ranked by.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RankKey(pub u64);
 
 impl RankKey {
@@ -139,6 +143,70 @@
         best.iter().map(|s| self.nodes[s.index].target).collect()
     }
 
+    /// `order` lists `count` candidates for a chat, in the order to try them.
+    ///
+    /// With a `breadth` above 1, the targets that rank first for the prefix share its chats: each
+    /// chat has its own order among them. The others follow by the prefix.
+    #[must_use]
+    pub fn order(
+        &self,
+        chat: ChatKey,
+        prefix: Option<PrefixKey>,
+        breadth: u32,
+        count: usize,
+    ) -> Vec<TargetKey> {
+        let breadth = breadth as usize;
+        let Some(prefix) = prefix.filter(|_| breadth > 1) else {
+            return self.first(RankKey::of(chat, prefix), count);
+        };
+        let mut best = self.widest(RankKey(prefix.0), breadth.max(count));
+        let rest = best.split_off(breadth.min(best.len()));
+        let mut shared = Vec::with_capacity(count + 1);
+        for scored in best {
+            let node = &self.nodes[scored.index];
+            let score = score(draw(RankKey(chat.0), node.hash), node.weight);
+            let index = scored.index;
+            insert(&mut shared, Scored { score, index }, count);
+        }
+        let all = shared.iter().chain(&rest).take(count);
+        all.map(|s| self.nodes[s.index].target).collect()
+    }
+
+    /// `ranks` tells whether `target` takes part.
+    #[must_use]
+    pub fn ranks(&self, target: TargetKey) -> bool {
+        self.nodes.iter().any(|n| n.target == target)
+    }
+
+    /// `hash` is the hash of a target that takes part.
+    #[must_use]
+    pub fn hash(&self, target: TargetKey) -> Option<TargetHash> {
+        let node = self.nodes.iter().find(|n| n.target == target)?;
+        Some(node.hash)
+    }
+
+    /// Lists the `count` best for `key`, the best first, for a `count` that may be great.
+    fn widest(&self, key: RankKey, count: usize) -> Vec<Scored> {
+        if count <= FEW {
+            return self.select(key, count);
+        }
+        let nodes = self.nodes.iter().enumerate();
+        let mut all: Vec<Scored> = nodes
+            .map(|(index, node)| Scored {
+                score: score(draw(key, node.hash), node.weight),
+                index,
+            })
+            .collect();
+        if count < all.len() {
+            all.select_nth_unstable_by(count, by_score);
+            all.truncate(count);
+        }
+        // Only those past the shared ones need an order, but sorting the few that are left is as
+        // simple.
+        all.sort_unstable_by(by_score);
+        all
+    }
+
     /// Selects the `count` best for `key`, the best first.
     fn select(&self, key: RankKey, count: usize) -> Vec<Scored> {
         let count = count.min(self.nodes.len());
@@ -180,6 +248,9 @@
 /// The range of a draw, 2 to the 53rd: every draw is exact as an `f64`.
 const UNIT: f64 = 9_007_199_254_740_992.0;
 
+/// Up to so many, inserting into an ordered list is cheaper than scoring all targets.
+const FEW: usize = 16;
+
 /// Tells whether a target may take new work.
 fn takes_work(target: &Target) -> bool {
     match target.state {
@@ -214,3 +285,8 @@
     best.insert(at, new);
     best.truncate(count);
 }
+
+/// Orders by score, the greatest first; of equal scores the lower hash.
+fn by_score(a: &Scored, b: &Scored) -> Ordering {
+    b.score.total_cmp(&a.score).then(a.index.cmp(&b.index))
+}
--- a/crates/peppercrank-route/src/table.rs
+++ b/crates/peppercrank-route/src/table.rs
@@ -50,6 +50,25 @@
         }
     }
 
+    /// `within` makes the greatest table that takes no more than `bytes` bytes.
+    ///
+    /// It has one row at least.
+    pub(crate) fn within(bytes: usize) -> Self {
+        let row = WAYS * size_of::<Option<Slot<V>>>();
+        Self::new(bytes / row * WAYS)
+    }
+
+    /// `iter` goes over the entries.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Slot<V>> {
+        self.slots.iter().flatten()
+    }
+
+    /// `part` goes over the entries in the slots from `start` to before `end`.
+    pub(crate) fn part(&self, start: usize, end: usize) -> impl Iterator<Item = &Slot<V>> {
+        let count = end.saturating_sub(start);
+        self.slots.iter().skip(start).take(count).flatten()
+    }
+
     /// `capacity` is the number of slots.
     pub(crate) fn capacity(&self) -> usize {
         self.slots.len()
