Take the platform's address as an IP number

Cause: the platform's client connects to a socket address; a path or host name in the settings would have been taken and then not used. Change: BaseUrl is http://IP[:PORT] and refuses the rest with its place. Measured: the fault table, now with paths and host names, passes.

--- a/crates/peppercrank-settings/src/errors.rs
+++ b/crates/peppercrank-settings/src/errors.rs
@@ -52,7 +52,7 @@
         /// The id.
         id: u32,
     },
-    /// A text is not `http://` with an address.
+    /// A text is not `http://` with an IP number and port.
     Url {
         /// The text as given.
         text: String,
@@ -117,7 +117,7 @@
             Self::Token => f.write_str("a token is 16 to 256 visible ASCII characters"),
             Self::SameKey { id } => write!(f, "two keys have the id {id}"),
             Self::Url { text } => {
-                write!(f, "`{text}` is not `http://` with an address and no query")
+                write!(f, "`{text}` is not `http://` with an IP number and port")
             }
         }
     }
--- a/crates/peppercrank-settings/src/file.rs
+++ b/crates/peppercrank-settings/src/file.rs
@@ -14,7 +14,11 @@
 const MOST_FILE: u64 = 1 << 20;
 
 /// `read` reads the file at `path` as UTF-8.
-pub(crate) fn read(path: &Path) -> Result<String> {
+///
+/// # Errors
+///
+/// Returns [`crate::Error::File`] when it cannot be read or is not UTF-8.
+pub fn read(path: &Path) -> Result<String> {
     let mut text = String::new();
     File::open(path)
         .and_then(|file| file.take(MOST_FILE).read_to_string(&mut text))
--- a/crates/peppercrank-settings/src/lib.rs
+++ b/crates/peppercrank-settings/src/lib.rs
@@ -27,7 +27,7 @@
 pub mod units;
 pub mod url;
 
-mod file;
+pub mod file;
 
 pub use agent::AgentSettings;
 pub use errors::Error;
--- a/crates/peppercrank-settings/src/secret.rs
+++ b/crates/peppercrank-settings/src/secret.rs
@@ -4,6 +4,7 @@
 //! Secrets, kept out of logs.
 
 use std::fmt;
+use std::str::FromStr;
 
 use serde::Deserialize;
 
@@ -48,6 +49,14 @@
     }
 }
 
+impl FromStr for Secret {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self> {
+        Self::new(s)
+    }
+}
+
 impl TryFrom<String> for Secret {
     type Error = Error;
 
--- a/crates/peppercrank-settings/src/url.rs
+++ b/crates/peppercrank-settings/src/url.rs
@@ -4,6 +4,9 @@
 //! The address of the platform's API.
 
 use std::fmt;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::str::FromStr;
 
 use serde::Deserialize;
 
@@ -14,45 +17,62 @@
 /// The only scheme: TLS towards the platform ends before this process.
 const SCHEME: &str = "http://";
 
-/// `BaseUrl` is `http://ADDRESS[:PORT][/PATH]` without a trailing slash.
-#[derive(Clone, PartialEq, Eq, Deserialize)]
+/// The port of an address that names none.
+const PORT: u16 = 80;
+
+/// `BaseUrl` is `http://IP[:PORT]`: the fleet talks by IP numbers.
+#[derive(Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(try_from = "String")]
-pub struct BaseUrl(String);
+pub struct BaseUrl(SocketAddr);
 
 impl BaseUrl {
     /// `new` checks `text` and makes an address of it.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Url`] for another scheme, no address, a query or white space.
+    /// Returns [`Error::Url`] for another scheme, a host name, or a path.
     pub fn new(text: &str) -> Result<Self> {
-        let rest = text.strip_prefix(SCHEME);
-        let named = rest.is_some_and(|r| !r.is_empty() && !r.starts_with('/'));
-        let plain = text
-            .bytes()
-            .all(|b| b.is_ascii_graphic() && !b"?#@".contains(&b));
-        if named && plain {
-            return Ok(Self(text.trim_end_matches('/').to_owned()));
-        }
-        Err(errors::url(text))
+        address(text).map(Self).ok_or_else(|| errors::url(text))
     }
 
-    /// `as_str` is the address as text.
+    /// `address` is the address that it names.
     #[must_use]
-    pub fn as_str(&self) -> &str {
-        &self.0
+    pub const fn address(self) -> SocketAddr {
+        self.0
+    }
+}
+
+fn address(text: &str) -> Option<SocketAddr> {
+    let rest = text.strip_prefix(SCHEME)?;
+    let host = rest.strip_suffix('/').unwrap_or(rest);
+    let whole = host.parse::<SocketAddr>();
+    let bare = || host.parse::<IpAddr>().map(|ip| SocketAddr::new(ip, PORT));
+    whole.or_else(|_| bare()).ok()
+}
+
+impl From<SocketAddr> for BaseUrl {
+    fn from(address: SocketAddr) -> Self {
+        Self(address)
+    }
+}
+
+impl FromStr for BaseUrl {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self> {
+        Self::new(s)
     }
 }
 
 impl fmt::Display for BaseUrl {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        write!(f, "{SCHEME}{}", self.0)
     }
 }
 
 impl fmt::Debug for BaseUrl {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        fmt::Display::fmt(self, f)
     }
 }
 
--- a/crates/peppercrank-settings/tests/verify_faults.rs
+++ b/crates/peppercrank-settings/tests/verify_faults.rs
@@ -15,7 +15,7 @@
     "gossip": "10.0.0.1:7000",
     "control": "10.0.0.1:7001",
     "operators": "10.0.0.1:7002",
-    "platform": { "url": "http://10.0.0.9:80/api/", "timeout": "1s" },
+    "platform": { "url": "http://10.0.0.9:8000/", "timeout": "1s" },
     "keys": [{ "id": 2, "secret": "00112233445566778899aabbccddeeff" }],
     "tokens": ["sixteen-letters-"],
     "touch": { "peers": "3s", "platform": "5m" }
@@ -61,9 +61,11 @@
     (r#""rae""#, r#""Rae""#, 3, 22, "availability zone"),
     (r#""10.0.0.1:7000""#, r#""10.0.0.1""#, 4, 5, "invalid socket address"),
     (r#""10.0.0.1:7000""#, r#""entry-1:7000""#, 4, 5, "invalid socket address"),
-    ("http:", "https:", 7, 19, "is not `http://` with an address"),
-    ("10.0.0.9:80/api/", "", 7, 19, "is not `http://` with an address"),
-    ("10.0.0.9:80/api/", "u:p@10.0.0.9", 7, 19, "is not `http://` with an address"),
+    ("http:", "https:", 7, 19, "is not `http://` with an IP number"),
+    ("10.0.0.9:8000/", "", 7, 19, "is not `http://` with an IP number"),
+    ("10.0.0.9:8000/", "10.0.0.9:8000/api", 7, 19, "is not `http://` with an IP number"),
+    ("10.0.0.9:8000/", "platform:8000", 7, 19, "is not `http://` with an IP number"),
+    ("10.0.0.9:8000/", "u:p@10.0.0.9", 7, 19, "is not `http://` with an IP number"),
     ("ddeeff", "ddee", 8, 25, "32 to 128 hexadecimal digits"),
     ("ddeeff", "ddeef", 8, 25, "32 to 128 hexadecimal digits"),
     ("ddeeff", "ddeefg", 8, 25, "32 to 128 hexadecimal digits"),
@@ -92,8 +94,8 @@
 fn verify_sound_file_sets_what_it_says() {
     let settings = RouterSettings::parse(ROUTER).expect("sound");
     assert_eq!(
-        settings.fleet.platform.url.as_str(),
-        "http://10.0.0.9:80/api"
+        settings.fleet.platform.url.address().to_string(),
+        "10.0.0.9:8000"
     );
     assert_eq!(settings.fleet.touch.peers.as_millis(), 3_000);
     assert_eq!(settings.limits.body, 2 << 20);
