Seal messages between our processes and carry them by datagram

Cause: a process must refuse what is not from the fleet, and what comes twice. Change: sealed envelopes (HMAC-SHA256 cut to 16 bytes, sender, boot, counter, a replay window for a bounded number of senders), a code over the head of requests to agents, bearer tokens compared in constant time, and sealed postcard messages over UDP within 1,200 bytes. Keys rotate in three rings, without a restart. Proved: every altered bit, replays, old boots, foreign keys, channels and audiences are rejected and counted; neighbouring rings open each other's.

--- /dev/null
+++ b/crates/peppercrank-wire/src/datagram.rs
@@ -0,0 +1,228 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Sealed messages over UDP, for gossip.
+
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::Error;
+use crate::Result;
+use crate::errors;
+use crate::errors::Step;
+use crate::seal::Channel;
+use crate::seal::Identity;
+use crate::seal::KeyRing;
+use crate::seal::OVERHEAD;
+use crate::seal::Opener;
+use crate::seal::Rejected;
+use crate::seal::Sealer;
+use crate::seal::SenderId;
+use crate::traffic::Traffic;
+
+/// The longest datagram, in bytes: below every path's limit, so that none is fragmented.
+pub const MAX_DATAGRAM: usize = 1_200;
+
+/// The longest encoded message that fits a datagram, in bytes.
+pub const MAX_MESSAGE: usize = MAX_DATAGRAM - OVERHEAD;
+
+/// Bytes of the IPv4 and UDP headers, which count as control traffic too.
+const PACKET: usize = 28;
+
+/// Pause after a failed read, so that a broken socket is not polled in a tight loop.
+const READ_PAUSE: Duration = Duration::from_millis(50);
+
+/// `Place` is where a process takes datagrams, and as whom it sends them.
+#[derive(Debug, Clone, Copy)]
+pub struct Place {
+    /// The address to bind; port 0 takes a free one.
+    pub bind: SocketAddr,
+    /// The address that others send to, if it is not the bound one.
+    pub advertised: Option<SocketAddr>,
+    /// Who sends.
+    pub identity: Identity,
+    /// How many senders are remembered against replays.
+    pub room: usize,
+}
+
+/// `Received` is one authentic message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Received<M> {
+    /// Where it came from.
+    pub from: SocketAddr,
+    /// Who sent it.
+    pub sender: SenderId,
+    /// The sender's boot.
+    pub boot: u64,
+    /// The message.
+    pub message: M,
+}
+
+/// `Datagrams` sends and receives messages of one type; its clones share the socket.
+#[derive(Debug)]
+pub struct Datagrams<M> {
+    inner: Arc<Inner<M>>,
+}
+
+#[derive(Debug)]
+struct Inner<M> {
+    socket: UdpSocket,
+    address: SocketAddr,
+    sealer: Mutex<Sealer>,
+    opener: Mutex<Opener>,
+    kind: fn(&M) -> &'static str,
+    traffic: Traffic,
+    read_errors: AtomicU64,
+    message: PhantomData<fn() -> M>,
+}
+
+impl<M> Clone for Datagrams<M> {
+    fn clone(&self) -> Self {
+        let inner = Arc::clone(&self.inner);
+        Self { inner }
+    }
+}
+
+impl<M: Serialize + DeserializeOwned> Datagrams<M> {
+    /// `bind` opens a socket; `kind` names each message's kind for the counts.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] when the address cannot be bound.
+    pub async fn bind(place: Place, ring: KeyRing, kind: fn(&M) -> &'static str) -> Result<Self> {
+        let bound = UdpSocket::bind(place.bind).await;
+        let socket = bound.map_err(|e| errors::io(Step::Bind, &e))?;
+        let local = socket.local_addr();
+        let local = local.map_err(|e| errors::io(Step::Bind, &e))?;
+        let sealer = Sealer::new(Channel::Datagram, place.identity, ring.clone());
+        let opener = Opener::new(Channel::Datagram, ring, place.room);
+        let inner = Inner {
+            socket,
+            address: place.advertised.unwrap_or(local),
+            sealer: Mutex::new(sealer),
+            opener: Mutex::new(opener),
+            kind,
+            traffic: Traffic::default(),
+            read_errors: AtomicU64::new(0),
+            message: PhantomData,
+        };
+        Ok(Self {
+            inner: Arc::new(inner),
+        })
+    }
+
+    /// `address` is where others send to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    /// `traffic` is what was sent and received, IP and UDP headers included.
+    #[must_use]
+    pub fn traffic(&self) -> &Traffic {
+        &self.inner.traffic
+    }
+
+    /// `rejected` is how many datagrams were rejected for a reason.
+    #[must_use]
+    pub fn rejected(&self, reason: Rejected) -> u64 {
+        lock(&self.inner.opener).rejected(reason)
+    }
+
+    /// `read_errors` is how often the system failed to read a datagram.
+    #[must_use]
+    pub fn read_errors(&self) -> u64 {
+        self.inner.read_errors.load(Ordering::Relaxed)
+    }
+
+    /// `rotate` puts another key ring in place of the present one.
+    pub fn rotate(&self, ring: &KeyRing) {
+        lock(&self.inner.sealer).rotate(ring.clone());
+        lock(&self.inner.opener).rotate(ring.clone());
+    }
+
+    /// `send` sends one message and returns its bytes on the wire.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::MessageTooBig`], [`Error::Encode`], or [`Error::Io`] when the system takes
+    /// no datagram; whether one arrives is never known.
+    pub async fn send(&self, to: SocketAddr, message: &M) -> Result<usize> {
+        let payload = postcard::to_stdvec(message);
+        let payload = payload.map_err(|_fault| Error::Encode)?;
+        if payload.len() > MAX_MESSAGE {
+            return Err(Error::MessageTooBig {
+                len: payload.len(),
+                most: MAX_MESSAGE,
+            });
+        }
+        let audience = to.to_string();
+        let sealed = lock(&self.inner.sealer)
+            .seal(audience.as_bytes(), &payload)
+            .1;
+        let sent = self.inner.socket.send_to(&sealed, to).await;
+        sent.map_err(|e| errors::io(Step::Write, &e))?;
+        let bytes = sealed.len() + PACKET;
+        self.inner.traffic.sent((self.inner.kind)(message), bytes);
+        Ok(bytes)
+    }
+
+    /// `receive` waits for the next authentic message, counting the others.
+    pub async fn receive(&self) -> Received<M> {
+        // One byte more than is allowed shows a datagram that is too long.
+        let mut space = [0; MAX_DATAGRAM + 1];
+        let audience = self.inner.address.to_string();
+        loop {
+            let read = self.inner.socket.recv_from(&mut space).await;
+            let Ok((len, from)) = read else {
+                self.inner.read_errors.fetch_add(1, Ordering::Relaxed);
+                sleep(READ_PAUSE).await;
+                continue;
+            };
+            let opened = self.open(audience.as_bytes(), &space[..len]);
+            let Some((sender, boot, message)) = opened else {
+                self.inner.traffic.received("rejected", len + PACKET);
+                continue;
+            };
+            let kind = (self.inner.kind)(&message);
+            self.inner.traffic.received(kind, len + PACKET);
+            return Received {
+                from,
+                sender,
+                boot,
+                message,
+            };
+        }
+    }
+
+    fn open(&self, audience: &[u8], bytes: &[u8]) -> Option<(SenderId, u64, M)> {
+        let mut opener = lock(&self.inner.opener);
+        if bytes.len() > MAX_DATAGRAM {
+            opener.reject(Rejected::Malformed);
+            return None;
+        }
+        let found = opener.open(audience, bytes).ok()?;
+        // Another version of the program may know other messages.
+        let Ok(message) = postcard::from_bytes(found.payload) else {
+            opener.reject(Rejected::Malformed);
+            return None;
+        };
+        Some((found.sender, found.boot, message))
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/peppercrank-wire/src/errors.rs
+++ b/crates/peppercrank-wire/src/errors.rs
@@ -49,6 +49,15 @@
     AnswerIdle,
     /// An answer broke off before its end.
     AnswerCut,
+    /// A message does not fit a datagram.
+    MessageTooBig {
+        /// The message's length, in bytes.
+        len: usize,
+        /// The longest length allowed, in bytes.
+        most: usize,
+    },
+    /// A message could not be encoded.
+    Encode,
 }
 
 /// `io` makes the error for a failed call of the operating system.
@@ -68,6 +77,10 @@
             Self::BodyTimeout => f.write_str("the body did not arrive in time"),
             Self::BodyBroken => f.write_str("the body broke off or was framed wrongly"),
             Self::AnswerIdle => f.write_str("nothing of the answer arrived within the idle time"),
+            Self::MessageTooBig { len, most } => {
+                write!(f, "the message has {len} bytes, {most} fit")
+            }
+            Self::Encode => f.write_str("the message could not be encoded"),
             Self::AnswerCut => f.write_str("the answer broke off before its end"),
         }
     }
--- a/crates/peppercrank-wire/src/lib.rs
+++ b/crates/peppercrank-wire/src/lib.rs
@@ -9,11 +9,14 @@
 pub mod body;
 pub mod client;
 
+pub mod datagram;
 pub mod edge;
 pub mod errors;
 pub mod headers;
 pub mod platform;
+pub mod seal;
 pub mod stop;
+pub mod traffic;
 
 pub use errors::Error;
 pub use errors::Result;
--- /dev/null
+++ b/crates/peppercrank-wire/src/seal/mod.rs
@@ -0,0 +1,55 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Authentication of the messages between our own processes.
+//!
+//! It has no input or output of its own: keys, boot numbers and messages are passed in. A sealed
+//! message names its key, its sender, the sender's boot and a counter, and carries a truncated
+//! HMAC-SHA256 over all of these, the channel, the audience and the payload.
+
+mod bearer;
+mod head;
+mod keys;
+mod opener;
+mod sealer;
+mod window;
+
+pub use bearer::Bearers;
+pub use head::MAC_HEADER;
+pub use head::check_head;
+pub use head::sign_head;
+pub use keys::Key;
+pub use keys::KeyError;
+pub use keys::KeyRing;
+pub use opener::Opened;
+pub use opener::Opener;
+pub use opener::Rejected;
+pub use sealer::Identity;
+pub use sealer::OVERHEAD;
+pub use sealer::Sealer;
+pub use sealer::SenderId;
+
+/// `Channel` is what a sealed message is for; one of another channel does not open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Channel {
+    /// A gossip datagram.
+    Datagram,
+    /// A control call.
+    Ask,
+    /// The answer to a control call.
+    Told,
+    /// The head of a request from a router to an agent.
+    Head,
+}
+
+impl Channel {
+    /// The byte that stands for the channel in what is authenticated.
+    const fn byte(self) -> u8 {
+        match self {
+            Self::Datagram => 1,
+            Self::Ask => 2,
+            Self::Told => 3,
+            Self::Head => 4,
+        }
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-wire/src/seal/sealer.rs
@@ -0,0 +1,111 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The sending side: messages sealed under the ring's signing key.
+
+use peppercrank_core::hash::hash64;
+use peppercrank_core::names::VmName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Channel;
+use super::keys::Code;
+use super::keys::KeyRing;
+use super::keys::TAG;
+
+/// The most bytes that sealing adds: key 5, sender 8, boot 10, counter 10, length 3, code 16.
+pub const OVERHEAD: usize = 52;
+
+/// `SenderId` stands for the process that sealed a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SenderId(pub u64);
+
+impl SenderId {
+    /// `of` is the id of the process on a VM.
+    #[must_use]
+    pub fn of(vm: &VmName) -> Self {
+        Self(hash64(0, vm.as_str().as_bytes()))
+    }
+}
+
+/// `Identity` is who seals: the process and its boot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Identity {
+    /// The process.
+    pub sender: SenderId,
+    /// A number that grows with each start of the process, such as its start's time.
+    pub boot: u64,
+}
+
+/// `Envelope` is a sealed message as it travels.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Envelope<'a> {
+    pub(super) key: u32,
+    // A hash is shorter at its fixed width than as a variable one.
+    #[serde(with = "postcard::fixint::le")]
+    pub(super) sender: u64,
+    pub(super) boot: u64,
+    pub(super) counter: u64,
+    pub(super) payload: &'a [u8],
+    pub(super) tag: [u8; TAG],
+}
+
+impl Envelope<'_> {
+    /// The code over everything that the envelope claims.
+    pub(super) fn code(&self, code: Code, audience: &[u8]) -> Code {
+        code.number(self.sender)
+            .number(self.boot)
+            .number(self.counter)
+            .bytes(audience)
+            .bytes(self.payload)
+    }
+}
+
+/// `Sealer` seals the messages of one process on one channel.
+#[derive(Debug)]
+pub struct Sealer {
+    channel: Channel,
+    identity: Identity,
+    ring: KeyRing,
+    counter: u64,
+}
+
+impl Sealer {
+    /// `new` makes a sealer whose first message has the counter 1.
+    #[must_use]
+    pub const fn new(channel: Channel, identity: Identity, ring: KeyRing) -> Self {
+        Self {
+            channel,
+            identity,
+            ring,
+            counter: 0,
+        }
+    }
+
+    /// `rotate` puts another ring in place of the present one.
+    pub fn rotate(&mut self, ring: KeyRing) {
+        self.ring = ring;
+    }
+
+    /// `seal` seals a payload for an audience and returns its counter with it.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: the envelope's plain fields always encode.
+    pub fn seal(&mut self, audience: &[u8], payload: &[u8]) -> (u64, Vec<u8>) {
+        self.counter += 1;
+        let key = self.ring.signer();
+        let mut envelope = Envelope {
+            key: key.id(),
+            sender: self.identity.sender.0,
+            boot: self.identity.boot,
+            counter: self.counter,
+            payload,
+            tag: [0; TAG],
+        };
+        let code = Code::new(key, self.channel);
+        envelope.tag = envelope.code(code, audience).tag();
+        let bytes = postcard::to_stdvec(&envelope);
+        (self.counter, bytes.expect("plain fields always encode"))
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-wire/src/traffic.rs
@@ -0,0 +1,65 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Control bytes by kind of message.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+/// `Volume` is what one kind of message came to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Volume {
+    /// Messages sent.
+    pub sent: u64,
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Messages received.
+    pub received: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+}
+
+/// `Traffic` counts control messages and their bytes by kind.
+#[derive(Debug, Default)]
+pub struct Traffic(Mutex<BTreeMap<&'static str, Volume>>);
+
+impl Traffic {
+    /// `volumes` are the counts of each kind so far.
+    #[must_use]
+    pub fn volumes(&self) -> BTreeMap<&'static str, Volume> {
+        self.kinds().clone()
+    }
+
+    /// `total` is the sum over all kinds.
+    #[must_use]
+    pub fn total(&self) -> Volume {
+        let mut total = Volume::default();
+        for volume in self.kinds().values() {
+            total.sent += volume.sent;
+            total.sent_bytes += volume.sent_bytes;
+            total.received += volume.received;
+            total.received_bytes += volume.received_bytes;
+        }
+        total
+    }
+
+    pub(crate) fn sent(&self, kind: &'static str, bytes: usize) {
+        let mut kinds = self.kinds();
+        let volume = kinds.entry(kind).or_default();
+        volume.sent += 1;
+        volume.sent_bytes += bytes as u64;
+    }
+
+    pub(crate) fn received(&self, kind: &'static str, bytes: usize) {
+        let mut kinds = self.kinds();
+        let volume = kinds.entry(kind).or_default();
+        volume.received += 1;
+        volume.received_bytes += bytes as u64;
+    }
+
+    fn kinds(&self) -> MutexGuard<'_, BTreeMap<&'static str, Volume>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
