--- a/crates/peppercrank-wire/tests/verify_seal.rs
+++ b/crates/peppercrank-wire/tests/verify_seal.rs
@@ -28,6 +28,9 @@
 use rand_chacha::rand_core::Rng;
 use rand_chacha::rand_core::SeedableRng;
 
+/// A change of headers on their way.
+type Change = fn(&mut HeaderMap);
+
 fn key(id: u32) -> Key {
     Key::new(id, &[u8::try_from(id).expect("a small id"); 32]).expect("a key")
 }
@@ -36,25 +39,25 @@
     KeyRing::new(ids.iter().copied().map(key).collect()).expect("a ring")
 }
 
-fn sealer(ids: &[u32], boot: u64) -> Sealer {
+fn sending(ids: &[u32], boot: u64) -> Sealer {
     let sender = SenderId(42);
     Sealer::new(Channel::Datagram, Identity { sender, boot }, ring(ids))
 }
 
-fn opener(ids: &[u32]) -> Opener {
+fn receiving(ids: &[u32]) -> Opener {
     Opener::new(Channel::Datagram, ring(ids), 4)
 }
 
 #[test]
 fn verify_open_once_and_in_any_order() {
-    let mut sealer = sealer(&[1], 5);
-    let sealed: Vec<_> = (0..200_u8).map(|n| sealer.seal(b"b", &[n]).1).collect();
-    let mut opener = opener(&[1]);
+    let mut sealer = sending(&[1], 5);
+    let message: Vec<_> = (0..200_u8).map(|n| sealer.seal(b"b", &[n]).1).collect();
+    let mut opener = receiving(&[1]);
     for at in [0, 2, 1, 130, 129, 199] {
-        let opened = opener.open(b"b", &sealed[at]).expect("a new message");
-        assert_eq!(opened.sender, SenderId(42));
-        assert_eq!((opened.boot, opened.counter), (5, at as u64 + 1));
-        assert_eq!(usize::from(opened.payload[0]), at);
+        let found = opener.open(b"b", &message[at]).expect("a new message");
+        assert_eq!(found.sender, SenderId(42));
+        assert_eq!((found.boot, found.counter), (5, at as u64 + 1));
+        assert_eq!(usize::from(found.payload[0]), at);
     }
     for (at, reason) in [
         (199, Rejected::Replayed),
@@ -63,31 +66,32 @@
         (70, Rejected::TooOld),
     ] {
         let before = opener.rejected(reason);
-        assert_eq!(opener.open(b"b", &sealed[at]), Err(reason), "{at}");
+        assert_eq!(opener.open(b"b", &message[at]), Err(reason), "{at}");
         assert_eq!(opener.rejected(reason), before + 1);
     }
-    assert!(opener.open(b"b", &sealed[72]).is_ok());
+    opener.open(b"b", &message[72]).expect("a new message");
 }
 
 #[test]
 fn verify_every_altered_bit_is_rejected() {
-    let (_, sealed) = sealer(&[1], 5).seal(b"b", b"payload");
-    assert!(sealed.len() <= b"payload".len() + OVERHEAD);
-    let mut opener = opener(&[1]);
-    for at in 0..sealed.len() * 8 {
-        let mut forged = sealed.clone();
+    let (_, message) = sending(&[1], 5).seal(b"b", b"payload");
+    assert!(message.len() <= b"payload".len() + OVERHEAD);
+    let mut opener = receiving(&[1]);
+    for at in 0..message.len() * 8 {
+        let mut forged = message.clone();
         forged[at / 8] ^= 1 << (at % 8);
-        assert!(opener.open(b"b", &forged).is_err(), "bit {at}");
+        let open = opener.open(b"b", &forged);
+        assert!(open.err().is_some(), "bit {at}");
     }
-    for len in 0..sealed.len() {
+    for len in 0..message.len() {
         assert_eq!(
-            opener.open(b"b", &sealed[..len]),
+            opener.open(b"b", &message[..len]),
             Err(Rejected::Malformed),
             "{len}"
         );
     }
     assert_eq!(opener.senders(), 0);
-    assert!(opener.open(b"b", &sealed).is_ok());
+    opener.open(b"b", &message).expect("a new message");
 }
 
 #[test]
@@ -121,23 +125,23 @@
         ),
         (
             "another audience",
-            sealer(&[1], 1).seal(b"c", b"x").1,
+            sending(&[1], 1).seal(b"c", b"x").1,
             Rejected::Forged,
         ),
         ("nothing", Vec::new(), Rejected::Malformed),
         (
             "one byte more",
             {
-                let mut s = sealer(&[1], 1).seal(b"b", b"x").1;
+                let mut s = sending(&[1], 1).seal(b"b", b"x").1;
                 s.push(0);
                 s
             },
             Rejected::Malformed,
         ),
     ];
-    let mut opener = opener(&[1]);
-    for (name, sealed, reason) in cases {
-        assert_eq!(opener.open(b"b", &sealed), Err(reason), "{name}");
+    let mut opener = receiving(&[1]);
+    for (name, message, reason) in cases {
+        assert_eq!(opener.open(b"b", &message), Err(reason), "{name}");
     }
     assert_eq!(opener.rejected(Rejected::Forged), 3);
 }
@@ -145,43 +149,43 @@
 #[test]
 fn verify_garbage_never_opens() {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
-    let mut opener = opener(&[1]);
+    let mut opener = receiving(&[1]);
     for len in 0..2_000 {
         let mut bytes = vec![0; len % 1_300];
         rng.fill_bytes(&mut bytes);
-        assert!(opener.open(b"b", &bytes).is_err());
+        opener.open(b"b", &bytes).expect_err("a message not sealed");
     }
     assert_eq!(opener.senders(), 0);
 }
 
 #[test]
 fn verify_old_boot_stays_out() {
-    let mut opener = opener(&[1]);
-    let before = sealer(&[1], 5).seal(b"b", b"x").1;
-    let mut old = sealer(&[1], 5);
+    let mut opener = receiving(&[1]);
+    let before = sending(&[1], 5).seal(b"b", b"x").1;
+    let mut old = sending(&[1], 5);
     old.seal(b"b", b"x");
     let held_back = old.seal(b"b", b"y").1;
-    assert!(opener.open(b"b", &before).is_ok());
+    opener.open(b"b", &before).expect("a new message");
     // A new boot starts its counters anew.
-    assert!(
-        opener
-            .open(b"b", &sealer(&[1], 6).seal(b"b", b"x").1)
-            .is_ok()
-    );
+    opener
+        .open(b"b", &sending(&[1], 6).seal(b"b", b"x").1)
+        .expect("a new message");
     assert_eq!(opener.open(b"b", &held_back), Err(Rejected::OldBoot));
     assert_eq!(opener.open(b"b", &before), Err(Rejected::OldBoot));
 }
 
 #[test]
 fn verify_memory_is_bounded() {
-    let mut opener = opener(&[1]);
+    let mut opener = receiving(&[1]);
     for sender in 0..100 {
         let identity = Identity {
             sender: SenderId(sender),
             boot: 1,
         };
         let mut sealer = Sealer::new(Channel::Datagram, identity, ring(&[1]));
-        assert!(opener.open(b"b", &sealer.seal(b"b", b"x").1).is_ok());
+        opener
+            .open(b"b", &sealer.seal(b"b", b"x").1)
+            .expect("a new message");
     }
     assert_eq!(opener.senders(), 4);
 }
@@ -202,20 +206,24 @@
             };
             let mut sealer = Sealer::new(Channel::Datagram, identity, from.clone());
             let mut opener = Opener::new(Channel::Datagram, to.clone(), 4);
-            assert!(opener.open(b"b", &sealer.seal(b"b", b"x").1).is_ok());
+            opener
+                .open(b"b", &sealer.seal(b"b", b"x").1)
+                .expect("a new message");
         }
     }
     // A replay does not open under a ring put in place since.
-    let mut sealer = sealer(&[1], 1);
-    let mut opener = opener(&[1]);
-    let sealed = sealer.seal(b"b", b"x").1;
-    assert!(opener.open(b"b", &sealed).is_ok());
+    let mut sealer = sending(&[1], 1);
+    let mut opener = receiving(&[1]);
+    let message = sealer.seal(b"b", b"x").1;
+    opener.open(b"b", &message).expect("a new message");
     opener.rotate(ring(&[1, 2]));
-    assert_eq!(opener.open(b"b", &sealed), Err(Rejected::Replayed));
+    assert_eq!(opener.open(b"b", &message), Err(Rejected::Replayed));
     opener.rotate(ring(&[2]));
-    assert_eq!(opener.open(b"b", &sealed), Err(Rejected::UnknownKey));
+    assert_eq!(opener.open(b"b", &message), Err(Rejected::UnknownKey));
     sealer.rotate(ring(&[2]));
-    assert!(opener.open(b"b", &sealer.seal(b"b", b"x").1).is_ok());
+    opener
+        .open(b"b", &sealer.seal(b"b", b"x").1)
+        .expect("a new message");
 }
 
 #[test]
@@ -259,7 +267,7 @@
         check(&[2], agent, Method::POST, &path, &headers),
         Err(Rejected::UnknownKey)
     );
-    let changes: [(&'static str, fn(&mut HeaderMap), Rejected); 6] = [
+    let faults: [(&str, Change, Rejected); 6] = [
         (
             "other value",
             |h| {
@@ -303,7 +311,7 @@
             Rejected::Malformed,
         ),
     ];
-    for (name, change, reason) in changes {
+    for (name, change, reason) in faults {
         let mut changed = headers.clone();
         change(&mut changed);
         assert_eq!(
