--- a/crates/peppercrank-standin/src/engine.rs
+++ b/crates/peppercrank-standin/src/engine.rs
@@ -11,6 +11,8 @@
 pub mod prompt;
 mod serve;
 pub mod settings;
+pub mod stream;
+mod tell;
 
 pub use serve::start;
 pub use settings::EngineSettings;
--- a/crates/peppercrank-standin/src/engine/batch.rs
+++ b/crates/peppercrank-standin/src/engine/batch.rs
@@ -23,66 +23,13 @@
 use crate::engine::orders::Fenced;
 use crate::engine::orders::Orders;
 use crate::engine::prompt;
-use crate::engine::prompt::ChatBody;
 use crate::engine::settings::EngineSettings;
+use crate::engine::stream::Chat;
+use crate::engine::stream::Phase;
+use crate::engine::stream::Stream;
+use crate::engine::stream::StreamKey;
 use crate::lag::Lagged;
 use crate::runs::Runs;
-use crate::runs::Tags;
-
-slotmap::new_key_type! {
-    /// `StreamKey` finds one stream in its engine.
-    pub struct StreamKey;
-}
-
-/// `Chat` is one request to the engine.
-#[derive(Debug, Clone, Default)]
-pub struct Chat {
-    /// The ids it carries.
-    pub tags: Tags,
-    /// Its priority, 0 (last) to 9 (first).
-    pub priority: u8,
-    /// The chat's key, by which cache events name its context.
-    pub chat: Option<String>,
-    /// The key of its leading prefix.
-    pub prefix: Option<String>,
-    /// What it asks for.
-    pub body: ChatBody,
-}
-
-/// `Phase` is how far a stream has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    /// It waits for a slot.
-    Waiting,
-    /// It has a slot.
-    Running,
-    /// It was answered whole.
-    Done,
-    /// It was cancelled.
-    Cancelled,
-}
-
-/// `Stream` is one answer in the making, or one that is kept.
-#[derive(Debug)]
-pub struct Stream {
-    /// The attempt that it answers.
-    pub id: String,
-    /// How far it has come.
-    pub phase: Phase,
-    /// The text.
-    pub answer: Answer,
-    /// What it took so far; `made` is the number of pieces that can be read.
-    pub usage: Usage,
-    model: String,
-    text: String,
-    chain: Vec<u64>,
-    tags: Tags,
-    chat: Option<String>,
-    prefix: Option<String>,
-    output: u32,
-    rank: (u8, u64),
-    due: Moment,
-}
 
 /// `Load` is the engine's load report.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
@@ -188,6 +135,8 @@
         {
             self.running.pop_first();
             self.step(due, key);
+            // As of when it was due, however late the caller comes.
+            self.report(due);
         }
         self.report(now);
     }
@@ -407,10 +356,3 @@
         self.load.set(now, load);
     }
 }
-
-impl Stream {
-    /// Tells how many tokens the whole work has.
-    fn tokens(&self) -> u64 {
-        self.usage.prompt + u64::from(self.output)
-    }
-}
--- a/crates/peppercrank-standin/src/engine/serve.rs
+++ b/crates/peppercrank-standin/src/engine/serve.rs
@@ -9,13 +9,8 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use bytes::Bytes;
 use http::HeaderMap;
-use http::HeaderValue;
 use http::Method;
-use http::header;
-use peppercrank_wire::body;
-use peppercrank_wire::body::Feed;
 use peppercrank_wire::edge::Call;
 use peppercrank_wire::edge::Reply;
 use serde_json::json;
@@ -25,14 +20,15 @@
 
 use crate::Error;
 use crate::Result;
-use crate::engine::answer;
-use crate::engine::answer::Usage;
-use crate::engine::batch::Chat;
 use crate::engine::batch::Engine;
-use crate::engine::batch::Phase;
-use crate::engine::batch::StreamKey;
 use crate::engine::prompt::ChatBody;
 use crate::engine::settings::EngineSettings;
+use crate::engine::stream::Chat;
+use crate::engine::stream::Phase;
+use crate::engine::stream::StreamKey;
+use crate::engine::tell::View;
+use crate::engine::tell::streamed;
+use crate::engine::tell::whole;
 use crate::faults::Ending;
 use crate::faults::Faults;
 use crate::faults::Identity;
@@ -43,9 +39,6 @@
 use crate::web::Running;
 use crate::web::Unit;
 
-/// Frames of an answer that are made ahead of its reader.
-const AHEAD: usize = 8;
-
 /// `start` serves an engine stand-in on the caller's runtime.
 ///
 /// # Errors
@@ -82,8 +75,8 @@
 
 /// `State` is the engine and what goes with it.
 #[derive(Debug)]
-struct State {
-    engine: Engine,
+pub(super) struct State {
+    pub(super) engine: Engine,
     faults: Faults,
     wakers: SecondaryMap<StreamKey, Arc<Notify>>,
     last: Option<StreamKey>,
@@ -92,32 +85,14 @@
 
 /// `Shared` is what all calls share.
 #[derive(Debug)]
-struct Shared {
+pub(super) struct Shared {
     clock: Clock,
     due: Notify,
     state: Mutex<State>,
 }
 
-/// `View` is whose answer is told, and under which id.
-#[derive(Debug, Clone)]
-struct View {
-    key: StreamKey,
-    /// The id in the answer's head.
-    head: String,
-    /// The id in its body.
-    id: String,
-    model: String,
-}
-
-/// `Part` is what is new of a stream.
-struct Part {
-    pieces: Vec<String>,
-    phase: Phase,
-    usage: Usage,
-}
-
 impl Shared {
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
         web::lock(&self.state)
     }
 
@@ -139,29 +114,6 @@
             }
         }
     }
-
-    /// Waits for what comes of a stream after its first `from` pieces.
-    async fn part(&self, key: StreamKey, from: u32) -> Result<Part> {
-        loop {
-            let waker = {
-                let mut state = self.state();
-                let stream = state.engine.stream_of(key).ok_or(Error::Unknown)?;
-                let ended = matches!(stream.phase, Phase::Done | Phase::Cancelled);
-                if ended || stream.usage.made > from {
-                    return Ok(Part {
-                        pieces: (from..stream.usage.made)
-                            .map(|n| stream.answer.piece(n))
-                            .collect(),
-                        phase: stream.phase,
-                        usage: stream.usage,
-                    });
-                }
-                // Made while the lock is held, so that no news slips by.
-                Arc::clone(state.waker(key)).notified_owned()
-            };
-            waker.await;
-        }
-    }
 }
 
 impl State {
@@ -174,7 +126,7 @@
         }
     }
 
-    fn waker(&mut self, key: StreamKey) -> &Arc<Notify> {
+    pub(super) fn waker(&mut self, key: StreamKey) -> &Arc<Notify> {
         if !self.wakers.contains_key(key) {
             self.wakers.insert(key, Arc::new(Notify::new()));
         }
@@ -305,88 +257,6 @@
     })
 }
 
-/// Waits for the whole answer and tells it in one body.
-async fn whole(shared: &Shared, view: &View) -> Result<Reply> {
-    let mut text = String::new();
-    let mut from = 0;
-    loop {
-        let part = shared.part(view.key, from).await?;
-        text.extend(part.pieces);
-        from = part.usage.made;
-        match part.phase {
-            Phase::Waiting | Phase::Running => {}
-            Phase::Cancelled => return Ok(web::dropped()),
-            Phase::Done => {
-                let body = answer::whole(&view.id, &view.model, &text, part.usage);
-                return Ok(named(web::reply(&body), &view.head));
-            }
-        }
-    }
-}
-
-/// Tells an answer event by event.
-fn streamed(shared: &Arc<Shared>, view: View, from: u32) -> Reply {
-    let (feed, body) = body::channel(AHEAD);
-    let mut reply = Reply::new(body);
-    let kind = HeaderValue::from_static("text/event-stream");
-    reply.headers_mut().insert(header::CONTENT_TYPE, kind);
-    let reply = named(reply, &view.head);
-    let shared = Arc::clone(shared);
-    tokio::spawn(async move {
-        tokio::select! {
-            () = feed.closed() => {}
-            done = tell(&shared, &view, from, &feed) => {
-                if done {
-                    feed.finish();
-                }
-            }
-        }
-    });
-    reply
-}
-
-/// Writes the events; tells whether that was the whole answer.
-async fn tell(shared: &Shared, view: &View, mut from: u32, feed: &Feed) -> bool {
-    loop {
-        let Ok(part) = shared.part(view.key, from).await else {
-            return false;
-        };
-        for piece in &part.pieces {
-            let event = answer::event(&view.id, piece);
-            if feed.send(Bytes::from(event)).await.is_err() {
-                return false;
-            }
-        }
-        match part.phase {
-            Phase::Waiting | Phase::Running => from = part.usage.made,
-            Phase::Cancelled => return false,
-            Phase::Done => return tell_end(view, from, part.usage, feed).await,
-        }
-    }
-}
-
-/// Writes what follows the last piece.
-async fn tell_end(view: &View, from: u32, usage: Usage, feed: &Feed) -> bool {
-    // The last event is numbered `made`; who resumes after it has it already.
-    if from <= usage.made {
-        let last = answer::last_event(&view.id, usage);
-        if feed.send(Bytes::from(last)).await.is_err() {
-            return false;
-        }
-    }
-    feed.send(Bytes::from_static(answer::DONE.as_bytes()))
-        .await
-        .is_ok()
-}
-
-fn named(mut reply: Reply, id: &str) -> Reply {
-    // An id came in as a header, so it can go out as one.
-    if let Ok(id) = HeaderValue::from_str(id) {
-        reply.headers_mut().insert("x-request-id", id);
-    }
-    reply
-}
-
 /// Tells a stream from an event on.
 fn resume(shared: &Arc<Shared>, call: &Call, id: &str, plan: Plan) -> Result<Reply> {
     let from = web::number(&call.head.uri, "from")?.unwrap_or(0);
