Count on how many members a change is in force

Cause: an operator who waits for a change must not cost a write for each process and change. Change: a survey in two levels: the member asked splits the fleet by hash into about as many groups as a group has members, one delegate counts each group, and lost answers are asked for again. Conclusion: any one process can answer; no call to the platform's API is made.

--- a/crates/peppercrank-config/src/message.rs
+++ b/crates/peppercrank-config/src/message.rs
@@ -12,6 +12,9 @@
 use crate::digest::Stamp;
 use crate::errors;
 use crate::object::Object;
+use crate::relay::Group;
+use crate::relay::Question;
+use crate::relay::Tally;
 use crate::store::Complete;
 
 /// The longest message that may go as one datagram, in bytes.
@@ -56,6 +59,20 @@
         /// All stamps of those buckets.
         stamps: Vec<Stamp>,
     },
+    /// Asks whether a change is in force here, or on how many members of a group.
+    Ask {
+        /// The change.
+        question: Question,
+        /// The group to be counted; none for the receiver alone.
+        group: Option<Group>,
+    },
+    /// Answers a question.
+    Tally {
+        /// The question's id.
+        id: u64,
+        /// The count.
+        tally: Tally,
+    },
 }
 
 impl Message {
@@ -81,7 +98,8 @@
     #[must_use]
     pub fn carrier(&self) -> Carrier {
         match self {
-            Self::Objects(_) | Self::News(_) if self.length() <= DATAGRAM => Carrier::Datagram,
+            Self::Fetch(_) | Self::Compare { .. } | Self::Differs { .. } => Carrier::Stream,
+            _ if self.length() <= DATAGRAM => Carrier::Datagram,
             _ => Carrier::Stream,
         }
     }
--- a/crates/peppercrank-config/src/relay.rs
+++ b/crates/peppercrank-config/src/relay.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod repair;
 mod spread;
+mod survey;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -39,6 +40,9 @@
 pub use peers::WATCHERS;
 pub use peers::watchers;
 pub use spread::FANOUT;
+pub use survey::Group;
+pub use survey::Question;
+pub use survey::Tally;
 
 use boot::Around;
 use boot::Boot;
@@ -49,6 +53,8 @@
 use repair::Finished;
 use repair::Repair;
 use spread::Spread;
+use survey::Surveys;
+use survey::Word;
 
 use crate::message::Beat;
 use crate::message::CHUNK;
@@ -76,6 +82,7 @@
     calls: Calls,
     spread: Spread,
     repair: Repair,
+    surveys: Surveys,
     boot: Boot,
     /// When a peer was last heard.
     peer_heard: Moment,
@@ -97,6 +104,7 @@
             calls: Calls::new(Mode::Watch),
             spread: Spread::new(now),
             repair: Repair::default(),
+            surveys: Surveys::default(),
             boot: Boot::new(now),
             peer_heard: now,
             confirmed: None,
@@ -144,7 +152,9 @@
         let spread = self.spread.next();
         let calls = self.calls.next();
         let repair = self.repair.next();
+        let surveys = self.surveys.next();
         let timers = spread.into_iter().chain(calls).chain(repair);
+        let timers = timers.chain(surveys);
         let kick = (!self.kicked).then(|| self.boot.began() + UNTOLD);
         timers.chain(kick).fold(self.boot.next(), Moment::min)
     }
@@ -157,6 +167,7 @@
             Input::Beat { from, beat } => self.on_beat(now, &from, beat),
             Input::Message { from, message } => self.on_message(now, &from, message),
             Input::Answered { call, answer } => self.on_answer(now, call, answer),
+            Input::Survey(question) => self.on_survey(now, question),
             Input::Tick => {}
         }
         self.turn(now);
@@ -221,14 +232,45 @@
                 stamps,
             } => {
                 self.heard_peer(now, from, beat);
-                let answer = (beat, complete, buckets, stamps);
-                let verdict = self.repair.differs(now, &self.store, from, answer);
-                let verdict = verdict.unwrap_or_default();
-                self.give(from, &verdict.lacking);
-                for (key, revision) in verdict.deleted {
-                    if self.store.merge_absent(&key, revision) == Merged::Applied {
-                        self.applied(&key, Some(from));
-                    }
+                self.on_differs(now, from, (beat, complete, buckets, stamps));
+            }
+            Message::Ask { question, group } => {
+                let known = (&self.store, &self.peers);
+                let words = self.surveys.asked(now, from, question, group, known);
+                self.say(words);
+            }
+            Message::Tally { id, tally } => {
+                let words = self.surveys.counted(now, from, id, tally);
+                self.say(words);
+            }
+        }
+    }
+
+    fn on_differs(&mut self, now: Moment, from: &VmName, answer: repair::Differs) {
+        let verdict = self.repair.differs(now, &self.store, from, answer);
+        let verdict = verdict.unwrap_or_default();
+        self.give(from, &verdict.lacking);
+        for (key, revision) in verdict.deleted {
+            if self.store.merge_absent(&key, revision) == Merged::Applied {
+                self.applied(&key, Some(from));
+            }
+        }
+    }
+
+    fn on_survey(&mut self, now: Moment, question: Question) {
+        let rng = &mut self.rng;
+        let words = self
+            .surveys
+            .begin(now, question, &self.store, &self.peers, rng);
+        self.say(words);
+    }
+
+    fn say(&mut self, words: Vec<Word>) {
+        for word in words {
+            match word {
+                Word::Send(to, message) => self.send(to, message),
+                Word::Report(question, tally) => {
+                    self.out.push(Action::Surveyed { question, tally });
                 }
             }
         }
@@ -309,6 +351,8 @@
     /// Does what has become due.
     fn turn(&mut self, now: Moment) {
         self.mend(now);
+        let words = self.surveys.turn(now);
+        self.say(words);
         self.tell(now);
         self.judge(now);
         self.call(now);
--- a/crates/peppercrank-config/src/relay/action.rs
+++ b/crates/peppercrank-config/src/relay/action.rs
@@ -10,6 +10,8 @@
 use peppercrank_core::objects::Kind;
 use peppercrank_core::objects::ObjectKey;
 
+use super::survey::Question;
+use super::survey::Tally;
 use crate::errors::Fault;
 use crate::message::Beat;
 use crate::message::Carrier;
@@ -102,6 +104,8 @@
         /// How it ended.
         answer: Answer,
     },
+    /// Someone asks on how many members a change is in force.
+    Survey(Question),
     /// Time has passed.
     Tick,
 }
@@ -136,6 +140,13 @@
         /// Why.
         fault: Fault,
     },
+    /// A survey ended.
+    Surveyed {
+        /// What was asked.
+        question: Question,
+        /// The answer.
+        tally: Tally,
+    },
     /// Whether the process may serve changed.
     Readiness(Readiness),
 }
--- a/crates/peppercrank-config/src/relay/peers.rs
+++ b/crates/peppercrank-config/src/relay/peers.rs
@@ -58,6 +58,15 @@
         self.ready.insert(name.clone(), ready);
     }
 
+    pub(super) const fn me(&self) -> &VmName {
+        &self.me.name
+    }
+
+    /// The names of all members but this one.
+    pub(super) fn names(&self) -> impl Iterator<Item = &VmName> {
+        self.others.iter().map(|m| &m.name)
+    }
+
     /// Whether this process watches the platform's API for its zone.
     pub(super) const fn is_watcher(&self) -> bool {
         self.watcher
--- a/crates/peppercrank-config/src/relay/repair.rs
+++ b/crates/peppercrank-config/src/relay/repair.rs
@@ -71,6 +71,10 @@
     pub(super) lacking: Vec<ObjectKey>,
 }
 
+/// A peer's answer to a comparison: its beat, its complete revisions, the buckets that differ
+/// and their stamps.
+pub(super) type Differs = (Beat, Complete, u128, Vec<Stamp>);
+
 /// A comparison that was finished.
 #[derive(Debug)]
 pub(super) struct Finished {
@@ -133,7 +137,7 @@
         now: Moment,
         store: &Store,
         from: &VmName,
-        answer: (Beat, Complete, u128, Vec<Stamp>),
+        answer: Differs,
     ) -> Option<Verdict> {
         let session = self.session.as_mut()?;
         let comparing = matches!(session.stage, Stage::Comparing);
--- a/crates/peppercrank-config/src/store.rs
+++ b/crates/peppercrank-config/src/store.rs
@@ -205,6 +205,16 @@
         self.entries.get(key)?.good.as_ref().map(|g| g.version)
     }
 
+    /// `covers` tells whether `version` of an object, or one above it, is in force.
+    #[must_use]
+    pub fn covers(&self, key: &ObjectKey, version: Version) -> bool {
+        match self.entries.get(key) {
+            Some(_) => self.in_force(key) >= Some(version),
+            // It was deleted, and the tombstone is dropped.
+            None => version <= self.complete(key.kind),
+        }
+    }
+
     /// `held` is the version of an object that is held back, with its fault.
     #[must_use]
     pub fn held(&self, key: &ObjectKey) -> Option<&Held> {
