--- a/crates/peppercrank-route/src/attempt.rs
+++ b/crates/peppercrank-route/src/attempt.rs
@@ -40,6 +40,8 @@
     Sent(AttemptId),
     /// An answer is being delivered.
     Delivering(AttemptId),
+    /// The latest attempt is over and what follows is being chosen.
+    Choosing,
     /// It waits to try again.
     Pausing(Moment),
     /// It is over.
@@ -153,6 +155,9 @@
         retries: &mut Retries,
     ) -> Next {
         if self.phase != Phase::Sent(attempt) {
+            if self.phase != Phase::Delivering(attempt) {
+                return Next::Ignore;
+            }
             // An answer that has begun cannot be refused as not run: the peer broke the protocol.
             return self.on_doubt(now, attempt, MayHaveRun::BadAnswer, retries);
         }
@@ -160,6 +165,7 @@
             // The message came twice, and the first of the two may be running.
             return self.on_doubt(now, attempt, MayHaveRun::AlreadyBegun, retries);
         }
+        self.phase = Phase::Choosing;
         self.note_reachable(now, tells_unreachable(reason), retries);
         self.refused = Some(reason);
         self.hint = hint.filter(|_| !self.jumped);
@@ -183,20 +189,14 @@
         reason: MayHaveRun,
         retries: &mut Retries,
     ) -> Next {
-        let delivered = match self.phase {
-            Phase::Sent(current) if current == attempt => false,
-            Phase::Delivering(current) if current == attempt => true,
-            Phase::New
-            | Phase::Sent(_)
-            | Phase::Delivering(_)
-            | Phase::Pausing(_)
-            | Phase::Over => {
-                return Next::Ignore;
-            }
-        };
+        if self.in_flight() != Some(attempt) {
+            return self.on_late(attempt, reason, retries);
+        }
+        let delivered = self.phase == Phase::Delivering(attempt);
+        self.phase = Phase::Choosing;
         self.doubt = self.doubt.or(Some(reason));
         self.note_reachable(now, !delivered && reason == MayHaveRun::Cut, retries);
-        if delivered || !self.terms.repeatable || reason == MayHaveRun::AlreadyBegun {
+        if delivered || self.is_spent() || reason == MayHaveRun::AlreadyBegun {
             return self.refuse(NotRun::NoTarget, retries);
         }
         let pause = retries.backoff(self.tries());
@@ -205,7 +205,7 @@
 
     fn on_first_byte(&mut self, attempt: AttemptId, retries: &mut Retries) -> Next {
         if self.phase != Phase::Sent(attempt) {
-            return Next::Ignore;
+            return self.on_late(attempt, MayHaveRun::WrongAnswer, retries);
         }
         self.phase = Phase::Delivering(attempt);
         self.close_breaker(retries);
@@ -213,15 +213,8 @@
     }
 
     fn on_done(&mut self, attempt: AttemptId, retries: &mut Retries) -> Next {
-        match self.phase {
-            Phase::Sent(current) | Phase::Delivering(current) if current == attempt => {}
-            Phase::New
-            | Phase::Sent(_)
-            | Phase::Delivering(_)
-            | Phase::Pausing(_)
-            | Phase::Over => {
-                return Next::Ignore;
-            }
+        if self.in_flight() != Some(attempt) {
+            return self.on_late(attempt, MayHaveRun::WrongAnswer, retries);
         }
         self.phase = Phase::Over;
         self.close_breaker(retries);
@@ -229,6 +222,27 @@
         Next::Finish { cancel: None }
     }
 
+    /// Takes in a sign that an attempt which is over has run after all.
+    ///
+    /// It must not be denied later, nor may a request that runs once be sent again.
+    fn on_late(&mut self, attempt: AttemptId, reason: MayHaveRun, retries: &mut Retries) -> Next {
+        let id = self.terms.id;
+        let own = (0..self.tries()).any(|tries| attempt_id(id, tries) == attempt);
+        if !own || self.is_over() || self.in_flight() == Some(attempt) {
+            return Next::Ignore;
+        }
+        self.doubt = self.doubt.or(Some(reason));
+        match self.phase {
+            Phase::Pausing(_) if self.is_spent() => self.refuse(NotRun::NoTarget, retries),
+            _ => Next::Ignore,
+        }
+    }
+
+    /// Tells whether the request may not be sent again, whatever happens.
+    fn is_spent(&self) -> bool {
+        self.doubt.is_some() && !self.terms.repeatable
+    }
+
     fn on_caller_gone(&mut self) -> Next {
         if self.is_over() {
             return Next::Ignore;
@@ -251,9 +265,11 @@
         match self.phase {
             Phase::Pausing(until) if until <= now => self.send(now, retries),
             Phase::Pausing(until) => Next::Wait { until },
-            Phase::New | Phase::Sent(_) | Phase::Delivering(_) | Phase::Over => Next::Wait {
-                until: self.terms.deadline,
-            },
+            Phase::New | Phase::Choosing | Phase::Sent(_) | Phase::Delivering(_) | Phase::Over => {
+                Next::Wait {
+                    until: self.terms.deadline,
+                }
+            }
         }
     }
 
@@ -267,7 +283,8 @@
             self.spare = target;
             self.redirected = free;
         }
-        if first && free && self.tries() < self.terms.tries && !self.is_late(now) {
+        let may = self.tries() < self.terms.tries && !self.is_spent() && !self.is_late(now);
+        if first && free && may {
             return self.send(now, retries);
         }
         self.again(now, Duration::ZERO, retries)
@@ -284,7 +301,8 @@
         if until >= self.terms.deadline {
             return self.refuse(reason, retries);
         }
-        if self.tries() >= self.terms.tries || !self.has_more(now, retries) {
+        let tried = self.tries() >= self.terms.tries;
+        if tried || self.is_spent() || !self.has_more(now, retries) {
             return self.refuse(reason, retries);
         }
         if !retries.budget.spend() {
@@ -368,7 +386,7 @@
     fn in_flight(&self) -> Option<AttemptId> {
         match self.phase {
             Phase::Sent(attempt) | Phase::Delivering(attempt) => Some(attempt),
-            Phase::New | Phase::Pausing(_) | Phase::Over => None,
+            Phase::New | Phase::Choosing | Phase::Pausing(_) | Phase::Over => None,
         }
     }
 
