--- a/crates/peppercrank-route/src/budget.rs
+++ b/crates/peppercrank-route/src/budget.rs
@@ -6,7 +6,7 @@
 /// Retries that a fresh or idle router may make at once.
 ///
 /// At 3.5 requests a second a smaller reserve would forbid riding out one target's failure.
-pub const RESERVE: f64 = 10.0;
+pub const RESERVE: u32 = 10;
 
 /// `Budget` is a bucket of retries that successes fill, so that a failing pool empties it.
 #[derive(Debug, Clone, Copy)]
@@ -23,7 +23,11 @@
     pub fn new(share: f64) -> Self {
         Self {
             share: fit(share),
-            tokens: if fit(share) > 0.0 { RESERVE } else { 0.0 },
+            tokens: if fit(share) > 0.0 {
+                f64::from(RESERVE)
+            } else {
+                0.0
+            },
         }
     }
 
@@ -37,7 +41,7 @@
 
     /// `earn` counts one success.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + self.share).min(RESERVE);
+        self.tokens = (self.tokens + self.share).min(f64::from(RESERVE));
     }
 
     /// `can_spend` tells whether one more retry may be made.
