Drive the router's and the agent's request path by the sans-I/O parts

Cause: the parts for ranking, admission, membership and configuration stand, but no process runs them. Change: the fleet part that both daemons share (gossip, configuration relay, platform calls on plain threads, rankings), the agent's path (admission awaited, answers relayed whole or with their error told, resumption) and the router's path (organisation, checks, attempts, delivery). Measured: compiles under the lint set; not yet run. Conclusion: the whole path can be put together next.

--- a/crates/peppercrank-config/src/store.rs
+++ b/crates/peppercrank-config/src/store.rs
@@ -277,6 +277,13 @@
         self.index.effective.get(name)
     }
 
+    /// `has_keys` tells whether an organisation has API keys of its own.
+    #[must_use]
+    pub fn has_keys(&self, name: &OrganisationName) -> bool {
+        let organisation = self.index.organisations.get(name);
+        organisation.is_some_and(|o| !o.keys.is_empty())
+    }
+
     /// `organisations` lists the effective parameters of all organisations.
     pub fn organisations(&self) -> impl Iterator<Item = &Arc<Effective>> {
         self.index.effective.values()
--- a/crates/peppercrank-core/src/refusal.rs
+++ b/crates/peppercrank-core/src/refusal.rs
@@ -94,6 +94,8 @@
         TargetFailed "target_failed",
         /// An earlier attempt with the same idempotency key has begun.
         AlreadyBegun "already_begun",
+        /// The caller went away while it ran.
+        CallerGone "caller_gone",
     }
 }
 
--- /dev/null
+++ b/crates/peppercrank-daemon/src/agent/mod.rs
@@ -0,0 +1,254 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The agent: the one process beside a target, through which everything reaches it.
+
+pub mod attempt;
+pub mod control;
+pub mod desk;
+pub mod relay;
+pub mod reports;
+pub mod serve;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use peppercrank_admit::Admission;
+use peppercrank_admit::Input;
+use peppercrank_core::blackboard::TargetKey;
+use peppercrank_core::events::Event;
+use peppercrank_core::names::PoolName;
+use peppercrank_core::objects::Policy;
+use peppercrank_core::units::Cost;
+use peppercrank_member::Agent as Described;
+use peppercrank_member::Role;
+use peppercrank_route::Ask;
+use peppercrank_route::Place;
+use peppercrank_route::Pointers;
+use peppercrank_route::Ranking;
+use peppercrank_route::cache::Cached;
+use peppercrank_settings::AgentSettings;
+use peppercrank_settings::agent::TargetKind;
+use peppercrank_wire::client::Client;
+use peppercrank_wire::client::Times;
+use peppercrank_wire::edge::Edge;
+use peppercrank_wire::edge::Finished;
+use peppercrank_wire::stop::Stop;
+
+use crate::agent::attempt::Attempt;
+use crate::agent::desk::Desk;
+use crate::clock::Clock;
+use crate::errors;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::fleet::Fleet;
+use crate::fleet::Setup;
+use crate::fleet::lock;
+use crate::limits;
+use crate::log::Log;
+use crate::metrics::Metrics;
+
+/// The policy until the pool's own is known; nothing is admitted by it, since no organisation is.
+const UNKNOWN: Policy = Policy {
+    cap: 1.25,
+    floor: Cost(0),
+    queue: 0,
+    wait_ms: 0,
+    prefix: 0,
+    tries: 1,
+    retries: 0.0,
+};
+
+/// `Agent` is what the tasks of one agent share.
+#[derive(Debug)]
+pub struct Agent {
+    /// The settings.
+    pub settings: AgentSettings,
+    /// The part in the fleet.
+    pub fleet: Arc<Fleet>,
+    /// The admission, awaited.
+    pub desk: Arc<Desk>,
+    /// The clock.
+    pub clock: Clock,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// The client towards the target.
+    pub client: Client,
+    own: TargetKey,
+    pointers: Mutex<Pointers>,
+}
+
+/// `Running` is an agent that serves.
+#[derive(Debug)]
+pub struct Running {
+    /// What its tasks share.
+    pub agent: Arc<Agent>,
+    /// Where routers reach it.
+    pub address: SocketAddr,
+    serving: tokio::task::JoinHandle<Finished>,
+}
+
+impl Running {
+    /// `finished` waits for the agent to end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Start`] when its task failed.
+    pub async fn finished(self) -> Result<Finished> {
+        let ended = self.serving.await;
+        ended.map_err(|e| Error::Start {
+            cause: std::io::Error::other(e),
+        })
+    }
+}
+
+/// `start` starts an agent on the present runtime; it serves until `stop`.
+///
+/// # Errors
+///
+/// Returns an error when a socket cannot be bound or a thread cannot be started.
+pub async fn start(settings: AgentSettings, log: Log, stop: Stop) -> Result<Running> {
+    let metrics = Arc::new(Metrics::new());
+    let edge = Edge::bind(settings.listen)
+        .await
+        .map_err(|e| errors::wire("routers", e))?;
+    let address = edge.local_addr();
+    let role = Role::Agent(Described {
+        target: settings.target.name.clone(),
+        pool: settings.target.pool.clone(),
+        address,
+        weight: settings.target.weight,
+    });
+    let setup = Setup {
+        role,
+        listen: address,
+        log,
+        metrics: Arc::clone(&metrics),
+    };
+    let (fleet, notes) = Fleet::join(settings.fleet.clone(), setup).await?;
+    let agent = Agent::new(settings, fleet, metrics)?;
+    control::start(&agent, notes);
+    if agent.settings.target.kind == TargetKind::Engine {
+        tokio::spawn(reports::read_events(Arc::clone(&agent)));
+    }
+    let serving = tokio::spawn(serve(edge, Arc::clone(&agent), stop));
+    Ok(Running {
+        agent,
+        address,
+        serving,
+    })
+}
+
+async fn serve(edge: Edge, agent: Arc<Agent>, mut stop: Stop) -> Finished {
+    let limits = limits::of(&agent.settings.limits, agent.settings.stop_time);
+    agent
+        .fleet
+        .log
+        .event(Event::Started, &edge.local_addr().to_string());
+    let signal = stop.clone();
+    let stopping = Arc::clone(&agent);
+    tokio::spawn(async move {
+        stop.wait().await;
+        stopping.fleet.log.event(Event::Stopping, "");
+        stopping.fleet.stop();
+        stopping.desk.put(Input::Stopping);
+    });
+    let shared = Arc::clone(&agent);
+    let answer = move |call| serve::answer(Arc::clone(&shared), call);
+    let finished = edge.serve(limits, signal, answer).await;
+    agent.fleet.leave();
+    if finished.cut > 0 {
+        agent
+            .fleet
+            .log
+            .event(Event::StopCut, &finished.cut.to_string());
+    }
+    agent.fleet.log.event(Event::Stopped, "");
+    finished
+}
+
+impl Agent {
+    fn new(settings: AgentSettings, fleet: Arc<Fleet>, metrics: Arc<Metrics>) -> Result<Arc<Self>> {
+        let admit = peppercrank_admit::Settings {
+            weight: settings.target.weight,
+            fresh: settings.mean_age,
+            touch: settings.fleet.touch.peers,
+            ..peppercrank_admit::Settings::default()
+        };
+        let clock = fleet.clock;
+        let admission = Admission::new(clock.now(), admit, UNKNOWN)
+            .map_err(|cause| Error::Admission { cause })?;
+        let own = fleet
+            .board()
+            .names
+            .get(&settings.target.name)
+            .copied()
+            .unwrap_or_default();
+        let times = Times {
+            first_byte: settings.limits.total_time,
+            ..Times::default()
+        };
+        Ok(Arc::new(Self {
+            desk: Desk::new(admission, clock),
+            clock,
+            client: Client::new(times),
+            pointers: Mutex::new(Pointers::new(own, settings.pointers)),
+            own,
+            metrics,
+            fleet,
+            settings,
+        }))
+    }
+
+    /// The pool of the target.
+    fn pool(&self) -> &PoolName {
+        &self.settings.target.pool
+    }
+
+    fn ranking(&self) -> Arc<Ranking> {
+        self.fleet.ranking(self.pool())
+    }
+
+    /// What the pointer table is to know of an attempt; nothing for a plain service.
+    fn ask(&self, attempt: &Attempt) -> Option<Ask> {
+        Some(Ask {
+            chat: attempt.chat?,
+            prefix: attempt.prefix,
+            returning: attempt.returning,
+            redirect: attempt.allow.redirect,
+        })
+    }
+
+    fn place(&self, ask: &Ask) -> Place {
+        let ranking = self.ranking();
+        lock(&self.pointers).place(self.clock.now(), ask, &ranking)
+    }
+
+    /// What an attempt costs here: less where the chat's context is held.
+    fn cost(&self, attempt: &Attempt, ask: Option<Ask>) -> Cost {
+        let Some(ask) = ask else {
+            return attempt.cost;
+        };
+        match lock(&self.pointers).cached(ask.chat.0) {
+            Cached::Yes => attempt.held,
+            Cached::Unknown | Cached::No => attempt.cost,
+        }
+    }
+
+    /// The hash of another target that may hold the context.
+    fn hint(&self, ask: &Ask) -> Option<u64> {
+        let ranking = self.ranking();
+        let target = lock(&self.pointers).hint(ask, &ranking)?;
+        ranking.hash(target).map(|h| h.0)
+    }
+
+    fn hash_of(&self, target: TargetKey) -> Option<u64> {
+        self.ranking().hash(target).map(|h| h.0)
+    }
+
+    /// Notes that the own engine ran a request.
+    fn served(&self, ask: &Ask, spilled: bool) {
+        lock(&self.pointers).served(self.clock.now(), ask, spilled);
+    }
+}
--- a/crates/peppercrank-daemon/src/chat.rs
+++ b/crates/peppercrank-daemon/src/chat.rs
@@ -8,6 +8,9 @@
 use peppercrank_core::hash::hash64;
 use peppercrank_core::keys::ChatKey;
 use peppercrank_core::names::ModelName;
+use peppercrank_route::prefix::Lead;
+use peppercrank_route::prefix::Part;
+use peppercrank_route::prefix::lead;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -50,7 +53,7 @@
 
 /// `Chat` is what the router needs to know of a chat request.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Chat {
+pub struct Chat<'a> {
     /// The model asked for.
     pub model: ModelName,
     /// Whether the answer is to be streamed.
@@ -60,36 +63,35 @@
     /// The most tokens that the answer may have, when the request says so.
     pub output: Option<u32>,
     /// The caller's chat id from the body's `metadata.chat`.
-    pub id: Option<String>,
-    /// The leading messages: all up to and with the first of the user.
-    pub leading: Vec<u8>,
-    /// Whether an answer of the assistant is among the messages.
-    pub returning: bool,
+    id: Option<Cow<'a, str>>,
+    /// The messages: who speaks, and the content as it stands.
+    messages: Vec<(Cow<'a, str>, &'a str)>,
 }
 
-impl Chat {
+impl<'a> Chat<'a> {
     /// `read` reads a chat request's body.
     ///
     /// # Errors
     ///
     /// Returns [`errors::Error::Request`] when the body is not JSON, not of that shape, has no
     /// message, or names a model in a way no model is named.
-    pub fn read(body: &[u8]) -> Result<Self> {
+    pub fn read(body: &'a [u8]) -> Result<Self> {
         let text = std::str::from_utf8(body).map_err(|_e| errors::request("body_not_utf8"))?;
-        let body: Body<'_> =
+        let body: Body<'a> =
             serde_json::from_str(text).map_err(|_e| errors::request("body_malformed"))?;
         let model = ModelName::new(&body.model).map_err(|_e| errors::request("model_malformed"))?;
         if body.messages.is_empty() {
             return Err(errors::request("messages_empty"));
         }
+        let part = |m: Message<'a>| (m.role, m.content.map_or("", RawValue::get));
+        let messages: Vec<_> = body.messages.into_iter().map(part).collect();
         Ok(Self {
             model,
             stream: body.stream.unwrap_or(false),
-            prompt: prompt_tokens(&body.messages),
+            prompt: prompt_tokens(&messages),
             output: body.max_completion_tokens.or(body.max_tokens),
-            id: body.metadata.and_then(|m| m.chat).map(Cow::into_owned),
-            leading: leading(&body.messages),
-            returning: body.messages.iter().any(|m| m.role == "assistant"),
+            id: body.metadata.and_then(|m| m.chat),
+            messages,
         })
     }
 
@@ -99,29 +101,41 @@
         if let Some(id) = header.or(self.id.as_deref()) {
             return ChatKey::of(organisation, id);
         }
-        let seed = hash64(0, organisation.as_bytes());
-        ChatKey(hash64(seed, &self.leading))
+        let mut hash = hash64(0, organisation.as_bytes());
+        for (role, text) in &self.messages {
+            hash = hash64(hash, role.as_bytes());
+            hash = hash64(hash, text.as_bytes());
+            // The first of the user is the last that no later request of the chat lacks.
+            if role == "user" {
+                break;
+            }
+        }
+        ChatKey(hash)
     }
-}
 
-fn prompt_tokens(messages: &[Message<'_>]) -> u64 {
-    let bytes: usize = messages
-        .iter()
-        .map(|m| m.content.map_or(0, |c| c.get().len()))
-        .sum();
-    u64::try_from(bytes.div_ceil(BYTES_PER_TOKEN)).unwrap_or(u64::MAX)
-}
+    /// `fresh` is the tokens after the last answer: what an engine that holds the chat computes.
+    #[must_use]
+    pub fn fresh(&self) -> u64 {
+        let answer = self
+            .messages
+            .iter()
+            .rposition(|(role, _)| role == "assistant");
+        prompt_tokens(&self.messages[answer.map_or(0, |at| at + 1)..])
+    }
 
-fn leading(messages: &[Message<'_>]) -> Vec<u8> {
-    let mut text = Vec::new();
-    for message in messages {
-        text.extend_from_slice(message.role.as_bytes());
-        text.push(0);
-        text.extend_from_slice(message.content.map_or("", RawValue::get).as_bytes());
-        text.push(0);
-        if message.role == "user" {
-            break;
-        }
+    /// `lead` is what the messages tell about where to send the chat.
+    #[must_use]
+    pub fn lead(&self, block: u32) -> Lead {
+        let parts: Vec<Part<'_>> = self
+            .messages
+            .iter()
+            .map(|(role, text)| Part { role, text })
+            .collect();
+        lead(self.model.as_str(), &parts, block)
     }
-    text
+}
+
+fn prompt_tokens(messages: &[(Cow<'_, str>, &str)]) -> u64 {
+    let bytes: usize = messages.iter().map(|(_, text)| text.len()).sum();
+    u64::try_from(bytes.div_ceil(BYTES_PER_TOKEN)).unwrap_or(u64::MAX)
 }
--- a/crates/peppercrank-daemon/src/errors.rs
+++ b/crates/peppercrank-daemon/src/errors.rs
@@ -5,6 +5,8 @@
 
 use std::fmt;
 
+use peppercrank_wire::seal::KeyError;
+
 /// `Result` is the result of every fallible function of this crate.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -24,6 +26,23 @@
         /// The cause.
         cause: std::io::Error,
     },
+    /// An adapter could not be started.
+    Wire {
+        /// What it is for.
+        role: &'static str,
+        /// The cause.
+        cause: peppercrank_wire::Error,
+    },
+    /// The keys do not make a ring.
+    Keys {
+        /// What is wrong with them.
+        cause: KeyError,
+    },
+    /// The admission's settings are out of range.
+    Admission {
+        /// The cause.
+        cause: peppercrank_admit::Error,
+    },
     /// The runtime or a thread could not be started.
     Start {
         /// The cause.
@@ -37,6 +56,18 @@
     Error::Request { code }
 }
 
+/// `wire` makes the error of an adapter that could not be started.
+#[must_use]
+pub fn wire(role: &'static str, cause: peppercrank_wire::Error) -> Error {
+    Error::Wire { role, cause }
+}
+
+/// `keys` makes the error of keys that do not make a ring.
+#[must_use]
+pub fn keys(cause: KeyError) -> Error {
+    Error::Keys { cause }
+}
+
 /// `socket` makes the error of a socket.
 #[must_use]
 pub fn socket(role: &'static str, cause: std::io::Error) -> Error {
@@ -48,6 +79,9 @@
         match self {
             Self::Request { code } => write!(f, "request at fault: {code}"),
             Self::Socket { role, cause } => write!(f, "socket for {role}: {cause}"),
+            Self::Wire { role, cause } => write!(f, "{role}: {cause}"),
+            Self::Keys { cause } => write!(f, "keys: {cause}"),
+            Self::Admission { cause } => write!(f, "admission: {cause}"),
             Self::Start { cause } => write!(f, "cannot start: {cause}"),
         }
     }
@@ -57,6 +91,9 @@
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
             Self::Request { .. } => None,
+            Self::Wire { cause, .. } => Some(cause),
+            Self::Keys { cause } => Some(cause),
+            Self::Admission { cause } => Some(cause),
             Self::Socket { cause, .. } | Self::Start { cause } => Some(cause),
         }
     }
--- /dev/null
+++ b/crates/peppercrank-daemon/src/fleet/platform.rs
@@ -0,0 +1,206 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Calls to the platform, made on plain threads and counted.
+
+use std::sync::Arc;
+use std::sync::Weak;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use peppercrank_config::Object;
+use peppercrank_config::Version;
+use peppercrank_config::relay::Answer;
+use peppercrank_config::relay::Call;
+use peppercrank_config::relay::Input;
+use peppercrank_core::events::Event;
+use peppercrank_core::names::ObjectName;
+use peppercrank_core::objects::Kind;
+use peppercrank_core::objects::ObjectKey;
+use peppercrank_member::Seed;
+use peppercrank_member::SeedRole;
+use peppercrank_settings::FleetSettings;
+use peppercrank_wire::platform::Access;
+use peppercrank_wire::platform::Failure;
+use peppercrank_wire::platform::Listing;
+use peppercrank_wire::platform::Named;
+use peppercrank_wire::platform::Platform;
+use peppercrank_wire::platform::Role;
+use peppercrank_wire::platform::Vm;
+use peppercrank_wire::platform::Watched;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::fleet::Fleet;
+
+/// Time between two reads of the list of VMs by a process that watches the platform.
+const VMS_WATCHER: Duration = Duration::from_secs(5);
+
+/// Reads of the list of VMs a second that all other processes make together.
+const VMS_RATE: f64 = 5.0;
+
+/// The least time between two reads of the list of VMs by another process.
+const VMS_LEAST: Duration = Duration::from_secs(10);
+
+/// Time before the list of VMs is read again after a failure.
+const VMS_RETRY: Duration = Duration::from_secs(1);
+
+/// `Worker` takes the calls of one kind of object.
+pub type Worker = mpsc::Sender<Call>;
+
+/// `connect` makes the client of the platform that the settings name.
+#[must_use]
+pub fn connect(settings: &FleetSettings) -> Platform {
+    let mut access = Access::new(settings.platform.url.address());
+    access.token = settings
+        .platform
+        .token
+        .as_ref()
+        .map(|t| t.reveal().to_owned());
+    access.call = settings.platform.timeout;
+    Platform::new(&access)
+}
+
+/// `workers` starts a thread for each kind of configuration object.
+///
+/// One for each, since a watch holds its thread for as long as nothing changes.
+///
+/// # Errors
+///
+/// Returns [`Error::Start`] when a thread cannot be started.
+pub fn workers(platform: &Platform, fleet: &Weak<Fleet>) -> Result<Vec<Worker>> {
+    Kind::ALL
+        .iter()
+        .map(|kind| worker(*kind, platform.clone(), fleet.clone()))
+        .collect()
+}
+
+fn worker(kind: Kind, platform: Platform, fleet: Weak<Fleet>) -> Result<Worker> {
+    let (tx, rx) = mpsc::channel();
+    let run = move || {
+        while let Ok(call) = rx.recv() {
+            let answer = perform(&platform, call);
+            let Some(fleet) = fleet.upgrade() else {
+                return;
+            };
+            fleet.note_platform(!matches!(answer, Answer::Down));
+            fleet.config(Input::Answered { call, answer });
+        }
+    };
+    spawn(&format!("platform-{}", kind.code()), run)?;
+    Ok(tx)
+}
+
+/// `read_vms` starts the thread that reads the platform's list of VMs.
+///
+/// # Errors
+///
+/// Returns [`Error::Start`] when the thread cannot be started.
+pub fn read_vms(platform: &Platform, fleet: &Weak<Fleet>) -> Result<()> {
+    let (platform, fleet) = (platform.clone(), fleet.clone());
+    let run = move || {
+        loop {
+            let read = platform.vms();
+            let Some(fleet) = fleet.upgrade() else {
+                return;
+            };
+            let pause = match read {
+                Ok(vms) => {
+                    fleet.touched();
+                    fleet.gossip(peppercrank_member::Input::Seeds(seeds(vms.vms)));
+                    pause(&fleet)
+                }
+                Err(Failure::Throttled(Some(after))) => after,
+                Err(_) => VMS_RETRY,
+            };
+            let pause = fleet.jitter(pause);
+            drop(fleet);
+            thread::sleep(pause);
+        }
+    };
+    spawn("platform-vms", run)
+}
+
+/// How long the list of VMs is not read again: few read it often, the rest share a slow rate.
+fn pause(fleet: &Arc<Fleet>) -> Duration {
+    if fleet.is_watcher() {
+        return VMS_WATCHER;
+    }
+    let members = u32::try_from(fleet.live()).unwrap_or(u32::MAX);
+    VMS_LEAST.max(Duration::from_secs_f64(f64::from(members) / VMS_RATE))
+}
+
+fn seeds(vms: Vec<Vm>) -> Vec<Seed> {
+    let seed = |vm: Vm| Seed {
+        vm: vm.name,
+        zone: vm.zone,
+        address: vm.address,
+        role: match vm.role {
+            Role::Router => SeedRole::Router,
+            Role::Agent => SeedRole::Agent,
+        },
+        leaving: vm.leaving,
+    };
+    vms.into_iter().map(seed).collect()
+}
+
+fn perform(platform: &Platform, call: Call) -> Answer {
+    let kind = call.kind();
+    match call {
+        Call::List { .. } => match platform.list(kind.code()) {
+            Ok(listing) => objects(kind, listing),
+            Err(failure) => failed(failure),
+        },
+        Call::Watch { since, wait, .. } => match platform.watch(kind.code(), since.0, wait) {
+            Ok(Watched::News(listing)) => objects(kind, listing),
+            Ok(Watched::TooOld) => Answer::TooOld,
+            Err(failure) => failed(failure),
+        },
+    }
+}
+
+fn objects(kind: Kind, listing: Listing) -> Answer {
+    // A name that is none cannot have been published by our tools, and nothing could use it.
+    let object = |named: Named| {
+        let name = ObjectName::new(&named.name).ok()?;
+        Some(Object {
+            key: ObjectKey { kind, name },
+            version: Version(named.version),
+            body: named.body.map(|b| b.to_string().into()),
+        })
+    };
+    Answer::Objects {
+        revision: Version(listing.revision),
+        objects: listing.objects.into_iter().filter_map(object).collect(),
+    }
+}
+
+fn failed(failure: Failure) -> Answer {
+    match failure {
+        Failure::Throttled(after) => Answer::Busy { after },
+        _ => Answer::Down,
+    }
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<()> {
+    let started = thread::Builder::new().name(name.to_owned()).spawn(run);
+    started.map(drop).map_err(|cause| Error::Start { cause })
+}
+
+impl Fleet {
+    /// Notes whether the platform answered, and logs a change.
+    pub(crate) fn note_platform(&self, up: bool) {
+        if up {
+            self.touched();
+        }
+        if self.swap_platform(up) != up {
+            let event = if up {
+                Event::PlatformUp
+            } else {
+                Event::PlatformDown
+            };
+            self.log.event(event, "");
+        }
+    }
+}
--- a/crates/peppercrank-daemon/src/lib.rs
+++ b/crates/peppercrank-daemon/src/lib.rs
@@ -5,8 +5,16 @@
 //!
 //! They read the clock and move bytes; every decision is made by the sans-I/O crates.
 
+pub mod agent;
 pub mod chat;
 pub mod clock;
 pub mod errors;
+pub mod fleet;
+pub mod headers;
+pub mod limits;
 pub mod log;
 pub mod metrics;
+pub mod reply;
+pub mod router;
+
+pub mod stream;
--- /dev/null
+++ b/crates/peppercrank-daemon/src/router/mod.rs
@@ -0,0 +1,155 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The router: takes callers' requests and passes whole answers back.
+
+pub mod deliver;
+pub mod identify;
+pub mod job;
+pub mod request;
+pub mod serve;
+pub mod try_once;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use peppercrank_core::events::Event;
+use peppercrank_core::names::PoolName;
+use peppercrank_member::Role;
+use peppercrank_route::Hints;
+use peppercrank_route::Retries;
+use peppercrank_route::Spread;
+use peppercrank_settings::RouterSettings;
+use peppercrank_wire::client::Client;
+use peppercrank_wire::client::Times;
+use peppercrank_wire::edge::Edge;
+use peppercrank_wire::edge::Finished;
+use peppercrank_wire::stop::Stop;
+
+use crate::clock::Clock;
+use crate::errors;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::fleet::Fleet;
+use crate::fleet::Setup;
+use crate::limits;
+use crate::log::Log;
+use crate::metrics::Metrics;
+
+/// Chats that a router remembers the target of.
+const HINTS: usize = 65_536;
+
+/// Hot prefixes that a router remembers the spread of.
+const HOT: usize = 4_096;
+
+/// `Router` is what the tasks of one router share.
+#[derive(Debug)]
+pub struct Router {
+    /// The settings.
+    pub settings: RouterSettings,
+    /// The part in the fleet.
+    pub fleet: Arc<Fleet>,
+    /// The clock.
+    pub clock: Clock,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// The client towards the agents.
+    pub client: Client,
+    hints: Mutex<Hints>,
+    spread: Mutex<Spread>,
+    retries: Mutex<BTreeMap<PoolName, Retries>>,
+}
+
+/// `Running` is a router that serves.
+#[derive(Debug)]
+pub struct Running {
+    /// What its tasks share.
+    pub router: Arc<Router>,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    serving: tokio::task::JoinHandle<Finished>,
+}
+
+impl Running {
+    /// `finished` waits for the router to end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Start`] when its task failed.
+    pub async fn finished(self) -> Result<Finished> {
+        let ended = self.serving.await;
+        ended.map_err(|e| Error::Start {
+            cause: std::io::Error::other(e),
+        })
+    }
+}
+
+/// `start` starts a router on the present runtime; it serves until `stop`.
+///
+/// # Errors
+///
+/// Returns an error when a socket cannot be bound or a thread cannot be started.
+pub async fn start(settings: RouterSettings, log: Log, stop: Stop) -> Result<Running> {
+    let metrics = Arc::new(Metrics::new());
+    let edge = Edge::bind(settings.listen)
+        .await
+        .map_err(|e| errors::wire("callers", e))?;
+    let address = edge.local_addr();
+    let setup = Setup {
+        role: Role::Router,
+        listen: address,
+        log,
+        metrics: Arc::clone(&metrics),
+    };
+    // Notes are for agents; a router drops what reaches it by mistake.
+    let (fleet, _notes) = Fleet::join(settings.fleet.clone(), setup).await?;
+    let times = Times {
+        first_byte: settings.limits.total_time,
+        ..Times::default()
+    };
+    let router = Arc::new(Router {
+        clock: fleet.clock,
+        metrics,
+        client: Client::new(times),
+        hints: Mutex::new(Hints::new(HINTS)),
+        spread: Mutex::new(Spread::new(HOT)),
+        retries: Mutex::default(),
+        fleet,
+        settings,
+    });
+    let serving = tokio::spawn(serve(edge, Arc::clone(&router), stop));
+    Ok(Running {
+        router,
+        address,
+        serving,
+    })
+}
+
+async fn serve(edge: Edge, router: Arc<Router>, mut stop: Stop) -> Finished {
+    let limits = limits::of(&router.settings.limits, router.settings.stop_time);
+    router
+        .fleet
+        .log
+        .event(Event::Started, &edge.local_addr().to_string());
+    let signal = stop.clone();
+    let fleet = Arc::clone(&router.fleet);
+    tokio::spawn(async move {
+        stop.wait().await;
+        fleet.log.event(Event::Stopping, "");
+        fleet.stop();
+    });
+    let shared = Arc::clone(&router);
+    let answer = move |call| serve::answer(Arc::clone(&shared), call);
+    let finished = edge.serve(limits, signal, answer).await;
+    router.fleet.leave();
+    if finished.cut > 0 {
+        router
+            .fleet
+            .log
+            .event(Event::StopCut, &finished.cut.to_string());
+    }
+    router.fleet.log.event(Event::Stopped, "");
+    finished
+}
