Stop and kill a stand-in, and test both

Cause: daemons' tests kill stand-ins, and kill() returned before the listener was gone. Change: kill is async and returns once the listener is dropped; a test of stop and kill.

--- a/crates/peppercrank-standin/src/web.rs
+++ b/crates/peppercrank-standin/src/web.rs
@@ -68,9 +68,13 @@
         }
     }
 
-    /// `kill` closes all connections at once, as a killed process would.
-    pub fn kill(self) {
-        drop(self);
+    /// `kill` closes all connections at once, as a killed process would, and listens no more.
+    pub async fn kill(mut self) {
+        for task in std::mem::take(&mut self.tasks) {
+            task.abort();
+            // It returns once what the task held is dropped.
+            let _over = task.await;
+        }
     }
 }
 
--- a/crates/peppercrank-standin/tests/verify_faults.rs
+++ b/crates/peppercrank-standin/tests/verify_faults.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::thread;
 
 use peppercrank_standin::engine;
 use peppercrank_standin::engine::EngineSettings;
@@ -200,3 +201,32 @@
         );
     }
 }
+
+#[test]
+fn verify_stop_finishes_and_kill_cuts() {
+    // A call that would never end by itself can only be cut.
+    for (kill, work_ms) in [(false, 100), (true, 3_600_000)] {
+        let runtime = support::runtime();
+        let set = ServiceSettings {
+            work_ms,
+            ..ServiceSettings::default()
+        };
+        let running = runtime.block_on(service::start(set)).expect("a start");
+        let at = running.addr;
+        let waiting = thread::spawn(move || send(at, "GET /any", &[("x-request-id", OWN)], ""));
+        let one = json!(1);
+        let ran = settled(&one, || runs(at, OWN)["attempts"].clone());
+        assert_eq!(ran, one);
+        if kill {
+            runtime.block_on(running.kill());
+        } else {
+            runtime.block_on(running.stop());
+        }
+        let answer = waiting.join().expect("no panic");
+        assert_eq!(answer.is_err(), kill, "{answer:?}");
+        assert!(
+            send(at, "GET /healthz", &[], "").is_err(),
+            "it listens no more"
+        );
+    }
+}
