--- /dev/null
+++ b/crates/peppercrank-cli/src/errors.rs
@@ -0,0 +1,308 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The crate's error type, its result and small constructors.
+
+use std::fmt;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+
+use peppercrank_config::Fault;
+use peppercrank_config::object::PublishId;
+use peppercrank_config::publish::Base;
+use peppercrank_config::publish::Conflict;
+use peppercrank_config::publish::Fate;
+use peppercrank_core::objects::ObjectKey;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::exit::Exit;
+use crate::object;
+
+/// `Result` is the result of every fallible function of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `Word` is what an argument should have been.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// The kind of an object.
+    Kind,
+    /// A form of output.
+    Form,
+    /// A daemon.
+    Daemon,
+    /// A `key=value`.
+    Assignment,
+}
+
+/// `Misuse` is a command line that parses and yet makes no sense.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Misuse {
+    /// No platform is named.
+    NoPlatform,
+    /// A variable of the environment does not hold what it should.
+    Variable(&'static str),
+    /// `mark` wants one of `--remove` and `--shutdown`.
+    MarkAction,
+    /// `--grace` has no meaning without `--remove`.
+    Grace,
+    /// An organisation has no such parameter.
+    Parameter(String),
+    /// A parameter's value is not of its type.
+    Value {
+        /// The parameter.
+        key: String,
+        /// The value as given.
+        value: String,
+    },
+    /// A new organisation wants a template.
+    NoTemplate,
+    /// `set-organisation` wants a parameter.
+    NoParameter,
+}
+
+/// `Error` is why a verb was not carried out.
+#[derive(Debug)]
+#[non_exhaustive]
+pub enum Error {
+    /// The command line does not parse.
+    Flags(xflags::Error),
+    /// The command line parses and yet makes no sense.
+    Misuse(Misuse),
+    /// A settings file is wrong, or a file could not be read.
+    Settings(peppercrank_settings::Error),
+    /// A file is not JSON with comments.
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The fault and its place.
+        source: peppercrank_core::Error,
+    },
+    /// The content failed its checks.
+    Fault(Fault),
+    /// Somebody else changed the object.
+    Conflict(Box<Conflict>),
+    /// There is no such object.
+    NotFound(ObjectKey),
+    /// The platform's API gave no answer that counts until the time was up.
+    Unavailable,
+    /// The platform's API refused the call itself.
+    Platform(peppercrank_wire::platform::Failure),
+    /// A write was sent and the time was up before its fate was known.
+    Unknown(PublishId),
+    /// A change is not in force everywhere in time.
+    NotInForce {
+        /// Its version.
+        version: u64,
+        /// On how many daemons it is.
+        done: usize,
+        /// The daemons that answered with an older version, or not at all.
+        missing: Vec<crate::in_force::Missing>,
+    },
+    /// The output could not be written.
+    Output(io::Error),
+    /// A daemon ended with an error.
+    Daemon(eyre::Report),
+}
+
+/// `file` makes the error for a file that is not JSON with comments.
+#[must_use]
+pub fn file(path: &Path, source: peppercrank_core::Error) -> Error {
+    let path = path.to_path_buf();
+    Error::File { path, source }
+}
+
+/// `value` makes the error for a parameter's value of another type.
+#[must_use]
+pub fn value(key: &str, value: &str) -> Error {
+    Error::Misuse(Misuse::Value {
+        key: key.to_owned(),
+        value: value.to_owned(),
+    })
+}
+
+impl Error {
+    /// `exit` is the exit code that tells scripts of this error.
+    #[must_use]
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Flags(_) | Self::Misuse(_) => Exit::Usage,
+            Self::Conflict(_) => Exit::Conflict,
+            Self::NotFound(_) => Exit::NotFound,
+            Self::Unavailable => Exit::Unavailable,
+            Self::Unknown(_) => Exit::Unknown,
+            Self::NotInForce { .. } => Exit::NotInForce,
+            Self::Settings(peppercrank_settings::Error::File { .. })
+            | Self::Platform(_)
+            | Self::Output(_)
+            | Self::Daemon(_) => Exit::Failure,
+            Self::Settings(_) | Self::File { .. } | Self::Fault(_) => Exit::Invalid,
+        }
+    }
+
+    /// `json` is the error for scripts.
+    #[must_use]
+    pub fn json(&self) -> Value {
+        let mut value = json!({
+            "error": self.exit().word(),
+            "exit": self.exit().code(),
+            "message": self.to_string(),
+        });
+        match self {
+            Self::Settings(peppercrank_settings::Error::Text(e)) | Self::File { source: e, .. } => {
+                place(&mut value, e);
+            }
+            Self::Fault(fault) => {
+                value["kind"] = json!(fault.kind);
+                value["path"] = json!(fault.path);
+            }
+            Self::Conflict(conflict) => {
+                value["current"] = object::current_json(conflict.current.as_ref());
+                value["differences"] = object::differences_json(&conflict.differences);
+            }
+            Self::Unknown(id) => value["publish"] = json!(id),
+            Self::NotInForce {
+                version,
+                done,
+                missing,
+            } => {
+                value["version"] = json!(version);
+                value["done"] = json!(done);
+                value["missing"] = json!(missing);
+            }
+            _ => {}
+        }
+        value
+    }
+}
+
+/// Adds the place of a fault in a file.
+fn place(value: &mut Value, e: &peppercrank_core::Error) {
+    if let peppercrank_core::Error::Settings { line, column, .. } = e {
+        value["line"] = json!(line);
+        value["column"] = json!(column);
+    }
+}
+
+impl fmt::Display for Word {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Kind => "expected template, organisation, pool or mark",
+            Self::Form => "expected text or json",
+            Self::Daemon => "expected router or agent",
+            Self::Assignment => "expected key=value",
+        })
+    }
+}
+
+impl fmt::Display for Misuse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoPlatform => f.write_str("no platform: set --platform or PEPPERCRANK_PLATFORM"),
+            Self::Variable(name) => write!(f, "{name} does not hold what it should"),
+            Self::MarkAction => f.write_str("one of --remove and --shutdown is wanted"),
+            Self::Grace => f.write_str("--grace goes with --remove only"),
+            Self::Parameter(key) => write!(f, "an organisation has no parameter `{key}`"),
+            Self::Value { key, value } => write!(f, "`{value}` is no value of `{key}`"),
+            Self::NoTemplate => f.write_str("the organisation is new: template=NAME is wanted"),
+            Self::NoParameter => f.write_str("at least one key=value is wanted"),
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Flags(e) => e.fmt(f),
+            Self::Misuse(e) => e.fmt(f),
+            Self::Settings(e) => e.fmt(f),
+            Self::File { path, source } => write!(f, "{}: {source}", path.display()),
+            Self::Fault(e) => e.fmt(f),
+            Self::Conflict(conflict) => show_conflict(f, conflict),
+            Self::NotFound(key) => write!(f, "there is no {} `{}`", key.kind.code(), key.name),
+            Self::Unavailable => f.write_str("the platform did not answer; nothing was written"),
+            Self::Platform(e) => write!(f, "the platform refused the call: {e}"),
+            Self::Unknown(id) => write!(
+                f,
+                "the platform did not answer and the change may have taken effect; \
+                 run the same again with --publish-id {id}"
+            ),
+            Self::NotInForce {
+                version,
+                done,
+                missing,
+            } => {
+                let all = done + missing.len();
+                write!(
+                    f,
+                    "version {version} is in force on {done} of {all} daemons"
+                )?;
+                missing.iter().try_for_each(|m| write!(f, "\n  {m}"))
+            }
+            Self::Output(e) => write!(f, "output: {e}"),
+            Self::Daemon(e) => write!(f, "{e:#}"),
+        }
+    }
+}
+
+fn show_conflict(f: &mut fmt::Formatter<'_>, conflict: &Conflict) -> fmt::Result {
+    let key = &conflict.key;
+    write!(f, "conflict: {} `{}` ", key.kind.code(), key.name)?;
+    match (&conflict.current, conflict.base) {
+        (Some(c), Base::Absent) => write!(f, "is there already, at version {}", c.version)?,
+        (Some(c), Base::Version(v)) => write!(f, "is at version {}, not {v}", c.version)?,
+        (None, _) => f.write_str("was deleted")?,
+    }
+    f.write_str("; nothing was overwritten")?;
+    if conflict.fate == Fate::MayBeWritten {
+        f.write_str(", but ours may have been in force before theirs")?;
+    }
+    for difference in &conflict.differences {
+        write!(f, "\n  {difference}")?;
+    }
+    if let Some(current) = &conflict.current {
+        let spec = object::spec(&current.body);
+        write!(f, "\ncurrent version {}:\n{spec:#}", current.version)?;
+    }
+    Ok(())
+}
+
+impl std::error::Error for Word {}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Settings(e) => Some(e),
+            Self::File { source, .. } => Some(source),
+            Self::Fault(e) => Some(e),
+            Self::Platform(e) => Some(e),
+            Self::Output(e) => Some(e),
+            _ => None,
+        }
+    }
+}
+
+impl From<xflags::Error> for Error {
+    fn from(e: xflags::Error) -> Self {
+        Self::Flags(e)
+    }
+}
+
+impl From<peppercrank_settings::Error> for Error {
+    fn from(e: peppercrank_settings::Error) -> Self {
+        Self::Settings(e)
+    }
+}
+
+impl From<Misuse> for Error {
+    fn from(e: Misuse) -> Self {
+        Self::Misuse(e)
+    }
+}
+
+impl From<Fault> for Error {
+    fn from(e: Fault) -> Self {
+        Self::Fault(e)
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-cli/src/flags.rs
@@ -0,0 +1,193 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The command line's verbs and flags.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use peppercrank_config::object::PublishId;
+use peppercrank_core::names::ObjectName;
+use peppercrank_core::names::OrganisationName;
+use peppercrank_core::names::TargetName;
+use peppercrank_settings::BaseUrl;
+use peppercrank_settings::Secret;
+
+use crate::words::Assignment;
+use crate::words::Daemon;
+use crate::words::Form;
+use crate::words::KindWord;
+use crate::words::Span;
+
+xflags::xflags! {
+    /// Operates a peppercrank router fleet.
+    ///
+    /// Exit codes: 0 done, 1 failure, 2 usage, 3 conflict, 4 invalid, 5 platform unavailable,
+    /// 6 not in force in time, 7 not found, 8 fate of a write unknown, 9 differs (diff only).
+    cmd peppercrank {
+        /// The platform's API, http://IP[:PORT]; else PEPPERCRANK_PLATFORM.
+        optional --platform url: BaseUrl
+        /// The platform's bearer token; else PEPPERCRANK_TOKEN, which other users cannot see.
+        optional --token token: Secret
+        /// Form of the output, text or json; text unless set.
+        optional --output form: Form
+        /// Time for reading or writing the platform, with retries; 20s unless set.
+        optional --timeout duration: Span
+        /// Operators' address of one daemon, repeatable; else all of the platform's VM list.
+        repeated --daemon address: SocketAddr
+        /// Port of the operators' pages on the VMs of the list; 7002 unless set.
+        optional --operators-port port: u16
+        /// Bearer token of the operators' pages; else PEPPERCRANK_OPERATORS_TOKEN.
+        optional --operators-token token: Secret
+
+        /// Creates an object from a file of JSON with comments; a conflict if it is there already.
+        cmd publish {
+            /// template, organisation, pool or mark
+            required kind: KindWord
+            /// The object's name.
+            required name: ObjectName
+            /// The file.
+            required file: PathBuf
+            /// Return once it is in force on every daemon.
+            optional --wait
+            /// Longest wait for that; 30s unless set.
+            optional --within duration: Span
+            /// The id of an earlier run whose fate is unknown, to carry the same act through.
+            optional --publish-id id: PublishId
+        }
+
+        /// Changes an object from a file; a conflict if somebody changed it since it was read.
+        cmd revise {
+            /// template, organisation, pool or mark
+            required kind: KindWord
+            /// The object's name.
+            required name: ObjectName
+            /// The file.
+            required file: PathBuf
+            /// The version that the file was made from; without it, the current one is replaced
+            /// and the fields that change are printed.
+            optional --if-version version: u64
+            /// Return once it is in force on every daemon.
+            optional --wait
+            /// Longest wait for that; 30s unless set.
+            optional --within duration: Span
+            /// The id of an earlier run whose fate is unknown, to carry the same act through.
+            optional --publish-id id: PublishId
+        }
+
+        /// Prints an object.
+        cmd get {
+            /// template, organisation, pool or mark
+            required kind: KindWord
+            /// The object's name.
+            required name: ObjectName
+        }
+
+        /// Lists the objects of a kind with their versions.
+        cmd list {
+            /// template, organisation, pool or mark
+            required kind: KindWord
+        }
+
+        /// Deletes an object; a conflict if somebody changed it since it was read.
+        cmd delete {
+            /// template, organisation, pool or mark
+            required kind: KindWord
+            /// The object's name.
+            required name: ObjectName
+            /// The version that is meant; without it, the current one.
+            optional --if-version version: u64
+            /// Return once the deletion is in force on every daemon.
+            optional --wait
+            /// Longest wait for that; 30s unless set.
+            optional --within duration: Span
+            /// The id of an earlier run whose fate is unknown, to carry the same act through.
+            optional --publish-id id: PublishId
+        }
+
+        /// Compares a file with the object on the platform; exit code 9 if they differ.
+        cmd diff {
+            /// template, organisation, pool or mark
+            required kind: KindWord
+            /// The object's name.
+            required name: ObjectName
+            /// The file.
+            required file: PathBuf
+        }
+
+        /// Checks a file as publish would, without the platform.
+        cmd validate {
+            /// template, organisation, pool or mark
+            required kind: KindWord
+            /// The object's name.
+            required name: ObjectName
+            /// The file.
+            required file: PathBuf
+        }
+
+        /// Sets parameters of one organisation; an empty value takes one back to its template's.
+        cmd set-organisation {
+            /// The organisation's name; it is created when it is new and a template is given.
+            required name: OrganisationName
+            /// template, weight, priority, limit, output, deadline_ms, models=A,B, services=A,B,
+            /// keys=SHA256,SHA256
+            repeated parameters: Assignment
+            /// The version that the change was decided on; without it, the current one.
+            optional --if-version version: u64
+            /// Return once it is in force on every daemon.
+            optional --wait
+            /// Longest wait for that; 30s unless set.
+            optional --within duration: Span
+            /// The id of an earlier run whose fate is unknown, to carry the same act through.
+            optional --publish-id id: PublishId
+        }
+
+        /// Prints the parameters of one organisation, and which are its own.
+        cmd get-organisation {
+            /// The organisation's name.
+            required name: OrganisationName
+        }
+
+        /// Marks a target as leaving: it takes no new work after a few seconds.
+        cmd mark {
+            /// The target's name.
+            required target: TargetName
+            /// Take it out: what still runs after --grace may be ended.
+            optional --remove
+            /// Shut it down gracefully: what runs goes on to its end.
+            optional --shutdown
+            /// Time left to what runs, for --remove; 0s unless set.
+            optional --grace duration: Span
+            /// Return once the mark is in force on every daemon.
+            optional --wait
+            /// Longest wait for that; 30s unless set.
+            optional --within duration: Span
+            /// The id of an earlier run whose fate is unknown, to carry the same act through.
+            optional --publish-id id: PublishId
+        }
+
+        /// Takes a target's mark back.
+        cmd unmark {
+            /// The target's name.
+            required target: TargetName
+            /// Return once that is in force on every daemon.
+            optional --wait
+            /// Longest wait for that; 30s unless set.
+            optional --within duration: Span
+            /// The id of an earlier run whose fate is unknown, to carry the same act through.
+            optional --publish-id id: PublishId
+        }
+
+        /// Shows the daemons, their targets, loads and drains, and the configuration in force.
+        cmd status {
+        }
+
+        /// Checks a daemon's settings file; each fault comes with its line and column.
+        cmd check-settings {
+            /// The file.
+            required file: PathBuf
+            /// router or agent; else told by whether the file names a target.
+            optional --daemon-kind daemon: Daemon
+        }
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-cli/src/remote.rs
@@ -0,0 +1,221 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The platform as the verbs use it: reads with retries, and acts of publishing.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use peppercrank_config::object::Version;
+use peppercrank_config::publish::Base;
+use peppercrank_config::publish::Current;
+use peppercrank_config::publish::Done;
+use peppercrank_config::publish::Failure;
+use peppercrank_config::publish::Fate;
+use peppercrank_config::publish::Input;
+use peppercrank_config::publish::Next;
+use peppercrank_config::publish::Publish;
+use peppercrank_config::publish::Written;
+use peppercrank_core::objects::Kind;
+use peppercrank_core::objects::ObjectKey;
+use peppercrank_core::time::Moment;
+use peppercrank_wire::platform;
+use peppercrank_wire::platform::Condition;
+use peppercrank_wire::platform::Fetched;
+use peppercrank_wire::platform::Listing;
+use peppercrank_wire::platform::Object;
+use peppercrank_wire::platform::Platform;
+use peppercrank_wire::platform::Vms;
+use serde_json::Value;
+
+use crate::access::Access;
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// The first pause before a read is tried again; it doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause before a read is tried again.
+const LAST_PAUSE: Duration = Duration::from_secs(2);
+
+/// The pause when the platform is throttling and does not say for how long.
+const THROTTLED_PAUSE: Duration = Duration::from_secs(1);
+
+/// `Remote` is the platform within the time of one verb.
+#[derive(Debug)]
+pub(crate) struct Remote {
+    platform: Platform,
+    start: Instant,
+    timeout: Duration,
+}
+
+impl Remote {
+    pub(crate) fn new(access: &Access) -> Result<Self> {
+        let mut to = platform::Access::new(access.platform()?.address());
+        to.token = access.token.as_ref().map(|t| t.reveal().to_owned());
+        // One call that hangs must leave time for another.
+        to.call = to.call.min(access.timeout / 2);
+        to.connect = to.connect.min(to.call);
+        Ok(Self {
+            platform: Platform::new(&to),
+            start: Instant::now(),
+            timeout: access.timeout,
+        })
+    }
+
+    /// The moment by which everything must be done.
+    pub(crate) fn deadline(&self) -> Moment {
+        Moment::from_origin(self.timeout)
+    }
+
+    /// Reads an object, none when it is not there.
+    pub(crate) fn read(&self, key: &ObjectKey) -> Result<Option<Current>> {
+        self.retry(|| self.fetch(key))
+    }
+
+    /// Reads an object that must be there.
+    pub(crate) fn need(&self, key: &ObjectKey) -> Result<Current> {
+        let found = self.read(key)?;
+        found.ok_or_else(|| Error::NotFound(key.clone()))
+    }
+
+    /// Lists a kind.
+    pub(crate) fn list(&self, kind: Kind) -> Result<Listing> {
+        self.retry(|| self.platform.list(kind.code()))
+    }
+
+    /// Lists the VMs.
+    pub(crate) fn vms(&self) -> Result<Vms> {
+        self.retry(|| self.platform.vms())
+    }
+
+    /// Carries an act of publishing through.
+    pub(crate) fn publish(&self, key: &ObjectKey, mut publish: Publish) -> Result<Done> {
+        let id = publish.id();
+        let mut unsure = false;
+        let mut input = Input::Begin;
+        loop {
+            let answer = match publish.on(self.now(), input) {
+                Next::Read => self.fetch(key).map(|c| Input::Read(Ok(c))),
+                Next::Write { base, body } => self.write(key, base, &body),
+                Next::Remove { base } => self.remove(key, base),
+                Next::Wait { until } => {
+                    thread::sleep(until.since(self.now()));
+                    Ok(Input::Due)
+                }
+                Next::Done(done) => return Ok(done),
+                Next::Conflict(conflict) => return Err(Error::Conflict(conflict)),
+                Next::Invalid(fault) => return Err(Error::Fault(fault)),
+                Next::GiveUp(Fate::NotWritten) => return Err(Error::Unavailable),
+                Next::GiveUp(Fate::MayBeWritten) => return Err(Error::Unknown(id)),
+            };
+            input = match answer {
+                Ok(input) => input,
+                Err(failure) => {
+                    unsure |= failure == platform::Failure::Unknown;
+                    match transient(failure) {
+                        Some(Failure::Lost) => Input::Written(Err(Failure::Lost)),
+                        Some(failure) => Input::Read(Err(failure)),
+                        // A refusal now does not undo a write that may have been taken before.
+                        None if unsure => return Err(Error::Unknown(id)),
+                        None => return Err(Error::Platform(failure)),
+                    }
+                }
+            };
+        }
+    }
+
+    fn fetch(&self, key: &ObjectKey) -> std::result::Result<Option<Current>, platform::Failure> {
+        let found = self.platform.get(key.kind.code(), key.name.as_str())?;
+        Ok(match found {
+            Fetched::Found(object) => current(object),
+            Fetched::Absent => None,
+        })
+    }
+
+    fn write(
+        &self,
+        key: &ObjectKey,
+        base: Base,
+        body: &Value,
+    ) -> std::result::Result<Input, platform::Failure> {
+        let condition = match base {
+            Base::Absent => Condition::New,
+            Base::Version(version) => Condition::Version(version.0),
+        };
+        let (kind, name) = (key.kind.code(), key.name.as_str());
+        let written = self.platform.put(kind, name, condition, body)?;
+        self.written(key, written)
+    }
+
+    fn remove(
+        &self,
+        key: &ObjectKey,
+        base: Version,
+    ) -> std::result::Result<Input, platform::Failure> {
+        let (kind, name) = (key.kind.code(), key.name.as_str());
+        let written = self.platform.delete(kind, name, base.0)?;
+        self.written(key, written)
+    }
+
+    fn written(
+        &self,
+        key: &ObjectKey,
+        written: platform::Written,
+    ) -> std::result::Result<Input, platform::Failure> {
+        let written = match written {
+            platform::Written::Done(version) => Written::Version(Version(version)),
+            platform::Written::Conflict(Some(object)) => Written::Refused(current(object)),
+            // The refusal did not say what stands there, and nothing must not be taken for it.
+            platform::Written::Conflict(None) => Written::Refused(self.fetch(key)?),
+        };
+        Ok(Input::Written(Ok(written)))
+    }
+
+    fn retry<T>(
+        &self,
+        mut call: impl FnMut() -> std::result::Result<T, platform::Failure>,
+    ) -> Result<T> {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let failure = match call() {
+                Ok(value) => return Ok(value),
+                Err(failure) => failure,
+            };
+            let wait = match transient(failure) {
+                Some(Failure::Busy { after }) => after,
+                Some(_) => pause,
+                None => return Err(Error::Platform(failure)),
+            };
+            if self.now() + wait >= self.deadline() {
+                return Err(Error::Unavailable);
+            }
+            thread::sleep(wait);
+            pause = pause.saturating_mul(2).min(LAST_PAUSE);
+        }
+    }
+
+    fn now(&self) -> Moment {
+        Moment::from_origin(self.start.elapsed())
+    }
+}
+
+/// What a failure means to a publisher; none when trying again cannot help.
+fn transient(failure: platform::Failure) -> Option<Failure> {
+    match failure {
+        platform::Failure::Throttled(after) => Some(Failure::Busy {
+            after: after.unwrap_or(THROTTLED_PAUSE),
+        }),
+        platform::Failure::Down | platform::Failure::Slow => Some(Failure::Unreached),
+        platform::Failure::Unknown => Some(Failure::Lost),
+        platform::Failure::Bad(_) | platform::Failure::Name => None,
+    }
+}
+
+/// An object that is no tombstone.
+fn current(object: Object) -> Option<Current> {
+    let body = object.body?;
+    let version = Version(object.version);
+    Some(Current { version, body })
+}
--- /dev/null
+++ b/crates/peppercrank-cli/src/report.rs
@@ -0,0 +1,60 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! What a verb has to say, for people and for scripts.
+
+use serde_json::Value;
+
+use crate::exit::Exit;
+use crate::words::Form;
+
+/// `Report` is the result of a verb.
+#[derive(Debug, Clone)]
+pub(crate) struct Report {
+    pub(crate) exit: Exit,
+    text: String,
+    json: Value,
+}
+
+impl Report {
+    /// Makes the report of a verb that did as asked.
+    pub(crate) fn done(text: String, json: Value) -> Self {
+        Self::ending(Exit::Done, text, json)
+    }
+
+    /// Makes a report with another exit code.
+    pub(crate) const fn ending(exit: Exit, text: String, json: Value) -> Self {
+        Self { exit, text, json }
+    }
+
+    /// Shows the report, with one line's end after it.
+    pub(crate) fn show(&self, form: Form) -> String {
+        match form {
+            Form::Text if self.text.is_empty() => String::new(),
+            Form::Text => format!("{}\n", self.text.trim_end()),
+            Form::Json => format!("{}\n", self.json),
+        }
+    }
+}
+
+/// Lays rows out in columns, the first row as their heads.
+pub(crate) fn table(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let widths = (0..columns).map(|at| {
+        let cells = rows.iter().filter_map(|row| row.get(at));
+        cells.map(|c| c.chars().count()).max().unwrap_or(0)
+    });
+    let widths = widths.collect::<Vec<_>>();
+    let lines = rows.iter().map(|row| {
+        let cells = row.iter().zip(&widths);
+        let cells = cells.map(|(cell, width)| format!("{cell:<width$}"));
+        let line = cells.collect::<Vec<_>>().join("  ");
+        format!("{}\n", line.trim_end())
+    });
+    lines.collect()
+}
+
+/// Makes a row of a table.
+pub(crate) fn row(cells: &[&str]) -> Vec<String> {
+    cells.iter().map(|&c| c.to_owned()).collect()
+}
--- /dev/null
+++ b/crates/peppercrank-cli/src/verbs/mark.rs
@@ -0,0 +1,71 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Marks of leaving targets.
+
+use peppercrank_config::publish::Base;
+use peppercrank_config::publish::Change;
+use peppercrank_core::objects::Action;
+use peppercrank_core::objects::Kind;
+use peppercrank_core::objects::Mark;
+use serde_json::json;
+
+use super::organisation::key;
+use super::write::Act;
+use super::write::base_of_removal;
+use super::write::carry;
+use crate::access::Access;
+use crate::errors::Misuse;
+use crate::errors::Result;
+use crate::flags;
+use crate::in_force::Wait;
+use crate::remote::Remote;
+use crate::report::Report;
+
+/// Marks a target, or changes its mark.
+pub(super) fn mark(access: &Access, flags: &flags::Mark) -> Result<Report> {
+    let action = match (flags.remove, flags.shutdown) {
+        (true, false) => Action::Remove,
+        (false, true) => Action::Shutdown,
+        _ => return Err(Misuse::MarkAction.into()),
+    };
+    if flags.grace.is_some() && action == Action::Shutdown {
+        return Err(Misuse::Grace.into());
+    }
+    let grace = flags.grace.map_or(0, |g| g.0.as_millis());
+    let key = key(Kind::Mark, flags.target.as_str())?;
+    let mark = Mark {
+        target: flags.target.clone(),
+        action,
+        grace_ms: u64::try_from(grace).unwrap_or(u64::MAX),
+    };
+    let remote = Remote::new(access)?;
+    let current = remote.read(&key)?;
+    let act = Act {
+        key,
+        base: current
+            .as_ref()
+            .map_or(Base::Absent, |c| Base::Version(c.version)),
+        change: Change::Put(json!(mark)),
+        id: flags.publish_id,
+        wait: Wait::new(flags.wait, flags.within),
+        replaced: current,
+    };
+    carry(access, &remote, &act)
+}
+
+/// Takes a target's mark back.
+pub(super) fn unmark(access: &Access, flags: &flags::Unmark) -> Result<Report> {
+    let key = key(Kind::Mark, flags.target.as_str())?;
+    let remote = Remote::new(access)?;
+    let base = base_of_removal(&remote, &key, flags.publish_id)?;
+    let act = Act {
+        key,
+        base,
+        change: Change::Delete,
+        id: flags.publish_id,
+        wait: Wait::new(flags.wait, flags.within),
+        replaced: None,
+    };
+    carry(access, &remote, &act)
+}
--- /dev/null
+++ b/crates/peppercrank-cli/src/verbs/mod.rs
@@ -0,0 +1,52 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The verbs.
+
+mod mark;
+mod organisation;
+mod read;
+mod settings;
+mod status;
+mod write;
+
+use crate::access::Access;
+use crate::errors::Result;
+use crate::flags::PeppercrankCmd;
+use crate::report::Report;
+
+/// The names of all verbs.
+pub(crate) const NAMES: &[&str] = &[
+    "publish",
+    "revise",
+    "get",
+    "list",
+    "delete",
+    "diff",
+    "validate",
+    "set-organisation",
+    "get-organisation",
+    "mark",
+    "unmark",
+    "status",
+    "check-settings",
+];
+
+/// Carries a verb out.
+pub(crate) fn carry(access: &Access, verb: &PeppercrankCmd) -> Result<Report> {
+    match verb {
+        PeppercrankCmd::Publish(flags) => write::publish(access, flags),
+        PeppercrankCmd::Revise(flags) => write::revise(access, flags),
+        PeppercrankCmd::Delete(flags) => write::delete(access, flags),
+        PeppercrankCmd::Get(flags) => read::get(access, flags),
+        PeppercrankCmd::List(flags) => read::list(access, flags),
+        PeppercrankCmd::Diff(flags) => read::diff(access, flags),
+        PeppercrankCmd::Validate(flags) => read::validate(flags),
+        PeppercrankCmd::SetOrganisation(flags) => organisation::set(access, flags),
+        PeppercrankCmd::GetOrganisation(flags) => organisation::get(access, flags),
+        PeppercrankCmd::Mark(flags) => mark::mark(access, flags),
+        PeppercrankCmd::Unmark(flags) => mark::unmark(access, flags),
+        PeppercrankCmd::Status(_) => status::status(access),
+        PeppercrankCmd::CheckSettings(flags) => settings::check(flags),
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-cli/src/verbs/settings.rs
@@ -0,0 +1,53 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Checks of settings files.
+
+use std::path::Path;
+
+use peppercrank_settings::AgentSettings;
+use peppercrank_settings::RouterSettings;
+use peppercrank_settings::file;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::errors;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::flags;
+use crate::report::Report;
+use crate::words::Daemon;
+
+/// Checks one file.
+pub(super) fn check(flags: &flags::CheckSettings) -> Result<Report> {
+    let path = &flags.file;
+    let text = file::read(path)?;
+    let daemon = match flags.daemon_kind {
+        Some(daemon) => daemon,
+        None => guess(path, &text)?,
+    };
+    let checked = match daemon {
+        Daemon::Router => RouterSettings::parse(&text).map(drop),
+        Daemon::Agent => AgentSettings::parse(&text).map(drop),
+    };
+    checked.map_err(|e| named(path, e))?;
+    let word = daemon.word();
+    let text = format!("{}: valid settings of the {word}", path.display());
+    Ok(Report::done(text, json!({ "valid": true, "daemon": word })))
+}
+
+/// Only an agent's settings name a target.
+fn guess(path: &Path, text: &str) -> Result<Daemon> {
+    let value = peppercrank_core::settings::parse::<Value>(text);
+    let value = value.map_err(|e| errors::file(path, e))?;
+    let agent = value.get("target").is_some();
+    Ok(if agent { Daemon::Agent } else { Daemon::Router })
+}
+
+/// Names the file beside the place in it.
+fn named(path: &Path, e: peppercrank_settings::Error) -> Error {
+    match e {
+        peppercrank_settings::Error::Text(source) => errors::file(path, source),
+        e => Error::Settings(e),
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-cli/src/verbs/write.rs
@@ -0,0 +1,202 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Verbs that write objects: each is one act of publishing.
+
+use peppercrank_config::diff::Difference;
+use peppercrank_config::diff::diff;
+use peppercrank_config::object::PublishId;
+use peppercrank_config::object::Version;
+use peppercrank_config::publish::Base;
+use peppercrank_config::publish::Change;
+use peppercrank_config::publish::Current;
+use peppercrank_config::publish::Done;
+use peppercrank_config::publish::How;
+use peppercrank_config::publish::Publish;
+use peppercrank_core::names::ObjectName;
+use peppercrank_core::objects::ObjectKey;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::access::Access;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::flags;
+use crate::in_force::Wait;
+use crate::object;
+use crate::remote::Remote;
+use crate::report::Report;
+use crate::words::KindWord;
+
+/// `Act` is one act of publishing.
+#[derive(Debug)]
+pub(super) struct Act {
+    pub(super) key: ObjectKey,
+    pub(super) base: Base,
+    pub(super) change: Change,
+    /// The id of an earlier run of the same act.
+    pub(super) id: Option<PublishId>,
+    pub(super) wait: Wait,
+    /// What the change replaces without the operator having named its version.
+    pub(super) replaced: Option<Current>,
+}
+
+/// Creates an object.
+pub(super) fn publish(access: &Access, flags: &flags::Publish) -> Result<Report> {
+    let key = key(flags.kind, &flags.name);
+    let act = Act {
+        change: Change::Put(object::read(&flags.file)?),
+        key,
+        base: Base::Absent,
+        id: flags.publish_id,
+        wait: Wait::new(flags.wait, flags.within),
+        replaced: None,
+    };
+    carry(access, &Remote::new(access)?, &act)
+}
+
+/// Changes an object.
+pub(super) fn revise(access: &Access, flags: &flags::Revise) -> Result<Report> {
+    let key = key(flags.kind, &flags.name);
+    let spec = object::read(&flags.file)?;
+    let remote = Remote::new(access)?;
+    let named = flags.if_version.map(|v| Base::Version(Version(v)));
+    // Only a version that the operator did not name is looked up, and shown.
+    let replaced = match named {
+        Some(_) => None,
+        None => Some(remote.need(&key)?),
+    };
+    let found = replaced.as_ref().map(|c| Base::Version(c.version));
+    let base = named.or(found).unwrap_or(Base::Absent);
+    let act = Act {
+        key,
+        base,
+        change: Change::Put(spec),
+        id: flags.publish_id,
+        wait: Wait::new(flags.wait, flags.within),
+        replaced,
+    };
+    carry(access, &remote, &act)
+}
+
+/// Deletes an object.
+pub(super) fn delete(access: &Access, flags: &flags::Delete) -> Result<Report> {
+    let key = key(flags.kind, &flags.name);
+    let remote = Remote::new(access)?;
+    let base = match (flags.if_version, flags.publish_id) {
+        (Some(version), _) => Base::Version(Version(version)),
+        (None, id) => base_of_removal(&remote, &key, id)?,
+    };
+    let act = Act {
+        key,
+        base,
+        change: Change::Delete,
+        id: flags.publish_id,
+        wait: Wait::new(flags.wait, flags.within),
+        replaced: None,
+    };
+    carry(access, &remote, &act)
+}
+
+/// The version that a deletion means; only one that is carried through again may find nothing.
+pub(super) fn base_of_removal(
+    remote: &Remote,
+    key: &ObjectKey,
+    id: Option<PublishId>,
+) -> Result<Base> {
+    match (remote.read(key)?, id) {
+        (Some(current), _) => Ok(Base::Version(current.version)),
+        (None, Some(_)) => Ok(Base::Absent),
+        (None, None) => Err(Error::NotFound(key.clone())),
+    }
+}
+
+/// Carries an act through, waits for it to be in force, and reports.
+pub(super) fn carry(access: &Access, remote: &Remote, act: &Act) -> Result<Report> {
+    let id = act.id.unwrap_or_else(|| PublishId(rand::random()));
+    let changes = changes(act);
+    let publish = Publish::new(
+        act.key.clone(),
+        id,
+        act.base,
+        act.change.clone(),
+        remote.deadline(),
+    );
+    let done = match standing(act, &changes) {
+        Some(done) => done,
+        None => remote.publish(&act.key, publish)?,
+    };
+    let daemons = act.wait.carry(access, &act.key, done.version.0)?;
+    let mut json = json!({
+        "kind": act.key.kind,
+        "name": act.key.name,
+        "version": done.version.0,
+        "how": how(done),
+        "publish": id,
+    });
+    if let Some(current) = &act.replaced {
+        json["replaced"] = json!(current.version.0);
+        json["differences"] = object::differences_json(&changes);
+    }
+    if let Some(daemons) = daemons {
+        json["daemons"] = json!(daemons);
+    }
+    Ok(Report::done(text(act, done, &changes, daemons), json))
+}
+
+/// What stands already needs no write; an earlier run's act is still looked for by its id.
+fn standing(act: &Act, changes: &[Difference]) -> Option<Done> {
+    let current = act.replaced.as_ref()?;
+    let same = act.id.is_none() && changes.is_empty();
+    same.then_some(Done {
+        version: current.version,
+        how: How::Unchanged,
+    })
+}
+
+fn text(act: &Act, done: Done, changes: &[Difference], daemons: Option<usize>) -> String {
+    let title = object::title(&act.key);
+    let how = how(done);
+    let mut lines = vec![match act.change {
+        Change::Put(_) => format!("{title} is at version {} ({how})", done.version),
+        Change::Delete => format!("{title} is deleted ({how})"),
+    }];
+    if let Some(current) = &act.replaced {
+        if !changes.is_empty() {
+            lines.push(format!("it replaces version {}:", current.version));
+        }
+        lines.extend(changes.iter().map(change_text));
+    }
+    if let Some(daemons) = daemons {
+        lines.push(format!("in force on all {daemons} daemons"));
+    }
+    lines.join("\n")
+}
+
+fn change_text(change: &Difference) -> String {
+    let show = |v: &Option<Value>| v.as_ref().map_or_else(|| "-".to_owned(), Value::to_string);
+    let (old, new) = (show(&change.theirs), show(&change.ours));
+    format!("  {}: {old} -> {new}", change.path)
+}
+
+/// The fields in which the act's content differs from what it replaces.
+fn changes(act: &Act) -> Vec<Difference> {
+    match (&act.change, &act.replaced) {
+        (Change::Put(spec), Some(current)) => diff(spec, &object::spec(&current.body)),
+        _ => Vec::new(),
+    }
+}
+
+const fn how(done: Done) -> &'static str {
+    match done.how {
+        How::Written => "written",
+        How::Recognised => "written before, recognised",
+        How::Unchanged => "unchanged",
+    }
+}
+
+/// The key of an object on the command line.
+pub(super) fn key(kind: KindWord, name: &ObjectName) -> ObjectKey {
+    let name = name.clone();
+    ObjectKey { kind: kind.0, name }
+}
--- /dev/null
+++ b/crates/peppercrank-cli/src/words.rs
@@ -0,0 +1,117 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Words of the command line, read into types.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use peppercrank_core::objects::Kind;
+
+use crate::errors::Word;
+
+/// `KindWord` is the kind of an object as an argument.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KindWord(pub Kind);
+
+impl FromStr for KindWord {
+    type Err = Word;
+
+    fn from_str(s: &str) -> Result<Self, Word> {
+        Kind::from_code(s).map(Self).ok_or(Word::Kind)
+    }
+}
+
+/// `Form` is the form of the output.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Form {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON value a run.
+    Json,
+}
+
+impl FromStr for Form {
+    type Err = Word;
+
+    fn from_str(s: &str) -> Result<Self, Word> {
+        match s {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(Word::Form),
+        }
+    }
+}
+
+/// `Span` is a duration with its unit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span(pub Duration);
+
+impl FromStr for Span {
+    type Err = peppercrank_settings::Error;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        peppercrank_settings::units::parse_duration(s).map(Self)
+    }
+}
+
+/// `Daemon` is which daemon a settings file is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Daemon {
+    /// The router.
+    Router,
+    /// The agent.
+    Agent,
+}
+
+impl Daemon {
+    /// `word` is the daemon's verb.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Router => "router",
+            Self::Agent => "agent",
+        }
+    }
+}
+
+impl FromStr for Daemon {
+    type Err = Word;
+
+    fn from_str(s: &str) -> Result<Self, Word> {
+        match s {
+            "router" => Ok(Self::Router),
+            "agent" => Ok(Self::Agent),
+            _ => Err(Word::Daemon),
+        }
+    }
+}
+
+/// `Assignment` is one `key=value`; with no value the parameter is the template's again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Assignment {
+    /// The parameter.
+    pub key: String,
+    /// Its value, empty to take it back.
+    pub value: String,
+}
+
+impl FromStr for Assignment {
+    type Err = Word;
+
+    fn from_str(s: &str) -> Result<Self, Word> {
+        let (key, value) = s.split_once('=').ok_or(Word::Assignment)?;
+        Ok(Self {
+            key: key.to_owned(),
+            value: value.to_owned(),
+        })
+    }
+}
+
+impl fmt::Display for Assignment {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}={}", self.key, self.value)
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-cli/tests/support/mod.rs
@@ -0,0 +1,146 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! A platform stand-in and the command, in the test's own process.
+
+#![expect(dead_code, reason = "each test file uses its own part of these")]
+
+use std::ffi::OsString;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use peppercrank_cli::Environment;
+use peppercrank_cli::Exit;
+use peppercrank_standin::Running;
+use peppercrank_standin::platform;
+use peppercrank_standin::platform::PlatformSettings;
+use rouille::Request;
+use rouille::Response;
+use rouille::Server;
+use serde_json::Value;
+use tokio::runtime::Runtime;
+
+/// How one run of the command ended.
+#[derive(Debug)]
+pub struct Ended {
+    pub exit: Exit,
+    pub out: String,
+    pub err: String,
+}
+
+impl Ended {
+    /// What a run that was asked for JSON printed.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|e| panic!("{e}: {self:?}"))
+    }
+
+    /// The error that a run that was asked for JSON printed.
+    pub fn error(&self) -> Value {
+        serde_json::from_str(&self.err).unwrap_or_else(|e| panic!("{e}: {self:?}"))
+    }
+}
+
+/// Runs the command with these words.
+pub fn run(environment: &Environment, words: &[&str]) -> Ended {
+    let args = words.iter().map(OsString::from).collect();
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let exit = peppercrank_cli::run(args, environment, &mut out, &mut err);
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    Ended {
+        exit,
+        out: text(out),
+        err: text(err),
+    }
+}
+
+/// A platform stand-in with the command set up for it.
+#[derive(Debug)]
+pub struct Bench {
+    pub environment: Environment,
+    pub address: SocketAddr,
+    _running: Running,
+    _runtime: Runtime,
+}
+
+impl Bench {
+    pub fn new() -> Self {
+        Self::with(PlatformSettings::default())
+    }
+
+    pub fn with(settings: PlatformSettings) -> Self {
+        let runtime = Runtime::new().expect("a runtime");
+        let running = runtime
+            .block_on(platform::start(settings))
+            .expect("a start");
+        let address = running.addr;
+        let environment = Environment {
+            platform: Some(format!("http://{address}")),
+            ..Environment::default()
+        };
+        Self {
+            environment,
+            address,
+            _running: running,
+            _runtime: runtime,
+        }
+    }
+
+    /// Runs the command against the stand-in.
+    pub fn run(&self, line: &str) -> Ended {
+        run(&self.environment, &line.split(' ').collect::<Vec<_>>())
+    }
+
+    /// Runs the command, which must end with `exit`.
+    #[track_caller]
+    pub fn expect(&self, exit: Exit, line: &str) -> Ended {
+        let ended = self.run(line);
+        assert_eq!(ended.exit, exit, "{line}: {ended:?}");
+        ended
+    }
+
+    /// Sets the stand-in's faults.
+    pub fn faults(&self, json: &str) {
+        let answer = ureq::put(format!("http://{}/faults", self.address)).send(json);
+        assert!(answer.expect("an answer").status().is_success(), "{json}");
+    }
+
+    /// What the stand-in counted.
+    pub fn calls(&self) -> Value {
+        let answer = ureq::get(format!("http://{}/calls", self.address)).call();
+        answer
+            .expect("an answer")
+            .body_mut()
+            .read_json()
+            .expect("JSON")
+    }
+}
+
+/// A file in the test's own scratch directory, which cargo sets aside.
+pub fn file(name: &str, text: &str) -> String {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).expect("a file");
+    path.to_str().expect("a path").to_owned()
+}
+
+/// A template of a weight, with a comment as operators write them.
+pub fn template(weight: u32) -> String {
+    let text = format!(
+        "// Weight {weight}.\n{{ \"parameters\": {{ \"weight\": {weight}, \"priority\": 5, \
+         \"limit\": 1000, \"output\": 100, \"deadline_ms\": 60000 }} }}"
+    );
+    // Tests run side by side: none may see another's file half written.
+    let own = std::thread::current().id();
+    file(&format!("template-{weight}-{own:?}.jsonc"), &text)
+}
+
+/// An HTTP server that answers every request by one function, as a daemon's pages would.
+pub fn pages<F>(answer: F) -> SocketAddr
+where
+    F: Fn(&Request) -> Response + Send + Sync + 'static,
+{
+    let server = Server::new("127.0.0.1:0", answer).expect("a server");
+    let address = server.server_addr();
+    std::thread::spawn(move || server.run());
+    address
+}
--- /dev/null
+++ b/crates/peppercrank-cli/tests/verify_deploy.rs
@@ -0,0 +1,174 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Every file under `deploy/` parses, passes its checks, and refers to what is there.
+
+use std::collections::BTreeMap;
+use std::ffi::OsStr;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use peppercrank_config::checks::validate_spec;
+use peppercrank_config::object::Spec;
+use peppercrank_core::names::ObjectName;
+use peppercrank_core::objects::Kind;
+use peppercrank_core::objects::Serves;
+use peppercrank_settings::AgentSettings;
+use peppercrank_settings::RouterSettings;
+use serde_json::Value;
+
+const ZONES: &[(&str, [&str; 4])] = &[
+    ("pardikivi", ["ulemiste", "muuga", "lasnamae", "rae"]),
+    (
+        "trentholme",
+        [
+            "derby-hall",
+            "nottingham-hall",
+            "leicester-hall",
+            "loughborough-hall",
+        ],
+    ),
+];
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy")
+}
+
+/// All files under a directory.
+fn files(at: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(at).expect("a directory");
+    let paths = entries.map(|e| e.expect("an entry").path());
+    let found = paths.flat_map(|p| if p.is_dir() { files(&p) } else { vec![p] });
+    found.collect()
+}
+
+fn stem(path: &Path) -> &str {
+    path.file_stem().and_then(OsStr::to_str).expect("a name")
+}
+
+fn directory(path: &Path) -> &str {
+    let parent = path.parent().and_then(Path::file_name);
+    parent.and_then(OsStr::to_str).expect("a directory")
+}
+
+/// The objects of one deployment.
+fn objects(deployment: &str) -> BTreeMap<(Kind, String), Spec> {
+    let all = files(&root().join(deployment));
+    let all = all.iter().filter_map(|path| {
+        let kind = Kind::from_code(directory(path))?;
+        let text = fs::read_to_string(path).expect("a text");
+        let value: Value = peppercrank_core::settings::parse(&text)
+            .unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+        let name = ObjectName::new(stem(path)).expect("an object's name");
+        let spec =
+            validate_spec(kind, &name, value).unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+        Some(((kind, stem(path).to_owned()), spec))
+    });
+    all.collect()
+}
+
+#[test]
+fn verify_every_file_is_of_a_known_sort_and_sound() {
+    let mut seen = 0;
+    for path in files(&root()) {
+        let name = path.file_name().and_then(OsStr::to_str).expect("a name");
+        if name == "README.md" {
+            continue;
+        }
+        let comments = path.extension() == Some(OsStr::new("jsonc"));
+        assert!(comments, "{}", path.display());
+        let text = fs::read_to_string(&path).expect("a text");
+        let checked = match directory(&path) {
+            "examples" | "settings" if name.starts_with("router") => {
+                RouterSettings::parse(&text).map(drop)
+            }
+            "examples" | "settings" if name.starts_with("agent-") => {
+                AgentSettings::parse(&text).map(drop)
+            }
+            kind => {
+                assert!(Kind::from_code(kind).is_some(), "{}", path.display());
+                Ok(())
+            }
+        };
+        checked.unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+        seen += 1;
+    }
+    assert_eq!(
+        seen, 39,
+        "files were added or lost: look at them, then change this number"
+    );
+}
+
+#[test]
+fn verify_examples_show_every_default() {
+    let text = fs::read_to_string(root().join("examples/router.jsonc")).expect("a text");
+    let shown = RouterSettings::parse(&text).expect("sound");
+    let defaults = RouterSettings::new(shown.fleet.clone(), shown.listen);
+    assert_eq!(shown, defaults);
+    let text = fs::read_to_string(root().join("examples/agent-engine.jsonc")).expect("a text");
+    let shown = AgentSettings::parse(&text).expect("sound");
+    let defaults = AgentSettings::new(shown.fleet.clone(), shown.listen, shown.target.clone());
+    assert_eq!(shown, defaults);
+}
+
+#[test]
+fn verify_deployments_hold_together() {
+    for (deployment, zones) in ZONES {
+        let objects = objects(deployment);
+        let count = |kind| objects.keys().filter(|(k, _)| *k == kind).count();
+        assert_eq!(count(Kind::Organisation), 10, "{deployment}");
+        assert_eq!(count(Kind::Pool), 2, "{deployment}");
+        for ((_, name), spec) in &objects {
+            match spec {
+                Spec::Organisation(o) => {
+                    let template = (Kind::Template, o.template.to_string());
+                    assert!(objects.contains_key(&template), "{deployment} {name}");
+                }
+                Spec::Template(t) => {
+                    for pool in &t.parameters.services {
+                        let pool = (Kind::Pool, pool.to_string());
+                        assert!(objects.contains_key(&pool), "{deployment} {name}");
+                    }
+                    for model in &t.parameters.models {
+                        let served = objects.values().any(|s| {
+                            matches!(s, Spec::Pool(p)
+                                if matches!(&p.serves, Serves::Models(m) if m.contains(model)))
+                        });
+                        assert!(served, "{deployment} {name}: no pool serves {model}");
+                    }
+                }
+                Spec::Pool(_) | Spec::Mark(_) => {}
+            }
+        }
+        for path in files(&root().join(deployment).join("settings")) {
+            let text = fs::read_to_string(&path).expect("a text");
+            let zone = if stem(&path).starts_with("router") {
+                RouterSettings::parse(&text).expect("sound").fleet.zone
+            } else {
+                let settings = AgentSettings::parse(&text).expect("sound");
+                let pool = (Kind::Pool, settings.target.pool.to_string());
+                assert!(objects.contains_key(&pool), "{}", path.display());
+                settings.fleet.zone
+            };
+            assert!(zones.contains(&zone.as_str()), "{}", path.display());
+        }
+    }
+}
+
+#[test]
+fn verify_one_weighs_skew_and_the_other_reuse() {
+    let policy = |deployment, pool: &str| {
+        let objects = objects(deployment);
+        match &objects[&(Kind::Pool, pool.to_owned())] {
+            Spec::Pool(pool) => pool.policy.clone(),
+            other => panic!("{other:?}"),
+        }
+    };
+    let skew = policy("pardikivi", "galley-llm");
+    let reuse = policy("trentholme", "peppercrank-pool");
+    assert!(skew.cap < reuse.cap);
+    assert!(skew.floor < reuse.floor);
+    assert!(skew.prefix < reuse.prefix);
+    assert!(skew.wait_ms < reuse.wait_ms);
+}
--- /dev/null
+++ b/crates/peppercrank-cli/tests/verify_fleet.rs
@@ -0,0 +1,178 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! What the command learns from the daemons' operators' pages: status, and changes in force.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use peppercrank_cli::Environment;
+use peppercrank_cli::Exit;
+use rouille::Request;
+use rouille::Response;
+use serde_json::Value;
+use serde_json::json;
+use support::Bench;
+use support::pages;
+use support::run;
+
+const TOKEN: &str = "an-operators-token";
+
+/// A daemon's pages: the object is in force from the `after`th look on.
+fn daemon(status: Value, after: u64) -> SocketAddr {
+    let looks = AtomicU64::new(0);
+    pages(move |request| {
+        if request.header("authorization") != Some("Bearer an-operators-token") {
+            return Response::text("").with_status_code(401);
+        }
+        if request.url() == "/status" {
+            return Response::json(&status);
+        }
+        assert_eq!(request.url(), "/objects/mark/e-1");
+        let look = looks.fetch_add(1, Ordering::SeqCst);
+        Response::json(&json!({ "version": u64::from(look >= after) }))
+    })
+}
+
+fn status_of(vm: &str, role: &str, digest: &str, targets: &Value) -> Value {
+    json!({
+        "vm": vm, "zone": "rae", "role": role, "ready": true,
+        "configuration": { "digest": digest, "version": 41, "objects": 3, "invalid": [
+            { "key": { "kind": "pool", "name": "p" }, "version": 40, "reason": "cap" },
+        ] },
+        "targets": targets,
+        "of_a_newer_daemon": 1,
+    })
+}
+
+fn target(state: &str, load: Value, drain: Value) -> Value {
+    json!({ "name": "e-1", "pool": "p", "zone": "rae", "state": state, "load": load, "drain": drain })
+}
+
+fn ask(environment: &Environment, daemons: &[SocketAddr], line: &str) -> support::Ended {
+    let addresses = daemons.iter().map(ToString::to_string).collect::<Vec<_>>();
+    let mut words = line.split(' ').collect::<Vec<_>>();
+    for address in &addresses {
+        words.extend(["--daemon", address.as_str()]);
+    }
+    words.extend(["--operators-token", TOKEN]);
+    run(environment, &words)
+}
+
+/// An address at which nothing listens.
+fn nobody() -> SocketAddr {
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    socket.local_addr().expect("an address")
+}
+
+#[test]
+fn verify_status_prefers_what_the_targets_own_agent_says() {
+    let load = json!({ "cost": 700, "cap": 900, "running": 2, "waiting": 1 });
+    let drain = json!({ "action": "shutdown", "drained": false });
+    let own = json!([target("Leaving", load.clone(), drain)]);
+    let believed = json!([target("Live", Value::Null, Value::Null)]);
+    let router = daemon(status_of("entry-1", "router", "aaaa", &believed), 0);
+    let agent = daemon(status_of("vm-1", "agent", "aaaa", &own), 0);
+    for order in [[router, agent], [agent, router]] {
+        let ended = ask(&Environment::default(), &order, "status --output json");
+        assert_eq!(ended.exit, Exit::Done, "{ended:?}");
+        let json = ended.json();
+        assert_eq!(json["agreed"], true);
+        assert_eq!(json["targets"].as_array().map(Vec::len), Some(1));
+        assert_eq!(json["targets"][0]["state"], "Leaving");
+        assert_eq!(json["targets"][0]["load"], load);
+    }
+    let text = ask(&Environment::default(), &[router, agent], "status").out;
+    for word in [
+        "entry-1",
+        "leaving",
+        "700",
+        "draining",
+        "all 2 daemons agree",
+    ] {
+        assert!(text.contains(word), "no {word} in\n{text}");
+    }
+    assert_eq!(
+        text.matches("invalid: pool `p` version 40: cap").count(),
+        1,
+        "{text}"
+    );
+}
+
+#[test]
+fn verify_status_tells_who_differs_and_who_is_silent() {
+    let one = daemon(status_of("entry-1", "router", "aaaa", &json!([])), 0);
+    let two = daemon(status_of("entry-2", "router", "bbbb", &json!([])), 0);
+    let garbled = pages(|_| Response::text("hello"));
+    let closed = pages(|_| Response::text("").with_status_code(401));
+    let gone = nobody();
+    let ended = ask(
+        &Environment::default(),
+        &[one, two, garbled, closed, gone],
+        "status",
+    );
+    assert_eq!(ended.exit, Exit::Failure);
+    for told in [
+        "configuration: 2 differ among 2 daemons".to_owned(),
+        format!("{garbled} ({garbled}) answers what is no status"),
+        format!("{closed} ({closed}) refuses the operators' token"),
+        format!("{gone} ({gone}) does not answer"),
+    ] {
+        assert!(ended.out.contains(&told), "no {told} in {ended:?}");
+    }
+}
+
+#[test]
+fn verify_wait_ends_when_the_last_daemon_has_it() {
+    let bench = Bench::new();
+    let quick = daemon(Value::Null, 0);
+    let slow = daemon(Value::Null, 2);
+    let ended = ask(
+        &bench.environment,
+        &[quick, slow],
+        "mark e-1 --shutdown --wait --output json",
+    );
+    assert_eq!(ended.exit, Exit::Done, "{ended:?}");
+    assert_eq!(ended.json()["daemons"], 2);
+}
+
+#[test]
+fn verify_wait_that_is_too_short_names_who_is_behind() {
+    let bench = Bench::new();
+    let quick = daemon(Value::Null, 0);
+    let never = daemon(Value::Null, u64::MAX);
+    let gone = nobody();
+    let line = "mark e-1 --shutdown --wait --within 500ms --output json";
+    let ended = ask(&bench.environment, &[quick, never, gone], line);
+    assert_eq!(ended.exit, Exit::NotInForce, "{ended:?}");
+    let error = ended.error();
+    assert_eq!(error["done"], 1);
+    let missing = json!([
+        { "daemon": never.to_string(), "why": { "version": 0 } },
+        { "daemon": gone.to_string(), "why": { "silent": "unreached" } },
+    ]);
+    assert_eq!(error["missing"], missing);
+    // The change itself stands.
+    bench.expect(Exit::Done, "get mark e-1");
+}
+
+#[test]
+fn verify_daemons_are_found_in_the_vm_list() {
+    let asked = Arc::new(AtomicU64::new(0));
+    let count = Arc::clone(&asked);
+    let page = pages(move |_: &Request| {
+        count.fetch_add(1, Ordering::SeqCst);
+        Response::json(&status_of("entry-1", "router", "aaaa", &json!([])))
+    });
+    let vm = |name: &str, leaving: bool| json!({ "name": name, "zone": "rae", "address": "127.0.0.1:1", "role": "router", "leaving": leaving });
+    let vms = json!([vm("entry-1", false), vm("entry-2", true)]);
+    let settings = serde_json::from_value(json!({ "vms": vms, "vms_lag_ms": 0 }));
+    let bench = Bench::with(settings.expect("settings"));
+    let line = format!("status --operators-port {}", page.port());
+    bench.expect(Exit::Done, &line);
+    assert_eq!(asked.load(Ordering::SeqCst), 1, "a leaving VM is not asked");
+}
--- /dev/null
+++ b/crates/peppercrank-cli/tests/verify_races.rs
@@ -0,0 +1,188 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Operators that race, answers that are lost, a platform that is out.
+
+mod support;
+
+use std::thread;
+
+use peppercrank_cli::Exit;
+use serde_json::json;
+use support::Bench;
+use support::run;
+use support::template;
+
+#[test]
+fn verify_create_of_what_is_there_shows_it() {
+    let bench = Bench::new();
+    let [one, two] = [1, 2].map(template);
+    bench.expect(Exit::Done, &format!("publish template t {one}"));
+    let ended = bench.expect(
+        Exit::Conflict,
+        &format!("publish template t {two} --output json"),
+    );
+    let error = ended.error();
+    assert_eq!(error["exit"], 3);
+    assert_eq!(error["current"]["version"], 1);
+    assert_eq!(error["current"]["spec"]["parameters"]["weight"], 1);
+    let differences = json!([{ "path": "parameters.weight", "ours": 2, "theirs": 1 }]);
+    assert_eq!(error["differences"], differences);
+
+    let text = bench
+        .expect(Exit::Conflict, &format!("publish template t {two}"))
+        .err;
+    assert!(
+        text.contains("is there already, at version 1; nothing was overwritten"),
+        "{text}"
+    );
+    assert!(
+        text.contains("parameters.weight: ours 2, theirs 1"),
+        "{text}"
+    );
+}
+
+#[test]
+fn verify_stale_version_is_a_conflict_for_every_writing_verb() {
+    let bench = Bench::new();
+    let [one, two, three] = [1, 2, 3].map(template);
+    bench.expect(Exit::Done, &format!("publish template t {one}"));
+    bench.expect(
+        Exit::Done,
+        &format!("revise template t {two} --if-version 1"),
+    );
+    bench.expect(Exit::Done, "set-organisation o template=t weight=1");
+    bench.expect(Exit::Done, "set-organisation o weight=2 --if-version 3");
+    let lines = [
+        format!("revise template t {three} --if-version 1"),
+        "delete template t --if-version 1".to_owned(),
+        "set-organisation o weight=3 --if-version 3".to_owned(),
+    ];
+    for line in lines {
+        let ended = bench.expect(Exit::Conflict, &line);
+        assert!(ended.err.contains("nothing was overwritten"), "{ended:?}");
+    }
+    let template = bench
+        .expect(Exit::Done, "get template t --output json")
+        .json();
+    assert_eq!(template["spec"]["parameters"]["weight"], 2);
+    let own = bench
+        .expect(Exit::Done, "get-organisation o --output json")
+        .json();
+    assert_eq!(own["overrides"]["weight"], 2);
+}
+
+#[test]
+fn verify_one_of_eight_racing_operators_wins() {
+    let bench = Bench::new();
+    bench.expect(Exit::Done, &format!("publish template t {}", template(100)));
+    let racers = (1..=8).map(|weight| {
+        let (environment, path) = (bench.environment.clone(), template(weight));
+        thread::spawn(move || {
+            let words = ["revise", "template", "t", &path, "--if-version", "1"];
+            (weight, run(&environment, &words))
+        })
+    });
+    let racers = racers.collect::<Vec<_>>();
+    let ended = racers.into_iter().map(|r| r.join().expect("a racer"));
+    let (won, lost): (Vec<_>, Vec<_>) = ended.partition(|(_, e)| e.exit == Exit::Done);
+    assert_eq!(won.len(), 1, "{won:?}");
+    assert!(
+        lost.iter().all(|(_, e)| e.exit == Exit::Conflict),
+        "{lost:?}"
+    );
+    let got = bench
+        .expect(Exit::Done, "get template t --output json")
+        .json();
+    assert_eq!(got["version"], 2);
+    assert_eq!(got["spec"]["parameters"]["weight"], won[0].0);
+}
+
+#[test]
+fn verify_lost_answer_is_recognised_by_its_publish_id() {
+    let faults = [
+        r#"{ "only": "put", "times": 1, "drop_after": true }"#,
+        r#"{ "only": "put", "times": 1, "lose_answer": true }"#,
+        r#"{ "only": "put", "times": 1, "cut_after": 5 }"#,
+    ];
+    for (at, fault) in faults.iter().enumerate() {
+        let bench = Bench::new();
+        bench.faults(fault);
+        let line = format!(
+            "publish template t {} --timeout 4s --output json",
+            template(1)
+        );
+        let done = bench.expect(Exit::Done, &line).json();
+        assert_eq!(done["how"], "written before, recognised", "case {at}");
+        assert_eq!(done["version"], 1);
+        assert_eq!(bench.calls()["writes"], 1, "case {at}");
+    }
+}
+
+#[test]
+fn verify_lost_deletion_is_done_once() {
+    let bench = Bench::new();
+    bench.expect(Exit::Done, "mark e-1 --shutdown");
+    bench.faults(r#"{ "only": "delete", "times": 1, "drop_after": true }"#);
+    bench.expect(Exit::Done, "unmark e-1");
+    assert_eq!(bench.calls()["writes"], 2);
+    bench.expect(Exit::NotFound, "get mark e-1");
+}
+
+#[test]
+fn verify_unknown_fate_is_told_and_carried_through_by_id() {
+    let bench = Bench::new();
+    let one = template(1);
+    // The first read passes; the write takes effect, and nothing is heard of it nor after it.
+    bench.faults(r#"{ "skip": 1, "drop_after": true }"#);
+    let line = format!("publish template t {one} --timeout 1s --output json");
+    let error = bench.expect(Exit::Unknown, &line).error();
+    let id = error["publish"].as_str().expect("an id").to_owned();
+
+    bench.faults("{}");
+    let line = format!("publish template t {one} --publish-id {id} --output json");
+    let done = bench.expect(Exit::Done, &line).json();
+    assert_eq!(done["how"], "written before, recognised");
+    assert_eq!(bench.calls()["writes"], 1);
+
+    // Another operator's act is not taken for it.
+    let two = template(2);
+    bench.expect(Exit::Conflict, &format!("publish template t {two}"));
+}
+
+#[test]
+fn verify_outage_is_told_and_nothing_is_written() {
+    let cases = [
+        r#"{ "outage": true }"#,
+        r#"{ "throttle": true }"#,
+        r#"{ "drop_before": true, "only": "get" }"#,
+        r#"{ "delay_ms": 60000, "only": "get" }"#,
+    ];
+    for fault in cases {
+        let bench = Bench::new();
+        bench.faults(fault);
+        let one = template(1);
+        let publish = format!("publish template t {one} --timeout 500ms");
+        for line in [&publish, "get template t --timeout 500ms"] {
+            let ended = bench.expect(Exit::Unavailable, line);
+            assert!(ended.err.contains("nothing was written"), "{ended:?}");
+        }
+        bench.faults("{}");
+        bench.expect(Exit::NotFound, "get template t");
+        assert_eq!(bench.calls()["writes"], 0, "{fault}");
+    }
+}
+
+#[test]
+fn verify_short_outage_is_waited_out() {
+    for fault in [
+        r#"{ "times": 2, "outage": true }"#,
+        r#"{ "times": 2, "drop_before": true }"#,
+        r#"{ "times": 1, "throttle": true }"#,
+    ] {
+        let bench = Bench::new();
+        bench.faults(fault);
+        bench.expect(Exit::Done, &format!("publish template t {}", template(1)));
+        assert_eq!(bench.calls()["writes"], 1, "{fault}");
+    }
+}
