Publish a directory, run stand-ins, refuse to wait for no daemon

Cause: a first deployment is fifteen objects; trials need stand-ins as processes; a wait over an empty VM list said 'in force everywhere' of nobody.

--- a/crates/peppercrank-cli/src/errors.rs
+++ b/crates/peppercrank-cli/src/errors.rs
@@ -32,6 +32,8 @@
     Form,
     /// A daemon.
     Daemon,
+    /// What a stand-in stands in for.
+    Part,
     /// A `key=value`.
     Assignment,
 }
@@ -81,6 +83,24 @@
     },
     /// The content failed its checks.
     Fault(Fault),
+    /// The content of one file of many failed its checks.
+    FileFault {
+        /// The file.
+        path: PathBuf,
+        /// The fault.
+        fault: Fault,
+    },
+    /// A directory holds no objects or cannot be read.
+    Directory {
+        /// The directory.
+        path: PathBuf,
+        /// Why not.
+        source: io::Error,
+    },
+    /// The process could not be set up.
+    Process(io::Error),
+    /// A stand-in could not be started.
+    Standin(peppercrank_standin::Error),
     /// Somebody else changed the object.
     Conflict(Box<Conflict>),
     /// There is no such object.
@@ -113,6 +133,13 @@
     Error::File { path, source }
 }
 
+/// `directory` makes the error for a directory that cannot be read or holds no objects.
+#[must_use]
+pub fn directory(path: &Path, source: io::Error) -> Error {
+    let path = path.to_path_buf();
+    Error::Directory { path, source }
+}
+
 /// `value` makes the error for a parameter's value of another type.
 #[must_use]
 pub fn value(key: &str, value: &str) -> Error {
@@ -134,10 +161,15 @@
             Self::Unknown(_) => Exit::Unknown,
             Self::NotInForce { .. } => Exit::NotInForce,
             Self::Settings(peppercrank_settings::Error::File { .. })
+            | Self::Directory { .. }
             | Self::Platform(_)
+            | Self::Process(_)
+            | Self::Standin(_)
             | Self::Output(_)
             | Self::Daemon(_) => Exit::Failure,
-            Self::Settings(_) | Self::File { .. } | Self::Fault(_) => Exit::Invalid,
+            Self::Settings(_) | Self::File { .. } | Self::Fault(_) | Self::FileFault { .. } => {
+                Exit::Invalid
+            }
         }
     }
 
@@ -153,7 +185,7 @@
             Self::Settings(peppercrank_settings::Error::Text(e)) | Self::File { source: e, .. } => {
                 place(&mut value, e);
             }
-            Self::Fault(fault) => {
+            Self::Fault(fault) | Self::FileFault { fault, .. } => {
                 value["kind"] = json!(fault.kind);
                 value["path"] = json!(fault.path);
             }
@@ -191,6 +223,7 @@
             Self::Kind => "expected template, organisation, pool or mark",
             Self::Form => "expected text or json",
             Self::Daemon => "expected router or agent",
+            Self::Part => "expected engine, service or platform",
             Self::Assignment => "expected key=value",
         })
     }
@@ -219,6 +252,10 @@
             Self::Settings(e) => e.fmt(f),
             Self::File { path, source } => write!(f, "{}: {source}", path.display()),
             Self::Fault(e) => e.fmt(f),
+            Self::FileFault { path, fault } => write!(f, "{}: {fault}", path.display()),
+            Self::Directory { path, source } => write!(f, "{}: {source}", path.display()),
+            Self::Process(e) => write!(f, "the process could not be set up: {e}"),
+            Self::Standin(e) => e.fmt(f),
             Self::Conflict(conflict) => show_conflict(f, conflict),
             Self::NotFound(key) => write!(f, "there is no {} `{}`", key.kind.code(), key.name),
             Self::Unavailable => f.write_str("the platform did not answer; nothing was written"),
@@ -234,6 +271,12 @@
                 missing,
             } => {
                 let all = done + missing.len();
+                if all == 0 {
+                    return write!(
+                        f,
+                        "version {version} is written, but no daemon is known to ask"
+                    );
+                }
                 write!(
                     f,
                     "version {version} is in force on {done} of {all} daemons"
@@ -275,9 +318,10 @@
         match self {
             Self::Settings(e) => Some(e),
             Self::File { source, .. } => Some(source),
-            Self::Fault(e) => Some(e),
+            Self::Fault(e) | Self::FileFault { fault: e, .. } => Some(e),
             Self::Platform(e) => Some(e),
-            Self::Output(e) => Some(e),
+            Self::Output(e) | Self::Process(e) | Self::Directory { source: e, .. } => Some(e),
+            Self::Standin(e) => Some(e),
             _ => None,
         }
     }
--- a/crates/peppercrank-cli/src/flags.rs
+++ b/crates/peppercrank-cli/src/flags.rs
@@ -17,6 +17,7 @@
 use crate::words::Daemon;
 use crate::words::Form;
 use crate::words::KindWord;
+use crate::words::Part;
 use crate::words::Span;
 
 xflags::xflags! {
@@ -75,6 +76,20 @@
             optional --publish-id id: PublishId
         }
 
+        /// Publishes every file below DIRECTORY/{pool,template,organisation,mark}, each object named
+        /// by its file, once all have passed their checks. What is there and differs is left
+        /// alone, with its differences printed and exit code 9, unless --revise is given.
+        cmd publish-all {
+            /// The directory.
+            required directory: PathBuf
+            /// Revise what differs.
+            optional --revise
+            /// Return once all that was written is in force on every daemon.
+            optional --wait
+            /// Longest wait for that; 30s unless set.
+            optional --within duration: Span
+        }
+
         /// Prints an object.
         cmd get {
             /// template, organisation, pool or mark
@@ -189,5 +204,13 @@
             /// router or agent; else told by whether the file names a target.
             optional --daemon-kind daemon: Daemon
         }
+
+        /// Serves a stand-in of another system, for trials, until SIGTERM.
+        cmd standin {
+            /// engine, service or platform
+            required kind: Part
+            /// Its settings: a file of JSON with comments, every field optional.
+            required file: PathBuf
+        }
     }
 }
--- a/crates/peppercrank-cli/src/in_force.rs
+++ b/crates/peppercrank-cli/src/in_force.rs
@@ -86,6 +86,14 @@
         let pages = Pages::new(access.operators.as_ref());
         let path = format!("{OBJECTS_PATH}/{}/{}", key.kind.code(), key.name);
         let mut all = daemons::find(access)?;
+        if all.is_empty() {
+            // In force on all of none would be true and worthless.
+            return Err(Error::NotInForce {
+                version,
+                done: 0,
+                missing: Vec::new(),
+            });
+        }
         let mut behind = all.clone();
         let mut round = 0;
         loop {
--- a/crates/peppercrank-cli/src/run.rs
+++ b/crates/peppercrank-cli/src/run.rs
@@ -35,15 +35,19 @@
         }
         Err(e) => return fail(err, &Error::Flags(e), form),
     };
-    match carry(&flags, environment) {
+    match carry(&flags, environment, out) {
         Ok((exit, text)) => write(out, err, &text, exit),
         Err(e) => fail(err, &e, form),
     }
 }
 
-fn carry(flags: &Peppercrank, environment: &Environment) -> Result<(Exit, String)> {
+fn carry(
+    flags: &Peppercrank,
+    environment: &Environment,
+    out: &mut dyn Write,
+) -> Result<(Exit, String)> {
     let access = Access::new(flags, environment)?;
-    let report = verbs::carry(&access, &flags.subcommand)?;
+    let report = verbs::carry(&access, &flags.subcommand, out)?;
     Ok((report.exit, report.show(access.form)))
 }
 
--- a/crates/peppercrank-cli/src/verbs/mod.rs
+++ b/crates/peppercrank-cli/src/verbs/mod.rs
@@ -3,13 +3,17 @@
 
 //! The verbs.
 
+mod batch;
 mod mark;
 mod organisation;
 mod read;
 mod settings;
+mod standin;
 mod status;
 mod write;
 
+use std::io::Write;
+
 use crate::access::Access;
 use crate::errors::Result;
 use crate::flags::PeppercrankCmd;
@@ -18,6 +22,7 @@
 /// The names of all verbs.
 pub(crate) const NAMES: &[&str] = &[
     "publish",
+    "publish-all",
     "revise",
     "get",
     "list",
@@ -30,12 +35,14 @@
     "unmark",
     "status",
     "check-settings",
+    "standin",
 ];
 
 /// Carries a verb out.
-pub(crate) fn carry(access: &Access, verb: &PeppercrankCmd) -> Result<Report> {
+pub(crate) fn carry(access: &Access, verb: &PeppercrankCmd, out: &mut dyn Write) -> Result<Report> {
     match verb {
         PeppercrankCmd::Publish(flags) => write::publish(access, flags),
+        PeppercrankCmd::PublishAll(flags) => batch::publish_all(access, flags),
         PeppercrankCmd::Revise(flags) => write::revise(access, flags),
         PeppercrankCmd::Delete(flags) => write::delete(access, flags),
         PeppercrankCmd::Get(flags) => read::get(access, flags),
@@ -48,5 +55,6 @@
         PeppercrankCmd::Unmark(flags) => mark::unmark(access, flags),
         PeppercrankCmd::Status(_) => status::status(access),
         PeppercrankCmd::CheckSettings(flags) => settings::check(flags),
+        PeppercrankCmd::Standin(flags) => standin::standin(access, flags, out),
     }
 }
--- a/crates/peppercrank-cli/src/words.rs
+++ b/crates/peppercrank-cli/src/words.rs
@@ -89,6 +89,42 @@
     }
 }
 
+/// `Part` is which system a stand-in stands in for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+    /// The platform.
+    Platform,
+}
+
+impl Part {
+    /// `word` is the part's word.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Engine => "engine",
+            Self::Service => "service",
+            Self::Platform => "platform",
+        }
+    }
+}
+
+impl FromStr for Part {
+    type Err = Word;
+
+    fn from_str(s: &str) -> Result<Self, Word> {
+        match s {
+            "engine" => Ok(Self::Engine),
+            "service" => Ok(Self::Service),
+            "platform" => Ok(Self::Platform),
+            _ => Err(Word::Part),
+        }
+    }
+}
+
 /// `Assignment` is one `key=value`; with no value the parameter is the template's again.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Assignment {
--- a/crates/peppercrank-cli/tests/verify_deploy.rs
+++ b/crates/peppercrank-cli/tests/verify_deploy.rs
@@ -3,12 +3,15 @@
 
 //! Every file under `deploy/` parses, passes its checks, and refers to what is there.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::ffi::OsStr;
 use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
 
+use peppercrank_cli::Exit;
 use peppercrank_config::checks::validate_spec;
 use peppercrank_config::object::Spec;
 use peppercrank_core::names::ObjectName;
@@ -17,6 +20,7 @@
 use peppercrank_settings::AgentSettings;
 use peppercrank_settings::RouterSettings;
 use serde_json::Value;
+use support::Bench;
 
 const ZONES: &[(&str, [&str; 4])] = &[
     ("pardikivi", ["ulemiste", "muuga", "lasnamae", "rae"]),
@@ -172,3 +176,72 @@
     assert!(skew.prefix < reuse.prefix);
     assert!(skew.wait_ms < reuse.wait_ms);
 }
+
+/// What `publish-all` did, counted by its word.
+fn counts(bench: &Bench, exit: Exit, line: &str) -> BTreeMap<String, usize> {
+    let json = bench.expect(exit, &format!("{line} --output json")).json();
+    let objects = json["objects"].as_array().expect("objects").clone();
+    let mut counts = BTreeMap::new();
+    for object in objects {
+        let how = object["how"].as_str().expect("a word").to_owned();
+        *counts.entry(how).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn verify_a_deployment_is_published_whole_and_again() {
+    let of = |word: &str, count| BTreeMap::from([(word.to_owned(), count)]);
+    for (deployment, _) in ZONES {
+        let bench = Bench::new();
+        let directory = root().join(deployment);
+        let line = format!("publish-all {}", directory.display());
+        assert_eq!(counts(&bench, Exit::Done, &line), of("created", 15));
+        assert_eq!(counts(&bench, Exit::Done, &line), of("unchanged", 15));
+        assert_eq!(bench.calls()["writes"], 15);
+
+        // Somebody's later change is left alone unless it is meant to go.
+        let name = match *deployment {
+            "pardikivi" => "vaike-air",
+            _ => "county-clerks",
+        };
+        bench.expect(Exit::Done, &format!("set-organisation {name} weight=7"));
+        let mixed = counts(&bench, Exit::Differs, &line);
+        assert_eq!(mixed["differs, left alone"], 1);
+        assert_eq!(mixed["unchanged"], 14);
+        let own = bench.expect(
+            Exit::Done,
+            &format!("get-organisation {name} --output json"),
+        );
+        assert_eq!(own.json()["overrides"]["weight"], 7);
+        assert_eq!(
+            counts(&bench, Exit::Done, &format!("{line} --revise"))["revised"],
+            1
+        );
+        assert_eq!(counts(&bench, Exit::Done, &line), of("unchanged", 15));
+    }
+}
+
+#[test]
+fn verify_one_faulty_file_holds_a_directory_back() {
+    let bench = Bench::new();
+    let base = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("faulty");
+    for kind in ["pool", "template"] {
+        fs::create_dir_all(base.join(kind)).expect("a directory");
+    }
+    let pool = fs::read_to_string(root().join("pardikivi/pool/galley-llm.jsonc"));
+    fs::write(base.join("pool/p.jsonc"), pool.expect("a text")).expect("a file");
+    let faulty = base.join("template/t.jsonc");
+    fs::write(&faulty, r#"{ "parameters": { "weight": 0 } }"#).expect("a file");
+    let line = format!("publish-all {}", base.display());
+    let ended = bench.expect(Exit::Invalid, &line);
+    assert!(
+        ended.err.starts_with(faulty.to_str().expect("a path")),
+        "{ended:?}"
+    );
+    bench.expect(
+        Exit::Failure,
+        &format!("publish-all {}", base.join("pool").display()),
+    );
+    assert_eq!(bench.calls()["writes"], 0);
+}
--- a/crates/peppercrank-cli/tests/verify_fleet.rs
+++ b/crates/peppercrank-cli/tests/verify_fleet.rs
@@ -49,7 +49,7 @@
     })
 }
 
-fn target(state: &str, load: Value, drain: Value) -> Value {
+fn target(state: &str, load: &Value, drain: &Value) -> Value {
     json!({ "name": "e-1", "pool": "p", "zone": "rae", "state": state, "load": load, "drain": drain })
 }
 
@@ -73,8 +73,8 @@
 fn verify_status_prefers_what_the_targets_own_agent_says() {
     let load = json!({ "cost": 700, "cap": 900, "running": 2, "waiting": 1 });
     let drain = json!({ "action": "shutdown", "drained": false });
-    let own = json!([target("Leaving", load.clone(), drain)]);
-    let believed = json!([target("Live", Value::Null, Value::Null)]);
+    let own = json!([target("Leaving", &load, &drain)]);
+    let believed = json!([target("Live", &Value::Null, &Value::Null)]);
     let router = daemon(status_of("entry-1", "router", "aaaa", &believed), 0);
     let agent = daemon(status_of("vm-1", "agent", "aaaa", &own), 0);
     for order in [[router, agent], [agent, router]] {
@@ -158,6 +158,9 @@
     assert_eq!(error["missing"], missing);
     // The change itself stands.
     bench.expect(Exit::Done, "get mark e-1");
+
+    let nobody = bench.expect(Exit::NotInForce, "unmark e-1 --wait");
+    assert!(nobody.err.contains("no daemon is known"), "{nobody:?}");
 }
 
 #[test]
--- a/crates/peppercrank-cli/tests/verify_usage.rs
+++ b/crates/peppercrank-cli/tests/verify_usage.rs
@@ -14,6 +14,7 @@
 /// The verbs and a word that the help of each must hold.
 const VERBS: &[(&str, &str)] = &[
     ("publish", "--publish-id"),
+    ("publish-all", "--revise"),
     ("revise", "--if-version"),
     ("get", "<name>"),
     ("list", "<kind>"),
@@ -26,6 +27,7 @@
     ("unmark", "--wait"),
     ("status", "loads and drains"),
     ("check-settings", "line and column"),
+    ("standin", "engine, service or platform"),
 ];
 
 #[test]
