Run a whole local fleet from one command

Cause: a stranger needs one command that starts everything; testers need the daemons as processes. Change: the verbs `local`, `router` and `agent`; the organisation of requests that bring neither key nor name; a list of VMs that names nobody else is read again after a second.

--- a/crates/peppercrank-cli/src/flags.rs
+++ b/crates/peppercrank-cli/src/flags.rs
@@ -205,6 +205,34 @@
             optional --daemon-kind daemon: Daemon
         }
 
+        /// Serves callers until SIGTERM, then ends what is in progress.
+        cmd router {
+            /// Its settings: a file of JSON with comments.
+            required file: PathBuf
+        }
+
+        /// Serves as the agent of one target until SIGTERM, then ends what is in progress.
+        cmd agent {
+            /// Its settings: a file of JSON with comments.
+            required file: PathBuf
+        }
+
+        /// Serves a whole small fleet with stand-ins in one process, on loopback.
+        cmd local {
+            /// Port of the first router, the next ones follow; 8080 unless set, 0 for free ones.
+            optional --port port: u16
+            /// Routers; 2 unless set.
+            optional --routers count: u16
+            /// Engines, each with its agent; 3 unless set.
+            optional --engines count: u16
+            /// Replicas of the plain service, each with its agent; 2 unless set.
+            optional --services count: u16
+            /// Port of the platform stand-in; a free one unless set.
+            optional --platform-port port: u16
+            /// Time after which it ends with exit code 0; for ever unless set.
+            optional --run-time duration: Span
+        }
+
         /// Serves a stand-in of another system, for trials, until SIGTERM.
         cmd standin {
             /// engine, service or platform
--- /dev/null
+++ b/crates/peppercrank-cli/src/verbs/daemon.rs
@@ -0,0 +1,95 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The daemons as processes of their own.
+
+use std::io;
+
+use peppercrank_core::events::Level;
+use peppercrank_daemon::agent;
+use peppercrank_daemon::log::Log;
+use peppercrank_daemon::router;
+use peppercrank_settings::AgentSettings;
+use peppercrank_settings::FleetSettings;
+use peppercrank_settings::RouterSettings;
+use peppercrank_settings::fleet::LogLevel;
+use peppercrank_wire::edge::Finished;
+use peppercrank_wire::stop;
+use peppercrank_wire::stop::Stopper;
+use serde_json::json;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use tokio::runtime::Runtime;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::flags;
+use crate::report::Report;
+
+/// Serves as a router until SIGTERM or SIGINT.
+pub(super) fn router(flags: &flags::Router) -> Result<Report> {
+    let settings = RouterSettings::load(&flags.file)?;
+    let log = log(&settings.fleet);
+    let runtime = Runtime::new().map_err(Error::Process)?;
+    let (stopper, stop) = stop::stop();
+    on_signal(stopper)?;
+    let finished = runtime.block_on(async {
+        let running = router::start(settings, log, stop).await?;
+        running.finished().await
+    });
+    Ok(ended(
+        "router",
+        finished.map_err(|e| Error::Daemon(e.into()))?,
+    ))
+}
+
+/// Serves as an agent until SIGTERM or SIGINT.
+pub(super) fn agent(flags: &flags::Agent) -> Result<Report> {
+    let settings = AgentSettings::load(&flags.file)?;
+    let log = log(&settings.fleet);
+    let runtime = Runtime::new().map_err(Error::Process)?;
+    let (stopper, stop) = stop::stop();
+    on_signal(stopper)?;
+    let finished = runtime.block_on(async {
+        let running = agent::start(settings, log, stop).await?;
+        running.finished().await
+    });
+    Ok(ended(
+        "agent",
+        finished.map_err(|e| Error::Daemon(e.into()))?,
+    ))
+}
+
+/// Writes the daemon's events to the standard error, where a process's collector reads them.
+fn log(settings: &FleetSettings) -> Log {
+    let level = match settings.log {
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Info => Level::Info,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Error => Level::Error,
+    };
+    Log::to(io::stderr(), level, settings.vm.as_str())
+}
+
+/// Stops at the first signal.
+pub(super) fn on_signal(stopper: Stopper) -> Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(Error::Process)?;
+    let wait = move || {
+        signals.forever().next();
+        stopper.stop();
+    };
+    let started = std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(wait);
+    started.map(drop).map_err(Error::Process)
+}
+
+fn ended(daemon: &str, finished: Finished) -> Report {
+    let Finished { calls, cut } = finished;
+    let text = format!("{daemon} stopped after {calls} calls, {cut} cut");
+    Report::done(
+        text,
+        json!({ "daemon": daemon, "calls": calls, "cut": cut }),
+    )
+}
--- a/crates/peppercrank-cli/src/verbs/mod.rs
+++ b/crates/peppercrank-cli/src/verbs/mod.rs
@@ -4,6 +4,8 @@
 //! The verbs.
 
 mod batch;
+mod daemon;
+mod local;
 mod mark;
 mod organisation;
 mod read;
@@ -35,6 +37,9 @@
     "unmark",
     "status",
     "check-settings",
+    "router",
+    "agent",
+    "local",
     "standin",
 ];
 
@@ -55,6 +60,9 @@
         PeppercrankCmd::Unmark(flags) => mark::unmark(access, flags),
         PeppercrankCmd::Status(_) => status::status(access),
         PeppercrankCmd::CheckSettings(flags) => settings::check(flags),
+        PeppercrankCmd::Router(flags) => daemon::router(flags),
+        PeppercrankCmd::Agent(flags) => daemon::agent(flags),
+        PeppercrankCmd::Local(flags) => local::local(access, flags, out),
         PeppercrankCmd::Standin(flags) => standin::standin(access, flags, out),
     }
 }
--- a/crates/peppercrank-daemon/src/fleet/platform.rs
+++ b/crates/peppercrank-daemon/src/fleet/platform.rs
@@ -124,6 +124,10 @@
 
 /// How long the list of VMs is not read again: few read it often, the rest share a slow rate.
 fn pause(fleet: &Arc<Fleet>) -> Duration {
+    if fleet.live() <= 1 {
+        // The list lags: one that names nobody else is read again soon.
+        return VMS_RETRY;
+    }
     if fleet.is_watcher() {
         return VMS_WATCHER;
     }
--- a/crates/peppercrank-daemon/src/router/identify.rs
+++ b/crates/peppercrank-daemon/src/router/identify.rs
@@ -21,14 +21,20 @@
 
 /// `organisation` finds the organisation by its API key, or by name where it has no keys.
 ///
+/// A request with neither belongs to `anonymous`.
+///
 /// # Errors
 ///
 /// Returns 401 or 403 with a stable code when it finds none.
-pub fn organisation(fleet: &Fleet, from: &HeaderMap) -> Result<Arc<Effective>, Fault> {
+pub fn organisation(
+    fleet: &Fleet,
+    anonymous: Option<&OrganisationName>,
+    from: &HeaderMap,
+) -> Result<Arc<Effective>, Fault> {
     if from.contains_key(header::AUTHORIZATION) {
         return by_key(fleet, from);
     }
-    by_name(fleet, from)
+    by_name(fleet, anonymous, from)
 }
 
 fn by_key(fleet: &Fleet, from: &HeaderMap) -> Result<Arc<Effective>, Fault> {
@@ -42,10 +48,16 @@
     found.ok_or((StatusCode::UNAUTHORIZED, "key_unknown"))
 }
 
-fn by_name(fleet: &Fleet, from: &HeaderMap) -> Result<Arc<Effective>, Fault> {
-    let name: Option<OrganisationName> = headers::parsed(from, &headers::ORGANISATION);
-    let Some(name) = name else {
-        return Err((StatusCode::UNAUTHORIZED, "organisation_missing"));
+fn by_name(
+    fleet: &Fleet,
+    anonymous: Option<&OrganisationName>,
+    from: &HeaderMap,
+) -> Result<Arc<Effective>, Fault> {
+    let named = from.contains_key(headers::ORGANISATION);
+    let name = match anonymous.filter(|_| !named) {
+        Some(anonymous) => anonymous.clone(),
+        None => headers::parsed(from, &headers::ORGANISATION)
+            .ok_or((StatusCode::UNAUTHORIZED, "organisation_missing"))?,
     };
     fleet.with_store(|store| {
         // One with keys is never taken at its word.
--- a/crates/peppercrank-daemon/src/router/job.rs
+++ b/crates/peppercrank-daemon/src/router/job.rs
@@ -28,6 +28,7 @@
 use crate::errors::Error;
 use crate::fleet::Fleet;
 use crate::headers;
+use crate::router::Router;
 use crate::router::identify;
 use crate::router::identify::Fault;
 
@@ -114,8 +115,10 @@
     /// # Errors
     ///
     /// Returns the status and stable code of what is wrong with it.
-    pub fn chat(fleet: &Fleet, id: RequestId, head: Parts, body: Bytes) -> Result<Self, Fault> {
-        let organisation = identify::organisation(fleet, &head.headers)?;
+    pub fn chat(router: &Router, id: RequestId, head: Parts, body: Bytes) -> Result<Self, Fault> {
+        let fleet = &router.fleet;
+        let anonymous = router.settings.anonymous.as_ref();
+        let organisation = identify::organisation(fleet, anonymous, &head.headers)?;
         let parameters = organisation.parameters.as_ref();
         let parameters = parameters.ok_or((StatusCode::FORBIDDEN, "template_unknown"))?;
         let wishes = wishes(&head.headers, parameters)?;
@@ -163,13 +166,15 @@
     ///
     /// Returns the status and stable code of what is wrong with it.
     pub fn service(
-        fleet: &Fleet,
+        router: &Router,
         id: RequestId,
         pool: &str,
         head: Parts,
         body: Bytes,
     ) -> Result<Self, Fault> {
-        let organisation = identify::organisation(fleet, &head.headers)?;
+        let fleet = &router.fleet;
+        let anonymous = router.settings.anonymous.as_ref();
+        let organisation = identify::organisation(fleet, anonymous, &head.headers)?;
         let parameters = organisation.parameters.as_ref();
         let parameters = parameters.ok_or((StatusCode::FORBIDDEN, "template_unknown"))?;
         let wishes = wishes(&head.headers, parameters)?;
--- a/crates/peppercrank-daemon/src/router/serve.rs
+++ b/crates/peppercrank-daemon/src/router/serve.rs
@@ -87,8 +87,8 @@
         Err(e) => return refuse_body(e),
     };
     let job = match pool {
-        None => Job::chat(&router.fleet, id, call.head, body),
-        Some(pool) => Job::service(&router.fleet, id, pool, call.head, body),
+        None => Job::chat(&router, id, call.head, body),
+        Some(pool) => Job::service(&router, id, pool, call.head, body),
     };
     match job {
         Ok(job) => request::run(router, job).await,
--- a/crates/peppercrank-settings/src/router.rs
+++ b/crates/peppercrank-settings/src/router.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use peppercrank_core::names::OrganisationName;
 use serde::Deserialize;
 
 use crate::FleetSettings;
@@ -41,6 +42,9 @@
     pub fleet: FleetSettings,
     /// TCP address for callers.
     pub listen: SocketAddr,
+    /// The organisation of requests that bring neither key nor name; none unless set.
+    #[serde(default)]
+    pub anonymous: Option<OrganisationName>,
     /// Bounds on callers.
     #[serde(default)]
     pub limits: Limits,
@@ -92,6 +96,7 @@
         Self {
             fleet,
             listen,
+            anonymous: None,
             limits: Limits::default(),
             stop_time: DEFAULT_STOP_TIME,
             retry: Retry::default(),
