Spread short claims and read descriptions once, compare whole tables by digest

Cause: in a trial, all members started at once took 48 s at 100 members and 79 s at 400 until every one knew every other, since each description was pushed several times to each process. Change: news carries claims alone; a receiver asks for a description that it lacks; tables are compared by 64 digests every 10 s, sooner after a difference.

--- a/crates/peppercrank-member/src/compose.rs
+++ b/crates/peppercrank-member/src/compose.rs
@@ -20,10 +20,12 @@
 use crate::message::MAX_MESSAGE;
 use crate::message::Message;
 use crate::message::News;
+use crate::message::Record;
 use crate::message::Sample;
 use crate::message::State;
 use crate::size;
 use crate::suspicion::Suspicion;
+use crate::table::Member;
 use crate::table::MemberKey;
 
 /// Bytes of news on a message that is sent anyway.
@@ -55,8 +57,8 @@
     pub id: MemberId,
     pub address: SocketAddr,
     pub body: Body,
-    /// News that this message is for; sent as far as it fits.
-    pub news: Vec<News>,
+    /// Records that this message is for; sent as far as they fit.
+    pub records: Vec<Record>,
     pub class: Class,
 }
 
@@ -66,7 +68,7 @@
             id,
             address,
             body,
-            news: Vec::new(),
+            records: Vec::new(),
             class,
         }
     }
@@ -102,11 +104,11 @@
             .saturating_sub(self.budget.depth() / 2);
         let room = spare.max(size + OVERHEAD) - OVERHEAD;
         let most = room.min(MAX_MESSAGE);
-        for news in draft.news {
-            let more = size::news(&news);
+        for record in draft.records {
+            let more = size::record(&record);
             if size + more <= free.saturating_sub(OVERHEAD).min(MAX_MESSAGE) {
                 size += more;
-                message.news.push(news);
+                message.records.push(record);
             }
         }
         size += self.add_rumours(&mut message, most.saturating_sub(size));
@@ -132,6 +134,7 @@
             },
             body: draft.body.clone(),
             news: Vec::new(),
+            records: Vec::new(),
             loads: Vec::new(),
             digest: self.facts.digest.clone(),
             rumours: Vec::new(),
@@ -152,14 +155,22 @@
             _ => room.min(NEWS_ROOM),
         };
         let mut used = 0;
-        for (key, full) in self.news.next(room / MIN_NEWS) {
-            let Some(news) = self.tell(key, full) else {
+        for key in self.news.next() {
+            if used + MIN_NEWS > room {
+                break;
+            }
+            let Some(member) = self.table.get(key) else {
                 self.news.drop_member(key);
                 continue;
             };
+            if member.is_vague() {
+                // A receiver would ask here for the description, in vain as yet.
+                continue;
+            }
+            let news = self.tell(key, member);
             let more = size::news(&news);
             if used + more > room {
-                continue;
+                break;
             }
             used += more;
             message.news.push(news);
@@ -169,22 +180,20 @@
     }
 
     /// What is to be said of a member now.
-    pub(crate) fn tell(&self, key: MemberKey, full: bool) -> Option<News> {
-        let member = self.table.get(key)?;
-        if !member.is_heard() {
-            return None;
-        }
-        if let Some(record) = member.record().filter(|_| full) {
-            return Some(News::Record(record));
-        }
+    fn tell(&self, key: MemberKey, member: &Member) -> News {
         let claim = member.claim();
         let accuser = self.suspicions.get(&key).and_then(Suspicion::accuser);
         match accuser.filter(|_| member.state == State::Suspect) {
-            Some(by) => Some(News::Accusation { claim, by }),
-            None => Some(News::Claim(claim)),
+            Some(by) => News::Accusation { claim, by },
+            None => News::Claim(claim),
         }
     }
 
+    /// This process's own record.
+    pub(crate) fn own_record(&self) -> Option<Record> {
+        self.own()?.record()
+    }
+
     fn add_loads(
         &mut self,
         now: Moment,
--- a/crates/peppercrank-member/src/join.rs
+++ b/crates/peppercrank-member/src/join.rs
@@ -13,7 +13,6 @@
 use crate::members::Members;
 use crate::message::Body;
 use crate::message::MAX_MESSAGE;
-use crate::message::News;
 use crate::message::State;
 use crate::size;
 use crate::table::Member;
@@ -22,10 +21,7 @@
 const PAGE_SPARE: usize = 120;
 
 /// Members asked for in one message.
-const MAX_ASKED: usize = 40;
-
-/// Live members with unknown description that are asked for in one sweep.
-const VAGUE: usize = 8;
+const MAX_ASKED: usize = 8;
 
 /// Others told when this process leaves.
 const FAREWELLS: usize = 5;
@@ -70,7 +66,7 @@
         let Some(mut draft) = draft else {
             return;
         };
-        draft.news.extend(self.tell(self.me, true));
+        draft.records.extend(self.own_record());
         self.send(now, draft);
     }
 
@@ -82,31 +78,32 @@
         after: MemberId,
     ) {
         let mut room = MAX_MESSAGE - PAGE_SPARE - self.facts.digest.len();
-        let mut news = Vec::new();
+        let mut records = Vec::new();
         let mut last = after;
         let mut next = None;
         for member in self.table.after(after).filter(|m| m.id != from) {
             let Some(record) = member.record() else {
                 continue;
             };
-            let record = News::Record(record);
-            let Some(rest) = room.checked_sub(size::news(&record)) else {
+            let Some(rest) = room.checked_sub(size::record(&record)) else {
                 next = Some(last);
                 break;
             };
             room = rest;
             last = member.id;
-            news.push(record);
+            records.push(record);
         }
         let body = Body::Page { after, next };
-        let mut draft = Draft::new(from, address, body, Class::Bulk);
-        draft.news = news;
+        let mut draft = Draft::new(from, address, body, Class::Exchange);
+        draft.records = records;
         self.send(now, draft);
     }
 
-    pub(crate) fn on_page(&mut self, after: MemberId, next: Option<MemberId>) {
+    pub(crate) fn on_page(&mut self, now: Moment, after: MemberId, next: Option<MemberId>) {
         if self.join.cursor == Some(after) {
             self.join.cursor = next;
+            // A peer may be as new as this process: compare with others right away.
+            self.due.compare = now;
         }
     }
 
@@ -121,7 +118,7 @@
             return;
         }
         ids.truncate(MAX_ASKED);
-        let draft = Draft::new(from, address, Body::Ask { ids }, Class::Bulk);
+        let draft = Draft::new(from, address, Body::Ask { ids }, Class::Exchange);
         self.send(now, draft);
     }
 
@@ -132,24 +129,29 @@
         address: SocketAddr,
         ids: &[MemberId],
     ) {
-        let keys = ids.iter().filter_map(|id| self.table.key(*id));
-        let news: Vec<_> = keys.filter_map(|key| self.tell(key, true)).collect();
-        let mut draft = Draft::new(from, address, Body::Gossip, Class::Bulk);
-        draft.news = news;
+        let members = ids.iter().filter_map(|id| self.table.find(*id));
+        let records: Vec<_> = members.filter_map(Member::record).collect();
+        if records.is_empty() {
+            return;
+        }
+        let mut draft = Draft::new(from, address, Body::Gossip, Class::Exchange);
+        draft.records = records;
         self.send(now, draft);
     }
 
-    /// Asks a peer for descriptions that got lost on their way.
-    pub(crate) fn ask_vague(&mut self, now: Moment) {
-        let vague = self.table.iter().filter(|(_, m)| m.is_vague());
-        let ids: Vec<_> = vague.map(|(_, m)| m.id).take(VAGUE).collect();
-        if ids.is_empty() {
+    /// Asks a peer for descriptions that did not come by themselves.
+    pub(crate) fn run_ask(&mut self, now: Moment) {
+        self.due.ask = now + self.settings.ask;
+        let vague = |m: &Member| m.is_vague();
+        let first = self.table.pick_run(&mut self.rng, MAX_ASKED, vague);
+        if first.is_empty() {
+            self.due.ask = now + self.settings.period;
             return;
         }
-        let peer = self
-            .table
-            .pick(&mut self.rng, |m| m.state == State::Alive && !m.is_vague());
-        let draft = peer.and_then(|key| self.draft(key, Body::Ask { ids }, Class::Bulk));
+        let fits = |m: &Member| m.state == State::Alive && m.address().is_some();
+        let peer = self.table.pick(&mut self.rng, fits);
+        let body = Body::Ask { ids: first };
+        let draft = peer.and_then(|key| self.draft(key, body, Class::Exchange));
         if let Some(draft) = draft {
             self.send(now, draft);
         }
@@ -171,12 +173,12 @@
         self.seq = self.seq.wrapping_add(1);
         let body = Body::Probe {
             seq: self.seq,
-            check: None,
+            want: true,
         };
         let Some(mut draft) = self.draft(key, body, Class::Bulk) else {
             return;
         };
-        draft.news.extend(self.tell(self.me, true));
+        draft.records.extend(self.own_record());
         self.send(now, draft);
     }
 
@@ -186,7 +188,7 @@
             return;
         };
         own.state = State::Left;
-        self.renew(None, false);
+        self.renew(None);
         for _ in 0..FAREWELLS {
             let to = self.table.pick(&mut self.rng, |m| m.state == State::Alive);
             let draft = to.and_then(|key| self.draft(key, Body::Gossip, Class::Exchange));
--- a/crates/peppercrank-member/src/lib.rs
+++ b/crates/peppercrank-member/src/lib.rs
@@ -25,6 +25,7 @@
 mod news;
 mod probe;
 mod receive;
+mod repair;
 mod suspicion;
 mod table;
 
--- a/crates/peppercrank-member/src/members.rs
+++ b/crates/peppercrank-member/src/members.rs
@@ -85,6 +85,8 @@
     pub exchange: Moment,
     pub rejoin: Moment,
     pub pull: Moment,
+    pub ask: Moment,
+    pub compare: Moment,
     pub sweep: Moment,
 }
 
@@ -109,7 +111,6 @@
     pub(crate) doubts: VecDeque<MemberKey>,
     pub(crate) in_turn: bool,
     pub(crate) seq: u32,
-    pub(crate) bucket: u8,
     pub(crate) join: Join,
     pub(crate) due: Due,
     pub(crate) heard: Moment,
@@ -141,6 +142,8 @@
             exchange: now,
             rejoin: now,
             pull: now,
+            ask: now,
+            compare: now,
             sweep: now,
         };
         let mut members = Self {
@@ -161,7 +164,6 @@
             doubts: VecDeque::new(),
             in_turn: true,
             seq: 0,
-            bucket: 0,
             join: Join::default(),
             due,
             heard: now,
@@ -171,7 +173,7 @@
             settings,
         };
         members.learn_facts(local.facts);
-        members.news.put(me, true, copies(1));
+        members.news.put(me, copies(1));
         members
     }
 
@@ -197,7 +199,12 @@
     #[must_use]
     pub fn next_wake(&self) -> Moment {
         let due = self.due;
-        let mut next = due.probe.min(due.rejoin).min(due.sweep);
+        let mut next = due
+            .probe
+            .min(due.rejoin)
+            .min(due.sweep)
+            .min(due.compare)
+            .min(due.ask);
         if !self.news.is_empty() || !self.rumours.is_empty() {
             next = next.min(due.gossip);
         }
@@ -327,7 +334,7 @@
     }
 
     /// Takes the next turn, so that what this process says of itself prevails.
-    pub(crate) fn renew(&mut self, incarnation: Option<Incarnation>, full: bool) {
+    pub(crate) fn renew(&mut self, incarnation: Option<Incarnation>) {
         let copies = self.copies();
         let Some(own) = self.table.get_mut(self.me) else {
             return;
@@ -337,7 +344,7 @@
             turn: own.incarnation.turn.saturating_add(1),
         };
         own.incarnation = incarnation.unwrap_or(next);
-        self.news.put(self.me, full, copies);
+        self.news.put(self.me, copies);
     }
 
     /// Tells the outside what became of a member.
@@ -441,6 +448,12 @@
         if now >= self.due.pull {
             self.run_pull(now);
         }
+        if now >= self.due.ask {
+            self.run_ask(now);
+        }
+        if now >= self.due.compare {
+            self.run_compare(now);
+        }
         if now >= self.due.sweep {
             self.due.sweep = now + SWEEP;
             self.sweep(now);
@@ -451,7 +464,6 @@
         self.loads.expire(now);
         self.release_held(now);
         self.forget(now);
-        self.ask_vague(now);
     }
 
     fn forget(&mut self, now: Moment) {
@@ -512,7 +524,7 @@
         };
         if own.leaving != leaving {
             own.leaving = leaving;
-            self.renew(None, false);
+            self.renew(None);
         }
     }
 
@@ -526,7 +538,7 @@
         }
         own.stamp = stamp;
         own.describe(Arc::new(description));
-        self.renew(None, true);
+        self.renew(None);
     }
 
     fn spread(&mut self, pieces: Vec<Vec<u8>>) {
--- a/crates/peppercrank-member/src/message.rs
+++ b/crates/peppercrank-member/src/message.rs
@@ -78,10 +78,13 @@
     pub description: Arc<Description>,
 }
 
-/// `News` is one piece of membership that rides on a message.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// `News` is one piece of membership that is being spread.
+///
+/// A receiver that lacks the description asks for it; so each description travels to each
+/// process about once, while the short claim travels several times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum News {
-    /// A statement on a member whose description the receiver most likely has.
+    /// A statement on a member.
     Claim(Claim),
     /// A suspicion, with the member whose own probe failed.
     Accusation {
@@ -90,8 +93,6 @@
         /// Who says it at first hand.
         by: MemberId,
     },
-    /// The whole record.
-    Record(Record),
 }
 
 /// `Addressee` names whom a message is meant for, and what the sender holds of it.
@@ -118,15 +119,6 @@
     pub age: u8,
 }
 
-/// `Check` is the digest of one bucket of the sender's table.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Check {
-    /// Which bucket.
-    pub bucket: u8,
-    /// The digest over its live members.
-    pub digest: [u8; 4],
-}
-
 /// `Body` is what a message is for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
@@ -134,15 +126,13 @@
     Probe {
         /// The number, fresh for each probe.
         seq: u32,
-        /// A part of the sender's table to compare; `None` while it joins.
-        check: Option<Check>,
+        /// Whether the sender lacks the receiver's description.
+        want: bool,
     },
     /// Answers a probe.
     Ack {
         /// The probe's number.
         seq: u32,
-        /// The members of the bucket that differed, as the answerer holds them.
-        differs: Vec<Claim>,
     },
     /// Asks the receiver to probe another member on the sender's behalf.
     ProbeFor {
@@ -161,12 +151,24 @@
         /// The asker's number.
         seq: u32,
     },
+    /// Compares the sender's table with the receiver's.
+    Compare {
+        /// The digest over the live members of each bucket.
+        digests: Vec<[u8; 4]>,
+    },
+    /// Answers a comparison with the buckets that differ, as far as they fit.
+    Differ {
+        /// The buckets.
+        buckets: Vec<u8>,
+        /// All members of these buckets, as the answerer holds them.
+        claims: Vec<Claim>,
+    },
     /// Asks for records with ids above `after`.
     Pull {
         /// The last id that the asker has.
         after: MemberId,
     },
-    /// Answers a pull; the records ride as news.
+    /// Answers a pull; the records ride along.
     Page {
         /// The pull's cursor.
         after: MemberId,
@@ -198,8 +200,10 @@
     pub to: Addressee,
     /// What for.
     pub body: Body,
-    /// Membership news.
+    /// Membership news, to be spread on.
     pub news: Vec<News>,
+    /// Records that the receiver asked for or seems to lack.
+    pub records: Vec<Record>,
     /// Load reports, the sender's own first.
     pub loads: Vec<Sample>,
     /// The sender's configuration digest, opaque here; empty for none.
--- a/crates/peppercrank-member/src/news.rs
+++ b/crates/peppercrank-member/src/news.rs
@@ -17,63 +17,47 @@
     2 + log.div_ceil(2)
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Item {
-    left: u32,
-    full: bool,
-}
-
 /// `Queue` holds which members are news; what is said of them is read when it is sent.
 #[derive(Debug, Clone, Default)]
 pub struct Queue {
-    items: BTreeMap<MemberKey, Item>,
+    /// Copies left to send or hear.
+    left: BTreeMap<MemberKey, u32>,
 }
 
 impl Queue {
-    /// `put` makes a member news; `full` if its description is too.
-    pub fn put(&mut self, key: MemberKey, full: bool, copies: u32) {
-        let item = Item { left: copies, full };
-        let slot = self.items.entry(key).or_insert(item);
-        slot.left = copies;
-        slot.full |= full;
+    /// `put` makes a member news.
+    pub fn put(&mut self, key: MemberKey, copies: u32) {
+        self.left.insert(key, copies);
     }
 
     /// `drop_member` is for a member that is no more.
     pub fn drop_member(&mut self, key: MemberKey) {
-        self.items.remove(&key);
+        self.left.remove(&key);
     }
 
     /// `spent` notes that a copy was sent or heard.
     pub fn spent(&mut self, key: MemberKey) {
-        let Some(item) = self.items.get_mut(&key) else {
+        let Some(left) = self.left.get_mut(&key) else {
             return;
         };
-        item.left = item.left.saturating_sub(1);
-        if item.left == 0 {
-            self.items.remove(&key);
+        *left = left.saturating_sub(1);
+        if *left == 0 {
+            self.left.remove(&key);
         }
     }
 
     /// `is_empty` tells whether nothing is news.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.items.is_empty()
+        self.left.is_empty()
     }
 
-    /// `next` lists up to `most` members, least spread first, and whether in full.
+    /// `next` lists the members that are news, least spread first.
     #[must_use]
-    pub fn next(&self, most: usize) -> Vec<(MemberKey, bool)> {
-        let mut order: Vec<_> = self
-            .items
-            .iter()
-            .map(|(k, i)| (i.left, *k, i.full))
-            .collect();
-        order.sort_by_key(|it| std::cmp::Reverse(*it));
-        order.truncate(most);
-        order
-            .into_iter()
-            .map(|(_, key, full)| (key, full))
-            .collect()
+    pub fn next(&self) -> Vec<MemberKey> {
+        let mut order: Vec<_> = self.left.iter().map(|(key, left)| (*left, *key)).collect();
+        order.sort_unstable_by_key(|it| std::cmp::Reverse(*it));
+        order.into_iter().map(|(_, key)| key).collect()
     }
 }
 
--- a/crates/peppercrank-member/src/probe.rs
+++ b/crates/peppercrank-member/src/probe.rs
@@ -13,10 +13,8 @@
 use crate::description::MemberId;
 use crate::members::Members;
 use crate::message::Body;
-use crate::message::News;
 use crate::message::State;
 use crate::suspicion::Suspicion;
-use crate::table::BUCKETS;
 use crate::table::Member;
 use crate::table::MemberKey;
 
@@ -111,10 +109,9 @@
     /// Sends a probe and returns its number, if the budget allowed it.
     fn send_probe(&mut self, now: Moment, key: MemberKey) -> Option<u32> {
         self.seq = self.seq.wrapping_add(1);
-        self.bucket = (self.bucket + 1) % BUCKETS;
-        let check = self.join.is_done().then(|| self.table.check(self.bucket));
         let seq = self.seq;
-        let draft = self.draft(key, Body::Probe { seq, check }, Class::Vital)?;
+        let want = self.table.get(key)?.is_vague();
+        let draft = self.draft(key, Body::Probe { seq, want }, Class::Vital)?;
         self.send(now, draft).then_some(seq)
     }
 
@@ -164,7 +161,7 @@
             Some(State::Dead | State::Left) => {
                 // Someone held it live, and it is not: let that be known again.
                 let copies = self.copies();
-                self.news.put(probe.key, false, copies);
+                self.news.put(probe.key, copies);
             }
             None => {}
         }
@@ -182,7 +179,7 @@
         member.since = now;
         let suspicion = Suspicion::new(now, by, live, &self.settings, stretch);
         self.suspicions.insert(key, suspicion);
-        self.news.put(key, false, copies);
+        self.news.put(key, copies);
         self.publish(key, false);
     }
 
@@ -193,7 +190,7 @@
             return;
         };
         if suspicion.accuse(by) {
-            self.news.put(key, false, copies);
+            self.news.put(key, copies);
         }
     }
 
@@ -234,7 +231,7 @@
         member.state = state;
         member.since = now;
         self.loads.drop_member(member.id);
-        self.news.put(key, false, copies);
+        self.news.put(key, copies);
         self.publish(key, false);
     }
 
@@ -275,10 +272,7 @@
         let body = Body::Vouch {
             seq: relayed.theirs,
         };
-        // With the subject's newest claim, in case that it refutes something.
-        let mut draft = Draft::new(relayed.asker, relayed.address, body, Class::Vital);
-        let claim = self.table.find(from).map(|m| News::Claim(m.claim()));
-        draft.news.extend(claim);
+        let draft = Draft::new(relayed.asker, relayed.address, body, Class::Vital);
         self.send(now, draft);
     }
 
--- a/crates/peppercrank-member/src/receive.rs
+++ b/crates/peppercrank-member/src/receive.rs
@@ -21,23 +21,17 @@
 use crate::load::made_at;
 use crate::members::Members;
 use crate::message::Body;
-use crate::message::Check;
 use crate::message::Claim;
 use crate::message::Incarnation;
 use crate::message::MAX_BOOT;
-use crate::message::MAX_MESSAGE;
 use crate::message::Message;
 use crate::message::News;
+use crate::message::Record;
 use crate::message::Sample;
 use crate::message::State;
-use crate::size;
-use crate::table::BUCKETS;
 use crate::table::Member;
 use crate::table::MemberKey;
 
-/// Bytes kept free beside a list of differences.
-const DIFFERS_SPARE: usize = 200;
-
 impl Members {
     pub(crate) fn on_datagram(&mut self, now: Moment, address: SocketAddr, message: Message) {
         self.counters.received += 1;
@@ -74,16 +68,18 @@
     fn take_in(&mut self, now: Moment, address: SocketAddr, message: Message) {
         let from = message.from.id;
         let mut asks = Vec::new();
-        self.merge(now, message.from, None, None, &mut asks);
+        self.merge(now, message.from, Learnt::Told, None, &mut asks);
         for news in message.news {
             self.take_news(now, news, &mut asks);
         }
+        for record in message.records {
+            self.take_record(now, record, &mut asks);
+        }
         self.take_loads(now, &message.loads);
         self.take_digest(from, message.digest);
         self.take_rumours(from, message.rumours);
         let answers = matches!(message.body, Body::Probe { .. } | Body::Refused);
-        let unknown = message.to.held.is_none();
-        self.take_body(now, from, address, message.body, unknown, &mut asks);
+        self.take_body(now, from, address, message.body, &mut asks);
         if !answers {
             self.notify(now, from, address);
         }
@@ -96,16 +92,14 @@
         from: MemberId,
         address: SocketAddr,
         body: Body,
-        unknown: bool,
         asks: &mut Vec<MemberId>,
     ) {
         match body {
-            Body::Probe { seq, check } => {
-                self.on_probe(now, from, address, seq, check, unknown);
-            }
-            Body::Ack { seq, differs } => {
-                self.on_ack(now, from, seq);
-                self.reconcile(now, from, address, &differs, asks);
+            Body::Probe { seq, want } => self.on_probe(now, from, address, seq, want),
+            Body::Ack { seq } => self.on_ack(now, from, seq),
+            Body::Compare { digests } => self.on_compare(now, from, address, &digests),
+            Body::Differ { buckets, claims } => {
+                self.reconcile(now, from, address, &buckets, &claims, asks);
             }
             Body::ProbeFor { seq, subject } => {
                 self.on_probe_for(now, from, address, seq, subject);
@@ -113,7 +107,7 @@
             Body::Vouch { seq } => self.on_vouch(seq),
             Body::Silent { seq } => self.on_silent(seq),
             Body::Pull { after } => self.on_pull(now, from, address, after),
-            Body::Page { after, next } => self.on_page(after, next),
+            Body::Page { after, next } => self.on_page(now, after, next),
             Body::Ask { ids } => self.on_ask(now, from, address, &ids),
             Body::Gossip | Body::Refused => {}
             Body::Relay(piece) => self.out.push(Action::Rumours {
@@ -130,7 +124,7 @@
             return;
         }
         let mut draft = Draft::new(to, address, Body::Refused, Class::Bulk);
-        draft.news.extend(self.tell(self.me, true));
+        draft.records.extend(self.own_record());
         self.send(now, draft);
     }
 
@@ -160,119 +154,39 @@
             // Others missed answers of this process: it may be slow.
             self.health.worse(1);
         }
-        self.renew(Some(next), false);
+        self.renew(Some(next));
     }
 
-    fn on_probe(
-        &mut self,
-        now: Moment,
-        from: MemberId,
-        address: SocketAddr,
-        seq: u32,
-        check: Option<Check>,
-        unknown: bool,
-    ) {
-        let differs = check.map_or_else(Vec::new, |c| self.differences(now, c));
-        let body = Body::Ack { seq, differs };
-        let mut draft = Draft::new(from, address, body, Class::Vital);
-        // A prober that holds no description of this process gets it with the answer.
-        if unknown {
-            draft.news.extend(self.tell(self.me, true));
+    fn on_probe(&mut self, now: Moment, from: MemberId, address: SocketAddr, seq: u32, want: bool) {
+        let mut draft = Draft::new(from, address, Body::Ack { seq }, Class::Vital);
+        if want {
+            draft.records.extend(self.own_record());
         }
         self.send(now, draft);
     }
 
-    /// This process's members of a bucket, if the sender's differ and there is room to say so.
-    fn differences(&mut self, now: Moment, theirs: Check) -> Vec<Claim> {
-        let bucket = theirs.bucket % BUCKETS;
-        if self.table.check(bucket).digest == theirs.digest || !self.join.is_done() {
-            return Vec::new();
-        }
-        self.counters.differences += 1;
-        let free = self
-            .budget
-            .left(now)
-            .saturating_sub(self.budget.depth() / 2);
-        let mut room = free.min(MAX_MESSAGE).saturating_sub(DIFFERS_SPARE);
-        let mut claims = Vec::new();
-        for (_, member) in self.table.bucket(bucket).filter(|(_, m)| m.is_heard()) {
-            let claim = member.claim();
-            let Some(rest) = room.checked_sub(size::claim(&claim)) else {
-                // A part of a bucket would look like members that this process lacks.
-                return Vec::new();
-            };
-            room = rest;
-            claims.push(claim);
-        }
-        claims
-    }
-
-    /// Compares a bucket as another holds it, and sends what that one lacks.
-    fn reconcile(
-        &mut self,
-        now: Moment,
-        from: MemberId,
-        address: SocketAddr,
-        theirs: &[Claim],
-        asks: &mut Vec<MemberId>,
-    ) {
-        let Some(first) = theirs.first() else {
-            return;
-        };
-        let own = self.id;
-        let mut back: Vec<MemberKey> = Vec::new();
-        for claim in theirs.iter().filter(|c| c.id != own) {
-            let held = self.table.find(claim.id).map(|m| (m.incarnation, m.state));
-            let Some(held) = held else {
-                self.merge(now, *claim, None, None, asks);
-                continue;
-            };
-            let Some(key) = self.table.key(claim.id) else {
-                continue;
-            };
-            let disputed = held.0 == claim.incarnation && held.1.is_live() != claim.state.is_live();
-            if held.0 > claim.incarnation {
-                back.push(key);
-            } else if disputed {
-                // Whether it lives is asked of itself, which also tells it what is said of it.
-                self.doubt(key);
-            } else {
-                self.merge(now, *claim, None, None, asks);
+    fn take_news(&mut self, now: Moment, news: News, asks: &mut Vec<MemberId>) {
+        match news {
+            News::Claim(claim) => self.merge(now, claim, Learnt::Told, None, asks),
+            News::Accusation { claim, by } => {
+                self.merge(now, claim, Learnt::Told, Some(by), asks);
             }
         }
-        for claim in theirs.iter().filter(|c| c.id == own) {
-            self.answer_claim(claim.incarnation, claim.state);
-        }
-        let bucket = first.id.0[0] / (u8::MAX / BUCKETS + 1);
-        let ours = self.table.bucket(bucket).filter(|(_, m)| m.state.is_live());
-        let lacking = ours.filter(|(_, m)| !theirs.iter().any(|c| c.id == m.id));
-        back.extend(lacking.map(|(key, _)| key));
-        if back.is_empty() {
-            return;
-        }
-        let mut draft = Draft::new(from, address, Body::Gossip, Class::Bulk);
-        draft.news = back
-            .into_iter()
-            .filter_map(|key| self.tell(key, true))
-            .collect();
-        self.send(now, draft);
     }
 
-    pub(crate) fn take_news(&mut self, now: Moment, news: News, asks: &mut Vec<MemberId>) {
-        match news {
-            News::Claim(claim) => self.merge(now, claim, None, None, asks),
-            News::Accusation { claim, by } => self.merge(now, claim, None, Some(by), asks),
-            News::Record(record) => {
-                let claim = Claim {
-                    id: MemberId::of(&record.description.vm),
-                    incarnation: record.incarnation,
-                    state: record.state,
-                    leaving: record.leaving,
-                    stamp: record.description.stamp(),
-                };
-                self.merge(now, claim, Some(record.description), None, asks);
-            }
+    fn take_record(&mut self, now: Moment, record: Record, asks: &mut Vec<MemberId>) {
+        let claim = Claim {
+            id: MemberId::of(&record.description.vm),
+            incarnation: record.incarnation,
+            state: record.state,
+            leaving: record.leaving,
+            stamp: record.description.stamp(),
+        };
+        self.merge(now, claim, Learnt::Read, None, asks);
+        if let Some(key) = self.table.key(claim.id).filter(|key| *key != self.me) {
+            self.take_description(key, record.description);
         }
+        asks.retain(|id| *id != claim.id);
     }
 
     /// Weighs a claim and holds what prevails.
@@ -280,7 +194,7 @@
         &mut self,
         now: Moment,
         claim: Claim,
-        description: Option<Arc<Description>>,
+        learnt: Learnt,
         by: Option<MemberId>,
         asks: &mut Vec<MemberId>,
     ) {
@@ -302,10 +216,7 @@
         let held = (member.incarnation, member.state);
         match judge(held, (claim.incarnation, claim.state)) {
             Verdict::Ignore => self.hear_again(key, held, &claim, by),
-            Verdict::Adopt(state) => self.adopt(now, key, &claim, state, by, description.is_some()),
-        }
-        if let Some(description) = description {
-            self.take_description(key, description);
+            Verdict::Adopt(state) => self.adopt(now, key, &claim, state, by, learnt),
         }
         if self.table.get(key).is_some_and(Member::is_vague) {
             asks.push(claim.id);
@@ -334,7 +245,7 @@
         claim: &Claim,
         state: State,
         by: Option<MemberId>,
-        full: bool,
+        learnt: Learnt,
     ) {
         let copies = self.copies();
         let Some(member) = self.table.get_mut(key) else {
@@ -346,7 +257,6 @@
         let started = claim.incarnation.boot > before.boot;
         member.incarnation = claim.incarnation;
         member.leaving = claim.leaving;
-        let known = member.stamp == claim.stamp;
         member.stamp = claim.stamp;
         if started {
             self.loads.drop_member(claim.id);
@@ -368,7 +278,9 @@
                         now
                     };
                 }
-                self.news.put(key, full && !known, copies);
+                if learnt == Learnt::Told || before.boot > 0 {
+                    self.news.put(key, copies);
+                }
                 self.publish(key, renewed);
             }
         }
@@ -436,6 +348,15 @@
     }
 }
 
+/// `Learnt` is how a claim reached this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Learnt {
+    /// As news, which is spread on.
+    Told,
+    /// From another's table, where most others have read it too.
+    Read,
+}
+
 /// Whether a claim's numbers are such as a member gives itself.
 const fn is_sane(claim: &Claim) -> bool {
     let boot = claim.incarnation.boot;
--- a/crates/peppercrank-member/src/settings.rs
+++ b/crates/peppercrank-member/src/settings.rs
@@ -26,6 +26,10 @@
     pub rejoin: Duration,
     /// How often one page of the table is pulled while joining.
     pub pull: Duration,
+    /// How often missing descriptions are asked for.
+    pub ask: Duration,
+    /// How often the whole table is compared with another's, when they were equal last time.
+    pub compare: Duration,
     /// How long a dead member that the platform no longer lists is remembered.
     pub forget: Duration,
     /// Nothing heard for this long means that this process is cut off, not the others.
@@ -54,6 +58,8 @@
             exchange: Duration::from_secs(1),
             rejoin: Duration::from_secs(5),
             pull: Duration::from_millis(250),
+            ask: Duration::from_millis(250),
+            compare: Duration::from_secs(10),
             forget: Duration::from_secs(3_600),
             isolation: Duration::from_secs(5),
             pause: Duration::from_millis(500),
--- a/crates/peppercrank-member/src/size.rs
+++ b/crates/peppercrank-member/src/size.rs
@@ -81,7 +81,6 @@
     match news {
         News::Claim(it) => TAG + claim(it),
         News::Accusation { claim: it, .. } => TAG + claim(it) + ID,
-        News::Record(it) => TAG + record(it),
     }
 }
 
@@ -102,10 +101,11 @@
 
 fn body(body: &Body) -> usize {
     let fields = match body {
-        Body::Probe { seq, check } => varint(u64::from(*seq)) + TAG + check.map_or(0, |_| 1 + 4),
-        Body::Ack { seq, differs } => varint(u64::from(*seq)) + list(differs, claim),
+        Body::Probe { seq, .. } => varint(u64::from(*seq)) + TAG,
+        Body::Compare { digests } => list(digests, |_| 4),
+        Body::Differ { buckets, claims } => bytes(buckets.len()) + list(claims, claim),
         Body::ProbeFor { seq, .. } => varint(u64::from(*seq)) + ID,
-        Body::Vouch { seq } | Body::Silent { seq } => varint(u64::from(*seq)),
+        Body::Ack { seq } | Body::Vouch { seq } | Body::Silent { seq } => varint(u64::from(*seq)),
         Body::Pull { .. } => ID,
         Body::Page { next, .. } => ID + TAG + next.map_or(0, |_| ID),
         Body::Ask { ids } => list(ids, |_| ID),
@@ -122,6 +122,7 @@
         + addressee(&it.to)
         + body(&it.body)
         + list(&it.news, news)
+        + list(&it.records, record)
         + list(&it.loads, sample)
         + bytes(it.digest.len())
         + list(&it.rumours, |r| bytes(r.len()))
--- a/crates/peppercrank-member/src/table.rs
+++ b/crates/peppercrank-member/src/table.rs
@@ -18,7 +18,6 @@
 use crate::description::Description;
 use crate::description::MemberId;
 use crate::description::Stamp;
-use crate::message::Check;
 use crate::message::Claim;
 use crate::message::Incarnation;
 use crate::message::Record;
@@ -156,7 +155,7 @@
         self.description = Some(description);
     }
 
-    fn digest(&self) -> u64 {
+    fn hash(&self) -> u64 {
         let mut text = [0_u8; 25];
         text[..8].copy_from_slice(&self.id.0);
         text[8..16].copy_from_slice(&self.incarnation.boot.to_be_bytes());
@@ -245,14 +244,12 @@
         keys.filter_map(|key| self.members.get(key).map(|m| (key, m)))
     }
 
-    pub fn check(&self, bucket: u8) -> Check {
+    /// The digest over the live members of one bucket.
+    pub fn digest(&self, bucket: u8) -> [u8; 4] {
         let live = self.bucket(bucket).filter(|(_, m)| m.state.is_live());
-        let sum = live.fold(0, |sum, (_, m)| sum ^ m.digest());
+        let sum = live.fold(0, |sum, (_, m)| sum ^ m.hash());
         let [a, b, c, d, ..] = sum.to_be_bytes();
-        Check {
-            bucket,
-            digest: [a, b, c, d],
-        }
+        [a, b, c, d]
     }
 
     /// The next member to probe: each once in a round, in an order redrawn for each round.
@@ -279,6 +276,24 @@
         }
     }
 
+    /// Up to `most` other members that fit, from a random place on.
+    pub fn pick_run(
+        &self,
+        rng: &mut ChaCha8Rng,
+        most: usize,
+        fits: impl Fn(&Member) -> bool,
+    ) -> Vec<MemberId> {
+        let start = rng.random_range(0..=self.ring.len());
+        let (before, behind) = self.ring.split_at(start);
+        let keys = behind.iter().chain(before);
+        let members = keys.filter_map(|key| self.members.get(*key));
+        members
+            .filter(|m| fits(m))
+            .map(|m| m.id)
+            .take(most)
+            .collect()
+    }
+
     /// A random other member that fits.
     pub fn pick(&self, rng: &mut ChaCha8Rng, fits: impl Fn(&Member) -> bool) -> Option<MemberKey> {
         if self.ring.is_empty() {
--- a/crates/peppercrank-member/tests/verify_members/net.rs
+++ b/crates/peppercrank-member/tests/verify_members/net.rs
@@ -8,6 +8,7 @@
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -56,7 +57,9 @@
     pub bytes_in: u64,
     pub digests: u64,
     pub pieces: Vec<Vec<u8>>,
-    waiting: Vec<(SocketAddr, Message)>,
+    /// Bytes sent, with the overheads.
+    pub bytes_out: u64,
+    waiting: Vec<(SocketAddr, Vec<u8>)>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -71,18 +74,23 @@
     pub nodes: Vec<Node>,
     pub loss: f64,
     pub doubled: f64,
+    /// The longest delay of a message, in microseconds; messages overtake each other.
+    pub delay: u64,
     pub reports: Vec<Report>,
     /// Processes of differing sides do not hear each other.
     pub sides: Vec<u8>,
-    /// The longest wire form seen.
+    /// The longest encoded message seen, in bytes.
     pub longest: usize,
+    /// Time spent in the parts and the codec.
+    pub spent: Duration,
     rng: ChaCha8Rng,
     queue: BinaryHeap<Reverse<(Moment, u64, Due)>>,
-    letters: BTreeMap<usize, (SocketAddr, Message)>,
+    letters: BTreeMap<usize, (SocketAddr, Vec<u8>)>,
     places: BTreeMap<SocketAddr, usize>,
     names: BTreeMap<VmName, usize>,
     count: u64,
     letter: usize,
+    pub kinds: BTreeMap<String, [usize; 6]>,
 }
 
 /// `address` is where process `nth` takes datagrams.
@@ -125,9 +133,11 @@
             nodes: Vec::new(),
             loss: 0.0,
             doubled: 0.0,
+            delay: 3_000,
             reports: Vec::new(),
             sides: Vec::new(),
             longest: 0,
+            spent: Duration::ZERO,
             rng: ChaCha8Rng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             letters: BTreeMap::new(),
@@ -135,6 +145,7 @@
             names: BTreeMap::new(),
             count: 0,
             letter: 0,
+            kinds: BTreeMap::new(),
         }
     }
 
@@ -162,6 +173,7 @@
             bytes_in: 0,
             digests: 0,
             pieces: Vec::new(),
+            bytes_out: 0,
             waiting: Vec::new(),
         });
         self.sides.push(0);
@@ -228,7 +240,9 @@
         if !self.nodes[nth].up {
             return;
         }
+        let start = Instant::now();
         let actions = self.nodes[nth].part.on(self.now, input);
+        self.spent += start.elapsed();
         for action in actions {
             self.act(nth, action);
         }
@@ -253,8 +267,27 @@
     }
 
     fn post(&mut self, from: usize, to: SocketAddr, message: &Message) {
-        let size = size::message(message);
-        self.longest = self.longest.max(size);
+        let start = Instant::now();
+        let bytes = postcard::to_stdvec(message).expect("an encodable message");
+        self.spent += start.elapsed();
+        if std::env::var_os("DBG").is_some() {
+            let kind = format!("{:?}", message.body);
+            let kind = kind.split([' ', '{', '(']).next().unwrap_or("").to_owned();
+            let e = self.kinds.entry(kind).or_default();
+            e[0] += 1;
+            e[1] += bytes.len() + OVERHEAD;
+            e[2] += message.news.iter().map(size::news).sum::<usize>();
+            e[3] += message.loads.iter().map(size::sample).sum::<usize>();
+            e[4] += message.records.len();
+            e[5] += message.news.len();
+        }
+        assert_eq!(
+            bytes.len(),
+            size::message(message),
+            "reckoned size of {message:?}"
+        );
+        self.longest = self.longest.max(bytes.len());
+        self.nodes[from].bytes_out += (bytes.len() + OVERHEAD) as u64;
         let Some(place) = self.places.get(&to).copied() else {
             return;
         };
@@ -263,17 +296,20 @@
         }
         let copies = 1 + usize::from(self.rng.random_bool(self.doubled));
         for _ in 0..copies {
-            let delay = Duration::from_micros(self.rng.random_range(300..3_000));
+            let delay = Duration::from_micros(self.rng.random_range(300..self.delay));
             self.letter += 1;
             let sender = self.nodes[from].description.gossip;
-            self.letters.insert(self.letter, (sender, message.clone()));
+            self.letters.insert(self.letter, (sender, bytes.clone()));
             self.push(self.now + delay, Due::Deliver(place, self.letter));
         }
     }
 
-    /// Delivers one message out of band.
-    pub fn deliver(&mut self, place: usize, from: SocketAddr, message: Message) {
-        self.nodes[place].bytes_in += (size::message(&message) + OVERHEAD) as u64;
+    /// Delivers one encoded message.
+    pub fn deliver(&mut self, place: usize, from: SocketAddr, bytes: &[u8]) {
+        self.nodes[place].bytes_in += (bytes.len() + OVERHEAD) as u64;
+        let start = Instant::now();
+        let message: Message = postcard::from_bytes(bytes).expect("a decodable message");
+        self.spent += start.elapsed();
         let message = Box::new(message);
         self.input(place, Input::Datagram { from, message });
     }
@@ -314,14 +350,14 @@
     }
 
     fn arrive(&mut self, place: usize, letter: usize) {
-        let Some((from, message)) = self.letters.remove(&letter) else {
+        let Some((from, bytes)) = self.letters.remove(&letter) else {
             return;
         };
         let node = &mut self.nodes[place];
         if node.paused {
-            node.waiting.push((from, message));
+            node.waiting.push((from, bytes));
         } else if node.up {
-            self.deliver(place, from, message);
+            self.deliver(place, from, &bytes);
         }
     }
 
@@ -329,8 +365,8 @@
     pub fn resume(&mut self, nth: usize) {
         self.nodes[nth].paused = false;
         self.input(nth, Input::Tick);
-        for (from, message) in std::mem::take(&mut self.nodes[nth].waiting) {
-            self.deliver(nth, from, message);
+        for (from, bytes) in std::mem::take(&mut self.nodes[nth].waiting) {
+            self.deliver(nth, from, &bytes);
         }
     }
 
