Make control calls over tarpc, sealed as a whole

Cause: pulls, handovers, orders and status need answers, deadlines and cancellation; tarpc has these, but neither authentication nor limits, and a server keeps a call running when its caller's connection has ended. Change: a client and a server that carry sealed calls and answers; limits on connections, calls, message size and idle time; a call ends with its connection. Proved: nine tests, of them garbage, strangers, deadlines, restarts.

--- /dev/null
+++ b/crates/peppercrank-wire/src/control/server.rs
@@ -0,0 +1,201 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The answering side of control calls.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tarpc::server::serve;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::Result;
+use crate::errors;
+use crate::errors::Step;
+use crate::seal::Identity;
+use crate::seal::KeyRing;
+use crate::seal::OVERHEAD;
+use crate::seal::SenderId;
+use crate::stop::Stop;
+
+use super::MAX_FRAME;
+use super::desk::Desk;
+use super::desk::Reply;
+use super::desk::Sealed;
+use super::messages::Ask;
+use super::messages::Told;
+use super::transport::wrap;
+
+/// Pause after a failed accept, so that a full descriptor table is not polled in a tight loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// `ControlLimits` are what a server of control calls allows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlLimits {
+    /// Connections open at once; one more is closed.
+    pub connections: usize,
+    /// Calls in progress on one connection; one more is refused.
+    pub calls: usize,
+    /// The longest message, in bytes.
+    pub frame: usize,
+    /// Time that a connection may carry nothing.
+    pub idle: Duration,
+    /// Senders remembered against replays.
+    pub room: usize,
+}
+
+impl Default for ControlLimits {
+    fn default() -> Self {
+        Self {
+            connections: 512,
+            calls: 64,
+            frame: MAX_FRAME,
+            idle: Duration::from_secs(60),
+            // More than twice the fleet of 1,670 processes.
+            room: 4_096,
+        }
+    }
+}
+
+/// `ControlServer` answers control calls.
+#[derive(Debug)]
+pub struct ControlServer {
+    listener: TcpListener,
+    local: SocketAddr,
+    address: SocketAddr,
+    limits: ControlLimits,
+    desk: Arc<Desk>,
+}
+
+impl ControlServer {
+    /// `bind` listens on an address; port 0 takes a free one.
+    ///
+    /// Calls are sealed for the address that they are sent to, so a process that others reach by
+    /// another address than the bound one names it as `advertised`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::Error::Io`] when the address cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        advertised: Option<SocketAddr>,
+        identity: Identity,
+        ring: KeyRing,
+        limits: ControlLimits,
+    ) -> Result<Self> {
+        let bound = TcpListener::bind(address).await;
+        let listener = bound.map_err(|e| errors::io(Step::Bind, &e))?;
+        let local = listener.local_addr();
+        let local = local.map_err(|e| errors::io(Step::Bind, &e))?;
+        let desk = Desk::answering(identity, ring, limits.room);
+        Ok(Self {
+            listener,
+            local,
+            address: advertised.unwrap_or(local),
+            limits,
+            desk: Arc::new(desk),
+        })
+    }
+
+    /// `address` is where others call.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// `local_addr` is where the server listens.
+    #[must_use]
+    pub const fn local_addr(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// `desk` rotates the server's keys and tells its counts; it outlives the server.
+    #[must_use]
+    pub fn desk(&self) -> Arc<Desk> {
+        Arc::clone(&self.desk)
+    }
+
+    /// `serve` answers calls until told to stop.
+    ///
+    /// The future that answers a call is dropped at the call's deadline, and when its caller goes
+    /// away.
+    pub async fn serve<F, R>(self, mut stop: Stop, answer: F)
+    where
+        F: Fn(SenderId, Ask) -> R + Clone + Send + Sync + 'static,
+        R: Future<Output = Told> + Send + 'static,
+    {
+        let here: Arc<str> = self.address.to_string().into();
+        let mut tasks = JoinSet::new();
+        loop {
+            tokio::select! {
+                () = stop.wait() => break,
+                accepted = self.listener.accept() => {
+                    let Ok((io, _)) = accepted else {
+                        sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    };
+                    if tasks.len() >= self.limits.connections {
+                        continue;
+                    }
+                    let desk = Arc::clone(&self.desk);
+                    let here = Arc::clone(&here);
+                    tasks.spawn(run(io, here, desk, self.limits.clone(), answer.clone()));
+                }
+                Some(_) = tasks.join_next(), if !tasks.is_empty() => {}
+            }
+        }
+        tasks.shutdown().await;
+    }
+}
+
+async fn run<F, R>(io: TcpStream, here: Arc<str>, desk: Arc<Desk>, limits: ControlLimits, answer: F)
+where
+    F: Fn(SenderId, Ask) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Told> + Send + 'static,
+{
+    let (wire, activity) = wrap::<_, _>(io, limits.frame);
+    let most = limits.frame.saturating_sub(OVERHEAD);
+    let handler = serve(move |_: Context, sealed: Sealed| async move {
+        Ok(reply(&desk, &here, most, &sealed, answer).await)
+    });
+    let channel = BaseChannel::with_defaults(wire).max_concurrent_requests(limits.calls);
+    let mut requests = pin!(channel.execute(handler));
+    let mut idle = pin!(activity.idle(limits.idle));
+    let mut calls = FuturesUnordered::new();
+    // Calls run within this task, so that they end when their connection does.
+    loop {
+        tokio::select! {
+            next = requests.next() => match next {
+                Some(call) => calls.push(call),
+                None => return,
+            },
+            Some(()) = calls.next(), if !calls.is_empty() => {}
+            () = activity.ended() => return,
+            () = &mut idle => return,
+        }
+    }
+}
+
+async fn reply<F, R>(desk: &Desk, here: &str, most: usize, sealed: &Sealed, answer: F) -> Reply
+where
+    F: Fn(SenderId, Ask) -> R,
+    R: Future<Output = Told>,
+{
+    let (caller, ask) = match desk.open_ask(here, &sealed.0) {
+        Ok(opened) => opened,
+        Err(reason) => return Reply::Rejected(reason),
+    };
+    let kind = ask.kind();
+    let told = answer(caller.identity.sender, ask).await;
+    Reply::Sealed(desk.seal_told(caller, kind, &told, most))
+}
--- a/crates/peppercrank-wire/src/lib.rs
+++ b/crates/peppercrank-wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod body;
 pub mod client;
 
+pub mod control;
 pub mod datagram;
 pub mod edge;
 pub mod errors;
--- a/crates/peppercrank-wire/src/seal/opener.rs
+++ b/crates/peppercrank-wire/src/seal/opener.rs
@@ -6,6 +6,9 @@
 use std::collections::HashMap;
 use std::fmt;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::Channel;
 use super::keys::Code;
 use super::keys::KeyRing;
@@ -17,7 +20,9 @@
 macro_rules! rejected {
     ($($(#[$doc:meta])* $variant:ident $code:literal,)*) => {
         /// `Rejected` is why a message was not opened.
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
         pub enum Rejected {
             $($(#[$doc])* $variant,)*
         }
--- /dev/null
+++ b/crates/peppercrank-wire/tests/verify_control.rs
@@ -0,0 +1,303 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Control calls are authentic, bounded in time and size, and survive their connections.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use peppercrank_core::names::ObjectName;
+use peppercrank_core::names::TargetName;
+use peppercrank_core::objects::Kind;
+use peppercrank_core::objects::ObjectKey;
+use peppercrank_wire::control::Ask;
+use peppercrank_wire::control::ControlClient;
+use peppercrank_wire::control::ControlError;
+use peppercrank_wire::control::ControlLimits;
+use peppercrank_wire::control::ControlServer;
+use peppercrank_wire::control::ControlTimes;
+use peppercrank_wire::control::Desk;
+use peppercrank_wire::control::Order;
+use peppercrank_wire::control::Pointer;
+use peppercrank_wire::control::Pulled;
+use peppercrank_wire::control::Told;
+use peppercrank_wire::seal::Identity;
+use peppercrank_wire::seal::Key;
+use peppercrank_wire::seal::KeyRing;
+use peppercrank_wire::seal::Rejected;
+use peppercrank_wire::seal::SenderId;
+use peppercrank_wire::stop::Stopper;
+use peppercrank_wire::stop::stop;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+const FREE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+struct Running {
+    address: SocketAddr,
+    desk: Arc<Desk>,
+    stopper: Stopper,
+    ended: JoinHandle<()>,
+    dropped: mpsc::UnboundedReceiver<()>,
+}
+
+fn ring(id: u32) -> KeyRing {
+    KeyRing::new(vec![Key::new(id, &[7; 16]).expect("a key")]).expect("a ring")
+}
+
+fn identity(sender: u64) -> Identity {
+    let sender = SenderId(sender);
+    Identity { sender, boot: 1 }
+}
+
+fn key() -> ObjectKey {
+    let name = ObjectName::new("galley-llm").expect("a name");
+    let kind = Kind::Pool;
+    ObjectKey { kind, name }
+}
+
+fn pulled() -> Pulled {
+    Pulled {
+        key: key(),
+        version: 3,
+        body: Some("{}".to_owned()),
+    }
+}
+
+async fn start(at: SocketAddr, limits: ControlLimits) -> Running {
+    let server = ControlServer::bind(at, None, identity(1), ring(1), limits).await;
+    let server = server.expect("a free port");
+    let address = server.address();
+    let desk = server.desk();
+    let (stopper, stop) = stop();
+    let (tell, dropped) = mpsc::unbounded_channel();
+    let ended = tokio::spawn(server.serve(stop, move |from, ask| answer(from, ask, tell.clone())));
+    Running {
+        address,
+        desk,
+        stopper,
+        ended,
+        dropped,
+    }
+}
+
+async fn answer(from: SenderId, ask: Ask, tell: mpsc::UnboundedSender<()>) -> Told {
+    assert_eq!(from, SenderId(2));
+    match ask {
+        Ask::Pull(keys) => Told::Objects(keys.iter().map(|_| pulled()).collect()),
+        Ask::Digest => {
+            let _told = Dropped(tell);
+            std::future::pending().await
+        }
+        Ask::Handover(pointers) => Told::Taken(u32::try_from(pointers.len()).expect("few")),
+        Ask::Order(order) => Told::Order(order.order),
+        Ask::Status => Told::Digest(Vec::new()),
+    }
+}
+
+/// Tells when a call's answering future is dropped.
+struct Dropped(mpsc::UnboundedSender<()>);
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        // The test may be over.
+        let _told = self.0.send(());
+    }
+}
+
+fn client(ring: KeyRing, times: ControlTimes) -> ControlClient {
+    ControlClient::new(identity(2), ring, times)
+}
+
+#[tokio::test]
+async fn verify_calls_and_counts() {
+    let running = start(FREE, ControlLimits::default()).await;
+    let client = client(ring(1), ControlTimes::default());
+    let to = running.address;
+    assert_eq!(
+        client.pull(to, vec![key(), key()]).await,
+        Ok(vec![pulled(); 2])
+    );
+    let target = TargetName::new("engine-1").expect("a name");
+    let pointer = Pointer {
+        key: 1,
+        prefix: false,
+        target,
+    };
+    assert_eq!(client.handover(to, vec![pointer; 3]).await, Ok(3));
+    let order = Order {
+        fence: 1,
+        id: 2,
+        order: "{}".to_owned(),
+    };
+    assert_eq!(client.order(to, order).await, Ok("{}".to_owned()));
+    assert_eq!(client.status(to).await, Err(ControlError::Unexpected));
+    let sent = client.desk().traffic().volumes();
+    let received = running.desk.traffic().volumes();
+    for kind in ["pull", "handover", "order", "status"] {
+        assert_eq!((sent[kind].sent, sent[kind].received), (1, 1), "{kind}");
+        assert_eq!(
+            sent[kind].sent_bytes, received[kind].received_bytes,
+            "{kind}"
+        );
+        assert_eq!(
+            sent[kind].received_bytes, received[kind].sent_bytes,
+            "{kind}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn verify_deadline_ends_both_sides() {
+    let mut running = start(FREE, ControlLimits::default()).await;
+    let times = ControlTimes {
+        call: Duration::from_millis(100),
+        ..ControlTimes::default()
+    };
+    let client = client(ring(1), times);
+    assert_eq!(
+        client.digest(running.address).await,
+        Err(ControlError::Timeout)
+    );
+    running.dropped.recv().await.expect("the call dropped");
+}
+
+#[tokio::test]
+async fn verify_caller_gone_ends_the_call() {
+    let mut running = start(FREE, ControlLimits::default()).await;
+    // Far beyond what the test may take, so that the deadline is not what ends the call.
+    let call = Duration::from_secs(600);
+    let times = ControlTimes {
+        call,
+        ..ControlTimes::default()
+    };
+    let client = client(ring(1), times);
+    let mut asking = Box::pin(client.digest(running.address));
+    while !running.desk.traffic().volumes().contains_key("digest") {
+        assert!(futures::poll!(&mut asking).is_pending());
+        tokio::task::yield_now().await;
+    }
+    drop(asking);
+    running.dropped.recv().await.expect("the call dropped");
+}
+
+#[tokio::test]
+async fn verify_strangers_are_refused() {
+    let running = start(FREE, ControlLimits::default()).await;
+    let stranger = client(ring(2), ControlTimes::default());
+    let refused = ControlError::Refused(Rejected::UnknownKey);
+    assert_eq!(stranger.status(running.address).await, Err(refused));
+    assert_eq!(running.desk.rejected(Rejected::UnknownKey), 1);
+    // The keys are rotated while the server runs.
+    running.desk.rotate(&ring(2));
+    assert_eq!(stranger.handover(running.address, Vec::new()).await, Ok(0));
+}
+
+#[tokio::test]
+async fn verify_calls_for_another_address_are_refused() {
+    let elsewhere = SocketAddr::from(([10, 0, 0, 1], 1));
+    let limits = ControlLimits::default();
+    let server = ControlServer::bind(FREE, Some(elsewhere), identity(1), ring(1), limits).await;
+    let server = server.expect("a free port");
+    assert_eq!(server.address(), elsewhere);
+    let local = server.local_addr();
+    let (_stopper, stop) = stop();
+    tokio::spawn(server.serve(stop, |_, _| async { Told::Unsupported }));
+    // As when a call is taken on its way to one process and sent to another.
+    let client = client(ring(1), ControlTimes::default());
+    let refused = ControlError::Refused(Rejected::Forged);
+    assert_eq!(client.status(local).await, Err(refused));
+}
+
+#[tokio::test]
+async fn verify_garbage_disturbs_nothing() {
+    let running = start(
+        FREE,
+        ControlLimits {
+            frame: 1_000,
+            ..ControlLimits::default()
+        },
+    )
+    .await;
+    let garbage: [&[u8]; 4] = [
+        b"GET / HTTP/1.1\r\n\r\n",
+        &[0xff; 64],
+        &[0, 0, 0, 4, 1, 2, 3, 4],
+        // A frame that claims more than the limit.
+        &[0, 1, 0, 0, 0],
+    ];
+    for bytes in garbage {
+        let mut io = TcpStream::connect(running.address)
+            .await
+            .expect("a connection");
+        io.write_all(bytes).await.expect("sent");
+        // The server closes by itself, cleanly or by a reset.
+        let _closed = io.read_to_end(&mut Vec::new()).await;
+    }
+    let client = client(ring(1), ControlTimes::default());
+    assert_eq!(client.handover(running.address, Vec::new()).await, Ok(0));
+}
+
+#[tokio::test]
+async fn verify_long_messages_are_told() {
+    let running = start(
+        FREE,
+        ControlLimits {
+            frame: 2_000,
+            ..ControlLimits::default()
+        },
+    )
+    .await;
+    let client = client(
+        ring(1),
+        ControlTimes {
+            frame: 2_000,
+            ..ControlTimes::default()
+        },
+    );
+    let order = Order {
+        fence: 1,
+        id: 2,
+        order: "x".repeat(2_000),
+    };
+    assert_eq!(
+        client.order(running.address, order).await,
+        Err(ControlError::TooBig)
+    );
+    // Fits when asked, but not when told.
+    let pulling = client.pull(running.address, vec![key(); 120]).await;
+    assert_eq!(pulling, Err(ControlError::TooBig));
+    assert_eq!(client.handover(running.address, Vec::new()).await, Ok(0));
+}
+
+#[tokio::test]
+async fn verify_idle_connection_is_closed() {
+    let limits = ControlLimits {
+        idle: Duration::from_millis(20),
+        ..ControlLimits::default()
+    };
+    let running = start(FREE, limits).await;
+    let mut io = TcpStream::connect(running.address)
+        .await
+        .expect("a connection");
+    assert_eq!(io.read(&mut [0]).await.expect("a proper close"), 0);
+}
+
+#[tokio::test]
+async fn verify_restart_is_survived() {
+    let running = start(FREE, ControlLimits::default()).await;
+    let address = running.address;
+    let client = client(ring(1), ControlTimes::default());
+    assert_eq!(client.handover(address, Vec::new()).await, Ok(0));
+    running.stopper.stop();
+    running.ended.await.expect("an end");
+    let gone = client.handover(address, Vec::new()).await;
+    assert!(matches!(gone, Err(ControlError::Connect(_))), "{gone:?}");
+    let _again = start(address, ControlLimits::default()).await;
+    assert_eq!(client.handover(address, Vec::new()).await, Ok(0));
+}
