Serve operators' pages with rouille

Cause: operators and the balancer read metrics, health, readiness and status. Change: four pages from closures, on an address of their own, with a bounded number of handler threads, a bearer token for the status, and 500 for a page whose source fails.

--- a/crates/peppercrank-wire/src/lib.rs
+++ b/crates/peppercrank-wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod edge;
 pub mod errors;
 pub mod headers;
+pub mod pages;
 pub mod platform;
 pub mod seal;
 pub mod stop;
--- /dev/null
+++ b/crates/peppercrank-wire/src/pages.rs
@@ -0,0 +1,199 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Operators' pages: metrics, health, readiness and status.
+//!
+//! They are served by rouille on an address of their own, which only operators and the balancer
+//! should reach: rouille takes a thread for each connection that sends a request slowly.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use rouille::Request;
+use rouille::Response;
+use rouille::Server;
+
+use crate::Result;
+use crate::errors;
+use crate::errors::Error;
+use crate::errors::Step;
+use crate::seal::Bearers;
+
+/// How often the server looks whether it is to stop.
+const POLL: Duration = Duration::from_millis(50);
+
+/// `Page` is one page as it stands at the moment of asking.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub kind: &'static str,
+    /// The text.
+    pub text: String,
+}
+
+impl Page {
+    /// `text` is a plain page of this status.
+    #[must_use]
+    pub fn text(status: u16, text: impl Into<String>) -> Self {
+        Self {
+            status,
+            kind: "text/plain; charset=utf-8",
+            text: text.into(),
+        }
+    }
+
+    /// `metrics` is a page in the text format that Prometheus reads.
+    #[must_use]
+    pub const fn metrics(text: String) -> Self {
+        Self {
+            status: 200,
+            kind: "application/openmetrics-text; version=1.0.0; charset=utf-8",
+            text,
+        }
+    }
+
+    /// `json` is a page of JSON.
+    #[must_use]
+    pub const fn json(status: u16, text: String) -> Self {
+        Self {
+            status,
+            kind: "application/json",
+            text,
+        }
+    }
+}
+
+/// `Source` makes a page anew each time that it is asked for.
+pub type Source = Box<dyn Fn() -> Page + Send + Sync>;
+
+/// `Pages` are the pages of one daemon.
+pub struct Pages {
+    /// `/metrics`.
+    pub metrics: Source,
+    /// `/healthz`: 200 while the process works.
+    pub healthz: Source,
+    /// `/readyz`: 200 while it should be given work, 503 otherwise.
+    pub readyz: Source,
+    /// `/status`.
+    pub status: Source,
+    /// Who may read `/status`; anybody who reaches the address, if absent.
+    pub bearers: Option<Bearers>,
+}
+
+impl fmt::Debug for Pages {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Pages").finish_non_exhaustive()
+    }
+}
+
+impl Pages {
+    /// `serve` serves the pages with a number of threads until what it returns is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] when the address cannot be bound or the thread not be started.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `threads` is 0.
+    pub fn serve(self, address: SocketAddr, threads: usize) -> Result<Serving> {
+        let bound = Server::new(address, move |request| respond(&self, request));
+        let server = bound.map_err(|e| bind_error(&*e))?.pool_size(threads);
+        let address = server.server_addr();
+        let over = Arc::new(AtomicBool::new(false));
+        let stop = Arc::clone(&over);
+        let run = move || {
+            while !stop.load(Ordering::Acquire) {
+                server.poll_timeout(POLL);
+            }
+            server.join();
+        };
+        let spawned = thread::Builder::new().name("pages".to_owned()).spawn(run);
+        let thread = spawned.map_err(|e| errors::io(Step::Spawn, &e))?;
+        Ok(Serving {
+            address,
+            over,
+            thread: Some(thread),
+        })
+    }
+}
+
+/// `Serving` is a running server of pages; dropping it ends the server.
+#[derive(Debug)]
+pub struct Serving {
+    address: SocketAddr,
+    over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Serving {
+    /// `local_addr` is where the pages are.
+    #[must_use]
+    pub const fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Release);
+        if let Some(thread) = self.thread.take() {
+            // A page's panic is answered with 500, so the thread itself has none to tell.
+            let _ended = thread.join();
+        }
+    }
+}
+
+fn bind_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Error {
+    match error.downcast_ref::<std::io::Error>() {
+        Some(e) => errors::io(Step::Bind, e),
+        None => errors::io(Step::Bind, &std::io::ErrorKind::Other.into()),
+    }
+}
+
+fn respond(pages: &Pages, request: &Request) -> Response {
+    if !matches!(request.method(), "GET" | "HEAD") {
+        return response(Page::text(405, "only GET and HEAD\n"))
+            .with_additional_header("Allow", "GET, HEAD");
+    }
+    let source = match request.url().as_str() {
+        "/metrics" => &pages.metrics,
+        "/healthz" => &pages.healthz,
+        "/readyz" => &pages.readyz,
+        "/status" if admitted(pages, request) => &pages.status,
+        "/status" => {
+            let page = response(Page::text(401, "a token is wanted\n"));
+            return page.with_additional_header("WWW-Authenticate", "Bearer");
+        }
+        _ => return response(Page::text(404, "no such page\n")),
+    };
+    // One page's fault must not end the server.
+    match catch_unwind(AssertUnwindSafe(source)) {
+        Ok(page) => response(page),
+        Err(_) => response(Page::text(500, "the page could not be made\n")),
+    }
+}
+
+fn admitted(pages: &Pages, request: &Request) -> bool {
+    let Some(bearers) = &pages.bearers else {
+        return true;
+    };
+    request
+        .header("Authorization")
+        .is_some_and(|v| bearers.knows(v))
+}
+
+fn response(page: Page) -> Response {
+    let response = Response::from_data(page.kind, page.text);
+    response.with_status_code(page.status).with_no_cache()
+}
