--- a/crates/peppercrank-wire/src/lib.rs
+++ b/crates/peppercrank-wire/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod body;
 pub mod client;
 
+pub mod control;
 pub mod datagram;
 pub mod edge;
 pub mod errors;
 pub mod headers;
+pub mod pages;
 pub mod platform;
 pub mod seal;
 pub mod stop;
