--- /dev/null
+++ b/crates/peppercrank-cli/tests/verify_pages.rs
@@ -0,0 +1,308 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The operators' pages: every command is run as written, every table agrees with the code.
+
+mod support;
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use peppercrank_cli::Environment;
+use peppercrank_cli::Exit;
+use peppercrank_core::events::Event;
+use peppercrank_core::refusal::MayHaveRun;
+use peppercrank_core::refusal::NotRun;
+use peppercrank_settings::AgentSettings;
+use peppercrank_settings::RouterSettings;
+use rouille::Response;
+use serde_json::Value;
+use serde_json::json;
+use support::Bench;
+use support::pages;
+use support::run;
+
+/// The pages whose commands are run here.
+const PAGES: &[&str] = &[
+    "command-line.md",
+    "draining.md",
+    "install.md",
+    "settings.md",
+    "templates.md",
+    "troubleshooting.md",
+];
+
+/// Commands of other programs, and the one of ours that does not end by itself.
+const ELSEWHERE: &[&str] = &["cargo build --release", "openssl rand -hex 32", "printf %s"];
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn page(name: &str) -> String {
+    let path = root().join("docs/operators").join(name);
+    fs::read_to_string(path).expect("a page")
+}
+
+/// The lines of a page's `sh` blocks, without comments of their own.
+fn commands(page: &str) -> Vec<String> {
+    let mut inside = false;
+    let mut found = Vec::new();
+    for line in page.lines() {
+        match line {
+            "```sh" => inside = true,
+            "```" => inside = false,
+            line if inside && !line.starts_with('#') => found.push(line.to_owned()),
+            _ => {}
+        }
+    }
+    found
+}
+
+/// A path of a page as this test finds it: the repository's own, else in the scratch directory.
+fn place(word: &str) -> String {
+    let path = if word.starts_with("deploy/") {
+        root().join(word)
+    } else {
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("page-{word}"))
+    };
+    path.to_str().expect("a path").to_owned()
+}
+
+fn is_path(word: &str) -> bool {
+    word.starts_with("deploy/") || word.contains(".json")
+}
+
+/// A stand-in and one daemon's pages, on which all is in force at once.
+struct Fleet {
+    bench: Bench,
+    port: String,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let status = json!({
+            "vm": "entry-1", "zone": "rae", "role": "router", "ready": true,
+            "configuration": { "digest": "00", "version": 1, "objects": 1 },
+        });
+        let address = pages(move |request| match request.url().as_str() {
+            "/status" => Response::json(&status),
+            _ => Response::json(&json!({ "version": 1_000_000 })),
+        });
+        let vm = json!({ "name": "entry-1", "zone": "rae", "address": "127.0.0.1:7000", "role": "router" });
+        let settings = serde_json::from_value(json!({ "vms": [vm], "vms_lag_ms": 0 }));
+        Self {
+            bench: Bench::with(settings.expect("settings")),
+            port: address.port().to_string(),
+        }
+    }
+
+    /// Runs one line of a page.
+    fn run(&self, line: &str) {
+        let (line, exit) = match line.split_once(" # exit ") {
+            Some((line, code)) => (line, code.parse::<u8>().expect("a code")),
+            None => (line, 0),
+        };
+        let (line, into) = match line.split_once(" > ") {
+            Some((line, file)) => (line, Some(place(file))),
+            None => (line, None),
+        };
+        let words = line.split(' ').skip(1).map(|word| {
+            let path = is_path(word) || word == "deploy/pardikivi";
+            if path { place(word) } else { word.to_owned() }
+        });
+        let words = words.collect::<Vec<_>>();
+        if matches!(words[0].as_str(), "router" | "agent") {
+            // It serves until it is told to stop: that its settings are sound is checked here.
+            check_settings(&words);
+            return;
+        }
+        let mut words = words.iter().map(String::as_str).collect::<Vec<_>>();
+        words.extend(["--operators-port", &self.port]);
+        let ended = run(&self.bench.environment, &words);
+        assert_eq!(ended.exit.code(), exit, "{line}: {ended:?}");
+        if let Some(file) = into {
+            fs::write(file, ended.out).expect("a file");
+        }
+    }
+}
+
+fn check_settings(words: &[String]) {
+    let words = ["check-settings", &words[1], "--daemon-kind", &words[0]];
+    let ended = run(&Environment::default(), &words);
+    assert_eq!(ended.exit, Exit::Done, "{ended:?}");
+}
+
+#[test]
+fn verify_every_command_runs_as_written() {
+    for name in PAGES {
+        let fleet = Fleet::new();
+        let commands = commands(&page(name));
+        assert!(!commands.is_empty(), "{name} has no command");
+        for line in commands {
+            if line.starts_with("peppercrank ") {
+                fleet.run(&line);
+                continue;
+            }
+            let variable = line.strip_prefix("export PEPPERCRANK_");
+            let known = ["PLATFORM=", "TOKEN=", "OPERATORS_TOKEN="];
+            let ours = variable.is_some_and(|v| known.iter().any(|k| v.starts_with(k)));
+            let theirs = ELSEWHERE.iter().any(|c| line.starts_with(c));
+            assert!(ours || theirs, "{name}: nobody runs `{line}`");
+        }
+    }
+}
+
+#[test]
+fn verify_links_lead_somewhere() {
+    let directory = root().join("docs/operators");
+    for name in PAGES.iter().chain(&["README.md"]) {
+        let text = page(name);
+        for link in text.split("](").skip(1) {
+            let target = link.split(')').next().expect("a target");
+            let (file, anchor) = target.split_once('#').unwrap_or((target, ""));
+            let path = directory.join(file);
+            assert!(path.exists(), "{name}: {target}");
+            if !anchor.is_empty() {
+                let text = fs::read_to_string(&path).expect("a page");
+                let heads = text.lines().filter_map(|l| l.strip_prefix("## "));
+                let mut anchors =
+                    heads.map(|h| h.to_lowercase().replace(' ', "-").replace('\'', ""));
+                assert!(anchors.any(|a| a == anchor), "{name}: {target}");
+            }
+        }
+    }
+}
+
+#[test]
+fn verify_every_reason_and_event_has_its_row() {
+    let text = page("troubleshooting.md");
+    let not_run = NotRun::ALL.iter().map(|r| r.code());
+    let may_have_run = MayHaveRun::ALL.iter().map(|r| r.code());
+    let codes = not_run.chain(may_have_run).collect::<Vec<_>>();
+    for code in &codes {
+        assert!(
+            text.contains(&format!("\n| `{code}` |")),
+            "no row for {code}"
+        );
+    }
+    let rows = text
+        .lines()
+        .filter_map(|l| l.strip_prefix("| `")?.split('`').next());
+    for row in rows {
+        assert!(codes.contains(&row), "{row} is no code");
+    }
+    let events = text
+        .lines()
+        .filter(|l| l.starts_with("| ") && l[2..3].parse::<u8>().is_ok());
+    let numbers = events.flat_map(|l| l[2..].split('|').next().unwrap_or_default().split(','));
+    let numbers = numbers.map(|n| n.trim().parse().expect("a number"));
+    let mut numbers = numbers.collect::<Vec<u16>>();
+    numbers.sort_unstable();
+    let all = Event::ALL.iter().map(|e| e.number()).collect::<Vec<_>>();
+    assert_eq!(numbers, all);
+}
+
+/// The rows of the settings page: path, default, least and greatest value.
+fn rows() -> Vec<[String; 4]> {
+    let text = page("settings.md");
+    let rows = text.lines().filter(|l| l.starts_with("| `"));
+    let rows = rows.map(|l| {
+        let mut cells = l
+            .split('|')
+            .skip(1)
+            .map(|c| c.trim().trim_matches('`').to_owned());
+        std::array::from_fn(|_| cells.next().expect("a cell"))
+    });
+    rows.collect()
+}
+
+/// Sets the value at a path, or takes it out.
+fn set(settings: &mut Value, path: &str, value: Option<&str>) {
+    let (parents, last) = path.rsplit_once('.').unwrap_or(("", path));
+    let mut at = settings;
+    for key in parents.split('.').filter(|k| !k.is_empty()) {
+        at = at
+            .as_object_mut()
+            .expect("an object")
+            .entry(key)
+            .or_insert(json!({}));
+    }
+    let at = at.as_object_mut().expect("an object");
+    match value {
+        Some(text) => at.insert(last.to_owned(), serde_json::from_str(text).expect("JSON")),
+        None => at.remove(last),
+    };
+}
+
+/// What the daemon makes of a file: its settings, as their debug text.
+fn parsed(settings: &Value, agent: bool) -> Result<String, String> {
+    let text = settings.to_string();
+    if agent {
+        let parsed = AgentSettings::parse(&text);
+        return parsed.map(|s| format!("{s:?}")).map_err(|e| e.to_string());
+    }
+    let parsed = RouterSettings::parse(&text);
+    parsed.map(|s| format!("{s:?}")).map_err(|e| e.to_string())
+}
+
+#[test]
+fn verify_settings_page_tells_defaults_and_ranges() {
+    let files = [("router", false), ("agent-service", true)];
+    let files = files.map(|(name, agent)| {
+        let path = root().join(format!("deploy/examples/{name}.jsonc"));
+        let text = fs::read_to_string(path).expect("a text");
+        let value = peppercrank_core::settings::parse::<Value>(&text).expect("sound");
+        (value, agent)
+    });
+    let mut checked = 0;
+    for [path, default, least, most] in rows() {
+        let takes = |(file, agent): &&(Value, bool)| {
+            let mut file = file.clone();
+            set(&mut file, &path, Some("{}"));
+            let refused = parsed(&file, *agent).expect_err("an object is no value");
+            !refused.contains("unknown field")
+        };
+        let (file, agent) = files
+            .iter()
+            .find(takes)
+            .expect("a daemon that has the field");
+        let with = |value: Option<&str>| {
+            let mut file = file.clone();
+            set(&mut file, &path, value);
+            parsed(&file, *agent)
+        };
+        let without = with(None);
+        match default.as_str() {
+            "required" => assert!(without.is_err(), "{path} is not required"),
+            "none" => assert!(without.is_ok(), "{path} is required"),
+            default => assert_eq!(without, with(Some(default)), "{path}"),
+        }
+        for bound in [&least, &most].into_iter().filter(|b| !b.is_empty()) {
+            with(Some(bound)).unwrap_or_else(|e| panic!("{path} {bound}: {e}"));
+        }
+        if !least.is_empty() {
+            // One more of the same unit is past the greatest value.
+            let past = past(&most);
+            let refused = with(Some(&past)).expect_err("past the greatest value");
+            assert!(refused.contains("outside"), "{path} {past}: {refused}");
+        }
+        checked += 1;
+    }
+    assert_eq!(
+        checked, 40,
+        "rows were added or lost: look at them, then change this number"
+    );
+}
+
+/// A value one above, with the same unit.
+fn past(most: &str) -> String {
+    let digits = most.trim_start_matches('"');
+    let end = digits
+        .find(|c: char| !c.is_ascii_digit())
+        .unwrap_or(digits.len());
+    let number = digits[..end].parse::<u64>().expect("a number") + 1;
+    let quote = if most.starts_with('"') { "\"" } else { "" };
+    format!("{quote}{number}{}", &digits[end..])
+}
