Kill the stand-ins at the end of a local run

Cause: a stand-in that is stopped waits up to 2 s for open connections, and the agents' own polling keeps one open on each, so that a run with five targets ended 10 s late. Change: local kills its stand-ins once routers and agents have ended.

--- a/crates/peppercrank-cli/src/verbs/local.rs
+++ b/crates/peppercrank-cli/src/verbs/local.rs
@@ -338,10 +338,11 @@
                 .await
                 .map_err(|e| Error::Daemon(e.into()))?;
         }
+        // Nothing of a caller runs any more: what is open is the agents' own polling.
         for target in self.targets {
-            target.stop().await;
+            target.kill();
         }
-        self.platform.stop().await;
+        self.platform.kill();
         Ok(())
     }
 
--- a/crates/peppercrank-daemon/src/fleet/mod.rs
+++ b/crates/peppercrank-daemon/src/fleet/mod.rs
@@ -565,6 +565,7 @@
         Body::Probe { .. } | Body::Ack { .. } => "probe",
         Body::ProbeFor { .. } | Body::Vouch { .. } | Body::Silent { .. } => "indirect",
         Body::Pull { .. } | Body::Page { .. } | Body::Ask { .. } => "join",
+        Body::Compare { .. } | Body::Differ { .. } => "compare",
         Body::Gossip => "gossip",
         Body::Refused => "refused",
         Body::Relay(_) => "relay",
