Bring about each failure that the edge and the client are meant for

Cause: limits and refusals that no test provokes are not known to work. The client tells how many connections it keeps. Found by them and mended: the refusals that the edge writes itself had their length in a folded header line, so that a caller could not read it.

--- a/crates/peppercrank-wire/src/client/mod.rs
+++ b/crates/peppercrank-wire/src/client/mod.rs
@@ -138,6 +138,12 @@
         &self.counters
     }
 
+    /// `kept` is how many open connections wait for their next request.
+    #[must_use]
+    pub fn kept(&self) -> usize {
+        self.pool.open()
+    }
+
     /// `send` sends a request and returns the head of its answer.
     ///
     /// Dropping the future, or the answer's body before its end, closes the connection.
--- a/crates/peppercrank-wire/src/client/pool.rs
+++ b/crates/peppercrank-wire/src/client/pool.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// How many of the kept connections are open.
+    pub(super) fn open(&self) -> usize {
+        let kept = self.kept();
+        let links = kept.links.values().flatten();
+        links.filter(|(_, link)| !link.sender.is_closed()).count()
+    }
+
     fn kept(&self) -> MutexGuard<'_, Kept> {
         self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/peppercrank-wire/src/edge/call.rs
+++ b/crates/peppercrank-wire/src/edge/call.rs
@@ -164,7 +164,8 @@
 pub(super) fn raw(reason: Refused) -> Vec<u8> {
     let text = text(reason);
     let head = format!(
-        "HTTP/1.1 {}\r\nconnection: close\r\ncontent-type: application/json\r\n         content-length: {}\r\nx-peppercrank-reason: {}\r\nx-peppercrank-run: {}\r\n{}\r\n",
+        "HTTP/1.1 {}\r\nconnection: close\r\ncontent-type: application/json\r\n\
+         content-length: {}\r\nx-peppercrank-reason: {}\r\nx-peppercrank-run: {}\r\n{}\r\n",
         reason.status(),
         text.len(),
         reason.code(),
--- a/crates/peppercrank-wire/src/edge/refusal.rs
+++ b/crates/peppercrank-wire/src/edge/refusal.rs
@@ -59,7 +59,7 @@
     /// The head did not arrive in time.
     HeadTimeout "head_timeout" REQUEST_TIMEOUT "request head not received in time",
     /// The request is not HTTP/1.1.
-    Version "http_version" HTTP_VERSION_NOT_SUPPORTED "only HTTP/1.1 is spoken here",
+    Version "http_version" HTTP_VERSION_NOT_SUPPORTED "protocol version not supported",
     /// The method is not one that is passed on.
     Method "method" METHOD_NOT_ALLOWED "method not supported",
     /// The body is longer than the limit.
--- /dev/null
+++ b/crates/peppercrank-wire/tests/verify_client.rs
@@ -0,0 +1,308 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The client tells what may have been sent, and takes no answer for another's.
+
+#[path = "support/http.rs"]
+mod requests;
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use peppercrank_wire::Error;
+use peppercrank_wire::body;
+use peppercrank_wire::client::Cause;
+use peppercrank_wire::client::Client;
+use peppercrank_wire::client::Count;
+use peppercrank_wire::client::Framing;
+use peppercrank_wire::client::Reuse;
+use peppercrank_wire::client::SendError;
+use peppercrank_wire::client::Times;
+use peppercrank_wire::headers::strip;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use requests::get;
+use requests::text;
+
+/// What the scripted server does with one connection.
+#[derive(Debug, Clone, Copy)]
+enum Script {
+    /// Answers with these bytes and closes.
+    Answer(&'static str),
+    /// Answers with these bytes and keeps the connection until the client leaves it.
+    Keep(&'static str),
+}
+
+/// Plays one script after the other, each to a new connection.
+async fn play(scripts: Vec<Script>) -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let played = tokio::spawn(async move {
+        for script in scripts {
+            let (mut io, _) = listener.accept().await.expect("a connection");
+            request(&mut io).await;
+            let (Script::Answer(answer) | Script::Keep(answer)) = script;
+            // The client may have left already.
+            let _sent = io.write_all(answer.as_bytes()).await;
+            if matches!(script, Script::Keep(_)) {
+                let _left = io.read_to_end(&mut Vec::new()).await;
+            }
+        }
+    });
+    (address, played)
+}
+
+/// Reads a request without a body.
+async fn request(io: &mut TcpStream) {
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"\r\n\r\n") {
+        let read = io.read_buf(&mut seen).await.expect("a request");
+        assert!(read > 0, "the client left within its request");
+    }
+}
+
+const GOOD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood";
+const BAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nbad";
+
+#[tokio::test]
+async fn verify_fates() {
+    let short = Times {
+        first_byte: Duration::from_millis(300),
+        ..Times::default()
+    };
+    let long = Times::default();
+    let cases = [
+        (Script::Answer(""), &long, Cause::Closed),
+        (Script::Answer("HTTP/1.1 200"), &long, Cause::Closed),
+        (Script::Answer("nonsense\r\n\r\n"), &long, Cause::Malformed),
+        (
+            Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n"),
+            &long,
+            Cause::Malformed,
+        ),
+        (Script::Keep(""), &short, Cause::FirstByte),
+        (Script::Keep("HTTP/1.1 200"), &short, Cause::FirstByte),
+    ];
+    for (script, times, cause) in cases {
+        let (to, played) = play(vec![script]).await;
+        let client = Client::new(times.clone());
+        let sent = client.send(to, get("/"), Reuse::Allowed).await;
+        let fate = sent.expect_err("no answer");
+        assert_eq!(fate, SendError::MayHaveBeenSent(cause), "{script:?}");
+        assert_eq!(
+            client.counters().get(Count::MayHaveBeenSent),
+            1,
+            "{script:?}"
+        );
+        // The connection was closed, else the script would not end.
+        played.await.expect("a script played");
+    }
+}
+
+#[tokio::test]
+async fn verify_nothing_is_sent_without_a_connection() {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let to = listener.local_addr().expect("an address");
+    drop(listener);
+    let client = Client::new(Times::default());
+    let sent = client.send(to, get("/"), Reuse::Allowed).await;
+    let refused = SendError::NotSent(Cause::Connect(io::ErrorKind::ConnectionRefused));
+    assert_eq!(sent.expect_err("no answer"), refused);
+    assert_eq!(client.counters().get(Count::NotSent), 1);
+}
+
+#[tokio::test]
+async fn verify_own_broken_body_is_told() {
+    let (to, played) = play(vec![Script::Answer(GOOD)]).await;
+    let (feed, body) = body::channel(1);
+    drop(feed);
+    let request = Request::post("/").body(body).expect("a good path");
+    let client = Client::new(Times::default());
+    let sent = client.send(to, request, Reuse::Allowed).await;
+    assert_eq!(
+        sent.expect_err("no answer"),
+        SendError::MayHaveBeenSent(Cause::Aborted)
+    );
+    played.abort();
+}
+
+#[tokio::test]
+async fn verify_bodies() {
+    let times = Times {
+        idle: Duration::from_millis(300),
+        ..Times::default()
+    };
+    let cases = [
+        (Script::Keep(GOOD), Ok("good"), Framing::Length),
+        (
+            Script::Answer(&GOOD[..GOOD.len() - 1]),
+            Err(Error::AnswerCut),
+            Framing::Length,
+        ),
+        (
+            Script::Keep(&GOOD[..GOOD.len() - 1]),
+            Err(Error::AnswerIdle),
+            Framing::Length,
+        ),
+        (
+            Script::Keep(
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+            ),
+            Ok("good"),
+            Framing::Chunked,
+        ),
+        (
+            Script::Answer("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ngood\r\n"),
+            Err(Error::AnswerCut),
+            Framing::Chunked,
+        ),
+        (
+            Script::Answer("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nxx\r\n"),
+            Err(Error::AnswerCut),
+            Framing::Chunked,
+        ),
+        // Nobody can tell whether this is whole, so its framing says so.
+        (
+            Script::Answer("HTTP/1.1 200 OK\r\n\r\ngood"),
+            Ok("good"),
+            Framing::Close,
+        ),
+        (
+            Script::Keep("HTTP/1.1 204 No Content\r\n\r\n"),
+            Ok(""),
+            Framing::Length,
+        ),
+    ];
+    for (script, expected, framing) in cases {
+        let (to, played) = play(vec![script]).await;
+        let client = Client::new(times.clone());
+        let answer = client
+            .send(to, get("/"), Reuse::Allowed)
+            .await
+            .expect("an answer");
+        let body = answer.into_body();
+        assert_eq!(body.framing(), framing, "{script:?}");
+        assert_eq!(
+            text(body).await.as_deref(),
+            expected.as_deref(),
+            "{script:?}"
+        );
+        drop(client);
+        played.await.expect("a script played");
+    }
+}
+
+#[tokio::test]
+async fn verify_late_and_crossed_answers_are_nobodys() {
+    let twice = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood\
+                 HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nbad";
+    let closing = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 4\r\n\r\ngood";
+    let old = "HTTP/1.0 200 OK\r\ncontent-length: 4\r\n\r\ngood";
+    let cases = [
+        (Script::Keep(twice), false),
+        (Script::Keep(closing), false),
+        (Script::Keep(old), false),
+        (Script::Answer(GOOD), true),
+    ];
+    for (first, wait) in cases {
+        let (to, played) = play(vec![first, Script::Keep(GOOD)]).await;
+        let client = Client::new(Times::default());
+        for _ in 0..2 {
+            let sent = client.send(to, get("/"), Reuse::Allowed).await;
+            let body = sent.expect("an answer").into_body();
+            assert_eq!(text(body).await.as_deref(), Ok("good"), "{first:?}");
+            // A close comes when it comes; the other cases must hold at once.
+            while wait && client.counters().get(Count::Connected) == 1 && client.kept() > 0 {
+                tokio::task::yield_now().await;
+            }
+        }
+        assert_eq!(client.counters().get(Count::Connected), 2, "{first:?}");
+        drop(client);
+        played.await.expect("a script played");
+    }
+}
+
+#[tokio::test]
+async fn verify_kept_connections() {
+    let (to, played) = play(vec![Script::Keep(GOOD), Script::Keep(BAD)]).await;
+    let client = Client::new(Times {
+        keep: Duration::ZERO,
+        ..Times::default()
+    });
+    for expected in ["good", "bad"] {
+        // Kept too long to be trusted.
+        let answer = client
+            .send(to, get("/"), Reuse::Allowed)
+            .await
+            .expect("an answer");
+        assert_eq!(text(answer.into_body()).await.as_deref(), Ok(expected));
+    }
+    assert_eq!(client.counters().get(Count::Reused), 0);
+    drop(client);
+    played.await.expect("a script played");
+}
+
+/// A header's name and value.
+type Pair = (&'static str, &'static str);
+
+#[test]
+fn verify_hop_by_hop_headers() {
+    let cases: [(&[Pair], &[&str]); 5] = [
+        (
+            &[("accept", "a"), ("te", "trailers"), ("upgrade", "h2c")],
+            &["accept"],
+        ),
+        (
+            &[
+                ("connection", "close, X-Own"),
+                ("x-own", "1"),
+                ("x-other", "2"),
+            ],
+            &["x-other"],
+        ),
+        (&[("connection", "keep-alive"), ("keep-alive", "1")], &[]),
+        // Naming the length must not unframe the message.
+        (
+            &[("connection", "content-length"), ("content-length", "4")],
+            &["content-length"],
+        ),
+        (
+            &[("transfer-encoding", "chunked"), ("content-length", "4")],
+            &[],
+        ),
+    ];
+    for (given, left) in cases {
+        let mut headers = HeaderMap::new();
+        for (name, value) in given {
+            let name = HeaderName::from_bytes(name.as_bytes()).expect("a name");
+            headers.append(name, HeaderValue::from_str(value).expect("a value"));
+        }
+        strip(&mut headers);
+        let names: Vec<_> = headers.keys().map(HeaderName::as_str).collect();
+        assert_eq!(names, left, "{given:?}");
+    }
+}
+
+#[tokio::test]
+async fn verify_feed_holds_back() {
+    let (feed, body) = body::channel(1);
+    let part = Bytes::from_static(b"a");
+    feed.send(part.clone()).await.expect("room");
+    let mut second = Box::pin(feed.send(part.clone()));
+    assert!(futures::poll!(&mut second).is_pending());
+    drop(body);
+    assert_eq!(second.await, Err(Error::ReaderGone));
+    assert!(feed.is_closed());
+}
--- /dev/null
+++ b/crates/peppercrank-wire/tests/verify_limits.rs
@@ -0,0 +1,262 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Callers that are slow, silent, half gone or too many hold nothing for ever.
+
+#[path = "support/edge.rs"]
+mod edges;
+#[path = "support/raw.rs"]
+mod raw;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use peppercrank_wire::body;
+use peppercrank_wire::edge::Call;
+use peppercrank_wire::edge::Limits;
+use peppercrank_wire::edge::Refused;
+use peppercrank_wire::edge::Reply;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use edges::echo;
+use edges::start;
+use raw::exchange;
+use raw::read_all;
+
+/// Short enough to wait for, long enough for a loaded machine's own pauses not to matter: each
+/// case ends by its limit, whenever that comes.
+const SHORT: Duration = Duration::from_millis(40);
+
+/// For a limit that must not end a case before its bytes have come, however busy the machine.
+const LONG: Duration = Duration::from_millis(800);
+
+const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// Tells when it is dropped.
+struct Told(mpsc::UnboundedSender<()>);
+
+impl Drop for Told {
+    fn drop(&mut self) {
+        // The test may be over.
+        let _told = self.0.send(());
+    }
+}
+
+/// Never answers, and tells when it is given up.
+async fn never(call: Call, told: Told) -> Reply {
+    let _told = told;
+    // A caller's leaving is noticed once its body was read.
+    call.body.read().await.expect("a body");
+    std::future::pending().await
+}
+
+#[tokio::test]
+async fn verify_slow_requests_end() {
+    let limits = Limits {
+        head_time: SHORT,
+        body_time: SHORT,
+        ..Limits::default()
+    };
+    let running = start(limits, echo).await;
+    let cases = [
+        ("GET / HT", "HTTP/1.1 408 ", Refused::HeadTimeout),
+        (
+            "GET / HTTP/1.1\r\nhost: a\r\n",
+            "HTTP/1.1 408 ",
+            Refused::HeadTimeout,
+        ),
+        ("\r\n\r\n", "HTTP/1.1 408 ", Refused::HeadTimeout),
+        (
+            "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc",
+            "HTTP/1.1 408 ",
+            Refused::BodyTimeout,
+        ),
+        (
+            "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            "HTTP/1.1 408 ",
+            Refused::BodyTimeout,
+        ),
+    ];
+    for (sent, start, reason) in cases {
+        let before = running.counters.refused(reason);
+        let answer = exchange(running.address, sent.as_bytes()).await;
+        assert!(answer.starts_with(start), "{sent:?}: {answer}");
+        assert!(answer.contains(reason.code()), "{sent:?}: {answer}");
+        assert_eq!(running.counters.refused(reason), before + 1, "{sent:?}");
+    }
+    assert_eq!(running.stop().await.cut, 0);
+}
+
+#[tokio::test]
+async fn verify_silent_callers_are_closed() {
+    let limits = Limits {
+        idle: LONG,
+        ..Limits::default()
+    };
+    let running = start(limits, echo).await;
+    assert_eq!(exchange(running.address, b"").await, "");
+    // And one that says nothing more.
+    let answer = exchange(running.address, GET).await;
+    assert!(answer.ends_with("GET / "), "{answer}");
+    assert_eq!(running.counters.calls(), 1);
+}
+
+#[tokio::test]
+async fn verify_trickle_is_bounded_by_the_whole_time() {
+    let limits = Limits {
+        head_time: SHORT,
+        ..Limits::default()
+    };
+    let running = start(limits, echo).await;
+    let mut io = TcpStream::connect(running.address)
+        .await
+        .expect("a connection");
+    io.write_all(b"GET / HTTP/1.1\r\n").await.expect("sent");
+    // One header after the other: each byte comes in time, the head never does.
+    while running.counters.refused(Refused::HeadTimeout) == 0 {
+        if io.write_all(b"a: b\r\n").await.is_err() {
+            break;
+        }
+        tokio::time::sleep(SHORT / 8).await;
+    }
+    assert_eq!(running.counters.refused(Refused::HeadTimeout), 1);
+    assert_eq!(running.counters.calls(), 0);
+}
+
+#[tokio::test]
+async fn verify_unread_answer_is_cut() {
+    let limits = Limits {
+        write: SHORT,
+        ..Limits::default()
+    };
+    let (tell, mut heard) = mpsc::unbounded_channel();
+    let running = start(limits, move |_call| {
+        let (feed, body) = body::channel(1);
+        let told = Told(tell.clone());
+        tokio::spawn(async move {
+            let frame = Bytes::from(vec![0; 64 * 1_024]);
+            while feed.send(frame.clone()).await.is_ok() {}
+            drop(told);
+        });
+        std::future::ready(Reply::new(body))
+    })
+    .await;
+    let mut io = TcpStream::connect(running.address)
+        .await
+        .expect("a connection");
+    io.write_all(GET).await.expect("sent");
+    heard.recv().await.expect("the writer stopped");
+    assert_eq!(running.counters.refused(Refused::WriteTimeout), 1);
+}
+
+#[tokio::test]
+async fn verify_total_time_ends_the_call() {
+    let limits = Limits {
+        total: SHORT,
+        ..Limits::default()
+    };
+    let (tell, mut heard) = mpsc::unbounded_channel();
+    let running = start(limits, move |call| never(call, Told(tell.clone()))).await;
+    let answer = exchange(running.address, GET).await;
+    assert!(answer.starts_with("HTTP/1.1 504 "), "{answer}");
+    assert!(answer.contains(r#""run":"may_have_run""#), "{answer}");
+    heard.recv().await.expect("the call dropped");
+    assert_eq!(running.counters.refused(Refused::TotalTime), 1);
+    assert_eq!(running.counters.busy(), 0);
+}
+
+#[tokio::test]
+async fn verify_begun_answer_is_cut_without_an_end() {
+    let limits = Limits {
+        total: LONG,
+        ..Limits::default()
+    };
+    let running = start(limits, |_call| {
+        let (feed, body) = body::channel(1);
+        tokio::spawn(async move {
+            let part = Bytes::from_static(b"part");
+            feed.send(part).await.expect("a reader");
+            feed.closed().await;
+        });
+        std::future::ready(Reply::new(body))
+    })
+    .await;
+    let answer = exchange(running.address, GET).await;
+    // Neither the last chunk nor a second answer follows.
+    assert!(answer.ends_with("4\r\npart\r\n"), "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
+}
+
+#[tokio::test]
+async fn verify_callers_that_leave_are_noticed() {
+    let (tell, mut heard) = mpsc::unbounded_channel();
+    let running = start(Limits::default(), move |call| {
+        never(call, Told(tell.clone()))
+    })
+    .await;
+    let post: &[u8] = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nx";
+    let pipelined = [GET, GET].concat();
+    // A caller that half closes, that closes, and that closes with its next request sent ahead.
+    let cases = [
+        (GET, true),
+        (GET, false),
+        (post, true),
+        (post, false),
+        (&pipelined, true),
+        (&pipelined, false),
+    ];
+    for (at, (sent, half)) in (1..).zip(cases) {
+        let mut io = TcpStream::connect(running.address)
+            .await
+            .expect("a connection");
+        io.write_all(sent).await.expect("sent");
+        while running.counters.calls() < at {
+            tokio::task::yield_now().await;
+        }
+        if half {
+            io.shutdown().await.expect("half closed");
+            heard.recv().await.expect("the call dropped");
+            assert_eq!(read_all(&mut io).await, "");
+        } else {
+            drop(io);
+            heard.recv().await.expect("the call dropped");
+        }
+    }
+    assert_eq!(running.stop().await.calls, 6);
+}
+
+#[tokio::test]
+async fn verify_connections_are_bounded() {
+    let limits = Limits {
+        connections: 1,
+        ..Limits::default()
+    };
+    let running = start(limits, echo).await;
+    let mut first = TcpStream::connect(running.address)
+        .await
+        .expect("a connection");
+    first.write_all(GET).await.expect("sent");
+    let mut space = [0; 1_024];
+    let read = first.read(&mut space).await.expect("an answer");
+    assert!(space[..read].ends_with(b"GET / "));
+    for _ in 0..3 {
+        let answer = exchange(running.address, GET).await;
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(
+            answer.contains(r#""code":"connections","run":"not_run""#),
+            "{answer}"
+        );
+        assert!(answer.contains("retry-after: "), "{answer}");
+    }
+    assert_eq!(running.counters.refused(Refused::Connections), 3);
+    drop(first);
+    while running.counters.open() > 0 {
+        tokio::task::yield_now().await;
+    }
+    let last = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let answer = exchange(running.address, last).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+}
