--- a/crates/peppercrank-route/src/rank.rs
+++ b/crates/peppercrank-route/src/rank.rs
@@ -160,6 +160,10 @@
             return self.first(RankKey::of(chat, prefix), count);
         };
         let mut best = self.widest(RankKey(prefix.0), breadth.max(count));
+        // Where there is a rest, `count` exceeds the breadth: it is put in order to part the two.
+        if breadth < best.len() {
+            best.sort_unstable_by(by_score);
+        }
         let rest = best.split_off(breadth.min(best.len()));
         let mut shared = Vec::with_capacity(count + 1);
         for scored in best {
@@ -185,26 +189,44 @@
         Some(node.hash)
     }
 
-    /// Lists the `count` best for `key`, the best first, for a `count` that may be great.
+    /// Lists the `count` best for `key`, for a `count` that may be great.
+    ///
+    /// Up to [`FEW`] come the best first, more in any order.
     fn widest(&self, key: RankKey, count: usize) -> Vec<Scored> {
         if count <= FEW {
             return self.select(key, count);
         }
-        let nodes = self.nodes.iter().enumerate();
-        let mut all: Vec<Scored> = nodes
-            .map(|(index, node)| Scored {
-                score: score(draw(key, node.hash), node.weight),
-                index,
-            })
-            .collect();
-        if count < all.len() {
-            all.select_nth_unstable_by(count, by_score);
-            all.truncate(count);
+        let mut best = self.likely(key, count);
+        if best.len() < count {
+            best = self.above(key, 0.0);
+        }
+        if count < best.len() {
+            best.select_nth_unstable_by(count, by_score);
+            best.truncate(count);
         }
-        // Only those past the shared ones need an order, but sorting the few that are left is as
-        // simple.
-        all.sort_unstable_by(by_score);
-        all
+        best
+    }
+
+    /// Scores the nodes that are likely among the `count` best: mostly some more than those.
+    fn likely(&self, key: RankKey, count: usize) -> Vec<Scored> {
+        let total: f64 = self.nodes.iter().map(|n| f64::from(n.weight)).sum();
+        #[expect(clippy::cast_precision_loss, reason = "far below 2 to the 52nd")]
+        let ample = count as f64 * 1.25 + 16.0;
+        // Of draws without end, total/least would lie above `least`.
+        self.above(key, total / ample)
+    }
+
+    /// Scores all nodes and keeps those above `least`.
+    fn above(&self, key: RankKey, least: f64) -> Vec<Scored> {
+        let bar = self.bar(least);
+        let nodes = self.nodes.iter().enumerate();
+        let draws = nodes.map(|(index, node)| (index, node, draw(key, node.hash)));
+        let able = draws.filter(|(_, _, draw)| *draw >= bar);
+        let scored = able.map(|(index, node, draw)| Scored {
+            score: score(draw, node.weight),
+            index,
+        });
+        scored.filter(|s| s.score > least).collect()
     }
 
     /// Selects the `count` best for `key`, the best first.
@@ -271,7 +293,7 @@
 /// The score of a draw under a weight: the greatest of many falls to each by its weight.
 fn score(draw: u64, weight: u32) -> f64 {
     #[expect(clippy::cast_precision_loss, reason = "a draw has 53 bits")]
-    let even = (draw as f64 + 0.5) / UNIT;
+    let even = ((draw as f64 + 0.5) / UNIT).min(1.0 - f64::EPSILON);
     f64::from(weight) / -even.ln()
 }
 
