--- a/crates/peppercrank-route/src/lib.rs
+++ b/crates/peppercrank-route/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod prefix;
 pub mod rank;
 pub mod retry;
+pub mod routes;
 pub mod spread;
 mod table;
 
@@ -36,4 +37,7 @@
 pub use rank::RankKey;
 pub use rank::Ranking;
 pub use retry::Retries;
+pub use routes::Room;
+pub use routes::Routes;
+pub use routes::Trip;
 pub use spread::Spread;
