Name each target once in the status of a large fleet

Cause: every router names every target; at 370 routers and 1,300 targets the JSON would hold 48 MB of them. Change: targets stand once, beside the daemons.

--- a/crates/peppercrank-cli/src/daemons.rs
+++ b/crates/peppercrank-cli/src/daemons.rs
@@ -17,7 +17,7 @@
 use crate::errors::Result;
 use crate::remote::Remote;
 
-/// Pages asked for at once: enough for 1,670 daemons within a second or two.
+/// Pages asked for at once; so 1,670 small ones took 2.7 s on loopback, their server included.
 const LANES: usize = 16;
 
 /// Time for one page.
--- a/crates/peppercrank-cli/src/verbs/status.rs
+++ b/crates/peppercrank-cli/src/verbs/status.rs
@@ -50,7 +50,7 @@
     let sections = sections.into_iter().filter(|s| !s.is_empty());
     let text = sections.collect::<Vec<_>>().join("\n");
     let json = json!({
-        "daemons": known,
+        "daemons": known.iter().map(daemon_json).collect::<Value>(),
         "targets": view.json(),
         "agreed": digests(&known).len() <= 1,
         "silent": silent_json(&silent),
@@ -122,6 +122,15 @@
     cells
 }
 
+/// A daemon without its targets: 370 routers would name each of 1,300.
+fn daemon_json(status: &Status) -> Value {
+    let mut json = json!(status);
+    if let Some(fields) = json.as_object_mut() {
+        fields.remove("targets");
+    }
+    json
+}
+
 fn daemons_text(known: &[Status]) -> String {
     let heads = [
         "DAEMON",
