Wait until a target is drained, check all objects together, know the daemons' verbs

Cause: an operator who mistypes a target's name marks nothing and is told done; objects that refer to nothing were seen only as refusals; the test of verbs did not know router, agent and local.

--- /dev/null
+++ b/crates/peppercrank-cli/src/drain.rs
@@ -0,0 +1,77 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Waiting until a leaving target is drained.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use peppercrank_core::names::TargetName;
+use peppercrank_core::status::STATUS_PATH;
+use peppercrank_core::status::Status;
+use peppercrank_core::status::TargetStatus;
+
+use crate::access::Access;
+use crate::daemons;
+use crate::daemons::Daemon;
+use crate::daemons::Pages;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::words::Span;
+
+/// Longest wait, unless set: a long answer, and some.
+const DEFAULT_WITHIN: Duration = Duration::from_secs(600);
+
+/// Pause between two looks at the target's agent.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Waits until the target's own agent says that it is drained.
+pub(crate) fn wait(access: &Access, target: &TargetName, within: Option<Span>) -> Result<()> {
+    let end = Instant::now() + within.map_or(DEFAULT_WITHIN, |s| s.0);
+    let pages = Pages::new(access.operators.as_ref());
+    let mut agent = None;
+    let mut last = None;
+    loop {
+        let asked = match &agent {
+            Some(agent) => vec![Daemon::clone(agent)],
+            None => daemons::find(access)?,
+        };
+        if let Some((daemon, seen)) = look(&pages, &asked, target) {
+            if seen.drain.is_some_and(|d| d.drained) {
+                return Ok(());
+            }
+            agent = Some(daemon);
+            last = Some(seen);
+        }
+        if Instant::now() + PAUSE >= end {
+            return Err(give_up(target, last));
+        }
+        thread::sleep(PAUSE);
+    }
+}
+
+/// Finds the target's own agent among the daemons, and what it says of the target.
+fn look(pages: &Pages, asked: &[Daemon], target: &TargetName) -> Option<(Daemon, TargetStatus)> {
+    let answers = pages.ask::<Status>(asked, STATUS_PATH);
+    let answers = asked.iter().zip(answers);
+    let mut own = answers.filter_map(|(daemon, answer)| {
+        let targets = answer.ok()?.targets;
+        // Only its own agent tells a target's load.
+        let mut own = targets.into_iter().filter(|t| t.load.is_some());
+        let found = own.find(|t| t.name == *target)?;
+        Some((daemon.clone(), found))
+    });
+    own.next()
+}
+
+fn give_up(target: &TargetName, last: Option<TargetStatus>) -> Error {
+    let load = last.and_then(|t| t.load);
+    match load {
+        Some(load) => Error::NotDrained {
+            target: target.clone(),
+            running: load.running,
+        },
+        None => Error::NoAgent(target.clone()),
+    }
+}
--- a/crates/peppercrank-cli/src/errors.rs
+++ b/crates/peppercrank-cli/src/errors.rs
@@ -13,6 +13,7 @@
 use peppercrank_config::publish::Base;
 use peppercrank_config::publish::Conflict;
 use peppercrank_config::publish::Fate;
+use peppercrank_core::names::TargetName;
 use peppercrank_core::objects::ObjectKey;
 use serde_json::Value;
 use serde_json::json;
@@ -120,6 +121,15 @@
         /// The daemons that answered with an older version, or not at all.
         missing: Vec<crate::in_force::Missing>,
     },
+    /// A leaving target is not drained in time.
+    NotDrained {
+        /// The target.
+        target: TargetName,
+        /// The requests that still run on it.
+        running: u32,
+    },
+    /// No daemon that answers is the agent of a target.
+    NoAgent(TargetName),
     /// The output could not be written.
     Output(io::Error),
     /// A daemon ended with an error.
@@ -159,7 +169,9 @@
             Self::NotFound(_) => Exit::NotFound,
             Self::Unavailable => Exit::Unavailable,
             Self::Unknown(_) => Exit::Unknown,
-            Self::NotInForce { .. } => Exit::NotInForce,
+            Self::NotInForce { .. } | Self::NotDrained { .. } | Self::NoAgent(_) => {
+                Exit::NotInForce
+            }
             Self::Settings(peppercrank_settings::Error::File { .. })
             | Self::Directory { .. }
             | Self::Platform(_)
@@ -283,6 +295,17 @@
                 )?;
                 missing.iter().try_for_each(|m| write!(f, "\n  {m}"))
             }
+            Self::NotDrained { target, running } => {
+                write!(
+                    f,
+                    "target `{target}` is marked, and {running} requests still run on it"
+                )
+            }
+            Self::NoAgent(target) => write!(
+                f,
+                "target `{target}` is marked, but no daemon that answers is its agent: \
+                 is that its name?"
+            ),
             Self::Output(e) => write!(f, "output: {e}"),
             Self::Daemon(e) => write!(f, "{e:#}"),
         }
--- a/crates/peppercrank-cli/src/flags.rs
+++ b/crates/peppercrank-cli/src/flags.rs
@@ -177,6 +177,10 @@
             optional --wait
             /// Longest wait for that; 30s unless set.
             optional --within duration: Span
+            /// Return once nothing runs on the target any more.
+            optional --drained
+            /// Longest wait for that; 10m unless set.
+            optional --drained-within duration: Span
             /// The id of an earlier run whose fate is unknown, to carry the same act through.
             optional --publish-id id: PublishId
         }
@@ -197,6 +201,10 @@
         cmd status {
         }
 
+        /// Checks all objects on the platform together: what is invalid, what refers to nothing.
+        cmd check-objects {
+        }
+
         /// Checks a daemon's settings file; each fault comes with its line and column.
         cmd check-settings {
             /// The file.
--- a/crates/peppercrank-cli/src/lib.rs
+++ b/crates/peppercrank-cli/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod access;
 mod daemons;
+mod drain;
 mod flags;
 mod help;
 mod remote;
--- a/crates/peppercrank-cli/src/report.rs
+++ b/crates/peppercrank-cli/src/report.rs
@@ -27,6 +27,13 @@
         Self { exit, text, json }
     }
 
+    /// Adds one more fact.
+    pub(crate) fn with(mut self, name: &str, value: &Value) -> Self {
+        self.text = format!("{}\n{name}: {value}", self.text.trim_end());
+        self.json[name] = value.clone();
+        self
+    }
+
     /// Shows the report, with one line's end after it.
     pub(crate) fn show(&self, form: Form) -> String {
         match form {
--- a/crates/peppercrank-cli/src/verbs/mark.rs
+++ b/crates/peppercrank-cli/src/verbs/mark.rs
@@ -15,6 +15,7 @@
 use super::write::base_of_removal;
 use super::write::carry;
 use crate::access::Access;
+use crate::drain;
 use crate::errors::Misuse;
 use crate::errors::Result;
 use crate::flags;
@@ -51,7 +52,12 @@
         wait: Wait::new(flags.wait, flags.within),
         replaced: current,
     };
-    carry(access, &remote, &act)
+    let report = carry(access, &remote, &act)?;
+    if !flags.drained {
+        return Ok(report);
+    }
+    drain::wait(access, &flags.target, flags.drained_within)?;
+    Ok(report.with("drained", &json!(true)))
 }
 
 /// Takes a target's mark back.
--- a/crates/peppercrank-cli/src/verbs/mod.rs
+++ b/crates/peppercrank-cli/src/verbs/mod.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod local;
 mod mark;
+mod objects;
 mod organisation;
 mod read;
 mod settings;
@@ -36,6 +37,7 @@
     "mark",
     "unmark",
     "status",
+    "check-objects",
     "check-settings",
     "router",
     "agent",
@@ -59,6 +61,7 @@
         PeppercrankCmd::Mark(flags) => mark::mark(access, flags),
         PeppercrankCmd::Unmark(flags) => mark::unmark(access, flags),
         PeppercrankCmd::Status(_) => status::status(access),
+        PeppercrankCmd::CheckObjects(_) => objects::check(access),
         PeppercrankCmd::CheckSettings(flags) => settings::check(flags),
         PeppercrankCmd::Router(flags) => daemon::router(flags),
         PeppercrankCmd::Agent(flags) => daemon::agent(flags),
--- /dev/null
+++ b/crates/peppercrank-cli/src/verbs/objects.rs
@@ -0,0 +1,82 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! A check of all objects on the platform together.
+
+use std::sync::Arc;
+
+use peppercrank_config::Object;
+use peppercrank_config::Store;
+use peppercrank_config::Version;
+use peppercrank_config::cross;
+use peppercrank_core::names::ObjectName;
+use peppercrank_core::objects::Kind;
+use peppercrank_core::objects::ObjectKey;
+use peppercrank_wire::platform::Named;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::access::Access;
+use crate::errors::Result;
+use crate::exit::Exit;
+use crate::object;
+use crate::remote::Remote;
+use crate::report::Report;
+
+/// Reads all objects, as a daemon would, and tells what is invalid or refers to nothing.
+pub(super) fn check(access: &Access) -> Result<Report> {
+    let remote = Remote::new(access)?;
+    let mut store = Store::new();
+    for kind in Kind::ALL {
+        let listing = remote.list(*kind)?;
+        for named in &listing.objects {
+            // The platform holds other kinds of names too; none of ours looks so.
+            if let Some(object) = own(*kind, named) {
+                store.merge(&object);
+            }
+        }
+    }
+    Ok(report(&store))
+}
+
+fn own(kind: Kind, named: &Named) -> Option<Object> {
+    let name = ObjectName::new(&named.name).ok()?;
+    let body = named.body.as_ref().map(|b| Arc::from(b.to_string()));
+    Some(Object {
+        key: ObjectKey { kind, name },
+        version: Version(named.version),
+        body,
+    })
+}
+
+fn report(store: &Store) -> Report {
+    let warnings = cross::warnings(store);
+    let held = store.all_held().collect::<Vec<_>>();
+    let invalid = held.iter().map(|(key, held)| {
+        let title = object::title(key);
+        format!(
+            "invalid: {title}, version {}: {}\n",
+            held.version, held.fault
+        )
+    });
+    let vain = warnings.iter().map(|w| format!("warning: {w}\n"));
+    let mut text = invalid.chain(vain).collect::<String>();
+    if text.is_empty() {
+        text = format!("{} objects, all valid, no reference in vain", store.len());
+    }
+    let faults = held.iter().map(|(key, held)| {
+        let fault = held.fault.to_string();
+        json!({ "kind": key.kind, "name": key.name, "version": held.version.0, "fault": fault })
+    });
+    let json = json!({
+        "objects": store.len(),
+        "invalid": faults.collect::<Value>(),
+        "warnings": warnings.iter().map(|w| json!(w.to_string())).collect::<Value>(),
+    });
+    let exit = if held.is_empty() {
+        Exit::Done
+    } else {
+        Exit::Invalid
+    };
+    Report::ending(exit, text, json)
+}
--- a/crates/peppercrank-cli/tests/verify_fleet.rs
+++ b/crates/peppercrank-cli/tests/verify_fleet.rs
@@ -179,3 +179,43 @@
     bench.expect(Exit::Done, &line);
     assert_eq!(asked.load(Ordering::SeqCst), 1, "a leaving VM is not asked");
 }
+
+#[test]
+fn verify_mark_waits_until_the_target_is_drained() {
+    let bench = Bench::new();
+    let looks = AtomicU64::new(0);
+    let agent = pages(move |_| {
+        let done = looks.fetch_add(1, Ordering::SeqCst) >= 2;
+        let load = json!({ "cost": 5, "cap": 9, "running": u64::from(!done), "waiting": 0 });
+        let drain = json!({ "action": "shutdown", "drained": done });
+        let own = json!([target("Leaving", &load, &drain)]);
+        Response::json(&status_of("vm-1", "agent", "aaaa", &own))
+    });
+    let router = daemon(status_of("entry-1", "router", "aaaa", &json!([])), 0);
+    let both = [router, agent];
+    let ended = ask(
+        &bench.environment,
+        &both,
+        "mark e-1 --shutdown --drained --output json",
+    );
+    assert_eq!(ended.exit, Exit::Done, "{ended:?}");
+    assert_eq!(ended.json()["drained"], true);
+
+    let line = "mark e-2 --shutdown --drained --drained-within 600ms";
+    let ended = ask(&bench.environment, &both, line);
+    assert_eq!(ended.exit, Exit::NotInForce, "{ended:?}");
+    assert!(ended.err.contains("is that its name?"), "{ended:?}");
+}
+
+#[test]
+fn verify_mark_that_is_not_drained_in_time_says_what_runs() {
+    let bench = Bench::new();
+    let load = json!({ "cost": 5, "cap": 9, "running": 3, "waiting": 0 });
+    let drain = json!({ "action": "shutdown", "drained": false });
+    let own = json!([target("Leaving", &load, &drain)]);
+    let agent = daemon(status_of("vm-1", "agent", "aaaa", &own), 0);
+    let line = "mark e-1 --shutdown --drained --drained-within 600ms";
+    let ended = ask(&bench.environment, &[agent], line);
+    assert_eq!(ended.exit, Exit::NotInForce, "{ended:?}");
+    assert!(ended.err.contains("3 requests still run"), "{ended:?}");
+}
--- a/crates/peppercrank-cli/tests/verify_pages.rs
+++ b/crates/peppercrank-cli/tests/verify_pages.rs
@@ -83,8 +83,13 @@
 impl Fleet {
     fn new() -> Self {
         let status = json!({
-            "vm": "entry-1", "zone": "rae", "role": "router", "ready": true,
+            "vm": "entry-1", "zone": "rae", "role": "agent", "ready": true,
             "configuration": { "digest": "00", "version": 1, "objects": 1 },
+            "targets": [{
+                "name": "galley-llm-3", "pool": "galley-llm", "zone": "rae", "state": "Leaving",
+                "load": { "cost": 0, "cap": 0, "running": 0, "waiting": 0 },
+                "drain": { "action": "shutdown", "drained": true },
+            }],
         });
         let address = pages(move |request| match request.url().as_str() {
             "/status" => Response::json(&status),
@@ -291,7 +296,7 @@
         checked += 1;
     }
     assert_eq!(
-        checked, 40,
+        checked, 41,
         "rows were added or lost: look at them, then change this number"
     );
 }
--- a/crates/peppercrank-cli/tests/verify_usage.rs
+++ b/crates/peppercrank-cli/tests/verify_usage.rs
@@ -26,7 +26,11 @@
     ("mark", "--grace"),
     ("unmark", "--wait"),
     ("status", "loads and drains"),
+    ("check-objects", "refers to nothing"),
     ("check-settings", "line and column"),
+    ("router", "ends what is in progress"),
+    ("agent", "one target"),
+    ("local", "--run-time"),
     ("standin", "engine, service or platform"),
 ];
 
--- a/crates/peppercrank-cli/tests/verify_verbs.rs
+++ b/crates/peppercrank-cli/tests/verify_verbs.rs
@@ -181,3 +181,34 @@
         bench.expect(Exit::Usage, line);
     }
 }
+
+#[test]
+fn verify_objects_are_checked_together() {
+    let bench = Bench::new();
+    bench.expect(Exit::Done, "set-organisation o template=gone");
+    let told = bench
+        .expect(Exit::Done, "check-objects --output json")
+        .json();
+    assert_eq!(told["objects"], 1);
+    assert_eq!(
+        told["warnings"],
+        json!(["organisation `o`: no template `gone`"])
+    );
+    bench.expect(
+        Exit::Done,
+        &format!("publish template gone {}", template(1)),
+    );
+    let told = bench.expect(Exit::Done, "check-objects").out;
+    assert!(told.contains("2 objects, all valid"), "{told}");
+
+    // An object that was written past our tools.
+    let path = format!("http://{}/objects/pool/p", bench.address);
+    let body = r#"{ "spec": { "serves": { "models": [] } } }"#;
+    let answer = ureq::put(path).header("if-none-match", "*").send(body);
+    assert!(answer.expect("an answer").status().is_success());
+    let told = bench.expect(Exit::Invalid, "check-objects").out;
+    assert!(
+        told.contains("invalid: pool `p`, version 3: pool: `spec"),
+        "{told}"
+    );
+}
