Check leases and the order gate, by tables and over every reachable state

Cause: both were untested. The model showed that a gate that reads the lease only when an order comes refuses that first order always: it now reads when it starts. Conclusion: no order obeyed after a newer holder's within these bounds.

--- a/crates/peppercrank-lease/src/gate.rs
+++ b/crates/peppercrank-lease/src/gate.rs
@@ -3,7 +3,7 @@
 
 //! The order gate of an agent: no order reaches the engine after a newer holder's.
 //!
-//! A gate that has just started remembers nothing, so it reads the lease object once and obeys only
+//! A gate that has just started remembers nothing, so it reads the lease object and obeys only
 //! orders with a *higher* fencing number than it read: whatever was sent before the restart has a
 //! lower one or that one. The holder's next renewal, a third of a lease away at most, brings a
 //! number that passes.
@@ -169,8 +169,12 @@
 /// What the gate knows of the orders given before it started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Past {
-    Unread,
-    Reading { call: CallId, sent: Moment },
+    /// To be read at this moment, or when an order comes.
+    Unread(Moment),
+    Reading {
+        call: CallId,
+        sent: Moment,
+    },
     Read,
 }
 
@@ -190,12 +194,12 @@
 }
 
 impl Gate {
-    /// `new` makes the gate of an agent that starts at `now`.
+    /// `new` makes the gate of an agent that starts at `now`; an [`Input::Tick`] lets it read.
     #[must_use]
     pub fn new(policy: Policy, now: Moment) -> Self {
         Self {
             policy,
-            past: Past::Unread,
+            past: Past::Unread(now),
             top: (Version(0), 0),
             queue: VecDeque::new(),
             flying: Vec::new(),
@@ -211,8 +215,9 @@
     pub fn wake(&self) -> Option<Moment> {
         match self.past {
             Past::Reading { sent, .. } => Some(sent + self.policy.read),
-            _ if self.queue.is_empty() => None,
-            _ => Some(self.quiet.0),
+            Past::Unread(at) => Some(at),
+            Past::Read if self.queue.is_empty() => None,
+            Past::Read => Some(self.quiet.0),
         }
     }
 
@@ -221,7 +226,7 @@
         let mut out = Vec::new();
         match input {
             Input::Order(order) => self.order(now, order, &mut out),
-            Input::Lease { call, answer } => self.lease(call, &answer, &mut out),
+            Input::Lease { call, answer } => self.lease(now, call, &answer, &mut out),
             Input::Engine { id, reply } => self.engine(now, id, reply, &mut out),
             Input::Tick => self.time_out(now, &mut out),
         }
@@ -246,16 +251,20 @@
         match self.past {
             Past::Read => self.judge(order, out),
             Past::Reading { .. } => self.queue.push_back(order),
-            Past::Unread => {
+            Past::Unread(_) => {
                 self.queue.push_back(order);
-                self.calls += 1;
-                let call = CallId(self.calls);
-                self.past = Past::Reading { call, sent: now };
-                out.push(Action::Read { call });
+                self.read(now, out);
             }
         }
     }
 
+    fn read(&mut self, now: Moment, out: &mut Vec<Action>) {
+        self.calls += 1;
+        let call = CallId(self.calls);
+        self.past = Past::Reading { call, sent: now };
+        out.push(Action::Read { call });
+    }
+
     /// Accepts an order that stands above all before it, refuses any other.
     fn judge(&mut self, order: Order, out: &mut Vec<Action>) {
         if order.place() <= self.top {
@@ -284,7 +293,7 @@
         Outcome::Stale { least }
     }
 
-    fn lease(&mut self, call: CallId, answer: &Answer<Lease>, out: &mut Vec<Action>) {
+    fn lease(&mut self, now: Moment, call: CallId, answer: &Answer<Lease>, out: &mut Vec<Action>) {
         match self.past {
             Past::Reading { call: own, .. } if own == call => {}
             _ => return,
@@ -293,7 +302,7 @@
             Answer::Found { version, .. } => self.learn(*version, out),
             // Never written: no order was ever given under it.
             Answer::Absent => self.learn(Version(0), out),
-            _ => self.unread(out),
+            _ => self.unread(now, out),
         }
     }
 
@@ -305,8 +314,8 @@
         }
     }
 
-    fn unread(&mut self, out: &mut Vec<Action>) {
-        self.past = Past::Unread;
+    fn unread(&mut self, now: Moment, out: &mut Vec<Action>) {
+        self.past = Past::Unread(now + self.policy.read);
         for order in self.queue.drain(..) {
             out.push(tell(order.id, Outcome::Unread));
         }
@@ -314,7 +323,10 @@
 
     fn time_out(&mut self, now: Moment, out: &mut Vec<Action>) {
         match self.past {
-            Past::Reading { sent, .. } if now.since(sent) >= self.policy.read => self.unread(out),
+            Past::Reading { sent, .. } if now.since(sent) >= self.policy.read => {
+                self.unread(now, out);
+            }
+            Past::Unread(at) if now >= at => self.read(now, out),
             _ => {}
         }
     }
--- /dev/null
+++ b/crates/peppercrank-lease/tests/verify_claim.rs
@@ -0,0 +1,373 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Claims against a fake store, with each of its failures.
+
+mod common;
+
+use std::time::Duration;
+
+use peppercrank_core::keys::RequestId;
+use peppercrank_core::refusal::MayHaveRun;
+use peppercrank_core::refusal::NotRun;
+use peppercrank_core::refusal::Outcome;
+use peppercrank_core::time::Moment;
+use peppercrank_lease::claim::Action;
+use peppercrank_lease::claim::Claims;
+use peppercrank_lease::claim::Input;
+use peppercrank_lease::claim::Policy;
+use peppercrank_lease::claim::Verdict;
+use peppercrank_lease::shard::CLAIM_BYTES;
+use peppercrank_lease::shard::ClaimKey;
+use peppercrank_lease::shard::SHARD_BYTES;
+use peppercrank_lease::shard::Shard;
+use peppercrank_lease::store::Answer;
+
+use crate::common::Store;
+use crate::common::failed;
+
+/// What the store does with one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    /// Takes it and answers.
+    Served,
+    /// Takes it, but the answer is lost.
+    Unheard,
+    /// Never sees it.
+    Lost,
+}
+
+/// A router with its view of the store, and what it told.
+struct Router {
+    claims: Claims,
+    told: Vec<(RequestId, Verdict)>,
+    widest: usize,
+}
+
+impl Router {
+    fn new(policy: Policy, seed: u64) -> Self {
+        let claims = Claims::new(policy, seed).expect("policy in range");
+        Self {
+            claims,
+            told: Vec::new(),
+            widest: 0,
+        }
+    }
+
+    /// Feeds an input and serves the calls that follow; the first ones by `fates`.
+    fn on(&mut self, store: &mut Store<Shard>, now: Moment, input: Input, fates: &[Fate]) {
+        let mut fates = fates.iter().copied();
+        let mut actions = self.claims.on(now, input);
+        while let Some(action) = actions.pop() {
+            let (call, answer) = match action {
+                Action::Tell { token, verdict } => {
+                    self.told.push((token, verdict));
+                    continue;
+                }
+                Action::Get { call, .. } => (call, store.get()),
+                Action::Put {
+                    call, base, body, ..
+                } => {
+                    let fate = fates.next().unwrap_or(Fate::Served);
+                    self.widest = self.widest.max(body.len());
+                    let answer = match fate {
+                        Fate::Served => store.put(base, body),
+                        Fate::Unheard => {
+                            store.put(base, body);
+                            failed()
+                        }
+                        Fate::Lost => failed(),
+                    };
+                    (call, answer)
+                }
+            };
+            actions.extend(self.claims.on(now, Input::Answer { call, answer }));
+        }
+    }
+
+    fn verdict(&self, token: u128) -> Option<Verdict> {
+        let found = self.told.iter().find(|t| t.0 == RequestId(token));
+        found.map(|t| t.1)
+    }
+
+    fn is_granted(&self, token: u128) -> bool {
+        matches!(self.verdict(token), Some(Verdict::Granted { .. }))
+    }
+}
+
+fn policy() -> Policy {
+    Policy {
+        shards: 1,
+        ..Policy::default()
+    }
+}
+
+fn claim(key: u128, token: u128) -> Input {
+    Input::Claim {
+        key: ClaimKey(key),
+        token: RequestId(token),
+        wait: Duration::from_secs(60),
+    }
+}
+
+fn release(key: u128, token: u128) -> Input {
+    let (key, token) = (ClaimKey(key), RequestId(token));
+    Input::Release { key, token }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+#[test]
+fn verify_one_of_two_routers_is_granted_and_the_other_told_the_truth() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (Router::new(policy(), 1), Router::new(policy(), 2));
+    a.on(&mut store, at(0), claim(1, 10), &[]);
+    b.on(&mut store, at(0), claim(1, 20), &[]);
+    assert!(a.is_granted(10));
+    let told = b.verdict(20).and_then(Verdict::refusal);
+    assert_eq!(told, Some(Outcome::MayHaveRun(MayHaveRun::AlreadyBegun)));
+    assert_eq!((store.reads, store.writes), (2, 1));
+}
+
+#[test]
+fn verify_each_fate_of_a_write() {
+    // What becomes of the first write, and the writes that the store takes in all.
+    let cases = [(Fate::Served, 1), (Fate::Unheard, 1), (Fate::Lost, 1)];
+    for (fate, writes) in cases {
+        let mut store = Store::default();
+        let mut a = Router::new(policy(), 1);
+        a.on(&mut store, at(0), claim(1, 10), &[fate]);
+        a.on(&mut store, at(500), Input::Tick, &[]);
+        assert!(a.is_granted(10), "{fate:?}");
+        assert_eq!(store.writes, writes, "{fate:?}");
+        assert_eq!(a.told.len(), 1, "{fate:?}");
+    }
+}
+
+#[test]
+fn verify_a_claim_given_up_after_a_lost_answer_is_removed() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (Router::new(policy(), 1), Router::new(policy(), 2));
+    a.on(&mut store, at(0), claim(1, 10), &[Fate::Unheard]);
+    // Nothing is tried before the wait is over.
+    a.on(&mut store, at(2_000), Input::Tick, &[]);
+    assert_eq!(a.verdict(10), Some(Verdict::Unavailable));
+    a.on(&mut store, at(2_100), Input::Tick, &[]);
+    b.on(&mut store, at(2_200), claim(1, 20), &[]);
+    assert!(b.is_granted(20));
+}
+
+#[test]
+fn verify_an_outage_refuses_truly_then_at_once_and_ends() {
+    let mut claims = Claims::new(policy(), 1).expect("policy in range");
+    let mut out = claims.on(at(0), claim(1, 10));
+    let mut told = Vec::new();
+    for ms in (0..=2_000).step_by(10) {
+        out.extend(claims.on(at(ms), Input::Tick));
+        let calls: Vec<Action> = std::mem::take(&mut out);
+        for action in calls {
+            match action {
+                Action::Get { call, .. } => {
+                    let answer = failed();
+                    out.extend(claims.on(at(ms), Input::Answer { call, answer }));
+                }
+                Action::Tell { token, verdict } => told.push((ms, token, verdict)),
+                Action::Put { .. } => panic!("a write without a read"),
+            }
+        }
+    }
+    assert_eq!(told.len(), 1);
+    assert!(told[0].0 <= 2_000 && told[0].2 == Verdict::Unavailable);
+    let refusal = told[0].2.refusal();
+    assert_eq!(refusal, Some(Outcome::NotRun(NotRun::ClaimUnavailable)));
+    // From now on at once, with no call.
+    let now = claims.on(at(2_001), claim(2, 11));
+    let verdict = Verdict::Unavailable;
+    let token = RequestId(11);
+    assert_eq!(now, [Action::Tell { token, verdict }]);
+    // An hour later one try finds it back.
+    let back = claims.on(at(3_600_000), Input::Tick);
+    let [Action::Get { call, .. }] = back[..] else {
+        panic!("one try, not {back:?}");
+    };
+    let answer = Answer::Absent;
+    claims.on(at(3_600_001), Input::Answer { call, answer });
+    assert!(!claims.is_out());
+}
+
+#[test]
+fn verify_a_silent_store_counts_as_failed_and_a_late_answer_is_ignored() {
+    let mut claims = Claims::new(policy(), 1).expect("policy in range");
+    let first = claims.on(at(0), claim(1, 10));
+    let [Action::Get { call, .. }] = first[..] else {
+        panic!("a read, not {first:?}");
+    };
+    assert!(claims.on(at(999), Input::Tick).is_empty());
+    claims.on(at(1_000), Input::Tick);
+    let answer = Answer::Absent;
+    let late = claims.on(at(5_000), Input::Answer { call, answer });
+    assert!(late.is_empty());
+    let told = claims.on(at(5_000), Input::Tick);
+    let (token, verdict) = (RequestId(10), Verdict::Unavailable);
+    assert_eq!(told, [Action::Tell { token, verdict }]);
+}
+
+#[test]
+fn verify_an_answer_after_a_pause_claims_for_nobody() {
+    let mut claims = Claims::new(policy(), 1).expect("policy in range");
+    let first = claims.on(at(0), claim(1, 10));
+    let [Action::Get { call, .. }] = first[..] else {
+        panic!("a read, not {first:?}");
+    };
+    let answer = Answer::Absent;
+    let told = claims.on(at(7_200_000), Input::Answer { call, answer });
+    let (token, verdict) = (RequestId(10), Verdict::Unavailable);
+    assert_eq!(told, [Action::Tell { token, verdict }]);
+}
+
+#[test]
+fn verify_a_release_frees_the_key_for_a_sending_again() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (Router::new(policy(), 1), Router::new(policy(), 2));
+    a.on(&mut store, at(0), claim(1, 10), &[]);
+    // Another's release, or an old one, frees nothing.
+    b.on(&mut store, at(1), release(1, 20), &[]);
+    b.on(&mut store, at(2), claim(1, 21), &[]);
+    assert_eq!(b.verdict(21), Some(Verdict::Begun));
+    a.on(&mut store, at(3), release(1, 10), &[]);
+    b.on(&mut store, at(4), claim(1, 22), &[]);
+    assert!(b.is_granted(22));
+}
+
+#[test]
+fn verify_claims_travel_together_while_a_call_is_in_flight() {
+    let mut store = Store::default();
+    let mut claims = Claims::new(policy(), 1).expect("policy in range");
+    let mut out = claims.on(at(0), claim(0, 100));
+    for n in 1..50 {
+        assert!(claims.on(at(0), claim(n, 100 + n)).is_empty());
+    }
+    // The same key twice at one router needs no call to be told.
+    let twice = claims.on(at(0), claim(7, 999));
+    let (token, verdict) = (RequestId(999), Verdict::Begun);
+    assert_eq!(twice, [Action::Tell { token, verdict }]);
+    let mut granted = 0;
+    while let Some(action) = out.pop() {
+        let (call, answer) = match action {
+            Action::Get { call, .. } => (call, store.get()),
+            Action::Put {
+                call, base, body, ..
+            } => (call, store.put(base, body)),
+            Action::Tell { .. } => {
+                granted += 1;
+                continue;
+            }
+        };
+        out.extend(claims.on(at(1), Input::Answer { call, answer }));
+    }
+    assert_eq!((granted, store.reads, store.writes), (50, 1, 1));
+}
+
+#[test]
+fn verify_a_claim_lasts_its_retention_and_no_router_shortens_it() {
+    let policy = policy();
+    let period = 600_000;
+    let mut store = Store::default();
+    let mut busy = Router::new(policy, 1);
+    busy.on(&mut store, at(0), claim(1, 10), &[]);
+    // A router that has just started knows nothing of the epoch's age, however often it writes;
+    // clocks that stand elsewhere do not count.
+    for n in 0..100 {
+        let mut fresh = Router::new(policy, n);
+        let far = at(1_000_000_000 + n);
+        fresh.on(
+            &mut store,
+            far,
+            claim(1_000 + u128::from(n), 5_000 + u128::from(n)),
+            &[],
+        );
+    }
+    let epoch = |s: &Store<Shard>| s.object.as_ref().map_or(0, |o| o.1.epoch());
+    assert_eq!(epoch(&store), 0);
+    // One that watches lets it rise once a period; the claim outlives six of them.
+    let mut token = 20_000;
+    for beat in 1..=7_u64 {
+        token += 1;
+        busy.on(&mut store, at(beat * period), claim(token, token), &[]);
+        busy.on(
+            &mut store,
+            at(beat * period + 1),
+            claim(1, token + 500),
+            &[],
+        );
+        let kept = busy.verdict(token + 500) == Some(Verdict::Begun);
+        assert_eq!(kept, beat <= 6, "after {beat} periods");
+    }
+}
+
+#[test]
+fn verify_a_full_shard_refuses_and_the_bound_on_bytes_holds() {
+    let small = Policy {
+        bytes: SHARD_BYTES + 3 * CLAIM_BYTES,
+        ..policy()
+    };
+    let mut store = Store::default();
+    let mut a = Router::new(small, 1);
+    for n in 0..5 {
+        a.on(&mut store, at(0), claim(u128::MAX - n, u128::MAX - n), &[]);
+    }
+    let told: Vec<bool> = (0..5).map(|n| a.is_granted(u128::MAX - n)).collect();
+    assert_eq!(told, [true, true, true, false, false]);
+    assert_eq!(a.verdict(u128::MAX - 4), Some(Verdict::Unavailable));
+    let (_, mut body) = store.object.expect("written");
+    let text = serde_json::to_string(&body).expect("encodes");
+    assert!(
+        text.len() <= body.bytes(),
+        "{} > {}",
+        text.len(),
+        body.bytes()
+    );
+    let back: Shard = serde_json::from_str(&text).expect("decodes");
+    assert_eq!(back, body);
+    body.roll(0);
+    assert!(body.is_empty());
+}
+
+#[test]
+fn verify_bodies_that_are_not_ours_are_refused() {
+    let bad = [
+        r#"{"epoch":0,"claims":[["zz","00000000000000000000000000000001",0]]}"#,
+        r#"{"epoch":0,"claims":[["00000000000000000000000000000001","1",0]]}"#,
+        r#"{"epoch":0,"claims":[["00000000000000000000000000000001","00000000000000000000000000000001",1]]}"#,
+        r#"{"epoch":-1,"claims":[]}"#,
+        r#"{"claims":[]}"#,
+        r#"{"epoch":0,"claims":[],"more":1}"#,
+    ];
+    for text in bad {
+        assert!(serde_json::from_str::<Shard>(text).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn verify_a_policy_that_cannot_keep_its_promise_is_refused() {
+    let good = Policy::default();
+    let bad = [
+        Policy { shards: 0, ..good },
+        Policy {
+            shards: 10_000,
+            ..good
+        },
+        Policy { bytes: 10, ..good },
+        Policy {
+            life: good.retention(),
+            ..good
+        },
+        Policy { fails: 0, ..good },
+    ];
+    assert_eq!(good.check(), Ok(()));
+    for policy in bad {
+        assert!(Claims::new(policy, 1).is_err(), "{policy:?}");
+    }
+}
--- a/crates/peppercrank-spec/src/orders.rs
+++ b/crates/peppercrank-spec/src/orders.rs
@@ -1,4 +1,491 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! No order is obeyed after a newer holder's.
+//! No order is obeyed after a newer holder's, and no two processes may act at once.
+//!
+//! Two real [`Contender`]s seek one lease, one real [`Gate`] stands before an engine. Orders travel
+//! late, in any order and twice; a message that its sender has given up on may still arrive. A
+//! stride of time lets a lease lapse: for a holder that checked its lease just before, it is a
+//! pause in mid-order.
+
+use std::time::Duration;
+
+use peppercrank_core::names::VmName;
+use peppercrank_core::time::Moment;
+use peppercrank_lease::gate;
+use peppercrank_lease::gate::Command;
+use peppercrank_lease::gate::Engine;
+use peppercrank_lease::gate::Gate;
+use peppercrank_lease::gate::Order;
+use peppercrank_lease::gate::OrderId;
+use peppercrank_lease::gate::Reply;
+use peppercrank_lease::lease;
+use peppercrank_lease::lease::Contender;
+use peppercrank_lease::lease::Lease;
+use peppercrank_lease::lease::Session;
+use peppercrank_lease::store::Answer;
+use peppercrank_lease::store::Base;
+use peppercrank_lease::store::CallId;
+use peppercrank_lease::store::Version;
+
+use crate::search::Model;
+
+/// The property that an engine never obeys an order older than one it obeyed.
+pub const OLDER: &str = "an order was obeyed after a newer holder's";
+
+/// The property that no two processes may act under the lease at once.
+pub const BOTH: &str = "two processes may act under one lease at once";
+
+/// What one step of time lasts: a lease, its margin and more.
+const STRIDE: Duration = Duration::from_secs(6);
+
+/// `Flaw` is a rule taken away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// Nothing: the protocol as built.
+    None,
+    /// The agent passes orders without a gate.
+    NoGate,
+    /// A gate that has restarted starts from nothing instead of reading the lease.
+    Unread,
+    /// A gate that has restarted obeys the number it read, not only higher ones.
+    Equal,
+    /// A gate does not wait for an order of unknown fate.
+    Unsettled,
+    /// A contender takes the lease without waiting for it to lapse.
+    Impatient,
+    /// The store takes writes that rest on an old version.
+    Unconditional,
+}
+
+/// `Orders` is the model with its bounds.
+#[derive(Debug, Clone, Copy)]
+pub struct Orders {
+    /// The rule taken away.
+    pub flaw: Flaw,
+    /// What the engine does with fencing numbers.
+    pub engine: Engine,
+    /// Orders given.
+    pub orders: u8,
+    /// Calls of the store whose answer is lost.
+    pub losses: u8,
+    /// Restarts of the agent.
+    pub restarts: u8,
+    /// Strides of time.
+    pub strides: u8,
+    /// Orders that arrive twice.
+    pub repeats: u8,
+    /// Orders to the engine whose answer the agent gives up on.
+    pub cuts: u8,
+}
+
+/// Who waits for the answer to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Caller {
+    Contender(usize),
+    Gate,
+}
+
+/// One call of the store under way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Call {
+    /// Who waits; `None` when nobody does any more.
+    from: Option<Caller>,
+    id: CallId,
+    /// What it writes on which version; `None` for a read.
+    write: Option<(Base, Lease)>,
+}
+
+/// `State` is one state of the model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    now: Moment,
+    version: u64,
+    object: Option<(Version, Lease)>,
+    contenders: [Contender; 2],
+    gate: Gate,
+    calls: Vec<Call>,
+    /// Orders on the way to the agent.
+    wire: Vec<Order>,
+    /// Orders on the way to the engine, and whether the agent still waits for them.
+    line: Vec<(Order, bool)>,
+    /// The place of the last order obeyed.
+    obeyed: (Version, u64),
+    older: bool,
+    given: u8,
+    lost: u8,
+    restarted: u8,
+    strode: u8,
+    repeated: u8,
+    cut: u8,
+}
+
+/// `Step` is one step of the model.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// A contender's timer runs.
+    Tick(usize),
+    /// The store takes a call and its answer arrives.
+    Serve(usize),
+    /// The caller takes a call for failed; it may take effect yet.
+    Lose(usize),
+    /// A holder that checks its lease gives an order.
+    Give(usize),
+    /// An order reaches the agent.
+    Arrive(usize),
+    /// An order reaches the agent and will again.
+    Repeat(usize),
+    /// An order reaches the engine, and its answer the agent.
+    Obey(usize),
+    /// The agent gives up on the engine's answer; the order may be taken up yet.
+    Cut(usize),
+    /// The agent's timer runs.
+    Settle,
+    /// The agent crashes and starts anew.
+    Restart,
+    /// Time passes, or every process is paused.
+    Stride,
+}
+
+impl Orders {
+    fn contender(name: &str, session: u64) -> Contender {
+        let policy = lease::Policy {
+            duration: Duration::from_secs(4),
+            margin: Duration::from_secs(1),
+            poll: STRIDE,
+            retry: Duration::from_nanos(1),
+            call: Duration::from_secs(1_000),
+        };
+        // The policy and the names are constants of the model; the tests would show a bad one.
+        let vm = VmName::new(name).expect("the model's name is well formed");
+        let mut contender =
+            Contender::new(policy, vm, Session(session)).expect("the model's policy is in range");
+        // A fresh contender only notes that it seeks and reads.
+        let _read = contender.on(Moment::ZERO, lease::Input::Seek);
+        contender
+    }
+
+    fn gate(self, now: Moment) -> Gate {
+        let settle = if self.flaw == Flaw::Unsettled {
+            Duration::ZERO
+        } else {
+            STRIDE
+        };
+        let policy = gate::Policy {
+            engine: self.engine,
+            settle,
+            queue: 4,
+            kept: 4,
+            read: Duration::from_secs(1_000),
+        };
+        Gate::new(policy, now)
+    }
+
+    fn contend(self, s: &mut State, at: usize, input: lease::Input) {
+        for action in s.contenders[at].on(s.now, input) {
+            let from = Some(Caller::Contender(at));
+            match action {
+                lease::Action::Get { call: id } => s.calls.push(Call {
+                    from,
+                    id,
+                    write: None,
+                }),
+                lease::Action::Put {
+                    call: id,
+                    base,
+                    body,
+                } => s.calls.push(Call {
+                    from,
+                    id,
+                    write: Some((base, body)),
+                }),
+                lease::Action::Held { .. } | lease::Action::Lost => {}
+            }
+        }
+    }
+
+    fn guard(self, s: &mut State, input: gate::Input) {
+        for action in s.gate.on(s.now, input) {
+            match action {
+                gate::Action::Read { call: id } => s.calls.push(Call {
+                    from: Some(Caller::Gate),
+                    id,
+                    write: None,
+                }),
+                gate::Action::Pass(order) => s.line.push((order, true)),
+                gate::Action::Tell { .. } => {}
+            }
+        }
+    }
+
+    fn serve(self, s: &mut State, at: usize) {
+        let call = s.calls.remove(at);
+        let answer = self.store(s, call.write);
+        self.answer(s, call.from, call.id, answer);
+    }
+
+    fn answer(self, s: &mut State, from: Option<Caller>, call: CallId, answer: Answer<Lease>) {
+        match from {
+            None => {}
+            Some(Caller::Contender(at)) => {
+                let answer = self.hurry(s, at, answer);
+                self.contend(s, at, lease::Input::Answer { call, answer });
+            }
+            Some(Caller::Gate) => {
+                let answer = self.forget(answer);
+                self.guard(s, gate::Input::Lease { call, answer });
+            }
+        }
+    }
+
+    /// For a flaw: lets another's lease look as if it lasted no time.
+    fn hurry(self, s: &State, at: usize, answer: Answer<Lease>) -> Answer<Lease> {
+        match answer {
+            Answer::Found { version, mut body }
+                if self.flaw == Flaw::Impatient && !s.is_of(at, &body) =>
+            {
+                body.released = true;
+                Answer::Found { version, body }
+            }
+            other => other,
+        }
+    }
+
+    /// For a flaw: lets a gate read less than the store holds.
+    fn forget(self, answer: Answer<Lease>) -> Answer<Lease> {
+        match (self.flaw, answer) {
+            (Flaw::Unread, Answer::Found { .. }) => Answer::Absent,
+            (Flaw::Equal, Answer::Found { version, body }) => Answer::Found {
+                version: Version(version.0 - 1),
+                body,
+            },
+            (_, answer) => answer,
+        }
+    }
+
+    fn store(self, s: &mut State, write: Option<(Base, Lease)>) -> Answer<Lease> {
+        let current = s.object.clone();
+        let Some((base, body)) = write else {
+            return match current {
+                Some((version, body)) => Answer::Found { version, body },
+                None => Answer::Absent,
+            };
+        };
+        let stands = base == current.as_ref().map(|c| c.0);
+        if !stands && self.flaw != Flaw::Unconditional {
+            return Answer::Conflict { current };
+        }
+        s.version += 1;
+        let version = Version(s.version);
+        s.object = Some((version, body));
+        Answer::Written { version }
+    }
+
+    fn lose(self, s: &mut State, at: usize) {
+        s.lost += 1;
+        let id = s.calls[at].id;
+        let from = s.calls[at].from.take();
+        if s.calls[at].write.is_none() {
+            s.calls.remove(at);
+        }
+        self.answer(s, from, id, Answer::Failed { after: None });
+    }
+
+    fn give(self, s: &mut State, at: usize) {
+        let Some(fence) = s.contenders[at].fence(s.now) else {
+            return;
+        };
+        s.given += 1;
+        let seq = u64::from(s.given);
+        s.wire.push(Order {
+            id: OrderId(u128::from(seq)),
+            fence,
+            seq,
+            command: Command::SetRole(String::new()),
+        });
+    }
+
+    fn arrive(self, s: &mut State, order: Order) {
+        if self.flaw == Flaw::NoGate {
+            s.line.push((order, true));
+            return;
+        }
+        self.guard(s, gate::Input::Order(order));
+    }
+
+    fn obey(self, s: &mut State, at: usize) {
+        let (order, waits) = s.line.remove(at);
+        let place = (order.fence, order.seq);
+        let refuses = self.engine == Engine::Checks && order.fence < s.obeyed.0;
+        let reply = if refuses {
+            Reply::Refused
+        } else {
+            s.older |= place < s.obeyed;
+            s.obeyed = s.obeyed.max(place);
+            Reply::Obeyed
+        };
+        if waits {
+            let id = order.id;
+            self.guard(s, gate::Input::Engine { id, reply });
+        }
+    }
+
+    fn cut(self, s: &mut State, at: usize) {
+        s.cut += 1;
+        s.line[at].1 = false;
+        let id = s.line[at].0.id;
+        let reply = Reply::Unknown;
+        self.guard(s, gate::Input::Engine { id, reply });
+    }
+
+    fn restart(self, s: &mut State) {
+        s.restarted += 1;
+        s.gate = self.gate(s.now);
+        s.calls.retain(|c| c.from != Some(Caller::Gate));
+        for (_, waits) in &mut s.line {
+            *waits = false;
+        }
+    }
+
+    fn stride(s: &mut State) {
+        s.strode += 1;
+        s.now = s.now + STRIDE;
+        // The assumption on the engine: what the agent gave up on is taken up within the time to
+        // settle, or never.
+        s.line.retain(|l| l.1);
+    }
+
+    fn apply(self, s: &State, step: &Step) -> State {
+        let mut s = s.clone();
+        match *step {
+            Step::Tick(at) => self.contend(&mut s, at, lease::Input::Tick),
+            Step::Serve(at) => self.serve(&mut s, at),
+            Step::Lose(at) => self.lose(&mut s, at),
+            Step::Give(at) => self.give(&mut s, at),
+            Step::Arrive(at) => {
+                let order = s.wire.remove(at);
+                self.arrive(&mut s, order);
+            }
+            Step::Repeat(at) => {
+                s.repeated += 1;
+                let order = s.wire[at].clone();
+                self.arrive(&mut s, order);
+            }
+            Step::Obey(at) => self.obey(&mut s, at),
+            Step::Cut(at) => self.cut(&mut s, at),
+            Step::Settle => self.guard(&mut s, gate::Input::Tick),
+            Step::Restart => self.restart(&mut s),
+            Step::Stride => Self::stride(&mut s),
+        }
+        s
+    }
+
+    /// The steps of the contenders and the store.
+    fn lease_steps(self, s: &State, steps: &mut Vec<Step>) {
+        for (at, contender) in s.contenders.iter().enumerate() {
+            if contender.wake().is_some_and(|w| w <= s.now) {
+                steps.push(Step::Tick(at));
+            }
+            if s.given < self.orders && contender.fence(s.now).is_some() {
+                steps.push(Step::Give(at));
+            }
+        }
+        for (at, call) in s.calls.iter().enumerate() {
+            steps.push(Step::Serve(at));
+            if call.from.is_some() && s.lost < self.losses {
+                steps.push(Step::Lose(at));
+            }
+        }
+    }
+
+    /// The steps of the agent and the engine.
+    fn agent_steps(self, s: &State, steps: &mut Vec<Step>) {
+        for at in 0..s.wire.len() {
+            steps.push(Step::Arrive(at));
+            if s.repeated < self.repeats {
+                steps.push(Step::Repeat(at));
+            }
+        }
+        for (at, (_, waits)) in s.line.iter().enumerate() {
+            steps.push(Step::Obey(at));
+            if *waits && s.cut < self.cuts {
+                steps.push(Step::Cut(at));
+            }
+        }
+        if s.gate.wake().is_some_and(|w| w <= s.now) {
+            steps.push(Step::Settle);
+        }
+        // Before any order a restart changes nothing that counts.
+        if s.restarted < self.restarts && s.given > 0 {
+            steps.push(Step::Restart);
+        }
+    }
+}
+
+impl State {
+    /// Whether a lease is the contender's own.
+    fn is_of(&self, at: usize, lease: &Lease) -> bool {
+        lease.session == Session(at as u64)
+    }
+}
+
+impl Model for Orders {
+    type State = State;
+    type Step = Step;
+
+    fn start(&self) -> State {
+        let contenders = [Self::contender("vm-a", 0), Self::contender("vm-b", 1)];
+        let read = |at| Call {
+            from: Some(Caller::Contender(at)),
+            id: CallId(1),
+            write: None,
+        };
+        let mut state = State {
+            now: Moment::ZERO,
+            version: 0,
+            object: None,
+            contenders,
+            gate: self.gate(Moment::ZERO),
+            calls: vec![read(0), read(1)],
+            wire: Vec::new(),
+            line: Vec::new(),
+            obeyed: (Version(0), 0),
+            older: false,
+            given: 0,
+            lost: 0,
+            restarted: 0,
+            strode: 0,
+            repeated: 0,
+            cut: 0,
+        };
+        // The contenders are alike: the first to read may as well be the first.
+        self.serve(&mut state, 0);
+        state
+    }
+
+    fn steps(&self, state: &State) -> Vec<(Step, State)> {
+        let mut steps = Vec::new();
+        self.lease_steps(state, &mut steps);
+        self.agent_steps(state, &mut steps);
+        if state.strode < self.strides {
+            steps.push(Step::Stride);
+        }
+        let next = steps.into_iter().map(|step| {
+            let next = self.apply(state, &step);
+            (step, next)
+        });
+        next.collect()
+    }
+
+    fn violations(&self, state: &State) -> Vec<&'static str> {
+        let mut bad = Vec::new();
+        if state.older {
+            bad.push(OLDER);
+        }
+        let held = |c: &Contender| c.fence(state.now).is_some();
+        if state.contenders.iter().all(held) {
+            bad.push(BOTH);
+        }
+        bad
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-spec/tests/verify_orders.rs
@@ -0,0 +1,121 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Orders of lease holders, over every reachable state.
+
+use peppercrank_lease::gate::Engine;
+use peppercrank_spec::orders::BOTH;
+use peppercrank_spec::orders::Flaw;
+use peppercrank_spec::orders::OLDER;
+use peppercrank_spec::orders::Orders;
+use peppercrank_spec::search::check;
+use peppercrank_spec::search::find;
+
+/// Two orders, time for one take-over, no fault.
+const CALM: Orders = Orders {
+    flaw: Flaw::None,
+    engine: Engine::Ignores,
+    orders: 2,
+    losses: 0,
+    restarts: 0,
+    strides: 2,
+    repeats: 0,
+    cuts: 0,
+};
+
+fn verify_holds(engine: Engine, name: &str, bound: Orders) {
+    match check(&Orders { engine, ..bound }) {
+        Ok(seen) => println!("orders, {engine:?}, {name}: {seen}"),
+        Err(bad) => panic!("orders, {engine:?}, {name}: {bad}"),
+    }
+}
+
+fn verify_bounds(engine: Engine) {
+    let bounds = [
+        ("calm", CALM),
+        ("cut", Orders { cuts: 1, ..CALM }),
+        (
+            "loss",
+            Orders {
+                losses: 1,
+                strides: 1,
+                ..CALM
+            },
+        ),
+        (
+            "restart",
+            Orders {
+                restarts: 1,
+                strides: 1,
+                ..CALM
+            },
+        ),
+        (
+            "repeat",
+            Orders {
+                repeats: 1,
+                restarts: 1,
+                strides: 1,
+                ..CALM
+            },
+        ),
+        (
+            "all",
+            Orders {
+                repeats: 1,
+                restarts: 1,
+                strides: 1,
+                losses: 1,
+                cuts: 1,
+                ..CALM
+            },
+        ),
+    ];
+    for (name, bound) in bounds {
+        verify_holds(engine, name, bound);
+    }
+}
+
+#[test]
+fn verify_orders_hold_where_the_engine_ignores_numbers() {
+    verify_bounds(Engine::Ignores);
+}
+
+#[test]
+fn verify_orders_hold_where_the_engine_checks_numbers() {
+    verify_bounds(Engine::Checks);
+}
+
+#[test]
+fn verify_each_flaw_is_found() {
+    let flaws = [
+        (Flaw::NoGate, OLDER, CALM),
+        (
+            Flaw::Unread,
+            OLDER,
+            Orders {
+                restarts: 1,
+                ..CALM
+            },
+        ),
+        (
+            Flaw::Equal,
+            OLDER,
+            Orders {
+                restarts: 1,
+                repeats: 1,
+                ..CALM
+            },
+        ),
+        (Flaw::Unsettled, OLDER, Orders { cuts: 1, ..CALM }),
+        (Flaw::Impatient, BOTH, CALM),
+        (Flaw::Unconditional, BOTH, CALM),
+    ];
+    for (flaw, property, bound) in flaws {
+        let model = Orders { flaw, ..bound };
+        let Some(bad) = find(&model, property) else {
+            panic!("{flaw:?} is not found");
+        };
+        println!("orders, {flaw:?} {bad}");
+    }
+}
