--- /dev/null
+++ b/crates/peppercrank-standin/src/platform.rs
@@ -0,0 +1,17 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The platform's stand-in: object API and VM list, all in memory.
+
+pub mod limits;
+mod serve;
+pub mod settings;
+pub mod store;
+pub mod vms;
+
+pub use serve::MAX_WAIT_MS;
+pub use serve::start;
+pub use settings::PlatformSettings;
+pub use vms::Vm;
+pub use vms::VmList;
+pub use vms::VmRole;
