Hold a surging organisation to its fair share where others need the room

Cause: with fair queueing alone the surge fills the target whenever the others leave room, and each of them then waits for a stream of the surge to end. Change: an organisation whose smoothed demand is above three times its fair share, or that met its limit of late, may use more than that share only below a part of the target's ceiling.

--- /dev/null
+++ b/crates/peppercrank-admit/examples/trace/mod.rs
@@ -0,0 +1,302 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! One target in virtual time under a seeded trace of ten organisations.
+//!
+//! Every organisation draws its requests from a seed of its own, so that the requests of the
+//! others are the very same ones with and without a surge of the first.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use peppercrank_admit::Action;
+use peppercrank_admit::Admission;
+use peppercrank_admit::Arrival;
+use peppercrank_admit::Input;
+use peppercrank_admit::Settings;
+use peppercrank_admit::Ticket;
+use peppercrank_core::blackboard::Mean;
+use peppercrank_core::keys::AttemptId;
+use peppercrank_core::names::OrganisationName;
+use peppercrank_core::objects::Parameters;
+use peppercrank_core::objects::Policy;
+use peppercrank_core::time::Moment;
+use peppercrank_core::units::Cost;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Organisations in the trace.
+pub const ORGANISATIONS: usize = 10;
+
+/// Mean prompt tokens that are not cached.
+const PROMPT: f64 = 1_000.0;
+
+/// Mean generated tokens.
+const OUTPUT: f64 = 200.0;
+
+/// Seconds until the first token.
+const FIRST: f64 = 0.3;
+
+/// Seconds between tokens.
+const BETWEEN: f64 = 0.05;
+
+/// Longest wait in the queue.
+pub const WAIT: Duration = Duration::from_secs(30);
+
+/// `Trial` is one run of the trace.
+#[derive(Debug, Clone, Copy)]
+pub struct Trial {
+    /// Seeds the trace.
+    pub seed: u64,
+    /// Seconds of arrivals.
+    pub seconds: f64,
+    /// Requests of mean size that the target holds.
+    pub slots: f64,
+    /// Load offered by all organisations without a surge, as a share of the target.
+    pub load: f64,
+    /// How many times its share the first organisation offers.
+    pub surge: f64,
+    /// Whether requests count by organisation; if not, all wait in one line.
+    pub split: bool,
+    /// See [`Settings::reserve`].
+    pub reserve: u32,
+    /// Limit of one organisation on this target, as a share of what the target holds.
+    pub limit: f64,
+}
+
+/// `Waits` is what became of one organisation's requests.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Waits {
+    /// How long each that ran had waited.
+    pub ran: Vec<Duration>,
+    /// How many were refused.
+    pub refused: usize,
+}
+
+impl Waits {
+    /// `at` is the wait that this many in a hundred do not exceed; the refused waited longest.
+    pub fn at(&self, percent: usize) -> Duration {
+        let mut waits = self.ran.clone();
+        waits.resize(self.ran.len() + self.refused, WAIT);
+        waits.sort_unstable();
+        let rank = (waits.len() * percent).div_ceil(100);
+        let found = waits.get(rank.saturating_sub(1));
+        found.copied().unwrap_or_default()
+    }
+}
+
+/// `Report` is what a trial came to.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    /// By organisation; the first is the one that surges.
+    pub waits: Vec<Waits>,
+    /// Mean share of the target in use while requests came.
+    pub used: f64,
+    /// Calls of the admission.
+    pub calls: usize,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    at: Moment,
+    organisation: usize,
+    cost: Cost,
+    time: Duration,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    End(u64),
+    Arrive(usize),
+}
+
+/// `World` is the target, its admission and the time.
+struct World {
+    admission: Admission,
+    requests: Vec<Request>,
+    events: BinaryHeap<Reverse<(Moment, Event)>>,
+    report: Report,
+    now: Moment,
+    split: bool,
+}
+
+impl Trial {
+    /// `run` plays the trace to its end.
+    pub fn run(&self) -> Report {
+        let cap = self.slots * (PROMPT + 4.0 * OUTPUT);
+        let mut world = World {
+            admission: self.admission(cap),
+            requests: self.requests(cap),
+            events: BinaryHeap::new(),
+            report: Report::default(),
+            now: Moment::ZERO,
+            split: self.split,
+        };
+        world.report.waits = vec![Waits::default(); ORGANISATIONS];
+        for (number, request) in world.requests.iter().enumerate() {
+            let event = Event::Arrive(number);
+            world.events.push(Reverse((request.at, event)));
+        }
+        let last = world.requests.last().map_or(Moment::ZERO, |last| last.at);
+        world.play(last);
+        world.report.used /= last.since_origin().as_secs_f64() * cap;
+        world.report
+    }
+
+    fn admission(&self, cap: f64) -> Admission {
+        let settings = Settings {
+            ceiling: whole(cap),
+            reserve: self.reserve,
+            spread: 1,
+            touch: Duration::MAX,
+            stale: Duration::MAX,
+            fresh: Duration::MAX,
+            ..Settings::default()
+        };
+        let policy = Policy {
+            cap: 1.25,
+            floor: whole(cap),
+            queue: 256,
+            wait_ms: u64::try_from(WAIT.as_millis()).unwrap_or(u64::MAX),
+            prefix: 0,
+            tries: 1,
+            retries: 0.0,
+        };
+        let mut admission = Admission::new(Moment::ZERO, settings, policy).expect("in range");
+        admission.on(Moment::ZERO, Input::TargetsHeard(1));
+        let mean = Mean {
+            load: whole(cap),
+            weight: 100,
+            targets: 1,
+            at: Moment::ZERO,
+        };
+        admission.on(Moment::ZERO, Input::MeanHeard(mean));
+        for number in 0..ORGANISATIONS {
+            let parameters = Parameters {
+                weight: 10,
+                priority: 5,
+                limit: whole(cap * self.limit),
+                output: 200,
+                deadline_ms: 60_000,
+                models: Vec::new(),
+                services: Vec::new(),
+            };
+            let input = Input::ParametersChanged(name(number), Some(parameters));
+            admission.on(Moment::ZERO, input);
+        }
+        admission
+    }
+
+    fn requests(&self, cap: f64) -> Vec<Request> {
+        // The second moment of an exponential draw is twice the square of its mean.
+        let work = PROMPT * (FIRST + BETWEEN * OUTPUT)
+            + 4.0 * (FIRST * OUTPUT + BETWEEN * 2.0 * OUTPUT * OUTPUT);
+        let share = self.load / 10.0 * cap / work;
+        let of = |number: usize| {
+            let times = if number == 0 { self.surge } else { 1.0 };
+            let seed = self.seed * 100 + u64::try_from(number).unwrap_or(0);
+            self.requests_of(number, seed, share * times)
+        };
+        let mut requests: Vec<_> = (0..ORGANISATIONS).flat_map(of).collect();
+        requests.sort_by_key(|request| (request.at, request.organisation));
+        requests
+    }
+
+    fn requests_of(&self, organisation: usize, seed: u64, rate: f64) -> Vec<Request> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut requests = Vec::new();
+        let mut at = exponential(&mut rng) / rate;
+        while at < self.seconds {
+            let prompt = PROMPT * rng.random_range(0.2..1.8);
+            let output = OUTPUT * exponential(&mut rng);
+            requests.push(Request {
+                at: Moment::from_origin(Duration::from_secs_f64(at)),
+                organisation,
+                cost: whole(prompt + 4.0 * output),
+                time: Duration::from_secs_f64(FIRST + BETWEEN * output),
+            });
+            at += exponential(&mut rng) / rate;
+        }
+        requests
+    }
+}
+
+impl World {
+    fn play(&mut self, last: Moment) {
+        while let Some(Reverse((at, event))) = self.events.pop() {
+            while let Some(wake) = self.admission.next_wake().filter(|wake| *wake < at) {
+                self.put(wake.max(self.now), Input::Tick, last);
+            }
+            let input = match event {
+                Event::End(ticket) => Input::End(Ticket(ticket)),
+                Event::Arrive(number) => Input::Arrive(self.arrival(number)),
+            };
+            self.put(at, input, last);
+        }
+    }
+
+    fn put(&mut self, now: Moment, input: Input, last: Moment) {
+        let span = now.min(last).since(self.now).as_secs_f64();
+        let load = u32::try_from(self.admission.load().0).unwrap_or(u32::MAX);
+        self.report.used += f64::from(load) * span;
+        self.report.calls += 1;
+        self.now = now;
+        for action in self.admission.on(now, input) {
+            match action {
+                Action::Admit { ticket, .. } => self.start(ticket),
+                Action::Refuse { ticket, .. } => {
+                    let request = self.request(ticket);
+                    self.report.waits[request.organisation].refused += 1;
+                }
+                Action::Cancel { .. } | Action::Drained => {}
+            }
+        }
+    }
+
+    fn start(&mut self, ticket: Ticket) {
+        let request = self.request(ticket);
+        let waited = self.now.since(request.at);
+        self.report.waits[request.organisation].ran.push(waited);
+        let end = (self.now + request.time, Event::End(ticket.0));
+        self.events.push(Reverse(end));
+    }
+
+    fn request(&self, ticket: Ticket) -> Request {
+        self.requests[usize::try_from(ticket.0).expect("a trace is short")]
+    }
+
+    fn arrival(&self, number: usize) -> Arrival {
+        let request = self.requests[number];
+        let number = u64::try_from(number).unwrap_or(u64::MAX);
+        let of = if self.split { request.organisation } else { 0 };
+        Arrival {
+            ticket: Ticket(number),
+            attempt: AttemptId(u128::from(number)),
+            organisation: name(of),
+            cost: request.cost,
+            priority: 5,
+            deadline: request.at + Duration::from_secs(60),
+            need: Duration::ZERO,
+            may_wait: true,
+        }
+    }
+}
+
+fn name(number: usize) -> OrganisationName {
+    OrganisationName::new(&format!("org-{number}")).expect("the name is well formed")
+}
+
+fn exponential(rng: &mut ChaCha8Rng) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln()
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the trace's costs are small and positive"
+)]
+fn whole(cost: f64) -> Cost {
+    Cost(cost.max(1.0) as u64)
+}
--- a/crates/peppercrank-admit/src/admission.rs
+++ b/crates/peppercrank-admit/src/admission.rs
@@ -240,11 +240,8 @@
         if now + arrival.need >= arrival.deadline {
             return Err(NotRun::Deadline);
         }
-        let waiting = self.queue.waiting(organisation);
-        if !self
-            .organisations
-            .allows(organisation, waiting, arrival.cost)
-        {
+        if !self.organisations.allows(organisation, arrival.cost) {
+            self.organisations.press(now, organisation);
             return Err(NotRun::OrganisationLimit);
         }
         if !self.may_ever_fit(arrival.cost) {
@@ -261,7 +258,7 @@
         actions: &mut Vec<Action>,
     ) {
         let entry = self.entry(arrival, organisation);
-        self.organisations.come(self.now, organisation);
+        self.organisations.come(self.now, organisation, entry.cost);
         let key = self.queue.push(entry);
         self.places.insert(arrival.ticket, Place::Waiting(key));
         self.dispatch(actions);
@@ -305,7 +302,8 @@
     /// Runs what may run, in its turn.
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
         while let Some(entry) = self.next_entry() {
-            self.organisations.reserve(entry.organisation, entry.cost);
+            self.organisations
+                .start(self.now, entry.organisation, entry.cost);
             self.reserved += entry.cost;
             self.running += 1;
             let running = Running {
@@ -326,6 +324,7 @@
             return None;
         }
         let room = Room {
+            now: self.now,
             cap: self.cap.at(self.now),
             reserved: self.reserved,
             idle: self.running == 0,
@@ -398,7 +397,8 @@
     /// Answers a request that was taken out of the queue.
     fn refuse(&mut self, entry: &Entry, reason: NotRun, actions: &mut Vec<Action>) {
         self.places.remove(&entry.ticket);
-        self.organisations.go(entry.organisation);
+        self.organisations
+            .leave(self.now, entry.organisation, entry.cost);
         actions.push(self.refusal(entry.ticket, entry.attempt, reason));
     }
 
@@ -431,9 +431,8 @@
         let Some(Place::Running(running)) = self.places.remove(&ticket) else {
             return;
         };
-        self.organisations
-            .release(running.organisation, running.cost);
-        self.organisations.go(running.organisation);
+        let organisation = running.organisation;
+        self.organisations.end(self.now, organisation, running.cost);
         self.reserved -= running.cost;
         self.running -= 1;
         self.rate.release(self.now, running.cost);
@@ -450,8 +449,7 @@
         };
         let was = std::mem::replace(&mut running.cost, cost);
         let organisation = running.organisation;
-        self.organisations.release(organisation, was);
-        self.organisations.reserve(organisation, cost);
+        self.organisations.revise(self.now, organisation, was, cost);
         self.reserved -= was;
         self.reserved += cost;
     }
@@ -496,6 +494,7 @@
 /// `Room` is what speaks for or against running one more request now.
 #[derive(Debug)]
 struct Room<'a> {
+    now: Moment,
     cap: Cost,
     reserved: Cost,
     idle: bool,
@@ -527,18 +526,27 @@
         Standing::Skipped
     }
 
-    /// Tells whether the rest of the room is kept for organisations below their fair share.
+    /// Tells whether the rest of the room is kept from a surging organisation.
     fn is_held_back(&self, entry: &Entry, total: Cost) -> bool {
-        let running = self.organisations.running(entry.organisation);
+        let organisation = entry.organisation;
+        let running = self.organisations.running(organisation);
         if running == Cost::ZERO {
             return false;
         }
-        let fair = self.organisations.fair(entry.organisation, self.cap);
-        if running + entry.cost <= fair {
+        let fair = self.organisations.fair(organisation, self.cap);
+        if running + entry.cost <= fair || total <= self.open() {
             return false;
         }
-        let kept = u128::from(self.cap.0) * u128::from(self.settings.reserve) / u128::from(MILLE);
-        let open = Cost(self.cap.0 - u64::try_from(kept).unwrap_or(self.cap.0));
-        total > open
+        self.organisations.surges(self.now, organisation, fair)
+    }
+
+    /// The load up to which a surging organisation may use more than its fair share.
+    ///
+    /// It is a part of what the target can carry, not of the cap: a part of a cap that follows
+    /// the mean would draw the mean down, and the cap with it, while targets idle.
+    fn open(&self) -> Cost {
+        let most = self.settings.ceiling.0;
+        let kept = u128::from(most) * u128::from(self.settings.reserve) / u128::from(MILLE);
+        Cost(most - u64::try_from(kept).unwrap_or(most))
     }
 }
--- a/crates/peppercrank-admit/src/organisations.rs
+++ b/crates/peppercrank-admit/src/organisations.rs
@@ -16,6 +16,9 @@
 
 use crate::settings::Settings;
 
+/// How many times its fair share an organisation asks for when it surges.
+const SURGE: u64 = 3;
+
 new_key_type! {
     /// `OrganisationKey` is the small key of an organisation in one agent.
     pub struct OrganisationKey;
@@ -29,6 +32,13 @@
     priority: u8,
     /// What runs here.
     running: Cost,
+    /// What waits here.
+    waiting: Cost,
+    /// What ran and waited here of late, smoothed over time up to `settled`.
+    demand: Cost,
+    settled: Moment,
+    /// When a request of its was last refused for its limit.
+    pressed: Option<Moment>,
     /// How many requests run or wait here.
     requests: u32,
     /// When its last request came.
@@ -57,6 +67,7 @@
     targets: u32,
     spread: u32,
     window: Duration,
+    smooth: Duration,
 }
 
 impl Organisations {
@@ -71,6 +82,7 @@
             targets: 0,
             spread: settings.spread,
             window: settings.active,
+            smooth: settings.smooth,
         }
     }
 
@@ -83,6 +95,10 @@
                 limit: parameters.limit,
                 priority: parameters.priority,
                 running: Cost::ZERO,
+                waiting: Cost::ZERO,
+                demand: Cost::ZERO,
+                settled: Moment::ZERO,
+                pressed: None,
                 requests: 0,
                 last: Moment::ZERO,
                 active: false,
@@ -158,16 +174,16 @@
         Cost(u64::try_from(part).unwrap_or(u64::MAX)).min(known.limit)
     }
 
-    /// `allows` tells whether the limit leaves room for one more request beside `waiting`.
+    /// `allows` tells whether the limit leaves room for one more request.
     #[must_use]
-    pub fn allows(&self, key: OrganisationKey, waiting: Cost, cost: Cost) -> bool {
+    pub fn allows(&self, key: OrganisationKey, cost: Cost) -> bool {
         let Some(known) = self.slots.get(key) else {
             return false;
         };
         if known.requests == 0 {
             return cost <= known.limit;
         }
-        known.running + waiting + cost <= self.part(key)
+        known.running + known.waiting + cost <= self.part(key)
     }
 
     /// `fair` is an organisation's fair share of the cap among the active ones.
@@ -178,11 +194,26 @@
         Cost(u64::try_from(share).unwrap_or(u64::MAX)).min(cap)
     }
 
-    /// `come` notes a request of an organisation, which makes it active.
-    pub fn come(&mut self, now: Moment, key: OrganisationKey) {
-        let Some(known) = self.slots.get_mut(key) else {
+    /// `surges` tells whether an organisation has asked for far more than its fair share of late.
+    ///
+    /// Smoothed demand is compared, not what runs now: the requests of an organisation that keeps
+    /// to its share come unevenly, and a moment's excess is no surge. One that met its limit of
+    /// late surges too, since what its limit turned away shows in no demand.
+    #[must_use]
+    pub fn surges(&self, now: Moment, key: OrganisationKey, fair: Cost) -> bool {
+        let Some(known) = self.slots.get(key) else {
+            return false;
+        };
+        let pressed = known.pressed.is_some_and(|at| now < at + self.smooth);
+        pressed || known.smoothed(now, self.smooth) > Cost(fair.0.saturating_mul(SURGE))
+    }
+
+    /// `come` notes a request of an organisation that begins to wait, which makes it active.
+    pub fn come(&mut self, now: Moment, key: OrganisationKey, cost: Cost) {
+        let Some(known) = self.settle(now, key) else {
             return;
         };
+        known.waiting += cost;
         known.requests += 1;
         known.last = now;
         if !known.active {
@@ -192,24 +223,42 @@
         }
     }
 
-    /// `go` notes that a request that came neither runs nor waits any more.
-    pub fn go(&mut self, key: OrganisationKey) {
+    /// `press` notes that a request of an organisation was refused for its limit.
+    pub fn press(&mut self, now: Moment, key: OrganisationKey) {
         if let Some(known) = self.slots.get_mut(key) {
-            known.requests = known.requests.saturating_sub(1);
+            known.pressed = Some(now);
         }
     }
 
-    /// `reserve` adds to what an organisation has running.
-    pub fn reserve(&mut self, key: OrganisationKey, cost: Cost) {
-        if let Some(known) = self.slots.get_mut(key) {
+    /// `start` notes that a request that waited runs.
+    pub fn start(&mut self, now: Moment, key: OrganisationKey, cost: Cost) {
+        if let Some(known) = self.settle(now, key) {
+            known.waiting -= cost;
             known.running += cost;
         }
     }
 
-    /// `release` takes from what an organisation has running.
-    pub fn release(&mut self, key: OrganisationKey, cost: Cost) {
-        if let Some(known) = self.slots.get_mut(key) {
+    /// `leave` notes that a request that waited was given up.
+    pub fn leave(&mut self, now: Moment, key: OrganisationKey, cost: Cost) {
+        if let Some(known) = self.settle(now, key) {
+            known.waiting -= cost;
+            known.requests = known.requests.saturating_sub(1);
+        }
+    }
+
+    /// `end` notes that a request that ran has ended.
+    pub fn end(&mut self, now: Moment, key: OrganisationKey, cost: Cost) {
+        if let Some(known) = self.settle(now, key) {
             known.running -= cost;
+            known.requests = known.requests.saturating_sub(1);
+        }
+    }
+
+    /// `revise` puts a running request's true cost in place of the expected one.
+    pub fn revise(&mut self, now: Moment, key: OrganisationKey, was: Cost, cost: Cost) {
+        if let Some(known) = self.settle(now, key) {
+            known.running -= was;
+            known.running += cost;
         }
     }
 
@@ -232,6 +281,14 @@
         gone
     }
 
+    /// Brings an organisation's smoothed demand up to now, before what it has changes.
+    fn settle(&mut self, now: Moment, key: OrganisationKey) -> Option<&mut Organisation> {
+        let known = self.slots.get_mut(key)?;
+        known.demand = known.smoothed(now, self.smooth);
+        known.settled = now;
+        Some(known)
+    }
+
     fn check(&mut self, now: Moment, key: OrganisationKey, gone: &mut Vec<OrganisationKey>) {
         let Some(known) = self.slots.get_mut(key) else {
             return;
@@ -254,3 +311,17 @@
         }
     }
 }
+
+impl Organisation {
+    /// The smoothed demand, if what runs and waits has been the same since it was settled.
+    fn smoothed(&self, now: Moment, smooth: Duration) -> Cost {
+        let span = now.since(self.settled).as_micros();
+        let total = smooth.as_micros() + span;
+        if total == 0 {
+            return self.demand;
+        }
+        let level = u128::from((self.running + self.waiting).0);
+        let kept = u128::from(self.demand.0) * smooth.as_micros();
+        Cost(u64::try_from((kept + level * span) / total).unwrap_or(u64::MAX))
+    }
+}
--- a/crates/peppercrank-admit/src/queue.rs
+++ b/crates/peppercrank-admit/src/queue.rs
@@ -231,13 +231,6 @@
         self.entries.contains_key(key)
     }
 
-    /// `waiting` is what an organisation has waiting.
-    #[must_use]
-    pub fn waiting(&self, organisation: OrganisationKey) -> Cost {
-        let flow = self.flows.get(organisation);
-        flow.map_or(Cost::ZERO, |flow| flow.cost)
-    }
-
     /// `cost` is the sum of what waits.
     #[must_use]
     pub fn cost(&self) -> Cost {
--- a/crates/peppercrank-admit/src/settings.rs
+++ b/crates/peppercrank-admit/src/settings.rs
@@ -12,8 +12,8 @@
 /// Thousandths in a whole: shares are kept as integers so that every build rounds alike.
 pub const MILLE: u64 = 1_000;
 
-/// Most that may be set aside by [`Settings::reserve`], in thousandths of the cap.
-pub const MAX_RESERVE: u32 = 500;
+/// Most that may be set aside by [`Settings::reserve`], in thousandths of the ceiling.
+pub const MAX_RESERVE: u32 = 1_000;
 
 /// Most that [`Settings::spread`] may be.
 pub const MAX_SPREAD: u32 = 10;
@@ -35,7 +35,8 @@
     pub weight: u32,
     /// Most that the target may carry whatever the mean, in cost units; its batch size, say.
     pub ceiling: Cost,
-    /// Share of the cap that an organisation above its fair share may not use, in thousandths.
+    /// Share of the ceiling that a surging organisation may not use beyond its fair share, in
+    /// thousandths; without a ceiling it keeps nothing back.
     pub reserve: u32,
     /// What happens to a request that alone costs more than the cap.
     pub oversize: Oversize,
@@ -49,6 +50,8 @@
     pub touch: Duration,
     /// How long an organisation counts as active here after its last request.
     pub active: Duration,
+    /// Time over which an organisation's demand is smoothed to tell whether it surges.
+    pub smooth: Duration,
 }
 
 impl Default for Settings {
@@ -56,13 +59,14 @@
         Self {
             weight: 100,
             ceiling: Cost(u64::MAX),
-            reserve: 200,
+            reserve: 500,
             oversize: Oversize::Alone,
             spread: 2,
             fresh: Duration::from_secs(5),
             stale: Duration::from_secs(30),
             touch: Duration::from_secs(30),
             active: Duration::from_secs(30),
+            smooth: Duration::from_secs(10),
         }
     }
 }
