--- a/crates/peppercrank-admit/src/admission.rs
+++ b/crates/peppercrank-admit/src/admission.rs
@@ -123,35 +123,9 @@
     pub fn on(&mut self, now: Moment, input: Input) -> Vec<Action> {
         self.now = self.now.max(now);
         let mut actions = Vec::new();
+        self.apply(input, &mut actions);
+        // Only now: what has just ended is not cancelled, nor is anything by a mark taken away.
         self.expire(&mut actions);
-        match input {
-            Input::Arrive(arrival) => self.arrive(&arrival, &mut actions),
-            Input::Actual { ticket, cost } => self.revise(ticket, cost.min(MAX_COST)),
-            Input::End(ticket) | Input::CallerGone(ticket) if self.is_waiting(ticket) => {
-                self.abandon(ticket, &mut actions);
-            }
-            Input::End(ticket) => self.end(ticket),
-            Input::MeanHeard(mean) => self.cap.hear(self.now, mean),
-            Input::TargetsHeard(targets) => self.organisations.hear_targets(targets),
-            Input::PolicyChanged(policy) => self.change_policy(policy, &mut actions),
-            Input::WeightChanged(weight) => self.change_weight(weight, &mut actions),
-            Input::ParametersChanged(name, parameters) => {
-                self.change_parameters(name, parameters.as_ref(), &mut actions);
-            }
-            Input::Marked(mark) => {
-                self.drain.mark(self.now, mark);
-                self.expire(&mut actions);
-            }
-            Input::Unmarked => self.drain.unmark(),
-            Input::Stopping => {
-                self.drain.stop();
-                self.expire(&mut actions);
-            }
-            Input::HandedOver => self.drain.hand_over(),
-            Input::Touched => self.touched = self.now,
-            // What runs stays reserved until its guard says that it has ended.
-            Input::CallerGone(_) | Input::Tick => {}
-        }
         self.dispatch(&mut actions);
         if self.drain.take_drained(self.running == 0) {
             actions.push(Action::Drained);
@@ -206,6 +180,36 @@
         key.map_or(Cost::ZERO, |key| self.organisations.running(key))
     }
 
+    /// Takes an input in.
+    fn apply(&mut self, input: Input, actions: &mut Vec<Action>) {
+        match input {
+            Input::Arrive(arrival) => {
+                // Nothing that has waited too long stands before it.
+                self.expire(actions);
+                self.arrive(&arrival, actions);
+            }
+            Input::Actual { ticket, cost } => self.revise(ticket, cost.min(MAX_COST)),
+            Input::End(ticket) | Input::CallerGone(ticket) if self.is_waiting(ticket) => {
+                self.abandon(ticket, actions);
+            }
+            Input::End(ticket) => self.end(ticket),
+            Input::MeanHeard(mean) => self.cap.hear(self.now, mean),
+            Input::TargetsHeard(targets) => self.organisations.hear_targets(targets),
+            Input::PolicyChanged(policy) => self.change_policy(policy, actions),
+            Input::WeightChanged(weight) => self.change_weight(weight, actions),
+            Input::ParametersChanged(name, parameters) => {
+                self.change_parameters(name, parameters.as_ref(), actions);
+            }
+            Input::Marked(mark) => self.drain.mark(self.now, mark),
+            Input::Unmarked => self.drain.unmark(),
+            Input::Stopping => self.drain.stop(),
+            Input::HandedOver => self.drain.hand_over(),
+            Input::Touched => self.touched = self.now,
+            // What runs stays reserved until its guard says that it has ended.
+            Input::CallerGone(_) | Input::Tick => {}
+        }
+    }
+
     /// Takes an arrival in, or refuses it.
     fn arrive(&mut self, arrival: &Arrival, actions: &mut Vec<Action>) {
         match self.check(arrival) {
@@ -474,7 +478,10 @@
         actions: &mut Vec<Action>,
     ) {
         if let Some(parameters) = parameters {
-            self.organisations.put(name, parameters);
+            let key = self.organisations.put(name, parameters);
+            while let Some(entry) = self.queue.take_above(key, parameters.limit) {
+                self.refuse(&entry, NotRun::OrganisationLimit, actions);
+            }
             return;
         }
         let Some(gone) = self.organisations.remove(&name) else {
@@ -507,6 +514,9 @@
         if entry.cost > self.cap {
             return self.alone();
         }
+        if !self.organisations.may_run(entry.organisation, entry.cost) {
+            return Standing::Skipped;
+        }
         let total = self.reserved + entry.cost;
         if self.is_held_back(entry, total) {
             return Standing::Skipped;
@@ -519,8 +529,7 @@
 
     /// A request that alone exceeds the cap holds nobody up, and runs with nothing beside it.
     fn alone(&self) -> Standing {
-        let alone = self.idle && self.settings.oversize == Oversize::Alone;
-        if alone {
+        if self.idle && self.settings.oversize == Oversize::Alone {
             return Standing::Fits;
         }
         Standing::Skipped
--- a/crates/peppercrank-admit/src/organisations.rs
+++ b/crates/peppercrank-admit/src/organisations.rs
@@ -25,7 +25,7 @@
 }
 
 /// `Organisation` is one organisation as this agent knows it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Organisation {
     weight: u32,
     limit: Cost,
@@ -87,35 +87,22 @@
     }
 
     /// `put` sets an organisation's parameters.
-    pub fn put(&mut self, name: OrganisationName, parameters: &Parameters) {
-        let weight = parameters.weight.max(1);
-        let Some(key) = self.names.get(&name).copied() else {
-            let key = self.slots.insert(Organisation {
-                weight,
-                limit: parameters.limit,
-                priority: parameters.priority,
-                running: Cost::ZERO,
-                waiting: Cost::ZERO,
-                demand: Cost::ZERO,
-                settled: Moment::ZERO,
-                pressed: None,
-                requests: 0,
-                last: Moment::ZERO,
-                active: false,
-                named: true,
-            });
-            self.names.insert(name, key);
-            return;
-        };
+    pub fn put(&mut self, name: OrganisationName, parameters: &Parameters) -> OrganisationKey {
+        let known = self.names.get(&name).copied();
+        let key = known.unwrap_or_else(|| self.slots.insert(Organisation::default()));
+        self.names.insert(name, key);
         let Some(known) = self.slots.get_mut(key) else {
-            return;
+            return key;
         };
+        let weight = parameters.weight.max(1);
         if known.active {
             self.weights = self.weights - u64::from(known.weight) + u64::from(weight);
         }
         known.weight = weight;
         known.limit = parameters.limit;
         known.priority = parameters.priority;
+        known.named = true;
+        key
     }
 
     /// `remove` forgets an organisation's name; what it has running is still accounted for.
@@ -186,6 +173,21 @@
         known.running + known.waiting + cost <= self.part(key)
     }
 
+    /// `may_run` tells whether the limit lets a request that waits run now.
+    ///
+    /// It was let in within the limit, but the limit, the part of it that this target may use
+    /// and the cost of what runs can all have changed since.
+    #[must_use]
+    pub fn may_run(&self, key: OrganisationKey, cost: Cost) -> bool {
+        let Some(known) = self.slots.get(key) else {
+            return false;
+        };
+        if known.running == Cost::ZERO {
+            return cost <= known.limit;
+        }
+        known.running + cost <= self.part(key)
+    }
+
     /// `fair` is an organisation's fair share of the cap among the active ones.
     #[must_use]
     pub fn fair(&self, key: OrganisationKey, cap: Cost) -> Cost {
--- a/crates/peppercrank-admit/src/queue.rs
+++ b/crates/peppercrank-admit/src/queue.rs
@@ -190,6 +190,17 @@
         self.remove(key)
     }
 
+    /// `take_above` takes out one request of an organisation that costs more than `limit`.
+    pub fn take_above(&mut self, organisation: OrganisationKey, limit: Cost) -> Option<Entry> {
+        let flow = self.flows.get(organisation)?;
+        let above = |key: &EntryKey| {
+            let entry = self.entries.get(*key);
+            entry.is_some_and(|(entry, _)| entry.cost > limit)
+        };
+        let key = flow.entries.values().copied().find(above)?;
+        self.remove(key)
+    }
+
     /// `victim` is the request to give up when the queue is too long.
     ///
     /// It is the last of the lowest class, and there of the organisation that has most waiting
--- a/crates/peppercrank-admit/tests/verify_admission.rs
+++ b/crates/peppercrank-admit/tests/verify_admission.rs
@@ -4,6 +4,7 @@
 //! The contract of admission, case by case: load cap, queue, limits, duplicates, lost touch.
 
 mod common;
+mod steps;
 
 use std::time::Duration;
 
@@ -19,19 +20,19 @@
 use peppercrank_core::refusal::NotRun;
 use peppercrank_core::units::Cost;
 
-use common::Did::Admit;
-use common::Did::Refuse;
-use common::admission;
 use common::admission_with;
-use common::arrival;
-use common::arrive;
 use common::at;
-use common::did;
 use common::organisation;
 use common::parameters;
-use common::patient;
 use common::policy;
-use common::run;
+use steps::Did::Admit;
+use steps::Did::Refuse;
+use steps::admission;
+use steps::arrival;
+use steps::arrive;
+use steps::did;
+use steps::patient;
+use steps::run;
 
 fn mean(load: u64, targets: u32, millis: u64) -> Input {
     Input::MeanHeard(Mean {
--- a/crates/peppercrank-admit/tests/verify_drain.rs
+++ b/crates/peppercrank-admit/tests/verify_drain.rs
@@ -4,6 +4,7 @@
 //! How a target leaves, in tables of inputs by moment and what they bring about.
 
 mod common;
+mod steps;
 
 use peppercrank_admit::Input;
 use peppercrank_admit::Ticket;
@@ -12,16 +13,16 @@
 use peppercrank_core::objects::Mark;
 use peppercrank_core::refusal::NotRun;
 
-use common::Did;
-use common::Did::Admit;
-use common::Did::Cancel;
-use common::Did::Drained;
-use common::Did::Refuse;
-use common::admission;
-use common::arrive;
 use common::at;
-use common::patient;
-use common::run;
+use steps::Did;
+use steps::Did::Admit;
+use steps::Did::Cancel;
+use steps::Did::Drained;
+use steps::Did::Refuse;
+use steps::admission;
+use steps::arrive;
+use steps::patient;
+use steps::run;
 
 fn mark(action: Action, grace_ms: u64) -> Input {
     let target = TargetName::new("engine-1").expect("the name is well formed");
--- a/crates/peppercrank-admit/tests/verify_permit.rs
+++ b/crates/peppercrank-admit/tests/verify_permit.rs
@@ -4,6 +4,7 @@
 //! Guards release what was admitted, whatever path ends a request.
 
 mod common;
+mod steps;
 
 use std::panic::catch_unwind;
 use std::sync::mpsc;
@@ -15,12 +16,12 @@
 use peppercrank_admit::Ticket;
 use peppercrank_core::units::Cost;
 
-use common::admission;
-use common::arrive;
 use common::at;
-use common::did;
-use common::patient;
-use common::run;
+use steps::admission;
+use steps::arrive;
+use steps::did;
+use steps::patient;
+use steps::run;
 
 /// A way for a request to end.
 #[derive(Debug, Clone, Copy)]
