--- a/crates/peppercrank-admit/src/admission.rs
+++ b/crates/peppercrank-admit/src/admission.rs
@@ -123,35 +123,9 @@
     pub fn on(&mut self, now: Moment, input: Input) -> Vec<Action> {
         self.now = self.now.max(now);
         let mut actions = Vec::new();
+        self.apply(input, &mut actions);
+        // Only now: what has just ended is not cancelled, nor is anything by a mark taken away.
         self.expire(&mut actions);
-        match input {
-            Input::Arrive(arrival) => self.arrive(&arrival, &mut actions),
-            Input::Actual { ticket, cost } => self.revise(ticket, cost.min(MAX_COST)),
-            Input::End(ticket) | Input::CallerGone(ticket) if self.is_waiting(ticket) => {
-                self.abandon(ticket, &mut actions);
-            }
-            Input::End(ticket) => self.end(ticket),
-            Input::MeanHeard(mean) => self.cap.hear(self.now, mean),
-            Input::TargetsHeard(targets) => self.organisations.hear_targets(targets),
-            Input::PolicyChanged(policy) => self.change_policy(policy, &mut actions),
-            Input::WeightChanged(weight) => self.change_weight(weight, &mut actions),
-            Input::ParametersChanged(name, parameters) => {
-                self.change_parameters(name, parameters.as_ref(), &mut actions);
-            }
-            Input::Marked(mark) => {
-                self.drain.mark(self.now, mark);
-                self.expire(&mut actions);
-            }
-            Input::Unmarked => self.drain.unmark(),
-            Input::Stopping => {
-                self.drain.stop();
-                self.expire(&mut actions);
-            }
-            Input::HandedOver => self.drain.hand_over(),
-            Input::Touched => self.touched = self.now,
-            // What runs stays reserved until its guard says that it has ended.
-            Input::CallerGone(_) | Input::Tick => {}
-        }
         self.dispatch(&mut actions);
         if self.drain.take_drained(self.running == 0) {
             actions.push(Action::Drained);
@@ -206,6 +180,36 @@
         key.map_or(Cost::ZERO, |key| self.organisations.running(key))
     }
 
+    /// Takes an input in.
+    fn apply(&mut self, input: Input, actions: &mut Vec<Action>) {
+        match input {
+            Input::Arrive(arrival) => {
+                // Nothing that has waited too long stands before it.
+                self.expire(actions);
+                self.arrive(&arrival, actions);
+            }
+            Input::Actual { ticket, cost } => self.revise(ticket, cost.min(MAX_COST)),
+            Input::End(ticket) | Input::CallerGone(ticket) if self.is_waiting(ticket) => {
+                self.abandon(ticket, actions);
+            }
+            Input::End(ticket) => self.end(ticket),
+            Input::MeanHeard(mean) => self.cap.hear(self.now, mean),
+            Input::TargetsHeard(targets) => self.organisations.hear_targets(targets),
+            Input::PolicyChanged(policy) => self.change_policy(policy, actions),
+            Input::WeightChanged(weight) => self.change_weight(weight, actions),
+            Input::ParametersChanged(name, parameters) => {
+                self.change_parameters(name, parameters.as_ref(), actions);
+            }
+            Input::Marked(mark) => self.drain.mark(self.now, mark),
+            Input::Unmarked => self.drain.unmark(),
+            Input::Stopping => self.drain.stop(),
+            Input::HandedOver => self.drain.hand_over(),
+            Input::Touched => self.touched = self.now,
+            // What runs stays reserved until its guard says that it has ended.
+            Input::CallerGone(_) | Input::Tick => {}
+        }
+    }
+
     /// Takes an arrival in, or refuses it.
     fn arrive(&mut self, arrival: &Arrival, actions: &mut Vec<Action>) {
         match self.check(arrival) {
@@ -240,11 +244,8 @@
         if now + arrival.need >= arrival.deadline {
             return Err(NotRun::Deadline);
         }
-        let waiting = self.queue.waiting(organisation);
-        if !self
-            .organisations
-            .allows(organisation, waiting, arrival.cost)
-        {
+        if !self.organisations.allows(organisation, arrival.cost) {
+            self.organisations.press(now, organisation);
             return Err(NotRun::OrganisationLimit);
         }
         if !self.may_ever_fit(arrival.cost) {
@@ -261,7 +262,7 @@
         actions: &mut Vec<Action>,
     ) {
         let entry = self.entry(arrival, organisation);
-        self.organisations.come(self.now, organisation);
+        self.organisations.come(self.now, organisation, entry.cost);
         let key = self.queue.push(entry);
         self.places.insert(arrival.ticket, Place::Waiting(key));
         self.dispatch(actions);
@@ -305,7 +306,8 @@
     /// Runs what may run, in its turn.
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
         while let Some(entry) = self.next_entry() {
-            self.organisations.reserve(entry.organisation, entry.cost);
+            self.organisations
+                .start(self.now, entry.organisation, entry.cost);
             self.reserved += entry.cost;
             self.running += 1;
             let running = Running {
@@ -326,6 +328,7 @@
             return None;
         }
         let room = Room {
+            now: self.now,
             cap: self.cap.at(self.now),
             reserved: self.reserved,
             idle: self.running == 0,
@@ -398,7 +401,8 @@
     /// Answers a request that was taken out of the queue.
     fn refuse(&mut self, entry: &Entry, reason: NotRun, actions: &mut Vec<Action>) {
         self.places.remove(&entry.ticket);
-        self.organisations.go(entry.organisation);
+        self.organisations
+            .leave(self.now, entry.organisation, entry.cost);
         actions.push(self.refusal(entry.ticket, entry.attempt, reason));
     }
 
@@ -431,9 +435,8 @@
         let Some(Place::Running(running)) = self.places.remove(&ticket) else {
             return;
         };
-        self.organisations
-            .release(running.organisation, running.cost);
-        self.organisations.go(running.organisation);
+        let organisation = running.organisation;
+        self.organisations.end(self.now, organisation, running.cost);
         self.reserved -= running.cost;
         self.running -= 1;
         self.rate.release(self.now, running.cost);
@@ -450,8 +453,7 @@
         };
         let was = std::mem::replace(&mut running.cost, cost);
         let organisation = running.organisation;
-        self.organisations.release(organisation, was);
-        self.organisations.reserve(organisation, cost);
+        self.organisations.revise(self.now, organisation, was, cost);
         self.reserved -= was;
         self.reserved += cost;
     }
@@ -476,7 +478,10 @@
         actions: &mut Vec<Action>,
     ) {
         if let Some(parameters) = parameters {
-            self.organisations.put(name, parameters);
+            let key = self.organisations.put(name, parameters);
+            while let Some(entry) = self.queue.take_above(key, parameters.limit) {
+                self.refuse(&entry, NotRun::OrganisationLimit, actions);
+            }
             return;
         }
         let Some(gone) = self.organisations.remove(&name) else {
@@ -496,6 +501,7 @@
 /// `Room` is what speaks for or against running one more request now.
 #[derive(Debug)]
 struct Room<'a> {
+    now: Moment,
     cap: Cost,
     reserved: Cost,
     idle: bool,
@@ -508,6 +514,9 @@
         if entry.cost > self.cap {
             return self.alone();
         }
+        if !self.organisations.may_run(entry.organisation, entry.cost) {
+            return Standing::Skipped;
+        }
         let total = self.reserved + entry.cost;
         if self.is_held_back(entry, total) {
             return Standing::Skipped;
@@ -520,25 +529,33 @@
 
     /// A request that alone exceeds the cap holds nobody up, and runs with nothing beside it.
     fn alone(&self) -> Standing {
-        let alone = self.idle && self.settings.oversize == Oversize::Alone;
-        if alone {
+        if self.idle && self.settings.oversize == Oversize::Alone {
             return Standing::Fits;
         }
         Standing::Skipped
     }
 
-    /// Tells whether the rest of the room is kept for organisations below their fair share.
+    /// Tells whether the rest of the room is kept from a surging organisation.
     fn is_held_back(&self, entry: &Entry, total: Cost) -> bool {
-        let running = self.organisations.running(entry.organisation);
+        let organisation = entry.organisation;
+        let running = self.organisations.running(organisation);
         if running == Cost::ZERO {
             return false;
         }
-        let fair = self.organisations.fair(entry.organisation, self.cap);
-        if running + entry.cost <= fair {
+        let fair = self.organisations.fair(organisation, self.cap);
+        if running + entry.cost <= fair || total <= self.open() {
             return false;
         }
-        let kept = u128::from(self.cap.0) * u128::from(self.settings.reserve) / u128::from(MILLE);
-        let open = Cost(self.cap.0 - u64::try_from(kept).unwrap_or(self.cap.0));
-        total > open
+        self.organisations.surges(self.now, organisation, fair)
+    }
+
+    /// The load up to which a surging organisation may use more than its fair share.
+    ///
+    /// It is a part of what the target can carry, not of the cap: a part of a cap that follows
+    /// the mean would draw the mean down, and the cap with it, while targets idle.
+    fn open(&self) -> Cost {
+        let most = self.settings.ceiling.0;
+        let kept = u128::from(most) * u128::from(self.settings.reserve) / u128::from(MILLE);
+        Cost(most - u64::try_from(kept).unwrap_or(most))
     }
 }
