Add claims, orders, control calls, key rotation and operators' pages to the daemons

Cause: the parts for at-most-once and orders stood alone; long configuration had no way between processes; operators saw nothing. Change: routers claim a not-repeatable request with an idempotency key before they forward it and give the claim back only when nothing ran; agents run the order gate; configuration too long for datagrams and orders travel by tarpc; a file of keys is read again while a daemon runs; metrics, readiness, status and objects stand on the operators' address.

--- a/crates/peppercrank-cli/src/verbs/local.rs
+++ b/crates/peppercrank-cli/src/verbs/local.rs
@@ -340,9 +340,9 @@
         }
         // Nothing of a caller runs any more: what is open is the agents' own polling.
         for target in self.targets {
-            target.kill();
+            target.kill().await;
         }
-        self.platform.kill();
+        self.platform.kill().await;
         Ok(())
     }
 
@@ -366,7 +366,12 @@
                         agent.address
                     )
                 }));
-                lines.extend(routers.iter().map(|r| format!("router    http://{r}")));
+                lines.extend(self.routers.iter().map(|r| {
+                    format!(
+                        "router    http://{}  operators http://{}",
+                        r.address, r.operators
+                    )
+                }));
                 lines.push("ready".to_owned());
                 lines.join("\n")
             }
--- a/crates/peppercrank-daemon/src/agent/attempt.rs
+++ b/crates/peppercrank-daemon/src/agent/attempt.rs
@@ -16,6 +16,7 @@
 use peppercrank_core::names::PoolName;
 use peppercrank_core::time::Moment;
 use peppercrank_core::units::Cost;
+use peppercrank_route::Ask;
 
 use crate::errors;
 use crate::errors::Result;
@@ -147,6 +148,17 @@
         }
     }
 
+    /// `ask` is what the pointer table is to know; nothing for a plain service.
+    #[must_use]
+    pub fn ask(&self) -> Option<Ask> {
+        Some(Ask {
+            chat: self.chat?,
+            prefix: self.prefix,
+            returning: self.returning,
+            redirect: self.allow.redirect,
+        })
+    }
+
     /// `arrival` is the attempt as the admission takes it, at its cost here.
     #[must_use]
     pub fn arrival(&self, now: Moment, ticket: Ticket, cost: Cost) -> Arrival {
--- a/crates/peppercrank-daemon/src/agent/mod.rs
+++ b/crates/peppercrank-daemon/src/agent/mod.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod control;
 pub mod desk;
+pub mod orders;
 pub mod relay;
 pub mod reports;
 pub mod serve;
@@ -17,9 +18,13 @@
 use peppercrank_admit::Admission;
 use peppercrank_admit::Input;
 use peppercrank_core::blackboard::TargetKey;
+use peppercrank_core::blackboard::TargetState;
 use peppercrank_core::events::Event;
 use peppercrank_core::names::PoolName;
 use peppercrank_core::objects::Policy;
+use peppercrank_core::status::DrainStatus;
+use peppercrank_core::status::LoadStatus;
+use peppercrank_core::status::TargetStatus;
 use peppercrank_core::units::Cost;
 use peppercrank_member::Agent as Described;
 use peppercrank_member::Role;
@@ -34,7 +39,9 @@
 use peppercrank_wire::client::Times;
 use peppercrank_wire::edge::Edge;
 use peppercrank_wire::edge::Finished;
+use peppercrank_wire::pages::Serving;
 use peppercrank_wire::stop::Stop;
+use tokio::task::JoinHandle;
 
 use crate::agent::attempt::Attempt;
 use crate::agent::desk::Desk;
@@ -45,6 +52,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::Setup;
 use crate::fleet::lock;
+use crate::fleet::pages;
 use crate::limits;
 use crate::log::Log;
 use crate::metrics::Metrics;
@@ -86,7 +94,10 @@
     pub agent: Arc<Agent>,
     /// Where routers reach it.
     pub address: SocketAddr,
-    serving: tokio::task::JoinHandle<Finished>,
+    /// Where operators find its pages.
+    pub operators: SocketAddr,
+    pages: Serving,
+    serving: JoinHandle<Finished>,
 }
 
 impl Running {
@@ -97,6 +108,7 @@
     /// Returns [`Error::Start`] when its task failed.
     pub async fn finished(self) -> Result<Finished> {
         let ended = self.serving.await;
+        drop(self.pages);
         ended.map_err(|e| Error::Start {
             cause: std::io::Error::other(e),
         })
@@ -125,17 +137,28 @@
         listen: address,
         log,
         metrics: Arc::clone(&metrics),
+        stop: stop.clone(),
     };
-    let (fleet, notes) = Fleet::join(settings.fleet.clone(), setup).await?;
+    let (fleet, inbox) = Fleet::join(settings.fleet.clone(), setup).await?;
     let agent = Agent::new(settings, fleet, metrics)?;
-    control::start(&agent, notes);
+    control::start(&agent, inbox.notes);
+    let shared = Arc::clone(&agent);
+    let shown = pages::Shown {
+        role: peppercrank_core::status::Role::Agent,
+        targets: Box::new(move |_| vec![shared.status()]),
+        edge: edge.counters(),
+    };
+    let pages = pages::serve(&agent.fleet, shown)?;
     if agent.settings.target.kind == TargetKind::Engine {
         tokio::spawn(reports::read_events(Arc::clone(&agent)));
+        tokio::spawn(orders::run(Arc::clone(&agent), inbox.orders));
     }
     let serving = tokio::spawn(serve(edge, Arc::clone(&agent), stop));
     Ok(Running {
         agent,
         address,
+        operators: pages.local_addr(),
+        pages,
         serving,
     })
 }
@@ -201,6 +224,36 @@
         }))
     }
 
+    /// The own target as operators see it.
+    fn status(&self) -> TargetStatus {
+        let status = self.desk.status();
+        let mark = self
+            .fleet
+            .with_store(|s| s.mark(&self.settings.target.name).cloned());
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let state = if status.leaving {
+            TargetState::Leaving
+        } else {
+            TargetState::Live
+        };
+        TargetStatus {
+            name: self.settings.target.name.clone(),
+            pool: self.settings.target.pool.clone(),
+            zone: self.settings.fleet.zone.clone(),
+            state,
+            load: Some(LoadStatus {
+                cost: status.reserved,
+                cap: status.cap,
+                running: count(status.running),
+                waiting: count(status.waiting),
+            }),
+            drain: mark.map(|m| DrainStatus {
+                action: m.action,
+                drained: *self.desk.drained().borrow(),
+            }),
+        }
+    }
+
     /// The pool of the target.
     fn pool(&self) -> &PoolName {
         &self.settings.target.pool
@@ -210,16 +263,6 @@
         self.fleet.ranking(self.pool())
     }
 
-    /// What the pointer table is to know of an attempt; nothing for a plain service.
-    fn ask(&self, attempt: &Attempt) -> Option<Ask> {
-        Some(Ask {
-            chat: attempt.chat?,
-            prefix: attempt.prefix,
-            returning: attempt.returning,
-            redirect: attempt.allow.redirect,
-        })
-    }
-
     fn place(&self, ask: &Ask) -> Place {
         let ranking = self.ranking();
         lock(&self.pointers).place(self.clock.now(), ask, &ranking)
--- a/crates/peppercrank-daemon/src/agent/relay.rs
+++ b/crates/peppercrank-daemon/src/agent/relay.rs
@@ -105,7 +105,7 @@
     resumed: impl Fn(),
 ) -> Ending {
     let mut events = Events::default();
-    let mut resumes = 0;
+    let mut tries = 0;
     loop {
         match next(&mut from, &to, pass).await {
             Step::Frame(bytes) => {
@@ -121,7 +121,7 @@
             }
             Step::End | Step::Cut => {
                 events.restart();
-                match resume(source, events.count(), &mut resumes).await {
+                match resume(source, events.count(), &mut tries).await {
                     Some(body) => {
                         resumed();
                         from = body;
@@ -166,10 +166,10 @@
 }
 
 /// Asks the engine for the rest of a stream, a few times.
-async fn resume(source: &Source<'_>, from: u64, resumes: &mut u32) -> Option<AnswerBody> {
-    while *resumes < RESUMES {
-        sleep(RESUME_PAUSE * (1 << *resumes)).await;
-        *resumes += 1;
+async fn resume(source: &Source<'_>, from: u64, tries: &mut u32) -> Option<AnswerBody> {
+    while *tries < RESUMES {
+        sleep(RESUME_PAUSE * (1 << *tries)).await;
+        *tries += 1;
         let path = format!("/v1/streams/{}?from={from}", source.attempt);
         let request = Request::get(path).body(body::empty()).ok()?;
         let Ok(answer) = source
--- a/crates/peppercrank-daemon/src/agent/serve.rs
+++ b/crates/peppercrank-daemon/src/agent/serve.rs
@@ -93,7 +93,7 @@
 
 /// Admits an attempt, runs it and returns the answer's head with the body that follows.
 async fn run(agent: Arc<Agent>, attempt: &Attempt, head: Parts, body: Bytes) -> Reply {
-    let ask = agent.ask(attempt);
+    let ask = attempt.ask();
     if attempt.pool != agent.settings.target.pool {
         return refuse(&agent, attempt, Refusal::not_run(NotRun::NoTarget), None);
     }
--- a/crates/peppercrank-daemon/src/errors.rs
+++ b/crates/peppercrank-daemon/src/errors.rs
@@ -38,11 +38,21 @@
         /// What is wrong with them.
         cause: KeyError,
     },
+    /// A settings file cannot be read.
+    Settings {
+        /// The cause.
+        cause: peppercrank_settings::Error,
+    },
     /// The admission's settings are out of range.
     Admission {
         /// The cause.
         cause: peppercrank_admit::Error,
     },
+    /// The claims' settings are out of range.
+    Claims {
+        /// The cause.
+        cause: peppercrank_lease::Error,
+    },
     /// The runtime or a thread could not be started.
     Start {
         /// The cause.
@@ -68,6 +78,12 @@
     Error::Keys { cause }
 }
 
+/// `settings` makes the error of a settings file that cannot be read.
+#[must_use]
+pub fn settings(cause: peppercrank_settings::Error) -> Error {
+    Error::Settings { cause }
+}
+
 /// `socket` makes the error of a socket.
 #[must_use]
 pub fn socket(role: &'static str, cause: std::io::Error) -> Error {
@@ -81,7 +97,9 @@
             Self::Socket { role, cause } => write!(f, "socket for {role}: {cause}"),
             Self::Wire { role, cause } => write!(f, "{role}: {cause}"),
             Self::Keys { cause } => write!(f, "keys: {cause}"),
+            Self::Settings { cause } => write!(f, "settings: {cause}"),
             Self::Admission { cause } => write!(f, "admission: {cause}"),
+            Self::Claims { cause } => write!(f, "claims: {cause}"),
             Self::Start { cause } => write!(f, "cannot start: {cause}"),
         }
     }
@@ -93,7 +111,9 @@
             Self::Request { .. } => None,
             Self::Wire { cause, .. } => Some(cause),
             Self::Keys { cause } => Some(cause),
+            Self::Settings { cause } => Some(cause),
             Self::Admission { cause } => Some(cause),
+            Self::Claims { cause } => Some(cause),
             Self::Socket { cause, .. } | Self::Start { cause } => Some(cause),
         }
     }
--- a/crates/peppercrank-daemon/src/fleet/mod.rs
+++ b/crates/peppercrank-daemon/src/fleet/mod.rs
@@ -3,9 +3,12 @@
 
 //! What routers and agents share: membership, configuration and the blackboard.
 
+pub mod control;
+pub mod pages;
 pub mod piece;
 pub mod platform;
 pub mod rankings;
+pub mod rotate;
 mod tasks;
 
 use std::collections::BTreeMap;
@@ -16,6 +19,7 @@
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::sync::RwLockReadGuard;
+use std::sync::Weak;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -30,6 +34,7 @@
 use peppercrank_config::Store;
 use peppercrank_config::message::Beat;
 use peppercrank_config::message::Carrier;
+use peppercrank_config::message::Message as Config;
 use peppercrank_config::relay;
 use peppercrank_core::blackboard::Blackboard;
 use peppercrank_core::blackboard::TargetState;
@@ -55,25 +60,34 @@
 use peppercrank_route::Ranking;
 use peppercrank_route::note::Addressed;
 use peppercrank_settings::FleetSettings;
+use peppercrank_wire::control::ControlClient;
+use peppercrank_wire::control::ControlLimits;
+use peppercrank_wire::control::ControlServer;
+use peppercrank_wire::control::ControlTimes;
+use peppercrank_wire::control::Desk;
 use peppercrank_wire::datagram::Datagrams;
 use peppercrank_wire::datagram::Place;
 use peppercrank_wire::platform::Platform;
 use peppercrank_wire::seal::Identity;
-use peppercrank_wire::seal::Key;
 use peppercrank_wire::seal::KeyRing;
 use peppercrank_wire::seal::MAC_HEADER;
+use peppercrank_wire::seal::Rejected;
 use peppercrank_wire::seal::SenderId;
 use peppercrank_wire::seal::check_head;
 use peppercrank_wire::seal::sign_head;
+use peppercrank_wire::stop::Stop;
+use peppercrank_wire::traffic::Volume;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::errors;
 use crate::errors::Result;
+use crate::fleet::control::Given;
 use crate::fleet::piece::Piece;
 use crate::fleet::platform::Worker;
 use crate::fleet::rankings::Rankings;
@@ -86,6 +100,9 @@
 /// Notes that may wait to be read; a lost note costs a context, never an answer.
 const NOTES: usize = 4_096;
 
+/// Orders that may wait to be read.
+const ORDERS: usize = 16;
+
 /// Senders that are remembered against replays.
 const SENDERS: usize = 8_192;
 
@@ -115,6 +132,10 @@
     ring: RwLock<KeyRing>,
     rng: Mutex<ChaCha8Rng>,
     outbox: mpsc::Sender<(SocketAddr, Box<Message>)>,
+    datagrams: Datagrams<Message>,
+    client: ControlClient,
+    served: Arc<Desk>,
+    runtime: Handle,
     workers: Mutex<Vec<Worker>>,
     notes: mpsc::Sender<Note>,
     changed: watch::Sender<u64>,
@@ -130,7 +151,7 @@
     leaving: bool,
 }
 
-/// `Parts` are what a process is made of besides its settings.
+/// `Setup` is what a process is made of besides its settings.
 #[derive(Debug)]
 pub struct Setup {
     /// What the process does.
@@ -141,44 +162,59 @@
     pub log: Log,
     /// The metrics.
     pub metrics: Arc<Metrics>,
+    /// The signal to stop.
+    pub stop: Stop,
+}
+
+/// `Inbox` is what other processes send to this one's target.
+#[derive(Debug)]
+pub struct Inbox {
+    /// Notes of where contexts are.
+    pub notes: mpsc::Receiver<Note>,
+    /// Orders for the engine.
+    pub orders: mpsc::Receiver<Given>,
 }
 
 impl Fleet {
     /// `join` opens the process's sockets and starts its tasks on the present runtime.
     ///
-    /// The receiver yields the notes that others send here.
+    /// What others send here comes out of the inbox.
     ///
     /// # Errors
     ///
     /// Returns an error when a socket cannot be bound, a thread cannot be started, or the keys do
     /// not make a ring.
-    pub async fn join(
-        settings: FleetSettings,
-        setup: Setup,
-    ) -> Result<(Arc<Self>, mpsc::Receiver<Note>)> {
+    pub async fn join(settings: FleetSettings, setup: Setup) -> Result<(Arc<Self>, Inbox)> {
         let clock = Clock::start();
         let boot = wall_micros();
-        let ring = ring(&settings)?;
+        let ring = rotate::ring(&settings)?;
+        let identity = Identity {
+            sender: SenderId::of(&settings.vm),
+            boot,
+        };
         let place = Place {
             bind: settings.gossip,
             advertised: None,
-            identity: Identity {
-                sender: SenderId::of(&settings.vm),
-                boot,
-            },
+            identity,
             room: SENDERS,
         };
         let bound = Datagrams::bind(place, ring.clone(), kind_of).await;
         let datagrams = bound.map_err(|e| errors::wire("gossip", e))?;
+        let limits = ControlLimits::default();
+        let bound =
+            ControlServer::bind(settings.control, None, identity, ring.clone(), limits).await;
+        let server = bound.map_err(|e| errors::wire("control", e))?;
+        let client = ControlClient::new(identity, ring.clone(), ControlTimes::default());
         let description = Description {
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
             gossip: datagrams.address(),
-            control: settings.control,
+            control: server.address(),
             role: setup.role,
         };
         let (outbox, sends) = mpsc::channel(OUTBOX);
         let (notes, heard) = mpsc::channel(NOTES);
+        let (given, orders) = mpsc::channel(ORDERS);
         let platform = platform::connect(&settings);
         let fleet = Arc::new({
             let now = clock.now();
@@ -209,6 +245,10 @@
                 ring: RwLock::new(ring),
                 rng: Mutex::new(ChaCha8Rng::seed_from_u64(boot)),
                 outbox,
+                datagrams: datagrams.clone(),
+                client,
+                served: server.desk(),
+                runtime: Handle::current(),
                 workers: Mutex::default(),
                 notes,
                 changed: watch::Sender::new(0),
@@ -223,7 +263,17 @@
         platform::read_vms(&fleet.platform, &weak)?;
         fleet.rerank();
         tasks::start(&fleet, datagrams, sends);
-        Ok((fleet, heard))
+        if let Some(path) = fleet.settings.keys_file.clone() {
+            let known = read(&fleet.ring).clone();
+            tokio::spawn(rotate::follow(Weak::clone(&weak), path, known));
+        }
+        let serving = control::serve(server, weak, given, setup.stop);
+        tokio::spawn(serving);
+        let inbox = Inbox {
+            notes: heard,
+            orders,
+        };
+        Ok((fleet, inbox))
     }
 
     /// `gossip_address` is where the process takes datagrams.
@@ -350,15 +400,15 @@
         }
     }
 
-    fn send(&self, to: &VmName, message: peppercrank_config::message::Message, carrier: Carrier) {
-        let Some(bytes) = Piece::Config(message).encode() else {
-            return;
-        };
-        if carrier == Carrier::Datagram && bytes.len() <= MAX_RUMOUR {
-            self.gossip(Input::Relay {
-                to: MemberId::of(to),
-                bytes,
-            });
+    fn send(&self, to: &VmName, message: Config, carrier: Carrier) {
+        let piece = Piece::Config(message);
+        let bytes = piece.encode().filter(|b| b.len() <= MAX_RUMOUR);
+        if let (Carrier::Datagram, Some(bytes)) = (carrier, bytes) {
+            let to = MemberId::of(to);
+            return self.gossip(Input::Relay { to, bytes });
+        }
+        if let Piece::Config(message) = piece {
+            self.send_stream(to, &message);
         }
     }
 
@@ -478,6 +528,26 @@
         lock(&self.rng).random()
     }
 
+    /// The control bytes by kind, datagrams and calls together.
+    fn volumes(&self) -> BTreeMap<&'static str, Volume> {
+        let mut volumes = self.datagrams.traffic().volumes();
+        for desk in [self.client.desk(), &self.served] {
+            for (kind, volume) in desk.traffic().volumes() {
+                let sum: &mut Volume = volumes.entry(kind).or_default();
+                sum.sent_bytes += volume.sent_bytes;
+                sum.received_bytes += volume.received_bytes;
+            }
+        }
+        volumes
+    }
+
+    /// How many control messages were rejected for a reason.
+    fn rejected(&self, reason: Rejected) -> u64 {
+        self.datagrams.rejected(reason)
+            + self.client.desk().rejected(reason)
+            + self.served.rejected(reason)
+    }
+
     pub(crate) fn touched(&self) {
         self.touch.send_modify(|n| *n += 1);
     }
@@ -544,17 +614,6 @@
     board
 }
 
-fn ring(settings: &FleetSettings) -> Result<KeyRing> {
-    let keys = settings.keys.iter().map(|k| Key::new(k.id, &k.secret));
-    let keys: std::result::Result<Vec<_>, _> = keys.collect();
-    let newest = settings.keys.first().map(|k| k.id);
-    let ring = keys.and_then(KeyRing::new).map_err(errors::keys)?;
-    match newest {
-        Some(id) => ring.signing_with(id).map_err(errors::keys),
-        None => Ok(ring),
-    }
-}
-
 fn beat_of(digest: &[u8]) -> Option<Beat> {
     let word = digest.first_chunk::<8>()?;
     Some(Beat::unpack(u64::from_be_bytes(*word)))
--- a/crates/peppercrank-daemon/src/fleet/platform.rs
+++ b/crates/peppercrank-daemon/src/fleet/platform.rs
@@ -72,7 +72,7 @@
 pub fn workers(platform: &Platform, fleet: &Weak<Fleet>) -> Result<Vec<Worker>> {
     Kind::ALL
         .iter()
-        .map(|kind| worker(*kind, platform.clone(), fleet.clone()))
+        .map(|kind| worker(*kind, platform.clone(), Weak::clone(fleet)))
         .collect()
 }
 
@@ -98,7 +98,7 @@
 ///
 /// Returns [`Error::Start`] when the thread cannot be started.
 pub fn read_vms(platform: &Platform, fleet: &Weak<Fleet>) -> Result<()> {
-    let (platform, fleet) = (platform.clone(), fleet.clone());
+    let (platform, fleet) = (platform.clone(), Weak::clone(fleet));
     let run = move || {
         loop {
             let read = platform.vms();
--- a/crates/peppercrank-daemon/src/fleet/tasks.rs
+++ b/crates/peppercrank-daemon/src/fleet/tasks.rs
@@ -33,8 +33,8 @@
 ) {
     let weak = Arc::downgrade(fleet);
     tokio::spawn(send(datagrams.clone(), sends));
-    tokio::spawn(receive(datagrams, weak.clone()));
-    tokio::spawn(time_members(weak.clone()));
+    tokio::spawn(receive(datagrams, Weak::clone(&weak)));
+    tokio::spawn(time_members(Weak::clone(&weak)));
     tokio::spawn(time_config(weak));
 }
 
--- a/crates/peppercrank-daemon/src/metrics.rs
+++ b/crates/peppercrank-daemon/src/metrics.rs
@@ -61,6 +61,8 @@
     pub retries: Family<Reason, Counter>,
     /// Requests that the edge refused as malformed, too large or too slow.
     pub edge: Family<Reason, Counter>,
+    /// Control messages rejected as forged, replayed or malformed.
+    pub rejected: Family<Reason, Counter>,
     /// Prompt tokens of answers, as the engines counted them.
     pub prompt: Counter,
     /// Prompt tokens that engines had cached.
@@ -106,6 +108,7 @@
             attempts: Family::default(),
             retries: Family::default(),
             edge: Family::default(),
+            rejected: Family::default(),
             prompt: Counter::default(),
             cached: Counter::default(),
             load: Gauge::default(),
--- a/crates/peppercrank-daemon/src/router/job.rs
+++ b/crates/peppercrank-daemon/src/router/job.rs
@@ -23,6 +23,7 @@
 use peppercrank_core::objects::Serves;
 use peppercrank_core::time::Moment;
 use peppercrank_core::units::Cost;
+use peppercrank_lease::shard::ClaimKey;
 
 use crate::chat::Chat;
 use crate::errors::Error;
@@ -141,7 +142,7 @@
             Shape::Whole
         };
         let cost = Cost::of_chat(chat.prompt, output);
-        let held = Cost::of_chat(chat.fresh(), output);
+        let rest = Cost::of_chat(chat.fresh(), output);
         drop(chat);
         Ok(Self {
             id,
@@ -151,7 +152,7 @@
             talk: Some(talk),
             shape,
             cost,
-            held,
+            held: rest,
             priority: wishes.priority,
             deadline: fleet.clock.now() + wishes.time,
             repeatable: wishes.repeatable.unwrap_or(true),
@@ -210,6 +211,15 @@
     }
 }
 
+impl Job {
+    /// `claim` is the key to claim before the request may run, if it is to run at most once.
+    #[must_use]
+    pub fn claim(&self) -> Option<ClaimKey> {
+        let key = self.key.as_ref().filter(|_| !self.repeatable)?;
+        Some(ClaimKey::of(self.organisation.as_str(), key))
+    }
+}
+
 impl Sent {
     fn of(head: Parts, body: Bytes) -> Self {
         let mut headers = head.headers;
@@ -259,13 +269,13 @@
         None if !from.contains_key(headers::REPEATABLE) => None,
         _ => return Err(bad("repeatable_malformed")),
     };
-    let priority = number(from, &headers::PRIORITY).ok_or(bad("priority_malformed"))?;
+    let priority = number(from, &headers::PRIORITY, "priority_malformed")?;
     let priority = match priority.map(u8::try_from) {
         None => parameters.priority,
         Some(Ok(priority)) if priority <= 9 => priority.min(parameters.priority),
         Some(_) => return Err(bad("priority_malformed")),
     };
-    let time = number(from, &headers::DEADLINE).ok_or(bad("deadline_malformed"))?;
+    let time = number(from, &headers::DEADLINE, "deadline_malformed")?;
     let time = time
         .unwrap_or(parameters.deadline_ms)
         .min(parameters.deadline_ms);
@@ -277,12 +287,17 @@
     })
 }
 
-/// A header's number, when it stands there; nothing when it stands there and is none.
-fn number(from: &HeaderMap, name: &http::HeaderName) -> Option<Option<u64>> {
+/// A header's number, when it stands there.
+fn number(
+    from: &HeaderMap,
+    name: &http::HeaderName,
+    code: &'static str,
+) -> Result<Option<u64>, Fault> {
     if !from.contains_key(name) {
-        return Some(None);
+        return Ok(None);
     }
-    headers::parsed(from, name).map(Some)
+    let number = headers::parsed(from, name);
+    number.map(Some).ok_or((StatusCode::BAD_REQUEST, code))
 }
 
 fn key(from: &HeaderMap) -> Result<Option<String>, Fault> {
--- a/crates/peppercrank-daemon/src/router/mod.rs
+++ b/crates/peppercrank-daemon/src/router/mod.rs
@@ -3,6 +3,7 @@
 
 //! The router: takes callers' requests and passes whole answers back.
 
+pub mod claims;
 pub mod deliver;
 pub mod identify;
 pub mod job;
@@ -26,7 +27,9 @@
 use peppercrank_wire::client::Times;
 use peppercrank_wire::edge::Edge;
 use peppercrank_wire::edge::Finished;
+use peppercrank_wire::pages::Serving;
 use peppercrank_wire::stop::Stop;
+use tokio::task::JoinHandle;
 
 use crate::clock::Clock;
 use crate::errors;
@@ -34,9 +37,11 @@
 use crate::errors::Result;
 use crate::fleet::Fleet;
 use crate::fleet::Setup;
+use crate::fleet::pages;
 use crate::limits;
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::router::claims::Claiming;
 
 /// Chats that a router remembers the target of.
 const HINTS: usize = 65_536;
@@ -57,6 +62,7 @@
     pub metrics: Arc<Metrics>,
     /// The client towards the agents.
     pub client: Client,
+    claims: Arc<Claiming>,
     hints: Mutex<Hints>,
     spread: Mutex<Spread>,
     retries: Mutex<BTreeMap<PoolName, Retries>>,
@@ -69,7 +75,10 @@
     pub router: Arc<Router>,
     /// Where callers reach it.
     pub address: SocketAddr,
-    serving: tokio::task::JoinHandle<Finished>,
+    /// Where operators find its pages.
+    pub operators: SocketAddr,
+    pages: Serving,
+    serving: JoinHandle<Finished>,
 }
 
 impl Running {
@@ -80,6 +89,7 @@
     /// Returns [`Error::Start`] when its task failed.
     pub async fn finished(self) -> Result<Finished> {
         let ended = self.serving.await;
+        drop(self.pages);
         ended.map_err(|e| Error::Start {
             cause: std::io::Error::other(e),
         })
@@ -102,14 +112,24 @@
         listen: address,
         log,
         metrics: Arc::clone(&metrics),
+        stop: stop.clone(),
     };
-    // Notes are for agents; a router drops what reaches it by mistake.
-    let (fleet, _notes) = Fleet::join(settings.fleet.clone(), setup).await?;
+    // Notes and orders are for agents; a router drops what reaches it by mistake.
+    let (fleet, _inbox) = Fleet::join(settings.fleet.clone(), setup).await?;
     let times = Times {
         first_byte: settings.limits.total_time,
         ..Times::default()
     };
+    let seed = u64::try_from(fleet.draw() >> 64).unwrap_or_default();
+    let claims = Claiming::start(&settings.claims, &fleet.platform, fleet.clock, seed)?;
+    let shown = pages::Shown {
+        role: peppercrank_core::status::Role::Router,
+        targets: Box::new(|fleet| fleet.board().targets.values().map(pages::known).collect()),
+        edge: edge.counters(),
+    };
+    let pages = pages::serve(&fleet, shown)?;
     let router = Arc::new(Router {
+        claims,
         clock: fleet.clock,
         metrics,
         client: Client::new(times),
@@ -123,6 +143,8 @@
     Ok(Running {
         router,
         address,
+        operators: pages.local_addr(),
+        pages,
         serving,
     })
 }
--- a/crates/peppercrank-daemon/src/router/request.rs
+++ b/crates/peppercrank-daemon/src/router/request.rs
@@ -12,6 +12,7 @@
 use peppercrank_core::refusal::NotRun;
 use peppercrank_core::refusal::Outcome;
 use peppercrank_core::time::Moment;
+use peppercrank_lease::claim::Verdict;
 use peppercrank_route::Event;
 use peppercrank_route::Next;
 use peppercrank_route::Note;
@@ -60,8 +61,44 @@
 }
 
 /// `run` takes a request through its attempts and returns its answer's head.
-pub async fn run(router: Arc<Router>, job: Job) -> Reply {
-    let mut course = Course::new(router, job);
+pub async fn run(router: Arc<Router>, mut job: Job) -> Reply {
+    let claim = job.claim();
+    if let Some(key) = claim {
+        match router.claims.claim(key, job.id).await {
+            // Past this moment the claim may lapse, and another request with the key may run.
+            Verdict::Granted { until } => job.deadline = job.deadline.min(until),
+            verdict => {
+                let outcome = verdict
+                    .refusal()
+                    .unwrap_or(Outcome::NotRun(NotRun::ClaimHeld));
+                let refusal = Refusal {
+                    outcome,
+                    retry_after: None,
+                };
+                return router.refuse(refusal, job.id);
+            }
+        }
+    }
+    let (claims, id) = (Arc::clone(&router.claims), job.id);
+    match attempts(Course::new(router, job)).await {
+        Ended::Answered(reply) => reply,
+        Ended::Refused(reply, outcome) => {
+            // Nothing ran, so the caller may send it again and be served.
+            if let (Some(key), Outcome::NotRun(_)) = (claim, outcome) {
+                claims.release(key, id);
+            }
+            reply
+        }
+    }
+}
+
+/// How the attempts of a request ended.
+enum Ended {
+    Answered(Reply),
+    Refused(Reply, Outcome),
+}
+
+async fn attempts(mut course: Course) -> Ended {
     let candidates = course.candidates();
     let mut next = course.on(Event::Ranked(candidates));
     loop {
@@ -78,7 +115,9 @@
                 };
                 match course.attempt(target, attempt, allow).await {
                     Step::Event(event) => course.on(event),
-                    Step::Begun(begun) => return deliver::start(course, attempt, *begun),
+                    Step::Begun(begun) => {
+                        return Ended::Answered(deliver::start(course, attempt, *begun));
+                    }
                 }
             }
             Next::Wait { until } => {
@@ -94,12 +133,14 @@
                     outcome,
                     retry_after,
                 };
-                return course.router.refuse(refusal, course.job.id);
+                let reply = course.router.refuse(refusal, course.job.id);
+                return Ended::Refused(reply, outcome);
             }
             // The machine says these only of an answer that has begun.
             Next::Deliver | Next::Finish { .. } | Next::Ignore => {
                 let refusal = Refusal::may_have_run(MayHaveRun::BadAnswer);
-                return course.router.refuse(refusal, course.job.id);
+                let reply = course.router.refuse(refusal, course.job.id);
+                return Ended::Refused(reply, refusal.outcome);
             }
         };
     }
@@ -178,7 +219,7 @@
                 self.note_doubt(attempt, reason);
                 Step::Event(Event::MayHaveRun { attempt, reason })
             }
-            Tried::Begun(begun) => Step::Begun(Box::new(begun)),
+            Tried::Begun(begun) => Step::Begun(begun),
         }
     }
 
--- a/crates/peppercrank-daemon/src/router/try_once.rs
+++ b/crates/peppercrank-daemon/src/router/try_once.rs
@@ -42,7 +42,7 @@
     /// Its fate is unknown.
     MayHaveRun(MayHaveRun),
     /// Its answer has begun.
-    Begun(Begun),
+    Begun(Box<Begun>),
 }
 
 /// `Begun` is an answer that has begun.
@@ -125,7 +125,7 @@
     let (head, mut from) = answer.into_parts();
     if job.shape == Shape::Whole {
         return match Limited::new(from, MAX_WHOLE).collect().await {
-            Ok(whole) => Tried::Begun(Begun {
+            Ok(whole) => begun(Begun {
                 head,
                 first: whole.to_bytes(),
                 rest: None,
@@ -134,14 +134,14 @@
         };
     }
     match from.frame().await {
-        None => Tried::Begun(Begun {
+        None => begun(Begun {
             head,
             first: Bytes::new(),
             rest: None,
         }),
         Some(Ok(frame)) => {
             let first = frame.into_data().unwrap_or_default();
-            Tried::Begun(Begun {
+            begun(Begun {
                 head,
                 first,
                 rest: Some(from),
@@ -151,6 +151,10 @@
     }
 }
 
+fn begun(begun: Begun) -> Tried {
+    Tried::Begun(Box::new(begun))
+}
+
 /// Reads an agent's refusal; one that cannot be understood leaves the fate unknown.
 fn refusal(answer: &Answer) -> Tried {
     let run = headers::text(answer.headers(), &headers::RUN);
--- a/crates/peppercrank-wire/src/control/messages.rs
+++ b/crates/peppercrank-wire/src/control/messages.rs
@@ -37,6 +37,8 @@
     pub fence: u64,
     /// The order's own id, the same when it is sent again.
     pub id: u128,
+    /// Its number among the sender's orders to this agent, rising.
+    pub seq: u64,
     /// The order as JSON.
     pub order: String,
 }
@@ -46,6 +48,8 @@
 pub enum Ask {
     /// Give these configuration objects.
     Pull(Vec<ObjectKey>),
+    /// Take this message of the configuration relay, in the encoding of its crate.
+    Config(Vec<u8>),
     /// Give the digest of the configuration in force.
     Digest,
     /// Take over these pointers.
@@ -62,6 +66,7 @@
     pub const fn kind(&self) -> &'static str {
         match self {
             Self::Pull(_) => "pull",
+            Self::Config(_) => "config",
             Self::Digest => "digest",
             Self::Handover(_) => "handover",
             Self::Order(_) => "order",
@@ -81,6 +86,8 @@
 pub enum Told {
     /// The objects that the giver has, of those asked for.
     Objects(Vec<Pulled>),
+    /// The message was taken.
+    Received,
     /// The digest, in the encoding of the crate that computes it.
     Digest(Vec<u8>),
     /// How many pointers were taken over.
--- a/crates/peppercrank-wire/src/pages.rs
+++ b/crates/peppercrank-wire/src/pages.rs
@@ -30,6 +30,9 @@
 /// How often the server looks whether it is to stop.
 const POLL: Duration = Duration::from_millis(50);
 
+/// What the paths of the pages of single objects begin with.
+const OBJECTS: &str = "/objects/";
+
 /// `Page` is one page as it stands at the moment of asking.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page {
@@ -86,7 +89,9 @@
     pub readyz: Source,
     /// `/status`.
     pub status: Source,
-    /// Who may read `/status`; anybody who reaches the address, if absent.
+    /// The pages below `/objects/`, by the rest of the path.
+    pub objects: Box<dyn Fn(&str) -> Page + Send + Sync>,
+    /// Who may read `/status` and `/objects/`; anybody who reaches the address, if absent.
     pub bearers: Option<Bearers>,
 }
 
@@ -166,19 +171,22 @@
         return response(Page::text(405, "only GET and HEAD\n"))
             .with_additional_header("Allow", "GET, HEAD");
     }
-    let source = match request.url().as_str() {
-        "/metrics" => &pages.metrics,
-        "/healthz" => &pages.healthz,
-        "/readyz" => &pages.readyz,
-        "/status" if admitted(pages, request) => &pages.status,
-        "/status" => {
-            let page = response(Page::text(401, "a token is wanted\n"));
-            return page.with_additional_header("WWW-Authenticate", "Bearer");
-        }
-        _ => return response(Page::text(404, "no such page\n")),
+    let url = request.url();
+    let object = url.strip_prefix(OBJECTS);
+    if (url == "/status" || object.is_some()) && !admitted(pages, request) {
+        let page = response(Page::text(401, "a token is wanted\n"));
+        return page.with_additional_header("WWW-Authenticate", "Bearer");
+    }
+    let make = || match (url.as_str(), object) {
+        (_, Some(object)) => (pages.objects)(object),
+        ("/metrics", _) => (pages.metrics)(),
+        ("/healthz", _) => (pages.healthz)(),
+        ("/readyz", _) => (pages.readyz)(),
+        ("/status", _) => (pages.status)(),
+        _ => Page::text(404, "no such page\n"),
     };
     // One page's fault must not end the server.
-    match catch_unwind(AssertUnwindSafe(source)) {
+    match catch_unwind(AssertUnwindSafe(make)) {
         Ok(page) => response(page),
         Err(_) => response(Page::text(500, "the page could not be made\n")),
     }
--- a/crates/peppercrank-wire/tests/verify_control.rs
+++ b/crates/peppercrank-wire/tests/verify_control.rs
@@ -94,6 +94,7 @@
             let _told = Dropped(tell);
             std::future::pending().await
         }
+        Ask::Config(_) => Told::Received,
         Ask::Handover(pointers) => Told::Taken(u32::try_from(pointers.len()).expect("few")),
         Ask::Order(order) => Told::Order(order.order),
         Ask::Status => Told::Digest(Vec::new()),
@@ -133,6 +134,7 @@
     let order = Order {
         fence: 1,
         id: 2,
+        seq: 3,
         order: "{}".to_owned(),
     };
     assert_eq!(client.order(to, order).await, Ok("{}".to_owned()));
@@ -263,6 +265,7 @@
     let order = Order {
         fence: 1,
         id: 2,
+        seq: 3,
         order: "x".repeat(2_000),
     };
     assert_eq!(
--- a/crates/peppercrank-wire/tests/verify_pages.rs
+++ b/crates/peppercrank-wire/tests/verify_pages.rs
@@ -20,6 +20,7 @@
         healthz: Box::new(|| panic!("a fault of the page's source")),
         readyz: Box::new(|| Page::text(503, "starting\n")),
         status: Box::new(|| Page::json(200, "{}".to_owned())),
+        objects: Box::new(|rest| Page::json(200, format!("\"{rest}\""))),
         bearers: Some(Bearers::new(["token-1"])),
     };
     let served = pages.serve((Ipv4Addr::LOCALHOST, 0).into(), 2);
@@ -54,6 +55,12 @@
             "200",
             "{}",
         ),
+        ("GET /objects/pool/a HTTP/1.1\r\n", "401", "Bearer"),
+        (
+            "GET /objects/pool/a HTTP/1.1\r\nauthorization: Bearer token-1\r\n",
+            "200",
+            "\"pool/a\"",
+        ),
         ("GET /other HTTP/1.1\r\n", "404", "no such page"),
         ("GET /status/../metrics HTTP/1.1\r\n", "404", "no such page"),
         ("POST /metrics HTTP/1.1\r\n", "405", "GET, HEAD"),
