--- a/crates/peppercrank-cli/src/access.rs
+++ b/crates/peppercrank-cli/src/access.rs
@@ -46,10 +46,12 @@
     /// `read` reads the process's environment.
     #[must_use]
     pub fn read() -> Self {
+        // An empty variable is as good as none, as shells leave them.
+        let variable = |name| env::var(name).ok().filter(|text| !text.is_empty());
         Self {
-            platform: env::var(PLATFORM).ok(),
-            token: env::var(TOKEN).ok(),
-            operators: env::var(OPERATORS_TOKEN).ok(),
+            platform: variable(PLATFORM),
+            token: variable(TOKEN),
+            operators: variable(OPERATORS_TOKEN),
         }
     }
 }
--- a/crates/peppercrank-cli/src/verbs/status.rs
+++ b/crates/peppercrank-cli/src/verbs/status.rs
@@ -83,6 +83,9 @@
     }
 
     fn text(&self) -> String {
+        if self.targets.is_empty() {
+            return String::new();
+        }
         let heads = [
             "TARGET", "POOL", "ZONE", "STATE", "LOAD", "CAP", "RUNNING", "WAITING", "DRAIN",
         ];
@@ -132,6 +135,9 @@
 }
 
 fn daemons_text(known: &[Status]) -> String {
+    if known.is_empty() {
+        return String::new();
+    }
     let heads = [
         "DAEMON",
         "ROLE",
@@ -170,7 +176,7 @@
 fn configuration_text(known: &[Status]) -> String {
     let digests = digests(known);
     let mut text = match digests.len() {
-        0 => String::new(),
+        0 => "configuration: no daemon tells of it\n".to_owned(),
         1 => format!("configuration: all {} daemons agree\n", known.len()),
         n => format!("configuration: {n} differ among {} daemons\n", known.len()),
     };
