Tell a settings file that is too long as such

Cause: a file past the bound was cut and then failed to parse at a place that had no fault. Change: one byte more is read, and the error is 'too large'; no UTF-8 is told as such too. Measured: the new test passes, and failed before with a syntax error instead.

--- a/crates/peppercrank-member/src/join.rs
+++ b/crates/peppercrank-member/src/join.rs
@@ -162,7 +162,9 @@
         let lost = |m: &Member| m.state == State::Dead && m.address().is_some();
         let alone = self.table.live() * 2 < self.iter().filter(|m| m.listing.is_some()).count();
         // Fresh members may have read one another's tables only, and so make islands.
-        let unheard = self.iter().any(|m| m.listing.is_some() && m.description.is_none());
+        let unheard = self
+            .iter()
+            .any(|m| m.listing.is_some() && m.description.is_none());
         let pause = if alone || unheard {
             self.settings.period
         } else {
--- a/crates/peppercrank-settings/src/file.rs
+++ b/crates/peppercrank-settings/src/file.rs
@@ -4,24 +4,34 @@
 //! Reading of settings files, bounded.
 
 use std::fs::File;
+use std::io;
 use std::io::Read;
 use std::path::Path;
 
 use crate::Result;
 use crate::errors;
 
-/// The longest settings file, in bytes; a longer one is cut there and so fails to parse.
-const MOST_FILE: u64 = 1 << 20;
+/// The longest file, in bytes: as much as the platform holds of one object.
+pub const MOST_FILE: u64 = 1 << 20;
 
 /// `read` reads the file at `path` as UTF-8.
 ///
 /// # Errors
 ///
-/// Returns [`crate::Error::File`] when it cannot be read or is not UTF-8.
+/// Returns [`crate::Error::File`] when it cannot be read, is longer than [`MOST_FILE`] or is not
+/// UTF-8.
 pub fn read(path: &Path) -> Result<String> {
-    let mut text = String::new();
-    File::open(path)
-        .and_then(|file| file.take(MOST_FILE).read_to_string(&mut text))
-        .map_err(|e| errors::file(path, e))?;
-    Ok(text)
+    whole(path).map_err(|e| errors::file(path, e))
+}
+
+fn whole(path: &Path) -> io::Result<String> {
+    let mut bytes = Vec::new();
+    // One byte more tells a file of the greatest length from a longer one.
+    File::open(path)?
+        .take(MOST_FILE + 1)
+        .read_to_end(&mut bytes)?;
+    if bytes.len() as u64 > MOST_FILE {
+        return Err(io::ErrorKind::FileTooLarge.into());
+    }
+    String::from_utf8(bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
 }
--- a/crates/peppercrank-settings/tests/verify_faults.rs
+++ b/crates/peppercrank-settings/tests/verify_faults.rs
@@ -3,6 +3,9 @@
 
 //! Faults in settings files: each is refused with its own line, column and reason.
 
+use std::fs;
+use std::path::Path;
+
 use peppercrank_settings::AgentSettings;
 use peppercrank_settings::Error;
 use peppercrank_settings::RouterSettings;
@@ -162,3 +165,17 @@
         assert!(e.contains(reason), "{e}");
     }
 }
+
+#[test]
+fn verify_file_that_is_no_settings_file_is_told_as_such() {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("faulty-file");
+    let long = vec![b' '; (1 << 20) + 1];
+    let cases: [(&[u8], &str); 2] = [(&long, "too large"), (b"\"\xff\"", "utf-8")];
+    for (bytes, reason) in cases {
+        fs::write(&path, bytes).expect("a file");
+        let e = RouterSettings::load(&path).expect_err(reason).to_string();
+        assert!(e.contains("faulty-file") && e.contains(reason), "{e}");
+    }
+    let gone = RouterSettings::load(Path::new("/no/such/file"));
+    assert!(matches!(gone, Err(Error::File { .. })), "{gone:?}");
+}
