Say what a connection costs as it is

Cause: the settings spoke of a thread for each connection; the edge holds a task, and turns away with 503. Measured: nothing; the figure of memory that stood there had no run and is gone.

--- a/crates/peppercrank-settings/src/limits.rs
+++ b/crates/peppercrank-settings/src/limits.rs
@@ -9,7 +9,7 @@
 
 use crate::checked;
 
-/// Open connections, unless set: one thread each, some 20 KiB of touched memory.
+/// Open connections, unless set: a task and its buffers each.
 pub const DEFAULT_CONNECTIONS: u32 = 2_048;
 
 /// Request line and headers, unless set, in bytes.
