Part admission into small modules and tests into scripts

Change: how requests come in, what speaks against them and changed configuration have modules of their own; the tests play scripts of one line an input. Every case is kept; some are added. Conclusion: no change in what is decided.

--- a/crates/peppercrank-admit/src/admission.rs
+++ b/crates/peppercrank-admit/src/admission/mod.rs
@@ -3,12 +3,14 @@
 
 //! The one place that decides for a target.
 
+mod arrive;
+mod change;
+mod room;
+
 use std::collections::HashMap;
-use std::time::Duration;
 
 use peppercrank_core::keys::AttemptId;
 use peppercrank_core::names::OrganisationName;
-use peppercrank_core::objects::Parameters;
 use peppercrank_core::objects::Policy;
 use peppercrank_core::refusal::NotRun;
 use peppercrank_core::time::Moment;
@@ -17,7 +19,6 @@
 use crate::cap::Cap;
 use crate::drain::Drain;
 use crate::messages::Action;
-use crate::messages::Arrival;
 use crate::messages::Input;
 use crate::messages::Ticket;
 use crate::organisations::OrganisationKey;
@@ -25,14 +26,10 @@
 use crate::queue::Entry;
 use crate::queue::EntryKey;
 use crate::queue::Queue;
-use crate::queue::Standing;
-use crate::queue::TOP;
 use crate::rate::Rate;
 use crate::seen::Seen;
-use crate::seen::Sight;
-use crate::settings::MILLE;
-use crate::settings::Oversize;
 use crate::settings::Settings;
+use room::Room;
 
 /// Most that one request can cost; a greater claim is cut to it, so that sums never overflow.
 pub const MAX_COST: Cost = Cost(1 << 40);
@@ -210,99 +207,6 @@
         }
     }
 
-    /// Takes an arrival in, or refuses it.
-    fn arrive(&mut self, arrival: &Arrival, actions: &mut Vec<Action>) {
-        match self.check(arrival) {
-            Ok(organisation) => self.accept(arrival, organisation, actions),
-            Err(reason) => actions.push(self.refusal(arrival.ticket, arrival.attempt, reason)),
-        }
-    }
-
-    /// Finds what speaks against a request that does not depend on the load.
-    fn check(&mut self, arrival: &Arrival) -> Result<OrganisationKey, NotRun> {
-        let now = self.now;
-        if self.places.contains_key(&arrival.ticket) {
-            return Err(NotRun::DuplicateAttempt);
-        }
-        // Seen even if refused: its router goes on elsewhere, and a late copy must not run.
-        let sight = self
-            .seen
-            .see(now, arrival.attempt, arrival.ticket, arrival.deadline);
-        match sight {
-            Sight::New => {}
-            Sight::Known => return Err(NotRun::DuplicateAttempt),
-            Sight::Full => return Err(NotRun::QueueFull),
-        }
-        if self.drain.is_leaving() {
-            return Err(NotRun::Leaving);
-        }
-        if self.is_cut() {
-            return Err(NotRun::OutOfTouch);
-        }
-        let found = self.organisations.find(&arrival.organisation);
-        let organisation = found.ok_or(NotRun::NotReady)?;
-        if now + arrival.need >= arrival.deadline {
-            return Err(NotRun::Deadline);
-        }
-        if !self.organisations.allows(organisation, arrival.cost) {
-            self.organisations.press(now, organisation);
-            return Err(NotRun::OrganisationLimit);
-        }
-        if !self.may_ever_fit(arrival.cost) {
-            return Err(NotRun::OverCap);
-        }
-        Ok(organisation)
-    }
-
-    /// Queues a request, runs it if its turn is now, and else keeps it only if it may wait.
-    fn accept(
-        &mut self,
-        arrival: &Arrival,
-        organisation: OrganisationKey,
-        actions: &mut Vec<Action>,
-    ) {
-        let entry = self.entry(arrival, organisation);
-        self.organisations.come(self.now, organisation, entry.cost);
-        let key = self.queue.push(entry);
-        self.places.insert(arrival.ticket, Place::Waiting(key));
-        self.dispatch(actions);
-        if self.queue.contains(key) && !arrival.may_wait {
-            self.give_up(key, NotRun::OverCap, actions);
-        }
-        self.shorten(organisation, actions);
-    }
-
-    fn entry(&self, arrival: &Arrival, organisation: OrganisationKey) -> Entry {
-        let most = self.organisations.priority(organisation).min(TOP);
-        let longest = self.now + Duration::from_millis(self.policy.wait_ms);
-        // A request that starts later than this could not end in time.
-        let left = arrival.deadline.since(self.now + arrival.need);
-        let latest = self.now + left;
-        Entry {
-            ticket: arrival.ticket,
-            attempt: arrival.attempt,
-            organisation,
-            cost: arrival.cost.min(MAX_COST),
-            class: arrival.priority.min(most),
-            since: self.now,
-            until: longest.min(latest),
-            dated: latest < longest,
-        }
-    }
-
-    /// Gives up requests until the queue is no longer than it may be.
-    fn shorten(&mut self, newest: OrganisationKey, actions: &mut Vec<Action>) {
-        let most = usize::try_from(self.policy.queue).unwrap_or(usize::MAX);
-        while self.queue.len() > most {
-            let organisations = &self.organisations;
-            let weight = |key| organisations.weight(key);
-            let Some(key) = self.queue.victim(newest, weight) else {
-                return;
-            };
-            self.give_up(key, NotRun::QueueFull, actions);
-        }
-    }
-
     /// Runs what may run, in its turn.
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
         while let Some(entry) = self.next_entry() {
@@ -339,14 +243,6 @@
         self.queue.pop(weight, |entry| room.standing(entry))
     }
 
-    /// Tells whether a request could run on this target, were it idle.
-    fn may_ever_fit(&self, cost: Cost) -> bool {
-        if self.cap.is_closed() {
-            return false;
-        }
-        cost <= self.cap.at(self.now) || self.settings.oversize == Oversize::Alone
-    }
-
     /// Gives up what has waited long enough, what a leaving or cut off target holds, and what
     /// runs past the grace of a removal.
     fn expire(&mut self, actions: &mut Vec<Action>) {
@@ -458,104 +354,7 @@
         self.reserved += cost;
     }
 
-    fn change_policy(&mut self, policy: Policy, actions: &mut Vec<Action>) {
-        self.cap.apply(&policy);
-        self.policy = policy;
-        self.shorten(OrganisationKey::default(), actions);
-    }
-
-    fn change_weight(&mut self, weight: u32, actions: &mut Vec<Action>) {
-        self.cap.weigh(weight);
-        if weight == 0 {
-            self.refuse_all(NotRun::OverCap, actions);
-        }
-    }
-
-    fn change_parameters(
-        &mut self,
-        name: OrganisationName,
-        parameters: Option<&Parameters>,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Some(parameters) = parameters {
-            let key = self.organisations.put(name, parameters);
-            while let Some(entry) = self.queue.take_above(key, parameters.limit) {
-                self.refuse(&entry, NotRun::OrganisationLimit, actions);
-            }
-            return;
-        }
-        let Some(gone) = self.organisations.remove(&name) else {
-            return;
-        };
-        while let Some(entry) = self.queue.take_of(gone) {
-            self.refuse(&entry, NotRun::NotReady, actions);
-        }
-        self.queue.forget(gone);
-    }
-
     fn is_cut(&self) -> bool {
         self.now.since(self.touched) >= self.settings.touch
     }
 }
-
-/// `Room` is what speaks for or against running one more request now.
-#[derive(Debug)]
-struct Room<'a> {
-    now: Moment,
-    cap: Cost,
-    reserved: Cost,
-    idle: bool,
-    settings: &'a Settings,
-    organisations: &'a Organisations,
-}
-
-impl Room<'_> {
-    fn standing(&self, entry: &Entry) -> Standing {
-        if entry.cost > self.cap {
-            return self.alone();
-        }
-        if !self.organisations.may_run(entry.organisation, entry.cost) {
-            return Standing::Skipped;
-        }
-        let total = self.reserved + entry.cost;
-        if self.is_held_back(entry, total) {
-            return Standing::Skipped;
-        }
-        if total > self.cap {
-            return Standing::Blocked;
-        }
-        Standing::Fits
-    }
-
-    /// A request that alone exceeds the cap holds nobody up, and runs with nothing beside it.
-    fn alone(&self) -> Standing {
-        if self.idle && self.settings.oversize == Oversize::Alone {
-            return Standing::Fits;
-        }
-        Standing::Skipped
-    }
-
-    /// Tells whether the rest of the room is kept from a surging organisation.
-    fn is_held_back(&self, entry: &Entry, total: Cost) -> bool {
-        let organisation = entry.organisation;
-        let running = self.organisations.running(organisation);
-        if running == Cost::ZERO {
-            return false;
-        }
-        let fair = self.organisations.fair(organisation, self.cap);
-        if running + entry.cost <= fair || total <= self.open() {
-            return false;
-        }
-        self.organisations.surges(self.now, organisation, fair)
-    }
-
-    /// The load up to which a surging organisation may use more than its fair share.
-    ///
-    /// It is a part of what the target can carry, not of the cap: a part of a cap that follows
-    /// the mean would draw the mean down, and the cap with it, while targets idle.
-    fn open(&self) -> Cost {
-        let most = self.settings.ceiling.0;
-        let kept = u128::from(most) * u128::from(self.settings.reserve) / u128::from(MILLE);
-        Cost(most - u64::try_from(kept).unwrap_or(most))
-    }
-}
--- a/crates/peppercrank-admit/tests/verify_admission.rs
+++ b/crates/peppercrank-admit/tests/verify_admission.rs
@@ -2,228 +2,146 @@
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
 //! The contract of admission, case by case: load cap, queue, limits, duplicates, lost touch.
+//!
+//! The cap's multiple is 1.25, its floor 100, the limit of an organisation 1,000; eight requests
+//! may wait for two seconds.
 
 mod common;
-mod steps;
+mod script;
 
 use std::time::Duration;
 
-use peppercrank_admit::Arrival;
-use peppercrank_admit::Input;
 use peppercrank_admit::Oversize;
 use peppercrank_admit::Settings;
-use peppercrank_admit::Ticket;
-use peppercrank_core::blackboard::Mean;
-use peppercrank_core::keys::AttemptId;
-use peppercrank_core::objects::Parameters;
-use peppercrank_core::objects::Policy;
-use peppercrank_core::refusal::NotRun;
-use peppercrank_core::units::Cost;
 
 use common::admission_with;
-use common::at;
-use common::organisation;
-use common::parameters;
 use common::policy;
-use steps::Did::Admit;
-use steps::Did::Refuse;
-use steps::admission;
-use steps::arrival;
-use steps::arrive;
-use steps::did;
-use steps::patient;
-use steps::run;
-
-fn mean(load: u64, targets: u32, millis: u64) -> Input {
-    Input::MeanHeard(Mean {
-        load: Cost(load),
-        weight: 100 * u64::from(targets),
-        targets,
-        at: at(millis),
-    })
-}
-
-fn end(number: u64) -> Input {
-    Input::End(Ticket(number))
-}
+use script::play;
+use script::play_on;
 
 #[test]
 fn verify_cap() {
-    // The multiple is 1.25, the floor 100; a mean counts in full for 5 s and not at all from 30 s.
+    // A mean counts in full for 5 s and not at all from 30 s on.
     let cases = [
-        ("no mean", None, 0, 100),
-        ("mean of zero", Some((0, 4, 0)), 0, 100),
-        ("mean below the floor", Some((160, 4, 0)), 0, 100),
-        ("mean above the floor", Some((1_600, 4, 0)), 0, 500),
-        ("a pool of one", Some((400, 1, 0)), 0, 500),
-        ("no weight in the mean", Some((400, 0, 0)), 0, 100),
-        ("still fresh", Some((1_600, 4, 0)), 5_000, 500),
-        ("fading", Some((1_600, 4, 0)), 17_500, 250),
-        ("stale", Some((1_600, 4, 0)), 30_000, 100),
-        (
-            "from the time to come",
-            Some((1_600, 4, 90_000)),
-            30_000,
-            100,
-        ),
+        "0 tick | cap=100",
+        "0 mean 0 4 | cap=100",
+        "0 mean 160 4 | cap=100",
+        "0 mean 1600 4 | cap=500",
+        "0 mean 400 1 | cap=500",
+        "0 mean 400 0 | cap=100",
+        "0 mean 1600 4 |
+         5000 tick | cap=500
+         17500 tick | cap=250
+         30000 tick | cap=100",
+        // One of a time to come ages from now, and an older one than is known counts nothing.
+        "0 mean 1600 4 at=90000 |
+         30000 tick | cap=100",
+        "900 mean 1600 4 |
+         950 mean 160000 4 at=899 | cap=500",
     ];
-    for (case, heard, now, cap) in cases {
-        let mut admission = admission();
-        if let Some((load, targets, millis)) = heard {
-            admission.on(at(0), mean(load, targets, millis));
-        }
-        admission.on(at(now), Input::Tick);
-        assert_eq!(admission.status().cap, Cost(cap), "{case}");
-    }
+    cases.into_iter().for_each(play);
 }
 
 #[test]
 fn verify_over_cap() {
-    let mut admission = admission();
-    let steps = vec![
-        (0, arrive(1, 60)),
-        (0, arrive(2, 40)),
-        (0, arrive(3, 1)),
-        (1, end(1)),
-        (1, arrive(4, 60)),
-        // What ends twice is released once.
-        (2, end(1)),
-        (2, arrive(5, 1)),
-    ];
-    let over = |number| vec![Refuse(number, NotRun::OverCap)];
-    let done = run(&mut admission, steps);
-    let expected = [
-        vec![Admit(1)],
-        vec![Admit(2)],
-        over(3),
-        vec![],
-        vec![Admit(4)],
-        vec![],
-        over(5),
-    ];
-    assert_eq!(done, expected);
-    assert_eq!(admission.load(), Cost(100));
+    // What ends twice is released once.
+    play(
+        "0 arrive 1 60 | admit 1
+         0 arrive 2 40 | admit 2
+         0 arrive 3 1 | refuse 3 over_cap
+         1 end 1 |
+         1 arrive 4 60 | admit 4
+         2 end 1 |
+         2 arrive 5 1 | refuse 5 over_cap, load=100",
+    );
 }
 
 #[test]
 fn verify_queue() {
-    let mut admission = admission();
-    let steps = vec![
-        (0, arrive(1, 100)),
-        (0, patient(2, 80)),
-        (1, patient(3, 10)),
-        // None that may not wait overtakes those that do.
-        (2, arrive(4, 1)),
-        (3, Input::CallerGone(Ticket(3))),
-        (4, end(1)),
-        (5, patient(5, 30)),
-        (2_004, Input::Tick),
-        (2_005, Input::Tick),
-    ];
-    let expected = [
-        vec![Admit(1)],
-        vec![],
-        vec![],
-        vec![Refuse(4, NotRun::OverCap)],
-        vec![Refuse(3, NotRun::CallerGone)],
-        vec![Admit(2)],
-        vec![],
-        vec![],
-        vec![Refuse(5, NotRun::QueueTimeout)],
-    ];
-    assert_eq!(run(&mut admission, steps), expected);
-    assert_eq!(admission.next_wake(), None);
+    // None that may not wait overtakes those that do; a full queue refuses at once.
+    play(
+        "0 arrive 1 100 | admit 1
+         0 wait 2 80 | wake=2000
+         1 wait 3 10 |
+         2 arrive 4 1 | refuse 4 over_cap
+         3 gone 3 | refuse 3 caller_gone
+         4 end 1 | admit 2
+         5 wait 5 30 |
+         2004 tick |
+         2005 tick | refuse 5 queue_timeout, wake=none",
+    );
+    play(
+        "0 arrive 1 100 | admit 1
+         0 wait 2 10 |
+         1 queue 0 | refuse 2 queue_full
+         2 wait 3 10 | refuse 3 queue_full",
+    );
+}
+
+#[test]
+fn verify_full_queue_gives_up_the_longest_backlog() {
+    // The ninth that waits pushes out the last of the organisation that has most waiting.
+    let mut admission = admission_with(Settings::default(), policy());
+    play_on(&mut admission, "0 arrive 1 100 | admit 1");
+    for number in 2..=9 {
+        play_on(&mut admission, &format!("0 wait {number} 10 |"));
+    }
+    play_on(
+        &mut admission,
+        "1 wait 10 10 of=linda | refuse 9 queue_full
+         1 wait 11 10 | refuse 11 queue_full",
+    );
 }
 
 #[test]
 fn verify_refusal_before_waiting() {
-    let late = |deadline, need| {
-        Input::Arrive(Arrival {
-            deadline: at(deadline),
-            need: Duration::from_millis(need),
-            may_wait: true,
-            ..arrival(2, 10)
-        })
-    };
-    let twice = |number, attempt| {
-        Input::Arrive(Arrival {
-            ticket: Ticket(number),
-            attempt: AttemptId(attempt),
-            ..arrival(0, 10)
-        })
-    };
-    let unknown = Input::Arrive(Arrival {
-        organisation: organisation("taara"),
-        ..arrival(2, 10)
-    });
     let cases = [
-        ("deadline passed", late(5, 0), NotRun::Deadline),
-        ("deadline now", late(10, 0), NotRun::Deadline),
-        (
-            "too short for what it needs",
-            late(100, 90),
-            NotRun::Deadline,
-        ),
-        ("no parameters", unknown, NotRun::NotReady),
-        (
-            "above the limit by itself",
-            patient(2, 1_001),
-            NotRun::OrganisationLimit,
-        ),
-        ("delivered twice", twice(2, 1), NotRun::DuplicateAttempt),
-        ("one ticket twice", twice(1, 2), NotRun::DuplicateAttempt),
+        "wait 2 10 deadline=5 | refuse 2 deadline",
+        "wait 2 10 deadline=10 | refuse 2 deadline",
+        "wait 2 10 deadline=100 need=90 | refuse 2 deadline",
+        "wait 2 10 of=taara | refuse 2 not_ready",
+        "wait 2 1001 | refuse 2 organisation_limit",
+        "arrive 2 10 attempt=1 | refuse 2 duplicate_attempt",
+        "arrive 1 10 attempt=2 | refuse 1 duplicate_attempt",
     ];
-    for (case, input, reason) in cases {
-        let mut admission = admission();
-        admission.on(at(0), arrive(1, 10));
-        let done = admission.on(at(10), input);
-        let [Refuse(_, refused)] = did(&done)[..] else {
-            panic!("{case}: {done:?}");
-        };
-        assert_eq!(refused, reason, "{case}");
-        assert_eq!(admission.load(), Cost(10), "{case}");
+    for case in cases {
+        play(&format!("0 arrive 1 10 | admit 1\n10 {case}, load=10"));
     }
 }
 
 #[test]
 fn verify_deadline_in_queue() {
-    let mut admission = admission();
-    admission.on(at(0), arrive(1, 100));
-    let dated = Input::Arrive(Arrival {
-        deadline: at(700),
-        need: Duration::from_millis(200),
-        may_wait: true,
-        ..arrival(2, 10)
-    });
-    assert_eq!(did(&admission.on(at(0), dated)), []);
     // It is given up when it could no longer end in time, not when its deadline comes.
-    assert_eq!(admission.next_wake(), Some(at(500)));
-    let done = did(&admission.on(at(500), Input::Tick));
-    assert_eq!(done, [Refuse(2, NotRun::Deadline)]);
+    play(
+        "0 arrive 1 100 | admit 1
+         0 wait 2 10 deadline=700 need=200 | wake=500
+         500 tick | refuse 2 deadline",
+    );
 }
 
 #[test]
 fn verify_duplicate_window() {
-    // An attempt with a minute left is remembered for two minutes, refused or not.
-    let copy = |number| {
-        Input::Arrive(Arrival {
-            ticket: Ticket(number),
-            deadline: at(200_000),
-            ..arrival(1, 100)
-        })
-    };
-    let mut admission = admission();
-    admission.on(at(0), arrive(1, 100));
-    admission.on(at(1), end(1));
-    admission.on(at(2), Input::Touched);
-    let twice = [Refuse(2, NotRun::DuplicateAttempt)];
-    assert_eq!(did(&admission.on(at(119_999), copy(2))), twice);
-    admission.on(at(120_000), Input::Touched);
-    assert_eq!(did(&admission.on(at(120_000), copy(3))), [Admit(3)]);
-    // One that still runs is remembered for as long as it does.
-    admission.on(at(900_000), Input::Touched);
-    let twice = [Refuse(4, NotRun::DuplicateAttempt)];
-    assert_eq!(did(&admission.on(at(900_000), copy(4))), twice);
+    // An attempt with a minute left is remembered for two, and one that runs for as long as it does.
+    play(
+        "0 arrive 1 100 | admit 1
+         1 end 1 |
+         119999 touched |
+         119999 arrive 2 100 attempt=1 deadline=200000 | refuse 2 duplicate_attempt
+         120000 arrive 3 100 attempt=1 deadline=200000 | admit 3
+         900000 touched |
+         900000 arrive 4 100 attempt=1 deadline=999999 | refuse 4 duplicate_attempt
+         900001 end 3 |
+         960000 touched |
+         960000 arrive 5 100 attempt=1 deadline=999999 | refuse 5 duplicate_attempt
+         960001 arrive 6 100 attempt=1 deadline=999999 | admit 6",
+    );
+    // A refused one is remembered too: its router has gone on elsewhere.
+    play(
+        "0 arrive 1 100 | admit 1
+         0 arrive 2 100 | refuse 2 over_cap
+         1 end 1 |
+         2 arrive 3 100 attempt=2 | refuse 3 duplicate_attempt",
+    );
 }
 
 #[test]
@@ -232,213 +150,156 @@
         oversize: Oversize::Refuse,
         ..Settings::default()
     };
-    let over = |number| vec![Refuse(number, NotRun::OverCap)];
-    let cases = [
-        (
-            Settings::default(),
-            vec![vec![Admit(1)], over(2), vec![], vec![Admit(3)], over(4)],
-        ),
-        (
-            refuse,
-            vec![over(1), vec![Admit(2)], vec![], over(3), over(4)],
-        ),
-    ];
-    for (settings, expected) in cases {
-        let mut admission = admission_with(settings, policy());
-        let steps = vec![
-            (0, arrive(1, 101)),
-            (0, arrive(2, 1)),
-            (0, end(1)),
-            (0, arrive(3, 500)),
-            (0, arrive(4, 101)),
-        ];
-        assert_eq!(run(&mut admission, steps), expected, "{settings:?}");
-    }
+    play(
+        "0 arrive 1 101 | admit 1
+         0 arrive 2 1 | refuse 2 over_cap
+         0 end 1 |
+         0 arrive 3 500 | admit 3
+         0 arrive 4 101 | refuse 4 over_cap",
+    );
+    play_on(
+        &mut admission_with(refuse, policy()),
+        "0 arrive 1 101 | refuse 1 over_cap
+         0 arrive 2 100 | admit 2",
+    );
+    // It waits for an idle target, and holds up nobody meanwhile.
+    play(
+        "0 arrive 1 100 | admit 1
+         0 wait 2 150 |
+         0 wait 3 100 of=linda |
+         1 end 1 | admit 3
+         2 end 3 | admit 2",
+    );
 }
 
 #[test]
 fn verify_weight_of_zero() {
-    let mut admission = admission();
-    admission.on(at(0), arrive(1, 100));
-    admission.on(at(0), patient(2, 10));
-    let done = did(&admission.on(at(1), Input::WeightChanged(0)));
-    assert_eq!(done, [Refuse(2, NotRun::OverCap)]);
-    admission.on(at(2), end(1));
-    let done = did(&admission.on(at(3), patient(3, 10)));
-    assert_eq!(done, [Refuse(3, NotRun::OverCap)]);
+    play(
+        "0 arrive 1 100 | admit 1
+         0 wait 2 10 |
+         1 weight 0 | refuse 2 over_cap, cap=0
+         2 end 1 |
+         3 wait 3 10 | refuse 3 over_cap",
+    );
 }
 
 #[test]
 fn verify_organisation_limit() {
-    // The part of one of four targets is twice its even part: 500 of 1,000.
-    let mut admission = admission();
-    admission.on(at(0), Input::TargetsHeard(4));
-    admission.on(at(0), mean(40_000, 4, 0));
-    let steps = vec![
-        (0, arrive(1, 400)),
-        (0, arrive(2, 101)),
-        (0, arrive(3, 100)),
-        (
-            1,
-            Input::Actual {
-                ticket: Ticket(1),
-                cost: Cost(50),
-            },
-        ),
-        (1, arrive(4, 350)),
-        (2, arrive(5, 1)),
-        (3, Input::TargetsHeard(2)),
-        (3, arrive(6, 1)),
-    ];
-    let limit = |number| vec![Refuse(number, NotRun::OrganisationLimit)];
-    let done = run(&mut admission, steps);
-    let expected = [
-        vec![Admit(1)],
-        limit(2),
-        vec![Admit(3)],
-        vec![],
-        vec![Admit(4)],
-        limit(5),
-        vec![],
-        vec![Admit(6)],
-    ];
-    assert_eq!(done, expected);
+    // The part of one of four targets is twice its even part.
+    play(
+        "0 targets 4 |
+         0 mean 40000 4 |
+         0 arrive 1 400 | admit 1
+         0 arrive 2 101 | refuse 2 organisation_limit
+         0 arrive 3 100 | admit 3
+         1 actual 1 50 |
+         1 arrive 4 350 | admit 4
+         2 arrive 5 1 | refuse 5 organisation_limit
+         2 arrive 6 1 of=linda | admit 6
+         3 targets 2 |
+         3 arrive 7 1 | admit 7
+         4 set kalev limit=10 |
+         4 arrive 8 1 | refuse 8 organisation_limit",
+    );
+    // At 1,300 targets, or before their number is heard, one request runs and a second does not.
+    for targets in [0, 1_300] {
+        play(&format!(
+            "0 targets {targets} |
+             0 arrive 1 40 | admit 1
+             0 arrive 2 40 | refuse 2 organisation_limit"
+        ));
+    }
 }
 
 #[test]
-fn verify_one_request_of_a_small_part() {
-    // At 1,300 targets the part is one unit, so one request runs and a second does not.
-    let mut admission = admission();
-    admission.on(at(0), Input::TargetsHeard(1_300));
-    let steps = vec![(0, arrive(1, 40)), (0, arrive(2, 40))];
-    let done = run(&mut admission, steps);
-    let expected = [vec![Admit(1)], vec![Refuse(2, NotRun::OrganisationLimit)]];
-    assert_eq!(done, expected);
+fn verify_limit_holds_when_a_turn_comes() {
+    // Within the limit on arrival, 3 is above it when its turn comes; 4 is another's.
+    play(
+        "0 set kalev limit=60 |
+         0 arrive 1 50 | admit 1
+         0 actual 1 99 |
+         0 wait 2 100 of=linda |
+         0 actual 1 10 |
+         0 wait 3 50 |
+         0 actual 1 20 |
+         0 mean 400 1 | admit 2, load=120
+         1 end 1 | admit 3",
+    );
+    play(
+        "0 arrive 1 100 | admit 1
+         0 wait 2 80 |
+         0 wait 3 20 |
+         1 set kalev limit=50 | refuse 2 organisation_limit
+         2 end 1 | admit 3",
+    );
 }
 
 #[test]
 fn verify_parameters_gone() {
-    let mut admission = admission();
-    admission.on(at(0), arrive(1, 100));
-    admission.on(at(0), patient(2, 10));
-    let name = organisation(common::NAMES[0]);
-    let gone = Input::ParametersChanged(name.clone(), None);
-    let done = did(&admission.on(at(1), gone));
-    assert_eq!(done, [Refuse(2, NotRun::NotReady)]);
-    admission.on(at(2), end(1));
-    assert_eq!(admission.load(), Cost::ZERO);
-    let back = Input::ParametersChanged(name, Some(parameters()));
-    admission.on(at(3), back);
-    assert_eq!(did(&admission.on(at(4), arrive(3, 100))), [Admit(3)]);
+    play(
+        "0 arrive 1 100 | admit 1
+         0 wait 2 10 |
+         1 forget kalev | refuse 2 not_ready
+         1 forget kalev |
+         2 end 1 | load=0
+         3 arrive 3 10 | refuse 3 not_ready
+         4 set kalev |
+         4 arrive 4 100 | admit 4
+         70000 touched |",
+    );
 }
 
 #[test]
 fn verify_out_of_touch() {
-    let mut admission = admission();
-    admission.on(at(29_000), arrive(1, 100));
-    admission.on(at(29_000), patient(2, 10));
-    assert_eq!(admission.next_wake(), Some(at(30_000)));
-    let done = did(&admission.on(at(30_000), Input::Tick));
-    assert_eq!(done, [Refuse(2, NotRun::OutOfTouch)]);
-    let done = did(&admission.on(at(30_001), arrive(3, 10)));
-    assert_eq!(done, [Refuse(3, NotRun::OutOfTouch)]);
-    admission.on(at(30_002), Input::Touched);
-    admission.on(at(30_003), end(1));
-    assert_eq!(did(&admission.on(at(30_004), arrive(4, 100))), [Admit(4)]);
+    play(
+        "29000 arrive 1 100 | admit 1
+         29000 wait 2 10 | wake=30000
+         30000 tick | refuse 2 out_of_touch
+         30001 arrive 3 10 | refuse 3 out_of_touch
+         30002 touched |
+         30003 end 1 |
+         30004 arrive 4 100 | admit 4",
+    );
 }
 
 #[test]
 fn verify_clock_backwards() {
-    let mut admission = admission();
-    admission.on(at(10_000), mean(1_600, 4, 10_000));
-    admission.on(at(10_000), arrive(1, 500));
-    admission.on(at(10_000), patient(2, 10));
     // The past counts as the latest moment: nothing expires early and nothing lives longer.
-    assert_eq!(did(&admission.on(at(1), Input::Tick)), []);
-    admission.on(at(1), mean(160_000, 4, 1));
-    assert_eq!(admission.status().cap, Cost(500));
-    assert_eq!(did(&admission.on(at(11_999), Input::Tick)), []);
-    let done = did(&admission.on(at(12_000), Input::Tick));
-    assert_eq!(done, [Refuse(2, NotRun::QueueTimeout)]);
-}
-
-#[test]
-fn verify_queue_of_none_and_policy_change() {
-    let short = Policy {
-        queue: 0,
-        ..policy()
-    };
-    let mut admission = admission();
-    let steps = vec![
-        (0, arrive(1, 100)),
-        (0, patient(2, 10)),
-        (1, Input::PolicyChanged(short)),
-        (2, patient(3, 10)),
-    ];
-    let full = |number| vec![Refuse(number, NotRun::QueueFull)];
-    let expected = [vec![Admit(1)], vec![], full(2), full(3)];
-    assert_eq!(run(&mut admission, steps), expected);
-}
-
-#[test]
-fn verify_full_queue_gives_up_the_longest_backlog() {
-    let of = |number, name: &str| {
-        Input::Arrive(Arrival {
-            organisation: organisation(name),
-            may_wait: true,
-            ..arrival(number, 10)
-        })
-    };
-    let mut admission = admission();
-    admission.on(at(0), arrive(1, 100));
-    for number in 2..=9 {
-        admission.on(at(0), of(number, "kalev"));
-    }
-    // The ninth that waits pushes out the last of the organisation that has eight.
-    let done = did(&admission.on(at(1), of(10, "linda")));
-    assert_eq!(done, [Refuse(9, NotRun::QueueFull)]);
-    let done = did(&admission.on(at(1), of(11, "kalev")));
-    assert_eq!(done, [Refuse(11, NotRun::QueueFull)]);
+    play(
+        "10000 mean 1600 4 |
+         10000 arrive 1 500 | admit 1
+         10000 wait 2 10 |
+         1 tick |
+         1 mean 160000 4 at=1 | cap=500
+         11999 tick |
+         12000 tick | refuse 2 queue_timeout
+         1 arrive 3 10 deadline=11000 | refuse 3 deadline",
+    );
 }
 
 #[test]
 fn verify_settings_out_of_range() {
+    let base = Settings::default;
     let cases = [
         Settings {
             reserve: 1_001,
-            ..Settings::default()
+            ..base()
         },
         Settings {
             spread: 0,
-            ..Settings::default()
+            ..base()
         },
         Settings {
             spread: 11,
-            ..Settings::default()
+            ..base()
         },
         Settings {
             stale: Duration::from_secs(4),
-            ..Settings::default()
+            ..base()
         },
     ];
     for settings in cases {
-        assert!(settings.check().is_err(), "{settings:?}");
+        settings.check().expect_err("out of range");
     }
-    Settings::default()
-        .check()
-        .expect("the defaults are in range");
-}
-
-#[test]
-fn verify_limit_of_parameters_in_force_at_once() {
-    let mut admission = admission();
-    admission.on(at(0), arrive(1, 10));
-    let less = Parameters {
-        limit: Cost(15),
-        ..parameters()
-    };
-    let input = Input::ParametersChanged(organisation(common::NAMES[0]), Some(less));
-    admission.on(at(1), input);
-    let done = did(&admission.on(at(2), arrive(2, 10)));
-    assert_eq!(done, [Refuse(2, NotRun::OrganisationLimit)]);
+    base().check().expect("the defaults are in range");
 }
--- a/crates/peppercrank-admit/tests/verify_permit.rs
+++ b/crates/peppercrank-admit/tests/verify_permit.rs
@@ -4,7 +4,7 @@
 //! Guards release what was admitted, whatever path ends a request.
 
 mod common;
-mod steps;
+mod script;
 
 use std::panic::catch_unwind;
 use std::sync::mpsc;
@@ -13,15 +13,14 @@
 
 use peppercrank_admit::Input;
 use peppercrank_admit::Releases;
+use peppercrank_admit::Settings;
 use peppercrank_admit::Ticket;
 use peppercrank_core::units::Cost;
 
+use common::admission_with;
 use common::at;
-use steps::admission;
-use steps::arrive;
-use steps::did;
-use steps::patient;
-use steps::run;
+use common::policy;
+use script::play_on;
 
 /// A way for a request to end.
 #[derive(Debug, Clone, Copy)]
@@ -79,8 +78,8 @@
     ];
     for ending in endings {
         let releases = Releases::default();
-        let mut admission = admission();
-        run(&mut admission, vec![(0, arrive(1, 100))]);
+        let mut admission = admission_with(Settings::default(), policy());
+        play_on(&mut admission, "0 arrive 1 100 | admit 1");
         end(&releases, ending);
         let ended = releases.wait(Duration::from_secs(60));
         assert_eq!(ended, [Ticket(1)], "{ending:?}");
@@ -96,10 +95,11 @@
 
 #[test]
 fn verify_load_is_kept_until_the_guard_goes() {
-    let mut admission = admission();
-    let steps = vec![(0, arrive(1, 100)), (0, patient(2, 10))];
-    run(&mut admission, steps);
     // The engine still works on what its caller left: the load is true until the guard drops.
-    assert_eq!(did(&admission.on(at(1), Input::CallerGone(Ticket(1)))), []);
-    assert_eq!(admission.load(), Cost(100));
+    script::play(
+        "0 arrive 1 100 | admit 1
+         0 wait 2 10 |
+         1 gone 1 | load=100
+         2 end 1 | admit 2",
+    );
 }
