--- a/crates/peppercrank-daemon/src/fleet/pages.rs
+++ b/crates/peppercrank-daemon/src/fleet/pages.rs
@@ -33,9 +33,9 @@
 use crate::fleet::Fleet;
 use crate::fleet::lock;
 use crate::fleet::read;
-use crate::metrics::PlatformCall;
-use crate::metrics::Reason;
 use crate::metrics::Traffic;
+use crate::metrics::call;
+use crate::metrics::refused;
 
 /// Threads that serve the pages: few people look, and the balancer asks for little.
 const THREADS: usize = 2;
@@ -195,10 +195,7 @@
                 &format!("{kind} {outcome}"),
                 calls.get(*operation, *ending),
             );
-            let label = PlatformCall {
-                kind: kind.to_owned(),
-                outcome: outcome.to_owned(),
-            };
+            let label = call(*operation, *ending);
             fleet.metrics.platform.get_or_create(&label).inc_by(more);
         }
     }
@@ -218,18 +215,12 @@
     }
     for reason in Refused::ALL {
         let more = since("edge", reason.code(), shown.edge.refused(*reason));
-        let label = Reason {
-            run: "not_run",
-            reason: reason.code(),
-        };
+        let label = refused(reason.code());
         fleet.metrics.edge.get_or_create(&label).inc_by(more);
     }
     for reason in Rejected::ALL {
         let more = since("seal", reason.code(), fleet.rejected(*reason));
-        let label = Reason {
-            run: "not_run",
-            reason: reason.code(),
-        };
+        let label = refused(reason.code());
         fleet.metrics.rejected.get_or_create(&label).inc_by(more);
     }
 }
--- a/crates/peppercrank-daemon/src/metrics.rs
+++ b/crates/peppercrank-daemon/src/metrics.rs
@@ -8,6 +8,10 @@
 use peppercrank_core::refusal::MayHaveRun;
 use peppercrank_core::refusal::NotRun;
 use peppercrank_core::refusal::Outcome;
+use peppercrank_wire::edge::Refused;
+use peppercrank_wire::platform::Ending;
+use peppercrank_wire::platform::Operation;
+use peppercrank_wire::seal::Rejected;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -44,9 +48,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PlatformCall {
     /// Which call.
-    pub kind: String,
+    pub kind: &'static str,
     /// How it ended.
-    pub outcome: String,
+    pub outcome: &'static str,
 }
 
 /// `Metrics` holds all counters and gauges of one daemon.
@@ -161,6 +165,11 @@
             "Requests refused at the edge",
             self.edge.clone(),
         );
+        r.register(
+            "rejected_messages",
+            "Control messages rejected",
+            self.rejected.clone(),
+        );
         r.register(
             "prompt_tokens",
             "Prompt tokens of answers",
@@ -229,6 +238,21 @@
             self.touch_reason(Outcome::MayHaveRun(*reason));
         }
         self.touch_reason(Outcome::Done);
+        for reason in Refused::ALL {
+            drop(self.edge.get_or_create(&refused(reason.code())));
+        }
+        for reason in Rejected::ALL {
+            drop(self.rejected.get_or_create(&refused(reason.code())));
+        }
+        for operation in Operation::ALL {
+            for ending in Ending::ALL {
+                drop(self.platform.get_or_create(&call(*operation, *ending)));
+            }
+        }
+        for direction in ["sent", "received"] {
+            let kind = "probe";
+            drop(self.control.get_or_create(&Traffic { kind, direction }));
+        }
     }
 
     fn touch_reason(&self, outcome: Outcome) {
@@ -257,3 +281,21 @@
         },
     }
 }
+
+/// `refused` is the label of what was refused or rejected before it could run.
+#[must_use]
+pub const fn refused(reason: &'static str) -> Reason {
+    Reason {
+        run: "not_run",
+        reason,
+    }
+}
+
+/// `call` is the label of a call to the platform.
+#[must_use]
+pub fn call(operation: Operation, ending: Ending) -> PlatformCall {
+    PlatformCall {
+        kind: operation.code(),
+        outcome: ending.code(),
+    }
+}
--- a/crates/peppercrank-daemon/src/router/request.rs
+++ b/crates/peppercrank-daemon/src/router/request.rs
@@ -52,6 +52,8 @@
     ranking: Arc<Ranking>,
     /// The target that the home pointed to.
     pointed: Option<TargetKey>,
+    /// How the attempt before ended.
+    last: Option<Outcome>,
 }
 
 /// What one attempt came to.
@@ -159,6 +161,7 @@
             begun: router.clock.now(),
             request: Request::new(terms),
             pointed: None,
+            last: None,
             router,
             job,
         }
@@ -195,6 +198,7 @@
     }
 
     async fn attempt(&mut self, target: TargetKey, attempt: AttemptId, allow: Allow) -> Step {
+        self.count_retry();
         let end = self.router.clock.instant(self.job.deadline).into();
         let sending = try_once::send(&self.router, &self.job, target, attempt, allow);
         let Ok(tried) = timeout_at(end, sending).await else {
@@ -223,7 +227,7 @@
         }
     }
 
-    fn note_doubt(&self, attempt: AttemptId, reason: MayHaveRun) {
+    fn note_doubt(&mut self, attempt: AttemptId, reason: MayHaveRun) {
         self.count(Outcome::MayHaveRun(reason));
         let event = match reason {
             MayHaveRun::WrongAnswer => LogEvent::WrongAnswer,
@@ -233,11 +237,25 @@
         self.router.fleet.log.event(event, &about);
     }
 
-    /// Counts how an attempt ended, and it as the reason of the retry that may follow.
-    fn count(&self, outcome: Outcome) {
+    /// Counts how an attempt ended.
+    fn count(&mut self, outcome: Outcome) {
+        self.last = Some(outcome);
         let metrics = &self.router.metrics;
         metrics.attempts.get_or_create(&label(outcome)).inc();
-        metrics.retries.get_or_create(&label(outcome)).inc();
+    }
+
+    /// Counts an attempt that follows another, by how that one ended.
+    fn count_retry(&self) {
+        let Some(last) = self.last else {
+            return;
+        };
+        self.router
+            .metrics
+            .retries
+            .get_or_create(&label(last))
+            .inc();
+        let about = format!("{} {}", self.job.id, label(last).reason);
+        self.router.fleet.log.event(LogEvent::Retried, &about);
     }
 
     /// Widens the spread of a prefix whose first target was over its cap.
--- a/crates/peppercrank-daemon/src/router/serve.rs
+++ b/crates/peppercrank-daemon/src/router/serve.rs
@@ -17,8 +17,8 @@
 use crate::agent::serve::CHATS;
 use crate::agent::serve::SERVICES;
 use crate::headers;
-use crate::metrics::Reason;
 use crate::metrics::label;
+use crate::metrics::refused;
 use crate::reply;
 use crate::reply::Refusal;
 use crate::router::Router;
@@ -110,10 +110,7 @@
 
     /// Counts and makes the reply to a request at fault.
     fn reject(&self, (status, code): Fault, id: RequestId) -> Reply {
-        let reason = Reason {
-            run: "not_run",
-            reason: code,
-        };
+        let reason = refused(code);
         self.metrics.edge.get_or_create(&reason).inc();
         reply::reject(status, code, Some(id))
     }
