Measure the direct way and the hop in turn

Cause: measured one after the other, the two ways met different loads of the machine, and one run had the hop quicker than the direct call. Change: the example takes the ways in turn, or both at once.

--- a/crates/peppercrank-wire/examples/edge_cost.rs
+++ b/crates/peppercrank-wire/examples/edge_cost.rs
@@ -39,8 +39,15 @@
 /// Callers at once where throughput is measured.
 const CALLERS: usize = 32;
 
-/// Time for which throughput is measured.
-const SPAN: Duration = Duration::from_secs(3);
+/// Rounds in which throughput is measured, and the time of each.
+const ROUNDS: u32 = 4;
+const ROUND: Duration = Duration::from_millis(700);
+
+/// Streams opened for their first events.
+const FIRSTS: usize = 300;
+
+/// Time for which open streams are watched.
+const SPAN: Duration = Duration::from_millis(1_500);
 
 /// Events of a timed stream, and the time between two.
 const EVENTS: u32 = 2_000;
@@ -152,79 +159,98 @@
 }
 
 async fn latency(ways: &Ways) {
-    println!("### One call after the other, {BODY} bytes each way, {CALLS} calls\n");
+    println!("### One call at a time, {BODY} bytes each way, {CALLS} by each way in turn\n");
     println!("| way | median | 99th of 100 |\n| --- | ---: | ---: |");
     let client = Client::new(Times::default());
-    let mut medians = Vec::new();
-    for (name, to) in [("direct", ways.direct), ("one hop", ways.hop)] {
-        let mut times = Vec::with_capacity(CALLS);
-        for _ in 0..CALLS {
+    let mut times = [Vec::with_capacity(CALLS), Vec::with_capacity(CALLS)];
+    // In turn, so that what else the machine does falls on both ways alike.
+    for _ in 0..CALLS {
+        for (times, to) in times.iter_mut().zip([ways.direct, ways.hop]) {
             let begun = Instant::now();
             call(&client, to).await;
             times.push(begun.elapsed());
         }
-        let (median, high) = places(&mut times);
-        println!("| {name} | {} | {} |", micros(median), micros(high));
-        medians.push(median);
     }
-    let added = medians[1].saturating_sub(medians[0]);
-    println!("| added | {} | |\n", micros(added));
+    print_places(times);
 }
 
 async fn throughput(ways: &Ways) {
-    println!("### {CALLERS} callers at once, {SPAN:?}\n");
+    println!("### {CALLERS} callers at once, {ROUNDS} rounds of {ROUND:?} by each way in turn\n");
     println!("| way | calls/s | core-time a call |\n| --- | ---: | ---: |");
-    let mut costs = Vec::new();
-    for (name, to) in [("direct", ways.direct), ("one hop", ways.hop)] {
-        let client = Client::new(Times {
-            spare: CALLERS,
-            ..Times::default()
-        });
-        let (begun, spent) = (Instant::now(), core_time());
-        let mut callers = JoinSet::new();
-        for _ in 0..CALLERS {
-            let client = client.clone();
-            callers.spawn(async move {
-                let mut calls = 0_u32;
-                while begun.elapsed() < SPAN {
-                    call(&client, to).await;
-                    calls += 1;
-                }
-                calls
-            });
+    let client = Client::new(Times {
+        spare: CALLERS,
+        ..Times::default()
+    });
+    let mut calls = [0_u32; 2];
+    let mut spent = [0.0; 2];
+    for _ in 0..ROUNDS {
+        for (at, to) in [ways.direct, ways.hop].into_iter().enumerate() {
+            let before = core_time();
+            calls[at] += round(&client, to).await;
+            spent[at] += core_time() - before;
         }
-        let calls: u32 = callers.join_all().await.into_iter().sum();
-        let rate = f64::from(calls) / begun.elapsed().as_secs_f64();
-        let cost = (core_time() - spent) / f64::from(calls);
-        println!("| {name} | {rate:.0} | {:.0} µs |", cost * 1e6);
-        costs.push(cost);
     }
-    println!("| added | | {:.0} µs |\n", (costs[1] - costs[0]) * 1e6);
+    let mut costs = [0.0; 2];
+    for (at, name) in ["direct", "one hop"].into_iter().enumerate() {
+        let rate = f64::from(calls[at]) / (ROUND * ROUNDS).as_secs_f64();
+        costs[at] = spent[at] / f64::from(calls[at]) * 1e6;
+        println!("| {name} | {rate:.0} | {:.0} µs |", costs[at]);
+    }
+    println!("| added | | {:.0} µs |\n", costs[1] - costs[0]);
+}
+
+async fn round(client: &Client, to: SocketAddr) -> u32 {
+    let begun = Instant::now();
+    let mut callers = JoinSet::new();
+    for _ in 0..CALLERS {
+        let client = client.clone();
+        callers.spawn(async move {
+            let mut calls = 0_u32;
+            while begun.elapsed() < ROUND {
+                call(&client, to).await;
+                calls += 1;
+            }
+            calls
+        });
+    }
+    callers.join_all().await.into_iter().sum()
 }
 
 async fn events(ways: &Ways) {
-    println!("### One stream, {EVENTS} events, one each {STEP:?}: from making to the reader\n");
-    println!("| way | first event | median | 99th of 100 |\n| --- | ---: | ---: | ---: |");
+    println!("### First event of a stream, {FIRSTS} streams by each way in turn\n");
+    println!("| way | median | 99th of 100 |\n| --- | ---: | ---: |");
     let client = Client::new(Times::default());
-    for (name, to) in [("direct", ways.direct), ("one hop", ways.hop)] {
-        let begun = Instant::now();
-        let mut body = open(&client, to, "/events").await;
-        let mut times = Vec::new();
-        let mut first = Duration::ZERO;
-        while let Some(frame) = body.frame().await {
-            let data = frame.expect("a whole event").into_data().expect("data");
-            if times.is_empty() {
-                first = begun.elapsed();
-            }
-            times.push(age(&data, ways.origin));
+    let mut times = [Vec::new(), Vec::new()];
+    for _ in 0..FIRSTS {
+        for (times, to) in times.iter_mut().zip([ways.direct, ways.hop]) {
+            let begun = Instant::now();
+            let mut body = open(&client, to, "/events").await;
+            body.frame().await.expect("an event").expect("a whole one");
+            times.push(begun.elapsed());
         }
-        // An event is a frame of its own: none was held back to go out with the next.
-        assert_eq!(times.len(), EVENTS as usize);
-        let (median, high) = places(&mut times);
-        let (first, median, high) = (micros(first), micros(median), micros(high));
-        println!("| {name} | {first} | {median} | {high} |");
     }
-    println!();
+    print_places(times);
+
+    println!(
+        "### {EVENTS} events, one each {STEP:?}, both ways at once: from making to the reader\n"
+    );
+    println!("| way | median | 99th of 100 |\n| --- | ---: | ---: |");
+    let ages = |to| ages(&client, to, ways.origin);
+    let (direct, hop) = tokio::join!(ages(ways.direct), ages(ways.hop));
+    print_places([direct, hop]);
+}
+
+/// How old each event of a stream is when it is read.
+async fn ages(client: &Client, to: SocketAddr, origin: Instant) -> Vec<Duration> {
+    let mut body = open(client, to, "/events").await;
+    let mut ages = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let data = frame.expect("a whole event").into_data().expect("data");
+        ages.push(age(&data, origin));
+    }
+    // An event is a frame of its own: none was held back to go out with the next.
+    assert_eq!(ages.len(), EVENTS as usize);
+    ages
 }
 
 /// The time since an event was made.
@@ -251,7 +277,7 @@
                 readers.spawn(read(body));
             }
             let (begun, spent) = (Instant::now(), core_time());
-            tokio::time::sleep(SPAN / 2).await;
+            tokio::time::sleep(SPAN).await;
             let used = (core_time() - spent) / begun.elapsed().as_secs_f64();
             let each = resident().saturating_sub(before) / streams as u64;
             let threads = status("Threads:");
@@ -282,6 +308,19 @@
     sent.expect("an answer").into_body()
 }
 
+fn print_places(times: [Vec<Duration>; 2]) {
+    let mut medians = Vec::new();
+    for (name, mut times) in ["direct", "one hop"].into_iter().zip(times) {
+        let (median, high) = places(&mut times);
+        println!("| {name} | {} | {} |", micros(median), micros(high));
+        medians.push(median);
+    }
+    println!(
+        "| added | {} | |\n",
+        micros(medians[1].saturating_sub(medians[0]))
+    );
+}
+
 /// The median and the 99th of 100.
 fn places(times: &mut [Duration]) -> (Duration, Duration) {
     times.sort_unstable();
