--- /dev/null
+++ b/crates/peppercrank-settings/src/url.rs
@@ -0,0 +1,85 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The address of the platform's API.
+
+use std::fmt;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use serde::Deserialize;
+
+use crate::Error;
+use crate::Result;
+use crate::errors;
+
+/// The only scheme: TLS towards the platform ends before this process.
+const SCHEME: &str = "http://";
+
+/// The port of an address that names none.
+const PORT: u16 = 80;
+
+/// `BaseUrl` is `http://IP[:PORT]`: the fleet talks by IP numbers.
+#[derive(Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "String")]
+pub struct BaseUrl(SocketAddr);
+
+impl BaseUrl {
+    /// `new` checks `text` and makes an address of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Url`] for another scheme, a host name, or a path.
+    pub fn new(text: &str) -> Result<Self> {
+        address(text).map(Self).ok_or_else(|| errors::url(text))
+    }
+
+    /// `address` is the address that it names.
+    #[must_use]
+    pub const fn address(self) -> SocketAddr {
+        self.0
+    }
+}
+
+fn address(text: &str) -> Option<SocketAddr> {
+    let rest = text.strip_prefix(SCHEME)?;
+    let host = rest.strip_suffix('/').unwrap_or(rest);
+    let whole = host.parse::<SocketAddr>();
+    let bare = || host.parse::<IpAddr>().map(|ip| SocketAddr::new(ip, PORT));
+    whole.or_else(|_| bare()).ok()
+}
+
+impl From<SocketAddr> for BaseUrl {
+    fn from(address: SocketAddr) -> Self {
+        Self(address)
+    }
+}
+
+impl FromStr for BaseUrl {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self> {
+        Self::new(s)
+    }
+}
+
+impl fmt::Display for BaseUrl {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{SCHEME}{}", self.0)
+    }
+}
+
+impl fmt::Debug for BaseUrl {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl TryFrom<String> for BaseUrl {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        Self::new(&text)
+    }
+}
