Bound the request bodies that calls in progress hold together

Change: an edge lets its calls hold 64 MiB of bodies together; one more byte is refused as body_memory, 503, not run, with Retry-After. The room is given back when the call ends, however it ends. Proved: a call that holds the room, one refused beside it, and three served once it has left.

--- a/crates/peppercrank-wire/src/edge/call.rs
+++ b/crates/peppercrank-wire/src/edge/call.rs
@@ -6,10 +6,11 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::header;
@@ -29,9 +30,13 @@
 use crate::body::Body;
 
 use super::flow::after;
+use super::limits::Limits;
 use super::refusal::Counters;
 use super::refusal::Refused;
 
+/// Seconds after which a caller may find room again: some calls have ended by then.
+const RETRY_AFTER: &str = "1";
+
 /// `Reply` is the answer to one call.
 pub type Reply = http::Response<Body>;
 
@@ -52,22 +57,52 @@
 #[derive(Debug)]
 pub struct CallBody {
     inner: Incoming,
-    left: u64,
-    time: Duration,
+    limits: Arc<Limits>,
+    len: u64,
     begun: Instant,
     sleep: Option<Pin<Box<Sleep>>>,
+    held: Arc<Held>,
+}
+
+/// `Held` counts the bytes of one call's body as held until the call ends.
+#[derive(Debug)]
+pub(super) struct Held {
+    bytes: AtomicU64,
     counters: Arc<Counters>,
 }
 
+impl Held {
+    pub(super) fn new(counters: &Arc<Counters>) -> Self {
+        Self {
+            bytes: AtomicU64::new(0),
+            counters: Arc::clone(counters),
+        }
+    }
+
+    fn hold(&self, bytes: u64, most: u64) -> bool {
+        let fits = self.counters.hold(bytes, most);
+        if fits {
+            self.bytes.fetch_add(bytes, Ordering::Relaxed);
+        }
+        fits
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.counters.release(self.bytes.load(Ordering::Relaxed));
+    }
+}
+
 impl CallBody {
-    pub(super) fn new(inner: Incoming, left: u64, time: Duration, counters: Arc<Counters>) -> Self {
+    pub(super) fn new(inner: Incoming, limits: Arc<Limits>, held: Arc<Held>) -> Self {
         Self {
             inner,
-            left,
-            time,
+            limits,
+            len: 0,
             begun: Instant::now(),
             sleep: None,
-            counters,
+            held,
         }
     }
 
@@ -75,20 +110,20 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::BodyTooBig`], [`Error::BodyTimeout`] or [`Error::BodyBroken`];
-    /// [`refuse_body`] makes the reply for each.
+    /// Returns [`Error::BodyTooBig`], [`Error::BodyMemory`], [`Error::BodyTimeout`] or
+    /// [`Error::BodyBroken`]; [`refuse_body`] makes the reply for each.
     pub async fn read(self) -> Result<Bytes> {
         let whole = self.collect().await?;
         Ok(whole.to_bytes())
     }
 
     fn fail(&self, reason: Refused, error: Error) -> Poll<Option<Result<Frame<Bytes>>>> {
-        self.counters.refuse(reason);
+        self.held.counters.refuse(reason);
         Poll::Ready(Some(Err(error)))
     }
 
     fn poll_time(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let end = after(self.begun, self.time);
+        let end = after(self.begun, self.limits.body_time);
         // Most bodies are there at once, so the timer is made only when one is not.
         let sleep = self.sleep.get_or_insert_with(|| Box::pin(sleep_until(end)));
         sleep.as_mut().poll(cx)
@@ -114,10 +149,13 @@
             Some(Ok(frame)) => frame,
         };
         let len = frame.data_ref().map_or(0, |d| d.len() as u64);
-        if len > self.left {
+        self.len += len;
+        if self.len > self.limits.body {
             return self.fail(Refused::BodyTooBig, Error::BodyTooBig);
         }
-        self.left -= len;
+        if !self.held.hold(len, self.limits.bodies) {
+            return self.fail(Refused::BodyMemory, Error::BodyMemory);
+        }
         Poll::Ready(Some(Ok(frame)))
     }
 
@@ -135,6 +173,7 @@
 pub fn refuse_body(error: Error) -> Reply {
     match error {
         Error::BodyTooBig => refuse(Refused::BodyTooBig),
+        Error::BodyMemory => refuse(Refused::BodyMemory),
         Error::BodyTimeout => refuse(Refused::BodyTimeout),
         _ => refuse(Refused::BadBody),
     }
@@ -157,12 +196,20 @@
         "x-peppercrank-run",
         http::HeaderValue::from_static(run(reason)),
     );
+    if passes(reason) {
+        let after = http::HeaderValue::from_static(RETRY_AFTER);
+        headers.insert(header::RETRY_AFTER, after);
+    }
     reply
 }
 
 /// The refusal as the bytes of a whole answer, for a caller that hyper does not serve.
 pub(super) fn raw(reason: Refused) -> Vec<u8> {
     let text = text(reason);
+    let mut retry = String::new();
+    if passes(reason) {
+        retry = format!("retry-after: {RETRY_AFTER}\r\n");
+    }
     let head = format!(
         "HTTP/1.1 {}\r\nconnection: close\r\ncontent-type: application/json\r\n\
          content-length: {}\r\nx-peppercrank-reason: {}\r\nx-peppercrank-run: {}\r\n{}\r\n",
@@ -170,7 +217,7 @@
         text.len(),
         reason.code(),
         run(reason),
-        retry(reason),
+        retry,
     );
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(text.as_bytes());
@@ -194,9 +241,7 @@
     }
 }
 
-const fn retry(reason: Refused) -> &'static str {
-    match reason {
-        Refused::Connections => "retry-after: 1\r\n",
-        _ => "",
-    }
+/// Whether the same request may fare better a little later.
+const fn passes(reason: Refused) -> bool {
+    matches!(reason, Refused::Connections | Refused::BodyMemory)
 }
--- a/crates/peppercrank-wire/src/edge/connection.rs
+++ b/crates/peppercrank-wire/src/edge/connection.rs
@@ -38,6 +38,7 @@
 
 use super::call::Call;
 use super::call::CallBody;
+use super::call::Held;
 use super::call::Reply;
 use super::call::raw;
 use super::flow::Expired;
@@ -67,6 +68,7 @@
 struct Busy {
     flow: Arc<Flow>,
     counters: Arc<Counters>,
+    held: Arc<Held>,
 }
 
 impl Busy {
@@ -75,6 +77,7 @@
         Self {
             flow: Arc::clone(flow),
             counters: Arc::clone(counters),
+            held: Arc::new(Held::new(counters)),
         }
     }
 }
@@ -175,9 +178,7 @@
     let (head, body) = request.into_parts();
     // The gate cannot tell where a chunked body ends, so nothing may follow it.
     let last = head.headers.contains_key(header::TRANSFER_ENCODING);
-    let limits = &shared.limits;
-    let counters = Arc::clone(&shared.counters);
-    let body = CallBody::new(body, limits.body, limits.body_time, counters);
+    let body = CallBody::new(body, Arc::clone(&shared.limits), Arc::clone(&busy.held));
     let mut reply = (shared.answer)(Call { head, body, peer }).await;
     if last || stop.is_stopping() {
         let close = HeaderValue::from_static("close");
--- a/crates/peppercrank-wire/src/edge/limits.rs
+++ b/crates/peppercrank-wire/src/edge/limits.rs
@@ -14,6 +14,8 @@
     pub head: usize,
     /// The longest request body, in bytes.
     pub body: u64,
+    /// Request bodies held at once by all calls in progress, in bytes.
+    pub bodies: u64,
     /// Time from a head's first byte to its last.
     pub head_time: Duration,
     /// Time from a head's end to its body's last byte.
@@ -38,6 +40,8 @@
             connections: 4_096,
             head: 32 * 1_024,
             body: 8 * 1_024 * 1_024,
+            // A quarter of the 256 MB that a daemon may take.
+            bodies: 64 * 1_024 * 1_024,
             head_time: Duration::from_secs(10),
             body_time: Duration::from_secs(60),
             idle: Duration::from_secs(60),
--- a/crates/peppercrank-wire/src/edge/refusal.rs
+++ b/crates/peppercrank-wire/src/edge/refusal.rs
@@ -64,6 +64,8 @@
     Method "method" METHOD_NOT_ALLOWED "method not supported",
     /// The body is longer than the limit.
     BodyTooBig "body_too_big" PAYLOAD_TOO_LARGE "request body too large",
+    /// The bodies of all calls in progress fill the room that there is for them.
+    BodyMemory "body_memory" SERVICE_UNAVAILABLE "too many request bodies in progress",
     /// The body did not arrive in time.
     BodyTimeout "body_timeout" REQUEST_TIMEOUT "request body not received in time",
     /// The body broke off or its chunks are malformed.
@@ -83,6 +85,7 @@
     calls: AtomicU64,
     gone: AtomicU64,
     accept: AtomicU64,
+    bodies: AtomicU64,
 }
 
 impl Counters {
@@ -122,6 +125,26 @@
         self.accept.load(Ordering::Relaxed)
     }
 
+    /// `body_bytes` is the length of the bodies that calls in progress have sent.
+    #[must_use]
+    pub fn body_bytes(&self) -> u64 {
+        self.bodies.load(Ordering::Relaxed)
+    }
+
+    /// Counts bytes of a body as held, if there is room for them.
+    pub(super) fn hold(&self, bytes: u64, most: u64) -> bool {
+        let held = self.bodies.fetch_add(bytes, Ordering::Relaxed);
+        let fits = held.saturating_add(bytes) <= most;
+        if !fits {
+            self.release(bytes);
+        }
+        fits
+    }
+
+    pub(super) fn release(&self, bytes: u64) {
+        self.bodies.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
     pub(super) fn refuse(&self, reason: Refused) {
         self.refused[reason as usize].fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/peppercrank-wire/src/errors.rs
+++ b/crates/peppercrank-wire/src/errors.rs
@@ -41,6 +41,8 @@
     ReaderGone,
     /// A body is longer than the limit.
     BodyTooBig,
+    /// The bodies of all calls in progress fill the room that there is for them.
+    BodyMemory,
     /// A body did not arrive within its time.
     BodyTimeout,
     /// A body broke off or was framed wrongly.
@@ -74,6 +76,7 @@
             Self::Aborted => f.write_str("the body's writer went away before its end"),
             Self::ReaderGone => f.write_str("the body's reader went away"),
             Self::BodyTooBig => f.write_str("the body is longer than the limit"),
+            Self::BodyMemory => f.write_str("too many request bodies in progress"),
             Self::BodyTimeout => f.write_str("the body did not arrive in time"),
             Self::BodyBroken => f.write_str("the body broke off or was framed wrongly"),
             Self::AnswerIdle => f.write_str("nothing of the answer arrived within the idle time"),
--- a/crates/peppercrank-wire/tests/verify_limits.rs
+++ b/crates/peppercrank-wire/tests/verify_limits.rs
@@ -279,3 +279,49 @@
     }
     assert_eq!((running.counters.calls(), running.counters.busy()), (6, 0));
 }
+
+#[tokio::test]
+async fn verify_bodies_held_at_once_are_bounded() {
+    let limits = Limits {
+        bodies: 10,
+        ..Limits::default()
+    };
+    let (tell, mut heard) = mpsc::unbounded_channel();
+    let running = start(limits, move |call| {
+        let told = Told(tell.clone());
+        async move {
+            match call.head.uri.path() {
+                "/never" => never(call, told).await,
+                _ => echo(call).await,
+            }
+        }
+    })
+    .await;
+    let post = |path| {
+        let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n");
+        format!("{head}content-length: 8\r\n\r\n12345678").into_bytes()
+    };
+    let mut first = TcpStream::connect(running.address)
+        .await
+        .expect("a connection");
+    first.write_all(&post("/never")).await.expect("sent");
+    while running.counters.body_bytes() < 8 {
+        tokio::task::yield_now().await;
+    }
+    let answer = exchange(running.address, &post("/")).await;
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    let code = r#""code":"body_memory","run":"not_run""#;
+    assert!(answer.contains(code), "{answer}");
+    assert!(answer.contains("retry-after: 1\r\n"), "{answer}");
+    assert_eq!(running.counters.refused(Refused::BodyMemory), 1);
+    // The room is given back with the call, however that ends.
+    drop(first);
+    heard.recv().await.expect("the call dropped");
+    while running.counters.body_bytes() > 0 {
+        tokio::task::yield_now().await;
+    }
+    for _ in 0..3 {
+        let answer = exchange(running.address, &post("/")).await;
+        assert!(answer.ends_with("POST / 12345678"), "{answer}");
+    }
+}
