--- a/crates/peppercrank-wire/tests/verify_limits.rs
+++ b/crates/peppercrank-wire/tests/verify_limits.rs
@@ -298,8 +298,8 @@
     })
     .await;
     let post = |path| {
-        let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n");
-        format!("{head}content-length: 8\r\n\r\n12345678").into_bytes()
+        let start = format!("POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n");
+        format!("{start}content-length: 8\r\n\r\n12345678").into_bytes()
     };
     let mut first = TcpStream::connect(running.address)
         .await
