--- a/crates/peppercrank-standin/src/engine/batch.rs
+++ b/crates/peppercrank-standin/src/engine/batch.rs
@@ -331,8 +331,8 @@
         self.journal.evicted(now, &gone);
     }
 
-    /// Forgets streams that have been kept for their time.
-    fn forget(&mut self, now: Moment) {
+    /// `forget` forgets streams that have been kept for their time.
+    pub fn forget(&mut self, now: Moment) {
         while let Some((until, key)) = self.ended.front().copied()
             && until <= now
         {
--- a/crates/peppercrank-standin/src/engine/serve.rs
+++ b/crates/peppercrank-standin/src/engine/serve.rs
@@ -27,6 +27,7 @@
 use crate::engine::stream::Phase;
 use crate::engine::stream::StreamKey;
 use crate::engine::tell::View;
+use crate::engine::tell::named;
 use crate::engine::tell::streamed;
 use crate::engine::tell::whole;
 use crate::faults::Ending;
@@ -56,6 +57,7 @@
         due: Notify::new(),
         state: Mutex::new(State {
             faults: set.faults.clone(),
+            resumes: set.resumes,
             engine: Engine::new(set),
             wakers: SecondaryMap::new(),
             last: None,
@@ -78,6 +80,7 @@
 pub(super) struct State {
     pub(super) engine: Engine,
     faults: Faults,
+    resumes: bool,
     wakers: SecondaryMap<StreamKey, Arc<Notify>>,
     last: Option<StreamKey>,
     calls: u64,
@@ -174,7 +177,17 @@
     match (&method, parts.as_slice()) {
         (&Method::POST, ["v1", "chat", "completions"]) => {
             let plan = shared.state().faults.plan("chat");
-            web::play(plan, Unit::Frames, chat(&shared, call, plan)).await
+            let id = web::header(&call.head.headers, "x-request-id");
+            // The engine's own refusals echo the id; an outage, played before it, does not.
+            let work = async {
+                let done = chat(&shared, call, plan).await;
+                let refused = done.or_else(|e| Ok::<_, Error>(web::failed(&e)));
+                refused.map(|reply| match id {
+                    Some(id) if !reply.headers().contains_key("x-request-id") => named(reply, &id),
+                    _ => reply,
+                })
+            };
+            web::play(plan, Unit::Frames, work).await
         }
         (&Method::GET, ["v1", "streams", id]) => {
             let plan = shared.state().faults.plan("resume");
@@ -261,10 +274,11 @@
 fn resume(shared: &Arc<Shared>, call: &Call, id: &str, plan: Plan) -> Result<Reply> {
     let from = web::number(&call.head.uri, "from")?.unwrap_or(0);
     let from = u32::try_from(from).map_err(|_over| Error::Parameter("from"))?;
-    let state = shared.state();
+    let mut state = shared.state();
+    state.engine.forget(shared.clock.now());
     let key = state.engine.find(id).ok_or(Error::Unknown)?;
     let stream = state.engine.stream_of(key).ok_or(Error::Unknown)?;
-    if stream.phase == Phase::Cancelled {
+    if stream.phase == Phase::Cancelled || !state.resumes {
         return Err(Error::Unknown);
     }
     let view = state.view(key, None, plan, "");
--- a/crates/peppercrank-standin/src/engine/settings.rs
+++ b/crates/peppercrank-standin/src/engine/settings.rs
@@ -35,6 +35,8 @@
     pub answer_tokens: u32,
     /// Tokens of the longest answer.
     pub longest: u32,
+    /// Whether streams can be resumed at all.
+    pub resumes: bool,
     /// Time for which an ended stream can be resumed, in milliseconds.
     pub keep_ms: u64,
     /// Age of what the load report tells, in milliseconds.
@@ -62,6 +64,7 @@
             cache_tokens: 262_144,
             answer_tokens: 24,
             longest: 4_096,
+            resumes: true,
             keep_ms: 30_000,
             load_lag_ms: 500,
             events_late_ms: 200,
--- a/crates/peppercrank-standin/src/engine/tell.rs
+++ b/crates/peppercrank-standin/src/engine/tell.rs
@@ -141,7 +141,8 @@
         .is_ok()
 }
 
-fn named(mut reply: Reply, id: &str) -> Reply {
+/// Writes the id that an answer is to.
+pub(super) fn named(mut reply: Reply, id: &str) -> Reply {
     // An id came in as a header, so it can go out as one.
     if let Ok(id) = HeaderValue::from_str(id) {
         reply.headers_mut().insert("x-request-id", id);
--- a/crates/peppercrank-standin/tests/support/mod.rs
+++ b/crates/peppercrank-standin/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 use tokio::runtime::Runtime;
 use ureq::Agent;
+use ureq::http::HeaderMap;
 use ureq::http::Request;
 use ureq::http::Response;
 
@@ -33,9 +34,16 @@
     pub id: String,
     pub retry: Option<String>,
     pub text: String,
+    pub headers: HeaderMap,
 }
 
 impl Seen {
+    /// A header's text, empty without it.
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value.map_or("", |v| v.to_str().expect("a text"))
+    }
+
     pub fn json(&self) -> Value {
         serde_json::from_str(&self.text).expect("a JSON answer")
     }
@@ -84,6 +92,7 @@
         status: answer.status().as_u16(),
         id: text_of(&answer, "x-request-id").unwrap_or_default(),
         retry: text_of(&answer, "retry-after"),
+        headers: answer.headers().clone(),
         text: answer.body_mut().read_to_string()?,
     })
 }
@@ -107,6 +116,17 @@
 
 /// Sends and reads the events until the answer ends or breaks.
 pub fn stream(at: SocketAddr, call: &str, headers: &[(&str, &str)], body: &str) -> Events {
+    stream_with(at, call, headers, body, |_| {})
+}
+
+/// As [`stream`], telling how many events have come after each.
+pub fn stream_with(
+    at: SocketAddr,
+    call: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+    mut on_event: impl FnMut(usize),
+) -> Events {
     let answer = agent(PATIENCE).run(request(at, call, headers, body));
     let answer = answer.expect("a head");
     assert_eq!(answer.status(), 200, "a stream");
@@ -120,7 +140,10 @@
                     whole: true,
                 };
             }
-            Some(event) => events.push(serde_json::from_str(event).expect("an event")),
+            Some(event) => {
+                events.push(serde_json::from_str(event).expect("an event"));
+                on_event(events.len());
+            }
             None => {}
         }
     }
@@ -140,6 +163,12 @@
     seen.json()["runs"].clone()
 }
 
+/// How many chats or calls a target is at work on.
+pub fn running(at: SocketAddr) -> Value {
+    let load = send(at, "GET /load", &[], "").expect("an answer");
+    load.json()["running"].clone()
+}
+
 /// Asks again until the answer is as awaited, and gives the last one.
 pub fn settled<T: PartialEq>(awaited: &T, ask: impl Fn() -> T) -> T {
     let begun = Instant::now();
--- a/crates/peppercrank-standin/tests/verify_engine.rs
+++ b/crates/peppercrank-standin/tests/verify_engine.rs
@@ -270,6 +270,7 @@
             "{call}"
         );
     }
-    let sent = send(at, CHAT, &[("x-priority", "10")], &chat(false, &["abc"]));
-    assert_eq!(sent.expect("an answer").status, 400);
+    let ids = [("x-priority", "10"), ("x-request-id", "a1")];
+    let sent = send(at, CHAT, &ids, &chat(false, &["abc"])).expect("an answer");
+    assert_eq!((sent.status, sent.id.as_str()), (400, "a1"));
 }
