Widen the spread of a hot prefix faster

Cause: with 370 routers each sees a hot prefix less than once a second, and half a doubling a refusal learns too slowly. Conclusion: a whole doubling. The trial also runs with a low floor, and rank_cost prints the cost of a hand-over.

--- a/crates/peppercrank-route/examples/rank_cost.rs
+++ b/crates/peppercrank-route/examples/rank_cost.rs
@@ -113,5 +113,11 @@
         ));
         black_box(pointers.cached(n));
     });
+    let fewer = self::ranking(1_299, 1);
+    let start = Instant::now();
+    let chunk = pointers.moved(Moment::ZERO, &ranking, &fewer, 0, usize::MAX);
+    let elapsed = start.elapsed().as_secs_f64() * 1e3;
+    let notes = chunk.notes.len();
+    println!("one leaves of 1300: {notes} notes of {len} entries in {elapsed:.1} ms");
     println!("pointer look-up: {median:.3} {most:.3} microseconds");
 }
--- a/crates/peppercrank-route/examples/trace_trial/fleet.rs
+++ b/crates/peppercrank-route/examples/trace_trial/fleet.rs
@@ -62,6 +62,8 @@
     /// Requests in flight at once on an engine, in the mean.
     pub(crate) flight: f64,
     pub(crate) seconds: u64,
+    /// Requests that an engine may always carry.
+    pub(crate) floor: f64,
 }
 
 #[derive(Debug)]
@@ -141,7 +143,7 @@
                 .collect(),
             ranking,
             flying: BinaryHeap::new(),
-            floor: CAP * size.flight,
+            floor: size.floor,
             totals: Totals::default(),
         }
     }
--- a/crates/peppercrank-route/examples/trace_trial/main.rs
+++ b/crates/peppercrank-route/examples/trace_trial/main.rs
@@ -106,12 +106,14 @@
         routers: 3,
         flight: 16.0,
         seconds: 1_200,
+        floor: 20.0,
     };
     let large = Size {
         engines: 1_300,
         routers: 370,
         flight: 16.0,
         seconds: 160,
+        floor: 20.0,
     };
     let all = Parts {
         spread: true,
@@ -144,6 +146,11 @@
         );
         run(&format!("{name}, no pointers"), bare, size, Churn::Nothing);
     }
+    let low = Size {
+        floor: 4.0,
+        ..large
+    };
+    run("1300, floor of 4", all, low, Churn::Nothing);
     run("9, no hints", no_hints, small, Churn::Nothing);
     for churn in [Churn::Join, Churn::Leave, Churn::Routers] {
         run(&format!("9, {churn:?}"), all, small, churn);
--- a/crates/peppercrank-route/src/spread.rs
+++ b/crates/peppercrank-route/src/spread.rs
@@ -13,7 +13,7 @@
 use crate::table::Table;
 
 /// What one refusal adds to the binary logarithm of the breadth.
-const WIDEN: f32 = 0.5;
+const WIDEN: f32 = 1.0;
 
 /// The share of first tries of a hot prefix that may be refused.
 const REFUSED: f32 = 0.05;
