Resume cut streams from the first event not passed on

Cause: the issue asks that a stream that breaks is resumed where the engine can, else ended with an explicit error.

--- a/crates/peppercrank-route/src/lib.rs
+++ b/crates/peppercrank-route/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pointer;
 pub mod prefix;
 pub mod rank;
+pub mod resume;
 pub mod retry;
 pub mod routes;
 pub mod spread;
