--- a/crates/peppercrank-route/src/pointer.rs
+++ b/crates/peppercrank-route/src/pointer.rs
@@ -95,6 +95,9 @@
 
 impl Pointers {
     /// `new` makes the table of the agent of `own`, of at most `bytes` bytes.
+    ///
+    /// One row of each part, under 1 KiB together, is the least. `own` must stay the key of the
+    /// target in this process: the agent keeps its own target in the blackboard.
     #[must_use]
     pub fn new(own: TargetKey, bytes: usize) -> Self {
         let part = bytes / HOLDERS_PART;
