Test what four mutants showed to be unwatched

Cause: of 26 mutants of this crate five survived. Change: tests for a late event of a context that only events name, an answer counted once for the spread, the mark of the last send, and a pause past the deadline. Measured: these four mutants now fail; the fifth only costs time, since the selection of a wide spread falls back to all targets.

--- a/crates/peppercrank-route/tests/verify_pointer.rs
+++ b/crates/peppercrank-route/tests/verify_pointer.rs
@@ -173,6 +173,11 @@
     pointers.joined(NOW);
     pointers.on_event(NOW, &event(1, 40, Change::Stored), &ranking);
     assert_eq!(place(&pointers, 7, &ranking), here(Cached::Yes));
+    // Of a context that only events name, a late one proves nothing: it may be gone again.
+    let mut pointers = Pointers::new(target(0), BYTES);
+    pointers.on_event(NOW, &event(1, 41, Change::Evicted), &ranking);
+    pointers.on_event(NOW, &event(1, 40, Change::Stored), &ranking);
+    assert_eq!(pointers.cached(7), Cached::No);
 }
 
 #[test]
--- a/crates/peppercrank-route/tests/verify_retry.rs
+++ b/crates/peppercrank-route/tests/verify_retry.rs
@@ -105,22 +105,64 @@
 }
 
 #[test]
-fn verify_the_last_send_says_so_when_the_budget_is_spent() {
-    for (share, last) in [(0.0, true), (0.2, false)] {
+fn verify_the_last_send_says_so() {
+    // Share, tries, targets, whether the first send is the last that may be paid for.
+    let cases = [
+        (0.2, 3, 8, false),
+        (0.0, 3, 8, true),
+        (0.2, 1, 8, true),
+        (0.2, 3, 1, true),
+    ];
+    for (share, tries, targets, expected) in cases {
         let mut retries = Retries::new(share, 1);
         let mut request = Request::new(Terms {
             id: RequestId(1),
             repeatable: true,
             deadline: Moment::from_millis(1_000),
-            tries: 3,
+            tries,
         });
-        let ranked = (1..=8).map(target).collect();
-        let next = request.on(Moment::ZERO, Event::Ranked(ranked), &mut retries);
-        assert!(
-            matches!(next, Next::Send { last: l, .. } if l == last),
-            "{share}: {next:?}"
-        );
+        let ranked = Event::Ranked((1..=targets).map(target).collect());
+        let next = request.on(Moment::ZERO, ranked, &mut retries);
+        let Next::Send { last, redirect, .. } = next else {
+            panic!("{next:?}");
+        };
+        assert_eq!((last, redirect), (expected, tries > 1));
+    }
+}
+
+#[test]
+fn verify_a_pause_past_the_deadline_is_a_refusal_at_once() {
+    let late = Moment::from_millis(59_999);
+    let mut refused = 0;
+    for seed in 0..50 {
+        let mut retries = Retries::new(0.2, seed);
+        let mut request = Request::new(Terms {
+            id: RequestId(1),
+            repeatable: true,
+            deadline: Moment::from_millis(60_000),
+            tries: 4,
+        });
+        let ranked = Event::Ranked((1..=8).map(target).collect());
+        let Next::Send { attempt, .. } = request.on(late, ranked, &mut retries) else {
+            panic!("not sent");
+        };
+        let (reason, hint) = (NotRun::Connect, None);
+        let failed = Event::NotRun {
+            attempt,
+            reason,
+            hint,
+        };
+        match request.on(late, failed, &mut retries) {
+            Next::Wait { until } => assert!(until < Moment::from_millis(60_000)),
+            Next::Refuse { outcome, .. } => {
+                assert_eq!(outcome, Outcome::NotRun(reason));
+                refused += 1;
+            }
+            next => panic!("{next:?}"),
+        }
     }
+    // A back-off of up to 20 ms fits the last millisecond once in twenty.
+    assert!(refused >= 40, "{refused} of 50");
 }
 
 #[test]
--- a/crates/peppercrank-route/tests/verify_routes.rs
+++ b/crates/peppercrank-route/tests/verify_routes.rs
@@ -185,6 +185,30 @@
     assert_eq!(others.len(), 1, "other prefixes stay where they are");
 }
 
+#[test]
+fn verify_an_answer_counts_once_for_the_spread() {
+    let mut routes = Pool::new(9).router(1);
+    let (now, prefix) = (Moment::ZERO, PrefixKey(5));
+    routes.spread.refused(now, prefix);
+    routes.spread.refused(now, prefix);
+    for n in 0..9 {
+        let terms = Terms {
+            id: RequestId(n),
+            repeatable: true,
+            deadline: Moment::from_millis(9_000),
+            tries: 4,
+        };
+        let (mut trip, next) = routes.begin(now, ChatKey(1), Some(prefix), terms);
+        let Next::Send { attempt, .. } = next else {
+            panic!("{next:?}");
+        };
+        routes.on(now, &mut trip, Event::FirstByte { attempt });
+        routes.on(now, &mut trip, Event::Done { attempt });
+    }
+    // Nine steps down from a logarithm of 2, of 0.053 each, leave 2.9.
+    assert_eq!(routes.spread.breadth(Some(prefix)), 3);
+}
+
 #[test]
 fn verify_an_empty_or_full_pool_is_refused_at_once() {
     let mut empty = Pool::new(0);
