Check configuration and draining over every reachable state

Cause: two of the five properties had no model. Change: a model that merges with the real configuration store, one that decides with the real admission; each rule taken away gives a counterexample.

--- /dev/null
+++ b/crates/peppercrank-spec/src/configuration.rs
@@ -0,0 +1,425 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! An accepted configuration never reverts, and reaches every live process once faults stop.
+//!
+//! One object in the platform's API and a few processes that merge with the real [`Store`]. What
+//! processes tell each other is kept for ever and may be delivered at any later time, any number
+//! of times; answers of the API come late or not at all. A state keeps what a store holds, and each
+//! step builds the store anew from that and drives it.
+
+use std::sync::Arc;
+
+use peppercrank_config::object::Object;
+use peppercrank_config::object::Version;
+use peppercrank_config::store::Store;
+use peppercrank_core::names::ObjectName;
+use peppercrank_core::objects::Kind;
+use peppercrank_core::objects::ObjectKey;
+
+use crate::search::Model;
+
+/// The property that what is in force at a process never goes back.
+pub const REVERTED: &str = "a configuration in force went back to an older one";
+
+/// The property that all processes come to the accepted configuration once faults stop.
+pub const MISSED: &str = "a live process did not come to the accepted configuration";
+
+/// Exchanges after which all processes must agree: the first may need the last's.
+const ROUNDS: usize = 2;
+
+/// A body that passes the checks.
+const GOOD: &str = r#"{"spec":{"target":"t","action":"shutdown"}}"#;
+
+/// A body that fails them.
+const BAD: &str = r#"{"spec":{"target":"t"}}"#;
+
+/// `Flaw` is a rule taken away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// Nothing: the protocol as built.
+    None,
+    /// Whatever comes last is taken, without a look at versions.
+    LastWins,
+    /// A deletion is not remembered.
+    NoTombstone,
+    /// Changes count as complete though earlier ones were missed.
+    Gap,
+    /// Processes do not compare what they hold.
+    NoRepair,
+}
+
+/// `Configuration` is the model with its bounds.
+#[derive(Debug, Clone, Copy)]
+pub struct Configuration {
+    /// The rule taken away.
+    pub flaw: Flaw,
+    /// Processes.
+    pub processes: usize,
+    /// How many of them, from the first, call the API.
+    pub callers: usize,
+    /// Writes of the object: valid, invalid or a deletion.
+    pub writes: u8,
+    /// Writes of other objects of the kind.
+    pub others: u8,
+    /// What processes tell each other.
+    pub messages: u8,
+    /// Crashes of processes, with all memory lost.
+    pub crashes: u8,
+}
+
+/// `Body` is what a write makes of the object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Body {
+    /// Content that passes the checks.
+    Good,
+    /// Content that fails them.
+    Bad,
+    /// A tombstone.
+    Gone,
+}
+
+/// One version of the object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Write {
+    version: u64,
+    body: Body,
+}
+
+/// What one process's store holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Replica {
+    writes: Vec<Write>,
+    complete: u64,
+    /// The highest version that was in force in this life.
+    high: Option<Write>,
+}
+
+/// An answer of the API under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Answer {
+    /// Since when the changes are; `None` for a whole list.
+    since: Option<u64>,
+    revision: u64,
+    write: Option<Write>,
+}
+
+/// What a process told another.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Message {
+    /// The versions that it holds.
+    Holds(Vec<Write>),
+    /// That it knows everything up to a revision and holds nothing.
+    Lacks(u64),
+}
+
+/// `State` is one state of the model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    revision: u64,
+    object: Option<Write>,
+    replicas: Vec<Replica>,
+    answers: Vec<Option<Answer>>,
+    /// What was told, to whom.
+    messages: Vec<(usize, Message)>,
+    reverted: bool,
+    wrote: u8,
+    other: u8,
+    crashed: u8,
+}
+
+/// `Step` is one step of the model.
+#[derive(Debug, Clone, Copy)]
+pub enum Step {
+    /// An operator writes the object.
+    Write(Body),
+    /// An operator writes another object.
+    Other,
+    /// The API takes a process's list call; an earlier answer is lost.
+    List(usize),
+    /// The API takes a process's watch call; an earlier answer is lost.
+    Watch(usize),
+    /// The API's answer arrives.
+    Answer(usize),
+    /// A process tells another what it holds.
+    Tell(usize, usize),
+    /// What was told arrives, maybe not for the first time.
+    Arrive(usize),
+    /// A process crashes and starts anew.
+    Crash(usize),
+}
+
+fn key() -> ObjectKey {
+    ObjectKey {
+        kind: Kind::Mark,
+        // A constant of the model; the tests would show a bad one.
+        name: ObjectName::new("t").expect("the model's name is well formed"),
+    }
+}
+
+impl Write {
+    fn object(self) -> Object {
+        let body = match self.body {
+            Body::Good => Some(Arc::from(GOOD)),
+            Body::Bad => Some(Arc::from(BAD)),
+            Body::Gone => None,
+        };
+        Object {
+            key: key(),
+            version: Version(self.version),
+            body,
+        }
+    }
+
+    fn of(object: &Object) -> Self {
+        let body = match object.body.as_deref() {
+            None => Body::Gone,
+            Some(GOOD) => Body::Good,
+            Some(_) => Body::Bad,
+        };
+        Self {
+            version: object.version.0,
+            body,
+        }
+    }
+}
+
+impl Replica {
+    /// The real store that holds this.
+    fn store(&self) -> Store {
+        let mut store = Store::new();
+        for write in &self.writes {
+            store.merge(&write.object());
+        }
+        store.set_complete(Kind::Mark, Version(self.complete));
+        store
+    }
+
+    /// Takes over what the store holds now, and tells whether it went back.
+    fn keep(&mut self, store: &Store) -> bool {
+        let objects = store.objects(&key());
+        self.writes = objects.map(|o| Write::of(&o)).collect();
+        self.complete = store.complete(Kind::Mark).0;
+        let version = store.in_force(&key()).map_or(0, |v| v.0);
+        let mut writes = self.writes.iter().copied();
+        let now = writes.find(|w| w.version == version);
+        let Some(high) = self.high else {
+            self.high = now;
+            return false;
+        };
+        if version >= high.version {
+            self.high = now;
+            return false;
+        }
+        // A tombstone may be forgotten: what is not held is as much deleted.
+        now.is_some() || high.body != Body::Gone
+    }
+
+    /// The body in force, if any.
+    fn force(&self) -> Option<Write> {
+        let version = self.store().in_force(&key())?;
+        let mut writes = self.writes.iter().copied();
+        writes.find(|w| w.version == version.0)
+    }
+
+    fn message(&self) -> Message {
+        if self.writes.is_empty() {
+            return Message::Lacks(self.complete);
+        }
+        Message::Holds(self.writes.clone())
+    }
+}
+
+impl Configuration {
+    /// Lets a process take something in through its real store.
+    fn take(self, replica: &mut Replica, input: impl Fn(&mut Store)) -> bool {
+        let mut store = replica.store();
+        if self.flaw == Flaw::LastWins {
+            store = Store::new();
+        }
+        input(&mut store);
+        let reverted = replica.keep(&store);
+        if self.flaw == Flaw::NoTombstone {
+            replica.writes.retain(|w| w.body != Body::Gone);
+            replica.complete = 0;
+        }
+        reverted
+    }
+
+    fn answered(self, replica: &mut Replica, answer: Answer) -> bool {
+        let objects: Vec<Object> = answer.write.iter().map(|w| w.object()).collect();
+        let revision = Version(answer.revision);
+        self.take(replica, |store| match answer.since {
+            None => drop(store.merge_list(Kind::Mark, revision, &objects)),
+            Some(since) => {
+                let since = if self.flaw == Flaw::Gap { 0 } else { since };
+                let since = Version(since);
+                store.merge_changes(Kind::Mark, since, revision, &objects);
+            }
+        })
+    }
+
+    fn told(self, replica: &mut Replica, message: &Message) -> bool {
+        self.take(replica, |store| match message {
+            Message::Holds(writes) => {
+                for write in writes {
+                    store.merge(&write.object());
+                }
+            }
+            Message::Lacks(revision) => {
+                store.merge_absent(&key(), Version(*revision));
+            }
+        })
+    }
+
+    fn apply(self, s: &State, step: Step) -> State {
+        let mut s = s.clone();
+        match step {
+            Step::Write(body) => s.write(body),
+            Step::Other => {
+                s.other += 1;
+                s.revision += 1;
+            }
+            Step::List(at) => s.answers[at] = Some(s.answer(None)),
+            Step::Watch(at) => {
+                // A watcher that skipped ahead asks from a revision that it has not reached.
+                let since = s.replicas[at].complete.max(s.revision.saturating_sub(1));
+                s.answers[at] = Some(s.answer(Some(since)));
+            }
+            Step::Answer(at) => {
+                if let Some(answer) = s.answers[at].take() {
+                    s.reverted |= self.answered(&mut s.replicas[at], answer);
+                }
+            }
+            Step::Tell(from, to) => {
+                let message = s.replicas[from].message();
+                s.messages.push((to, message));
+            }
+            Step::Arrive(at) => {
+                let (to, message) = s.messages[at].clone();
+                s.reverted |= self.told(&mut s.replicas[to], &message);
+            }
+            Step::Crash(at) => {
+                s.crashed += 1;
+                s.replicas[at] = Replica::default();
+                s.answers[at] = None;
+            }
+        }
+        s
+    }
+
+    /// Lets everything run without a fault: the first process lists, and all compare.
+    fn settle(self, state: &State) -> Vec<Replica> {
+        let mut replicas = state.replicas.clone();
+        self.answered(&mut replicas[0], state.answer(None));
+        if self.flaw == Flaw::NoRepair {
+            return replicas;
+        }
+        for _round in 0..ROUNDS {
+            for from in 0..self.processes {
+                let message = replicas[from].message();
+                for (to, replica) in replicas.iter_mut().enumerate() {
+                    if to != from {
+                        self.told(replica, &message);
+                    }
+                }
+            }
+        }
+        replicas
+    }
+
+    /// Whether every process came to what the API holds, or to one last good version.
+    fn is_reached(self, state: &State) -> bool {
+        let replicas = self.settle(state);
+        let forces: Vec<Option<Write>> = replicas.iter().map(Replica::force).collect();
+        let live = |w: &Option<Write>| w.filter(|w| w.body != Body::Gone);
+        match state.object {
+            Some(object) if object.body == Body::Bad => {
+                forces.windows(2).all(|w| live(&w[0]) == live(&w[1]))
+            }
+            Some(object) => {
+                let wanted = live(&Some(object));
+                forces.iter().all(|w| live(w) == wanted)
+            }
+            None => forces.iter().all(Option::is_none),
+        }
+    }
+}
+
+impl State {
+    fn write(&mut self, body: Body) {
+        self.wrote += 1;
+        self.revision += 1;
+        let version = self.revision;
+        self.object = Some(Write { version, body });
+    }
+
+    /// What the API answers now.
+    fn answer(&self, since: Option<u64>) -> Answer {
+        let newer = |w: &Write| since.is_none_or(|s| w.version > s);
+        Answer {
+            since,
+            revision: self.revision,
+            write: self.object.filter(newer),
+        }
+    }
+}
+
+impl Model for Configuration {
+    type State = State;
+    type Step = Step;
+
+    fn start(&self) -> State {
+        State {
+            revision: 0,
+            object: None,
+            replicas: vec![Replica::default(); self.processes],
+            answers: vec![None; self.processes],
+            messages: Vec::new(),
+            reverted: false,
+            wrote: 0,
+            other: 0,
+            crashed: 0,
+        }
+    }
+
+    fn steps(&self, state: &State) -> Vec<(Step, State)> {
+        let mut steps = Vec::new();
+        if state.wrote < self.writes {
+            let bodies = [Body::Good, Body::Bad, Body::Gone];
+            steps.extend(bodies.map(Step::Write));
+        }
+        if state.other < self.others {
+            steps.push(Step::Other);
+        }
+        for at in 0..self.processes {
+            if at < self.callers {
+                steps.extend([Step::List(at), Step::Watch(at)]);
+            }
+            if state.answers[at].is_some() {
+                steps.push(Step::Answer(at));
+            }
+            if state.crashed < self.crashes {
+                steps.push(Step::Crash(at));
+            }
+            if state.messages.len() < usize::from(self.messages) {
+                let others = (0..self.processes).filter(|to| *to != at);
+                steps.extend(others.map(|to| Step::Tell(at, to)));
+            }
+        }
+        steps.extend((0..state.messages.len()).map(Step::Arrive));
+        let next = steps.into_iter().map(|s| (s, self.apply(state, s)));
+        next.collect()
+    }
+
+    fn violations(&self, state: &State) -> Vec<&'static str> {
+        let mut bad = Vec::new();
+        if state.reverted {
+            bad.push(REVERTED);
+        }
+        if !self.is_reached(state) {
+            bad.push(MISSED);
+        }
+        bad
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-spec/src/drain.rs
@@ -0,0 +1,436 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! A draining target admits nothing after its agent knows, and cuts nothing.
+//!
+//! Requests reach one agent, each maybe twice, while a mark is published, heard and acted on; the
+//! agent may crash and start anew. The agent decides with the real [`Admission`]. As that cannot be
+//! copied, a state is the row of inputs since the agent started, driven anew for each step, and two
+//! states count as one when their admissions hold the same.
+
+use std::collections::BTreeMap;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::time::Duration;
+
+use peppercrank_admit::Action;
+use peppercrank_admit::Admission;
+use peppercrank_admit::Arrival;
+use peppercrank_admit::Input;
+use peppercrank_admit::Settings;
+use peppercrank_admit::Ticket;
+use peppercrank_core::hash::hash64;
+use peppercrank_core::keys::AttemptId;
+use peppercrank_core::names::OrganisationName;
+use peppercrank_core::names::TargetName;
+use peppercrank_core::objects;
+use peppercrank_core::objects::Mark;
+use peppercrank_core::objects::Parameters;
+use peppercrank_core::objects::Policy;
+use peppercrank_core::time::Moment;
+use peppercrank_core::units::Cost;
+
+use crate::search::Model;
+
+/// The property that nothing is admitted after the agent has heard the mark.
+pub const LATE: &str = "a request was admitted after the agent knew of the mark";
+
+/// The property that nothing in progress is cut.
+pub const CUT: &str = "a request in progress was cut";
+
+/// The property that a target is reported drained only when nothing runs.
+pub const EARLY: &str = "a target was reported drained while a request ran";
+
+/// The property that what will not run any more is refused at once.
+pub const HELD: &str = "a request waited on though it could not run any more";
+
+/// What one step of time lasts, in milliseconds; longer than a request may wait.
+const STRIDE_MS: u64 = 2_000;
+
+/// `Flaw` is a rule taken away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// Nothing: the protocol as built.
+    None,
+    /// The agent hears the mark but does not act on it.
+    Unheeded,
+    /// The agent treats a shutdown as a removal without grace.
+    Removes,
+    /// A fresh agent serves before it has read the configuration.
+    ServesUnread,
+    /// The agent loses count of what runs when it hears the mark.
+    Miscounts,
+}
+
+/// `Drain` is the model with its bounds.
+#[derive(Debug, Clone, Copy)]
+pub struct Drain {
+    /// The rule taken away.
+    pub flaw: Flaw,
+    /// Requests.
+    pub requests: u8,
+    /// Requests that arrive a second time.
+    pub repeats: u8,
+    /// Strides of time.
+    pub strides: u8,
+    /// Restarts of the agent.
+    pub restarts: u8,
+}
+
+/// `Step` is one step of the model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Step {
+    /// A request arrives.
+    Arrive(u8),
+    /// It arrives a second time.
+    Repeat(u8),
+    /// A request that runs ends.
+    End(u8),
+    /// Its caller goes away.
+    Leave(u8),
+    /// An operator marks the target.
+    Publish,
+    /// The agent hears of the mark.
+    Hear,
+    /// The pointers are handed over.
+    HandOver,
+    /// Time passes.
+    Stride,
+    /// The agent crashes and starts anew, with no memory.
+    Restart,
+    /// A fresh agent has read the configuration.
+    Read,
+}
+
+/// `State` is one state of the model.
+#[derive(Debug, Clone)]
+pub struct State {
+    /// What the admission was told since the agent started.
+    log: Vec<(Moment, Step)>,
+    shape: Shape,
+}
+
+/// What the agent knows in its present life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Life {
+    /// Nothing: it has not read its configuration.
+    Unread,
+    /// Its configuration, without a mark.
+    Serving,
+    /// The mark.
+    Marked,
+    /// The mark, and the pointers are handed over.
+    HandedOver,
+}
+
+impl Life {
+    /// Whether it knows of the mark.
+    fn knows(self) -> bool {
+        matches!(self, Self::Marked | Self::HandedOver)
+    }
+}
+
+/// All that tells states apart.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Shape {
+    now: Moment,
+    /// What the admission holds.
+    held: u64,
+    /// Requests that run.
+    runs: BTreeMap<u8, Ticket>,
+    arrived: u8,
+    repeated: u8,
+    strode: u8,
+    restarted: u8,
+    published: bool,
+    life: Life,
+    /// Whether any life of the agent knew of the mark.
+    knew: bool,
+    bad: Vec<&'static str>,
+}
+
+impl PartialEq for State {
+    fn eq(&self, other: &Self) -> bool {
+        self.shape == other.shape
+    }
+}
+
+impl Eq for State {}
+
+impl Hash for State {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.shape.hash(state);
+    }
+}
+
+/// An admission and how many arrivals it was told of.
+struct Agent {
+    admission: Admission,
+    tickets: BTreeMap<u8, Ticket>,
+    arrivals: u64,
+}
+
+impl Agent {
+    /// The agent's tower of constants is in range; the tests would show it if not.
+    fn new() -> Self {
+        let policy = Policy {
+            cap: 2.0,
+            floor: Cost(1),
+            queue: 8,
+            wait_ms: STRIDE_MS / 2,
+            prefix: 0,
+            tries: 1,
+            retries: 0.0,
+        };
+        let settings = Settings {
+            touch: Duration::from_secs(1_000),
+            ..Settings::default()
+        };
+        let mut admission =
+            Admission::new(Moment::ZERO, settings, policy).expect("the model's settings hold");
+        let parameters = Parameters {
+            weight: 1,
+            priority: 9,
+            limit: Cost(1_000),
+            output: 1,
+            deadline_ms: 100_000,
+            models: Vec::new(),
+            services: Vec::new(),
+        };
+        admission.on(Moment::ZERO, Input::TargetsHeard(1));
+        let known = Input::ParametersChanged(organisation(), Some(parameters));
+        admission.on(Moment::ZERO, known);
+        Self {
+            admission,
+            tickets: BTreeMap::new(),
+            arrivals: 0,
+        }
+    }
+
+    fn arrive(&mut self, now: Moment, request: u8) -> Vec<Action> {
+        let ticket = Ticket(self.arrivals);
+        self.arrivals += 1;
+        self.tickets.entry(request).or_insert(ticket);
+        let arrival = Arrival {
+            ticket,
+            attempt: AttemptId(u128::from(request)),
+            organisation: organisation(),
+            cost: Cost(1),
+            priority: 5,
+            deadline: Moment::from_millis(100_000),
+            need: Duration::ZERO,
+            may_wait: true,
+        };
+        self.admission.on(now, Input::Arrive(arrival))
+    }
+
+    fn end(&mut self, now: Moment, request: u8) -> Vec<Action> {
+        match self.tickets.get(&request) {
+            Some(ticket) => self.admission.on(now, Input::End(*ticket)),
+            None => Vec::new(),
+        }
+    }
+
+    fn hear(&mut self, now: Moment, flaw: Flaw) -> Vec<Action> {
+        let action = if flaw == Flaw::Removes {
+            objects::Action::Remove
+        } else {
+            objects::Action::Shutdown
+        };
+        let mark = Mark {
+            target: TargetName::new("t").expect("the model's name is well formed"),
+            action,
+            grace_ms: 0,
+        };
+        if flaw == Flaw::Unheeded {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        if flaw == Flaw::Miscounts {
+            let tickets: Vec<u8> = self.tickets.keys().copied().collect();
+            for request in tickets {
+                actions.extend(self.end(now, request));
+            }
+        }
+        actions.extend(self.admission.on(now, Input::Marked(mark)));
+        actions
+    }
+
+    fn drive(&mut self, now: Moment, step: Step, flaw: Flaw) -> Vec<Action> {
+        match step {
+            Step::Arrive(request) | Step::Repeat(request) => self.arrive(now, request),
+            Step::End(request) => self.end(now, request),
+            Step::Leave(request) => match self.tickets.get(&request) {
+                Some(ticket) => self.admission.on(now, Input::CallerGone(*ticket)),
+                None => Vec::new(),
+            },
+            Step::Hear => self.hear(now, flaw),
+            Step::HandOver => self.admission.on(now, Input::HandedOver),
+            Step::Stride => self.admission.on(now, Input::Tick),
+            Step::Publish | Step::Restart | Step::Read => Vec::new(),
+        }
+    }
+
+    /// A digest of all that the admission holds, whatever the order of its hash maps.
+    fn held(&self) -> u64 {
+        let text = format!("{:?}", self.admission);
+        let mut words: Vec<&str> = text.split([' ', ',', '{', '}', '(', ')']).collect();
+        words.sort_unstable();
+        hash64(0, words.join(" ").as_bytes())
+    }
+}
+
+fn organisation() -> OrganisationName {
+    OrganisationName::new("o").expect("the model's name is well formed")
+}
+
+impl Drain {
+    fn apply(self, state: &State, step: Step) -> State {
+        let mut s = state.clone();
+        match step {
+            Step::Publish => s.shape.published = true,
+            Step::Restart => s.restart(),
+            Step::Read => {
+                s.shape.life = Life::Serving;
+                if s.shape.published {
+                    self.tell(&mut s, Step::Hear);
+                }
+            }
+            step => self.tell(&mut s, step),
+        }
+        s
+    }
+
+    /// Tells the agent of a step, with all that it was told before.
+    fn tell(self, s: &mut State, step: Step) {
+        s.count(step);
+        let mut agent = Agent::new();
+        for (now, past) in &s.log {
+            agent.drive(*now, *past, self.flaw);
+        }
+        let now = s.shape.now;
+        for action in agent.drive(now, step, self.flaw) {
+            s.note(action, &agent);
+        }
+        s.log.push((now, step));
+        s.shape.held = agent.held();
+        if s.shape.life.knows() && agent.admission.status().waiting > 0 {
+            s.shape.bad.push(HELD);
+        }
+    }
+}
+
+impl State {
+    /// Notes in the model what a step means.
+    fn count(&mut self, step: Step) {
+        let shape = &mut self.shape;
+        match step {
+            Step::Arrive(_) => shape.arrived += 1,
+            Step::Repeat(_) => shape.repeated += 1,
+            Step::End(request) => {
+                shape.runs.remove(&request);
+            }
+            Step::Hear => {
+                shape.life = Life::Marked;
+                shape.knew = true;
+            }
+            Step::HandOver => shape.life = Life::HandedOver,
+            Step::Stride => {
+                shape.strode += 1;
+                shape.now = shape.now + Duration::from_millis(STRIDE_MS);
+            }
+            Step::Leave(_) | Step::Publish | Step::Restart | Step::Read => {}
+        }
+    }
+
+    fn note(&mut self, action: Action, agent: &Agent) {
+        let shape = &mut self.shape;
+        match action {
+            Action::Admit { ticket, .. } => {
+                let mut tickets = agent.tickets.iter();
+                if let Some((request, _)) = tickets.find(|t| *t.1 == ticket) {
+                    shape.runs.insert(*request, ticket);
+                }
+                if shape.knew {
+                    shape.bad.push(LATE);
+                }
+            }
+            Action::Cancel { .. } => shape.bad.push(CUT),
+            Action::Drained if !shape.runs.is_empty() => shape.bad.push(EARLY),
+            Action::Drained if shape.life != Life::HandedOver => shape.bad.push(EARLY),
+            Action::Drained | Action::Refuse { .. } => {}
+        }
+    }
+
+    fn restart(&mut self) {
+        self.log.clear();
+        let shape = &mut self.shape;
+        shape.restarted += 1;
+        shape.runs.clear();
+        shape.held = Agent::new().held();
+        shape.life = Life::Unread;
+    }
+}
+
+impl Model for Drain {
+    type State = State;
+    type Step = Step;
+
+    fn start(&self) -> State {
+        let shape = Shape {
+            now: Moment::ZERO,
+            held: Agent::new().held(),
+            runs: BTreeMap::new(),
+            arrived: 0,
+            repeated: 0,
+            strode: 0,
+            restarted: 0,
+            published: false,
+            life: Life::Serving,
+            knew: false,
+            bad: Vec::new(),
+        };
+        let log = Vec::new();
+        State { log, shape }
+    }
+
+    fn steps(&self, state: &State) -> Vec<(Step, State)> {
+        let shape = &state.shape;
+        let mut steps = Vec::new();
+        // An agent that has not read its configuration refuses all as not ready.
+        if shape.life != Life::Unread || self.flaw == Flaw::ServesUnread {
+            if shape.arrived < self.requests {
+                steps.push(Step::Arrive(shape.arrived));
+            }
+            if shape.repeated < self.repeats {
+                steps.extend((0..shape.arrived).map(Step::Repeat));
+            }
+        }
+        steps.extend(shape.runs.keys().map(|r| Step::End(*r)));
+        steps.extend((0..shape.arrived).map(Step::Leave));
+        if !shape.published {
+            steps.push(Step::Publish);
+        }
+        if shape.published && shape.life == Life::Serving {
+            steps.push(Step::Hear);
+        }
+        if shape.life == Life::Marked {
+            steps.push(Step::HandOver);
+        }
+        if shape.strode < self.strides {
+            steps.push(Step::Stride);
+        }
+        if shape.restarted < self.restarts {
+            steps.push(Step::Restart);
+        }
+        if shape.life == Life::Unread {
+            steps.push(Step::Read);
+        }
+        let next = steps.into_iter().map(|s| (s, self.apply(state, s)));
+        next.collect()
+    }
+
+    fn violations(&self, state: &State) -> Vec<&'static str> {
+        state.shape.bad.clone()
+    }
+}
--- a/crates/peppercrank-spec/src/lib.rs
+++ b/crates/peppercrank-spec/src/lib.rs
@@ -8,6 +8,8 @@
 //! time pass, each fault within a stated bound. A `Flaw` takes one rule away, so that a test can
 //! show that the check finds the fault which the rule is there against.
 
+pub mod configuration;
+pub mod drain;
 pub mod once;
 pub mod orders;
 pub mod search;
--- a/crates/peppercrank-spec/src/orders.rs
+++ b/crates/peppercrank-spec/src/orders.rs
@@ -181,7 +181,7 @@
         Gate::new(policy, now)
     }
 
-    fn contend(self, s: &mut State, at: usize, input: lease::Input) {
+    fn contend(s: &mut State, at: usize, input: lease::Input) {
         for action in s.contenders[at].on(s.now, input) {
             let from = Some(Caller::Contender(at));
             match action {
@@ -204,7 +204,7 @@
         }
     }
 
-    fn guard(self, s: &mut State, input: gate::Input) {
+    fn guard(s: &mut State, input: gate::Input) {
         for action in s.gate.on(s.now, input) {
             match action {
                 gate::Action::Read { call: id } => s.calls.push(Call {
@@ -228,21 +228,21 @@
         match from {
             None => {}
             Some(Caller::Contender(at)) => {
-                let answer = self.hurry(s, at, answer);
-                self.contend(s, at, lease::Input::Answer { call, answer });
+                let answer = self.hurry(at, answer);
+                Self::contend(s, at, lease::Input::Answer { call, answer });
             }
             Some(Caller::Gate) => {
                 let answer = self.forget(answer);
-                self.guard(s, gate::Input::Lease { call, answer });
+                Self::guard(s, gate::Input::Lease { call, answer });
             }
         }
     }
 
     /// For a flaw: lets another's lease look as if it lasted no time.
-    fn hurry(self, s: &State, at: usize, answer: Answer<Lease>) -> Answer<Lease> {
+    fn hurry(self, at: usize, answer: Answer<Lease>) -> Answer<Lease> {
         match answer {
             Answer::Found { version, mut body }
-                if self.flaw == Flaw::Impatient && !s.is_of(at, &body) =>
+                if self.flaw == Flaw::Impatient && body.session != Session(at as u64) =>
             {
                 body.released = true;
                 Answer::Found { version, body }
@@ -291,7 +291,7 @@
         self.answer(s, from, id, Answer::Failed { after: None });
     }
 
-    fn give(self, s: &mut State, at: usize) {
+    fn give(s: &mut State, at: usize) {
         let Some(fence) = s.contenders[at].fence(s.now) else {
             return;
         };
@@ -310,7 +310,7 @@
             s.line.push((order, true));
             return;
         }
-        self.guard(s, gate::Input::Order(order));
+        Self::guard(s, gate::Input::Order(order));
     }
 
     fn obey(self, s: &mut State, at: usize) {
@@ -326,16 +326,16 @@
         };
         if waits {
             let id = order.id;
-            self.guard(s, gate::Input::Engine { id, reply });
+            Self::guard(s, gate::Input::Engine { id, reply });
         }
     }
 
-    fn cut(self, s: &mut State, at: usize) {
+    fn cut(s: &mut State, at: usize) {
         s.cut += 1;
         s.line[at].1 = false;
         let id = s.line[at].0.id;
         let reply = Reply::Unknown;
-        self.guard(s, gate::Input::Engine { id, reply });
+        Self::guard(s, gate::Input::Engine { id, reply });
     }
 
     fn restart(self, s: &mut State) {
@@ -358,10 +358,10 @@
     fn apply(self, s: &State, step: &Step) -> State {
         let mut s = s.clone();
         match *step {
-            Step::Tick(at) => self.contend(&mut s, at, lease::Input::Tick),
+            Step::Tick(at) => Self::contend(&mut s, at, lease::Input::Tick),
             Step::Serve(at) => self.serve(&mut s, at),
             Step::Lose(at) => self.lose(&mut s, at),
-            Step::Give(at) => self.give(&mut s, at),
+            Step::Give(at) => Self::give(&mut s, at),
             Step::Arrive(at) => {
                 let order = s.wire.remove(at);
                 self.arrive(&mut s, order);
@@ -372,8 +372,8 @@
                 self.arrive(&mut s, order);
             }
             Step::Obey(at) => self.obey(&mut s, at),
-            Step::Cut(at) => self.cut(&mut s, at),
-            Step::Settle => self.guard(&mut s, gate::Input::Tick),
+            Step::Cut(at) => Self::cut(&mut s, at),
+            Step::Settle => Self::guard(&mut s, gate::Input::Tick),
             Step::Restart => self.restart(&mut s),
             Step::Stride => Self::stride(&mut s),
         }
@@ -422,13 +422,6 @@
     }
 }
 
-impl State {
-    /// Whether a lease is the contender's own.
-    fn is_of(&self, at: usize, lease: &Lease) -> bool {
-        lease.session == Session(at as u64)
-    }
-}
-
 impl Model for Orders {
     type State = State;
     type Step = Step;
