--- a/crates/peppercrank-spec/src/configuration.rs
+++ b/crates/peppercrank-spec/src/configuration.rs
@@ -8,17 +8,21 @@
 //! of times; answers of the API come late or not at all. A state keeps what a store holds, and each
 //! step builds the store anew from that and drives it.
 
-use std::sync::Arc;
+mod replica;
 
 use peppercrank_config::object::Object;
 use peppercrank_config::object::Version;
 use peppercrank_config::store::Store;
-use peppercrank_core::names::ObjectName;
 use peppercrank_core::objects::Kind;
-use peppercrank_core::objects::ObjectKey;
 
+use crate::configuration::replica::Message;
+use crate::configuration::replica::Replica;
+use crate::configuration::replica::Write;
+use crate::configuration::replica::key;
 use crate::search::Model;
 
+pub use crate::configuration::replica::Body;
+
 /// The property that what is in force at a process never goes back.
 pub const REVERTED: &str = "a configuration in force went back to an older one";
 
@@ -28,12 +32,6 @@
 /// Exchanges after which all processes must agree: the first may need the last's.
 const ROUNDS: usize = 2;
 
-/// A body that passes the checks.
-const GOOD: &str = r#"{"spec":{"target":"t","action":"shutdown"}}"#;
-
-/// A body that fails them.
-const BAD: &str = r#"{"spec":{"target":"t"}}"#;
-
 /// `Flaw` is a rule taken away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Flaw {
@@ -68,33 +66,6 @@
     pub crashes: u8,
 }
 
-/// `Body` is what a write makes of the object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Body {
-    /// Content that passes the checks.
-    Good,
-    /// Content that fails them.
-    Bad,
-    /// A tombstone.
-    Gone,
-}
-
-/// One version of the object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Write {
-    version: u64,
-    body: Body,
-}
-
-/// What one process's store holds.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
-pub struct Replica {
-    writes: Vec<Write>,
-    complete: u64,
-    /// The highest version that was in force in this life.
-    high: Option<Write>,
-}
-
 /// An answer of the API under way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Answer {
@@ -104,15 +75,6 @@
     write: Option<Write>,
 }
 
-/// What a process told another.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub enum Message {
-    /// The versions that it holds.
-    Holds(Vec<Write>),
-    /// That it knows everything up to a revision and holds nothing.
-    Lacks(u64),
-}
-
 /// `State` is one state of the model.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct State {
@@ -149,87 +111,6 @@
     Crash(usize),
 }
 
-fn key() -> ObjectKey {
-    ObjectKey {
-        kind: Kind::Mark,
-        // A constant of the model; the tests would show a bad one.
-        name: ObjectName::new("t").expect("the model's name is well formed"),
-    }
-}
-
-impl Write {
-    fn object(self) -> Object {
-        let body = match self.body {
-            Body::Good => Some(Arc::from(GOOD)),
-            Body::Bad => Some(Arc::from(BAD)),
-            Body::Gone => None,
-        };
-        Object {
-            key: key(),
-            version: Version(self.version),
-            body,
-        }
-    }
-
-    fn of(object: &Object) -> Self {
-        let body = match object.body.as_deref() {
-            None => Body::Gone,
-            Some(GOOD) => Body::Good,
-            Some(_) => Body::Bad,
-        };
-        Self {
-            version: object.version.0,
-            body,
-        }
-    }
-}
-
-impl Replica {
-    /// The real store that holds this.
-    fn store(&self) -> Store {
-        let mut store = Store::new();
-        for write in &self.writes {
-            store.merge(&write.object());
-        }
-        store.set_complete(Kind::Mark, Version(self.complete));
-        store
-    }
-
-    /// Takes over what the store holds now, and tells whether it went back.
-    fn keep(&mut self, store: &Store) -> bool {
-        let objects = store.objects(&key());
-        self.writes = objects.map(|o| Write::of(&o)).collect();
-        self.complete = store.complete(Kind::Mark).0;
-        let version = store.in_force(&key()).map_or(0, |v| v.0);
-        let mut writes = self.writes.iter().copied();
-        let now = writes.find(|w| w.version == version);
-        let Some(high) = self.high else {
-            self.high = now;
-            return false;
-        };
-        if version >= high.version {
-            self.high = now;
-            return false;
-        }
-        // A tombstone may be forgotten: what is not held is as much deleted.
-        now.is_some() || high.body != Body::Gone
-    }
-
-    /// The body in force, if any.
-    fn force(&self) -> Option<Write> {
-        let version = self.store().in_force(&key())?;
-        let mut writes = self.writes.iter().copied();
-        writes.find(|w| w.version == version.0)
-    }
-
-    fn message(&self) -> Message {
-        if self.writes.is_empty() {
-            return Message::Lacks(self.complete);
-        }
-        Message::Holds(self.writes.clone())
-    }
-}
-
 impl Configuration {
     /// Lets a process take something in through its real store.
     fn take(self, replica: &mut Replica, input: impl Fn(&mut Store)) -> bool {
--- a/crates/peppercrank-spec/src/drain.rs
+++ b/crates/peppercrank-spec/src/drain.rs
@@ -8,28 +8,18 @@
 //! copied, a state is the row of inputs since the agent started, driven anew for each step, and two
 //! states count as one when their admissions hold the same.
 
+mod agent;
+
 use std::collections::BTreeMap;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::time::Duration;
 
 use peppercrank_admit::Action;
-use peppercrank_admit::Admission;
-use peppercrank_admit::Arrival;
-use peppercrank_admit::Input;
-use peppercrank_admit::Settings;
 use peppercrank_admit::Ticket;
-use peppercrank_core::hash::hash64;
-use peppercrank_core::keys::AttemptId;
-use peppercrank_core::names::OrganisationName;
-use peppercrank_core::names::TargetName;
-use peppercrank_core::objects;
-use peppercrank_core::objects::Mark;
-use peppercrank_core::objects::Parameters;
-use peppercrank_core::objects::Policy;
 use peppercrank_core::time::Moment;
-use peppercrank_core::units::Cost;
 
+use crate::drain::agent::Agent;
 use crate::search::Model;
 
 /// The property that nothing is admitted after the agent has heard the mark.
@@ -163,127 +153,6 @@
     }
 }
 
-/// An admission and how many arrivals it was told of.
-struct Agent {
-    admission: Admission,
-    tickets: BTreeMap<u8, Ticket>,
-    arrivals: u64,
-}
-
-impl Agent {
-    /// The agent's tower of constants is in range; the tests would show it if not.
-    fn new() -> Self {
-        let policy = Policy {
-            cap: 2.0,
-            floor: Cost(1),
-            queue: 8,
-            wait_ms: STRIDE_MS / 2,
-            prefix: 0,
-            tries: 1,
-            retries: 0.0,
-        };
-        let settings = Settings {
-            touch: Duration::from_secs(1_000),
-            ..Settings::default()
-        };
-        let mut admission =
-            Admission::new(Moment::ZERO, settings, policy).expect("the model's settings hold");
-        let parameters = Parameters {
-            weight: 1,
-            priority: 9,
-            limit: Cost(1_000),
-            output: 1,
-            deadline_ms: 100_000,
-            models: Vec::new(),
-            services: Vec::new(),
-        };
-        admission.on(Moment::ZERO, Input::TargetsHeard(1));
-        let known = Input::ParametersChanged(organisation(), Some(parameters));
-        admission.on(Moment::ZERO, known);
-        Self {
-            admission,
-            tickets: BTreeMap::new(),
-            arrivals: 0,
-        }
-    }
-
-    fn arrive(&mut self, now: Moment, request: u8) -> Vec<Action> {
-        let ticket = Ticket(self.arrivals);
-        self.arrivals += 1;
-        self.tickets.entry(request).or_insert(ticket);
-        let arrival = Arrival {
-            ticket,
-            attempt: AttemptId(u128::from(request)),
-            organisation: organisation(),
-            cost: Cost(1),
-            priority: 5,
-            deadline: Moment::from_millis(100_000),
-            need: Duration::ZERO,
-            may_wait: true,
-        };
-        self.admission.on(now, Input::Arrive(arrival))
-    }
-
-    fn end(&mut self, now: Moment, request: u8) -> Vec<Action> {
-        match self.tickets.get(&request) {
-            Some(ticket) => self.admission.on(now, Input::End(*ticket)),
-            None => Vec::new(),
-        }
-    }
-
-    fn hear(&mut self, now: Moment, flaw: Flaw) -> Vec<Action> {
-        let action = if flaw == Flaw::Removes {
-            objects::Action::Remove
-        } else {
-            objects::Action::Shutdown
-        };
-        let mark = Mark {
-            target: TargetName::new("t").expect("the model's name is well formed"),
-            action,
-            grace_ms: 0,
-        };
-        if flaw == Flaw::Unheeded {
-            return Vec::new();
-        }
-        let mut actions = Vec::new();
-        if flaw == Flaw::Miscounts {
-            let tickets: Vec<u8> = self.tickets.keys().copied().collect();
-            for request in tickets {
-                actions.extend(self.end(now, request));
-            }
-        }
-        actions.extend(self.admission.on(now, Input::Marked(mark)));
-        actions
-    }
-
-    fn drive(&mut self, now: Moment, step: Step, flaw: Flaw) -> Vec<Action> {
-        match step {
-            Step::Arrive(request) | Step::Repeat(request) => self.arrive(now, request),
-            Step::End(request) => self.end(now, request),
-            Step::Leave(request) => match self.tickets.get(&request) {
-                Some(ticket) => self.admission.on(now, Input::CallerGone(*ticket)),
-                None => Vec::new(),
-            },
-            Step::Hear => self.hear(now, flaw),
-            Step::HandOver => self.admission.on(now, Input::HandedOver),
-            Step::Stride => self.admission.on(now, Input::Tick),
-            Step::Publish | Step::Restart | Step::Read => Vec::new(),
-        }
-    }
-
-    /// A digest of all that the admission holds, whatever the order of its hash maps.
-    fn held(&self) -> u64 {
-        let text = format!("{:?}", self.admission);
-        let mut words: Vec<&str> = text.split([' ', ',', '{', '}', '(', ')']).collect();
-        words.sort_unstable();
-        hash64(0, words.join(" ").as_bytes())
-    }
-}
-
-fn organisation() -> OrganisationName {
-    OrganisationName::new("o").expect("the model's name is well formed")
-}
-
 impl Drain {
     fn apply(self, state: &State, step: Step) -> State {
         let mut s = state.clone();
--- a/crates/peppercrank-spec/src/once.rs
+++ b/crates/peppercrank-spec/src/once.rs
@@ -8,6 +8,9 @@
 //! order or not at all, and may take effect though their answer is lost. One assumption is built
 //! in: a forwarded request is taken up within the retention less the life of a grant, or never.
 
+mod state;
+mod steps;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -22,11 +25,16 @@
 use peppercrank_lease::shard::Shard;
 use peppercrank_lease::store::Answer;
 use peppercrank_lease::store::Base;
-use peppercrank_lease::store::CallId;
 use peppercrank_lease::store::Version;
 
+use crate::once::state::Call;
+use crate::once::state::Router;
+use crate::once::state::Sending;
+use crate::once::state::Word;
 use crate::search::Model;
 
+pub use crate::once::state::State;
+
 /// The property that the request runs at most once.
 pub const TWICE: &str = "a request that must not run twice ran twice";
 
@@ -85,70 +93,6 @@
     pub cuts: u8,
 }
 
-/// One router.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Router {
-    claims: Claims,
-    /// Requests that may be forwarded, and until when.
-    grants: Vec<(RequestId, Moment)>,
-    /// Requests forwarded whose answer is awaited, and until when their grant lasts.
-    open: Vec<(RequestId, Moment)>,
-}
-
-/// One call of the store under way.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Call {
-    /// The router that waits for the answer; `None` when nobody does any more.
-    from: Option<usize>,
-    id: CallId,
-    /// What it writes on which version; `None` for a read.
-    write: Option<(Base, Shard)>,
-}
-
-/// `Word` is what a caller was told of one sending.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-enum Word {
-    /// Not run.
-    NotRun,
-    /// May have run.
-    MayHaveRun,
-}
-
-/// One sending of the request by its caller.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Sending {
-    at: Moment,
-    /// How many runs were over or under way.
-    ran: usize,
-}
-
-/// `State` is one state of the model.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct State {
-    now: Moment,
-    version: u64,
-    object: Option<(Version, Shard)>,
-    /// Since when the shard has its epoch.
-    since: Moment,
-    routers: [Router; 2],
-    calls: Vec<Call>,
-    /// Requests on the way to the agent, and since when.
-    wire: Vec<(RequestId, Moment)>,
-    /// Requests that ran, once for each time.
-    ran: Vec<RequestId>,
-    /// Whether a request ran that must not have.
-    twice: bool,
-    told: BTreeSet<(RequestId, Word)>,
-    /// Whether "not run" was said of the key while it had run or might still.
-    lied: bool,
-    /// The sendings; their tokens count from 0.
-    sends: Vec<Sending>,
-    lost: u8,
-    crashed: u8,
-    strode: u8,
-    cut: u8,
-}
-
 /// `Step` is one step of the model.
 #[derive(Debug, Clone)]
 pub enum Step {
@@ -385,97 +329,6 @@
         }
         s
     }
-
-    fn router_steps(self, s: &State, at: usize, steps: &mut Vec<Step>) {
-        let router = &s.routers[at];
-        // The routers are alike: the first sending may as well go to the first.
-        if s.sent() < self.sends && (at == 0 || s.sent() > 0) {
-            steps.push(Step::Send(at));
-        }
-        if router.claims.wake().is_some_and(|w| w <= s.now) {
-            steps.push(Step::Tick(at));
-        }
-        steps.extend(router.grants.iter().map(|g| Step::Forward(at, g.0)));
-        if s.crashed < self.crashes {
-            steps.push(Step::Crash(at));
-        }
-    }
-}
-
-impl State {
-    fn put(&mut self, body: Shard) {
-        let epoch = self.object.as_ref().map_or(0, |o| o.1.epoch());
-        if body.epoch() != epoch {
-            self.since = self.now;
-        }
-        self.version += 1;
-        self.object = Some((Version(self.version), body));
-    }
-
-    fn say(&mut self, token: RequestId, word: Word) {
-        self.told.insert((token, word));
-    }
-
-    /// Says "not run", of the key in all its sendings if under a claim.
-    fn say_not_run(&mut self, token: RequestId, claimed: bool) {
-        let wire = self.wire.iter().map(|w| &w.0);
-        let mut others = wire.chain(&self.ran);
-        let may_run = others.any(|t| self.are_near(token, *t));
-        self.lied |= claimed && may_run;
-        self.say(token, Word::NotRun);
-    }
-
-    /// Ends a router's wait for the agent's answer.
-    fn close(&mut self, token: RequestId) -> Option<(usize, Moment)> {
-        let routers = self.routers.iter_mut().enumerate();
-        for (at, router) in routers {
-            let mut open = router.open.iter();
-            if let Some(found) = open.position(|o| o.0 == token) {
-                return Some((at, router.open.remove(found).1));
-            }
-        }
-        None
-    }
-
-    /// Whether a router awaits the agent's answer.
-    fn is_open(&self, token: RequestId) -> bool {
-        let mut open = self.routers.iter().flat_map(|r| &r.open);
-        open.any(|o| o.0 == token)
-    }
-
-    fn run(&mut self, token: RequestId) {
-        if let Some(at) = self.wire.iter().position(|w| w.0 == token) {
-            self.wire.remove(at);
-            let mut before = self.ran.iter().enumerate();
-            self.twice |= before.any(|(i, t)| !self.may_follow(token, *t, i));
-            self.ran.push(token);
-        }
-    }
-
-    /// Whether `token` may run though `other` did, as the `nth` run of all.
-    ///
-    /// Only a sending later than the promise reaches may, and only if it came after that run.
-    fn may_follow(&self, token: RequestId, other: RequestId, nth: usize) -> bool {
-        let late = !self.are_near(token, other) && token > other;
-        late && self.sending(token).is_some_and(|s| nth < s.ran)
-    }
-
-    /// Whether the promise covers two sendings: the retention, less the wait for a claim.
-    fn are_near(&self, a: RequestId, b: RequestId) -> bool {
-        let policy = Once::policy();
-        let reach = policy.retention().saturating_sub(policy.wait);
-        let at = |t| self.sending(t).map_or(Moment::ZERO, |s| s.at);
-        let apart = at(a).since(at(b)).max(at(b).since(at(a)));
-        apart < reach
-    }
-
-    fn sending(&self, token: RequestId) -> Option<&Sending> {
-        self.sends.get(usize::try_from(token.0).ok()?)
-    }
-
-    fn sent(&self) -> u8 {
-        u8::try_from(self.sends.len()).unwrap_or(u8::MAX)
-    }
 }
 
 impl Model for Once {
--- a/crates/peppercrank-spec/src/orders.rs
+++ b/crates/peppercrank-spec/src/orders.rs
@@ -8,6 +8,9 @@
 //! stride of time lets a lease lapse: for a holder that checked its lease just before, it is a
 //! pause in mid-order.
 
+mod state;
+mod steps;
+
 use std::time::Duration;
 
 use peppercrank_core::names::VmName;
@@ -28,8 +31,12 @@
 use peppercrank_lease::store::CallId;
 use peppercrank_lease::store::Version;
 
+use crate::orders::state::Call;
+use crate::orders::state::Caller;
 use crate::search::Model;
 
+pub use crate::orders::state::State;
+
 /// The property that an engine never obeys an order older than one it obeyed.
 pub const OLDER: &str = "an order was obeyed after a newer holder's";
 
@@ -79,47 +86,6 @@
     pub cuts: u8,
 }
 
-/// Who waits for the answer to a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Caller {
-    Contender(usize),
-    Gate,
-}
-
-/// One call of the store under way.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Call {
-    /// Who waits; `None` when nobody does any more.
-    from: Option<Caller>,
-    id: CallId,
-    /// What it writes on which version; `None` for a read.
-    write: Option<(Base, Lease)>,
-}
-
-/// `State` is one state of the model.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct State {
-    now: Moment,
-    version: u64,
-    object: Option<(Version, Lease)>,
-    contenders: [Contender; 2],
-    gate: Gate,
-    calls: Vec<Call>,
-    /// Orders on the way to the agent.
-    wire: Vec<Order>,
-    /// Orders on the way to the engine, and whether the agent still waits for them.
-    line: Vec<(Order, bool)>,
-    /// The place of the last order obeyed.
-    obeyed: (Version, u64),
-    older: bool,
-    given: u8,
-    lost: u8,
-    restarted: u8,
-    strode: u8,
-    repeated: u8,
-    cut: u8,
-}
-
 /// `Step` is one step of the model.
 #[derive(Debug, Clone)]
 pub enum Step {
@@ -379,47 +345,6 @@
         }
         s
     }
-
-    /// The steps of the contenders and the store.
-    fn lease_steps(self, s: &State, steps: &mut Vec<Step>) {
-        for (at, contender) in s.contenders.iter().enumerate() {
-            if contender.wake().is_some_and(|w| w <= s.now) {
-                steps.push(Step::Tick(at));
-            }
-            if s.given < self.orders && contender.fence(s.now).is_some() {
-                steps.push(Step::Give(at));
-            }
-        }
-        for (at, call) in s.calls.iter().enumerate() {
-            steps.push(Step::Serve(at));
-            if call.from.is_some() && s.lost < self.losses {
-                steps.push(Step::Lose(at));
-            }
-        }
-    }
-
-    /// The steps of the agent and the engine.
-    fn agent_steps(self, s: &State, steps: &mut Vec<Step>) {
-        for at in 0..s.wire.len() {
-            steps.push(Step::Arrive(at));
-            if s.repeated < self.repeats {
-                steps.push(Step::Repeat(at));
-            }
-        }
-        for (at, (_, waits)) in s.line.iter().enumerate() {
-            steps.push(Step::Obey(at));
-            if *waits && s.cut < self.cuts {
-                steps.push(Step::Cut(at));
-            }
-        }
-        if s.gate.wake().is_some_and(|w| w <= s.now) {
-            steps.push(Step::Settle);
-        }
-        // Before any order a restart changes nothing that counts.
-        if s.restarted < self.restarts && s.given > 0 {
-            steps.push(Step::Restart);
-        }
-    }
 }
 
 impl Model for Orders {
--- /dev/null
+++ b/crates/peppercrank-spec/src/orders/state.rs
@@ -0,0 +1,54 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The states of the model.
+
+use peppercrank_core::time::Moment;
+use peppercrank_lease::gate::Gate;
+use peppercrank_lease::gate::Order;
+use peppercrank_lease::lease::Contender;
+use peppercrank_lease::lease::Lease;
+use peppercrank_lease::store::Base;
+use peppercrank_lease::store::CallId;
+use peppercrank_lease::store::Version;
+
+/// Who waits for the answer to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) enum Caller {
+    Contender(usize),
+    Gate,
+}
+
+/// One call of the store under way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Call {
+    /// Who waits; `None` when nobody does any more.
+    pub(super) from: Option<Caller>,
+    pub(super) id: CallId,
+    /// What it writes on which version; `None` for a read.
+    pub(super) write: Option<(Base, Lease)>,
+}
+
+/// `State` is one state of the model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    pub(super) now: Moment,
+    pub(super) version: u64,
+    pub(super) object: Option<(Version, Lease)>,
+    pub(super) contenders: [Contender; 2],
+    pub(super) gate: Gate,
+    pub(super) calls: Vec<Call>,
+    /// Orders on the way to the agent.
+    pub(super) wire: Vec<Order>,
+    /// Orders on the way to the engine, and whether the agent still waits for them.
+    pub(super) line: Vec<(Order, bool)>,
+    /// The place of the last order obeyed.
+    pub(super) obeyed: (Version, u64),
+    pub(super) older: bool,
+    pub(super) given: u8,
+    pub(super) lost: u8,
+    pub(super) restarted: u8,
+    pub(super) strode: u8,
+    pub(super) repeated: u8,
+    pub(super) cut: u8,
+}
--- /dev/null
+++ b/crates/peppercrank-spec/src/orders/steps.rs
@@ -0,0 +1,51 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Which steps can be taken.
+
+use crate::orders::Orders;
+use crate::orders::Step;
+use crate::orders::state::State;
+
+impl Orders {
+    /// The steps of the contenders and the store.
+    pub(super) fn lease_steps(self, s: &State, steps: &mut Vec<Step>) {
+        for (at, contender) in s.contenders.iter().enumerate() {
+            if contender.wake().is_some_and(|w| w <= s.now) {
+                steps.push(Step::Tick(at));
+            }
+            if s.given < self.orders && contender.fence(s.now).is_some() {
+                steps.push(Step::Give(at));
+            }
+        }
+        for (at, call) in s.calls.iter().enumerate() {
+            steps.push(Step::Serve(at));
+            if call.from.is_some() && s.lost < self.losses {
+                steps.push(Step::Lose(at));
+            }
+        }
+    }
+
+    /// The steps of the agent and the engine.
+    pub(super) fn agent_steps(self, s: &State, steps: &mut Vec<Step>) {
+        for at in 0..s.wire.len() {
+            steps.push(Step::Arrive(at));
+            if s.repeated < self.repeats {
+                steps.push(Step::Repeat(at));
+            }
+        }
+        for (at, (_, waits)) in s.line.iter().enumerate() {
+            steps.push(Step::Obey(at));
+            if *waits && s.cut < self.cuts {
+                steps.push(Step::Cut(at));
+            }
+        }
+        if s.gate.wake().is_some_and(|w| w <= s.now) {
+            steps.push(Step::Settle);
+        }
+        // Before any order a restart changes nothing that counts.
+        if s.restarted < self.restarts && s.given > 0 {
+            steps.push(Step::Restart);
+        }
+    }
+}
