Drive requests by Routes and streams by the resume machine

Cause: the router told notes of a hot prefix to one home however far its chats are spread, counted tries at hints for the spread, and kept its own copy of that logic; the agent had its own resume loop, did not check the id in each event, took every chat that could not be redirected for a spilled one, ignored cached prefixes in the cost, and never told its pointers that it had joined (all found in review by the author of the parts). Change: `Routes`, `Trip` and `resume::Stream` drive them; events are cut whole, each with its id; a header tells the agent whether another target was asked first. Conclusion: one copy of each decision, and it is the tested one.

--- a/crates/peppercrank-daemon/src/agent/attempt.rs
+++ b/crates/peppercrank-daemon/src/agent/attempt.rs
@@ -81,6 +81,8 @@
     pub left: Duration,
     /// Whether it may run twice.
     pub repeatable: bool,
+    /// Whether another target was asked first.
+    pub spilled: bool,
     /// What the router leaves to the agent.
     pub allow: Allow,
 }
@@ -115,6 +117,7 @@
             priority,
             left: Duration::from_millis(left),
             repeatable: repeatable == "yes",
+            spilled: headers::text(from, &headers::SPILLED) == Some("yes"),
             allow: Allow::read(allow),
         })
     }
@@ -139,6 +142,8 @@
             headers::REPEATABLE,
             if self.repeatable { "yes" } else { "no" },
         );
+        let spilled = if self.spilled { "yes" } else { "no" };
+        headers::put(to, headers::SPILLED, spilled);
         headers::put(to, headers::ALLOW, self.allow.text());
         if let Some(chat) = self.chat {
             headers::put(to, headers::CHAT, &chat.to_string());
--- a/crates/peppercrank-daemon/src/agent/mod.rs
+++ b/crates/peppercrank-daemon/src/agent/mod.rs
@@ -45,6 +45,7 @@
 
 use crate::agent::attempt::Attempt;
 use crate::agent::desk::Desk;
+use crate::chat::BYTES_PER_TOKEN;
 use crate::clock::Clock;
 use crate::errors;
 use crate::errors::Error;
@@ -212,11 +213,14 @@
             first_byte: settings.limits.total_time,
             ..Times::default()
         };
+        let mut pointers = Pointers::new(own, settings.pointers);
+        // The agent knows of no context yet, and its target may have joined just now.
+        pointers.joined(clock.now());
         Ok(Arc::new(Self {
             desk: Desk::new(admission, clock),
             clock,
             client: Client::new(times),
-            pointers: Mutex::new(Pointers::new(own, settings.pointers)),
+            pointers: Mutex::new(pointers),
             own,
             metrics,
             fleet,
@@ -268,17 +272,30 @@
         lock(&self.pointers).place(self.clock.now(), ask, &ranking)
     }
 
-    /// What an attempt costs here: less where the chat's context is held.
+    /// What an attempt costs here: less where its context is held.
     fn cost(&self, attempt: &Attempt, ask: Option<Ask>) -> Cost {
         let Some(ask) = ask else {
             return attempt.cost;
         };
-        match lock(&self.pointers).cached(ask.chat.0) {
-            Cached::Yes => attempt.held,
+        let pointers = lock(&self.pointers);
+        if pointers.cached(ask.chat.0) == Cached::Yes {
+            return attempt.held;
+        }
+        let prefix = ask.prefix.map_or(Cached::No, |p| pointers.cached(p.0));
+        match prefix {
+            Cached::Yes => attempt.cost - self.block(),
             Cached::Unknown | Cached::No => attempt.cost,
         }
     }
 
+    /// The cost of the leading block of prompts, which a cached prefix spares.
+    fn block(&self) -> Cost {
+        let bytes = self
+            .fleet
+            .with_store(|s| s.pool(self.pool()).map_or(0, |p| p.policy.prefix));
+        Cost::of_chat(u64::from(bytes) / BYTES_PER_TOKEN as u64, 0)
+    }
+
     /// The hash of another target that may hold the context.
     fn hint(&self, ask: &Ask) -> Option<u64> {
         let ranking = self.ranking();
--- a/crates/peppercrank-daemon/src/agent/relay.rs
+++ b/crates/peppercrank-daemon/src/agent/relay.rs
@@ -3,37 +3,36 @@
 
 //! Passing a target's answer on, whole or not at all.
 
-use std::time::Duration;
-
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Method;
 use http::Request;
 use http_body_util::BodyExt;
 use peppercrank_core::keys::AttemptId;
 use peppercrank_core::keys::RequestId;
 use peppercrank_core::refusal::MayHaveRun;
+use peppercrank_core::time::Moment;
+use peppercrank_route::resume;
+use peppercrank_route::resume::Input;
+use peppercrank_route::resume::Stream;
 use peppercrank_wire::body;
 use peppercrank_wire::body::Feed;
 use peppercrank_wire::client::AnswerBody;
 use peppercrank_wire::client::Client;
 use peppercrank_wire::client::Reuse;
-use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::agent::desk::Pass;
+use crate::clock::Clock;
 use crate::headers;
 use crate::reply;
 use crate::stream::Events;
+use crate::stream::Kind;
 use crate::stream::Usage;
 
 /// Frames that may wait for a slow reader before the target is held back.
 pub const DEPTH: usize = 16;
 
-/// Times that one stream is resumed at most.
-const RESUMES: u32 = 3;
-
-/// Time before the first resumption; it doubles with each further one.
-const RESUME_PAUSE: Duration = Duration::from_millis(50);
-
 /// `Ending` is how the passing on of an answer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
@@ -58,6 +57,10 @@
     pub attempt: AttemptId,
     /// The request.
     pub request: RequestId,
+    /// When its time is over.
+    pub deadline: Moment,
+    /// The clock.
+    pub clock: Clock,
 }
 
 /// What to do after one frame, or the lack of one.
@@ -104,41 +107,100 @@
     source: &Source<'_>,
     resumed: impl Fn(),
 ) -> Ending {
+    let mut stream = Stream::new(source.attempt, source.deadline);
     let mut events = Events::default();
-    let mut tries = 0;
+    let mut input = None;
     loop {
-        match next(&mut from, &to, pass).await {
-            Step::Frame(bytes) => {
-                let whole = events.feed(&bytes);
-                if !whole.is_empty() && to.send(whole).await.is_err() {
+        let heard = match input.take() {
+            Some(input) => input,
+            None => match next(&mut from, &to, pass).await {
+                Step::Frame(bytes) => {
+                    events.push(&bytes);
+                    match pass_whole(&mut events, &mut stream, source, &to).await {
+                        Some(end) => return finish(end, to, source, &events).await,
+                        None => continue,
+                    }
+                }
+                Step::End | Step::Cut => Input::Cut,
+                Step::ReaderGone => Input::CallerGone,
+                Step::Cancelled => {
                     cancel(source).await;
-                    return Ending::ReaderGone;
+                    fail(to, source, MayHaveRun::Cut).await;
+                    return Ending::Cancelled;
                 }
-            }
-            Step::End if events.is_whole() => {
-                to.finish();
-                return Ending::Whole(events.usage());
-            }
-            Step::End | Step::Cut => {
+            },
+        };
+        match stream.on(source.clock.now(), heard) {
+            resume::Step::Resume { from: at } => {
                 events.restart();
-                match resume(source, events.count(), &mut tries).await {
-                    Some(body) => {
+                match ask_again(source, at).await {
+                    Ok(body) => {
                         resumed();
                         from = body;
                     }
-                    None => {
-                        return fail(to, source, MayHaveRun::Cut, Ending::Cut).await;
-                    }
+                    Err(failed) => input = Some(failed),
                 }
             }
-            Step::ReaderGone => {
-                cancel(source).await;
-                return Ending::ReaderGone;
-            }
-            Step::Cancelled => {
-                cancel(source).await;
-                return fail(to, source, MayHaveRun::Cut, Ending::Cancelled).await;
+            resume::Step::Wait { until } => {
+                sleep_until(source.clock.instant(until).into()).await;
+                input = Some(Input::Tick);
             }
+            end => return finish(end, to, source, &events).await,
+        }
+    }
+}
+
+/// Passes on what is whole of a stream; returns its end when it has come.
+async fn pass_whole(
+    events: &mut Events,
+    stream: &mut Stream,
+    source: &Source<'_>,
+    to: &Feed,
+) -> Option<resume::Step> {
+    let mut batch = BytesMut::new();
+    let mut end = None;
+    while let Some(event) = events.pull() {
+        let input = match event.kind {
+            Kind::Part(attempt) => Input::Event {
+                attempt: attempt.unwrap_or(source.attempt),
+            },
+            Kind::Done => Input::End,
+            // The engine itself says that it cannot go on.
+            Kind::Error => Input::Gone,
+        };
+        let step = stream.on(source.clock.now(), input);
+        if matches!(step, resume::Step::Pass | resume::Step::Finish) {
+            batch.extend_from_slice(&event.bytes);
+        }
+        if step != resume::Step::Pass {
+            end = Some(step);
+            break;
+        }
+    }
+    if end.is_none() && events.is_overlong() {
+        end = Some(resume::Step::Fail(MayHaveRun::BadAnswer));
+    }
+    if !batch.is_empty() && to.send(batch.freeze()).await.is_err() {
+        return Some(resume::Step::Cancel);
+    }
+    end
+}
+
+/// Ends a stream as its state machine said.
+async fn finish(end: resume::Step, to: Feed, source: &Source<'_>, events: &Events) -> Ending {
+    match end {
+        resume::Step::Finish => {
+            to.finish();
+            Ending::Whole(events.usage())
+        }
+        resume::Step::Fail(reason) => {
+            cancel(source).await;
+            fail(to, source, reason).await;
+            Ending::Cut
+        }
+        _ => {
+            cancel(source).await;
+            Ending::ReaderGone
         }
     }
 }
@@ -157,37 +219,31 @@
 }
 
 /// Ends a stream with an error event in place of the events that are missing.
-async fn fail(to: Feed, source: &Source<'_>, reason: MayHaveRun, ending: Ending) -> Ending {
+async fn fail(to: Feed, source: &Source<'_>, reason: MayHaveRun) {
     let event = reply::error_event(reason, Some(source.request));
     if to.send(event.into()).await.is_ok() {
         to.finish();
     }
-    ending
 }
 
-/// Asks the engine for the rest of a stream, a few times.
-async fn resume(source: &Source<'_>, from: u64, tries: &mut u32) -> Option<AnswerBody> {
-    while *tries < RESUMES {
-        sleep(RESUME_PAUSE * (1 << *tries)).await;
-        *tries += 1;
-        let path = format!("/v1/streams/{}?from={from}", source.attempt);
-        let request = Request::get(path).body(body::empty()).ok()?;
-        let Ok(answer) = source
-            .client
-            .send(source.target, request, Reuse::Allowed)
-            .await
-        else {
-            continue;
-        };
-        if answer.status().is_success() && echoes(answer.headers(), source.attempt) {
-            return Some(answer.into_body());
-        }
-        // The engine answers and does not have the stream any more.
-        if answer.status().is_client_error() {
-            return None;
-        }
+/// Asks the engine for the rest of a stream.
+async fn ask_again(source: &Source<'_>, from: u64) -> Result<AnswerBody, Input> {
+    let path = format!("/v1/streams/{}?from={from}", source.attempt);
+    let Ok(request) = Request::get(path).body(body::empty()) else {
+        return Err(Input::Gone);
+    };
+    let sent = source.client.send(source.target, request, Reuse::Allowed);
+    let Ok(answer) = sent.await else {
+        return Err(Input::Cut);
+    };
+    if answer.status().is_success() && echoes(answer.headers(), source.attempt) {
+        return Ok(answer.into_body());
+    }
+    // An engine that answers so does not have the stream any more.
+    if answer.status().is_client_error() {
+        return Err(Input::Gone);
     }
-    None
+    Err(Input::Cut)
 }
 
 /// Tells the engine that nobody wants the rest of a stream.
--- a/crates/peppercrank-daemon/src/agent/serve.rs
+++ b/crates/peppercrank-daemon/src/agent/serve.rs
@@ -265,12 +265,15 @@
     }
     let (feed, body) = body::channel(relay::DEPTH);
     let ok = head.status.is_success();
+    let deadline = agent.clock.now() + attempt.left;
     tokio::spawn(async move {
         let source = Source {
             client: &agent.client,
             target: agent.settings.target.address,
             attempt: attempt.id,
             request: attempt.request,
+            deadline,
+            clock: agent.clock,
         };
         let resumed = || {
             agent.metrics.resumed.inc();
@@ -299,8 +302,7 @@
             self.count_usage(usage);
         }
         if let (Ending::Whole(_), Some(ask)) = (ending, ask) {
-            // Without the right to be redirected it had asked another target before.
-            self.served(&ask, !attempt.allow.redirect);
+            self.served(&ask, attempt.spilled);
         }
     }
 
--- a/crates/peppercrank-daemon/src/router/deliver.rs
+++ b/crates/peppercrank-daemon/src/router/deliver.rs
@@ -4,6 +4,7 @@
 //! Delivery of an answer that has begun, whole or with its error told.
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use peppercrank_core::events::Event as LogEvent;
 use peppercrank_core::keys::AttemptId;
@@ -24,6 +25,7 @@
 use crate::router::request::Course;
 use crate::router::try_once::Begun;
 use crate::stream::Events;
+use crate::stream::Kind;
 
 /// What comes after a part of an answer.
 enum Step {
@@ -77,19 +79,28 @@
 ) {
     let mut events = Events::default();
     let mut step = Step::Part(first);
+    let mut last = None;
     let reason = loop {
         match step {
             Step::Part(bytes) => {
-                let whole = events.feed(&bytes);
-                if !whole.is_empty() && to.send(whole).await.is_err() {
+                events.push(&bytes);
+                let mut batch = BytesMut::new();
+                while let Some(event) = events.pull() {
+                    batch.extend_from_slice(&event.bytes);
+                    last = Some(event.kind);
+                }
+                if !batch.is_empty() && to.send(batch.freeze()).await.is_err() {
                     return gone(course);
                 }
+                if events.is_overlong() {
+                    break MayHaveRun::BadAnswer;
+                }
             }
-            Step::End if events.is_whole() => {
+            Step::End if last == Some(Kind::Done) => {
                 to.finish();
                 return course.served(attempt);
             }
-            Step::End if events.has_failed() => {
+            Step::End if last == Some(Kind::Error) => {
                 to.finish();
                 return failed(&mut course, attempt, MayHaveRun::Cut);
             }
--- a/crates/peppercrank-daemon/src/router/mod.rs
+++ b/crates/peppercrank-daemon/src/router/mod.rs
@@ -19,9 +19,9 @@
 use peppercrank_core::events::Event;
 use peppercrank_core::names::PoolName;
 use peppercrank_member::Role;
-use peppercrank_route::Hints;
-use peppercrank_route::Retries;
-use peppercrank_route::Spread;
+use peppercrank_route::Ranking;
+use peppercrank_route::Routes;
+use peppercrank_route::routes::Room;
 use peppercrank_settings::RouterSettings;
 use peppercrank_wire::client::Client;
 use peppercrank_wire::client::Times;
@@ -37,17 +37,25 @@
 use crate::errors::Result;
 use crate::fleet::Fleet;
 use crate::fleet::Setup;
+use crate::fleet::lock;
 use crate::fleet::pages;
 use crate::limits;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::router::claims::Claiming;
 
-/// Chats that a router remembers the target of.
-const HINTS: usize = 65_536;
+/// What a router remembers for one pool: recent chats and hot prefixes.
+const ROOM: Room = Room {
+    chats: 65_536,
+    prefixes: 4_096,
+};
 
-/// Hot prefixes that a router remembers the spread of.
-const HOT: usize = 4_096;
+/// `Way` is what a router knows of one pool, and the ranking that it was last made of.
+#[derive(Debug)]
+struct Way {
+    routes: Routes,
+    made_of: Arc<Ranking>,
+}
 
 /// `Router` is what the tasks of one router share.
 #[derive(Debug)]
@@ -63,9 +71,7 @@
     /// The client towards the agents.
     pub client: Client,
     claims: Arc<Claiming>,
-    hints: Mutex<Hints>,
-    spread: Mutex<Spread>,
-    retries: Mutex<BTreeMap<PoolName, Retries>>,
+    pools: Mutex<BTreeMap<PoolName, Way>>,
 }
 
 /// `Running` is a router that serves.
@@ -133,9 +139,7 @@
         clock: fleet.clock,
         metrics,
         client: Client::new(times),
-        hints: Mutex::new(Hints::new(HINTS)),
-        spread: Mutex::new(Spread::new(HOT)),
-        retries: Mutex::default(),
+        pools: Mutex::default(),
         fleet,
         settings,
     });
@@ -175,3 +179,29 @@
     router.fleet.log.event(Event::Stopped, "");
     finished
 }
+
+impl Router {
+    /// Works on what is known of a pool, its ranking as new as its members.
+    fn with_routes<T>(
+        &self,
+        pool: &PoolName,
+        share: f64,
+        work: impl FnOnce(&mut Routes) -> T,
+    ) -> T {
+        let ranking = self.fleet.ranking(pool);
+        let mut pools = lock(&self.pools);
+        let way = pools.entry(pool.clone()).or_insert_with(|| {
+            let seed = u64::try_from(self.fleet.draw() >> 64).unwrap_or_default();
+            Way {
+                routes: Routes::new(share, seed, ROOM),
+                made_of: Arc::default(),
+            }
+        });
+        if !Arc::ptr_eq(&way.made_of, &ranking) {
+            way.routes.ranking = Ranking::clone(&ranking);
+            way.made_of = ranking;
+        }
+        way.routes.retries.budget.set(share);
+        work(&mut way.routes)
+    }
+}
--- a/crates/peppercrank-daemon/src/router/request.rs
+++ b/crates/peppercrank-daemon/src/router/request.rs
@@ -8,6 +8,7 @@
 use peppercrank_core::blackboard::TargetKey;
 use peppercrank_core::events::Event as LogEvent;
 use peppercrank_core::keys::AttemptId;
+use peppercrank_core::keys::ChatKey;
 use peppercrank_core::refusal::MayHaveRun;
 use peppercrank_core::refusal::NotRun;
 use peppercrank_core::refusal::Outcome;
@@ -15,26 +16,19 @@
 use peppercrank_lease::claim::Verdict;
 use peppercrank_route::Event;
 use peppercrank_route::Next;
-use peppercrank_route::Note;
-use peppercrank_route::RankKey;
-use peppercrank_route::Ranking;
-use peppercrank_route::Request;
-use peppercrank_route::Retries;
+use peppercrank_route::Routes;
 use peppercrank_route::Terms;
-use peppercrank_route::note::Addressed;
-use peppercrank_route::note::Context;
+use peppercrank_route::routes::Trip;
 use peppercrank_wire::edge::Reply;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
 use crate::agent::attempt::Allow;
-use crate::fleet::lock;
 use crate::metrics::label;
 use crate::reply::Refusal;
 use crate::router::Router;
 use crate::router::deliver;
 use crate::router::job::Job;
-use crate::router::job::Talk;
 use crate::router::try_once;
 use crate::router::try_once::Begun;
 use crate::router::try_once::Tried;
@@ -48,10 +42,7 @@
     pub job: Job,
     /// When it began.
     pub begun: Moment,
-    request: Request,
-    ranking: Arc<Ranking>,
-    /// The target that the home pointed to.
-    pointed: Option<TargetKey>,
+    trip: Trip,
     /// How the attempt before ended.
     last: Option<Outcome>,
 }
@@ -82,7 +73,7 @@
         }
     }
     let (claims, id) = (Arc::clone(&router.claims), job.id);
-    match attempts(Course::new(router, job)).await {
+    match attempts(Course::begin(router, job)).await {
         Ended::Answered(reply) => reply,
         Ended::Refused(reply, outcome) => {
             // Nothing ran, so the caller may send it again and be served.
@@ -100,9 +91,7 @@
     Refused(Reply, Outcome),
 }
 
-async fn attempts(mut course: Course) -> Ended {
-    let candidates = course.candidates();
-    let mut next = course.on(Event::Ranked(candidates));
+async fn attempts((mut course, mut next): (Course, Next)) -> Ended {
     loop {
         next = match next {
             Next::Send {
@@ -149,58 +138,44 @@
 }
 
 impl Course {
-    fn new(router: Arc<Router>, job: Job) -> Self {
+    /// Ranks the targets and says what to do first.
+    fn begin(router: Arc<Router>, job: Job) -> (Self, Next) {
+        let begun = router.clock.now();
         let terms = Terms {
             id: job.id,
             repeatable: job.repeatable,
             deadline: job.deadline,
             tries: job.policy.tries,
         };
-        Self {
-            ranking: router.fleet.ranking(&job.pool),
-            begun: router.clock.now(),
-            request: Request::new(terms),
-            pointed: None,
-            last: None,
+        // Calls of a service have no context: each takes an order of its own.
+        let own = ChatKey(u64::try_from(job.id.0 >> 64).unwrap_or_default());
+        let (chat, prefix) = job.talk.map_or((own, None), |t| (t.chat, t.prefix));
+        let rank = |routes: &mut Routes| routes.begin(begun, chat, prefix, terms);
+        let (trip, next) = router.with_routes(&job.pool, job.policy.retries, rank);
+        let course = Self {
             router,
             job,
-        }
+            begun,
+            trip,
+            last: None,
+        };
+        (course, next)
     }
 
     /// Gives the state machine an event.
     pub(crate) fn on(&mut self, event: Event) -> Next {
         let now = self.router.clock.now();
-        let share = self.job.policy.retries;
-        let mut all = lock(&self.router.retries);
-        let retries = all.entry(self.job.pool.clone()).or_insert_with(|| {
-            // It only parts the routers' back-offs, so any fresh bits will do.
-            let seed = self.job.id.0 >> 64;
-            Retries::new(share, u64::try_from(seed).unwrap_or_default())
-        });
-        retries.budget.set(share);
-        self.request.on(now, event, retries)
-    }
-
-    /// The targets to try, the best first: the chat's last, then by rank.
-    fn candidates(&self) -> Vec<TargetKey> {
-        let count = usize::try_from(self.job.policy.tries.max(1)).unwrap_or(1) + 1;
-        let Some(talk) = self.job.talk else {
-            // Calls of a service have no context: each takes an order of its own.
-            let key = RankKey(u64::try_from(self.job.id.0 >> 64).unwrap_or_default());
-            return self.ranking.first(key, count);
-        };
-        let breadth = lock(&self.router.spread).breadth(talk.prefix);
-        let ranked = self.ranking.order(talk.chat, talk.prefix, breadth, count);
-        let hint = lock(&self.router.hints).get(talk.chat);
-        let hint = hint.filter(|t| self.ranking.ranks(*t));
-        let others = ranked.into_iter().filter(|t| Some(*t) != hint);
-        hint.into_iter().chain(others).collect()
+        let trip = &mut self.trip;
+        let on = |routes: &mut Routes| routes.on(now, trip, event);
+        self.router
+            .with_routes(&self.job.pool, self.job.policy.retries, on)
     }
 
     async fn attempt(&mut self, target: TargetKey, attempt: AttemptId, allow: Allow) -> Step {
         self.count_retry();
         let end = self.router.clock.instant(self.job.deadline).into();
-        let sending = try_once::send(&self.router, &self.job, target, attempt, allow);
+        let spilled = self.trip.is_spilled();
+        let sending = try_once::send(&self.router, &self.job, target, attempt, allow, spilled);
         let Ok(tried) = timeout_at(end, sending).await else {
             self.count(Outcome::MayHaveRun(MayHaveRun::Timeout));
             return Step::Event(Event::Tick);
@@ -208,11 +183,8 @@
         match tried {
             Tried::NotRun { reason, hint } => {
                 self.count(Outcome::NotRun(reason));
-                self.note_refusal(reason);
-                let hint = hint.and_then(|hash| self.ranking.find(hash));
-                if reason == NotRun::Elsewhere {
-                    self.pointed = hint;
-                }
+                let ranking = self.router.fleet.ranking(&self.job.pool);
+                let hint = hint.and_then(|hash| ranking.find(hash));
                 Step::Event(Event::NotRun {
                     attempt,
                     reason,
@@ -258,55 +230,23 @@
         self.router.fleet.log.event(LogEvent::Retried, &about);
     }
 
-    /// Widens the spread of a prefix whose first target was over its cap.
-    fn note_refusal(&self, reason: NotRun) {
-        let Some(prefix) = self.job.talk.and_then(|t| t.prefix) else {
-            return;
-        };
-        if reason == NotRun::OverCap && self.request.tries() == 1 {
-            lock(&self.router.spread).refused(self.router.clock.now(), prefix);
-        }
-    }
-
     /// Notes that the answer of the attempt in flight was delivered whole.
     pub(crate) fn served(&mut self, attempt: AttemptId) {
         let metrics = &self.router.metrics;
         metrics.attempts.get_or_create(&label(Outcome::Done)).inc();
         self.router.count(Outcome::Done);
-        let target = self.request.target();
         self.on(Event::Done { attempt });
-        if let (Some(talk), Some(target)) = (self.job.talk, target) {
-            self.note_served(talk, target);
+        if self.job.talk.is_none() {
+            return;
         }
-    }
-
-    fn note_served(&self, talk: Talk, target: TargetKey) {
         let now = self.router.clock.now();
-        if let Some(prefix) = talk.prefix.filter(|_| self.request.tries() == 1) {
-            lock(&self.router.spread).admitted(now, prefix);
-        }
-        let rank = RankKey::of(talk.chat, talk.prefix);
-        let Some(home) = self.ranking.home(rank) else {
-            return;
-        };
-        let knew = self.pointed == Some(target);
-        let tell = lock(&self.router.hints).served(now, talk.chat, target, home, knew);
-        let Some(hash) = self.ranking.hash(target).filter(|_| tell) else {
-            return;
-        };
-        let prefix = talk.prefix.map(Context::Prefix);
-        for context in [Some(Context::Chat(talk.chat)), prefix]
-            .into_iter()
-            .flatten()
-        {
-            let note = Note {
-                context,
-                rank,
-                target: hash,
-                held: true,
-                age: 0,
-            };
-            self.router.fleet.tell(&Addressed { to: home, note });
+        let trip = &self.trip;
+        let notes = |routes: &mut Routes| routes.notes(now, trip);
+        let notes = self
+            .router
+            .with_routes(&self.job.pool, self.job.policy.retries, notes);
+        for note in &notes {
+            self.router.fleet.tell(note);
         }
     }
 }
--- a/crates/peppercrank-daemon/src/router/try_once.rs
+++ b/crates/peppercrank-daemon/src/router/try_once.rs
@@ -63,6 +63,7 @@
     target: TargetKey,
     id: AttemptId,
     allow: Allow,
+    spilled: bool,
 ) -> Tried {
     let address = router.fleet.board().targets.get(target).map(|t| t.address);
     let Some(address) = address else {
@@ -75,7 +76,12 @@
     *request.method_mut() = job.sent.method.clone();
     *request.uri_mut() = job.sent.uri.clone();
     let mut fields = job.sent.headers.clone();
-    attempt(router, job, id, allow).write(&mut fields);
+    let described = attempt(router, job, id, allow);
+    Attempt {
+        spilled,
+        ..described
+    }
+    .write(&mut fields);
     router
         .fleet
         .sign(address, &job.sent.method, &job.sent.uri, &mut fields);
@@ -110,6 +116,7 @@
         priority: job.priority,
         left: job.deadline.since(router.clock.now()),
         repeatable: job.repeatable,
+        spilled: false,
         allow,
     }
 }
--- a/crates/peppercrank-daemon/src/stream.rs
+++ b/crates/peppercrank-daemon/src/stream.rs
@@ -5,11 +5,18 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use peppercrank_core::keys::AttemptId;
 use serde::Deserialize;
 
-/// The longest event that is kept together, in bytes; a longer one is passed on as it comes.
+/// The longest event that makes sense, in bytes.
 const MAX_EVENT: usize = 1_024 * 1_024;
 
+/// Hexadecimal digits of an attempt's id.
+const ID_DIGITS: usize = 32;
+
+/// Bytes of the longest blank line that ends an event.
+const LONGEST_END: usize = 4;
+
 /// What the last event of a whole answer carries.
 const DONE: &[u8] = b"[DONE]";
 
@@ -58,58 +65,68 @@
     }
 }
 
+/// `Kind` is what an event says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A part of the answer, and the attempt that it names.
+    Part(Option<AttemptId>),
+    /// The answer is whole.
+    Done,
+    /// The answer could not be made whole.
+    Error,
+}
+
+/// `Whole` is one whole event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Whole {
+    /// What it says.
+    pub kind: Kind,
+    /// Its bytes, with the blank line that ends it.
+    pub bytes: Bytes,
+}
+
 /// `Events` cuts the bytes of a streamed answer into whole events.
 #[derive(Debug, Default)]
 pub struct Events {
     left: BytesMut,
-    count: u64,
-    whole: bool,
-    failed: bool,
+    /// How much of `left` was searched for an end.
+    searched: usize,
     usage: Option<Usage>,
 }
 
 impl Events {
-    /// `feed` takes bytes in and returns the whole events that are complete now.
-    pub fn feed(&mut self, bytes: &[u8]) -> Bytes {
+    /// `push` takes bytes in as they come.
+    pub fn push(&mut self, bytes: &[u8]) {
         self.left.extend_from_slice(bytes);
-        let mut end = 0;
-        while let Some(len) = event_len(&self.left[end..]) {
-            let event = &self.left[end..end + len];
-            self.whole |= data_of(event) == Some(DONE);
-            self.failed |= event.starts_with(ERROR);
-            if let Some(usage) = data_of(event).and_then(Usage::read) {
-                self.usage = Some(usage);
-            }
-            end += len;
-            self.count += 1;
-        }
-        if end == 0 && self.left.len() > MAX_EVENT {
-            return self.left.split().freeze();
-        }
-        self.left.split_to(end).freeze()
-    }
-
-    /// `restart` forgets a half event, before the stream is resumed after the whole ones.
-    pub fn restart(&mut self) {
-        self.left.clear();
     }
 
-    /// `count` is the number of whole events so far.
-    #[must_use]
-    pub const fn count(&self) -> u64 {
-        self.count
+    /// `pull` gives the next whole event, when one is there.
+    pub fn pull(&mut self) -> Option<Whole> {
+        // The end may have begun in what was searched before.
+        let from = self.searched.saturating_sub(LONGEST_END - 1);
+        let Some(end) = event_end(&self.left, from) else {
+            self.searched = self.left.len();
+            return None;
+        };
+        let bytes = self.left.split_to(end).freeze();
+        self.searched = 0;
+        if let Some(usage) = data_of(&bytes).and_then(Usage::read) {
+            self.usage = Some(usage);
+        }
+        let kind = kind_of(&bytes);
+        Some(Whole { kind, bytes })
     }
 
-    /// `is_whole` tells whether the last event of a whole answer was seen.
+    /// `is_overlong` tells whether an event is longer than any that makes sense.
     #[must_use]
-    pub const fn is_whole(&self) -> bool {
-        self.whole
+    pub fn is_overlong(&self) -> bool {
+        self.left.len() > MAX_EVENT
     }
 
-    /// `has_failed` tells whether an event said that the answer could not be made whole.
-    #[must_use]
-    pub const fn has_failed(&self) -> bool {
-        self.failed
+    /// `restart` forgets a half event, before the stream is resumed after the whole ones.
+    pub fn restart(&mut self) {
+        self.left.clear();
+        self.searched = 0;
     }
 
     /// `usage` is what the answer took, once it said so.
@@ -119,13 +136,31 @@
     }
 }
 
-/// The length of the first event with the blank line that ends it.
-fn event_len(bytes: &[u8]) -> Option<usize> {
+fn kind_of(event: &[u8]) -> Kind {
+    if event.starts_with(ERROR) {
+        return Kind::Error;
+    }
+    match data_of(event) {
+        Some(DONE) => Kind::Done,
+        Some(data) => Kind::Part(attempt_of(data)),
+        None => Kind::Part(None),
+    }
+}
+
+/// The attempt that an event names, read without parsing the whole event.
+fn attempt_of(data: &[u8]) -> Option<AttemptId> {
+    let key = b"\"id\":\"";
+    let at = data.windows(key.len()).position(|w| w == key)? + key.len();
+    let id = data.get(at..at + ID_DIGITS)?;
+    std::str::from_utf8(id).ok()?.parse().ok()
+}
+
+/// The place after the first event's end, searched for from `from` on.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let rest = bytes.get(from..)?;
     let at = |end: &[u8]| {
-        bytes
-            .windows(end.len())
-            .position(|w| w == end)
-            .map(|i| i + end.len())
+        let at = rest.windows(end.len()).position(|w| w == end);
+        at.map(|i| from + i + end.len())
     };
     match (at(b"\n\n"), at(b"\r\n\r\n")) {
         (Some(a), Some(b)) => Some(a.min(b)),
