--- a/crates/peppercrank-wire/src/edge/call.rs
+++ b/crates/peppercrank-wire/src/edge/call.rs
@@ -195,7 +195,7 @@
     headers.insert("x-peppercrank-reason", code);
     headers.insert(
         "x-peppercrank-run",
-        http::HeaderValue::from_static(run(reason)),
+        http::HeaderValue::from_static(reason.run()),
     );
     if passes(reason) {
         let after = http::HeaderValue::from_static(RETRY_AFTER);
@@ -217,7 +217,7 @@
         reason.status(),
         text.len(),
         reason.code(),
-        run(reason),
+        reason.run(),
         retry,
     );
     let mut bytes = head.into_bytes();
@@ -229,19 +229,11 @@
     format!(
         r#"{{"error":{{"code":"{}","run":"{}","message":"{}","request":null}}}}"#,
         reason.code(),
-        run(reason),
+        reason.run(),
         reason.text(),
     )
 }
 
-/// Whether a call that ended so may have run.
-const fn run(reason: Refused) -> &'static str {
-    match reason {
-        Refused::TotalTime | Refused::WriteTimeout => "may_have_run",
-        _ => "not_run",
-    }
-}
-
 /// Whether the same request may fare better a little later.
 const fn passes(reason: Refused) -> bool {
     matches!(reason, Refused::Connections | Refused::BodyMemory)
--- a/crates/peppercrank-wire/src/edge/refusal.rs
+++ b/crates/peppercrank-wire/src/edge/refusal.rs
@@ -76,6 +76,17 @@
     TotalTime "total_time" GATEWAY_TIMEOUT "call exceeded its total time",
 }
 
+impl Refused {
+    /// `run` tells whether a call that ended so may have run, in the words of answers and metrics.
+    #[must_use]
+    pub const fn run(self) -> &'static str {
+        match self {
+            Self::TotalTime | Self::WriteTimeout => "may_have_run",
+            _ => "not_run",
+        }
+    }
+}
+
 /// `Counters` count what happens at one edge.
 #[derive(Debug, Default)]
 pub struct Counters {
