Test a drain under a running stream on real daemons

Cause: nothing tried the promise end to end: a marked target lets nothing new in, cuts nothing, and then says that it is drained. Change: a two-second stream through router and agent, marked in its middle.

--- a/crates/peppercrank-cli/tests/verify_daemons.rs
+++ b/crates/peppercrank-cli/tests/verify_daemons.rs
@@ -6,6 +6,9 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use peppercrank_cli::Exit;
 use peppercrank_daemon::agent;
@@ -17,6 +20,7 @@
 use peppercrank_standin::engine;
 use peppercrank_standin::engine::EngineSettings;
 use peppercrank_wire::stop;
+use serde_json::Value;
 use serde_json::json;
 use support::Bench;
 use support::Ended;
@@ -31,7 +35,7 @@
     bench: Bench,
     operators: [SocketAddr; 2],
     _agent: agent::Running,
-    _router: router::Running,
+    router: router::Running,
     _engine: peppercrank_standin::Running,
     _stopper: stop::Stopper,
     _runtime: Runtime,
@@ -64,11 +68,18 @@
             (engine, agent.expect("an agent"), router.expect("a router"))
         });
         let (engine, agent, router) = started;
+        let vm = |name, address: SocketAddr, role| json!({ "name": name, "zone": "rae", "address": address, "role": role });
+        let vms = [
+            vm("vm-1", agent.agent.fleet.gossip_address(), "agent"),
+            vm("entry-1", router.router.fleet.gossip_address(), "router"),
+        ];
+        let answer = ureq::put(format!("http://{}/vms", bench.address));
+        answer.send_json(json!({ "vms": vms })).expect("an answer");
         Self {
             bench,
             operators: [agent.operators, router.operators],
             _agent: agent,
-            _router: router,
+            router,
             _engine: engine,
             _stopper: stopper,
             _runtime: runtime,
@@ -93,6 +104,22 @@
     }
 }
 
+/// Returns once `seen` is true, which it is soon unless something is broken.
+fn until(mut seen: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(60);
+    while !seen() {
+        assert!(Instant::now() < end, "not seen within a minute");
+    }
+}
+
+/// One daemon's status page.
+fn page(operators: SocketAddr) -> Value {
+    let page = ureq::get(format!("http://{operators}/status"));
+    let page = page.header("authorization", format!("Bearer {TOKEN}"));
+    let mut answer = page.call().expect("a page");
+    answer.body_mut().read_json().expect("JSON")
+}
+
 fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -150,3 +177,52 @@
     assert_eq!(silent[0]["why"], json!({ "refused": 401 }));
     assert_eq!(silent[1]["why"], json!({ "refused": 401 }));
 }
+
+/// Sends a chat through the router and returns its whole answer.
+fn chat(router: SocketAddr, tokens: u32) -> (u16, String) {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build();
+    let agent = ureq::Agent::new_with_config(config);
+    let answer = agent
+        .post(format!("http://{router}/v1/chat/completions"))
+        .header("authorization", "Bearer a-key")
+        .send_json(json!({
+            "model": "galley-plan", "stream": true, "max_tokens": tokens,
+            "messages": [{ "role": "user", "content": "hello" }],
+        }));
+    let mut answer = answer.expect("an answer");
+    let text = answer.body_mut().read_to_string().expect("a whole answer");
+    (answer.status().as_u16(), text)
+}
+
+#[test]
+fn verify_drain_waits_for_what_runs_and_lets_nothing_new_in() {
+    let fleet = Fleet::new();
+    let digest = "2a8a1240f50636655520ac8ed22aa29473b8517b4abfdbc3bc03bcad73fc8849";
+    fleet.expect(
+        Exit::Done,
+        &format!("set-organisation o keys={digest} --wait --within 60s"),
+    );
+    let router = fleet.router.address;
+    let known = |status: Value| status["targets"].as_array().map(Vec::len) == Some(1);
+    until(|| known(page(fleet.operators[1])));
+    // Two seconds of an answer, which the mark comes in the middle of.
+    let stream = thread::spawn(move || chat(router, 100));
+    until(|| {
+        assert!(!stream.is_finished(), "it never ran");
+        page(fleet.operators[0])["targets"][0]["load"]["running"] == 1
+    });
+    let marked = fleet.run("mark e-1 --shutdown --drained --drained-within 60s", TOKEN);
+    let status = fleet.run("status", TOKEN);
+    assert_eq!(marked.exit, Exit::Done, "{marked:?} {status:?}");
+    let (status, text) = stream.join().expect("an answer");
+    assert_eq!(status, 200, "{text}");
+    assert_eq!(text.matches("\"content\"").count(), 100, "{text}");
+    assert!(text.trim_end().ends_with("data: [DONE]"), "{text}");
+
+    let (status, refused) = chat(router, 1);
+    assert_eq!(status, 503, "{refused}");
+    let refused: Value = serde_json::from_str(&refused).expect("JSON");
+    assert_eq!(refused["error"]["run"], "not_run", "{refused}");
+}
