Say that pointers are handed over until it is heard

Cause: the mark reached the ranking before the admission in some runs; the ranking's task then saw a target that did not leave, and nothing woke it again, so that "drained" never came (`verify_drain_waits_for_what_runs_and_lets_nothing_new_in`, red in about 1 of 10 runs). Ruled out: the stream, which was whole each time. Conclusion: a drain always ends.

--- a/crates/peppercrank-daemon/src/agent/control.rs
+++ b/crates/peppercrank-daemon/src/agent/control.rs
@@ -148,20 +148,20 @@
     }
 }
 
-/// Hands pointers on when the ranking changes.
+/// Hands pointers on when the ranking changes, and says so once the target leaves.
 async fn follow_ranking(agent: Arc<Agent>) {
-    let mut changes = agent.fleet.changes();
     let mut old = agent.ranking();
     loop {
-        if changes.changed().await.is_err() {
-            return;
-        }
         let new = agent.ranking();
-        hand_over(&agent, &old, &new).await;
-        old = new;
-        if agent.desk.status().leaving {
+        if !Arc::ptr_eq(&old, &new) {
+            hand_over(&agent, &old, &new).await;
+            old = new;
+        }
+        // The mark may reach the admission after the ranking, so both are looked at again.
+        if agent.desk.status().leaving && !old.ranks(agent.own) {
             agent.desk.put(Input::HandedOver);
         }
+        sleep(LOAD_PERIOD).await;
     }
 }
 
--- a/crates/peppercrank-daemon/src/agent/mod.rs
+++ b/crates/peppercrank-daemon/src/agent/mod.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use peppercrank_admit::Admission;
 use peppercrank_admit::Input;
@@ -42,6 +43,7 @@
 use peppercrank_wire::pages::Serving;
 use peppercrank_wire::stop::Stop;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use crate::agent::attempt::Attempt;
 use crate::agent::desk::Desk;
@@ -58,6 +60,9 @@
 use crate::log::Log;
 use crate::metrics::Metrics;
 
+/// Time for a stopping agent to hand its pointers over.
+const HAND_OVER: Duration = Duration::from_secs(2);
+
 /// The policy until the pool's own is known; nothing is admitted by it, since no organisation is.
 const UNKNOWN: Policy = Policy {
     cap: 1.25,
@@ -181,6 +186,9 @@
     let shared = Arc::clone(&agent);
     let answer = move |call| serve::answer(Arc::clone(&shared), call);
     let finished = edge.serve(limits, signal, answer).await;
+    // The pointers go to the next homes before the process does.
+    let mut drained = agent.desk.drained();
+    let _told = timeout(HAND_OVER, drained.wait_for(|drained| *drained)).await;
     agent.fleet.leave();
     if finished.cut > 0 {
         agent
--- a/crates/peppercrank-daemon/src/fleet/mod.rs
+++ b/crates/peppercrank-daemon/src/fleet/mod.rs
@@ -463,6 +463,13 @@
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
         lock(&self.facts).leaving = true;
+        // The own target, if there is one, is no home any more.
+        for target in write(&self.board).targets.values_mut() {
+            if target.vm == self.settings.vm {
+                target.state = TargetState::Leaving;
+            }
+        }
+        self.rerank();
         self.bump();
     }
 
