Keep the files of two test processes apart

Cause: with three processes of one test at once, one read another's file half written (1 of 30 runs). Change: scratch files carry the process's id.

--- a/crates/peppercrank-cli/tests/support/mod.rs
+++ b/crates/peppercrank-cli/tests/support/mod.rs
@@ -116,9 +116,10 @@
     }
 }
 
-/// A file in the test's own scratch directory, which cargo sets aside.
+/// A file in a scratch directory that cargo sets aside, apart from other processes' files.
 pub fn file(name: &str, text: &str) -> String {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let own = format!("{}-{name}", std::process::id());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(own);
     fs::write(&path, text).expect("a file");
     path.to_str().expect("a path").to_owned()
 }
--- a/crates/peppercrank-cli/tests/verify_deploy.rs
+++ b/crates/peppercrank-cli/tests/verify_deploy.rs
@@ -225,7 +225,8 @@
 #[test]
 fn verify_one_faulty_file_holds_a_directory_back() {
     let bench = Bench::new();
-    let base = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("faulty");
+    let base =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-faulty", std::process::id()));
     for kind in ["pool", "template"] {
         fs::create_dir_all(base.join(kind)).expect("a directory");
     }
--- a/crates/peppercrank-cli/tests/verify_pages.rs
+++ b/crates/peppercrank-cli/tests/verify_pages.rs
@@ -65,7 +65,8 @@
     let path = if word.starts_with("deploy/") {
         root().join(word)
     } else {
-        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("page-{word}"))
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("{}-page-{word}", std::process::id()))
     };
     path.to_str().expect("a path").to_owned()
 }
--- a/crates/peppercrank-settings/tests/verify_faults.rs
+++ b/crates/peppercrank-settings/tests/verify_faults.rs
@@ -168,7 +168,8 @@
 
 #[test]
 fn verify_file_that_is_no_settings_file_is_told_as_such() {
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("faulty-file");
+    let path =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-faulty-file", std::process::id()));
     let long = vec![b' '; (1 << 20) + 1];
     let cases: [(&[u8], &str); 2] = [(&long, "too large"), (b"\"\xff\"", "utf-8")];
     for (bytes, reason) in cases {
