--- a/crates/peppercrank-wire/src/edge/limits.rs
+++ b/crates/peppercrank-wire/src/edge/limits.rs
@@ -28,7 +28,7 @@
     pub total: Duration,
     /// Time for which a refused caller may still send, so that it reads the refusal.
     pub linger: Duration,
-    /// Once stopping, the time that idle connections stay open.
+    /// Once stopping, the time that unused connections stay open and new ones are taken up.
     pub stop_idle: Duration,
     /// Once stopping, the time left to what is in progress.
     pub drain: Duration,
--- a/crates/peppercrank-wire/src/edge/mod.rs
+++ b/crates/peppercrank-wire/src/edge/mod.rs
@@ -20,8 +20,10 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::Result;
 use crate::errors;
@@ -38,6 +40,7 @@
 pub use refusal::Refused;
 
 use connection::Shared;
+use flow::after;
 
 /// Pause after a failed accept, so that a full descriptor table is not polled in a tight loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -95,7 +98,7 @@
     ///
     /// Each call's answering future is dropped when its caller goes away. Once stopping, answers
     /// close their connections and what outlasts [`Limits::drain`] is cut.
-    pub async fn serve<F, R>(self, limits: Limits, mut stop: Stop, answer: F) -> Finished
+    pub async fn serve<F, R>(self, limits: Limits, stop: Stop, answer: F) -> Finished
     where
         F: Fn(Call) -> R + Send + Sync + 'static,
         R: Future<Output = Reply> + Send + 'static,
@@ -106,28 +109,47 @@
             answer,
         });
         let mut tasks = JoinSet::new();
+        let mut signal = stop.clone();
+        tokio::select! {
+            () = signal.wait() => {}
+            () = self.accept(&mut tasks, &shared, &stop) => {}
+        }
+        let end = after(Instant::now(), shared.limits.drain);
+        // Callers hear of the stop by and by. One that the system connects as the listener closes
+        // is reset, so it closes only when few come any more.
+        let late = self.accept(&mut tasks, &shared, &stop);
+        let time = shared.limits.stop_idle.min(shared.limits.drain);
+        let _over = timeout(time, late).await;
+        while let Some(Ok((io, peer))) = self.listener.accept().now_or_never() {
+            admit(&mut tasks, io, peer, &shared, &stop);
+        }
+        drop(self.listener);
+        let cut = drain(tasks, end, &self.counters).await;
+        let calls = self.counters.calls();
+        Finished { calls, cut }
+    }
+}
+
+impl Edge {
+    /// Takes up connections for ever.
+    async fn accept<F, R>(&self, tasks: &mut JoinSet<()>, shared: &Arc<Shared<F>>, stop: &Stop)
+    where
+        F: Fn(Call) -> R + Send + Sync + 'static,
+        R: Future<Output = Reply> + Send + 'static,
+    {
         loop {
             tokio::select! {
-                () = stop.wait() => break,
                 accepted = self.listener.accept() => {
                     let Ok((io, peer)) = accepted else {
                         self.counters.accept_failed();
                         sleep(ACCEPT_PAUSE).await;
                         continue;
                     };
-                    admit(&mut tasks, io, peer, &shared, &stop);
+                    admit(tasks, io, peer, shared, stop);
                 }
                 Some(_) = tasks.join_next(), if !tasks.is_empty() => {}
             }
         }
-        // Callers that the system has connected already would be reset with the listener.
-        while let Some(Ok((io, peer))) = self.listener.accept().now_or_never() {
-            admit(&mut tasks, io, peer, &shared, &stop);
-        }
-        drop(self.listener);
-        let cut = drain(tasks, &shared.limits, &self.counters).await;
-        let calls = self.counters.calls();
-        Finished { calls, cut }
     }
 }
 
@@ -183,9 +205,9 @@
 }
 
 /// Waits for the connections' ends and returns how many calls were cut.
-async fn drain(mut tasks: JoinSet<()>, limits: &Limits, counters: &Counters) -> u64 {
+async fn drain(mut tasks: JoinSet<()>, end: Instant, counters: &Counters) -> u64 {
     let all = async { while tasks.join_next().await.is_some() {} };
-    if timeout(limits.drain, all).await.is_ok() {
+    if timeout_at(end, all).await.is_ok() {
         return 0;
     }
     let cut = counters.busy();
