--- /dev/null
+++ b/crates/peppercrank-cli/tests/verify_daemons.rs
@@ -0,0 +1,228 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The command against real daemons: a change in force everywhere, a drain, a status.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use peppercrank_cli::Exit;
+use peppercrank_daemon::agent;
+use peppercrank_daemon::log::Log;
+use peppercrank_daemon::router;
+use peppercrank_settings::AgentSettings;
+use peppercrank_settings::FleetSettings;
+use peppercrank_settings::RouterSettings;
+use peppercrank_standin::engine;
+use peppercrank_standin::engine::EngineSettings;
+use peppercrank_wire::stop;
+use serde_json::Value;
+use serde_json::json;
+use support::Bench;
+use support::Ended;
+use support::run;
+use support::template;
+use tokio::runtime::Runtime;
+
+const TOKEN: &str = "an-operators-token";
+
+/// A platform, an engine with its agent, and a router, on loopback.
+struct Fleet {
+    bench: Bench,
+    operators: [SocketAddr; 2],
+    _agent: agent::Running,
+    router: router::Running,
+    _engine: peppercrank_standin::Running,
+    _stopper: stop::Stopper,
+    _runtime: Runtime,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let bench = Bench::new();
+        let pool = concat!(
+            env!("CARGO_MANIFEST_DIR"),
+            "/../../deploy/pardikivi/pool/galley-llm.jsonc"
+        );
+        bench.expect(Exit::Done, &format!("publish pool galley-llm {pool}"));
+        bench.expect(Exit::Done, &format!("publish template t {}", template(1)));
+        bench.expect(Exit::Done, "set-organisation o template=t");
+        let runtime = Runtime::new().expect("a runtime");
+        let (stopper, signal) = stop::stop();
+        let started = runtime.block_on(async {
+            let engine = engine::start(EngineSettings::default())
+                .await
+                .expect("an engine");
+            let target = json!({
+                "name": "e-1", "pool": "galley-llm", "kind": "engine", "address": engine.addr
+            });
+            let target = serde_json::from_value(target).expect("a target");
+            let settings = AgentSettings::new(fleet(&bench, "vm-1"), any(), target);
+            let agent = agent::start(settings, Log::none(), signal.clone()).await;
+            let settings = RouterSettings::new(fleet(&bench, "entry-1"), any());
+            let router = router::start(settings, Log::none(), signal).await;
+            (engine, agent.expect("an agent"), router.expect("a router"))
+        });
+        let (engine, agent, router) = started;
+        let vm = |name, address: SocketAddr, role| json!({ "name": name, "zone": "rae", "address": address, "role": role });
+        let vms = [
+            vm("vm-1", agent.agent.fleet.gossip_address(), "agent"),
+            vm("entry-1", router.router.fleet.gossip_address(), "router"),
+        ];
+        let answer = ureq::put(format!("http://{}/vms", bench.address));
+        answer.send_json(json!({ "vms": vms })).expect("an answer");
+        Self {
+            bench,
+            operators: [agent.operators, router.operators],
+            _agent: agent,
+            router,
+            _engine: engine,
+            _stopper: stopper,
+            _runtime: runtime,
+        }
+    }
+
+    fn run(&self, line: &str, token: &str) -> Ended {
+        let addresses = self.operators.map(|a| a.to_string());
+        let mut words = line.split(' ').collect::<Vec<_>>();
+        words.extend(["--operators-token", token, "--output", "json"]);
+        for address in &addresses {
+            words.extend(["--daemon", address]);
+        }
+        run(&self.bench.environment, &words)
+    }
+
+    #[track_caller]
+    fn expect(&self, exit: Exit, line: &str) -> Ended {
+        let ended = self.run(line, TOKEN);
+        assert_eq!(ended.exit, exit, "{line}: {ended:?}");
+        ended
+    }
+}
+
+/// Returns once `seen` is true, which it is soon unless something is broken.
+fn until(mut seen: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(60);
+    while !seen() {
+        assert!(Instant::now() < end, "not seen within a minute");
+    }
+}
+
+/// One daemon's status page.
+fn page(operators: SocketAddr) -> Value {
+    let page = ureq::get(format!("http://{operators}/status"));
+    let page = page.header("authorization", format!("Bearer {TOKEN}"));
+    let mut answer = page.call().expect("a page");
+    answer.body_mut().read_json().expect("JSON")
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn fleet(bench: &Bench, vm: &str) -> FleetSettings {
+    let settings = json!({
+        "vm": vm, "zone": "rae", "gossip": any(), "control": any(), "operators": any(),
+        "platform": { "url": format!("http://{}", bench.address) },
+        "keys": [{ "id": 1, "secret": "0f".repeat(16) }],
+        "tokens": [TOKEN],
+    });
+    serde_json::from_value(settings).expect("settings")
+}
+
+#[test]
+fn verify_changes_are_in_force_and_drains_end_on_real_daemons() {
+    let fleet = Fleet::new();
+    let set = fleet.expect(
+        Exit::Done,
+        "set-organisation o weight=9 --wait --within 60s",
+    );
+    assert_eq!(set.json()["daemons"], 2);
+
+    let status = fleet.expect(Exit::Done, "status").json();
+    assert_eq!(status["agreed"], true, "{status}");
+    assert_eq!(status["silent"], json!([]));
+    assert_eq!(
+        status["daemons"][0]["configuration"]["objects"], 3,
+        "{status}"
+    );
+    let own = &status["targets"][0];
+    assert_eq!(own["name"], "e-1");
+    assert_eq!(own["load"]["running"], 0, "{status}");
+    assert_eq!(own["drain"], json!(null));
+
+    let marked = fleet.expect(
+        Exit::Done,
+        "mark e-1 --shutdown --drained --drained-within 60s",
+    );
+    assert_eq!(marked.json()["drained"], true);
+    let status = fleet.expect(Exit::Done, "status").json();
+    assert_eq!(status["targets"][0]["drain"]["drained"], true, "{status}");
+
+    fleet.expect(Exit::Done, "unmark e-1 --wait --within 60s");
+    let status = fleet.expect(Exit::Done, "status").json();
+    assert_eq!(status["targets"][0]["drain"], json!(null), "{status}");
+}
+
+#[test]
+fn verify_real_daemons_refuse_another_token() {
+    let fleet = Fleet::new();
+    let ended = fleet.run("status", "some-other-token-");
+    assert_eq!(ended.exit, Exit::Failure, "{ended:?}");
+    let silent = &ended.json()["silent"];
+    assert_eq!(silent[0]["why"], json!({ "refused": 401 }));
+    assert_eq!(silent[1]["why"], json!({ "refused": 401 }));
+}
+
+/// Sends a chat through the router and returns its whole answer.
+fn chat(router: SocketAddr, tokens: u32) -> (u16, String) {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build();
+    let agent = ureq::Agent::new_with_config(config);
+    let answer = agent
+        .post(format!("http://{router}/v1/chat/completions"))
+        .header("authorization", "Bearer a-key")
+        .send_json(json!({
+            "model": "galley-plan", "stream": true, "max_tokens": tokens,
+            "messages": [{ "role": "user", "content": "hello" }],
+        }));
+    let mut answer = answer.expect("an answer");
+    let text = answer.body_mut().read_to_string().expect("a whole answer");
+    (answer.status().as_u16(), text)
+}
+
+#[test]
+fn verify_drain_waits_for_what_runs_and_lets_nothing_new_in() {
+    let fleet = Fleet::new();
+    let digest = "2a8a1240f50636655520ac8ed22aa29473b8517b4abfdbc3bc03bcad73fc8849";
+    fleet.expect(
+        Exit::Done,
+        &format!("set-organisation o keys={digest} --wait --within 60s"),
+    );
+    let router = fleet.router.address;
+    let known = |status: Value| status["targets"].as_array().map(Vec::len) == Some(1);
+    until(|| known(page(fleet.operators[1])));
+    // Two seconds of an answer, which the mark comes in the middle of.
+    let stream = thread::spawn(move || chat(router, 100));
+    until(|| {
+        assert!(!stream.is_finished(), "it never ran");
+        page(fleet.operators[0])["targets"][0]["load"]["running"] == 1
+    });
+    let marked = fleet.run("mark e-1 --shutdown --drained --drained-within 60s", TOKEN);
+    let status = fleet.run("status", TOKEN);
+    assert_eq!(marked.exit, Exit::Done, "{marked:?} {status:?}");
+    let (status, text) = stream.join().expect("an answer");
+    assert_eq!(status, 200, "{text}");
+    assert_eq!(text.matches("\"content\"").count(), 100, "{text}");
+    assert!(text.trim_end().ends_with("data: [DONE]"), "{text}");
+
+    let (status, refused) = chat(router, 1);
+    assert_eq!(status, 503, "{refused}");
+    let refused: Value = serde_json::from_str(&refused).expect("JSON");
+    assert_eq!(refused["error"]["run"], "not_run", "{refused}");
+}
--- a/crates/peppercrank-spec/src/once.rs
+++ b/crates/peppercrank-spec/src/once.rs
@@ -8,6 +8,9 @@
 //! order or not at all, and may take effect though their answer is lost. One assumption is built
 //! in: a forwarded request is taken up within the retention less the life of a grant, or never.
 
+mod state;
+mod steps;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -19,14 +22,20 @@
 use peppercrank_lease::claim::Policy;
 use peppercrank_lease::claim::Verdict;
 use peppercrank_lease::shard::ClaimKey;
+use peppercrank_lease::shard::EPOCH;
 use peppercrank_lease::shard::Shard;
 use peppercrank_lease::store::Answer;
 use peppercrank_lease::store::Base;
-use peppercrank_lease::store::CallId;
 use peppercrank_lease::store::Version;
 
+use crate::once::state::Call;
+use crate::once::state::Router;
+use crate::once::state::Sending;
+use crate::once::state::Word;
 use crate::search::Model;
 
+pub use crate::once::state::State;
+
 /// The property that the request runs at most once.
 pub const TWICE: &str = "a request that must not run twice ran twice";
 
@@ -85,70 +94,6 @@
     pub cuts: u8,
 }
 
-/// One router.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Router {
-    claims: Claims,
-    /// Requests that may be forwarded, and until when.
-    grants: Vec<(RequestId, Moment)>,
-    /// Requests forwarded whose answer is awaited, and until when their grant lasts.
-    open: Vec<(RequestId, Moment)>,
-}
-
-/// One call of the store under way.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Call {
-    /// The router that waits for the answer; `None` when nobody does any more.
-    from: Option<usize>,
-    id: CallId,
-    /// What it writes on which version; `None` for a read.
-    write: Option<(Base, Shard)>,
-}
-
-/// `Word` is what a caller was told of one sending.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-enum Word {
-    /// Not run.
-    NotRun,
-    /// May have run.
-    MayHaveRun,
-}
-
-/// One sending of the request by its caller.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Sending {
-    at: Moment,
-    /// How many runs were over or under way.
-    ran: usize,
-}
-
-/// `State` is one state of the model.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct State {
-    now: Moment,
-    version: u64,
-    object: Option<(Version, Shard)>,
-    /// Since when the shard has its epoch.
-    since: Moment,
-    routers: [Router; 2],
-    calls: Vec<Call>,
-    /// Requests on the way to the agent, and since when.
-    wire: Vec<(RequestId, Moment)>,
-    /// Requests that ran, once for each time.
-    ran: Vec<RequestId>,
-    /// Whether a request ran that must not have.
-    twice: bool,
-    told: BTreeSet<(RequestId, Word)>,
-    /// Whether "not run" was said of the key while it had run or might still.
-    lied: bool,
-    /// The sendings; their tokens count from 0.
-    sends: Vec<Sending>,
-    lost: u8,
-    crashed: u8,
-    strode: u8,
-    cut: u8,
-}
-
 /// `Step` is one step of the model.
 #[derive(Debug, Clone)]
 pub enum Step {
@@ -172,7 +117,7 @@
     Crash(usize),
     /// Time passes, or every process is paused.
     Stride,
-    /// Another router's write begins the shard's next epoch.
+    /// Another router that has watched the epoch for a period begins the next.
     Roll,
 }
 
@@ -182,7 +127,7 @@
             shards: 1,
             bytes: 10_000,
             period: STRIDE,
-            generations: 1,
+            generations: 2,
             life: STRIDE / 2,
             wait: STRIDE / 2,
             call: Duration::from_secs(1_000),
@@ -206,16 +151,21 @@
         let actions = s.routers[at].claims.on(s.now, input);
         for action in actions {
             match action {
-                Action::Get { call, .. } => s.calls.push(Call {
+                Action::Get { call, shard } => s.calls.push(Call {
                     from: Some(at),
                     id: call,
+                    shard,
                     write: None,
                 }),
                 Action::Put {
-                    call, base, body, ..
+                    call,
+                    shard,
+                    base,
+                    body,
                 } => s.calls.push(Call {
                     from: Some(at),
                     id: call,
+                    shard,
                     write: Some((base, body)),
                 }),
                 Action::Tell { token, verdict } => self.tell(s, at, token, verdict),
@@ -250,15 +200,15 @@
 
     fn serve(self, s: &mut State, at: usize) {
         let call = s.calls.remove(at);
-        let answer = self.store(s, call.write);
+        let answer = self.store(s, call.shard, call.write);
         if let Some(router) = call.from {
             let call = call.id;
             self.drive(s, router, Input::Answer { call, answer });
         }
     }
 
-    fn store(self, s: &mut State, write: Option<(Base, Shard)>) -> Answer<Shard> {
-        let current = s.object.clone();
+    fn store(self, s: &mut State, shard: u16, write: Option<(Base, Shard)>) -> Answer<Shard> {
+        let current = s.object(shard).clone();
         let Some((base, body)) = write else {
             return match current {
                 Some((version, body)) => Answer::Found { version, body },
@@ -269,7 +219,7 @@
         if !stands && self.flaw != Flaw::Unconditional {
             return Answer::Conflict { current };
         }
-        s.put(body);
+        s.put(shard, body);
         Answer::Written {
             version: Version(s.version),
         }
@@ -354,18 +304,16 @@
     }
 
     fn may_roll(self, s: &State) -> bool {
-        let watched = s.now.since(s.since) >= Self::policy().period;
-        let early = self.flaw == Flaw::EarlyEpoch;
-        let object = s.object.as_ref();
-        object.is_some_and(|(_, b)| !b.is_empty()) && (watched || early)
+        let period = Self::policy().period;
+        let watched = s.since.is_none_or(|at| s.now.since(at) >= period);
+        // An epoch that no claim is made or kept in makes no difference.
+        let useful = s.object(0).as_ref().is_some_and(|o| !o.1.is_empty());
+        useful && (watched || self.flaw == Flaw::EarlyEpoch)
     }
 
     fn roll(s: &mut State) {
-        let Some((_, mut body)) = s.object.clone() else {
-            return;
-        };
-        body.roll(Self::policy().generations);
-        s.put(body);
+        let number = s.object(EPOCH).as_ref().map_or(0, |o| o.1.epoch());
+        s.put(EPOCH, Shard::of_epoch(number + 1));
     }
 
     fn apply(self, s: &State, step: &Step) -> State {
@@ -385,97 +333,6 @@
         }
         s
     }
-
-    fn router_steps(self, s: &State, at: usize, steps: &mut Vec<Step>) {
-        let router = &s.routers[at];
-        // The routers are alike: the first sending may as well go to the first.
-        if s.sent() < self.sends && (at == 0 || s.sent() > 0) {
-            steps.push(Step::Send(at));
-        }
-        if router.claims.wake().is_some_and(|w| w <= s.now) {
-            steps.push(Step::Tick(at));
-        }
-        steps.extend(router.grants.iter().map(|g| Step::Forward(at, g.0)));
-        if s.crashed < self.crashes {
-            steps.push(Step::Crash(at));
-        }
-    }
-}
-
-impl State {
-    fn put(&mut self, body: Shard) {
-        let epoch = self.object.as_ref().map_or(0, |o| o.1.epoch());
-        if body.epoch() != epoch {
-            self.since = self.now;
-        }
-        self.version += 1;
-        self.object = Some((Version(self.version), body));
-    }
-
-    fn say(&mut self, token: RequestId, word: Word) {
-        self.told.insert((token, word));
-    }
-
-    /// Says "not run", of the key in all its sendings if under a claim.
-    fn say_not_run(&mut self, token: RequestId, claimed: bool) {
-        let wire = self.wire.iter().map(|w| &w.0);
-        let mut others = wire.chain(&self.ran);
-        let may_run = others.any(|t| self.are_near(token, *t));
-        self.lied |= claimed && may_run;
-        self.say(token, Word::NotRun);
-    }
-
-    /// Ends a router's wait for the agent's answer.
-    fn close(&mut self, token: RequestId) -> Option<(usize, Moment)> {
-        let routers = self.routers.iter_mut().enumerate();
-        for (at, router) in routers {
-            let mut open = router.open.iter();
-            if let Some(found) = open.position(|o| o.0 == token) {
-                return Some((at, router.open.remove(found).1));
-            }
-        }
-        None
-    }
-
-    /// Whether a router awaits the agent's answer.
-    fn is_open(&self, token: RequestId) -> bool {
-        let mut open = self.routers.iter().flat_map(|r| &r.open);
-        open.any(|o| o.0 == token)
-    }
-
-    fn run(&mut self, token: RequestId) {
-        if let Some(at) = self.wire.iter().position(|w| w.0 == token) {
-            self.wire.remove(at);
-            let mut before = self.ran.iter().enumerate();
-            self.twice |= before.any(|(i, t)| !self.may_follow(token, *t, i));
-            self.ran.push(token);
-        }
-    }
-
-    /// Whether `token` may run though `other` did, as the `nth` run of all.
-    ///
-    /// Only a sending later than the promise reaches may, and only if it came after that run.
-    fn may_follow(&self, token: RequestId, other: RequestId, nth: usize) -> bool {
-        let late = !self.are_near(token, other) && token > other;
-        late && self.sending(token).is_some_and(|s| nth < s.ran)
-    }
-
-    /// Whether the promise covers two sendings: the retention, less the wait for a claim.
-    fn are_near(&self, a: RequestId, b: RequestId) -> bool {
-        let policy = Once::policy();
-        let reach = policy.retention().saturating_sub(policy.wait);
-        let at = |t| self.sending(t).map_or(Moment::ZERO, |s| s.at);
-        let apart = at(a).since(at(b)).max(at(b).since(at(a)));
-        apart < reach
-    }
-
-    fn sending(&self, token: RequestId) -> Option<&Sending> {
-        self.sends.get(usize::try_from(token.0).ok()?)
-    }
-
-    fn sent(&self) -> u8 {
-        u8::try_from(self.sends.len()).unwrap_or(u8::MAX)
-    }
 }
 
 impl Model for Once {
@@ -486,8 +343,9 @@
         State {
             now: Moment::ZERO,
             version: 0,
-            object: None,
-            since: Moment::ZERO,
+            shard: None,
+            epoch: None,
+            since: None,
             routers: [Self::router(), Self::router()],
             calls: Vec::new(),
             wire: Vec::new(),
--- a/crates/peppercrank-spec/src/orders.rs
+++ b/crates/peppercrank-spec/src/orders.rs
@@ -8,6 +8,9 @@
 //! stride of time lets a lease lapse: for a holder that checked its lease just before, it is a
 //! pause in mid-order.
 
+mod state;
+mod steps;
+
 use std::time::Duration;
 
 use peppercrank_core::names::VmName;
@@ -28,8 +31,12 @@
 use peppercrank_lease::store::CallId;
 use peppercrank_lease::store::Version;
 
+use crate::orders::state::Call;
+use crate::orders::state::Caller;
 use crate::search::Model;
 
+pub use crate::orders::state::State;
+
 /// The property that an engine never obeys an order older than one it obeyed.
 pub const OLDER: &str = "an order was obeyed after a newer holder's";
 
@@ -79,47 +86,6 @@
     pub cuts: u8,
 }
 
-/// Who waits for the answer to a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Caller {
-    Contender(usize),
-    Gate,
-}
-
-/// One call of the store under way.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Call {
-    /// Who waits; `None` when nobody does any more.
-    from: Option<Caller>,
-    id: CallId,
-    /// What it writes on which version; `None` for a read.
-    write: Option<(Base, Lease)>,
-}
-
-/// `State` is one state of the model.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct State {
-    now: Moment,
-    version: u64,
-    object: Option<(Version, Lease)>,
-    contenders: [Contender; 2],
-    gate: Gate,
-    calls: Vec<Call>,
-    /// Orders on the way to the agent.
-    wire: Vec<Order>,
-    /// Orders on the way to the engine, and whether the agent still waits for them.
-    line: Vec<(Order, bool)>,
-    /// The place of the last order obeyed.
-    obeyed: (Version, u64),
-    older: bool,
-    given: u8,
-    lost: u8,
-    restarted: u8,
-    strode: u8,
-    repeated: u8,
-    cut: u8,
-}
-
 /// `Step` is one step of the model.
 #[derive(Debug, Clone)]
 pub enum Step {
@@ -181,7 +147,7 @@
         Gate::new(policy, now)
     }
 
-    fn contend(self, s: &mut State, at: usize, input: lease::Input) {
+    fn contend(s: &mut State, at: usize, input: lease::Input) {
         for action in s.contenders[at].on(s.now, input) {
             let from = Some(Caller::Contender(at));
             match action {
@@ -204,7 +170,7 @@
         }
     }
 
-    fn guard(self, s: &mut State, input: gate::Input) {
+    fn guard(s: &mut State, input: gate::Input) {
         for action in s.gate.on(s.now, input) {
             match action {
                 gate::Action::Read { call: id } => s.calls.push(Call {
@@ -228,21 +194,21 @@
         match from {
             None => {}
             Some(Caller::Contender(at)) => {
-                let answer = self.hurry(s, at, answer);
-                self.contend(s, at, lease::Input::Answer { call, answer });
+                let answer = self.hurry(at, answer);
+                Self::contend(s, at, lease::Input::Answer { call, answer });
             }
             Some(Caller::Gate) => {
                 let answer = self.forget(answer);
-                self.guard(s, gate::Input::Lease { call, answer });
+                Self::guard(s, gate::Input::Lease { call, answer });
             }
         }
     }
 
     /// For a flaw: lets another's lease look as if it lasted no time.
-    fn hurry(self, s: &State, at: usize, answer: Answer<Lease>) -> Answer<Lease> {
+    fn hurry(self, at: usize, answer: Answer<Lease>) -> Answer<Lease> {
         match answer {
             Answer::Found { version, mut body }
-                if self.flaw == Flaw::Impatient && !s.is_of(at, &body) =>
+                if self.flaw == Flaw::Impatient && body.session != Session(at as u64) =>
             {
                 body.released = true;
                 Answer::Found { version, body }
@@ -291,7 +257,7 @@
         self.answer(s, from, id, Answer::Failed { after: None });
     }
 
-    fn give(self, s: &mut State, at: usize) {
+    fn give(s: &mut State, at: usize) {
         let Some(fence) = s.contenders[at].fence(s.now) else {
             return;
         };
@@ -310,7 +276,7 @@
             s.line.push((order, true));
             return;
         }
-        self.guard(s, gate::Input::Order(order));
+        Self::guard(s, gate::Input::Order(order));
     }
 
     fn obey(self, s: &mut State, at: usize) {
@@ -326,16 +292,16 @@
         };
         if waits {
             let id = order.id;
-            self.guard(s, gate::Input::Engine { id, reply });
+            Self::guard(s, gate::Input::Engine { id, reply });
         }
     }
 
-    fn cut(self, s: &mut State, at: usize) {
+    fn cut(s: &mut State, at: usize) {
         s.cut += 1;
         s.line[at].1 = false;
         let id = s.line[at].0.id;
         let reply = Reply::Unknown;
-        self.guard(s, gate::Input::Engine { id, reply });
+        Self::guard(s, gate::Input::Engine { id, reply });
     }
 
     fn restart(self, s: &mut State) {
@@ -358,10 +324,10 @@
     fn apply(self, s: &State, step: &Step) -> State {
         let mut s = s.clone();
         match *step {
-            Step::Tick(at) => self.contend(&mut s, at, lease::Input::Tick),
+            Step::Tick(at) => Self::contend(&mut s, at, lease::Input::Tick),
             Step::Serve(at) => self.serve(&mut s, at),
             Step::Lose(at) => self.lose(&mut s, at),
-            Step::Give(at) => self.give(&mut s, at),
+            Step::Give(at) => Self::give(&mut s, at),
             Step::Arrive(at) => {
                 let order = s.wire.remove(at);
                 self.arrive(&mut s, order);
@@ -372,61 +338,13 @@
                 self.arrive(&mut s, order);
             }
             Step::Obey(at) => self.obey(&mut s, at),
-            Step::Cut(at) => self.cut(&mut s, at),
-            Step::Settle => self.guard(&mut s, gate::Input::Tick),
+            Step::Cut(at) => Self::cut(&mut s, at),
+            Step::Settle => Self::guard(&mut s, gate::Input::Tick),
             Step::Restart => self.restart(&mut s),
             Step::Stride => Self::stride(&mut s),
         }
         s
     }
-
-    /// The steps of the contenders and the store.
-    fn lease_steps(self, s: &State, steps: &mut Vec<Step>) {
-        for (at, contender) in s.contenders.iter().enumerate() {
-            if contender.wake().is_some_and(|w| w <= s.now) {
-                steps.push(Step::Tick(at));
-            }
-            if s.given < self.orders && contender.fence(s.now).is_some() {
-                steps.push(Step::Give(at));
-            }
-        }
-        for (at, call) in s.calls.iter().enumerate() {
-            steps.push(Step::Serve(at));
-            if call.from.is_some() && s.lost < self.losses {
-                steps.push(Step::Lose(at));
-            }
-        }
-    }
-
-    /// The steps of the agent and the engine.
-    fn agent_steps(self, s: &State, steps: &mut Vec<Step>) {
-        for at in 0..s.wire.len() {
-            steps.push(Step::Arrive(at));
-            if s.repeated < self.repeats {
-                steps.push(Step::Repeat(at));
-            }
-        }
-        for (at, (_, waits)) in s.line.iter().enumerate() {
-            steps.push(Step::Obey(at));
-            if *waits && s.cut < self.cuts {
-                steps.push(Step::Cut(at));
-            }
-        }
-        if s.gate.wake().is_some_and(|w| w <= s.now) {
-            steps.push(Step::Settle);
-        }
-        // Before any order a restart changes nothing that counts.
-        if s.restarted < self.restarts && s.given > 0 {
-            steps.push(Step::Restart);
-        }
-    }
-}
-
-impl State {
-    /// Whether a lease is the contender's own.
-    fn is_of(&self, at: usize, lease: &Lease) -> bool {
-        lease.session == Session(at as u64)
-    }
 }
 
 impl Model for Orders {
