--- a/crates/peppercrank-config/src/message.rs
+++ b/crates/peppercrank-config/src/message.rs
@@ -112,12 +112,15 @@
     }
 }
 
+/// The bytes of a beat in a heartbeat: one packed word and a salt.
+pub const BEAT_BYTES: usize = 10;
+
 /// How many bits of the digest a packed beat carries.
 const DIGEST_BITS: u32 = 48;
 /// The age, in seconds, that stands for "unknown or longer".
 const OLD_S: u64 = (1 << 15) - 1;
 
-/// `Beat` is what each heartbeat carries: eight bytes.
+/// `Beat` is what each heartbeat carries, in [`BEAT_BYTES`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
     /// The lower 48 bits of the store's digest.
@@ -147,6 +150,26 @@
         self.digest << 16 | age << 1 | u64::from(self.ready)
     }
 
+    /// `to_bytes` is the packed beat for a heartbeat, with a salt that tells members apart.
+    ///
+    /// A carrier that hands on only what differs from its own thereby hands on every beat.
+    #[must_use]
+    pub fn to_bytes(&self, salt: u16) -> [u8; BEAT_BYTES] {
+        let mut bytes = [0; BEAT_BYTES];
+        bytes[..8].copy_from_slice(&self.pack().to_le_bytes());
+        bytes[8..].copy_from_slice(&salt.to_le_bytes());
+        bytes
+    }
+
+    /// `from_bytes` reads what [`Beat::to_bytes`] wrote; none when the length is another.
+    #[must_use]
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        let bytes: [u8; BEAT_BYTES] = bytes.try_into().ok()?;
+        let mut word = [0; 8];
+        word.copy_from_slice(&bytes[..8]);
+        Some(Self::unpack(u64::from_le_bytes(word)))
+    }
+
     /// `unpack` reads a packed beat; every word is one.
     #[must_use]
     pub const fn unpack(word: u64) -> Self {
--- a/crates/peppercrank-config/src/relay.rs
+++ b/crates/peppercrank-config/src/relay.rs
@@ -18,6 +18,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use peppercrank_core::hash::hash64;
 use peppercrank_core::names::VmName;
 use peppercrank_core::objects::Kind;
 use peppercrank_core::objects::ObjectKey;
@@ -56,6 +57,7 @@
 use survey::Surveys;
 use survey::Word;
 
+use crate::message::BEAT_BYTES;
 use crate::message::Beat;
 use crate::message::CHUNK;
 use crate::message::Message;
@@ -69,10 +71,10 @@
 const WATCHER_SPREAD: Duration = Duration::from_millis(300);
 /// After which a process that was told of no members calls the API all the same.
 const UNTOLD: Duration = Duration::from_secs(1);
-/// How many fresh processes a second turn to the API when no peer is ready.
-const FRESH_RATE: f64 = 50.0;
-/// The least time that they spread over.
-const FRESH_SPREAD: Duration = Duration::from_secs(2);
+/// How many fresh processes a second try the API when their peers are stale.
+const TRY_RATE: f64 = 400.0;
+/// The longest time that they spread over.
+const MAX_TRY: Duration = Duration::from_secs(4);
 
 /// `Relay` keeps one process's configuration as new as its peers' and the platform's.
 #[derive(Debug)]
@@ -90,6 +92,7 @@
     confirmed: Option<Moment>,
     /// Whether the calls of a fresh process are under way.
     kicked: bool,
+    salt: u16,
     rng: ChaCha8Rng,
     out: Vec<Action>,
 }
@@ -98,10 +101,12 @@
     /// `new` makes the relay of a process that starts now and holds nothing.
     #[must_use]
     pub fn new(now: Moment, me: Member, seed: u64) -> Self {
+        let [a, b, ..] = hash64(0, me.name.as_str().as_bytes()).to_le_bytes();
         Self {
             store: Store::new(),
             peers: Peers::new(me),
-            calls: Calls::new(Mode::Watch),
+            salt: u16::from_le_bytes([a, b]),
+            calls: Calls::new(Mode::Eager),
             spread: Spread::new(now),
             repair: Repair::default(),
             surveys: Surveys::default(),
@@ -146,6 +151,12 @@
         Beat::new(self.store.digest(), self.age(now), ready)
     }
 
+    /// `beat_bytes` is [`Relay::beat`] for a heartbeat, salted by this member's name.
+    #[must_use]
+    pub fn beat_bytes(&self, now: Moment) -> [u8; BEAT_BYTES] {
+        self.beat(now).to_bytes(self.salt)
+    }
+
     /// `next` is when [`Input::Tick`] is due, unless another input comes before.
     #[must_use]
     pub fn next(&self) -> Moment {
@@ -173,7 +184,7 @@
         self.turn(now);
         let after = self.readiness();
         if before != after {
-            self.entered(now, after);
+            self.out.push(Action::Readiness(after));
         }
         std::mem::take(&mut self.out)
     }
@@ -340,14 +351,6 @@
         self.out.push(Action::Applied { key, version });
     }
 
-    fn entered(&mut self, now: Moment, state: Readiness) {
-        if state.is_ready() && !self.is_watcher() {
-            // The haste of a fresh process is over.
-            self.calls.relax(now, &mut self.rng);
-        }
-        self.out.push(Action::Readiness(state));
-    }
-
     /// Does what has become due.
     fn turn(&mut self, now: Moment) {
         self.mend(now);
@@ -421,14 +424,18 @@
         match self.boot.step(now, around) {
             Step::Wait => {}
             Step::Compare => self.compare_fresh(now),
-            Step::TryApi => {
-                self.boot.try_api(now);
-                let spread = calls::uniform(&mut self.rng, FRESH_SPREAD);
-                self.calls.hasten_one(Kind::ALL[0], now + spread);
-            }
+            Step::TryApi => self.try_api(now),
         }
     }
 
+    fn try_api(&mut self, now: Moment) {
+        let members = u32::try_from(self.peers.count()).unwrap_or(u32::MAX);
+        let spread = Duration::from_secs_f64(f64::from(members) / TRY_RATE);
+        let at = now + calls::uniform(&mut self.rng, spread.min(MAX_TRY));
+        self.boot.try_api(at);
+        self.calls.hasten_one(Kind::ALL[0], at);
+    }
+
     fn compare_fresh(&mut self, now: Moment) {
         let boot = &self.boot;
         let skip = |name: &VmName| boot.skips(now, name);
@@ -441,12 +448,13 @@
 
     fn call(&mut self, now: Moment) {
         let alone = self.peers.is_alone() || now.since(self.peer_heard) >= LONELY;
-        let mode = match (self.peers.is_watcher(), alone) {
-            (true, _) => Mode::Watch,
-            (false, true) => Mode::Lonely,
-            (false, false) => Mode::Poll {
-                members: self.peers.count(),
-            },
+        let members = self.peers.count();
+        let mode = match (self.peers.is_watcher(), self.readiness().is_ready()) {
+            (true, true) => Mode::Watch,
+            (true, false) => Mode::Eager,
+            (false, true) if alone => Mode::Lonely,
+            (false, true) => Mode::Poll { members },
+            (false, false) => Mode::Fresh { members },
         };
         self.calls.set_mode(now, mode, &mut self.rng);
         if now.since(self.boot.began()) >= UNTOLD {
@@ -463,12 +471,10 @@
             return;
         }
         self.kicked = true;
-        let members = u32::try_from(self.peers.count()).unwrap_or(u32::MAX);
-        let slow = FRESH_SPREAD.max(Duration::from_secs_f64(f64::from(members) / FRESH_RATE));
         let spread = if self.is_watcher() {
             WATCHER_SPREAD
         } else {
-            slow
+            calls::fresh(self.peers.count())
         };
         let began = self.boot.began();
         self.calls.hasten(now, began, spread, &mut self.rng);
--- a/crates/peppercrank-config/src/relay/boot.rs
+++ b/crates/peppercrank-config/src/relay/boot.rs
@@ -29,6 +29,9 @@
 /// The longest such pause.
 pub const MAX_NEXT: Duration = Duration::from_secs(5);
 
+/// The time between two judgements of a process that may not serve yet.
+const JUDGE: Duration = Duration::from_millis(100);
+
 /// What a fresh process is to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Step {
@@ -66,6 +69,8 @@
     /// The peers that were asked, and until when they are not asked again.
     asked: BTreeMap<VmName, Moment>,
     again: Moment,
+    /// When it was last judged whether the process may serve.
+    judged: Moment,
     /// How many were asked since one answered well.
     vain: u32,
     /// Whether one of the peers was not stale.
@@ -82,6 +87,7 @@
             compared: BTreeSet::new(),
             asked: BTreeMap::new(),
             again: now,
+            judged: now,
             vain: 0,
             recent: false,
             tried: None,
@@ -126,14 +132,15 @@
         self.asked.insert(peer.clone(), now + SETTLE);
     }
 
-    /// Notes that the API is tried.
-    pub(super) const fn try_api(&mut self, now: Moment) {
-        self.tried = Some(now);
+    /// Notes when the API is tried.
+    pub(super) const fn try_api(&mut self, at: Moment) {
+        self.tried = Some(at);
     }
 
     /// Judges anew whether the process may serve, and what to do until it may.
     pub(super) fn step(&mut self, now: Moment, around: Around) -> Step {
         self.touch(now);
+        self.judged = now;
         if self.state.is_ready() {
             return Step::Wait;
         }
@@ -157,7 +164,7 @@
     pub(super) fn next(&self) -> Moment {
         match self.state {
             Readiness::Ready(_) => self.heard + OUT_OF_TOUCH,
-            Readiness::Fresh | Readiness::OutOfTouch => self.again,
+            Readiness::Fresh | Readiness::OutOfTouch => self.again.max(self.judged + JUDGE),
         }
     }
 
--- a/crates/peppercrank-config/src/relay/calls.rs
+++ b/crates/peppercrank-config/src/relay/calls.rs
@@ -25,7 +25,11 @@
 /// The first pause after a failed call, doubled up to [`MAX_PAUSE`].
 pub const MIN_PAUSE: Duration = Duration::from_secs(1);
 /// The longest pause after a failed call.
-pub const MAX_PAUSE: Duration = Duration::from_secs(30);
+pub const MAX_PAUSE: Duration = Duration::from_secs(10);
+/// How many fresh processes a second turn to the API when no peer is ready.
+pub const FRESH_RATE: f64 = 10.0;
+/// The least time that they spread over.
+pub const MIN_FRESH: Duration = Duration::from_secs(2);
 /// The slow polls of the whole fleet, in calls a second.
 pub const POLL_RATE: f64 = 2.0;
 /// The shortest interval of slow polls.
@@ -38,6 +42,13 @@
 pub(super) enum Mode {
     /// It watches for its zone.
     Watch,
+    /// It watches for its zone once it may serve.
+    Eager,
+    /// It may not serve yet, one of so many members, and does not watch.
+    Fresh {
+        /// The members of the fleet.
+        members: usize,
+    },
     /// It polls slowly, one of so many members.
     Poll {
         /// The members of the fleet.
@@ -91,12 +102,11 @@
         if self.mode == mode {
             return;
         }
-        let same = matches!((self.mode, mode), (Mode::Poll { .. }, Mode::Poll { .. }));
+        let same = std::mem::discriminant(&self.mode) == std::mem::discriminant(&mode);
         self.mode = mode;
-        if same {
-            return;
+        if !same {
+            self.retime(now, rng);
         }
-        self.relax(now, rng);
     }
 
     /// Brings the calls about kinds not confirmed after `since` forward to within `spread` of
@@ -116,11 +126,12 @@
         }
     }
 
-    /// Puts all calls off to what the mode asks for, pauses after failures excepted.
-    pub(super) fn relax(&mut self, now: Moment, rng: &mut ChaCha8Rng) {
-        let mode = self.mode;
+    /// Puts all calls to when the mode asks for them.
+    fn retime(&mut self, now: Moment, rng: &mut ChaCha8Rng) {
+        // One time for all kinds: one kind's answer brings the others' calls forward.
+        let at = now + first_pause(self.mode, rng);
         for slot in &mut self.slots {
-            slot.retime(now + first_pause(mode, rng));
+            slot.retime(at);
         }
     }
 
@@ -133,7 +144,8 @@
     pub(super) fn due(&mut self, now: Moment, complete: &Complete) -> Vec<Call> {
         let wait = match self.mode {
             Mode::Watch => WATCH_WAIT,
-            Mode::Poll { .. } | Mode::Lonely => Duration::ZERO,
+            // One that may not serve yet wants an answer now, also that nothing changed.
+            Mode::Eager | Mode::Fresh { .. } | Mode::Poll { .. } | Mode::Lonely => Duration::ZERO,
         };
         let kinds = Kind::ALL.iter().zip(&mut self.slots).zip(complete);
         let due = kinds.filter_map(|((kind, slot), since)| slot.call(now, *kind, *since, wait));
@@ -174,7 +186,8 @@
             }
             Answer::Down => {
                 slot.failures += 1;
-                backoff(slot.failures, rng)
+                let next = next_pause(now, slot.started, mode, rng);
+                next.max(backoff(slot.failures, rng))
             }
         };
         let at = Some(now + pause);
@@ -204,13 +217,13 @@
 
 impl Slot {
     fn retime(&mut self, to: Moment) {
-        let State::Idle { at: Some(_) } = self.state else {
+        let State::Idle { at: Some(at) } = self.state else {
             return;
         };
-        // A pause after a failure is kept: changing sides must not shorten it.
-        if self.failures == 0 {
-            self.state = State::Idle { at: Some(to) };
-        }
+        // A pause after a failure may grow, but changing sides must not shorten it.
+        let floor = if self.failures > 0 { at } else { to };
+        let at = Some(to.max(floor));
+        self.state = State::Idle { at };
     }
 
     fn hasten(&mut self, soon: Moment) {
@@ -259,6 +272,8 @@
 fn first_pause(mode: Mode, rng: &mut ChaCha8Rng) -> Duration {
     match mode {
         Mode::Watch => uniform(rng, WATCH_GAP),
+        Mode::Eager => uniform(rng, MIN_PAUSE),
+        Mode::Fresh { members } => uniform(rng, fresh(members)),
         Mode::Poll { members } => uniform(rng, poll(members)),
         Mode::Lonely => uniform(rng, LONELY_POLL),
     }
@@ -267,11 +282,19 @@
 fn next_pause(now: Moment, started: Moment, mode: Mode, rng: &mut ChaCha8Rng) -> Duration {
     match mode {
         Mode::Watch => WATCH_GAP.saturating_sub(now.since(started)),
+        Mode::Eager => MIN_PAUSE,
+        Mode::Fresh { members } => fresh(members).mul_f64(rng.random_range(0.5..1.5)),
         Mode::Poll { members } => poll(members).mul_f64(rng.random_range(0.5..1.5)),
         Mode::Lonely => LONELY_POLL.mul_f64(rng.random_range(0.5..1.5)),
     }
 }
 
+/// The time over which so many fresh processes turn to the API at the set rate.
+pub(super) fn fresh(members: usize) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    MIN_FRESH.max(Duration::from_secs_f64(f64::from(members) / FRESH_RATE))
+}
+
 /// The interval at which so many members together poll at the set rate.
 fn poll(members: usize) -> Duration {
     let members = u32::try_from(members).unwrap_or(u32::MAX);
--- a/crates/peppercrank-config/src/relay/peers.rs
+++ b/crates/peppercrank-config/src/relay/peers.rs
@@ -3,8 +3,6 @@
 
 //! The live members, and which of them watch the platform's API.
 
-use std::collections::BTreeMap;
-
 use peppercrank_core::hash::hash64;
 use peppercrank_core::names::VmName;
 use peppercrank_core::names::ZoneName;
@@ -21,14 +19,27 @@
 
 const WATCH_SEED: u64 = 0x7761_7463_6865_7273;
 
+/// What is known of one peer.
+#[derive(Debug)]
+struct Peer {
+    member: Member,
+    /// What it said of its readiness.
+    ready: Option<bool>,
+}
+
+impl Peer {
+    fn is_ready(&self) -> bool {
+        self.ready == Some(true)
+    }
+}
+
 /// The live members, as seen by one of them.
 #[derive(Debug)]
 pub(super) struct Peers {
     me: Member,
     /// All members but this one, in the order of their names.
-    others: Vec<Member>,
-    /// What each said of its readiness.
-    ready: BTreeMap<VmName, bool>,
+    others: Vec<Peer>,
+    ready: usize,
     watcher: bool,
 }
 
@@ -37,25 +48,41 @@
         Self {
             me,
             others: Vec::new(),
-            ready: BTreeMap::new(),
+            ready: 0,
             // Alone until told otherwise, and so the first in its zone.
             watcher: true,
         }
     }
 
-    pub(super) fn replace(&mut self, members: Vec<Member>) {
-        self.others = members;
-        self.others.retain(|m| m.name != self.me.name);
-        self.others.sort();
-        self.others.dedup();
-        let live = &self.others;
-        let is_live = |name: &VmName| live.binary_search_by(|m| m.name.cmp(name)).is_ok();
-        self.ready.retain(|name, _| is_live(name));
+    pub(super) fn replace(&mut self, mut members: Vec<Member>) {
+        members.retain(|m| m.name != self.me.name);
+        members.sort();
+        members.dedup_by(|a, b| a.name == b.name);
+        let mut old = std::mem::take(&mut self.others).into_iter().peekable();
+        let peers = members.into_iter().map(|member| {
+            while old.next_if(|p| p.member.name < member.name).is_some() {}
+            let known = old.next_if(|p| p.member.name == member.name);
+            let ready = known.and_then(|p| p.ready);
+            Peer { member, ready }
+        });
+        self.others = peers.collect();
+        self.ready = self.others.iter().filter(|p| p.is_ready()).count();
         self.watcher = self.ranks_first();
     }
 
     pub(super) fn note_ready(&mut self, name: &VmName, ready: bool) {
-        self.ready.insert(name.clone(), ready);
+        let Some(i) = self.find(name) else {
+            return;
+        };
+        let peer = &mut self.others[i];
+        self.ready -= usize::from(peer.is_ready());
+        peer.ready = Some(ready);
+        self.ready += usize::from(ready);
+    }
+
+    fn find(&self, name: &VmName) -> Option<usize> {
+        let found = self.others.binary_search_by(|p| p.member.name.cmp(name));
+        found.ok()
     }
 
     pub(super) const fn me(&self) -> &VmName {
@@ -64,7 +91,7 @@
 
     /// The names of all members but this one.
     pub(super) fn names(&self) -> impl Iterator<Item = &VmName> {
-        self.others.iter().map(|m| &m.name)
+        self.others.iter().map(|p| &p.member.name)
     }
 
     /// Whether this process watches the platform's API for its zone.
@@ -82,8 +109,8 @@
     }
 
     /// How many peers said that they are ready.
-    pub(super) fn ready_count(&self) -> usize {
-        self.ready.values().filter(|r| **r).count()
+    pub(super) const fn ready_count(&self) -> usize {
+        self.ready
     }
 
     /// Picks up to `count` peers at random, none of them `source`.
@@ -94,7 +121,7 @@
         source: Option<&VmName>,
     ) -> Vec<VmName> {
         // One more than asked for, so that leaving the source out still fills the sample.
-        let picked = self.others.sample(rng, count + 1).map(|m| &m.name);
+        let picked = self.others.sample(rng, count + 1).map(|p| &p.member.name);
         let others = picked.filter(|name| Some(*name) != source);
         others.take(count).cloned().collect()
     }
@@ -107,13 +134,13 @@
         skip: impl Fn(&VmName) -> bool,
     ) -> Option<VmName> {
         let near = rng.random_range(0..2) == 0;
-        let ready = |m: &&Member| self.ready.get(&m.name) == Some(&true);
-        let unknown = |m: &&Member| !self.ready.contains_key(&m.name);
-        let open: Vec<&Member> = self.others.iter().filter(|m| !skip(&m.name)).collect();
+        let open = self.others.iter().filter(|p| !skip(&p.member.name));
+        let open: Vec<&Peer> = open.collect();
+        let is_near = |p: &Peer| p.member.zone == self.me.zone;
         let picks = [
-            pick(rng, &open, |m| ready(m) && near && m.zone == self.me.zone),
-            pick(rng, &open, ready),
-            pick(rng, &open, unknown),
+            pick(rng, &open, |p| near && p.is_ready() && is_near(p)),
+            pick(rng, &open, Peer::is_ready),
+            pick(rng, &open, |p| p.ready.is_none()),
         ];
         picks.into_iter().flatten().next()
     }
@@ -121,7 +148,8 @@
     fn ranks_first(&self) -> bool {
         let mine = rank(&self.me);
         let zone = &self.me.zone;
-        let above = self.others.iter().filter(|m| m.zone == *zone);
+        let above = self.others.iter().map(|p| &p.member);
+        let above = above.filter(|m| m.zone == *zone);
         above.filter(|m| rank(m) > mine).count() < WATCHERS
     }
 }
@@ -138,9 +166,9 @@
     ranked
 }
 
-fn pick(rng: &mut ChaCha8Rng, open: &[&Member], fits: impl Fn(&&Member) -> bool) -> Option<VmName> {
-    let fitting: Vec<&&Member> = open.iter().filter(|m| fits(m)).collect();
-    fitting.choose(rng).map(|m| m.name.clone())
+fn pick(rng: &mut ChaCha8Rng, open: &[&Peer], fits: impl Fn(&Peer) -> bool) -> Option<VmName> {
+    let fitting: Vec<&Peer> = open.iter().copied().filter(|p| fits(p)).collect();
+    fitting.choose(rng).map(|p| p.member.name.clone())
 }
 
 fn rank(member: &Member) -> (u64, &VmName) {
--- a/crates/peppercrank-config/src/relay/spread.rs
+++ b/crates/peppercrank-config/src/relay/spread.rs
@@ -24,10 +24,11 @@
 pub const FANOUT: usize = 4;
 /// The least time between two rounds of telling, so that a burst goes in batches.
 pub const ROUND_GAP: Duration = Duration::from_millis(50);
-/// The bytes a second that a process may spend on telling news, over time.
+/// The bytes a second that a process may spend on telling news whole, over time; and as much on
+/// telling stamps.
 pub const RATE: f64 = 1_024.0;
-/// The bytes that it may spend at once.
-pub const BURST: f64 = 32.0 * 1_024.0;
+/// The bytes that it may spend on either at once.
+pub const BURST: f64 = 16.0 * 1_024.0;
 /// After which a version that was asked for may be asked for again.
 pub const ASK_AGAIN: Duration = Duration::from_secs(1);
 /// The most objects that one message asks for.
@@ -41,7 +42,8 @@
 pub(super) struct Spread {
     news: BTreeMap<ObjectKey, Option<VmName>>,
     told: Moment,
-    budget: f64,
+    whole: Budget,
+    stamps: Budget,
     asked: BTreeMap<ObjectKey, (Version, Moment)>,
 }
 
@@ -50,7 +52,8 @@
         Self {
             news: BTreeMap::new(),
             told: now,
-            budget: BURST,
+            whole: Budget::FULL,
+            stamps: Budget::FULL,
             asked: BTreeMap::new(),
         }
     }
@@ -81,7 +84,9 @@
 
     /// The messages that tell the news to one peer, when `peers` peers are told.
     pub(super) fn tell(&mut self, now: Moment, store: &Store, peers: usize) -> Vec<Message> {
-        self.refill(now);
+        let since = now.since(self.told);
+        self.whole.refill(since);
+        self.stamps.refill(since);
         self.told = now;
         let news = std::mem::take(&mut self.news);
         let mut objects = Vec::new();
@@ -89,13 +94,14 @@
         for key in news.into_keys() {
             let versions: Vec<Object> = store.objects(&key).collect();
             let length: usize = versions.iter().map(length).sum();
-            if length + FRAME <= DATAGRAM && self.spend(length * peers) {
+            if length + FRAME <= DATAGRAM && self.whole.spend(length * peers) {
                 objects.extend(versions);
             } else {
                 stamps.extend(store.stamp(&key));
             }
         }
-        let stamps = self.afford(stamps, peers);
+        // The digests of heartbeats tell of what the budget does not allow.
+        stamps.retain(|s| self.stamps.spend(stamp_length(s) * peers));
         let objects = packed(objects, length, DATAGRAM).into_iter();
         let stamps = packed(stamps, stamp_length, DATAGRAM).into_iter();
         objects
@@ -124,26 +130,30 @@
         }
         wanted
     }
+}
+
+/// Bytes that may be spent, refilled as time passes.
+#[derive(Debug, Clone, Copy)]
+struct Budget {
+    left: f64,
+}
 
-    fn refill(&mut self, now: Moment) {
-        let since = now.since(self.told).as_secs_f64();
-        self.budget = BURST.min(self.budget + since * RATE);
+impl Budget {
+    const FULL: Self = Self { left: BURST };
+
+    fn refill(&mut self, since: Duration) {
+        let more = since.as_secs_f64() * RATE;
+        self.left = BURST.min(self.left + more);
     }
 
     fn spend(&mut self, bytes: usize) -> bool {
         let bytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
-        let within = bytes <= self.budget;
+        let within = bytes <= self.left;
         if within {
-            self.budget -= bytes;
+            self.left -= bytes;
         }
         within
     }
-
-    /// The stamps that the budget allows; the digests tell of the others.
-    fn afford(&mut self, mut stamps: Vec<Stamp>, peers: usize) -> Vec<Stamp> {
-        stamps.retain(|s| self.spend(stamp_length(s) * peers));
-        stamps
-    }
 }
 
 /// Whether a peer that holds `theirs` can give us something.
