--- /dev/null
+++ b/crates/peppercrank-daemon/tests/verify_path_claims.rs
@@ -0,0 +1,76 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Whole path: a call with an idempotency key runs once, whatever the platform does.
+
+mod bench;
+
+use bench::ACME;
+use bench::Bench;
+use bench::client::Seen;
+use bench::client::faults;
+use bench::client::runs;
+use bench::client::send;
+use serde_json::json;
+
+fn order(bench: &Bench, key: &str) -> Seen {
+    let headers = [ACME, ("idempotency-key", key)];
+    let call = "POST /services/app/order";
+    send(bench.at(), call, &headers, "one trolley").expect("an answer")
+}
+
+/// How often the call of a key ran at any target.
+fn ran(bench: &Bench, key: &str) -> u64 {
+    let runs = |t: &bench::Target| runs(t.at, key)["keys"].as_u64();
+    bench.targets.iter().filter_map(runs).sum()
+}
+
+#[test]
+fn verify_key_sent_twice_runs_once() {
+    let bench = Bench::services(2);
+    let first = order(&bench, "k1");
+    assert_eq!(first.status, 200, "{}", first.text);
+    for _ in 0..5 {
+        let again = order(&bench, "k1");
+        let error = &again.json()["error"];
+        assert_eq!(
+            (again.status, &error["code"]),
+            (409, &json!("already_begun"))
+        );
+        assert_eq!(error["run"], "may_have_run");
+    }
+    assert_eq!(ran(&bench, "k1"), 1);
+}
+
+#[test]
+fn verify_lost_claims_run_once_at_most() {
+    // What the platform does to the first write or to all, and whether the call runs in the end.
+    let cases = [
+        (
+            json!({"only": "put", "times": 1, "drop_before": true}),
+            true,
+        ),
+        (json!({"only": "put", "times": 1, "drop_after": true}), true),
+        (json!({"only": "put", "times": 1, "cut_after": 3}), true),
+        (json!({"only": "put", "times": 1, "outage": true}), true),
+        (json!({"only": "put", "drop_after": true}), true),
+        (json!({"outage": true}), false),
+        (json!({"only": "put", "outage": true}), false),
+        (json!({"only": "put", "lose_answer": true}), false),
+    ];
+    let bench = Bench::services(2);
+    for (n, (switches, runs)) in cases.into_iter().enumerate() {
+        faults(bench.platform.addr, &switches);
+        let key = format!("k{n}");
+        let seen = order(&bench, &key);
+        faults(bench.platform.addr, &json!({}));
+        let count = ran(&bench, &key);
+        let about = format!("{switches}: {count} runs, {}", seen.text);
+        assert!(count <= 1, "{about}");
+        assert_eq!(seen.status == 200, count == 1, "{about}");
+        if seen.status != 200 {
+            assert_eq!(seen.json()["error"]["run"], "not_run", "{about}");
+        }
+        assert_eq!(count == 1, runs, "{about}");
+    }
+}
