--- a/crates/peppercrank-lease/src/gate.rs
+++ b/crates/peppercrank-lease/src/gate.rs
@@ -92,7 +92,7 @@
             settle: Duration::from_secs(10),
             queue: 16,
             kept: 64,
-            read: Duration::from_secs(2),
+            read: Duration::from_secs(7),
         }
     }
 }
--- a/crates/peppercrank-lease/src/lease/terms.rs
+++ b/crates/peppercrank-lease/src/lease/terms.rs
@@ -61,13 +61,14 @@
 }
 
 impl Default for Policy {
+    /// `default` holds a lease through calls that take 5 s each.
     fn default() -> Self {
         Self {
             duration: Duration::from_secs(15),
             margin: Duration::from_secs(1),
             poll: Duration::from_secs(5),
             retry: Duration::from_secs(1),
-            call: Duration::from_secs(2),
+            call: Duration::from_secs(7),
         }
     }
 }
--- a/crates/peppercrank-lease/tests/verify_claim.rs
+++ b/crates/peppercrank-lease/tests/verify_claim.rs
@@ -421,3 +421,45 @@
         assert!(Claims::new(policy, 1).is_err(), "{policy:?}");
     }
 }
+
+#[test]
+fn verify_a_slow_store_refuses_truly_and_leaves_no_claim_behind() {
+    let mut store = World::default();
+    let mut claims = Claims::new(policy(), 1).expect("policy in range");
+    let mut calls: Vec<(u64, Action)> = Vec::new();
+    let mut told = Vec::new();
+    for ms in (0..120_000).step_by(10) {
+        let input = if ms == 0 { claim(1, 10) } else { Input::Tick };
+        let mut actions = claims.on(at(ms), input);
+        // Each call takes five seconds for the first minute, then it takes ten milliseconds.
+        let due: Vec<Action> = calls.extract_if(.., |c| c.0 <= ms).map(|c| c.1).collect();
+        for action in due {
+            let (call, answer) = match action {
+                Action::Get { call, shard } => (call, store.of(shard).get()),
+                Action::Put {
+                    call,
+                    shard,
+                    base,
+                    body,
+                } => (call, store.of(shard).put(base, body)),
+                Action::Tell { .. } => continue,
+            };
+            actions.extend(claims.on(at(ms), Input::Answer { call, answer }));
+        }
+        for action in actions {
+            if let Action::Tell { verdict, .. } = action {
+                told.push((ms, verdict));
+            }
+            let slow = if ms < 60_000 { 5_000 } else { 10 };
+            calls.push((ms + slow, action));
+        }
+    }
+    assert_eq!(told.len(), 1);
+    assert!(
+        told[0].0 <= 2_000 && told[0].1 == Verdict::Unavailable,
+        "{told:?}"
+    );
+    assert!(!claims.is_out());
+    let kept = store.shard.object.map_or(0, |o| o.1.len());
+    assert_eq!((kept, claims.waiting()), (0, 0));
+}
--- a/crates/peppercrank-lease/tests/verify_lease.rs
+++ b/crates/peppercrank-lease/tests/verify_lease.rs
@@ -205,3 +205,33 @@
     );
     assert_eq!((fence(&a, 0), fence(&b, 0)), (None, Some(Version(1))));
 }
+
+#[test]
+fn verify_a_slow_store_still_lets_a_lease_be_held() {
+    let mut store = Store::default();
+    let mut a = contender("vm-a", 1);
+    let mut calls = a.on(Moment::ZERO, Input::Seek);
+    let mut due = 5_000;
+    for ms in (0..300_000).step_by(100) {
+        let now = Moment::from_millis(ms);
+        let mut next = Vec::new();
+        if ms == due {
+            for action in calls.drain(..) {
+                let (call, answer) = match action {
+                    Action::Get { call } => (call, store.get()),
+                    Action::Put { call, base, body } => (call, store.put(base, body)),
+                    Action::Held { .. } | Action::Lost => continue,
+                };
+                next.extend(a.on(now, Input::Answer { call, answer }));
+            }
+        }
+        next.extend(a.on(now, Input::Tick));
+        next.retain(|n| matches!(n, Action::Get { .. } | Action::Put { .. }));
+        if !next.is_empty() {
+            due = ms + 5_000;
+            calls = next;
+        }
+        // The first read and the first write take 5 s each.
+        assert_eq!(a.fence(now).is_some(), ms >= 10_000, "at {ms}");
+    }
+}
--- a/crates/peppercrank-spec/src/orders.rs
+++ b/crates/peppercrank-spec/src/orders.rs
@@ -76,6 +76,8 @@
     pub orders: u8,
     /// Calls of the store whose answer is lost.
     pub losses: u8,
+    /// Leases given back.
+    pub leaves: u8,
     /// Restarts of the agent.
     pub restarts: u8,
     /// Strides of time.
@@ -95,6 +97,8 @@
     Serve(usize),
     /// The caller takes a call for failed; it may take effect yet.
     Lose(usize),
+    /// A holder gives its lease back.
+    Leave(usize),
     /// A holder that checks its lease gives an order.
     Give(usize),
     /// An order reaches the agent.
@@ -327,6 +331,10 @@
             Step::Tick(at) => Self::contend(&mut s, at, lease::Input::Tick),
             Step::Serve(at) => self.serve(&mut s, at),
             Step::Lose(at) => self.lose(&mut s, at),
+            Step::Leave(at) => {
+                s.left += 1;
+                Self::contend(&mut s, at, lease::Input::Leave);
+            }
             Step::Give(at) => Self::give(&mut s, at),
             Step::Arrive(at) => {
                 let order = s.wire.remove(at);
@@ -371,6 +379,7 @@
             older: false,
             given: 0,
             lost: 0,
+            left: 0,
             restarted: 0,
             strode: 0,
             repeated: 0,
--- a/crates/peppercrank-spec/src/orders/state.rs
+++ b/crates/peppercrank-spec/src/orders/state.rs
@@ -47,6 +47,7 @@
     pub(super) older: bool,
     pub(super) given: u8,
     pub(super) lost: u8,
+    pub(super) left: u8,
     pub(super) restarted: u8,
     pub(super) strode: u8,
     pub(super) repeated: u8,
--- a/crates/peppercrank-spec/src/orders/steps.rs
+++ b/crates/peppercrank-spec/src/orders/steps.rs
@@ -14,9 +14,13 @@
             if contender.wake().is_some_and(|w| w <= s.now) {
                 steps.push(Step::Tick(at));
             }
-            if s.given < self.orders && contender.fence(s.now).is_some() {
+            let holds = contender.fence(s.now).is_some();
+            if holds && s.given < self.orders {
                 steps.push(Step::Give(at));
             }
+            if holds && s.left < self.leaves {
+                steps.push(Step::Leave(at));
+            }
         }
         for (at, call) in s.calls.iter().enumerate() {
             steps.push(Step::Serve(at));
--- a/crates/peppercrank-spec/tests/verify_orders.rs
+++ b/crates/peppercrank-spec/tests/verify_orders.rs
@@ -17,6 +17,7 @@
     engine: Engine::Ignores,
     orders: 2,
     losses: 0,
+    leaves: 0,
     restarts: 0,
     strides: 2,
     repeats: 0,
@@ -33,6 +34,15 @@
 fn verify_bounds(engine: Engine) {
     let bounds = [
         ("calm", CALM),
+        (
+            "leave",
+            Orders {
+                leaves: 1,
+                cuts: 1,
+                strides: 1,
+                ..CALM
+            },
+        ),
         ("cut", Orders { cuts: 1, ..CALM }),
         (
             "loss",
