Refuse all waiting claims when the store is held to be out

Cause: once out, later claims were refused at once but earlier ones waited on, and their retries raised the calls in an outage above those before it. Change: all who wait get the final answer then; the next call is the probe's.

--- a/crates/peppercrank-lease/src/claim/slot.rs
+++ b/crates/peppercrank-lease/src/claim/slot.rs
@@ -55,6 +55,19 @@
         }
     }
 
+    /// Gives up a claim that waits; what the store may hold of it is kept on to be removed.
+    fn refuse(&mut self, now: Moment, out: &mut Vec<Action>) {
+        if !self.claims {
+            return;
+        }
+        out.push(tell(self.token, Verdict::Unavailable));
+        self.claims = false;
+        self.until = now;
+        if self.may_stand() {
+            self.until = now + RELEASE;
+        }
+    }
+
     /// Whether the store may hold, or come to hold, a claim of this operation.
     fn may_stand(&self) -> bool {
         self.lost || self.part == Part::Adds
@@ -151,20 +164,21 @@
     /// Gives up what cannot wait past `now`.
     pub(super) fn expire(&mut self, now: Moment, out: &mut Vec<Action>) {
         for op in &mut self.ops {
-            if !op.claims || now < op.until {
-                continue;
-            }
-            out.push(tell(op.token, Verdict::Unavailable));
-            op.claims = false;
-            // Its claim may stand though nobody uses it: it is kept on to be removed, as long
-            // again as a release would be.
-            if op.may_stand() {
-                op.until = op.until + RELEASE;
+            if now >= op.until {
+                op.refuse(op.until, out);
             }
         }
         self.ops.retain(|o| now < o.until);
     }
 
+    /// Gives up every claim that waits.
+    pub(super) fn refuse_all(&mut self, now: Moment, out: &mut Vec<Action>) {
+        for op in &mut self.ops {
+            op.refuse(now, out);
+        }
+        self.ops.retain(|o| now < o.until);
+    }
+
     pub(super) fn get(&mut self, now: Moment, call: CallId, shard: u16) -> Action {
         self.flight = Some(Flight {
             call,
--- a/crates/peppercrank-lease/tests/verify_claim.rs
+++ b/crates/peppercrank-lease/tests/verify_claim.rs
@@ -463,3 +463,24 @@
     let kept = store.shard.object.map_or(0, |o| o.1.len());
     assert_eq!((kept, claims.waiting()), (0, 0));
 }
+
+#[test]
+fn verify_all_who_wait_are_told_when_the_store_is_held_to_be_out() {
+    let mut claims = Claims::new(policy(), 1).expect("policy in range");
+    let mut call = read(&mut claims);
+    for token in 11..20 {
+        claims.on(at(0), claim(token, token));
+    }
+    // Within the two seconds that each of them could have waited.
+    for fails in 1..=3_u64 {
+        let answer = failed();
+        let told = claims.on(at(fails * 500 - 499), Input::Answer { call, answer });
+        let expected = if fails == 3 { 10 } else { 0 };
+        assert_eq!(told.len(), expected, "after {fails}");
+        let next = claims.on(at(fails * 500 - 1), Input::Tick);
+        if let [Action::Get { call: next, .. }] = next[..] {
+            call = next;
+        }
+    }
+    assert_eq!((claims.is_out(), claims.waiting()), (true, 0));
+}
