--- a/crates/peppercrank-cli/src/verbs/local.rs
+++ b/crates/peppercrank-cli/src/verbs/local.rs
@@ -338,10 +338,11 @@
                 .await
                 .map_err(|e| Error::Daemon(e.into()))?;
         }
+        // Nothing of a caller runs any more: what is open is the agents' own polling.
         for target in self.targets {
-            target.stop().await;
+            target.kill().await;
         }
-        self.platform.stop().await;
+        self.platform.kill().await;
         Ok(())
     }
 
@@ -365,7 +366,12 @@
                         agent.address
                     )
                 }));
-                lines.extend(routers.iter().map(|r| format!("router    http://{r}")));
+                lines.extend(self.routers.iter().map(|r| {
+                    format!(
+                        "router    http://{}  operators http://{}",
+                        r.address, r.operators
+                    )
+                }));
                 lines.push("ready".to_owned());
                 lines.join("\n")
             }
--- a/crates/peppercrank-cli/src/verbs/status.rs
+++ b/crates/peppercrank-cli/src/verbs/status.rs
@@ -50,7 +50,7 @@
     let sections = sections.into_iter().filter(|s| !s.is_empty());
     let text = sections.collect::<Vec<_>>().join("\n");
     let json = json!({
-        "daemons": known,
+        "daemons": known.iter().map(daemon_json).collect::<Value>(),
         "targets": view.json(),
         "agreed": digests(&known).len() <= 1,
         "silent": silent_json(&silent),
@@ -83,6 +83,9 @@
     }
 
     fn text(&self) -> String {
+        if self.targets.is_empty() {
+            return String::new();
+        }
         let heads = [
             "TARGET", "POOL", "ZONE", "STATE", "LOAD", "CAP", "RUNNING", "WAITING", "DRAIN",
         ];
@@ -122,7 +125,19 @@
     cells
 }
 
+/// A daemon without its targets: 370 routers would name each of 1,300.
+fn daemon_json(status: &Status) -> Value {
+    let mut json = json!(status);
+    if let Some(fields) = json.as_object_mut() {
+        fields.remove("targets");
+    }
+    json
+}
+
 fn daemons_text(known: &[Status]) -> String {
+    if known.is_empty() {
+        return String::new();
+    }
     let heads = [
         "DAEMON",
         "ROLE",
@@ -161,7 +176,7 @@
 fn configuration_text(known: &[Status]) -> String {
     let digests = digests(known);
     let mut text = match digests.len() {
-        0 => String::new(),
+        0 => "configuration: no daemon tells of it\n".to_owned(),
         1 => format!("configuration: all {} daemons agree\n", known.len()),
         n => format!("configuration: {n} differ among {} daemons\n", known.len()),
     };
--- a/crates/peppercrank-daemon/src/agent/attempt.rs
+++ b/crates/peppercrank-daemon/src/agent/attempt.rs
@@ -16,6 +16,7 @@
 use peppercrank_core::names::PoolName;
 use peppercrank_core::time::Moment;
 use peppercrank_core::units::Cost;
+use peppercrank_route::Ask;
 
 use crate::errors;
 use crate::errors::Result;
@@ -80,6 +81,8 @@
     pub left: Duration,
     /// Whether it may run twice.
     pub repeatable: bool,
+    /// Whether another target was asked first.
+    pub spilled: bool,
     /// What the router leaves to the agent.
     pub allow: Allow,
 }
@@ -114,6 +117,7 @@
             priority,
             left: Duration::from_millis(left),
             repeatable: repeatable == "yes",
+            spilled: headers::text(from, &headers::SPILLED) == Some("yes"),
             allow: Allow::read(allow),
         })
     }
@@ -138,6 +142,8 @@
             headers::REPEATABLE,
             if self.repeatable { "yes" } else { "no" },
         );
+        let spilled = if self.spilled { "yes" } else { "no" };
+        headers::put(to, headers::SPILLED, spilled);
         headers::put(to, headers::ALLOW, self.allow.text());
         if let Some(chat) = self.chat {
             headers::put(to, headers::CHAT, &chat.to_string());
@@ -147,6 +153,17 @@
         }
     }
 
+    /// `ask` is what the pointer table is to know; nothing for a plain service.
+    #[must_use]
+    pub fn ask(&self) -> Option<Ask> {
+        Some(Ask {
+            chat: self.chat?,
+            prefix: self.prefix,
+            returning: self.returning,
+            redirect: self.allow.redirect,
+        })
+    }
+
     /// `arrival` is the attempt as the admission takes it, at its cost here.
     #[must_use]
     pub fn arrival(&self, now: Moment, ticket: Ticket, cost: Cost) -> Arrival {
--- a/crates/peppercrank-daemon/src/router/mod.rs
+++ b/crates/peppercrank-daemon/src/router/mod.rs
@@ -3,6 +3,7 @@
 
 //! The router: takes callers' requests and passes whole answers back.
 
+pub mod claims;
 pub mod deliver;
 pub mod identify;
 pub mod job;
@@ -18,15 +19,17 @@
 use peppercrank_core::events::Event;
 use peppercrank_core::names::PoolName;
 use peppercrank_member::Role;
-use peppercrank_route::Hints;
-use peppercrank_route::Retries;
-use peppercrank_route::Spread;
+use peppercrank_route::Ranking;
+use peppercrank_route::Routes;
+use peppercrank_route::routes::Room;
 use peppercrank_settings::RouterSettings;
 use peppercrank_wire::client::Client;
 use peppercrank_wire::client::Times;
 use peppercrank_wire::edge::Edge;
 use peppercrank_wire::edge::Finished;
+use peppercrank_wire::pages::Serving;
 use peppercrank_wire::stop::Stop;
+use tokio::task::JoinHandle;
 
 use crate::clock::Clock;
 use crate::errors;
@@ -34,15 +37,25 @@
 use crate::errors::Result;
 use crate::fleet::Fleet;
 use crate::fleet::Setup;
+use crate::fleet::lock;
+use crate::fleet::pages;
 use crate::limits;
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::router::claims::Claiming;
 
-/// Chats that a router remembers the target of.
-const HINTS: usize = 65_536;
+/// What a router remembers for one pool: recent chats and hot prefixes.
+const ROOM: Room = Room {
+    chats: 65_536,
+    prefixes: 4_096,
+};
 
-/// Hot prefixes that a router remembers the spread of.
-const HOT: usize = 4_096;
+/// `Way` is what a router knows of one pool, and the ranking that it was last made of.
+#[derive(Debug)]
+struct Way {
+    routes: Routes,
+    made_of: Arc<Ranking>,
+}
 
 /// `Router` is what the tasks of one router share.
 #[derive(Debug)]
@@ -57,9 +70,8 @@
     pub metrics: Arc<Metrics>,
     /// The client towards the agents.
     pub client: Client,
-    hints: Mutex<Hints>,
-    spread: Mutex<Spread>,
-    retries: Mutex<BTreeMap<PoolName, Retries>>,
+    claims: Arc<Claiming>,
+    pools: Mutex<BTreeMap<PoolName, Way>>,
 }
 
 /// `Running` is a router that serves.
@@ -69,7 +81,10 @@
     pub router: Arc<Router>,
     /// Where callers reach it.
     pub address: SocketAddr,
-    serving: tokio::task::JoinHandle<Finished>,
+    /// Where operators find its pages.
+    pub operators: SocketAddr,
+    pages: Serving,
+    serving: JoinHandle<Finished>,
 }
 
 impl Running {
@@ -80,6 +95,7 @@
     /// Returns [`Error::Start`] when its task failed.
     pub async fn finished(self) -> Result<Finished> {
         let ended = self.serving.await;
+        drop(self.pages);
         ended.map_err(|e| Error::Start {
             cause: std::io::Error::other(e),
         })
@@ -102,20 +118,28 @@
         listen: address,
         log,
         metrics: Arc::clone(&metrics),
+        stop: stop.clone(),
     };
-    // Notes are for agents; a router drops what reaches it by mistake.
-    let (fleet, _notes) = Fleet::join(settings.fleet.clone(), setup).await?;
+    // Notes and orders are for agents; a router drops what reaches it by mistake.
+    let (fleet, _inbox) = Fleet::join(settings.fleet.clone(), setup).await?;
     let times = Times {
         first_byte: settings.limits.total_time,
         ..Times::default()
     };
+    let seed = u64::try_from(fleet.draw() >> 64).unwrap_or_default();
+    let claims = Claiming::start(&settings.claims, &fleet.platform, fleet.clock, seed)?;
+    let shown = pages::Shown {
+        role: peppercrank_core::status::Role::Router,
+        targets: Box::new(|fleet| fleet.board().targets.values().map(pages::known).collect()),
+        edge: edge.counters(),
+    };
+    let pages = pages::serve(&fleet, shown)?;
     let router = Arc::new(Router {
+        claims,
         clock: fleet.clock,
         metrics,
         client: Client::new(times),
-        hints: Mutex::new(Hints::new(HINTS)),
-        spread: Mutex::new(Spread::new(HOT)),
-        retries: Mutex::default(),
+        pools: Mutex::default(),
         fleet,
         settings,
     });
@@ -123,6 +147,8 @@
     Ok(Running {
         router,
         address,
+        operators: pages.local_addr(),
+        pages,
         serving,
     })
 }
@@ -153,3 +179,29 @@
     router.fleet.log.event(Event::Stopped, "");
     finished
 }
+
+impl Router {
+    /// Works on what is known of a pool, its ranking as new as its members.
+    fn with_routes<T>(
+        &self,
+        pool: &PoolName,
+        share: f64,
+        work: impl FnOnce(&mut Routes) -> T,
+    ) -> T {
+        let ranking = self.fleet.ranking(pool);
+        let mut pools = lock(&self.pools);
+        let way = pools.entry(pool.clone()).or_insert_with(|| {
+            let seed = u64::try_from(self.fleet.draw() >> 64).unwrap_or_default();
+            Way {
+                routes: Routes::new(share, seed, ROOM),
+                made_of: Arc::default(),
+            }
+        });
+        if !Arc::ptr_eq(&way.made_of, &ranking) {
+            way.routes.ranking = Ranking::clone(&ranking);
+            way.made_of = ranking;
+        }
+        way.routes.retries.budget.set(share);
+        work(&mut way.routes)
+    }
+}
--- a/crates/peppercrank-daemon/src/router/try_once.rs
+++ b/crates/peppercrank-daemon/src/router/try_once.rs
@@ -42,7 +42,7 @@
     /// Its fate is unknown.
     MayHaveRun(MayHaveRun),
     /// Its answer has begun.
-    Begun(Begun),
+    Begun(Box<Begun>),
 }
 
 /// `Begun` is an answer that has begun.
@@ -63,6 +63,7 @@
     target: TargetKey,
     id: AttemptId,
     allow: Allow,
+    spilled: bool,
 ) -> Tried {
     let address = router.fleet.board().targets.get(target).map(|t| t.address);
     let Some(address) = address else {
@@ -75,7 +76,12 @@
     *request.method_mut() = job.sent.method.clone();
     *request.uri_mut() = job.sent.uri.clone();
     let mut fields = job.sent.headers.clone();
-    attempt(router, job, id, allow).write(&mut fields);
+    let described = attempt(router, job, id, allow);
+    Attempt {
+        spilled,
+        ..described
+    }
+    .write(&mut fields);
     router
         .fleet
         .sign(address, &job.sent.method, &job.sent.uri, &mut fields);
@@ -110,6 +116,7 @@
         priority: job.priority,
         left: job.deadline.since(router.clock.now()),
         repeatable: job.repeatable,
+        spilled: false,
         allow,
     }
 }
@@ -125,7 +132,7 @@
     let (head, mut from) = answer.into_parts();
     if job.shape == Shape::Whole {
         return match Limited::new(from, MAX_WHOLE).collect().await {
-            Ok(whole) => Tried::Begun(Begun {
+            Ok(whole) => begun(Begun {
                 head,
                 first: whole.to_bytes(),
                 rest: None,
@@ -134,14 +141,14 @@
         };
     }
     match from.frame().await {
-        None => Tried::Begun(Begun {
+        None => begun(Begun {
             head,
             first: Bytes::new(),
             rest: None,
         }),
         Some(Ok(frame)) => {
             let first = frame.into_data().unwrap_or_default();
-            Tried::Begun(Begun {
+            begun(Begun {
                 head,
                 first,
                 rest: Some(from),
@@ -151,6 +158,10 @@
     }
 }
 
+fn begun(begun: Begun) -> Tried {
+    Tried::Begun(Box::new(begun))
+}
+
 /// Reads an agent's refusal; one that cannot be understood leaves the fate unknown.
 fn refusal(answer: &Answer) -> Tried {
     let run = headers::text(answer.headers(), &headers::RUN);
