Part the fleet's module, and mean both in "out of touch"

Change: joining, gossip, configuration and touch stand in modules of their own; a process is out of touch once no peer was heard within one limit and no platform within the other, which routers show in readiness and agents in admission; a forgotten member's name is forgotten too.

--- a/crates/peppercrank-daemon/src/agent/control.rs
+++ b/crates/peppercrank-daemon/src/agent/control.rs
@@ -138,12 +138,12 @@
     }
 }
 
-/// Tells the admission that peers or the platform were heard.
+/// Tells the admission, again and again, that the process is in touch while it is.
 async fn follow_touch(agent: Arc<Agent>) {
-    let mut touches = agent.fleet.touches();
-    while touches.changed().await.is_ok() {
-        agent.desk.put(Input::Touched);
-        // Once a period is enough, however much is heard.
+    loop {
+        if agent.fleet.is_in_touch() {
+            agent.desk.put(Input::Touched);
+        }
         sleep(LOAD_PERIOD).await;
     }
 }
--- a/crates/peppercrank-daemon/src/agent/mod.rs
+++ b/crates/peppercrank-daemon/src/agent/mod.rs
@@ -60,6 +60,10 @@
 use crate::log::Log;
 use crate::metrics::Metrics;
 
+/// Time without word from the task that watches whether the process is in touch; a process that
+/// was paused admits nothing until that task has looked again.
+const TOUCH: Duration = Duration::from_secs(1);
+
 /// Time for a stopping agent to hand its pointers over.
 const HAND_OVER: Duration = Duration::from_secs(2);
 
@@ -205,7 +209,7 @@
         let admit = peppercrank_admit::Settings {
             weight: settings.target.weight,
             fresh: settings.mean_age,
-            touch: settings.fleet.touch.peers,
+            touch: TOUCH,
             ..peppercrank_admit::Settings::default()
         };
         let clock = fleet.clock;
--- a/crates/peppercrank-daemon/src/fleet/platform.rs
+++ b/crates/peppercrank-daemon/src/fleet/platform.rs
@@ -14,7 +14,6 @@
 use peppercrank_config::relay::Answer;
 use peppercrank_config::relay::Call;
 use peppercrank_config::relay::Input;
-use peppercrank_core::events::Event;
 use peppercrank_core::names::ObjectName;
 use peppercrank_core::objects::Kind;
 use peppercrank_core::objects::ObjectKey;
@@ -107,7 +106,7 @@
             };
             let pause = match read {
                 Ok(vms) => {
-                    fleet.touched();
+                    fleet.note_platform(true);
                     fleet.gossip(peppercrank_member::Input::Seeds(seeds(vms.vms)));
                     pause(&fleet)
                 }
@@ -191,20 +190,3 @@
     let started = thread::Builder::new().name(name.to_owned()).spawn(run);
     started.map(drop).map_err(|cause| Error::Start { cause })
 }
-
-impl Fleet {
-    /// Notes whether the platform answered, and logs a change.
-    pub(crate) fn note_platform(&self, up: bool) {
-        if up {
-            self.touched();
-        }
-        if self.swap_platform(up) != up {
-            let event = if up {
-                Event::PlatformUp
-            } else {
-                Event::PlatformDown
-            };
-            self.log.event(event, "");
-        }
-    }
-}
