Check the id within answers, and end work at the engine before its reservation

Cause: four faults that the whole-path tests brought about. (1) An engine that answers under the right head with another request's content was believed: only the head's id was checked. (2) When the caller of an unstreamed chat left, the engine worked on while its reservation was released, so the cap was not true. (3) An engine's 503 without an id was told as a wrong answer. (4) The edge listened with a queue of 128, so a burst of callers waited for repeated first packets.

--- a/crates/peppercrank-daemon/src/agent/mod.rs
+++ b/crates/peppercrank-daemon/src/agent/mod.rs
@@ -10,6 +10,7 @@
 pub mod relay;
 pub mod reports;
 pub mod serve;
+pub mod work;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/peppercrank-daemon/src/agent/relay.rs
+++ b/crates/peppercrank-daemon/src/agent/relay.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use http::Method;
 use http::Request;
 use http_body_util::BodyExt;
+use http_body_util::Limited;
 use peppercrank_core::keys::AttemptId;
 use peppercrank_core::keys::RequestId;
 use peppercrank_core::refusal::MayHaveRun;
@@ -22,17 +22,21 @@
 use peppercrank_wire::client::Reuse;
 use tokio::time::sleep_until;
 
-use crate::agent::desk::Pass;
+use crate::agent::work::Work;
 use crate::clock::Clock;
 use crate::headers;
 use crate::reply;
 use crate::stream::Events;
 use crate::stream::Kind;
 use crate::stream::Usage;
+use crate::stream::named_in;
 
 /// Frames that may wait for a slow reader before the target is held back.
 pub const DEPTH: usize = 16;
 
+/// The longest answer that is read whole before any of it is passed on, in bytes.
+const MAX_WHOLE: usize = 16 * 1_024 * 1_024;
+
 /// `Ending` is how the passing on of an answer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
@@ -73,22 +77,17 @@
 }
 
 /// `plain` passes an answer on as it comes; one that breaks off breaks the copy off too.
-pub async fn plain(mut from: AnswerBody, to: Feed, pass: &Pass, usage: bool) -> Ending {
-    // The usage stands in a chat's answer, which is short; a service's may be long.
-    let mut seen = Vec::new();
+pub async fn plain(mut from: AnswerBody, to: Feed, work: &Work) -> Ending {
     loop {
-        match next(&mut from, &to, pass).await {
+        match next(&mut from, &to, work).await {
             Step::Frame(bytes) => {
-                if usage {
-                    seen.extend_from_slice(&bytes);
-                }
                 if to.send(bytes).await.is_err() {
                     return Ending::ReaderGone;
                 }
             }
             Step::End => {
                 to.finish();
-                return Ending::Whole(Usage::read(&seen));
+                return Ending::Whole(None);
             }
             Step::Cut => return Ending::Cut,
             Step::ReaderGone => return Ending::ReaderGone,
@@ -97,13 +96,34 @@
     }
 }
 
+/// `whole` reads an engine's whole answer, which is checked before any of it is passed on.
+///
+/// # Errors
+///
+/// Returns why the answer is none.
+pub async fn whole(from: AnswerBody, work: &Work, attempt: AttemptId) -> Result<Bytes, MayHaveRun> {
+    let read = Limited::new(from, MAX_WHOLE).collect();
+    let read = tokio::select! {
+        read = read => read,
+        () = work.cancelled() => return Err(MayHaveRun::Cut),
+    };
+    let Ok(read) = read else {
+        return Err(MayHaveRun::Cut);
+    };
+    let bytes = read.to_bytes();
+    match named_in(&bytes) {
+        Some(named) if named != attempt => Err(MayHaveRun::WrongAnswer),
+        _ => Ok(bytes),
+    }
+}
+
 /// `streamed` passes a streamed answer on event by event, and resumes it after a cut.
 ///
 /// A stream that cannot be made whole ends with an error event, so that it never looks whole.
 pub async fn streamed(
     mut from: AnswerBody,
     to: Feed,
-    pass: &Pass,
+    work: &Work,
     source: &Source<'_>,
     resumed: impl Fn(),
 ) -> Ending {
@@ -113,7 +133,7 @@
     loop {
         let heard = match input.take() {
             Some(input) => input,
-            None => match next(&mut from, &to, pass).await {
+            None => match next(&mut from, &to, work).await {
                 Step::Frame(bytes) => {
                     events.push(&bytes);
                     match pass_whole(&mut events, &mut stream, source, &to).await {
@@ -124,7 +144,6 @@
                 Step::End | Step::Cut => Input::Cut,
                 Step::ReaderGone => Input::CallerGone,
                 Step::Cancelled => {
-                    cancel(source).await;
                     fail(to, source, MayHaveRun::Cut).await;
                     return Ending::Cancelled;
                 }
@@ -194,21 +213,17 @@
             Ending::Whole(events.usage())
         }
         resume::Step::Fail(reason) => {
-            cancel(source).await;
             fail(to, source, reason).await;
             Ending::Cut
         }
-        _ => {
-            cancel(source).await;
-            Ending::ReaderGone
-        }
+        _ => Ending::ReaderGone,
     }
 }
 
-async fn next(from: &mut AnswerBody, to: &Feed, pass: &Pass) -> Step {
+async fn next(from: &mut AnswerBody, to: &Feed, work: &Work) -> Step {
     tokio::select! {
         biased;
-        () = pass.cancelled() => Step::Cancelled,
+        () = work.cancelled() => Step::Cancelled,
         () = to.closed() => Step::ReaderGone,
         frame = from.frame() => match frame {
             None => Step::End,
@@ -246,24 +261,6 @@
     Err(Input::Cut)
 }
 
-/// Tells the engine that nobody wants the rest of a stream.
-async fn cancel(source: &Source<'_>) {
-    let path = format!("/v1/streams/{}", source.attempt);
-    let request = Request::builder()
-        .method(Method::DELETE)
-        .uri(path)
-        .body(body::empty());
-    if let Ok(request) = request {
-        // A lost cancellation costs work of the engine, never a wrong answer.
-        drop(
-            source
-                .client
-                .send(source.target, request, Reuse::Allowed)
-                .await,
-        );
-    }
-}
-
 /// `echoes` tells whether an answer is to this attempt.
 #[must_use]
 pub fn echoes(of: &http::HeaderMap, attempt: AttemptId) -> bool {
--- a/crates/peppercrank-daemon/src/agent/serve.rs
+++ b/crates/peppercrank-daemon/src/agent/serve.rs
@@ -11,6 +11,7 @@
 use http::Request;
 use http::StatusCode;
 use http::request::Parts;
+use http::response;
 use peppercrank_core::keys::AttemptId;
 use peppercrank_core::refusal::MayHaveRun;
 use peppercrank_core::refusal::NotRun;
@@ -20,6 +21,7 @@
 use peppercrank_settings::agent::TargetKind;
 use peppercrank_wire::body;
 use peppercrank_wire::client::Answer;
+use peppercrank_wire::client::AnswerBody;
 use peppercrank_wire::client::Framing;
 use peppercrank_wire::client::Reuse;
 use peppercrank_wire::client::SendError;
@@ -34,6 +36,7 @@
 use crate::agent::relay;
 use crate::agent::relay::Ending;
 use crate::agent::relay::Source;
+use crate::agent::work::Work;
 use crate::headers;
 use crate::metrics::label;
 use crate::reply;
@@ -153,37 +156,44 @@
     } else {
         Reuse::Never
     };
+    let mut work = Work::new(Arc::clone(&agent), attempt.id, pass);
     let sent = tokio::select! {
         sent = agent.client.send(agent.settings.target.address, request, reuse) => sent,
-        () = pass.cancelled() => {
-            return refuse(&agent, attempt, Refusal::may_have_run(MayHaveRun::Cut), None);
-        }
+        () = work.cancelled() => return doubt(&agent, attempt, MayHaveRun::Cut),
     };
     let answer = match sent {
         Ok(answer) => answer,
         Err(SendError::NotSent(_)) => {
+            work.end();
             return refuse(&agent, attempt, Refusal::not_run(NotRun::Connect), None);
         }
-        Err(SendError::MayHaveBeenSent(_)) => {
-            return refuse(
-                &agent,
-                attempt,
-                Refusal::may_have_run(MayHaveRun::Cut),
-                None,
-            );
-        }
+        Err(SendError::MayHaveBeenSent(_)) => return doubt(&agent, attempt, MayHaveRun::Cut),
     };
     match fault(&agent, attempt, &answer) {
-        Some(reason) => refuse(&agent, attempt, Refusal::may_have_run(reason), None),
-        None => pass_on(agent, attempt.clone(), ask, pass, answer),
+        Some(reason) => {
+            if reason == MayHaveRun::TargetFailed {
+                work.end();
+            }
+            doubt(&agent, attempt, reason)
+        }
+        None => pass_on(agent, attempt, ask, work, answer).await,
     }
 }
 
+/// Refuses an attempt of unknown fate.
+fn doubt(agent: &Agent, attempt: &Attempt, reason: MayHaveRun) -> Reply {
+    refuse(agent, attempt, Refusal::may_have_run(reason), None)
+}
+
 /// What speaks against passing an answer on.
 fn fault(agent: &Agent, attempt: &Attempt, answer: &Answer) -> Option<MayHaveRun> {
     let echo = answer.headers().contains_key(headers::REQUEST_ID);
     let right = relay::echoes(answer.headers(), attempt.id);
     let engine = agent.settings.target.kind == TargetKind::Engine;
+    if engine && !echo && answer.status().is_server_error() {
+        // It names no request: an engine that is out, not one that crossed its answers.
+        return Some(MayHaveRun::TargetFailed);
+    }
     // Plain services need not echo, but one that echoes another id has crossed its answers.
     if !right && (engine || echo) {
         return Some(MayHaveRun::WrongAnswer);
@@ -243,12 +253,12 @@
     path.parse().unwrap_or_default()
 }
 
-/// Starts passing an answer on and returns its head.
-fn pass_on(
+/// Starts passing an answer on, by what it is, and returns its head.
+async fn pass_on(
     agent: Arc<Agent>,
-    attempt: Attempt,
+    attempt: &Attempt,
     ask: Option<Ask>,
-    pass: Pass,
+    work: Work,
     answer: Answer,
 ) -> Reply {
     let (mut head, from) = answer.into_parts();
@@ -256,15 +266,46 @@
     headers::strip_ours(&mut head.headers);
     let target = agent.settings.target.name.as_str();
     headers::put(&mut head.headers, headers::TARGET, target);
+    if agent.settings.target.kind == TargetKind::Service {
+        return pass_service(agent, attempt.clone(), work, head, from);
+    }
+    // What is passed on is made anew: whole events, or one checked body.
+    head.headers.remove(http::header::CONTENT_LENGTH);
+    let ask = ask.filter(|_| head.status.is_success());
     let kind = headers::text(&head.headers, &http::header::CONTENT_TYPE);
-    let events = kind.is_some_and(|k| k.starts_with("text/event-stream"));
-    let engine = agent.settings.target.kind == TargetKind::Engine;
-    if events && engine {
-        // What is passed on is made of whole events, an error among them perhaps.
-        head.headers.remove(http::header::CONTENT_LENGTH);
+    if kind.is_some_and(|k| k.starts_with("text/event-stream")) {
+        return pass_events(agent, attempt.clone(), ask, work, head, from);
     }
+    pass_whole(&agent, attempt, ask, work, head, from).await
+}
+
+/// Passes a service's answer on as it comes.
+fn pass_service(
+    agent: Arc<Agent>,
+    attempt: Attempt,
+    mut work: Work,
+    head: response::Parts,
+    from: AnswerBody,
+) -> Reply {
+    let (feed, body) = body::channel(relay::DEPTH);
+    tokio::spawn(async move {
+        let ending = relay::plain(from, feed, &work).await;
+        work.end();
+        agent.ended(&attempt, None, ending);
+    });
+    Reply::from_parts(head, body)
+}
+
+/// Passes an engine's stream on event by event.
+fn pass_events(
+    agent: Arc<Agent>,
+    attempt: Attempt,
+    ask: Option<Ask>,
+    mut work: Work,
+    head: response::Parts,
+    from: AnswerBody,
+) -> Reply {
     let (feed, body) = body::channel(relay::DEPTH);
-    let ok = head.status.is_success();
     let deadline = agent.clock.now() + attempt.left;
     tokio::spawn(async move {
         let source = Source {
@@ -278,17 +319,34 @@
         let resumed = || {
             agent.metrics.resumed.inc();
         };
-        let ending = if events && engine {
-            relay::streamed(from, feed, &pass, &source, resumed).await
-        } else {
-            relay::plain(from, feed, &pass, engine).await
-        };
-        agent.ended(&attempt, ask.filter(|_| ok), ending);
-        drop(pass);
+        let ending = relay::streamed(from, feed, &work, &source, resumed).await;
+        if matches!(ending, Ending::Whole(_)) {
+            work.end();
+        }
+        agent.ended(&attempt, ask, ending);
     });
     Reply::from_parts(head, body)
 }
 
+/// Passes an engine's whole answer on once it is there and known to be the attempt's own.
+async fn pass_whole(
+    agent: &Agent,
+    attempt: &Attempt,
+    ask: Option<Ask>,
+    mut work: Work,
+    head: response::Parts,
+    from: AnswerBody,
+) -> Reply {
+    match relay::whole(from, &work, attempt.id).await {
+        Ok(bytes) => {
+            work.end();
+            agent.ended(attempt, ask, Ending::Whole(Usage::read(&bytes)));
+            Reply::from_parts(head, body::full(bytes))
+        }
+        Err(reason) => doubt(agent, attempt, reason),
+    }
+}
+
 impl Agent {
     /// Notes how an attempt ended.
     fn ended(&self, attempt: &Attempt, ask: Option<Ask>, ending: Ending) {
--- a/crates/peppercrank-daemon/src/fleet/mod.rs
+++ b/crates/peppercrank-daemon/src/fleet/mod.rs
@@ -123,6 +123,11 @@
         self.gossip
     }
 
+    /// `spawn` runs a task that is to outlive whoever starts it.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.runtime.spawn(task);
+    }
+
     /// `board` is the blackboard, for reading.
     pub fn board(&self) -> RwLockReadGuard<'_, Blackboard> {
         read(&self.board)
--- a/crates/peppercrank-daemon/src/router/try_once.rs
+++ b/crates/peppercrank-daemon/src/router/try_once.rs
@@ -25,6 +25,7 @@
 use crate::router::Router;
 use crate::router::job::Job;
 use crate::router::job::Shape;
+use crate::stream::error_of;
 
 /// The longest answer that is kept whole before any of it is delivered, in bytes.
 const MAX_WHOLE: usize = 16 * 1_024 * 1_024;
@@ -148,6 +149,10 @@
         }),
         Some(Ok(frame)) => {
             let first = frame.into_data().unwrap_or_default();
+            // A stream that begins with its error has delivered nothing yet.
+            if let Some(reason) = error_of(&first).filter(|_| job.shape == Shape::Streamed) {
+                return Tried::MayHaveRun(reason);
+            }
             begun(Begun {
                 head,
                 first,
--- a/crates/peppercrank-daemon/src/stream.rs
+++ b/crates/peppercrank-daemon/src/stream.rs
@@ -6,11 +6,15 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use peppercrank_core::keys::AttemptId;
+use peppercrank_core::refusal::MayHaveRun;
 use serde::Deserialize;
 
 /// The longest event that makes sense, in bytes.
 const MAX_EVENT: usize = 1_024 * 1_024;
 
+/// What stands before an answer's id.
+const ID_KEY: &[u8] = b"\"id\":\"";
+
 /// Hexadecimal digits of an attempt's id.
 const ID_DIGITS: usize = 32;
 
@@ -45,6 +49,16 @@
     pub cached: u64,
 }
 
+#[derive(Deserialize)]
+struct Told {
+    error: Fault,
+}
+
+#[derive(Deserialize)]
+struct Fault {
+    code: String,
+}
+
 #[derive(Deserialize)]
 struct Carrier {
     #[serde(default)]
@@ -142,17 +156,38 @@
     }
     match data_of(event) {
         Some(DONE) => Kind::Done,
-        Some(data) => Kind::Part(attempt_of(data)),
+        Some(data) => Kind::Part(named_in(data)),
         None => Kind::Part(None),
     }
 }
 
-/// The attempt that an event names, read without parsing the whole event.
-fn attempt_of(data: &[u8]) -> Option<AttemptId> {
-    let key = b"\"id\":\"";
-    let at = data.windows(key.len()).position(|w| w == key)? + key.len();
-    let id = data.get(at..at + ID_DIGITS)?;
-    std::str::from_utf8(id).ok()?.parse().ok()
+/// `named_in` is the attempt that an answer or an event's data names, read without parsing it.
+#[must_use]
+pub fn named_in(data: &[u8]) -> Option<AttemptId> {
+    let mut rest = data;
+    // Other ids may stand before the answer's own: those of calls of tools are no attempts.
+    while let Some(at) = rest.windows(ID_KEY.len()).position(|w| w == ID_KEY) {
+        rest = &rest[at + ID_KEY.len()..];
+        let digits = rest
+            .get(..ID_DIGITS)
+            .and_then(|d| std::str::from_utf8(d).ok());
+        let attempt = digits.and_then(|d| d.parse().ok());
+        if attempt.is_some() {
+            return attempt;
+        }
+    }
+    None
+}
+
+/// `error_of` is the reason that an error event tells, when these bytes begin with one.
+#[must_use]
+pub fn error_of(bytes: &[u8]) -> Option<MayHaveRun> {
+    if !bytes.starts_with(ERROR) {
+        return None;
+    }
+    let told = data_of(bytes).and_then(|data| serde_json::from_slice::<Told>(data).ok());
+    let reason = told.and_then(|t| MayHaveRun::from_code(&t.error.code));
+    Some(reason.unwrap_or(MayHaveRun::BadAnswer))
 }
 
 /// The place after the first event's end, searched for from `from` on.
--- a/crates/peppercrank-wire/src/edge/mod.rs
+++ b/crates/peppercrank-wire/src/edge/mod.rs
@@ -18,6 +18,7 @@
 use futures::FutureExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -45,6 +46,10 @@
 /// Pause after a failed accept, so that a full descriptor table is not polled in a tight loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Connections that the system may hold ready; the default of 128 drops a burst's first packets,
+/// which come again a second later.
+const BACKLOG: u32 = 4_096;
+
 /// Callers over the limit that are told so at once; those beyond are closed without a word.
 const TURNED_AWAY: u64 = 64;
 
@@ -71,9 +76,12 @@
     /// # Errors
     ///
     /// Returns [`crate::Error::Io`] when the address cannot be bound.
+    #[expect(
+        clippy::unused_async,
+        reason = "listening needs a runtime, which an async function has"
+    )]
     pub async fn bind(address: SocketAddr) -> Result<Self> {
-        let bound = TcpListener::bind(address).await;
-        let listener = bound.map_err(|e| errors::io(Step::Bind, &e))?;
+        let listener = listen(address).map_err(|e| errors::io(Step::Bind, &e))?;
         let address = listener.local_addr();
         Ok(Self {
             address: address.map_err(|e| errors::io(Step::Bind, &e))?,
@@ -153,6 +161,18 @@
     }
 }
 
+/// Listens with a queue that a burst of callers fits in.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // A restarted process takes its address back although old connections linger.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// `Open` counts a connection as open until it is dropped.
 struct Open(Arc<Counters>);
 
