Show that cuts and cancellations pass through a hop

Cause: each end was tested, the two together were not. Change: a test with an origin, a hop and a caller; examples in the documentation of the crate, bodies and seals. Proved: a cut at the origin is an error at the caller, and a caller that leaves ends the origin's stream.

--- a/crates/peppercrank-wire/src/body.rs
+++ b/crates/peppercrank-wire/src/body.rs
@@ -43,6 +43,29 @@
 /// # Panics
 ///
 /// Panics when `depth` is 0.
+///
+/// # Examples
+///
+/// ```
+/// use http_body_util::BodyExt;
+/// use peppercrank_wire::Error;
+/// use peppercrank_wire::body;
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> peppercrank_wire::Result<()> {
+/// let (feed, body) = body::channel(4);
+/// feed.send("data: 1\n\n".into()).await?;
+/// feed.finish();
+/// assert_eq!(body.collect().await?.to_bytes(), "data: 1\n\n");
+///
+/// // Without an end the reader gets an error, not a short body.
+/// let (feed, body) = body::channel(4);
+/// feed.send("data: 1\n\n".into()).await?;
+/// drop(feed);
+/// assert_eq!(body.collect().await.err(), Some(Error::Aborted));
+/// # Ok(())
+/// # }
+/// ```
 #[must_use]
 pub fn channel(depth: usize) -> (Feed, Body) {
     let (tx, rx) = mpsc::channel(depth);
--- a/crates/peppercrank-wire/src/lib.rs
+++ b/crates/peppercrank-wire/src/lib.rs
@@ -5,6 +5,42 @@
 //!
 //! Everything that reads a clock or opens a socket for the fleet stands here; the parts that
 //! decide stand in crates without input or output.
+//!
+//! # Examples
+//!
+//! An edge that greets, and a client that calls it:
+//!
+//! ```
+//! use http_body_util::BodyExt;
+//! use peppercrank_wire::body;
+//! use peppercrank_wire::client::Client;
+//! use peppercrank_wire::client::Reuse;
+//! use peppercrank_wire::client::Times;
+//! use peppercrank_wire::edge::Edge;
+//! use peppercrank_wire::edge::Limits;
+//! use peppercrank_wire::edge::Reply;
+//! use peppercrank_wire::stop::stop;
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let edge = Edge::bind("127.0.0.1:0".parse()?).await?;
+//! let address = edge.local_addr();
+//! let (stopper, stop) = stop();
+//! let greet = |_call| async { Reply::new(body::full("hello")) };
+//! let served = tokio::spawn(edge.serve(Limits::default(), stop, greet));
+//!
+//! let client = Client::new(Times::default());
+//! let request = http::Request::get("/").body(body::empty())?;
+//! let answer = client.send(address, request, Reuse::Allowed).await?;
+//! let body = answer.into_body().collect().await?;
+//! assert_eq!(body.to_bytes(), "hello");
+//!
+//! drop(client);
+//! stopper.stop();
+//! assert_eq!(served.await?.cut, 0);
+//! # Ok(())
+//! # }
+//! ```
 
 pub mod body;
 pub mod client;
--- a/crates/peppercrank-wire/src/seal/mod.rs
+++ b/crates/peppercrank-wire/src/seal/mod.rs
@@ -6,6 +6,31 @@
 //! It has no input or output of its own: keys, boot numbers and messages are passed in. A sealed
 //! message names its key, its sender, the sender's boot and a counter, and carries a truncated
 //! HMAC-SHA256 over all of these, the channel, the audience and the payload.
+//!
+//! # Examples
+//!
+//! ```
+//! use peppercrank_wire::seal::Channel;
+//! use peppercrank_wire::seal::Identity;
+//! use peppercrank_wire::seal::Key;
+//! use peppercrank_wire::seal::KeyRing;
+//! use peppercrank_wire::seal::Opener;
+//! use peppercrank_wire::seal::Rejected;
+//! use peppercrank_wire::seal::Sealer;
+//! use peppercrank_wire::seal::SenderId;
+//!
+//! let ring = KeyRing::new(vec![Key::new(1, &[7; 32])?])?;
+//! let identity = Identity { sender: SenderId(1), boot: 1 };
+//! let mut sealer = Sealer::new(Channel::Datagram, identity, ring.clone());
+//! let mut opener = Opener::new(Channel::Datagram, ring, 4_096);
+//!
+//! let (_counter, message) = sealer.seal(b"10.0.0.2:7000", b"ping");
+//! let opened = opener.open(b"10.0.0.2:7000", &message)?;
+//! assert_eq!(opened.payload, b"ping");
+//! let again = opener.open(b"10.0.0.2:7000", &message);
+//! assert_eq!(again, Err(Rejected::Replayed));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
 mod bearer;
 mod head;
--- a/crates/peppercrank-wire/tests/verify_stream.rs
+++ b/crates/peppercrank-wire/tests/verify_stream.rs
@@ -148,6 +148,53 @@
     assert_eq!(client.counters().get(Count::Connected), 3);
 }
 
+#[tokio::test]
+async fn verify_hop_passes_cuts_and_cancels_on() {
+    let (dropped, mut heard) = mpsc::unbounded_channel();
+    let step = Arc::new(Semaphore::new(0));
+    let gate = Arc::clone(&step);
+    let origin = start(Limits::default(), move |call| {
+        let told = Told(dropped.clone());
+        let gate = Arc::clone(&gate);
+        let cuts = call.head.uri.path() == "/cut";
+        let (feed, body) = body::channel(1);
+        tokio::spawn(async move {
+            let part = Bytes::from_static(b"part");
+            feed.send(part).await.expect("a reader");
+            if cuts {
+                gate.acquire().await.expect("an open gate").forget();
+            } else {
+                feed.closed().await;
+            }
+            drop((feed, told));
+        });
+        std::future::ready(Reply::new(body))
+    })
+    .await;
+    let upstream = Client::new(Times::default());
+    let hop = start(Limits::default(), move |call| {
+        let (client, to) = (upstream.clone(), origin.address);
+        async move {
+            let request = get(call.head.uri.path());
+            let sent = client.send(to, request, Reuse::Allowed).await;
+            sent.expect("an answer").map(BodyExt::boxed_unsync)
+        }
+    })
+    .await;
+    let client = Client::new(Times::default());
+    let sent = client.send(hop.address, get("/cut"), Reuse::Allowed).await;
+    let body = sent.expect("a head").into_body();
+    step.add_permits(1);
+    assert_eq!(text(body).await, Err(Error::AnswerCut));
+    heard.recv().await.expect("the cut stream dropped");
+
+    let sent = client.send(hop.address, get("/long"), Reuse::Allowed).await;
+    let mut body = sent.expect("a head").into_body();
+    body.frame().await.expect("a frame").expect("a whole one");
+    drop(body);
+    heard.recv().await.expect("the origin's stream dropped");
+}
+
 /// Tells when it is dropped.
 struct Told(mpsc::UnboundedSender<()>);
 
