Finish control calls in progress at a stop

Cause: a stopping server dropped its calls, an order or a handover among them, whose fate its sender then did not know. Change: it stops accepting, finishes what runs within 3 s, and closes each connection once that has been quiet. Proved: a call held through the stop and answered with 3 MB.

--- a/crates/peppercrank-wire/src/control/server.rs
+++ b/crates/peppercrank-wire/src/control/server.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::Result;
 use crate::errors;
@@ -39,6 +40,9 @@
 /// Pause after a failed accept, so that a full descriptor table is not polled in a tight loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Once stopping, a connection closes when it has carried nothing for so long and no call runs.
+const QUIET: Duration = Duration::from_millis(100);
+
 /// `ControlLimits` are what a server of control calls allows.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ControlLimits {
@@ -52,6 +56,8 @@
     pub idle: Duration,
     /// Senders remembered against replays.
     pub room: usize,
+    /// Once stopping, the time left to calls in progress.
+    pub drain: Duration,
 }
 
 impl Default for ControlLimits {
@@ -63,6 +69,8 @@
             idle: Duration::from_secs(60),
             // More than twice the fleet of 1,670 processes.
             room: 4_096,
+            // Longer than a call's deadline.
+            drain: Duration::from_secs(3),
         }
     }
 }
@@ -125,7 +133,7 @@
         Arc::clone(&self.desk)
     }
 
-    /// `serve` answers calls until told to stop.
+    /// `serve` answers calls until told to stop, then finishes those in progress.
     ///
     /// The future that answers a call is dropped at the call's deadline, and when its caller goes
     /// away.
@@ -149,17 +157,27 @@
                     }
                     let desk = Arc::clone(&self.desk);
                     let here = Arc::clone(&here);
-                    tasks.spawn(run(io, here, desk, self.limits.clone(), answer.clone()));
+                    let limits = self.limits.clone();
+                    tasks.spawn(run(io, here, desk, limits, stop.clone(), answer.clone()));
                 }
                 Some(_) = tasks.join_next(), if !tasks.is_empty() => {}
             }
         }
-        tasks.shutdown().await;
+        drop(self.listener);
+        let all = async { while tasks.join_next().await.is_some() {} };
+        // What outlasts the time is cut when the tasks are dropped.
+        let _over = timeout(self.limits.drain, all).await;
     }
 }
 
-async fn run<F, R>(io: TcpStream, here: Arc<str>, desk: Arc<Desk>, limits: ControlLimits, answer: F)
-where
+async fn run<F, R>(
+    io: TcpStream,
+    here: Arc<str>,
+    desk: Arc<Desk>,
+    limits: ControlLimits,
+    mut stop: Stop,
+    answer: F,
+) where
     F: Fn(SenderId, Ask) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Told> + Send + 'static,
 {
@@ -170,18 +188,23 @@
     });
     let channel = BaseChannel::with_defaults(wire).max_concurrent_requests(limits.calls);
     let mut requests = pin!(channel.execute(handler));
-    let mut idle = pin!(activity.idle(limits.idle));
     let mut calls = FuturesUnordered::new();
+    let mut stopping = false;
     // Calls run within this task, so that they end when their connection does.
     loop {
+        let quiet = stopping && calls.is_empty();
+        let time = if quiet { QUIET } else { limits.idle };
         tokio::select! {
+            // Answers go out when the requests are polled, so the time is looked at last.
+            biased;
+            Some(()) = calls.next(), if !calls.is_empty() => {}
             next = requests.next() => match next {
                 Some(call) => calls.push(call),
                 None => return,
             },
-            Some(()) = calls.next(), if !calls.is_empty() => {}
             () = activity.ended() => return,
-            () = &mut idle => return,
+            () = stop.wait(), if !stopping => stopping = true,
+            () = activity.idle(time) => return,
         }
     }
 }
--- a/crates/peppercrank-wire/tests/verify_control.rs
+++ b/crates/peppercrank-wire/tests/verify_control.rs
@@ -33,6 +33,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -294,6 +295,48 @@
     assert_eq!(io.read(&mut [0]).await.expect("a proper close"), 0);
 }
 
+#[tokio::test]
+async fn verify_stop_finishes_calls() {
+    let limits = ControlLimits {
+        drain: Duration::from_secs(60),
+        ..ControlLimits::default()
+    };
+    let server = ControlServer::bind(FREE, None, identity(1), ring(1), limits).await;
+    let server = server.expect("a free port");
+    let address = server.address();
+    let gate = Arc::new(Semaphore::new(0));
+    let held = Arc::clone(&gate);
+    let (stopper, stop) = stop();
+    let desk = server.desk();
+    let ended = tokio::spawn(server.serve(stop, move |_, _| {
+        let held = Arc::clone(&held);
+        async move {
+            held.acquire().await.expect("an open gate").forget();
+            // Longer than what a socket takes at once.
+            Told::Status("x".repeat(3_000_000))
+        }
+    }));
+    let call = Duration::from_secs(60);
+    let times = ControlTimes {
+        call,
+        ..ControlTimes::default()
+    };
+    let client = client(ring(1), times);
+    let asking = tokio::spawn({
+        let client = client.clone();
+        async move { client.status(address).await }
+    });
+    while desk.traffic().total().received == 0 {
+        tokio::task::yield_now().await;
+    }
+    stopper.stop();
+    while TcpStream::connect(address).await.is_ok() {}
+    gate.add_permits(1);
+    let told = asking.await.expect("a call without a fault");
+    assert_eq!(told.map(|t| t.len()), Ok(3_000_000));
+    ended.await.expect("an end");
+}
+
 #[tokio::test]
 async fn verify_restart_is_survived() {
     let running = start(FREE, ControlLimits::default()).await;
