Show that an early refusal reaches a caller that is still sending

Cause: a server that closes with bytes unread resets the connection, and the refusal may be lost with it. Change: tests of early refusals through the client, and of an endless head of an answer.

--- a/crates/peppercrank-wire/tests/verify_client.rs
+++ b/crates/peppercrank-wire/tests/verify_client.rs
@@ -83,6 +83,8 @@
         ..Times::default()
     };
     let long = Times::default();
+    let endless = format!("HTTP/1.1 200 OK\r\na: {}", "a".repeat(200_000));
+    let endless: &str = Box::leak(endless.into_boxed_str());
     let cases = [
         (Script::Answer(""), &long, Cause::Closed),
         (Script::Answer("HTTP/1.1 200"), &long, Cause::Closed),
@@ -92,6 +94,7 @@
             &long,
             Cause::Malformed,
         ),
+        (Script::Answer(endless), &long, Cause::Malformed),
         (Script::Keep(""), &short, Cause::FirstByte),
         (Script::Keep("HTTP/1.1 200"), &short, Cause::FirstByte),
     ];
--- a/crates/peppercrank-wire/tests/verify_whole.rs
+++ b/crates/peppercrank-wire/tests/verify_whole.rs
@@ -7,6 +7,8 @@
 mod edges;
 #[path = "support/raw.rs"]
 mod raw;
+#[path = "support/http.rs"]
+mod requests;
 
 use std::time::Duration;
 
@@ -33,6 +35,8 @@
 use edges::echo;
 use edges::start;
 use raw::exchange;
+use requests::get;
+use requests::text;
 
 /// Callers at once, and the calls of each.
 const CALLERS: u64 = 16;
@@ -177,6 +181,46 @@
     );
 }
 
+#[tokio::test]
+async fn verify_early_refusal_reaches_its_caller() {
+    let limits = Limits {
+        body: 100,
+        ..Limits::default()
+    };
+    let running = start(limits, echo).await;
+    let client = Client::new(Times::default());
+    // A length that is refused with the head, and chunks that are refused on the way.
+    for (size, sized) in [
+        (1_000, true),
+        (500_000, true),
+        (500_000, false),
+        (8_000_000, true),
+    ] {
+        let body = if sized {
+            body::full(vec![b'a'; size])
+        } else {
+            let (feed, body) = body::channel(1);
+            tokio::spawn(async move {
+                while feed.send(Bytes::from(vec![b'a'; 1_000])).await.is_ok() {}
+            });
+            body
+        };
+        let request = Request::post("/").body(body).expect("a good path");
+        let sent = client.send(running.address, request, Reuse::Allowed).await;
+        let answer = sent.expect("an answer");
+        assert_eq!(answer.status(), 413, "{size} {sized}");
+        let text = answer.into_body().collect().await.expect("a whole answer");
+        let text = String::from_utf8_lossy(&text.to_bytes()).into_owned();
+        assert!(text.contains("body_too_big"), "{size} {sized}: {text}");
+    }
+    // No connection is used again whose request was not taken whole.
+    let sent = client
+        .send(running.address, get("/after"), Reuse::Allowed)
+        .await;
+    let answer = sent.expect("an answer").into_body();
+    assert_eq!(text(answer).await.as_deref(), Ok("GET /after "));
+}
+
 #[tokio::test]
 async fn verify_stop_under_load_cuts_nothing() {
     let limits = Limits {
