--- a/crates/peppercrank-daemon/src/agent/control.rs
+++ b/crates/peppercrank-daemon/src/agent/control.rs
@@ -138,30 +138,30 @@
     }
 }
 
-/// Tells the admission that peers or the platform were heard.
+/// Tells the admission, again and again, that the process is in touch while it is.
 async fn follow_touch(agent: Arc<Agent>) {
-    let mut touches = agent.fleet.touches();
-    while touches.changed().await.is_ok() {
-        agent.desk.put(Input::Touched);
-        // Once a period is enough, however much is heard.
+    loop {
+        if agent.fleet.is_in_touch() {
+            agent.desk.put(Input::Touched);
+        }
         sleep(LOAD_PERIOD).await;
     }
 }
 
-/// Hands pointers on when the ranking changes.
+/// Hands pointers on when the ranking changes, and says so once the target leaves.
 async fn follow_ranking(agent: Arc<Agent>) {
-    let mut changes = agent.fleet.changes();
     let mut old = agent.ranking();
     loop {
-        if changes.changed().await.is_err() {
-            return;
-        }
         let new = agent.ranking();
-        hand_over(&agent, &old, &new).await;
-        old = new;
-        if agent.desk.status().leaving {
+        if !Arc::ptr_eq(&old, &new) {
+            hand_over(&agent, &old, &new).await;
+            old = new;
+        }
+        // The mark may reach the admission after the ranking, so both are looked at again.
+        if agent.desk.status().leaving && !old.ranks(agent.own) {
             agent.desk.put(Input::HandedOver);
         }
+        sleep(LOAD_PERIOD).await;
     }
 }
 
