Search the taking away of a mark and the stop of an agent

Cause: the drain model knew marks only. Change: two steps and their bounds; the configuration bounds run beside each other.

--- a/crates/peppercrank-spec/src/drain.rs
+++ b/crates/peppercrank-spec/src/drain.rs
@@ -4,7 +4,7 @@
 //! A draining target admits nothing after its agent knows, and cuts nothing.
 //!
 //! Requests reach one agent, each maybe twice, while a mark is published, heard and acted on; the
-//! agent may crash and start anew. The agent decides with the real [`Admission`]. As that cannot be
+//! agent may crash and start anew. The agent decides with the real [`peppercrank_admit::Admission`]. As that cannot be
 //! copied, a state is the row of inputs since the agent started, driven anew for each step, and two
 //! states count as one when their admissions hold the same.
 
@@ -65,6 +65,10 @@
     pub strides: u8,
     /// Restarts of the agent.
     pub restarts: u8,
+    /// Marks that are taken away again.
+    pub unmarks: u8,
+    /// Whether the agent may be told to stop.
+    pub stops: bool,
 }
 
 /// `Step` is one step of the model.
@@ -82,6 +86,10 @@
     Publish,
     /// The agent hears of the mark.
     Hear,
+    /// The mark is taken away, and the agent hears of it.
+    Unmark,
+    /// The agent itself is told to stop.
+    Stop,
     /// The pointers are handed over.
     HandOver,
     /// Time passes.
@@ -132,6 +140,8 @@
     repeated: u8,
     strode: u8,
     restarted: u8,
+    unmarked: u8,
+    stopped: bool,
     published: bool,
     life: Life,
     /// Whether any life of the agent knew of the mark.
@@ -203,6 +213,18 @@
                 shape.life = Life::Marked;
                 shape.knew = true;
             }
+            Step::Unmark => {
+                shape.unmarked += 1;
+                shape.published = false;
+                // What an earlier life knew is over too.
+                shape.knew = false;
+                shape.life = Life::Serving;
+            }
+            Step::Stop => {
+                shape.stopped = true;
+                shape.knew = true;
+                shape.life = Life::Marked;
+            }
             Step::HandOver => shape.life = Life::HandedOver,
             Step::Stride => {
                 shape.strode += 1;
@@ -238,6 +260,9 @@
         shape.runs.clear();
         shape.held = Agent::new().held();
         shape.life = Life::Unread;
+        // A stop ends with the life that was told of it; a mark does not.
+        shape.knew &= !shape.stopped || shape.published;
+        shape.stopped = false;
     }
 }
 
@@ -254,6 +279,8 @@
             repeated: 0,
             strode: 0,
             restarted: 0,
+            unmarked: 0,
+            stopped: false,
             published: false,
             life: Life::Serving,
             knew: false,
@@ -286,6 +313,12 @@
         if shape.life == Life::Marked {
             steps.push(Step::HandOver);
         }
+        if shape.life.knows() && !shape.stopped && shape.unmarked < self.unmarks {
+            steps.push(Step::Unmark);
+        }
+        if self.stops && !shape.stopped && shape.life == Life::Serving {
+            steps.push(Step::Stop);
+        }
         if shape.strode < self.strides {
             steps.push(Step::Stride);
         }
--- a/crates/peppercrank-spec/src/drain/agent.rs
+++ b/crates/peppercrank-spec/src/drain/agent.rs
@@ -129,6 +129,8 @@
                 None => Vec::new(),
             },
             Step::Hear => self.hear(now, flaw),
+            Step::Unmark => self.admission.on(now, Input::Unmarked),
+            Step::Stop => self.admission.on(now, Input::Stopping),
             Step::HandOver => self.admission.on(now, Input::HandedOver),
             Step::Stride => self.admission.on(now, Input::Tick),
             Step::Publish | Step::Restart | Step::Read => Vec::new(),
--- a/crates/peppercrank-spec/tests/verify_configuration.rs
+++ b/crates/peppercrank-spec/tests/verify_configuration.rs
@@ -21,60 +21,62 @@
     crashes: 0,
 };
 
+/// Only the first process calls the API.
+const ONE: Configuration = Configuration {
+    callers: 1,
+    messages: 2,
+    ..CALM
+};
+
+fn verify_holds(bounds: &[(&str, Configuration)]) {
+    for (name, model) in bounds {
+        match check(model) {
+            Ok(seen) => println!("configuration, {name}: {seen}"),
+            Err(bad) => panic!("configuration, {name}: {bad}"),
+        }
+    }
+}
+
 #[test]
-fn verify_configuration_holds_at_each_bound() {
-    let one = Configuration { callers: 1, ..CALM };
-    let bounds = [
+fn verify_configuration_holds_between_two() {
+    verify_holds(&[
         ("two callers", CALM),
+        ("crash", Configuration { crashes: 1, ..ONE }),
+        ("other writes", Configuration { others: 1, ..ONE }),
+    ]);
+}
+
+#[test]
+fn verify_configuration_holds_over_three_writes() {
+    verify_holds(&[(
+        "three writes",
+        Configuration {
+            writes: 3,
+            crashes: 1,
+            ..ONE
+        },
+    )]);
+}
+
+#[test]
+fn verify_configuration_holds_among_three() {
+    verify_holds(&[
         (
-            "crash",
-            Configuration {
-                messages: 2,
-                crashes: 1,
-                ..one
-            },
-        ),
-        (
-            "other writes",
-            Configuration {
-                messages: 2,
-                others: 1,
-                ..one
-            },
-        ),
-        (
-            "three writes",
-            Configuration {
-                writes: 3,
-                messages: 2,
-                crashes: 1,
-                ..one
-            },
-        ),
-        (
-            "three processes",
+            "three",
             Configuration {
                 processes: 3,
-                messages: 2,
-                ..one
+                ..ONE
             },
         ),
         (
             "three, crash",
             Configuration {
                 processes: 3,
-                messages: 2,
                 crashes: 1,
-                ..one
+                ..ONE
             },
         ),
-    ];
-    for (name, model) in bounds {
-        match check(&model) {
-            Ok(seen) => println!("configuration, {name}: {seen}"),
-            Err(bad) => panic!("configuration, {name}: {bad}"),
-        }
-    }
+    ]);
 }
 
 #[test]
--- a/crates/peppercrank-spec/tests/verify_drain.rs
+++ b/crates/peppercrank-spec/tests/verify_drain.rs
@@ -19,12 +19,30 @@
     repeats: 0,
     strides: 0,
     restarts: 0,
+    unmarks: 0,
+    stops: false,
 };
 
 #[test]
 fn verify_drain_holds_at_each_bound() {
     let bounds = [
         ("calm", CALM),
+        (
+            "unmark",
+            Drain {
+                unmarks: 1,
+                strides: 1,
+                ..CALM
+            },
+        ),
+        (
+            "stop",
+            Drain {
+                stops: true,
+                strides: 1,
+                ..CALM
+            },
+        ),
         (
             "three requests",
             Drain {
