--- a/crates/peppercrank-spec/tests/verify_once.rs
+++ b/crates/peppercrank-spec/tests/verify_once.rs
@@ -21,11 +21,20 @@
     cuts: 0,
 };
 
-fn verify_holds(bounds: &[(&str, Once)]) {
-    for (name, model) in bounds {
-        match check(model) {
-            Ok(seen) => println!("once, {name}: {seen}"),
-            Err(bad) => panic!("once, {name}: {bad}"),
+/// Checks bounds given as sendings, losses, crashes, strides and cuts.
+fn verify_holds(bounds: &[[u8; 5]]) {
+    for [sends, losses, crashes, strides, cuts] in bounds.iter().copied() {
+        let model = Once {
+            flaw: Flaw::None,
+            sends,
+            losses,
+            crashes,
+            strides,
+            cuts,
+        };
+        match check(&model) {
+            Ok(seen) => println!("{model:?}: {seen}"),
+            Err(bad) => panic!("{model:?}: {bad}"),
         }
     }
 }
@@ -33,77 +42,22 @@
 #[test]
 fn verify_once_holds_with_faults() {
     verify_holds(&[
-        ("calm", CALM),
-        (
-            "losses",
-            Once {
-                losses: 2,
-                cuts: 1,
-                ..CALM
-            },
-        ),
-        (
-            "crash",
-            Once {
-                losses: 1,
-                crashes: 1,
-                cuts: 1,
-                ..CALM
-            },
-        ),
-        (
-            "sends",
-            Once {
-                sends: 3,
-                losses: 1,
-                cuts: 1,
-                ..CALM
-            },
-        ),
-        (
-            "sends and a crash",
-            Once {
-                sends: 3,
-                crashes: 1,
-                ..CALM
-            },
-        ),
+        [2, 0, 0, 0, 0],
+        [2, 2, 0, 0, 1],
+        [2, 1, 1, 0, 1],
+        [3, 1, 0, 0, 1],
+        [3, 0, 1, 0, 0],
     ]);
 }
 
 #[test]
 fn verify_once_holds_over_time() {
-    verify_holds(&[
-        (
-            "time and a cut",
-            Once {
-                strides: 2,
-                cuts: 1,
-                ..CALM
-            },
-        ),
-        (
-            "time and a loss",
-            Once {
-                strides: 1,
-                losses: 1,
-                ..CALM
-            },
-        ),
-    ]);
+    verify_holds(&[[2, 0, 0, 2, 1], [2, 1, 0, 1, 0]]);
 }
 
 #[test]
 fn verify_once_holds_over_time_with_crashes() {
-    verify_holds(&[(
-        "time and a crash",
-        Once {
-            strides: 1,
-            crashes: 1,
-            cuts: 1,
-            ..CALM
-        },
-    )]);
+    verify_holds(&[[2, 0, 1, 1, 1]]);
 }
 
 #[test]
