Search short times too, and test what mutation trials showed to be untested

Change: the test waits 30 and 500 ms in turn, the model has a short step of time, and the write that goes over a lost one has a test of its own.

--- a/crates/peppercrank-lease/tests/verify_chaos.rs
+++ b/crates/peppercrank-lease/tests/verify_chaos.rs
@@ -45,6 +45,7 @@
 struct World {
     rng: ChaCha8Rng,
     now: Moment,
+    wait: Duration,
     routers: Vec<(Claims, u64)>,
     objects: BTreeMap<u16, Store<Shard>>,
     calls: Vec<Call>,
@@ -106,7 +107,7 @@
                 let key = ClaimKey(self.rng.random_range(0..24));
                 let token = RequestId(self.rng.random());
                 self.keys.insert(token, key);
-                let wait = POLICY.wait;
+                let wait = self.wait;
                 self.drive(at, Input::Claim { key, token, wait });
             }
             100..400 => {
@@ -143,10 +144,12 @@
 #[test]
 fn verify_no_key_runs_twice_within_its_retention() {
     let (mut ran, mut again) = (0, 0);
-    for seed in 0..20 {
+    // A short wait gives up much that is under way, a long one hardly anything.
+    for (seed, wait_ms) in (0..20).zip([30, 500].into_iter().cycle()) {
         let mut world = World {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: Moment::ZERO,
+            wait: Duration::from_millis(wait_ms),
             routers: (0..4).map(|n| (claims(n), 0)).collect(),
             objects: BTreeMap::new(),
             calls: Vec::new(),
--- a/crates/peppercrank-lease/tests/verify_claim.rs
+++ b/crates/peppercrank-lease/tests/verify_claim.rs
@@ -199,6 +199,21 @@
     assert!(b.is_granted(20));
 }
 
+#[test]
+fn verify_a_lost_write_cannot_take_effect_after_its_claim_was_given_up() {
+    let mut store = World::default();
+    let mut a = Router::new(policy(), 1);
+    a.on(&mut store, at(0), claim(1, 10), &[Fate::Lost]);
+    a.on(&mut store, at(2_000), Input::Tick, &[]);
+    a.on(&mut store, at(2_100), Input::Tick, &[]);
+    // The store held nothing, yet a write went over the lost one, which comes late.
+    assert_eq!(store.shard.writes, 1);
+    let mut late = Shard::default();
+    late.add(ClaimKey(1), RequestId(10));
+    let answer = store.shard.put(None, late);
+    assert!(matches!(answer, Answer::Conflict { .. }), "{answer:?}");
+}
+
 #[test]
 fn verify_an_outage_refuses_truly_then_at_once_and_ends() {
     let mut claims = Claims::new(policy(), 1).expect("policy in range");
--- a/crates/peppercrank-spec/src/once.rs
+++ b/crates/peppercrank-spec/src/once.rs
@@ -51,8 +51,11 @@
 /// The one key.
 const KEY: ClaimKey = ClaimKey(7);
 
-/// What one step of time lasts: an epoch, longer than a grant or a wait for a claim.
-const STRIDE: Duration = Duration::from_secs(2);
+/// What a long step of time lasts: an epoch, longer than a grant or a wait for a claim.
+const STRIDE: Duration = Duration::from_secs(4);
+
+/// What a short step of time lasts: longer than a wait for a claim, shorter than a grant.
+const NAP: Duration = Duration::from_millis(1_500);
 
 /// `Flaw` is a rule taken away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,8 +91,10 @@
     pub losses: u8,
     /// Router crashes.
     pub crashes: u8,
-    /// Strides of time.
+    /// Long steps of time.
     pub strides: u8,
+    /// Short steps of time.
+    pub naps: u8,
     /// Connections to the agent that are cut, by its restart or by the network.
     pub cuts: u8,
 }
@@ -115,8 +120,10 @@
     Cut(RequestId),
     /// A router crashes and starts anew.
     Crash(usize),
-    /// Time passes, or every process is paused.
+    /// A long time passes, or every process is paused.
     Stride,
+    /// A short time passes.
+    Nap,
     /// Another router that has watched the epoch for a period begins the next.
     Roll,
 }
@@ -129,7 +136,7 @@
             period: STRIDE,
             generations: 2,
             life: STRIDE / 2,
-            wait: STRIDE / 2,
+            wait: STRIDE / 4,
             call: Duration::from_secs(1_000),
             retry: Duration::ZERO,
             fails: 2,
@@ -292,9 +299,8 @@
         }
     }
 
-    fn stride(s: &mut State) {
-        s.strode += 1;
-        s.now = s.now + STRIDE;
+    fn pass(s: &mut State, time: Duration) {
+        s.now = s.now + time;
         // The assumption on the network and on paused agents: a request that was forwarded is
         // taken up before the claim on it can be dropped, or never.
         let policy = Self::policy();
@@ -328,7 +334,14 @@
             Step::Refuse(token) => self.refuse(&mut s, token),
             Step::Cut(token) => self.cut(&mut s, token),
             Step::Crash(at) => Self::crash(&mut s, at),
-            Step::Stride => Self::stride(&mut s),
+            Step::Stride => {
+                s.strode += 1;
+                Self::pass(&mut s, STRIDE);
+            }
+            Step::Nap => {
+                s.napped += 1;
+                Self::pass(&mut s, NAP);
+            }
             Step::Roll => Self::roll(&mut s),
         }
         s
@@ -357,6 +370,7 @@
             lost: 0,
             crashed: 0,
             strode: 0,
+            napped: 0,
             cut: 0,
         }
     }
@@ -384,6 +398,9 @@
         if state.strode < self.strides {
             steps.push(Step::Stride);
         }
+        if state.napped < self.naps {
+            steps.push(Step::Nap);
+        }
         if self.may_roll(state) {
             steps.push(Step::Roll);
         }
--- a/crates/peppercrank-spec/src/once/state.rs
+++ b/crates/peppercrank-spec/src/once/state.rs
@@ -83,6 +83,7 @@
     pub(super) lost: u8,
     pub(super) crashed: u8,
     pub(super) strode: u8,
+    pub(super) napped: u8,
     pub(super) cut: u8,
 }
 
--- a/crates/peppercrank-spec/tests/verify_once.rs
+++ b/crates/peppercrank-spec/tests/verify_once.rs
@@ -18,18 +18,20 @@
     losses: 0,
     crashes: 0,
     strides: 0,
+    naps: 0,
     cuts: 0,
 };
 
-/// Checks bounds given as sendings, losses, crashes, strides and cuts.
-fn verify_holds(bounds: &[[u8; 5]]) {
-    for [sends, losses, crashes, strides, cuts] in bounds.iter().copied() {
+/// Checks bounds given as sendings, losses, crashes, strides, naps and cuts.
+fn verify_holds(bounds: &[[u8; 6]]) {
+    for [sends, losses, crashes, strides, naps, cuts] in bounds.iter().copied() {
         let model = Once {
             flaw: Flaw::None,
             sends,
             losses,
             crashes,
             strides,
+            naps,
             cuts,
         };
         match check(&model) {
@@ -42,22 +44,27 @@
 #[test]
 fn verify_once_holds_with_faults() {
     verify_holds(&[
-        [2, 0, 0, 0, 0],
-        [2, 2, 0, 0, 1],
-        [2, 1, 1, 0, 1],
-        [3, 1, 0, 0, 1],
-        [3, 0, 1, 0, 0],
+        [2, 0, 0, 0, 0, 0],
+        [2, 2, 0, 0, 0, 1],
+        [2, 1, 1, 0, 0, 1],
+        [3, 1, 0, 0, 0, 1],
+        [3, 0, 1, 0, 0, 0],
     ]);
 }
 
 #[test]
-fn verify_once_holds_over_time() {
-    verify_holds(&[[2, 0, 0, 2, 1], [2, 1, 0, 1, 0]]);
+fn verify_once_holds_over_short_times() {
+    verify_holds(&[[2, 1, 0, 0, 1, 0], [2, 0, 1, 0, 1, 1]]);
 }
 
 #[test]
-fn verify_once_holds_over_time_with_crashes() {
-    verify_holds(&[[2, 0, 1, 1, 1]]);
+fn verify_once_holds_over_long_times() {
+    verify_holds(&[[2, 0, 0, 2, 0, 1], [2, 1, 0, 1, 0, 0]]);
+}
+
+#[test]
+fn verify_once_holds_over_long_times_with_crashes() {
+    verify_holds(&[[2, 0, 1, 1, 0, 1]]);
 }
 
 #[test]
