--- a/crates/peppercrank-lease/tests/verify_claim.rs
+++ b/crates/peppercrank-lease/tests/verify_claim.rs
@@ -349,6 +349,19 @@
     }
 }
 
+#[test]
+fn verify_a_router_that_was_idle_reads_the_epoch_before_it_claims() {
+    let mut store = World::default();
+    let (mut idle, mut other) = (Router::new(policy(), 1), Router::new(policy(), 2));
+    idle.on(&mut store, at(0), claim(9, 9), &[]);
+    // Others have let many epochs pass, none of them with a claim in this shard.
+    store.epoch.put(None, Shard::of_epoch(20));
+    idle.on(&mut store, at(6_000_000), claim(1, 10), &[]);
+    other.on(&mut store, at(0), claim(1, 20), &[]);
+    assert!(idle.is_granted(10));
+    assert_eq!(other.verdict(20), Some(Verdict::Begun));
+}
+
 #[test]
 fn verify_many_routers_let_the_epoch_rise_once_a_period() {
     let mut store = World::default();
