Test the missed deletion, the lone invalid object and stale peers more sharply

Change: a fresh process that does not watch among stale peers; a deletion that nobody remembers as a tombstone; a process that knows an invalid version alone.

--- a/crates/peppercrank-config/tests/verify_relay.rs
+++ b/crates/peppercrank-config/tests/verify_relay.rs
@@ -177,25 +177,28 @@
 fn verify_fresh_among_stale_peers() {
     for reaches in [true, false] {
         let mut fleet = settled(7);
+        // A watcher asks the API at once anyhow.
+        let fresh = (0..26).find(|i| !fleet.relay(*i).is_watcher()).unwrap();
         for process in &mut fleet.processes {
             process.platform = false;
         }
         fleet.run(seconds(30));
         let object = fleet.put(&base(), Some(&template(2)));
         fleet.run(seconds(300));
-        assert_eq!(weight(&fleet, 3), Some(1), "the peers are stale");
-        fleet.processes[3].platform = reaches;
-        fleet.start(3);
+        assert_eq!(weight(&fleet, fresh), Some(1), "the peers are stale");
+        fleet.processes[fresh].platform = reaches;
+        fleet.start(fresh);
         for _ in 0..300 {
             fleet.run(Duration::from_millis(100));
-            let relay = fleet.relay(3);
+            let relay = fleet.relay(fresh);
             let served = relay.readiness().is_ready();
             let has = relay.store().covers(&base(), object.version);
             assert!(!served || has || !reaches, "served older than the API's");
         }
         let basis = if reaches { Basis::Api } else { Basis::Peers };
-        assert_eq!(fleet.relay(3).readiness(), Readiness::Ready(basis));
-        assert_eq!(weight(&fleet, 3), Some(if reaches { 2 } else { 1 }));
+        let relay = fleet.relay(fresh);
+        assert_eq!(relay.readiness(), Readiness::Ready(basis));
+        assert_eq!(weight(&fleet, fresh), Some(if reaches { 2 } else { 1 }));
     }
 }
 
@@ -256,6 +259,27 @@
     }
 }
 
+#[test]
+fn verify_deletion_missed() {
+    // The others know of the deletion only that the object is in no list.
+    let mut fleet = settled(17);
+    fleet.processes[2].side = 9;
+    fleet.processes[2].platform = false;
+    fleet.run(seconds(25));
+    fleet.platform.compacts = true;
+    let gone = fleet.put(&base(), None);
+    fleet.put(&key(Kind::Template, "other"), Some(&template(3)));
+    let others: Vec<usize> = (0..26).filter(|i| *i != 2).collect();
+    fleet.start_all(&others);
+    fleet.run(seconds(30));
+    assert_eq!(weight(&fleet, 2), Some(1));
+    assert_eq!(fleet.relay(0).store().in_force(&base()), None);
+    fleet.processes[2].side = 0;
+    fleet.run(seconds(15));
+    assert!(fleet.everywhere(&base(), gone.version));
+    assert_eq!(weight(&fleet, 2), None);
+}
+
 /// Delivers an old message twice.
 fn replay(fleet: &mut Fleet, i: usize, object: &Object) {
     for _ in 0..2 {
@@ -272,8 +296,16 @@
     let object = fleet.put(&base(), Some(&bad));
     fleet.run(BAR);
     assert_eq!(fleet.held, 26, "reported once by each");
+    assert_eq!(fleet.relay(0).store().all_held().count(), 1);
     // A fresh one finds only the invalid version in the API, and the good one at its peers.
     fleet.start(6);
+    // Another hears of nobody but the API until it holds the invalid version alone.
+    fleet.processes[7].side = 9;
+    fleet.start(7);
+    fleet.run(seconds(20));
+    assert_eq!(weight(&fleet, 7), None);
+    fleet.processes[7].side = 0;
+    fleet.tell_members();
     fleet.run(seconds(15));
     for i in 0..26 {
         let store = fleet.relay(i).store();
@@ -371,7 +403,7 @@
     let mut fleet = settled(16);
     let object = fleet.put(&base(), Some(&template(2)));
     fleet.run(BAR);
-    fleet.loss = 0.05;
+    fleet.loss = 0.1;
     fleet.survey(3, &object);
     fleet.run(seconds(2));
     assert!(fleet.tallies[0].is_everywhere(), "{:?}", fleet.tallies[0]);
