--- a/crates/peppercrank-config/src/checks.rs
+++ b/crates/peppercrank-config/src/checks.rs
@@ -72,6 +72,20 @@
 /// # Errors
 ///
 /// Returns the first [`Fault`], with the path of its field from the body's root.
+///
+/// # Examples
+///
+/// ```
+/// use peppercrank_config::validate;
+/// use peppercrank_core::names::ObjectName;
+/// use peppercrank_core::objects::Kind;
+///
+/// let name = ObjectName::new("engine-7")?;
+/// let body = r#"{"spec":{"target":"engine-8","action":"shutdown"}}"#;
+/// let fault = validate(Kind::Mark, &name, body).unwrap_err();
+/// assert_eq!(fault.path, "spec.target");
+/// # Ok::<(), peppercrank_core::Error>(())
+/// ```
 pub fn validate(kind: Kind, name: &ObjectName, body: &str) -> Result<Checked, Fault> {
     if body.len() > MAX_BODY {
         return Err(fault(kind, "", Flaw::TooLong { most: MAX_BODY }));
--- a/crates/peppercrank-config/src/publish.rs
+++ b/crates/peppercrank-config/src/publish.rs
@@ -6,6 +6,8 @@
 //! Each act of publishing has an id that travels in the object's envelope. When the answer to a
 //! write is lost, the object is read again: its id tells whether the write took effect.
 
+mod step;
+
 use std::time::Duration;
 
 use peppercrank_core::names::ObjectName;
@@ -17,8 +19,19 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 
+pub use step::Base;
+pub use step::Change;
+pub use step::Conflict;
+pub use step::Current;
+pub use step::Done;
+pub use step::Failure;
+pub use step::Fate;
+pub use step::How;
+pub use step::Input;
+pub use step::Next;
+pub use step::Written;
+
 use crate::checks;
-use crate::diff::Difference;
 use crate::diff::diff;
 use crate::errors::Fault;
 use crate::errors::Flaw;
@@ -33,145 +46,6 @@
 /// The longest pause after a failed call.
 pub const MAX_PAUSE: Duration = Duration::from_secs(5);
 
-/// `Base` is what the operator saw before changing it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Base {
-    /// No such object, or a deleted one.
-    Absent,
-    /// This version.
-    Version(Version),
-}
-
-/// `Change` is what is to be published.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Change {
-    /// This content.
-    Put(Value),
-    /// No such object.
-    Delete,
-}
-
-/// `Current` is an object as the platform's API holds it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Current {
-    /// Its version.
-    pub version: Version,
-    /// Its body.
-    pub body: Value,
-}
-
-/// `Failure` is why a call gave no answer that counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Failure {
-    /// The API asked to wait (429): the call had no effect.
-    Busy {
-        /// How long to wait.
-        after: Duration,
-    },
-    /// No connection was made: the call had no effect.
-    Unreached,
-    /// The answer was lost, late or 5xx: a write may have taken effect.
-    Lost,
-}
-
-/// `Input` is what the publisher is told.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Input {
-    /// Begin.
-    Begin,
-    /// The answer to a read, none for 404.
-    Read(Result<Option<Current>, Failure>),
-    /// The answer to a write or removal.
-    Written(Result<Written, Failure>),
-    /// The time named by [`Next::Wait`] has come.
-    Due,
-}
-
-/// `Written` is the API's answer to a conditional write or removal.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Written {
-    /// It took effect as this version.
-    Version(Version),
-    /// The condition failed (412): the object as it stands, none when there is none.
-    Refused(Option<Current>),
-}
-
-/// `Next` is what to do next.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Next {
-    /// Read the object.
-    Read,
-    /// Write this body on this condition.
-    Write {
-        /// The condition: `If-Match` or `If-None-Match: *`.
-        base: Base,
-        /// The body, envelope included.
-        body: Value,
-    },
-    /// Delete the object on the condition that it has this version.
-    Remove {
-        /// `If-Match`.
-        base: Version,
-    },
-    /// Come back at this time with [`Input::Due`].
-    Wait {
-        /// When.
-        until: Moment,
-    },
-    /// It is published.
-    Done(Done),
-    /// Somebody else changed the object: nothing of theirs was overwritten.
-    Conflict(Box<Conflict>),
-    /// The content failed its checks: nothing was sent.
-    Invalid(Fault),
-    /// The time is up.
-    GiveUp(Fate),
-}
-
-/// `Done` is a change that took effect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Done {
-    /// The version to wait for; for a lost answer to a removal, the least that it can have.
-    pub version: Version,
-    /// How it came about.
-    pub how: How,
-}
-
-/// `How` is how a change came about.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum How {
-    /// By this write.
-    Written,
-    /// By an earlier write of the same act, the answer to which was lost.
-    Recognised,
-    /// It stood so already, by another act: nothing was written.
-    Unchanged,
-}
-
-/// `Fate` is what is known of a change that was given up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fate {
-    /// No write took effect.
-    NotWritten,
-    /// A write may have taken effect; publishing again with the same id tells.
-    MayBeWritten,
-}
-
-/// `Conflict` is the object as somebody else left it, beside what the operator saw.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Conflict {
-    /// The object.
-    pub key: ObjectKey,
-    /// What the operator saw.
-    pub base: Base,
-    /// The object as it stands, none when there is none.
-    pub current: Option<Current>,
-    /// The fields in which ours and theirs differ.
-    pub differences: Vec<Difference>,
-    /// What is known of our own change: it may have been in force before theirs.
-    pub fate: Fate,
-}
-
 /// `Publish` carries one act of publishing through.
 #[derive(Debug)]
 pub struct Publish {
@@ -228,6 +102,30 @@
     }
 
     /// `on` takes an answer in and tells what to do next.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use peppercrank_config::Publish;
+    /// use peppercrank_config::Version;
+    /// use peppercrank_config::object::PublishId;
+    /// use peppercrank_config::publish::*;
+    /// use peppercrank_core::objects::Kind;
+    /// use peppercrank_core::time::Moment;
+    ///
+    /// let key = key(Kind::Mark, "engine-7")?;
+    /// let spec = serde_json::json!({"target": "engine-7", "action": "shutdown"});
+    /// let deadline = Moment::from_millis(10_000);
+    /// let change = Change::Put(spec);
+    /// let mut act = Publish::new(key, PublishId(1), Base::Absent, change, deadline);
+    /// assert_eq!(act.on(Moment::ZERO, Input::Begin), Next::Read);
+    /// let next = act.on(Moment::ZERO, Input::Read(Ok(None)));
+    /// assert!(matches!(next, Next::Write { base: Base::Absent, .. }));
+    /// let written = Written::Version(Version(5));
+    /// let next = act.on(Moment::ZERO, Input::Written(Ok(written)));
+    /// assert!(matches!(next, Next::Done(Done { version: Version(5), .. })));
+    /// # Ok::<(), peppercrank_core::Error>(())
+    /// ```
     pub fn on(&mut self, now: Moment, input: Input) -> Next {
         let next = match input {
             Input::Begin => self.begin(),
--- a/crates/peppercrank-config/src/store.rs
+++ b/crates/peppercrank-config/src/store.rs
@@ -79,6 +79,28 @@
     }
 
     /// `merge` takes one version in, whatever its source.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use peppercrank_config::Object;
+    /// use peppercrank_config::Store;
+    /// use peppercrank_config::Version;
+    /// use peppercrank_config::publish::key;
+    /// use peppercrank_config::store::Merged;
+    /// use peppercrank_core::objects::Kind;
+    ///
+    /// let mut store = Store::new();
+    /// let mut object = Object {
+    ///     key: key(Kind::Mark, "engine-7")?,
+    ///     version: Version(8),
+    ///     body: None,
+    /// };
+    /// assert_eq!(store.merge(&object), Merged::Applied);
+    /// object.version = Version(7);
+    /// assert_eq!(store.merge(&object), Merged::Known);
+    /// # Ok::<(), peppercrank_core::Error>(())
+    /// ```
     pub fn merge(&mut self, object: &Object) -> Merged {
         let key = &object.key;
         let mut entry = match self.entries.get(key) {
