Ask a suspect itself before it is declared dead, and keep news alive longer

Change: heard copies count only while much is news; equals are sent in random order; a suspect is probed a last time before its death is declared; a probe to an earlier boot is always answered.

--- a/crates/peppercrank-member/src/compose.rs
+++ b/crates/peppercrank-member/src/compose.rs
@@ -155,7 +155,7 @@
             _ => room.min(NEWS_ROOM),
         };
         let mut used = 0;
-        for key in self.news.next() {
+        for key in self.news.next(&mut self.rng) {
             if used + MIN_NEWS > room {
                 break;
             }
--- a/crates/peppercrank-member/src/news.rs
+++ b/crates/peppercrank-member/src/news.rs
@@ -6,11 +6,21 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
 use crate::table::MemberKey;
 
+/// Members beyond which a copy that was heard counts as sent.
+const CROWD: usize = 32;
+
+/// Waiting bytes of rumours beyond which a copy that was heard counts as sent.
+const CROWD_BYTES: usize = 4_096;
+
 /// `copies` is how often a piece of news is sent in a fleet of `members`: log2 and one more.
 ///
-/// Hearing it from others counts as a copy too; what is missed all the same, the digests mend.
+/// While much is news, hearing it from others counts as a copy too. What is missed all the same,
+/// the digests mend.
 #[must_use]
 pub fn copies(members: usize) -> u32 {
     1 + (members + 1).next_power_of_two().ilog2()
@@ -51,11 +61,24 @@
         self.left.is_empty()
     }
 
-    /// `next` lists the members that are news, least spread first.
+    /// `heard` notes that another sent a copy.
+    pub fn heard(&mut self, key: MemberKey) {
+        if self.left.len() > CROWD {
+            self.spent(key);
+        }
+    }
+
+    /// `next` lists the members that are news, least spread first, equals in a random order.
+    ///
+    /// In one order everywhere, all processes would send the same news first.
     #[must_use]
-    pub fn next(&self) -> Vec<MemberKey> {
-        let mut order: Vec<_> = self.left.iter().map(|(key, left)| (*left, *key)).collect();
-        order.sort_unstable_by_key(|it| std::cmp::Reverse(*it));
+    pub fn next(&self, rng: &mut ChaCha8Rng) -> Vec<MemberKey> {
+        let ranked = self.left.iter().map(|(key, left)| {
+            let chance: u32 = rng.random();
+            ((*left, chance), *key)
+        });
+        let mut order: Vec<_> = ranked.collect();
+        order.sort_unstable_by_key(|it| std::cmp::Reverse(it.0));
         order.into_iter().map(|(_, key)| key).collect()
     }
 }
@@ -88,6 +111,9 @@
 
     /// `heard` notes that another member sent this piece too.
     pub fn heard(&mut self, piece: &[u8]) {
+        if self.bytes <= CROWD_BYTES {
+            return;
+        }
         let Some(at) = self.pieces.iter().position(|(_, p)| p == piece) else {
             return;
         };
--- a/crates/peppercrank-member/src/probe.rs
+++ b/crates/peppercrank-member/src/probe.rs
@@ -215,16 +215,36 @@
         }
         let isolated = self.is_isolated(now);
         for key in keys {
+            let asked = self.suspicions.get(&key).is_some_and(Suspicion::is_asked);
             if isolated {
                 // With nobody heard, the fault is most likely here.
-                let period = self.settings.period;
-                if let Some(suspicion) = self.suspicions.get_mut(&key) {
-                    suspicion.postpone(period);
-                }
-                continue;
+                self.postpone_suspicion(key);
+            } else if asked {
+                self.counters.declared += 1;
+                self.declare(now, key, State::Dead);
+            } else {
+                self.ask_last(now, key);
             }
-            self.counters.declared += 1;
-            self.declare(now, key, State::Dead);
+        }
+    }
+
+    /// Asks a suspect itself before it is declared dead: it may have refuted unheard.
+    fn ask_last(&mut self, now: Moment, key: MemberKey) {
+        let reachable = self.table.get(key).is_some_and(|m| m.address().is_some());
+        if reachable && self.send_probe(now, key).is_none() {
+            self.postpone_suspicion(key);
+            return;
+        }
+        let overdue = now + self.health.stretch(self.settings.period);
+        if let Some(suspicion) = self.suspicions.get_mut(&key) {
+            suspicion.ask(overdue);
+        }
+    }
+
+    fn postpone_suspicion(&mut self, key: MemberKey) {
+        let period = self.settings.period;
+        if let Some(suspicion) = self.suspicions.get_mut(&key) {
+            suspicion.postpone(period);
         }
     }
 
--- a/crates/peppercrank-member/src/receive.rs
+++ b/crates/peppercrank-member/src/receive.rs
@@ -39,16 +39,21 @@
             self.counters.malformed += 1;
             return;
         }
-        let refusal = message.body == Body::Refused;
+        let answer = match message.body {
+            // Two that refuse each other would never end.
+            Body::Refused => None,
+            Body::Probe { .. } => Some(Class::Vital),
+            _ => Some(Class::Bulk),
+        };
         if message.to.id != self.id {
             self.counters.misdirected += 1;
-            self.refuse(now, address, message.from.id, refusal);
+            self.refuse(now, address, message.from.id, answer);
             return;
         }
         if let Some((incarnation, state)) = message.to.held {
             if incarnation.boot < self.incarnation().boot {
                 self.counters.outdated += 1;
-                self.refuse(now, address, message.from.id, refusal);
+                self.refuse(now, address, message.from.id, answer);
                 return;
             }
             self.answer_claim(incarnation, state);
@@ -58,7 +63,7 @@
             // Late from before a restart, or from a start whose clock went back; the answer
             // tells the latter what it must rise above.
             self.counters.stale += 1;
-            self.refuse(now, address, message.from.id, refusal);
+            self.refuse(now, address, message.from.id, answer);
             return;
         }
         self.heard = now;
@@ -118,12 +123,11 @@
     }
 
     /// Tells a sender that its message was not for this process, and who is here.
-    fn refuse(&mut self, now: Moment, address: SocketAddr, to: MemberId, refusal: bool) {
-        if refusal {
-            // Two that refuse each other would never end.
+    fn refuse(&mut self, now: Moment, address: SocketAddr, to: MemberId, class: Option<Class>) {
+        let Some(class) = class else {
             return;
-        }
-        let mut draft = Draft::new(to, address, Body::Refused, Class::Bulk);
+        };
+        let mut draft = Draft::new(to, address, Body::Refused, class);
         draft.records.extend(self.own_record());
         self.send(now, draft);
     }
@@ -231,7 +235,7 @@
         by: Option<MemberId>,
     ) {
         if held == (claim.incarnation, claim.state) {
-            self.news.spent(key);
+            self.news.heard(key);
         }
         if let Some(by) = by.filter(|_| held.0 == claim.incarnation) {
             self.accuse(key, by);
--- a/crates/peppercrank-member/src/suspicion.rs
+++ b/crates/peppercrank-member/src/suspicion.rs
@@ -26,6 +26,8 @@
     own: bool,
     shortest: Duration,
     longest: Duration,
+    /// When the answer to the last question is overdue, once it was asked.
+    last: Option<Moment>,
 }
 
 impl Suspicion {
@@ -48,6 +50,7 @@
             own: false,
             shortest,
             longest: shortest * settings.stretch.max(1),
+            last: None,
         }
     }
 
@@ -72,12 +75,15 @@
         self.accusers.last().copied()
     }
 
-    /// `ends` is when the member is to be declared dead.
+    /// `ends` is when to act next: to ask the member a last time, then to declare it dead.
     ///
     /// Only accusers shorten their time by one another's word. The rest hear the death from
     /// them, or by then most likely the refutation, also where its first copies were lost.
     #[must_use]
     pub fn ends(&self) -> Moment {
+        if let Some(last) = self.last {
+            return last;
+        }
         if !self.own {
             return self.start + self.longest;
         }
@@ -88,8 +94,20 @@
         self.start + self.shortest + spare * missing / needed
     }
 
+    /// `is_asked` tells whether the member was asked a last time.
+    #[must_use]
+    pub const fn is_asked(&self) -> bool {
+        self.last.is_some()
+    }
+
+    /// `ask` notes that the member was asked a last time and has until `overdue` to answer.
+    pub const fn ask(&mut self, overdue: Moment) {
+        self.last = Some(overdue);
+    }
+
     /// `postpone` moves the whole suspicion later, for time in which this process slept.
     pub fn postpone(&mut self, by: Duration) {
+        self.last = self.last.map(|at| at + by);
         self.start = self.start + by;
     }
 }
--- a/crates/peppercrank-member/tests/verify_members/main.rs
+++ b/crates/peppercrank-member/tests/verify_members/main.rs
@@ -9,3 +9,4 @@
 mod verify_identity;
 mod verify_join;
 mod verify_loads;
+mod verify_riders;
