Split the membership part's outward face and own facts into modules

Change: outward.rs holds events and flap damping, facts.rs what the process learns locally; no behaviour changes.

--- a/crates/peppercrank-member/src/lib.rs
+++ b/crates/peppercrank-member/src/lib.rs
@@ -21,8 +21,10 @@
 pub mod size;
 
 mod compose;
+mod facts;
 mod join;
 mod news;
+mod outward;
 mod probe;
 mod receive;
 mod repair;
--- a/crates/peppercrank-member/src/members.rs
+++ b/crates/peppercrank-member/src/members.rs
@@ -17,23 +17,17 @@
 use peppercrank_core::time::Moment;
 
 use crate::budget::Budget;
-use crate::compose::Class;
 use crate::counters::Counters;
 use crate::description::Description;
 use crate::description::MemberId;
 use crate::health::Health;
 use crate::input::Action;
-use crate::input::Change;
 use crate::input::Facts;
 use crate::input::Input;
-use crate::input::MAX_DIGEST;
-use crate::input::MAX_RUMOUR;
-use crate::input::Seed;
 use crate::join::Join;
 use crate::load::Estimate;
 use crate::load::Loads;
 use crate::load::Own;
-use crate::message::Body;
 use crate::message::Incarnation;
 use crate::message::MAX_BOOT;
 use crate::message::State;
@@ -44,7 +38,6 @@
 use crate::probe::Relayed;
 use crate::settings::Settings;
 use crate::suspicion::Suspicion;
-use crate::table::Listing;
 use crate::table::Member;
 use crate::table::MemberKey;
 use crate::table::Table;
@@ -52,16 +45,6 @@
 /// How often the table is looked over for what is due.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// The penalty of one return from death.
-const FLAP: u32 = 1_000;
-
-/// The penalty halves in this time.
-const FLAP_HALF: Duration = Duration::from_secs(60);
-
-/// At most one in this many members is held back for flapping, so that a flapping network
-/// cannot take a whole pool out.
-const HELD_SHARE: usize = 10;
-
 /// `Local` is this process as it starts.
 #[derive(Debug, Clone)]
 pub struct Local {
@@ -115,7 +98,7 @@
     pub(crate) due: Due,
     pub(crate) heard: Moment,
     pub(crate) out: Vec<Action>,
-    held: Vec<MemberKey>,
+    pub(crate) held: Vec<MemberKey>,
     wake: Moment,
 }
 
@@ -347,69 +330,6 @@
         self.news.put(self.me, copies);
     }
 
-    /// Tells the outside what became of a member.
-    pub(crate) fn publish(&mut self, key: MemberKey, renewed: bool) {
-        let Some(member) = self.table.get_mut(key) else {
-            return;
-        };
-        let Some(description) = member.description.as_ref().map(Arc::clone) else {
-            return;
-        };
-        let held_back = member.held && member.state.is_live();
-        let state = if held_back { State::Dead } else { member.state };
-        let known = member.shown == Some(state);
-        let moot = member.shown.is_none() && !state.is_live();
-        if moot || (known && !(renewed && state == State::Alive)) {
-            return;
-        }
-        member.shown = Some(state);
-        let change = match state {
-            State::Alive if known => Change::Updated,
-            State::Alive => Change::Alive,
-            State::Suspect => Change::Suspect,
-            State::Dead => Change::Dead,
-            State::Left => Change::Left,
-        };
-        let leaving = member.is_leaving();
-        self.out.push(Action::Changed {
-            change,
-            leaving,
-            member: description,
-        });
-    }
-
-    /// Notes that a member came back, and holds it back if it does so too often.
-    pub(crate) fn flap(&mut self, now: Moment, key: MemberKey) {
-        let limit = self.settings.flaps * FLAP;
-        let room = self.held.len() < (self.table.live() / HELD_SHARE).max(1);
-        let Some(member) = self.table.get_mut(key) else {
-            return;
-        };
-        decay(member, now);
-        member.flaps = member.flaps.saturating_add(FLAP);
-        if member.flaps > limit && room && !member.held {
-            member.held = true;
-            self.held.push(key);
-            self.counters.damped += 1;
-        }
-    }
-
-    fn release_held(&mut self, now: Moment) {
-        let limit = self.settings.flaps * FLAP / 2;
-        for key in std::mem::take(&mut self.held) {
-            let Some(member) = self.table.get_mut(key) else {
-                continue;
-            };
-            decay(member, now);
-            if member.flaps > limit {
-                self.held.push(key);
-                continue;
-            }
-            member.held = false;
-            self.publish(key, false);
-        }
-    }
-
     /// A late wake means that this process slept: what it waited for may lie unread.
     fn notice_pause(&mut self, now: Moment) {
         let late = now.since(self.wake);
@@ -465,113 +385,4 @@
         self.release_held(now);
         self.forget(now);
     }
-
-    fn forget(&mut self, now: Moment) {
-        let after = self.settings.forget;
-        let gone = |m: &Member| !m.state.is_live() && m.listing.is_none();
-        let old = |m: &Member| !m.is_heard() || now.since(m.since) > after;
-        let members = self.table.iter();
-        let forgotten = members.filter(|(key, m)| *key != self.me && gone(m) && old(m));
-        let keys: Vec<_> = forgotten.map(|(key, _)| key).collect();
-        for key in keys {
-            let Some(member) = self.table.remove(key) else {
-                continue;
-            };
-            self.news.drop_member(key);
-            let Some(description) = member.description.filter(|_| member.shown.is_some()) else {
-                continue;
-            };
-            self.out.push(Action::Changed {
-                change: Change::Forgotten,
-                leaving: false,
-                member: description,
-            });
-        }
-    }
-
-    fn on_seeds(&mut self, now: Moment, seeds: Vec<Seed>) {
-        let mut listings = BTreeMap::new();
-        for seed in seeds {
-            let listing = Listing {
-                address: seed.address,
-                leaving: seed.leaving,
-            };
-            listings.insert(MemberId::of(&seed.vm), listing);
-        }
-        for id in listings.keys() {
-            self.table.enter(*id, now, Some(&mut self.rng));
-        }
-        let keys: Vec<_> = self.table.iter().map(|(key, m)| (key, m.id)).collect();
-        for (key, id) in keys {
-            let Some(member) = self.table.get_mut(key) else {
-                continue;
-            };
-            let before = member.is_leaving();
-            member.listing = listings.get(&id).copied();
-            let changed = before != member.is_leaving();
-            if changed && key != self.me {
-                self.publish(key, true);
-            }
-        }
-    }
-
-    fn learn_facts(&mut self, facts: Facts) {
-        let leaving = facts.leaving;
-        self.facts = facts;
-        self.facts.digest.truncate(MAX_DIGEST);
-        let Some(own) = self.table.get_mut(self.me) else {
-            return;
-        };
-        if own.leaving != leaving {
-            own.leaving = leaving;
-            self.renew(None);
-        }
-    }
-
-    fn describe(&mut self, description: Description) {
-        let Some(own) = self.table.get_mut(self.me) else {
-            return;
-        };
-        let stamp = description.stamp();
-        if MemberId::of(&description.vm) != self.id || own.stamp == stamp {
-            return;
-        }
-        own.stamp = stamp;
-        own.describe(Arc::new(description));
-        self.renew(None);
-    }
-
-    fn spread(&mut self, pieces: Vec<Vec<u8>>) {
-        let copies = self.copies();
-        let limit = self.settings.rumour_bytes;
-        for piece in pieces {
-            if piece.len() > MAX_RUMOUR {
-                self.counters.rumours_dropped += 1;
-                continue;
-            }
-            self.counters.rumours_dropped += self.rumours.put(piece, copies, limit);
-        }
-    }
-}
-
-impl Members {
-    fn relay(&mut self, now: Moment, to: MemberId, bytes: Vec<u8>) {
-        let key = self.table.key(to).filter(|_| bytes.len() <= MAX_RUMOUR);
-        let draft = key.and_then(|key| self.draft(key, Body::Relay(bytes), Class::Bulk));
-        let sent = draft.is_some_and(|draft| self.send(now, draft));
-        if !sent {
-            self.counters.rumours_dropped += 1;
-        }
-    }
-}
-
-/// Brings the penalty for flapping up to date.
-fn decay(member: &mut Member, now: Moment) {
-    let halves = now.since(member.flapped).as_secs() / FLAP_HALF.as_secs();
-    if halves == 0 && member.flaps > 0 {
-        return;
-    }
-    let halves = u32::try_from(halves).unwrap_or(u32::MAX);
-    member.flaps = member.flaps.checked_shr(halves).unwrap_or(0);
-    member.flapped = now;
 }
