Test that answers which came during a pause count

Change: a test with pauses while answers are under way; with the rule removed it fails (1 suspicion of a live member). Test names without metaphors. Conclusion: the rule is now held by a test.

--- a/crates/peppercrank-member/src/join.rs
+++ b/crates/peppercrank-member/src/join.rs
@@ -24,7 +24,7 @@
 const MAX_ASKED: usize = 8;
 
 /// Others told when this process leaves.
-const FAREWELLS: usize = 5;
+const LEAVE_COPIES: usize = 5;
 
 /// `Join` is how far the reading of a peer's table has come.
 #[derive(Debug)]
@@ -189,7 +189,7 @@
         };
         own.state = State::Left;
         self.renew(None);
-        for _ in 0..FAREWELLS {
+        for _ in 0..LEAVE_COPIES {
             let to = self.table.pick(&mut self.rng, |m| m.state == State::Alive);
             let draft = to.and_then(|key| self.draft(key, Body::Gossip, Class::Exchange));
             if let Some(draft) = draft {
--- a/crates/peppercrank-member/src/news.rs
+++ b/crates/peppercrank-member/src/news.rs
@@ -12,10 +12,10 @@
 use crate::table::MemberKey;
 
 /// Members beyond which a copy that was heard counts as sent.
-const CROWD: usize = 32;
+const BACKLOG: usize = 32;
 
 /// Waiting bytes of rumours beyond which a copy that was heard counts as sent.
-const CROWD_BYTES: usize = 4_096;
+const BACKLOG_BYTES: usize = 4_096;
 
 /// `copies` is how often a piece of news is sent in a fleet of `members`: log2 and one more.
 ///
@@ -63,7 +63,7 @@
 
     /// `heard` notes that another sent a copy.
     pub fn heard(&mut self, key: MemberKey) {
-        if self.left.len() > CROWD {
+        if self.left.len() > BACKLOG {
             self.spent(key);
         }
     }
@@ -111,7 +111,7 @@
 
     /// `heard` notes that another member sent this piece too.
     pub fn heard(&mut self, piece: &[u8]) {
-        if self.bytes <= CROWD_BYTES {
+        if self.bytes <= BACKLOG_BYTES {
             return;
         }
         let Some(at) = self.pieces.iter().position(|(_, p)| p == piece) else {
--- a/crates/peppercrank-member/tests/verify_members/net.rs
+++ b/crates/peppercrank-member/tests/verify_members/net.rs
@@ -92,7 +92,7 @@
     pub spent: Duration,
     rng: ChaCha8Rng,
     queue: BinaryHeap<Reverse<(Moment, u64, Due)>>,
-    letters: BTreeMap<usize, (SocketAddr, Vec<u8>)>,
+    packets: BTreeMap<usize, (SocketAddr, Vec<u8>)>,
     places: BTreeMap<SocketAddr, usize>,
     names: BTreeMap<VmName, usize>,
     count: u64,
@@ -146,7 +146,7 @@
             spent: Duration::ZERO,
             rng: ChaCha8Rng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
-            letters: BTreeMap::new(),
+            packets: BTreeMap::new(),
             places: BTreeMap::new(),
             names: BTreeMap::new(),
             count: 0,
@@ -176,7 +176,7 @@
         let records: Vec<Record> = self.nodes.iter().map(record).collect();
         for to in 0..self.nodes.len() {
             let from = (to + 1) % self.nodes.len();
-            let mut message = self.letter(from, to);
+            let mut message = self.blank(from, to);
             let after = MemberId([0; 8]);
             message.body = Body::Page { after, next: None };
             message.records.clone_from(&records);
@@ -186,7 +186,7 @@
     }
 
     /// A message from one process to another as it would stand now, with nothing on it.
-    pub fn letter(&self, from: usize, to: usize) -> Message {
+    pub fn blank(&self, from: usize, to: usize) -> Message {
         let speaker = &self.nodes[from];
         let vm = &self.nodes[to].description.vm;
         let held = speaker.part.get(vm).filter(|m| m.is_heard());
@@ -339,7 +339,7 @@
             let delay = Duration::from_micros(self.rng.random_range(300..self.delay));
             self.posted += 1;
             let sender = self.nodes[from].description.gossip;
-            self.letters.insert(self.posted, (sender, bytes.clone()));
+            self.packets.insert(self.posted, (sender, bytes.clone()));
             self.push(self.now + delay, Due::Deliver(place, self.posted));
         }
     }
@@ -370,7 +370,7 @@
             self.now = self.now.max(at);
             match due {
                 Due::Wake(nth) => self.wake(nth),
-                Due::Deliver(place, letter) => self.arrive(place, letter),
+                Due::Deliver(place, packet) => self.arrive(place, packet),
             }
         }
         self.now = end;
@@ -389,8 +389,8 @@
         self.push(next, Due::Wake(nth));
     }
 
-    fn arrive(&mut self, place: usize, letter: usize) {
-        let Some((from, bytes)) = self.letters.remove(&letter) else {
+    fn arrive(&mut self, place: usize, packet: usize) {
+        let Some((from, bytes)) = self.packets.remove(&packet) else {
             return;
         };
         let node = &mut self.nodes[place];
--- a/crates/peppercrank-member/tests/verify_members/verify_detection.rs
+++ b/crates/peppercrank-member/tests/verify_members/verify_detection.rs
@@ -56,3 +56,18 @@
     assert_eq!(by_it.count(), 0);
     assert_eq!(net.pairs(State::Alive), 13 * 12);
 }
+
+#[test]
+fn verify_answers_that_came_in_a_pause_still_count() {
+    let mut net = Net::fleet(6, 4, 9, &["pool"]);
+    net.delay = 200_000;
+    net.run(10_000);
+    for _ in 0..30 {
+        net.nodes[5].paused = true;
+        net.run(3_000);
+        net.resume(5);
+        net.run(730);
+    }
+    let counters = net.nodes[5].part.counters();
+    assert_eq!((counters.paused >= 30, counters.suspected), (true, 0));
+}
--- a/crates/peppercrank-member/tests/verify_members/verify_faults.rs
+++ b/crates/peppercrank-member/tests/verify_members/verify_faults.rs
@@ -20,7 +20,7 @@
 }
 
 #[test]
-fn verify_losses_and_disorder_kill_nobody() {
+fn verify_losses_and_disorder_make_nobody_dead() {
     // Loss, doubled messages, longest delay in microseconds.
     let table = [
         (0.0, 0.0, 3_000),
@@ -72,7 +72,7 @@
 }
 
 #[test]
-fn verify_partition_heals_although_both_sides_buried_the_other() {
+fn verify_partition_heals_although_both_sides_declared_the_other_dead() {
     let mut net = Net::fleet(23, 20, 40, &POOLS);
     net.run(20_000);
     for nth in 0..60 {
@@ -103,7 +103,7 @@
 }
 
 #[test]
-fn verify_isolated_process_buries_nobody() {
+fn verify_isolated_process_declares_nobody_dead() {
     let mut net = Net::fleet(25, 4, 9, &["pool"]);
     net.run(10_000);
     net.sides[3] = 1;
@@ -121,7 +121,7 @@
 }
 
 #[test]
-fn verify_slow_process_buries_nobody() {
+fn verify_slow_process_declares_nobody_dead() {
     let mut net = Net::fleet(26, 10, 20, &POOLS);
     net.run(10_000);
     for _ in 0..60 {
--- a/crates/peppercrank-member/tests/verify_members/verify_identity.rs
+++ b/crates/peppercrank-member/tests/verify_members/verify_identity.rs
@@ -24,8 +24,8 @@
 fn verify_messages_of_an_earlier_boot_change_nothing() {
     let mut net = Net::fleet(31, 4, 9, &["pool"]);
     net.run(10_000);
-    let late = net.letter(7, 2);
-    let to_late = net.letter(2, 7);
+    let late = net.blank(7, 2);
+    let to_late = net.blank(2, 7);
     net.restart(7, 9_000);
     net.run(10_000);
     let before = net.nodes[2]
@@ -74,7 +74,7 @@
 fn verify_numbers_out_of_range_are_dropped_and_counted() {
     let mut net = Net::fleet(33, 2, 2, &["pool"]);
     net.run(5_000);
-    let good = net.letter(1, 0);
+    let good = net.blank(1, 0);
     let boot = |boot| Incarnation { boot, turn: 0 };
     let mut cases = [good.clone(), good.clone(), good.clone()];
     cases[0].from.incarnation = boot(0);
@@ -97,7 +97,7 @@
     let mut net = Net::fleet(34, 4, 9, &["pool"]);
     net.run(10_000);
     for state in [State::Suspect, State::Dead] {
-        let mut message = net.letter(1, 2);
+        let mut message = net.blank(1, 2);
         let (held, _) = message.to.held.expect("a known member");
         message.to.held = Some((held, state));
         deliver(&mut net, 2, 1, &message);
