--- a/crates/peppercrank-cli/src/access.rs
+++ b/crates/peppercrank-cli/src/access.rs
@@ -25,6 +25,9 @@
 /// The variable that holds the token of the operators' pages.
 pub const OPERATORS_TOKEN: &str = "PEPPERCRANK_OPERATORS_TOKEN";
 
+/// The variable that names daemons' operators' addresses, parted by commas.
+pub const DAEMONS: &str = "PEPPERCRANK_DAEMONS";
+
 /// Time for reading or writing the platform, unless set.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -40,6 +43,8 @@
     pub token: Option<String>,
     /// The token of the operators' pages.
     pub operators: Option<String>,
+    /// The operators' addresses of the daemons, parted by commas.
+    pub daemons: Option<String>,
 }
 
 impl Environment {
@@ -52,6 +57,7 @@
             platform: variable(PLATFORM),
             token: variable(TOKEN),
             operators: variable(OPERATORS_TOKEN),
+            daemons: variable(DAEMONS),
         }
     }
 }
@@ -75,6 +81,7 @@
             platform,
             token,
             operators,
+            daemons,
         } = environment;
         Ok(Self {
             platform: choose(flags.platform, platform.as_ref(), PLATFORM)?,
@@ -85,7 +92,7 @@
                 OPERATORS_TOKEN,
             )?,
             timeout: flags.timeout.map_or(DEFAULT_TIMEOUT, |t| t.0),
-            daemons: flags.daemon.clone(),
+            daemons: addresses(flags, daemons.as_deref())?,
             port: flags.operators_port.unwrap_or(DEFAULT_PORT),
             form: flags.output.unwrap_or_default(),
         })
@@ -97,6 +104,17 @@
     }
 }
 
+/// The daemons that are named: by flags, or else by the variable unless a port asks for the list.
+fn addresses(flags: &Peppercrank, text: Option<&str>) -> Result<Vec<SocketAddr>> {
+    if !flags.daemon.is_empty() || flags.operators_port.is_some() {
+        return Ok(flags.daemon.clone());
+    }
+    let parts = text.into_iter().flat_map(|t| t.split(','));
+    let parsed = parts.map(|part| part.trim().parse::<SocketAddr>());
+    let parsed = parsed.collect::<std::result::Result<_, _>>();
+    Ok(parsed.map_err(|_e| Misuse::Variable(DAEMONS))?)
+}
+
 fn choose<T: FromStr>(
     flag: Option<T>,
     text: Option<&String>,
--- a/crates/peppercrank-cli/src/flags.rs
+++ b/crates/peppercrank-cli/src/flags.rs
@@ -34,7 +34,8 @@
         optional --output form: Form
         /// Time for reading or writing the platform, with retries; 20s unless set.
         optional --timeout duration: Span
-        /// Operators' address of one daemon, repeatable; else all of the platform's VM list.
+        /// Operators' address of one daemon, repeatable; else PEPPERCRANK_DAEMONS, parted by commas;
+        /// else all of the platform's VM list.
         repeated --daemon address: SocketAddr
         /// Port of the operators' pages on the VMs of the list; 7002 unless set.
         optional --operators-port port: u16
--- a/crates/peppercrank-core/src/errors.rs
+++ b/crates/peppercrank-core/src/errors.rs
@@ -70,7 +70,7 @@
             Self::Name { kind, text } => {
                 write!(
                     f,
-                    "`{text}` is not a valid {kind} name: 1 to 63 of a-z 0-9 . _ -"
+                    "`{text}` is not a name ({kind}): 1 to 63 of a-z 0-9 . _ -"
                 )
             }
             Self::Settings {
