Let the other verbs reach a local fleet by one line that it prints

Cause: `status` and `mark` ask every VM of the platform's list at one operators' port, which the daemons of `local` do not share; a new user had to find seven addresses.

--- a/crates/peppercrank-cli/src/verbs/local.rs
+++ b/crates/peppercrank-cli/src/verbs/local.rs
@@ -45,6 +45,9 @@
 use tokio::time::timeout;
 
 use crate::access::Access;
+use crate::access::DAEMONS;
+use crate::access::OPERATORS_TOKEN;
+use crate::access::PLATFORM;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::flags;
@@ -347,35 +350,54 @@
     }
 
     fn show(&self, form: Form) -> String {
+        match form {
+            Form::Json => self.json().to_string(),
+            Form::Text => self.lines().join("\n"),
+        }
+    }
+
+    /// The operators' addresses of all daemons.
+    fn operators(&self) -> Vec<SocketAddr> {
+        let agents = self.agents.iter().map(|a| a.operators);
+        let routers = self.routers.iter().map(|r| r.operators);
+        agents.chain(routers).collect()
+    }
+
+    fn json(&self) -> Value {
         let routers: Vec<_> = self.routers.iter().map(|r| r.address).collect();
         let agents: Vec<_> = self.agents.iter().map(|a| a.address).collect();
         let targets: Vec<_> = self.targets.iter().map(|t| t.addr).collect();
+        json!({
+            "routers": routers, "agents": agents, "targets": targets,
+            "platform": self.platform.addr, "operators": self.operators(),
+            "operators_token": TOKEN
+        })
+    }
+
+    fn lines(&self) -> Vec<String> {
         let platform = self.platform.addr;
-        match form {
-            Form::Json => json!({
-                "routers": routers, "agents": agents, "targets": targets, "platform": platform
-            })
-            .to_string(),
-            Form::Text => {
-                let mut lines = vec![format!("platform  http://{platform}")];
-                let pairs = self.agents.iter().zip(&targets);
-                lines.extend(pairs.map(|(agent, target)| {
-                    let name = &agent.agent.settings.target.name;
-                    format!(
-                        "target    http://{target}  agent http://{}  {name}",
-                        agent.address
-                    )
-                }));
-                lines.extend(self.routers.iter().map(|r| {
-                    format!(
-                        "router    http://{}  operators http://{}",
-                        r.address, r.operators
-                    )
-                }));
-                lines.push("ready".to_owned());
-                lines.join("\n")
-            }
+        let mut lines = vec![format!("platform  http://{platform}")];
+        for (agent, target) in self.agents.iter().zip(&self.targets) {
+            lines.push(format!(
+                "target    http://{}  agent http://{}  operators http://{}  {}",
+                target.addr, agent.address, agent.operators, agent.agent.settings.target.name
+            ));
+        }
+        for router in &self.routers {
+            lines.push(format!(
+                "router    http://{}  operators http://{}",
+                router.address, router.operators
+            ));
         }
+        let daemons: Vec<_> = self.operators().iter().map(ToString::to_string).collect();
+        lines.push("for the other verbs, in another terminal:".to_owned());
+        // One line, so that it is pasted whole.
+        lines.push(format!(
+            "export {PLATFORM}=http://{platform} {OPERATORS_TOKEN}={TOKEN} {DAEMONS}={}",
+            daemons.join(",")
+        ));
+        lines.push("ready".to_owned());
+        lines
     }
 }
 
--- /dev/null
+++ b/crates/peppercrank-cli/tests/verify_local.rs
@@ -0,0 +1,113 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! `local`, and the other verbs with the environment that it prints.
+
+mod support;
+
+use std::ffi::OsString;
+use std::io;
+use std::io::Write;
+use std::sync::mpsc;
+use std::sync::mpsc::Sender;
+use std::thread;
+use std::time::Duration;
+
+use peppercrank_cli::Environment;
+use peppercrank_cli::Exit;
+use serde_json::json;
+use support::run;
+
+/// Hands on what is written when it is flushed, so that a verb that serves on can be read.
+struct Spy {
+    text: Vec<u8>,
+    out: Sender<String>,
+}
+
+impl Write for Spy {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.text.extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        let text = String::from_utf8(self.text.clone()).expect("text");
+        self.out.send(text).map_err(io::Error::other)
+    }
+}
+
+/// Starts a local fleet, which ends with the test's process, and returns what it prints.
+fn local() -> String {
+    let (out, told) = mpsc::channel();
+    thread::spawn(move || {
+        let words = "local --port 0 --engines 2 --services 1 --run-time 600s";
+        let args = words.split(' ').map(OsString::from).collect();
+        let mut spy = Spy {
+            text: Vec::new(),
+            out,
+        };
+        peppercrank_cli::run(args, &Environment::default(), &mut spy, &mut io::sink())
+    });
+    told.recv_timeout(Duration::from_secs(60))
+        .expect("a fleet that came together")
+}
+
+/// The environment of the line that `local` prints for it.
+fn environment(text: &str) -> Environment {
+    let line = text.lines().find_map(|l| l.strip_prefix("export "));
+    let line = line.expect("a line to export");
+    let value = |name: &str| {
+        let found = line.split(' ').find_map(|w| w.strip_prefix(name));
+        found
+            .and_then(|rest| rest.strip_prefix('='))
+            .map(str::to_owned)
+    };
+    Environment {
+        platform: value("PEPPERCRANK_PLATFORM"),
+        token: None,
+        operators: value("PEPPERCRANK_OPERATORS_TOKEN"),
+        daemons: value("PEPPERCRANK_DAEMONS"),
+    }
+}
+
+#[test]
+fn verify_other_verbs_reach_a_local_fleet_by_the_line_it_prints() {
+    let environment = environment(&local());
+    let verb = |line: &str| {
+        let mut words = line.split(' ').collect::<Vec<_>>();
+        words.extend(["--output", "json"]);
+        let ended = run(&environment, &words);
+        assert_eq!(ended.exit, Exit::Done, "{line}: {ended:?}");
+        ended.json()
+    };
+    let status = verb("status");
+    assert_eq!(
+        status["daemons"].as_array().map(Vec::len),
+        Some(5),
+        "{status}"
+    );
+    assert_eq!(status["silent"], json!([]), "{status}");
+    let set = verb("set-organisation guest output=50 --wait --within 60s");
+    assert_eq!(set["daemons"], 5, "{set}");
+    let marked = verb("mark engine-0 --shutdown --drained --drained-within 60s");
+    assert_eq!(marked["drained"], true, "{marked}");
+}
+
+#[test]
+fn verify_daemons_of_the_environment_are_addresses() {
+    for text in [
+        "10.0.0.1",
+        "10.0.0.1:7002,",
+        "entry-1:7002",
+        "10.0.0.1:7002;10.0.0.2:7002",
+    ] {
+        let environment = Environment {
+            platform: Some("http://127.0.0.1:9".to_owned()),
+            daemons: Some(text.to_owned()),
+            ..Environment::default()
+        };
+        let ended = run(&environment, &["status"]);
+        assert_eq!(ended.exit, Exit::Usage, "{text}: {ended:?}");
+        assert!(ended.err.contains("PEPPERCRANK_DAEMONS"), "{ended:?}");
+    }
+}
