--- a/crates/peppercrank-daemon/src/fleet/pages.rs
+++ b/crates/peppercrank-daemon/src/fleet/pages.rs
@@ -33,6 +33,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::lock;
 use crate::fleet::read;
+use crate::metrics::Reason;
 use crate::metrics::Traffic;
 use crate::metrics::call;
 use crate::metrics::refused;
@@ -215,7 +216,10 @@
     }
     for reason in Refused::ALL {
         let more = since("edge", reason.code(), shown.edge.refused(*reason));
-        let label = refused(reason.code());
+        let label = Reason {
+            run: reason.run(),
+            reason: reason.code(),
+        };
         fleet.metrics.edge.get_or_create(&label).inc_by(more);
     }
     for reason in Rejected::ALL {
--- a/crates/peppercrank-daemon/src/metrics.rs
+++ b/crates/peppercrank-daemon/src/metrics.rs
@@ -239,7 +239,11 @@
         }
         self.touch_reason(Outcome::Done);
         for reason in Refused::ALL {
-            drop(self.edge.get_or_create(&refused(reason.code())));
+            let label = Reason {
+                run: reason.run(),
+                reason: reason.code(),
+            };
+            drop(self.edge.get_or_create(&label));
         }
         for reason in Rejected::ALL {
             drop(self.rejected.get_or_create(&refused(reason.code())));
--- a/crates/peppercrank-member/src/facts.rs
+++ b/crates/peppercrank-member/src/facts.rs
@@ -31,6 +31,10 @@
             listings.insert(MemberId::of(&seed.vm), listing);
         }
         for id in listings.keys() {
+            if self.table.key(*id).is_none() {
+                // One that nobody told of is tried at once.
+                self.due.rejoin = self.due.rejoin.min(now);
+            }
             self.table.enter(*id, now, Some(&mut self.rng));
         }
         let keys: Vec<_> = self.table.iter().map(|(key, m)| (key, m.id)).collect();
--- a/crates/peppercrank-member/tests/verify_members/verify_join.rs
+++ b/crates/peppercrank-member/tests/verify_members/verify_join.rs
@@ -27,6 +27,16 @@
     }
 }
 
+#[test]
+fn verify_fresh_islands_find_each_other_soon() {
+    for seed in 1..=20 {
+        let mut net = Net::fleet(seed, 2, 5, &["pool"]);
+        net.run(4_000);
+        // Two that read each other's tables count as joined, and must not rest content with that.
+        assert_eq!(net.pairs(State::Alive), 7 * 6, "seed {seed}");
+    }
+}
+
 #[test]
 fn verify_joiner_reads_a_large_table_in_pages() {
     let mut net = Net::fleet(2, 40, 80, &["a", "b"]);
