Let a surging organisation leave room by what the others ask for

Cause: a fixed half of the ceiling was kept free in every surge, also where the others asked for next to nothing; and a ceiling learned low stayed low, as a held surge never came near it. Change: the room left is a tenth of the ceiling and two and a half times the smoothed demand of the others; a learned ceiling also goes up while it is below what the engine has carried with none waiting. Conclusion: a lower factor uses more of the engine in a surge, a higher one guards the others.

--- a/crates/peppercrank-admit/examples/trace/mod.rs
+++ b/crates/peppercrank-admit/examples/trace/mod.rs
@@ -77,6 +77,8 @@
     pub split: bool,
     /// See [`Settings::reserve`].
     pub reserve: u32,
+    /// See [`Settings::bursts`].
+    pub bursts: u32,
     /// Limit of one organisation on this target, as a share of what the target holds.
     pub limit: f64,
     /// How the admission knows what the engine can carry.
@@ -189,6 +191,7 @@
         let settings = Settings {
             ceiling: if set { whole(cap) } else { Cost(u64::MAX) },
             reserve: self.reserve,
+            bursts: self.bursts,
             spread: 1,
             touch: Duration::MAX,
             stale: Duration::MAX,
--- a/crates/peppercrank-admit/src/admission/mod.rs
+++ b/crates/peppercrank-admit/src/admission/mod.rs
@@ -239,8 +239,7 @@
     /// Runs what may run, in its turn.
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
         while let Some(entry) = self.next_entry() {
-            self.organisations
-                .start(self.now, entry.organisation, entry.cost);
+            self.organisations.start(entry.organisation, entry.cost);
             self.reserved += entry.cost;
             self.running += 1;
             let running = Running {
--- a/crates/peppercrank-admit/src/admission/room.rs
+++ b/crates/peppercrank-admit/src/admission/room.rs
@@ -35,7 +35,7 @@
             return Standing::Skipped;
         }
         let total = self.reserved + entry.cost;
-        if self.is_held_back(entry, total) {
+        if self.is_held_back(entry) {
             return Standing::Skipped;
         }
         if total > self.cap {
@@ -53,26 +53,31 @@
     }
 
     /// Tells whether the rest of the room is kept from a surging organisation.
-    fn is_held_back(&self, entry: &Entry, total: Cost) -> bool {
+    fn is_held_back(&self, entry: &Entry) -> bool {
         let organisation = entry.organisation;
         let running = self.organisations.running(organisation);
         if running == Cost::ZERO {
             return false;
         }
         let fair = self.organisations.fair(organisation, self.cap);
-        if running + entry.cost <= fair || total <= self.open() {
+        if running + entry.cost <= fair {
+            return false;
+        }
+        let others = self.organisations.others(self.now, organisation);
+        if running + entry.cost + self.kept(others) <= self.ceiling {
             return false;
         }
         self.organisations.surges(self.now, organisation, fair)
     }
 
-    /// The load up to which a surging organisation may use more than its fair share.
+    /// The room that a surging organisation leaves to the others beyond its fair share.
     ///
     /// It is a part of what the target can carry, not of the cap: a part of a cap that follows
     /// the mean would draw the mean down, and the cap with it, while targets idle.
-    fn open(&self) -> Cost {
-        let most = self.ceiling.0;
-        let kept = u128::from(most) * u128::from(self.settings.reserve) / u128::from(MILLE);
-        Cost(most - u64::try_from(kept).unwrap_or(most))
+    fn kept(&self, others: Cost) -> Cost {
+        let part = u128::from(self.ceiling.0) * u128::from(self.settings.reserve);
+        let bursts = u128::from(others.0) * u128::from(self.settings.bursts);
+        let kept = (part + bursts) / u128::from(MILLE);
+        Cost(u64::try_from(kept).unwrap_or(u64::MAX))
     }
 }
--- a/crates/peppercrank-admit/src/ceiling.rs
+++ b/crates/peppercrank-admit/src/ceiling.rs
@@ -11,23 +11,32 @@
 /// Part by which one report without a backlog raises the learned ceiling: a sixteenth.
 const RAISE: u64 = 16;
 
+/// Part by which one report takes the proven load down: a thousandth, as engines change.
+const FADE: u64 = 1_000;
+
 /// `Ceiling` is the most that a target may carry, whatever the mean.
 ///
 /// An engine that reports requests waiting for its batch has been given more than it can run, and
 /// whoever waits inside it waits in no fair order. So the ceiling goes half of the way down to
-/// what runs; while the engine reports none waiting and the ceiling is nearly used, it goes up in
-/// small steps. Reports lag, so it swings about what the engine can carry.
+/// what runs; while the engine reports none waiting, and the ceiling is nearly used or below what
+/// the engine has been seen to carry, it goes up in small steps. Reports lag, so it swings about what the engine can carry.
 #[derive(Debug, Clone, Copy)]
 pub struct Ceiling {
     set: Cost,
     learned: Option<Cost>,
+    /// The highest load of late at which the engine kept none waiting.
+    proven: Cost,
 }
 
 impl Ceiling {
     /// `new` starts from the ceiling that is set, with nothing learned.
     #[must_use]
     pub fn new(set: Cost) -> Self {
-        Self { set, learned: None }
+        Self {
+            set,
+            learned: None,
+            proven: Cost::ZERO,
+        }
     }
 
     /// `hear` takes in how many requests the engine runs and keeps waiting, at `reserved` load.
@@ -44,10 +53,12 @@
             self.learned = Some(lower.max(floor));
             return;
         }
+        let faded = self.proven - Cost(self.proven.0 / FADE);
+        self.proven = faded.max(reserved);
         let Some(learned) = self.learned else {
             return;
         };
-        if reserved >= part(learned, USED.0, USED.1) {
+        if reserved >= part(learned, USED.0, USED.1) || learned < self.proven {
             self.learned = Some(learned + Cost((learned.0 / RAISE).max(1)));
         }
     }
--- a/crates/peppercrank-admit/src/organisations.rs
+++ b/crates/peppercrank-admit/src/organisations.rs
@@ -24,6 +24,14 @@
     pub struct OrganisationKey;
 }
 
+/// `Demand` is what runs and waits, now and smoothed over time up to `settled`.
+#[derive(Debug, Clone, Copy, Default)]
+struct Demand {
+    level: Cost,
+    smooth: Cost,
+    settled: Moment,
+}
+
 /// `Organisation` is one organisation as this agent knows it.
 #[derive(Debug, Default)]
 struct Organisation {
@@ -34,9 +42,8 @@
     running: Cost,
     /// What waits here.
     waiting: Cost,
-    /// What ran and waited here of late, smoothed over time up to `settled`.
-    demand: Cost,
-    settled: Moment,
+    /// What ran and waited here of late.
+    demand: Demand,
     /// When a request of its was last refused for its limit.
     pressed: Option<Moment>,
     /// How many requests run or wait here.
@@ -68,6 +75,8 @@
     spread: u32,
     window: Duration,
     smooth: Duration,
+    /// What all organisations together run and wait for, as one.
+    all: Demand,
 }
 
 impl Organisations {
@@ -83,6 +92,7 @@
             spread: settings.spread,
             window: settings.active,
             smooth: settings.smooth,
+            all: Demand::default(),
         }
     }
 
@@ -207,12 +217,20 @@
             return false;
         };
         let pressed = known.pressed.is_some_and(|at| now < at + self.smooth);
-        pressed || known.smoothed(now, self.smooth) > Cost(fair.0.saturating_mul(SURGE))
+        pressed || known.demand.smoothed(now, self.smooth) > Cost(fair.0.saturating_mul(SURGE))
+    }
+
+    /// `others` is what all other organisations have asked for of late, smoothed.
+    #[must_use]
+    pub fn others(&self, now: Moment, key: OrganisationKey) -> Cost {
+        let all = self.all.smoothed(now, self.smooth);
+        let own = self.slots.get(key);
+        own.map_or(all, |known| all - known.demand.smoothed(now, self.smooth))
     }
 
     /// `come` notes a request of an organisation that begins to wait, which makes it active.
     pub fn come(&mut self, now: Moment, key: OrganisationKey, cost: Cost) {
-        let Some(known) = self.settle(now, key) else {
+        let Some(known) = self.settle(now, key, |demand| demand.level += cost) else {
             return;
         };
         known.waiting += cost;
@@ -233,8 +251,8 @@
     }
 
     /// `start` notes that a request that waited runs.
-    pub fn start(&mut self, now: Moment, key: OrganisationKey, cost: Cost) {
-        if let Some(known) = self.settle(now, key) {
+    pub fn start(&mut self, key: OrganisationKey, cost: Cost) {
+        if let Some(known) = self.slots.get_mut(key) {
             known.waiting -= cost;
             known.running += cost;
         }
@@ -242,7 +260,7 @@
 
     /// `leave` notes that a request that waited was given up.
     pub fn leave(&mut self, now: Moment, key: OrganisationKey, cost: Cost) {
-        if let Some(known) = self.settle(now, key) {
+        if let Some(known) = self.settle(now, key, |demand| demand.level -= cost) {
             known.waiting -= cost;
             known.requests = known.requests.saturating_sub(1);
         }
@@ -250,7 +268,7 @@
 
     /// `end` notes that a request that ran has ended.
     pub fn end(&mut self, now: Moment, key: OrganisationKey, cost: Cost) {
-        if let Some(known) = self.settle(now, key) {
+        if let Some(known) = self.settle(now, key, |demand| demand.level -= cost) {
             known.running -= cost;
             known.requests = known.requests.saturating_sub(1);
         }
@@ -258,7 +276,11 @@
 
     /// `revise` puts a running request's true cost in place of the expected one.
     pub fn revise(&mut self, now: Moment, key: OrganisationKey, was: Cost, cost: Cost) {
-        if let Some(known) = self.settle(now, key) {
+        let change = |demand: &mut Demand| {
+            demand.level -= was;
+            demand.level += cost;
+        };
+        if let Some(known) = self.settle(now, key, change) {
             known.running -= was;
             known.running += cost;
         }
@@ -283,11 +305,19 @@
         gone
     }
 
-    /// Brings an organisation's smoothed demand up to now, before what it has changes.
-    fn settle(&mut self, now: Moment, key: OrganisationKey) -> Option<&mut Organisation> {
+    /// Brings smoothed demand up to now, and changes its level.
+    fn settle(
+        &mut self,
+        now: Moment,
+        key: OrganisationKey,
+        change: impl Fn(&mut Demand),
+    ) -> Option<&mut Organisation> {
         let known = self.slots.get_mut(key)?;
-        known.demand = known.smoothed(now, self.smooth);
-        known.settled = now;
+        for demand in [&mut known.demand, &mut self.all] {
+            demand.smooth = demand.smoothed(now, self.smooth);
+            demand.settled = now;
+            change(demand);
+        }
         Some(known)
     }
 
@@ -314,16 +344,16 @@
     }
 }
 
-impl Organisation {
-    /// The smoothed demand, if what runs and waits has been the same since it was settled.
-    fn smoothed(&self, now: Moment, smooth: Duration) -> Cost {
+impl Demand {
+    /// The smoothed level, if the level has been the same since it was settled.
+    fn smoothed(&self, now: Moment, over: Duration) -> Cost {
         let span = now.since(self.settled).as_micros();
-        let total = smooth.as_micros() + span;
+        let total = over.as_micros() + span;
         if total == 0 {
-            return self.demand;
+            return self.smooth;
         }
-        let level = u128::from((self.running + self.waiting).0);
-        let kept = u128::from(self.demand.0) * smooth.as_micros();
-        Cost(u64::try_from((kept + level * span) / total).unwrap_or(u64::MAX))
+        let kept = u128::from(self.smooth.0) * over.as_micros();
+        let level = u128::from(self.level.0) * span;
+        Cost(u64::try_from((kept + level) / total).unwrap_or(u64::MAX))
     }
 }
--- a/crates/peppercrank-admit/src/settings.rs
+++ b/crates/peppercrank-admit/src/settings.rs
@@ -18,6 +18,9 @@
 /// Most that [`Settings::spread`] may be.
 pub const MAX_SPREAD: u32 = 10;
 
+/// Most that [`Settings::bursts`] may be, in thousandths of what the others ask for.
+pub const MAX_BURSTS: u32 = 10_000;
+
 /// `Oversize` is what happens to a request that alone costs more than the cap.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Oversize {
@@ -39,6 +42,8 @@
     /// Share of the ceiling that a surging organisation may not use beyond its fair share, in
     /// thousandths; with no ceiling set or learned it keeps nothing back.
     pub reserve: u32,
+    /// Room that it leaves besides, in thousandths of what the others have asked for of late.
+    pub bursts: u32,
     /// What happens to a request that alone costs more than the cap.
     pub oversize: Oversize,
     /// How many times its even part of an organisation's limit one target may use.
@@ -60,7 +65,8 @@
         Self {
             weight: 100,
             ceiling: Cost(u64::MAX),
-            reserve: 500,
+            reserve: 100,
+            bursts: 2_500,
             oversize: Oversize::Alone,
             spread: 1,
             fresh: Duration::from_secs(5),
@@ -82,6 +88,9 @@
         if self.reserve > MAX_RESERVE {
             return Err(errors::range("reserve", 0, u64::from(MAX_RESERVE)));
         }
+        if self.bursts > MAX_BURSTS {
+            return Err(errors::range("bursts", 0, u64::from(MAX_BURSTS)));
+        }
         if !(1..=MAX_SPREAD).contains(&self.spread) {
             return Err(errors::range("spread", 1, u64::from(MAX_SPREAD)));
         }
