End expiry when what is put back is due again at once

Cause: with `active` at zero, or at the end of time, an organisation in use was looked at for ever. Change: what is due is taken out before any of it is put back, here and for remembered attempts. Measured: the new test of extremes did not end in 20 s before and passes now. Conclusion: settings of zero and the largest values are taken as they are.

--- a/crates/peppercrank-admit/src/organisations.rs
+++ b/crates/peppercrank-admit/src/organisations.rs
@@ -295,11 +295,13 @@
     /// `expire` drops organisations from the active ones, and returns those gone altogether.
     pub fn expire(&mut self, now: Moment) -> Vec<OrganisationKey> {
         let mut gone = Vec::new();
-        while let Some((at, key)) = self.checks.first().copied() {
-            if at > now {
-                break;
-            }
-            self.checks.remove(&(at, key));
+        // Those due are taken out first: one that is put back may be due again at once.
+        let mut due = Vec::new();
+        while let Some(first) = self.checks.first().copied().filter(|(at, _)| *at <= now) {
+            self.checks.remove(&first);
+            due.push(first);
+        }
+        for (_, key) in due {
             self.check(now, key, &mut gone);
         }
         gone
--- a/crates/peppercrank-admit/src/seen.rs
+++ b/crates/peppercrank-admit/src/seen.rs
@@ -82,11 +82,13 @@
 
     /// `expire` forgets what no copy of can be under way, save what `lives`.
     pub fn expire(&mut self, now: Moment, lives: impl Fn(Ticket) -> bool) {
-        while let Some((until, id)) = self.ends.first().copied() {
-            if until > now {
-                return;
-            }
-            self.ends.remove(&(until, id));
+        // Those due are taken out first: one that is put back may be due again at once.
+        let mut due = Vec::new();
+        while let Some(first) = self.ends.first().copied().filter(|(at, _)| *at <= now) {
+            self.ends.remove(&first);
+            due.push(first);
+        }
+        for (_, id) in due {
             self.expire_one(now, id, &lives);
         }
     }
--- a/crates/peppercrank-admit/tests/verify_admission.rs
+++ b/crates/peppercrank-admit/tests/verify_admission.rs
@@ -316,6 +316,39 @@
     );
 }
 
+#[test]
+fn verify_extremes() {
+    // Times of none, the largest cost and the end of time are taken as they are.
+    let hasty = Settings {
+        active: Duration::ZERO,
+        smooth: Duration::ZERO,
+        fresh: Duration::ZERO,
+        stale: Duration::ZERO,
+        touch: Duration::MAX,
+        ..Settings::default()
+    };
+    let most = u64::MAX;
+    play_on(
+        &mut admission_with(hasty, policy()),
+        &format!(
+            "0 mean {most} 1 | cap={most}
+             1 tick | cap=100
+             0 set kalev limit={most} weight=0 |
+             0 set linda limit={most} |
+             0 arrive 1 {most} | admit 1, load=1099511627776
+             0 wait 2 {most} of=linda deadline={most} |
+             1 actual 1 {most} | load=1099511627776
+             1 wait 3 50 deadline={most} |
+             2 tick |
+             3 end 1 | admit 2
+             3 end 2 | admit 3, load=50
+             {most} tick |
+             {most} engine 1 1 |
+             {most} end 3 | load=0"
+        ),
+    );
+}
+
 #[test]
 fn verify_settings_out_of_range() {
     let base = Settings::default;
