--- a/crates/peppercrank-spec/src/drain.rs
+++ b/crates/peppercrank-spec/src/drain.rs
@@ -4,13 +4,10 @@
 //! A draining target admits nothing after its agent knows, and cuts nothing.
 //!
 //! Requests reach one agent, each maybe twice, while a mark is published, heard and acted on; the
-<<<<<<< HEAD
-//! agent may crash and start anew. The agent decides with the real [`Admission`](peppercrank_admit::Admission). As that cannot be
-=======
-//! agent may crash and start anew. The agent decides with the real [`peppercrank_admit::Admission`]. As that cannot be
->>>>>>> h-lease
-//! copied, a state is the row of inputs since the agent started, driven anew for each step, and two
-//! states count as one when their admissions hold the same.
+//! agent may crash and start anew. The agent decides with the real
+//! [`peppercrank_admit::Admission`]. As that cannot be copied, a state is the row of inputs since the
+//! agent started, driven anew for each step, and two states count as one when their admissions hold
+//! the same.
 
 mod agent;
 
--- a/crates/peppercrank-spec/src/once.rs
+++ b/crates/peppercrank-spec/src/once.rs
@@ -8,6 +8,7 @@
 //! order or not at all, and may take effect though their answer is lost. One assumption is built
 //! in: a forwarded request is taken up within the retention less the life of a grant, or never.
 
+mod bounds;
 mod state;
 mod steps;
 
@@ -34,6 +35,8 @@
 use crate::once::state::Word;
 use crate::search::Model;
 
+pub use crate::once::bounds::Flaw;
+pub use crate::once::bounds::Once;
 pub use crate::once::state::State;
 
 /// The property that the request runs at most once.
@@ -57,48 +60,6 @@
 /// What a short step of time lasts: longer than a wait for a claim, shorter than a grant.
 const NAP: Duration = Duration::from_millis(1_500);
 
-/// `Flaw` is a rule taken away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Flaw {
-    /// Nothing: the protocol as built.
-    None,
-    /// Requests are forwarded without a claim.
-    NoClaim,
-    /// The store takes writes that rest on an old version.
-    Unconditional,
-    /// A grant is used whatever its age.
-    OldGrant,
-    /// The shard's epoch rises without being watched for a period.
-    EarlyEpoch,
-    /// A request whose connection was cut is forwarded again.
-    RetriesCut,
-    /// The claim of a request whose connection was cut is released.
-    ReleasesCut,
-    /// A cut connection is told as "not run".
-    CutNotRun,
-    /// A key that has begun is told as "not run".
-    BegunNotRun,
-}
-
-/// `Once` is the model with its bounds.
-#[derive(Debug, Clone, Copy)]
-pub struct Once {
-    /// The rule taken away.
-    pub flaw: Flaw,
-    /// Times that the caller sends the request.
-    pub sends: u8,
-    /// Calls of the store whose answer is lost.
-    pub losses: u8,
-    /// Router crashes.
-    pub crashes: u8,
-    /// Long steps of time.
-    pub strides: u8,
-    /// Short steps of time.
-    pub naps: u8,
-    /// Connections to the agent that are cut, by its restart or by the network.
-    pub cuts: u8,
-}
-
 /// `Step` is one step of the model.
 #[derive(Debug, Clone)]
 pub enum Step {
--- a/crates/peppercrank-spec/src/orders.rs
+++ b/crates/peppercrank-spec/src/orders.rs
@@ -8,6 +8,7 @@
 //! stride of time lets a lease lapse: for a holder that checked its lease just before, it is a
 //! pause in mid-order.
 
+mod bounds;
 mod state;
 mod steps;
 
@@ -35,6 +36,8 @@
 use crate::orders::state::Caller;
 use crate::search::Model;
 
+pub use crate::orders::bounds::Flaw;
+pub use crate::orders::bounds::Orders;
 pub use crate::orders::state::State;
 
 /// The property that an engine never obeys an order older than one it obeyed.
@@ -46,48 +49,6 @@
 /// What one step of time lasts: a lease, its margin and more.
 const STRIDE: Duration = Duration::from_secs(6);
 
-/// `Flaw` is a rule taken away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Flaw {
-    /// Nothing: the protocol as built.
-    None,
-    /// The agent passes orders without a gate.
-    NoGate,
-    /// A gate that has restarted starts from nothing instead of reading the lease.
-    Unread,
-    /// A gate that has restarted obeys the number it read, not only higher ones.
-    Equal,
-    /// A gate does not wait for an order of unknown fate.
-    Unsettled,
-    /// A contender takes the lease without waiting for it to lapse.
-    Impatient,
-    /// The store takes writes that rest on an old version.
-    Unconditional,
-}
-
-/// `Orders` is the model with its bounds.
-#[derive(Debug, Clone, Copy)]
-pub struct Orders {
-    /// The rule taken away.
-    pub flaw: Flaw,
-    /// What the engine does with fencing numbers.
-    pub engine: Engine,
-    /// Orders given.
-    pub orders: u8,
-    /// Calls of the store whose answer is lost.
-    pub losses: u8,
-    /// Leases given back.
-    pub leaves: u8,
-    /// Restarts of the agent.
-    pub restarts: u8,
-    /// Strides of time.
-    pub strides: u8,
-    /// Orders that arrive twice.
-    pub repeats: u8,
-    /// Orders to the engine whose answer the agent gives up on.
-    pub cuts: u8,
-}
-
 /// `Step` is one step of the model.
 #[derive(Debug, Clone)]
 pub enum Step {
