Test relays and the last question to a suspect

Change: a test with direct ways cut and one with a suspect that can be reached only just before its time is up.

--- a/crates/peppercrank-member/src/table.rs
+++ b/crates/peppercrank-member/src/table.rs
@@ -133,8 +133,9 @@
         }
     }
 
-    /// The claim that this process makes on it.
-    pub(crate) fn claim(&self) -> Claim {
+    /// `claim` is the claim that this process makes on it.
+    #[must_use]
+    pub const fn claim(&self) -> Claim {
         Claim {
             id: self.id,
             incarnation: self.incarnation,
--- a/crates/peppercrank-member/tests/verify_members/net.rs
+++ b/crates/peppercrank-member/tests/verify_members/net.rs
@@ -5,6 +5,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -86,6 +87,8 @@
     pub reports: Vec<Report>,
     /// Processes of differing sides do not hear each other.
     pub sides: Vec<u8>,
+    /// Pairs, the lower number first, that do not hear each other.
+    pub blocked: BTreeSet<(usize, usize)>,
     /// The longest encoded message seen, in bytes.
     pub longest: usize,
     /// Time spent in the parts and the codec.
@@ -142,6 +145,7 @@
             delay: 3_000,
             reports: Vec::new(),
             sides: Vec::new(),
+            blocked: BTreeSet::new(),
             longest: 0,
             spent: Duration::ZERO,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -331,6 +335,10 @@
         let Some(place) = self.places.get(&to).copied() else {
             return;
         };
+        let pair = (from.min(place), from.max(place));
+        if self.blocked.contains(&pair) {
+            return;
+        }
         if self.sides[from] != self.sides[place] || self.rng.random_bool(self.loss) {
             return;
         }
--- a/crates/peppercrank-member/tests/verify_members/verify_detection.rs
+++ b/crates/peppercrank-member/tests/verify_members/verify_detection.rs
@@ -4,10 +4,13 @@
 //! Detecting members that failed, and only those.
 
 use peppercrank_member::Change;
+use peppercrank_member::Member;
 use peppercrank_member::Settings;
 use peppercrank_member::State;
+use peppercrank_member::message::News;
 
 use crate::net::Net;
+use crate::net::address;
 
 #[test]
 fn verify_dead_member_is_declared_by_all() {
@@ -71,3 +74,53 @@
     let counters = net.nodes[5].part.counters();
     assert_eq!((counters.paused >= 30, counters.suspected), (true, 0));
 }
+
+#[test]
+fn verify_relays_vouch_where_the_direct_way_is_cut() {
+    let mut net = Net::fleet(7, 4, 9, &["pool"]);
+    net.run(10_000);
+    net.reports.clear();
+    net.blocked.extend([(3, 7), (2, 9), (0, 12)]);
+    net.run(120_000);
+    let suspected = net.reports.iter().filter(|r| r.change == Change::Suspect);
+    assert_eq!(suspected.count(), 0);
+}
+
+#[test]
+fn verify_suspect_is_asked_itself_before_it_is_declared_dead() {
+    const SUSPECT: usize = 50;
+    let mut net = Net::fleet(8, 30, 70, &["pool"]);
+    net.acquaint();
+    net.run(5_000);
+    // Process 0 hears an accusation, and the accused can be reached only just before its time
+    // is up: three times the shortest, 6.3 s at 100 members.
+    net.blocked.extend((1..100).map(|n| (0, n)));
+    let mut message = net.blank(1, 0);
+    let vm = &net.nodes[SUSPECT].description.vm;
+    let mut claim = net.nodes[0]
+        .part
+        .get(vm)
+        .map(Member::claim)
+        .expect("a known member");
+    claim.state = State::Suspect;
+    let by = net.nodes[1].part.id();
+    message.news = vec![News::Accusation { claim, by }];
+    for second in 0..60 {
+        if second == 18 {
+            net.blocked.remove(&(0, SUSPECT));
+        }
+        let bytes = postcard::to_stdvec(&message).expect("an encodable message");
+        net.deliver(0, address(1), &bytes);
+        net.run(1_000);
+        // Further messages show that process 0 is not cut off.
+        message.news.clear();
+    }
+    let about = |c: Change| {
+        net.reports
+            .iter()
+            .filter(|r| r.by == 0 && r.about == SUSPECT && r.change == c)
+            .count()
+    };
+    assert_eq!((about(Change::Suspect), about(Change::Dead)), (1, 0));
+    assert_eq!(net.view(0, SUSPECT), Some(State::Alive));
+}
