Write the pages on outages and upgrading, and complete troubleshooting

Cause: the pages lacked what is served and refused in each outage, how a release goes over the fleet, the edge's codes and those of requests at fault; indexes lacked pages, one link led nowhere.

Change: outages.md, upgrade.md, rows for every code that callers can see, indexes of notes and pages. Tests hold: each refusal, edge and fault code has its row; commands on the new pages run as written; every page stands in its index; every test that a page names exists.

--- /dev/null
+++ b/crates/peppercrank-cli/tests/verify_docs.rs
@@ -0,0 +1,91 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! All pages: indexes are whole, and the tests that they name exist.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+/// Directories of the repository that hold pages.
+const PLACES: &[&str] = &[".", "docs", "docs/design", "docs/operators", "deploy"];
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// The pages of one directory, by name.
+fn pages(place: &str) -> Vec<(PathBuf, String)> {
+    let entries = fs::read_dir(root().join(place)).expect("a directory");
+    let paths = entries.map(|e| e.expect("an entry").path());
+    let mut paths = paths
+        .filter(|p| p.extension().is_some_and(|e| e == "md"))
+        .collect::<Vec<_>>();
+    paths.sort();
+    let read = |path: PathBuf| {
+        let text = fs::read_to_string(&path).expect("a text");
+        (path, text)
+    };
+    paths.into_iter().map(read).collect()
+}
+
+#[test]
+fn verify_every_page_is_in_its_index() {
+    for place in ["docs/design", "docs/operators"] {
+        let index = fs::read_to_string(root().join(place).join("README.md")).expect("an index");
+        for (path, _) in pages(place) {
+            let name = path.file_name().and_then(|n| n.to_str()).expect("a name");
+            let row = format!("| [{name}]({name}) | ");
+            assert!(
+                name == "README.md" || index.contains(&row),
+                "{place}: {name}"
+            );
+        }
+    }
+}
+
+/// All test sources, in one text.
+fn tests() -> String {
+    let crates = fs::read_dir(root().join("crates")).expect("the crates");
+    let mut places = crates
+        .map(|e| e.expect("an entry").path().join("tests"))
+        .filter(|p| p.exists())
+        .collect::<Vec<_>>();
+    let mut all = String::new();
+    while let Some(place) = places.pop() {
+        for entry in fs::read_dir(place).expect("a directory") {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() {
+                places.push(path);
+            } else {
+                all += &fs::read_to_string(path).expect("a source");
+            }
+        }
+    }
+    all
+}
+
+#[test]
+fn verify_every_test_that_a_page_names_exists() {
+    let tests = tests();
+    let mut lost = Vec::new();
+    for (path, text) in PLACES.iter().flat_map(|place| pages(place)) {
+        for name in text.split('`').skip(1).step_by(2) {
+            // `verify_…` stands for all of them, a page's own name of a file for its tests.
+            let whole =
+                name.starts_with("verify_") && name.is_ascii() && !name.contains([' ', '/', '.']);
+            let known = tests.contains(&format!("fn {name}(")) || is_file(name);
+            if whole && !known {
+                lost.push(format!("{}: {name}", path.display()));
+            }
+        }
+    }
+    assert!(lost.is_empty(), "{lost:#?}");
+}
+
+/// Tells whether a crate has a test file of this name.
+fn is_file(name: &str) -> bool {
+    let crates = fs::read_dir(root().join("crates")).expect("the crates");
+    let mut crates = crates.map(|e| e.expect("an entry").path());
+    crates.any(|c| c.join(format!("tests/{name}.rs")).exists())
+}
--- a/crates/peppercrank-cli/tests/verify_pages.rs
+++ b/crates/peppercrank-cli/tests/verify_pages.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
@@ -16,6 +17,7 @@
 use peppercrank_core::refusal::NotRun;
 use peppercrank_settings::AgentSettings;
 use peppercrank_settings::RouterSettings;
+use peppercrank_wire::edge::Refused;
 use rouille::Response;
 use serde_json::Value;
 use serde_json::json;
@@ -28,9 +30,11 @@
     "command-line.md",
     "draining.md",
     "install.md",
+    "outages.md",
     "settings.md",
     "templates.md",
     "troubleshooting.md",
+    "upgrade.md",
 ];
 
 /// Commands of other programs, and the one of ours that does not end by itself.
@@ -181,12 +185,53 @@
     }
 }
 
+/// The codes of requests at fault, as they stand in the daemons' sources.
+fn faults() -> BTreeSet<String> {
+    const ENDS: &[&str] = &[
+        "_empty",
+        "_forbidden",
+        "_malformed",
+        "_missing",
+        "_not_utf8",
+        "_unknown",
+    ];
+    let mut found = BTreeSet::new();
+    let mut places = vec![root().join("crates/peppercrank-daemon/src")];
+    while let Some(place) = places.pop() {
+        for entry in fs::read_dir(place).expect("a directory") {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() {
+                places.push(path);
+                continue;
+            }
+            let text = fs::read_to_string(path).expect("a source");
+            let words = text.split('"').skip(1).step_by(2);
+            let is_code = |w: &&str| {
+                let letters = w
+                    .bytes()
+                    .all(|b| b.is_ascii_lowercase() || b"_8".contains(&b));
+                letters && ENDS.iter().any(|end| w.ends_with(end))
+            };
+            found.extend(words.filter(is_code).map(str::to_owned));
+        }
+    }
+    assert!(
+        found.len() > 10,
+        "the codes are not found any more: {found:?}"
+    );
+    found
+}
+
 #[test]
 fn verify_every_reason_and_event_has_its_row() {
     let text = page("troubleshooting.md");
     let not_run = NotRun::ALL.iter().map(|r| r.code());
     let may_have_run = MayHaveRun::ALL.iter().map(|r| r.code());
-    let codes = not_run.chain(may_have_run).collect::<Vec<_>>();
+    let edge = Refused::ALL.iter().map(|r| r.code());
+    let faults = faults();
+    let codes = not_run.chain(may_have_run).chain(edge);
+    let codes = codes.chain(faults.iter().map(String::as_str));
+    let codes = codes.collect::<Vec<_>>();
     for code in &codes {
         assert!(
             text.contains(&format!("\n| `{code}` |")),
