Feed the admission the engine's load, and honour each setting

Cause: without the engine's reports or a ceiling the cap follows the mean alone, requests queue inside the engine and fair queueing never bites (found by the admission's author); `mean_age` above 30 s failed the admission's own check; `retry.backoff`, `retry.jitter` and `claims.flush` were read by nobody; a router held an organisation's limit at one target for final, though each target holds a part. Change: load reports reach the admission; a `ceiling` may be set; a mean fades by six times its age; the pauses between attempts are the settings'; `claims.flush` is gone (claims gather while a call is in flight) and shards default to 4,096; a router walks on after a limit at one target. Conclusion: what an operator sets is what runs.

--- a/crates/peppercrank-daemon/src/agent/mod.rs
+++ b/crates/peppercrank-daemon/src/agent/mod.rs
@@ -65,6 +65,9 @@
 /// was paused admits nothing until that task has looked again.
 const TOUCH: Duration = Duration::from_secs(1);
 
+/// Times its freshness after which a mean counts for nothing.
+const FADE: u32 = 6;
+
 /// Time for a stopping agent to hand its pointers over.
 const HAND_OVER: Duration = Duration::from_secs(2);
 
@@ -162,6 +165,7 @@
     let pages = pages::serve(&agent.fleet, shown)?;
     if agent.settings.target.kind == TargetKind::Engine {
         tokio::spawn(reports::read_events(Arc::clone(&agent)));
+        tokio::spawn(reports::read_load(Arc::clone(&agent)));
         tokio::spawn(orders::run(Arc::clone(&agent), inbox.orders));
     }
     let serving = tokio::spawn(serve(edge, Arc::clone(&agent), stop));
@@ -205,11 +209,21 @@
     finished
 }
 
+/// The most that the target carries, as the settings say; 0 leaves it to be learnt.
+fn ceiling(set: u32) -> Cost {
+    if set == 0 {
+        return Cost(u64::MAX);
+    }
+    Cost(u64::from(set))
+}
+
 impl Agent {
     fn new(settings: AgentSettings, fleet: Arc<Fleet>, metrics: Arc<Metrics>) -> Result<Arc<Self>> {
         let admit = peppercrank_admit::Settings {
             weight: settings.target.weight,
+            ceiling: ceiling(settings.ceiling),
             fresh: settings.mean_age,
+            stale: settings.mean_age.saturating_mul(FADE),
             touch: TOUCH,
             ..peppercrank_admit::Settings::default()
         };
--- a/crates/peppercrank-daemon/src/router/mod.rs
+++ b/crates/peppercrank-daemon/src/router/mod.rs
@@ -21,6 +21,7 @@
 use peppercrank_member::Role;
 use peppercrank_route::Ranking;
 use peppercrank_route::Routes;
+use peppercrank_route::retry::Pace;
 use peppercrank_route::routes::Room;
 use peppercrank_settings::RouterSettings;
 use peppercrank_wire::client::Client;
@@ -192,8 +193,13 @@
         let mut pools = lock(&self.pools);
         let way = pools.entry(pool.clone()).or_insert_with(|| {
             let seed = u64::try_from(self.fleet.draw() >> 64).unwrap_or_default();
+            let mut routes = Routes::new(share, seed, ROOM);
+            routes.retries.pace = Pace {
+                first: self.settings.retry.backoff,
+                jitter: self.settings.retry.jitter,
+            };
             Way {
-                routes: Routes::new(share, seed, ROOM),
+                routes,
                 made_of: Arc::default(),
             }
         });
--- a/crates/peppercrank-route/src/classes.rs
+++ b/crates/peppercrank-route/src/classes.rs
@@ -25,13 +25,13 @@
         | NotRun::QueueFull
         | NotRun::QueueTimeout
         | NotRun::Elsewhere
+        // Each target holds a part of an organisation's limit, and another may have room.
+        | NotRun::OrganisationLimit
         | NotRun::NoTarget => After::Next,
         NotRun::Connect | NotRun::OutOfTouch | NotRun::NotReady | NotRun::Unauthentic => {
             After::Pause
         }
-        // An organisation's limit holds for the whole fleet: walking on would only evade it.
-        NotRun::OrganisationLimit
-        | NotRun::Deadline
+        NotRun::Deadline
         | NotRun::RetryBudget
         | NotRun::ClaimUnavailable
         | NotRun::ClaimHeld
--- a/crates/peppercrank-route/src/retry.rs
+++ b/crates/peppercrank-route/src/retry.rs
@@ -30,10 +30,31 @@
     pub budget: Budget,
     /// The breakers.
     pub breakers: Breakers,
+    /// The pauses between attempts.
+    pub pace: Pace,
     /// The source of jitter.
     rng: ChaCha8Rng,
 }
 
+/// `Pace` is how long a router pauses between the attempts of one request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// The pause before the second attempt; it doubles with each later one.
+    pub first: Duration,
+    /// The share of each pause that is drawn at random, 0 to 1.
+    pub jitter: f64,
+}
+
+impl Default for Pace {
+    /// Full jitter: callers that failed together do not come back together.
+    fn default() -> Self {
+        Self {
+            first: FIRST_BACKOFF,
+            jitter: 1.0,
+        }
+    }
+}
+
 impl Retries {
     /// `new` makes the state for a pool whose policy allows `share` retries a request.
     #[must_use]
@@ -41,15 +62,18 @@
         Self {
             budget: Budget::new(share),
             breakers: Breakers::default(),
+            pace: Pace::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
     /// `backoff` draws the pause before try number `tries`, counted from 0.
     pub fn backoff(&mut self, tries: u32) -> Duration {
-        let doubled = FIRST_BACKOFF.saturating_mul(1 << tries.saturating_sub(1).min(16));
-        // Full jitter: callers that failed together do not come back together.
-        doubled.min(LONGEST_BACKOFF).mul_f64(self.jitter())
+        let Pace { first, jitter } = self.pace;
+        let doubled = first.saturating_mul(1 << tries.saturating_sub(1).min(16));
+        let least = 1.0 - jitter.clamp(0.0, 1.0);
+        let share = least + (1.0 - least) * self.jitter();
+        doubled.min(LONGEST_BACKOFF).mul_f64(share)
     }
 
     /// `retry_after` draws the time after which a refused caller may come back.
--- a/crates/peppercrank-settings/src/agent.rs
+++ b/crates/peppercrank-settings/src/agent.rs
@@ -54,6 +54,12 @@
     #[serde(default = "default_stop_time")]
     #[serde(deserialize_with = "checked::duration::<_, 0, 3_600_000>")]
     pub stop_time: Duration,
+    /// Most that the target carries at once, in cost units, such as its batch; 0 to 1,000,000,000.
+    ///
+    /// With 0 it is learnt from the engine's load reports.
+    #[serde(default)]
+    #[serde(deserialize_with = "checked::count::<_, 0, 1_000_000_000>")]
+    pub ceiling: u32,
     /// Memory for chats' pointers; 64 KiB to 128 MiB, [`DEFAULT_POINTERS`] unless set.
     #[serde(default = "default_pointers")]
     #[serde(deserialize_with = "checked::bytes::<_, 0x1_0000, 0x800_0000>")]
@@ -115,6 +121,7 @@
             target,
             limits: Limits::default(),
             stop_time: DEFAULT_STOP_TIME,
+            ceiling: 0,
             pointers: DEFAULT_POINTERS,
             mean_age: DEFAULT_MEAN_AGE,
             events: DEFAULT_EVENTS,
--- a/crates/peppercrank-settings/src/router.rs
+++ b/crates/peppercrank-settings/src/router.rs
@@ -28,11 +28,8 @@
 /// Time that a claim may take before its request is refused as not run, unless set.
 pub const DEFAULT_CLAIM_WAIT: Duration = Duration::from_secs(2);
 
-/// Time that claims gather before one write carries them all, unless set.
-pub const DEFAULT_FLUSH: Duration = Duration::from_millis(5);
-
 /// Objects that claims are spread over, unless set; equal on every router.
-pub const DEFAULT_SHARDS: u32 = 64;
+pub const DEFAULT_SHARDS: u32 = 4_096;
 
 /// `RouterSettings` is the whole settings file of a router.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -79,9 +76,6 @@
     /// Longest wait for a claim; 10 ms to 60 s, [`DEFAULT_CLAIM_WAIT`] unless set.
     #[serde(deserialize_with = "checked::duration::<_, 10, 60_000>")]
     pub wait: Duration,
-    /// Time to gather claims for one write; 0 ms to 1 s, [`DEFAULT_FLUSH`] unless set.
-    #[serde(deserialize_with = "checked::duration::<_, 0, 1_000>")]
-    pub flush: Duration,
     /// Objects to spread claims over; 1 to 4,096, [`DEFAULT_SHARDS`] unless set.
     ///
     /// The same on every router: two that differ would look for one claim in two places.
@@ -136,7 +130,6 @@
     fn default() -> Self {
         Self {
             wait: DEFAULT_CLAIM_WAIT,
-            flush: DEFAULT_FLUSH,
             shards: DEFAULT_SHARDS,
         }
     }
