Bound the wakes of a process that nobody answers

Cause: the endless waking found before had no test of its own. Change: ten minutes alone with a dead API: never woken at once, at most 11 wakes a second. Conclusion: the fault cannot come back unseen.

--- a/crates/peppercrank-config/tests/verify_relay.rs
+++ b/crates/peppercrank-config/tests/verify_relay.rs
@@ -14,9 +14,12 @@
 use common::platform::Health;
 use common::template;
 use peppercrank_config::Object;
+use peppercrank_config::Relay;
 use peppercrank_config::Version;
 use peppercrank_config::message::Beat;
 use peppercrank_config::message::Message;
+use peppercrank_config::relay::Action;
+use peppercrank_config::relay::Answer;
 use peppercrank_config::relay::Basis;
 use peppercrank_config::relay::Input;
 use peppercrank_config::relay::Member;
@@ -28,6 +31,7 @@
 use peppercrank_core::names::ZoneName;
 use peppercrank_core::objects::Kind;
 use peppercrank_core::objects::ObjectKey;
+use peppercrank_core::time::Moment;
 
 /// The bar: a change is in force everywhere within this time.
 const BAR: Duration = Duration::from_secs(7);
@@ -347,12 +351,38 @@
     fleet.stop(2);
     let object = fleet.put(&base(), Some(&template(2)));
     fleet.run(seconds(300));
-    let now = peppercrank_core::time::Moment::from_origin(fleet.now);
+    let now = Moment::from_origin(fleet.now);
     relay.on(now, Input::Tick);
     assert_eq!(relay.readiness(), Readiness::OutOfTouch);
     assert!(!relay.store().covers(&base(), object.version));
 }
 
+#[test]
+fn verify_wakes_bounded() {
+    // Nobody answers: the process must neither spin nor sleep for good.
+    let fleet = Fleet::new(5, 2, 18);
+    let members: Vec<Member> = fleet.processes.iter().map(|p| p.member.clone()).collect();
+    let mut relay = Relay::new(Moment::ZERO, members[0].clone(), 1);
+    let mut actions = relay.on(Moment::ZERO, Input::Members(members));
+    let (mut wakes, mut calls, mut now) = (0, 0, Moment::ZERO);
+    while now < Moment::from_millis(600_000) {
+        for action in actions {
+            if let Action::Call(call) = action {
+                calls += 1;
+                let answer = Answer::Down;
+                relay.on(now, Input::Answered { call, answer });
+            }
+        }
+        assert!(relay.next() > now, "woken at once");
+        now = relay.next();
+        actions = relay.on(now, Input::Tick);
+        wakes += 1;
+    }
+    assert!(wakes <= 600 * 11, "{wakes} wakes");
+    assert!((4 * 60..=4 * 130).contains(&calls), "{calls} calls");
+    assert_eq!(relay.readiness(), Readiness::OutOfTouch);
+}
+
 #[test]
 fn verify_large_object() {
     let mut fleet = settled(14);
