--- a/crates/peppercrank-member/src/input.rs
+++ b/crates/peppercrank-member/src/input.rs
@@ -59,6 +59,8 @@
 #[derive(Debug, Clone)]
 pub enum Input {
     /// The platform's list was read; it replaces the last one.
+    ///
+    /// When it cannot be read, give nothing: the last one then stands.
     Seeds(Vec<Seed>),
     /// An authentic datagram came.
     Datagram {
--- a/crates/peppercrank-member/src/lib.rs
+++ b/crates/peppercrank-member/src/lib.rs
@@ -30,6 +30,7 @@
 mod repair;
 mod suspicion;
 mod table;
+mod view;
 
 pub use counters::Counters;
 pub use description::Agent;
