Remove the control calls that no daemon makes

Cause: pull, digest, hand-over and status asks were answered with nothing and sent by nobody, since configuration goes by the relay's messages, pointers by notes and status by the operators' pages. Change: two asks are left, the relay's message (now with its own call, config) and an order. The tests of control calls keep what they check and make these two calls instead; a hand-over of many pointers and a pull of many objects become an order whose answer is three times as long.

--- a/crates/peppercrank-daemon/src/fleet/control.rs
+++ b/crates/peppercrank-daemon/src/fleet/control.rs
@@ -1,7 +1,7 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! Control calls between the processes: configuration too long for datagrams, orders, status.
+//! Control calls between the processes: configuration too long for datagrams, and orders.
 
 use std::net::SocketAddr;
 use std::sync::Weak;
@@ -55,10 +55,6 @@
             drop(orders.send(Given { order, told }).await);
             Told::Order(reply.await.unwrap_or_else(|_| r#""no_target""#.to_owned()))
         }
-        Ask::Status => Told::Status(String::new()),
-        Ask::Digest => Told::Digest(Vec::new()),
-        Ask::Pull(_) => Told::Objects(Vec::new()),
-        Ask::Handover(_) => Told::Taken(0),
     }
 }
 
@@ -82,7 +78,7 @@
         let client = self.client.clone();
         self.runtime.spawn(async move {
             // What is lost is asked for again by the relay itself.
-            let _told = client.ask(address, &Ask::Config(bytes)).await;
+            let _told = client.config(address, bytes).await;
         });
     }
 
--- a/crates/peppercrank-wire/examples/control_cost.rs
+++ b/crates/peppercrank-wire/examples/control_cost.rs
@@ -7,13 +7,12 @@
 use std::net::Ipv4Addr;
 use std::time::Instant;
 
-use peppercrank_core::names::TargetName;
 use peppercrank_wire::control::Ask;
 use peppercrank_wire::control::ControlClient;
 use peppercrank_wire::control::ControlLimits;
 use peppercrank_wire::control::ControlServer;
 use peppercrank_wire::control::ControlTimes;
-use peppercrank_wire::control::Pointer;
+use peppercrank_wire::control::Order;
 use peppercrank_wire::control::Told;
 use peppercrank_wire::seal::Channel;
 use peppercrank_wire::seal::Identity;
@@ -90,28 +89,22 @@
     let (_stopper, stop) = stop();
     tokio::spawn(server.serve(stop, |_, ask| async move {
         match ask {
-            Ask::Digest => Told::Digest(vec![0; 32]),
-            _ => Told::Taken(1),
+            Ask::Config(_) => Told::Received,
+            Ask::Order(order) => Told::Order(order.order),
         }
     }));
     println!("### Control calls on a kept connection, {CALLS} one after the other\n");
     println!("| call | bytes out | bytes back | time |\n| --- | ---: | ---: | ---: |");
-    let target = TargetName::new("engine-0001").expect("a name");
-    let pointer = |key| Pointer {
-        key,
-        prefix: false,
-        target: target.clone(),
+    let order = Order {
+        fence: 1,
+        id: 2,
+        seq: 3,
+        order: r#"{"load_model":"galley-large"}"#.to_owned(),
     };
     let asks = [
-        ("digest of 32 bytes", Ask::Digest),
-        (
-            "handover of 10",
-            Ask::Handover((0..10).map(pointer).collect()),
-        ),
-        (
-            "handover of 1,000",
-            Ask::Handover((0..1_000).map(pointer).collect()),
-        ),
+        ("config of 300 bytes", Ask::Config(vec![0; 300])),
+        ("config of 30,000 bytes", Ask::Config(vec![0; 30_000])),
+        ("order of 29 bytes", Ask::Order(order)),
     ];
     for (sender, (name, ask)) in (2..).zip(asks) {
         let client = ControlClient::new(identity(sender), ring(), ControlTimes::default());
--- a/crates/peppercrank-wire/src/control/client.rs
+++ b/crates/peppercrank-wire/src/control/client.rs
@@ -13,7 +13,6 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use peppercrank_core::objects::ObjectKey;
 use tarpc::client;
 use tarpc::client::Channel;
 use tarpc::client::RpcError;
@@ -34,8 +33,6 @@
 use super::desk::Sealed;
 use super::messages::Ask;
 use super::messages::Order;
-use super::messages::Pointer;
-use super::messages::Pulled;
 use super::messages::Told;
 use super::transport::wrap;
 
@@ -81,7 +78,7 @@
     Forged(Rejected),
     /// The call, or its answer, is longer than a message may be.
     TooBig,
-    /// The answer is to another kind of call, or the call is not supported.
+    /// The answer is to another kind of call.
     Unexpected,
 }
 
@@ -147,46 +144,14 @@
         &self.desk
     }
 
-    /// `pull` asks for configuration objects.
+    /// `config` sends a message of the configuration relay, which the other side takes in.
     ///
     /// # Errors
     ///
     /// Returns a [`ControlError`].
-    pub async fn pull(
-        &self,
-        to: SocketAddr,
-        keys: Vec<ObjectKey>,
-    ) -> Result<Vec<Pulled>, ControlError> {
-        match self.ask(to, &Ask::Pull(keys)).await? {
-            Told::Objects(objects) => Ok(objects),
-            other => Err(unexpected(&other)),
-        }
-    }
-
-    /// `digest` asks for the digest of the configuration in force.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`ControlError`].
-    pub async fn digest(&self, to: SocketAddr) -> Result<Vec<u8>, ControlError> {
-        match self.ask(to, &Ask::Digest).await? {
-            Told::Digest(digest) => Ok(digest),
-            other => Err(unexpected(&other)),
-        }
-    }
-
-    /// `handover` hands pointers on and returns how many were taken.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`ControlError`].
-    pub async fn handover(
-        &self,
-        to: SocketAddr,
-        pointers: Vec<Pointer>,
-    ) -> Result<u32, ControlError> {
-        match self.ask(to, &Ask::Handover(pointers)).await? {
-            Told::Taken(taken) => Ok(taken),
+    pub async fn config(&self, to: SocketAddr, message: Vec<u8>) -> Result<(), ControlError> {
+        match self.ask(to, &Ask::Config(message)).await? {
+            Told::Received => Ok(()),
             other => Err(unexpected(&other)),
         }
     }
@@ -204,18 +169,6 @@
         }
     }
 
-    /// `status` asks for the status of a process.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`ControlError`].
-    pub async fn status(&self, to: SocketAddr) -> Result<String, ControlError> {
-        match self.ask(to, &Ask::Status).await? {
-            Told::Status(status) => Ok(status),
-            other => Err(unexpected(&other)),
-        }
-    }
-
     /// `ask` makes one call.
     ///
     /// # Errors
--- a/crates/peppercrank-wire/src/control/mod.rs
+++ b/crates/peppercrank-wire/src/control/mod.rs
@@ -18,8 +18,6 @@
 pub use desk::Desk;
 pub use messages::Ask;
 pub use messages::Order;
-pub use messages::Pointer;
-pub use messages::Pulled;
 pub use messages::Told;
 pub use server::ControlLimits;
 pub use server::ControlServer;
--- a/crates/peppercrank-wire/tests/verify_control.rs
+++ b/crates/peppercrank-wire/tests/verify_control.rs
@@ -8,10 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use peppercrank_core::names::ObjectName;
-use peppercrank_core::names::TargetName;
-use peppercrank_core::objects::Kind;
-use peppercrank_core::objects::ObjectKey;
 use peppercrank_wire::control::Ask;
 use peppercrank_wire::control::ControlClient;
 use peppercrank_wire::control::ControlError;
@@ -20,8 +16,6 @@
 use peppercrank_wire::control::ControlTimes;
 use peppercrank_wire::control::Desk;
 use peppercrank_wire::control::Order;
-use peppercrank_wire::control::Pointer;
-use peppercrank_wire::control::Pulled;
 use peppercrank_wire::control::Told;
 use peppercrank_wire::seal::Identity;
 use peppercrank_wire::seal::Key;
@@ -56,17 +50,17 @@
     Identity { sender, boot: 1 }
 }
 
-fn key() -> ObjectKey {
-    let name = ObjectName::new("galley-llm").expect("a name");
-    let kind = Kind::Pool;
-    ObjectKey { kind, name }
-}
+/// A message that is taken in, one whose taking never ends, and one that gets another's answer.
+const PLAIN: &[u8] = b"plain";
+const ENDLESS: &[u8] = b"endless";
+const CROSSED: &[u8] = b"crossed";
 
-fn pulled() -> Pulled {
-    Pulled {
-        key: key(),
-        version: 3,
-        body: Some("{}".to_owned()),
+fn order(text: &str) -> Order {
+    Order {
+        fence: 1,
+        id: 2,
+        seq: 3,
+        order: text.to_owned(),
     }
 }
 
@@ -90,15 +84,14 @@
 async fn answer(from: SenderId, ask: Ask, tell: mpsc::UnboundedSender<()>) -> Told {
     assert_eq!(from, SenderId(2));
     match ask {
-        Ask::Pull(keys) => Told::Objects(keys.iter().map(|_| pulled()).collect()),
-        Ask::Digest => {
+        Ask::Config(message) if message == ENDLESS => {
             let _told = Dropped(tell);
             std::future::pending().await
         }
+        Ask::Config(message) if message == CROSSED => Told::Order(String::new()),
         Ask::Config(_) => Told::Received,
-        Ask::Handover(pointers) => Told::Taken(u32::try_from(pointers.len()).expect("few")),
-        Ask::Order(order) => Told::Order(order.order),
-        Ask::Status => Told::Digest(Vec::new()),
+        // The answer is three times as long as the order.
+        Ask::Order(order) => Told::Order(order.order.repeat(3)),
     }
 }
 
@@ -121,29 +114,18 @@
     let running = start(FREE, ControlLimits::default()).await;
     let client = client(ring(1), ControlTimes::default());
     let to = running.address;
-    assert_eq!(
-        client.pull(to, vec![key(), key()]).await,
-        Ok(vec![pulled(); 2])
-    );
-    let target = TargetName::new("engine-1").expect("a name");
-    let pointer = Pointer {
-        key: 1,
-        prefix: false,
-        target,
-    };
-    assert_eq!(client.handover(to, vec![pointer; 3]).await, Ok(3));
-    let order = Order {
-        fence: 1,
-        id: 2,
-        seq: 3,
-        order: "{}".to_owned(),
-    };
-    assert_eq!(client.order(to, order).await, Ok("{}".to_owned()));
-    assert_eq!(client.status(to).await, Err(ControlError::Unexpected));
+    assert_eq!(client.config(to, PLAIN.to_vec()).await, Ok(()));
+    assert_eq!(client.order(to, order("{}")).await, Ok("{}{}{}".to_owned()));
+    let crossed = client.config(to, CROSSED.to_vec()).await;
+    assert_eq!(crossed, Err(ControlError::Unexpected));
     let sent = client.desk().traffic().volumes();
     let received = running.desk.traffic().volumes();
-    for kind in ["pull", "handover", "order", "status"] {
-        assert_eq!((sent[kind].sent, sent[kind].received), (1, 1), "{kind}");
+    for (kind, calls) in [("config", 2), ("order", 1)] {
+        assert_eq!(
+            (sent[kind].sent, sent[kind].received),
+            (calls, calls),
+            "{kind}"
+        );
         assert_eq!(
             sent[kind].sent_bytes, received[kind].received_bytes,
             "{kind}"
@@ -167,7 +149,7 @@
     };
     let client = client(ring(1), times);
     assert_eq!(
-        client.digest(running.address).await,
+        client.config(running.address, ENDLESS.to_vec()).await,
         Err(ControlError::Timeout)
     );
     running.dropped.recv().await.expect("the call dropped");
@@ -183,8 +165,8 @@
         ..ControlTimes::default()
     };
     let client = client(ring(1), times);
-    let mut asking = Box::pin(client.digest(running.address));
-    while !running.desk.traffic().volumes().contains_key("digest") {
+    let mut asking = Box::pin(client.config(running.address, ENDLESS.to_vec()));
+    while !running.desk.traffic().volumes().contains_key("config") {
         assert!(futures::poll!(&mut asking).is_pending());
         tokio::task::yield_now().await;
     }
@@ -197,11 +179,17 @@
     let running = start(FREE, ControlLimits::default()).await;
     let stranger = client(ring(2), ControlTimes::default());
     let refused = ControlError::Refused(Rejected::UnknownKey);
-    assert_eq!(stranger.status(running.address).await, Err(refused));
+    assert_eq!(
+        stranger.config(running.address, PLAIN.to_vec()).await,
+        Err(refused)
+    );
     assert_eq!(running.desk.rejected(Rejected::UnknownKey), 1);
     // The keys are rotated while the server runs.
     running.desk.rotate(&ring(2));
-    assert_eq!(stranger.handover(running.address, Vec::new()).await, Ok(0));
+    assert_eq!(
+        stranger.config(running.address, PLAIN.to_vec()).await,
+        Ok(())
+    );
 }
 
 #[tokio::test]
@@ -213,11 +201,11 @@
     assert_eq!(server.address(), elsewhere);
     let local = server.local_addr();
     let (_stopper, stop) = stop();
-    tokio::spawn(server.serve(stop, |_, _| async { Told::Unsupported }));
+    tokio::spawn(server.serve(stop, |_, _| async { Told::Received }));
     // As when a call is taken on its way to one process and sent to another.
     let client = client(ring(1), ControlTimes::default());
     let refused = ControlError::Refused(Rejected::Forged);
-    assert_eq!(client.status(local).await, Err(refused));
+    assert_eq!(client.config(local, PLAIN.to_vec()).await, Err(refused));
 }
 
 #[tokio::test]
@@ -246,7 +234,7 @@
         let _closed = io.read_to_end(&mut Vec::new()).await;
     }
     let client = client(ring(1), ControlTimes::default());
-    assert_eq!(client.handover(running.address, Vec::new()).await, Ok(0));
+    assert_eq!(client.config(running.address, PLAIN.to_vec()).await, Ok(()));
 }
 
 #[tokio::test]
@@ -266,20 +254,15 @@
             ..ControlTimes::default()
         },
     );
-    let order = Order {
-        fence: 1,
-        id: 2,
-        seq: 3,
-        order: "x".repeat(2_000),
-    };
+    let order_of = |length| order(&"x".repeat(length));
     assert_eq!(
-        client.order(running.address, order).await,
+        client.order(running.address, order_of(2_000)).await,
         Err(ControlError::TooBig)
     );
     // Fits when asked, but not when told.
-    let pulling = client.pull(running.address, vec![key(); 120]).await;
-    assert_eq!(pulling, Err(ControlError::TooBig));
-    assert_eq!(client.handover(running.address, Vec::new()).await, Ok(0));
+    let ordering = client.order(running.address, order_of(1_000)).await;
+    assert_eq!(ordering, Err(ControlError::TooBig));
+    assert_eq!(client.config(running.address, PLAIN.to_vec()).await, Ok(()));
 }
 
 #[tokio::test]
@@ -313,7 +296,7 @@
         async move {
             held.acquire().await.expect("an open gate").forget();
             // Longer than what a socket takes at once.
-            Told::Status("x".repeat(3_000_000))
+            Told::Order("x".repeat(3_000_000))
         }
     }));
     let call = Duration::from_secs(60);
@@ -324,7 +307,7 @@
     let client = client(ring(1), times);
     let asking = tokio::spawn({
         let client = client.clone();
-        async move { client.status(address).await }
+        async move { client.order(address, order("{}")).await }
     });
     while desk.traffic().total().received == 0 {
         tokio::task::yield_now().await;
@@ -342,11 +325,11 @@
     let running = start(FREE, ControlLimits::default()).await;
     let address = running.address;
     let client = client(ring(1), ControlTimes::default());
-    assert_eq!(client.handover(address, Vec::new()).await, Ok(0));
+    assert_eq!(client.config(address, PLAIN.to_vec()).await, Ok(()));
     running.stopper.stop();
     running.ended.await.expect("an end");
-    let gone = client.handover(address, Vec::new()).await;
+    let gone = client.config(address, PLAIN.to_vec()).await;
     assert!(matches!(gone, Err(ControlError::Connect(_))), "{gone:?}");
     let _again = start(address, ControlLimits::default()).await;
-    assert_eq!(client.handover(address, Vec::new()).await, Ok(0));
+    assert_eq!(client.config(address, PLAIN.to_vec()).await, Ok(()));
 }
