Tell the control address in a daemon's status

Who gives orders finds the agents by their status pages; the address there saves a setting. The field is additive: older daemons leave it out, older readers skip it.

--- a/crates/peppercrank-core/src/status.rs
+++ b/crates/peppercrank-core/src/status.rs
@@ -7,6 +7,8 @@
 //! how the command line learns that an object is in force everywhere. Both want an operators'
 //! bearer token. Readers skip fields that they do not know, so that newer daemons may add some.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -51,6 +53,9 @@
     pub stopping: bool,
     /// The configuration that it holds.
     pub configuration: Configuration,
+    /// Where it takes control calls, none when it does not say.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
     /// The targets: an agent's own, or all that a router believes in.
     #[serde(default)]
     pub targets: Vec<TargetStatus>,
