Give orders from the command line

Cause: agents take orders, but nothing gave any. Change: the verb order takes the pool's lease, asks for the lease's number right before it sends to each target's agent, sends again under a renewed number where an agent has restarted, gives the lease back and tells each outcome.

--- a/crates/peppercrank-cli/src/errors.rs
+++ b/crates/peppercrank-cli/src/errors.rs
@@ -14,6 +14,7 @@
 use peppercrank_config::publish::Conflict;
 use peppercrank_config::publish::Fate;
 use peppercrank_core::names::TargetName;
+use peppercrank_core::names::VmName;
 use peppercrank_core::objects::ObjectKey;
 use serde_json::Value;
 use serde_json::json;
@@ -37,6 +38,8 @@
     Part,
     /// A `key=value`.
     Assignment,
+    /// The id of an order.
+    Order,
 }
 
 /// `Misuse` is a command line that parses and yet makes no sense.
@@ -63,6 +66,8 @@
     NoTemplate,
     /// `set-organisation` wants a parameter.
     NoParameter,
+    /// `order` wants one order.
+    OrderCommand,
 }
 
 /// `Error` is why a verb was not carried out.
@@ -130,6 +135,10 @@
     },
     /// No daemon that answers is the agent of a target.
     NoAgent(TargetName),
+    /// No daemon that answers knows a pool or target of this name.
+    NoSuchTarget(String),
+    /// Another holds the lease that orders to the pool are given under.
+    LeaseHeld(VmName),
     /// The output could not be written.
     Output(io::Error),
     /// A daemon ended with an error.
@@ -165,8 +174,8 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::Flags(_) | Self::Misuse(_) => Exit::Usage,
-            Self::Conflict(_) => Exit::Conflict,
-            Self::NotFound(_) => Exit::NotFound,
+            Self::Conflict(_) | Self::LeaseHeld(_) => Exit::Conflict,
+            Self::NotFound(_) | Self::NoSuchTarget(_) => Exit::NotFound,
             Self::Unavailable => Exit::Unavailable,
             Self::Unknown(_) => Exit::Unknown,
             Self::NotInForce { .. } | Self::NotDrained { .. } | Self::NoAgent(_) => {
@@ -237,6 +246,7 @@
             Self::Daemon => "expected router or agent",
             Self::Part => "expected engine, service or platform",
             Self::Assignment => "expected key=value",
+            Self::Order => "expected 32 hexadecimal digits",
         })
     }
 }
@@ -252,6 +262,9 @@
             Self::Value { key, value } => write!(f, "`{value}` is no value of `{key}`"),
             Self::NoTemplate => f.write_str("the organisation is new: template=NAME is wanted"),
             Self::NoParameter => f.write_str("at least one key=value is wanted"),
+            Self::OrderCommand => {
+                f.write_str("one of --load-model, --load-adapter and --set-role is wanted")
+            }
         }
     }
 }
@@ -306,6 +319,13 @@
                 "target `{target}` is marked, but no daemon that answers is its agent: \
                  is that its name?"
             ),
+            Self::NoSuchTarget(name) => write!(
+                f,
+                "no daemon that answers knows a pool or target `{name}`; nothing was ordered"
+            ),
+            Self::LeaseHeld(holder) => {
+                write!(f, "`{holder}` holds the pool's lease; nothing was ordered")
+            }
             Self::Output(e) => write!(f, "output: {e}"),
             Self::Daemon(e) => write!(f, "{e:#}"),
         }
--- a/crates/peppercrank-cli/src/flags.rs
+++ b/crates/peppercrank-cli/src/flags.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 
 use peppercrank_config::object::PublishId;
+use peppercrank_core::names::ModelName;
 use peppercrank_core::names::ObjectName;
 use peppercrank_core::names::OrganisationName;
 use peppercrank_core::names::TargetName;
@@ -17,6 +18,7 @@
 use crate::words::Daemon;
 use crate::words::Form;
 use crate::words::KindWord;
+use crate::words::OrderWord;
 use crate::words::Part;
 use crate::words::Span;
 
@@ -197,6 +199,27 @@
             optional --publish-id id: PublishId
         }
 
+        /// Gives an order to the engine of one target, or to those of a whole pool, under the
+        /// pool's lease; one of --load-model, --load-adapter and --set-role. Exit code 8 if any
+        /// engine may have obeyed without an answer, else 3 if any agent knows of a newer
+        /// holder, else 1 if any engine did not obey.
+        cmd order {
+            /// A pool's or a target's name.
+            required name: ObjectName
+            /// The fleet's keys: a file of JSON with comments, newest key first.
+            required --keys file: PathBuf
+            /// Load this model.
+            optional --load-model model: ModelName
+            /// Load this adapter.
+            optional --load-adapter adapter: String
+            /// Take this role.
+            optional --set-role role: String
+            /// Longest wait for the lease, and for a number that agents pass; 60s unless set.
+            optional --within duration: Span
+            /// The id of an earlier run, to learn what became of that order or to give it now.
+            optional --order-id id: OrderWord
+        }
+
         /// Shows the daemons, their targets, loads and drains, and the configuration in force.
         cmd status {
         }
--- a/crates/peppercrank-cli/src/lib.rs
+++ b/crates/peppercrank-cli/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod errors;
 pub mod exit;
+pub mod fate;
+pub mod holder;
 pub mod in_force;
 pub mod object;
 pub mod words;
--- a/crates/peppercrank-cli/src/remote.rs
+++ b/crates/peppercrank-cli/src/remote.rs
@@ -64,6 +64,11 @@
         })
     }
 
+    /// The platform alone, for who keeps to times of its own.
+    pub(crate) fn into_platform(self) -> Platform {
+        self.platform
+    }
+
     /// The moment by which everything must be done.
     pub(crate) fn deadline(&self) -> Moment {
         Moment::from_origin(self.timeout)
--- a/crates/peppercrank-cli/src/verbs/mod.rs
+++ b/crates/peppercrank-cli/src/verbs/mod.rs
@@ -8,6 +8,7 @@
 mod local;
 mod mark;
 mod objects;
+mod order;
 mod organisation;
 mod read;
 mod settings;
@@ -36,6 +37,7 @@
     "get-organisation",
     "mark",
     "unmark",
+    "order",
     "status",
     "check-objects",
     "check-settings",
@@ -60,6 +62,7 @@
         PeppercrankCmd::GetOrganisation(flags) => organisation::get(access, flags),
         PeppercrankCmd::Mark(flags) => mark::mark(access, flags),
         PeppercrankCmd::Unmark(flags) => mark::unmark(access, flags),
+        PeppercrankCmd::Order(flags) => order::order(access, flags),
         PeppercrankCmd::Status(_) => status::status(access),
         PeppercrankCmd::CheckObjects(_) => objects::check(access),
         PeppercrankCmd::CheckSettings(flags) => settings::check(flags),
--- /dev/null
+++ b/crates/peppercrank-cli/src/verbs/order.rs
@@ -0,0 +1,262 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Orders to engines, given under the lease of their pool.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use futures::future::join_all;
+use peppercrank_core::names::PoolName;
+use peppercrank_core::names::TargetName;
+use peppercrank_core::names::VmName;
+use peppercrank_core::status::STATUS_PATH;
+use peppercrank_core::status::Status;
+use peppercrank_core::time::Moment;
+use peppercrank_daemon::fleet::rotate::ring_of;
+use peppercrank_lease::gate::Command;
+use peppercrank_lease::lease::Session;
+use peppercrank_lease::store::Version;
+use peppercrank_settings::keys;
+use peppercrank_wire::control::ControlClient;
+use peppercrank_wire::control::ControlTimes;
+use peppercrank_wire::control::Order;
+use peppercrank_wire::seal::Identity;
+use peppercrank_wire::seal::KeyRing;
+use peppercrank_wire::seal::SenderId;
+use serde_json::Value;
+use serde_json::json;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+
+use crate::access::Access;
+use crate::daemons;
+use crate::daemons::Pages;
+use crate::errors::Error;
+use crate::errors::Misuse;
+use crate::errors::Result;
+use crate::fate::Fate;
+use crate::flags;
+use crate::holder::Holder;
+use crate::remote::Remote;
+use crate::report::Report;
+use crate::report::row;
+use crate::report::table;
+use crate::words::OrderWord;
+
+/// Longest wait for the lease and for numbers that pass, unless set: another's lease that has
+/// lapsed is free after 21 s.
+const DEFAULT_WITHIN: Duration = Duration::from_secs(60);
+
+/// Time for giving the lease back; after it the lease lapses by itself.
+const GIVE_BACK: Duration = Duration::from_secs(5);
+
+/// Time for one order: an agent that has just started may hold it for 17 s, its engine for 5 s.
+const CALL: Duration = Duration::from_secs(25);
+
+/// Orders under way at once; the lease is renewed between two such lots.
+const LANES: usize = 16;
+
+/// The only order of a run to each agent.
+const SEQ: u64 = 1;
+
+/// `Found` is whom an order goes to.
+struct Found {
+    pool: PoolName,
+    /// Where each target's agent takes control calls, if it is known.
+    targets: Vec<(TargetName, Option<SocketAddr>)>,
+}
+
+/// `Giver` sends one order to many agents.
+struct Giver<C> {
+    holder: Holder<C>,
+    client: ControlClient,
+    runtime: Runtime,
+    id: u128,
+    order: String,
+}
+
+/// Gives an order to one target or to all of a pool.
+pub(super) fn order(access: &Access, flags: &flags::Order) -> Result<Report> {
+    let command = command(flags)?;
+    let ring = ring_of(&keys::load(&flags.keys)?).map_err(|e| Error::Daemon(e.into()))?;
+    let remote = Remote::new(access)?;
+    let found = find(access, flags.name.as_str())?;
+    let id = flags.order_id.unwrap_or_else(|| OrderWord(rand::random()));
+    let start = Instant::now();
+    let clock = move || Moment::from_origin(start.elapsed());
+    let session = Session(rand::random());
+    let vm =
+        VmName::new(&format!("operator-{:016x}", session.0)).map_err(|_e| Error::Unavailable)?;
+    let client = client(&vm, ring);
+    let holder = Holder::new(
+        remote.into_platform(),
+        found.pool.clone(),
+        vm,
+        session,
+        clock,
+    );
+    let mut giver = Giver {
+        holder: holder.map_err(|e| Error::Daemon(e.into()))?,
+        client,
+        runtime: Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(Error::Process)?,
+        id: id.0,
+        order: json!(command).to_string(),
+    };
+    let end = Moment::from_origin(flags.within.map_or(DEFAULT_WITHIN, |s| s.0));
+    let Some(fence) = giver.holder.seek(end) else {
+        giver.holder.give_back(end + GIVE_BACK);
+        return Err(unheld(giver.holder.other()));
+    };
+    let fates = giver.give_all(&found.targets, end);
+    let back = giver.holder.give_back(clock() + GIVE_BACK);
+    Ok(report(&found, &command, id, fence, &fates, back))
+}
+
+fn command(flags: &flags::Order) -> Result<Command> {
+    let commands = [
+        flags.load_model.clone().map(Command::LoadModel),
+        flags.load_adapter.clone().map(Command::LoadAdapter),
+        flags.set_role.clone().map(Command::SetRole),
+    ];
+    let mut given = commands.into_iter().flatten();
+    match (given.next(), given.next()) {
+        (Some(command), None) => Ok(command),
+        _ => Err(Misuse::OrderCommand.into()),
+    }
+}
+
+fn client(vm: &VmName, ring: KeyRing) -> ControlClient {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let boot = u64::try_from(since.unwrap_or_default().as_micros()).unwrap_or(u64::MAX);
+    let sender = SenderId::of(vm);
+    let times = ControlTimes {
+        call: CALL,
+        ..ControlTimes::default()
+    };
+    ControlClient::new(Identity { sender, boot }, ring, times)
+}
+
+fn unheld(other: Option<&VmName>) -> Error {
+    match other {
+        Some(holder) => Error::LeaseHeld(holder.clone()),
+        None => Error::Unavailable,
+    }
+}
+
+/// Finds the targets by their daemons' status pages; a pool goes before a target of its name.
+fn find(access: &Access, name: &str) -> Result<Found> {
+    let asked = daemons::find(access)?;
+    let answers = Pages::new(access.operators.as_ref()).ask::<Status>(&asked, STATUS_PATH);
+    let mut known = BTreeMap::new();
+    for status in answers.into_iter().flatten() {
+        for target in status.targets {
+            // Only its own agent tells a target's load.
+            let control = status.control.filter(|_| target.load.is_some());
+            let entry = known.entry(target.name).or_insert((target.pool, None));
+            entry.1 = entry.1.or(control);
+        }
+    }
+    let of_pool = |(_, (pool, _)): &(&TargetName, &(PoolName, _))| pool.as_str() == name;
+    let named = |(target, _): &(&TargetName, &(PoolName, _))| target.as_str() == name;
+    let mut chosen = known.iter().filter(of_pool).collect::<Vec<_>>();
+    if chosen.is_empty() {
+        chosen = known.iter().filter(named).collect();
+    }
+    let first = chosen
+        .first()
+        .ok_or_else(|| Error::NoSuchTarget(name.to_owned()))?;
+    let pool = first.1.0.clone();
+    let targets = chosen.iter().map(|(t, (_, at))| ((*t).clone(), *at));
+    Ok(Found {
+        pool,
+        targets: targets.collect(),
+    })
+}
+
+impl<C: Fn() -> Moment> Giver<C> {
+    /// Gives the order to all, and again under a higher number to those whose agents want one.
+    fn give_all(&mut self, targets: &[(TargetName, Option<SocketAddr>)], end: Moment) -> Vec<Fate> {
+        let mut fates = vec![Fate::NoAgent; targets.len()];
+        let mut open = (0..targets.len()).collect::<Vec<_>>();
+        loop {
+            for lot in open.chunks(LANES) {
+                self.holder.renew();
+                let sends = lot.iter().map(|at| self.give(targets[*at].1));
+                let told = self.runtime.block_on(join_all(sends));
+                lot.iter()
+                    .zip(told)
+                    .for_each(|(at, fate)| fates[*at] = fate);
+            }
+            open.retain(|at| matches!(fates[*at], Fate::Stale { .. }));
+            let least = open.iter().filter_map(|at| match fates[*at] {
+                Fate::Stale { least } => Some(Version(least)),
+                _ => None,
+            });
+            let Some(least) = least.max() else {
+                return fates;
+            };
+            if !self.holder.reach(least, end) {
+                return fates;
+            }
+        }
+    }
+
+    /// Gives the order to one agent, under the lease as it is at that moment.
+    async fn give(&self, to: Option<SocketAddr>) -> Fate {
+        let Some(to) = to else {
+            return Fate::NoAgent;
+        };
+        let Some(fence) = self.holder.fence() else {
+            return Fate::Lapsed;
+        };
+        let order = Order {
+            fence: fence.0,
+            id: self.id,
+            seq: SEQ,
+            order: self.order.clone(),
+        };
+        Fate::of(self.client.order(to, order).await)
+    }
+}
+
+fn report(
+    found: &Found,
+    command: &Command,
+    id: OrderWord,
+    fence: Version,
+    fates: &[Fate],
+    back: bool,
+) -> Report {
+    let pairs = || found.targets.iter().zip(fates);
+    let mut rows = vec![row(&["TARGET", "OUTCOME"])];
+    rows.extend(pairs().map(|((target, _), fate)| row(&[target.as_str(), &fate.to_string()])));
+    let back_text = if back {
+        ""
+    } else {
+        "\nthe lease could not be given back and lapses by itself"
+    };
+    let text = format!(
+        "order {id} under the lease of {} from number {} on\n{}{back_text}",
+        found.pool,
+        fence.0,
+        table(&rows).trim_end(),
+    );
+    let targets = pairs().map(|((target, _), fate)| {
+        let mut value = json!(fate);
+        value["target"] = json!(target);
+        value
+    });
+    let json = json!({
+        "order": id.to_string(), "command": command, "pool": found.pool, "fence": fence.0,
+        "given_back": back, "targets": targets.collect::<Vec<Value>>(),
+    });
+    Report::ending(Fate::worst(fates.iter().copied()), text, json)
+}
--- a/crates/peppercrank-cli/src/words.rs
+++ b/crates/peppercrank-cli/src/words.rs
@@ -57,6 +57,26 @@
     }
 }
 
+/// `OrderWord` is the id of an order, hexadecimal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OrderWord(pub u128);
+
+impl FromStr for OrderWord {
+    type Err = Word;
+
+    fn from_str(s: &str) -> Result<Self, Word> {
+        let plain = s.len() == 32 && s.bytes().all(|b| b.is_ascii_hexdigit());
+        let id = u128::from_str_radix(s, 16).map_err(|_e| Word::Order)?;
+        plain.then_some(Self(id)).ok_or(Word::Order)
+    }
+}
+
+impl fmt::Display for OrderWord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
 /// `Daemon` is which daemon a settings file is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Daemon {
--- a/crates/peppercrank-daemon/src/fleet/join.rs
+++ b/crates/peppercrank-daemon/src/fleet/join.rs
@@ -152,6 +152,7 @@
                 metrics: setup.metrics,
                 platform,
                 gossip: datagrams.address(),
+                control: server.address(),
                 listen: setup.listen,
                 members: Mutex::new(Members::new(local, Settings::default(), now)),
                 relay: RwLock::new(Relay::new(now, me, boot)),
--- a/crates/peppercrank-daemon/src/fleet/mod.rs
+++ b/crates/peppercrank-daemon/src/fleet/mod.rs
@@ -86,6 +86,8 @@
     pub platform: Platform,
     /// Where datagrams are taken.
     gossip: SocketAddr,
+    /// Where control calls are taken.
+    control: SocketAddr,
     /// Where the process takes requests, which heads are signed for.
     listen: SocketAddr,
     members: Mutex<Members>,
@@ -123,6 +125,12 @@
         self.gossip
     }
 
+    /// `control_address` is where the process takes control calls.
+    #[must_use]
+    pub const fn control_address(&self) -> SocketAddr {
+        self.control
+    }
+
     /// `spawn` runs a task that is to outlive whoever starts it.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.runtime.spawn(task);
--- a/crates/peppercrank-daemon/src/fleet/pages.rs
+++ b/crates/peppercrank-daemon/src/fleet/pages.rs
@@ -119,6 +119,7 @@
         ready: fleet.is_ready(),
         stopping: fleet.is_stopping(),
         configuration: configuration(fleet),
+        control: Some(fleet.control),
         targets: (shown.targets)(fleet),
     }
 }
--- a/crates/peppercrank-daemon/src/fleet/rotate.rs
+++ b/crates/peppercrank-daemon/src/fleet/rotate.rs
@@ -35,8 +35,12 @@
     }
 }
 
-/// The ring of keys that are listed newest first: the first signs, all open.
-fn ring_of(list: &[Setting]) -> Result<KeyRing> {
+/// `ring_of` makes the ring of keys that are listed newest first: the first signs, all open.
+///
+/// # Errors
+///
+/// Returns an error when the keys do not make a ring.
+pub fn ring_of(list: &[Setting]) -> Result<KeyRing> {
     let keys = list.iter().map(|k| Key::new(k.id, &k.secret));
     let keys: std::result::Result<Vec<_>, _> = keys.collect();
     let ring = keys.and_then(KeyRing::new).map_err(errors::keys)?;
