Test orders on the whole path, over the control call

Cause: the gate was tested alone, its driver in the agent was not. The bench starts agents with settings of their own, starts them anew, and starts a second router.

--- a/crates/peppercrank-daemon/tests/bench/mod.rs
+++ b/crates/peppercrank-daemon/tests/bench/mod.rs
@@ -87,6 +87,8 @@
     pub at: SocketAddr,
     pub agent: Option<Daemon<agent::Running>>,
     pub name: String,
+    /// The agent's settings, to start it anew.
+    settings: Value,
     running: Running,
 }
 
@@ -100,6 +102,7 @@
 #[derive(Debug)]
 pub struct Bench {
     pub router: Option<Daemon<router::Running>>,
+    pub second: Option<Daemon<router::Running>>,
     pub targets: Vec<Target>,
     pub platform: Running,
     vms: Vec<Value>,
@@ -131,6 +134,7 @@
         let platform = runtime.block_on(platform::start(set)).expect("a platform");
         let bench = Self {
             router: None,
+            second: None,
             targets: Vec::new(),
             platform,
             vms: Vec::new(),
@@ -144,11 +148,7 @@
     pub fn engines(sets: Vec<EngineSettings>) -> Self {
         let mut bench = Self::empty();
         for set in sets {
-            let running = bench
-                .runtime
-                .block_on(engine::start(set))
-                .expect("an engine");
-            bench.add_target(running, "engine", MODELS);
+            bench.add_engine(set, &json!({}));
         }
         bench.start_router(&json!({}));
         bench.await_targets(MODELS, bench.targets.len());
@@ -161,7 +161,7 @@
         for _ in 0..count {
             let start = service::start(ServiceSettings::default());
             let running = bench.runtime.block_on(start).expect("a service");
-            bench.add_target(running, "service", SERVICES);
+            bench.add_target(running, "service", SERVICES, &json!({}));
         }
         bench.start_router(&json!({}));
         bench.await_targets(SERVICES, count);
@@ -218,48 +218,80 @@
         assert_eq!(written.expect("an answer").status, 200, "{path}");
     }
 
+    /// Starts an engine and its agent, with these settings of the agent besides the usual ones.
+    pub fn add_engine(&mut self, set: EngineSettings, more: &Value) {
+        let running = self.runtime.block_on(engine::start(set));
+        self.add_target(running.expect("an engine"), "engine", MODELS, more);
+    }
+
     /// Starts an agent beside a target.
-    fn add_target(&mut self, running: Running, kind: &str, pool: &str) {
+    pub fn add_target(&mut self, running: Running, kind: &str, pool: &str, more: &Value) {
         let name = format!("{pool}-{}", self.targets.len());
         let at = running.addr;
         let target = json!({"name": name, "pool": pool, "kind": kind, "address": at});
-        let settings = json!({
+        let mut settings = json!({
             "fleet": self.fleet(&name), "listen": "127.0.0.1:0", "target": target,
         });
-        let settings = AgentSettings::parse(&settings.to_string()).expect("settings");
-        let runtime = runtime();
-        let (stopper, signal) = stop();
-        let start = agent::start(settings, Log::none(), signal);
-        let agent = runtime.block_on(start).expect("an agent");
-        self.enlist(&name, "agent", agent.agent.fleet.gossip_address());
+        merge(&mut settings, more);
         self.targets.push(Target {
             at,
-            agent: Some(Daemon {
-                running: agent,
-                runtime,
-                stopper,
-            }),
+            agent: None,
             name,
+            settings,
             running,
         });
+        self.start_agent(self.targets.len() - 1);
+    }
+
+    /// Starts the agent of a target that has none.
+    pub fn start_agent(&mut self, place: usize) {
+        let target = &self.targets[place];
+        let settings = AgentSettings::parse(&target.settings.to_string()).expect("settings");
+        let runtime = runtime();
+        let (stopper, signal) = stop();
+        let start = agent::start(settings, Log::none(), signal);
+        let running = runtime.block_on(start).expect("an agent");
+        let (name, at) = (target.name.clone(), running.agent.fleet.gossip_address());
+        self.enlist(&name, "agent", at);
+        self.targets[place].agent = Some(Daemon {
+            running,
+            runtime,
+            stopper,
+        });
     }
 
     /// Starts the router with these settings besides the usual ones.
     pub fn start_router(&mut self, more: &Value) {
-        let mut settings = json!({"fleet": self.fleet("r"), "listen": "127.0.0.1:0"});
-        let fields = settings.as_object_mut().expect("an object");
-        fields.extend(more.as_object().cloned().unwrap_or_default());
+        self.router = Some(self.one_router("r", more));
+    }
+
+    /// Starts a second router and returns where callers call it, once it serves.
+    pub fn start_second(&mut self) -> SocketAddr {
+        let second = self.one_router("r2", &json!({}));
+        let at = second.running.address;
+        self.second = Some(second);
+        let ready = client::settled(&200, || {
+            let seen = client::send(at, "GET /services/app/warm", &[ACME], "");
+            seen.expect("an answer").status
+        });
+        assert_eq!(ready, 200, "the second router serves");
+        at
+    }
+
+    fn one_router(&mut self, name: &str, more: &Value) -> Daemon<router::Running> {
+        let mut settings = json!({"fleet": self.fleet(name), "listen": "127.0.0.1:0"});
+        merge(&mut settings, more);
         let settings = RouterSettings::parse(&settings.to_string()).expect("settings");
         let runtime = runtime();
         let (stopper, signal) = stop();
         let start = router::start(settings, Log::none(), signal);
         let running = runtime.block_on(start).expect("a router");
-        self.enlist("r", "router", running.router.fleet.gossip_address());
-        self.router = Some(Daemon {
+        self.enlist(name, "router", running.router.fleet.gossip_address());
+        Daemon {
             running,
             runtime,
             stopper,
-        });
+        }
     }
 
     fn fleet(&self, vm: &str) -> Value {
@@ -273,6 +305,8 @@
 
     /// Puts a VM into the platform's list, where those that start later find it.
     fn enlist(&mut self, name: &str, role: &str, at: SocketAddr) {
+        // An agent that starts anew has another address.
+        self.vms.retain(|vm| vm["name"] != name);
         self.vms
             .push(json!({"name": name, "zone": "rae", "address": at, "role": role}));
         let list = json!({"vms": self.vms}).to_string();
@@ -334,6 +368,17 @@
     }
 }
 
+/// Puts fields into settings, over those that are there.
+fn merge(settings: &mut Value, more: &Value) {
+    let fields = settings.as_object_mut().expect("an object");
+    for (name, value) in more.as_object().expect("an object") {
+        match fields.get_mut(name) {
+            Some(inner) if inner.is_object() => merge(inner, value),
+            _ => drop(fields.insert(name.clone(), value.clone())),
+        }
+    }
+}
+
 fn runtime() -> Runtime {
     let built = Builder::new_multi_thread()
         .worker_threads(2)
