--- a/crates/peppercrank-cli/tests/verify_docs.rs
+++ b/crates/peppercrank-cli/tests/verify_docs.rs
@@ -1,7 +1,7 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! All pages: indexes are whole, and the tests that they name exist.
+//! All pages: indexes are whole, nothing is left to be filled in, tests that they name exist.
 
 use std::fs;
 use std::path::Path;
@@ -44,6 +44,20 @@
     }
 }
 
+#[test]
+fn verify_nothing_is_left_to_be_filled_in() {
+    let mut open = Vec::new();
+    for (path, text) in PLACES.iter().flat_map(|place| pages(place)) {
+        let marks = text.lines().filter(|line| {
+            let letters =
+                line.len() > 3 && line.bytes().all(|b| b.is_ascii_uppercase() || b == b'_');
+            letters || ["TODO", "FIXME", "TBD"].iter().any(|m| line.contains(m))
+        });
+        open.extend(marks.map(|line| format!("{}: {line}", path.display())));
+    }
+    assert!(open.is_empty(), "{open:#?}");
+}
+
 /// All test sources, in one text.
 fn tests() -> String {
     let crates = fs::read_dir(root().join("crates")).expect("the crates");
