--- a/crates/peppercrank-cli/tests/verify_docs.rs
+++ b/crates/peppercrank-cli/tests/verify_docs.rs
@@ -103,3 +103,49 @@
     let mut crates = crates.map(|e| e.expect("an entry").path());
     crates.any(|c| c.join(format!("tests/{name}.rs")).exists())
 }
+
+/// Tells whether a path such as `route::rank` or `router::job` names a module or an item.
+fn is_named(path: &str) -> bool {
+    let parts = path.split("::").collect::<Vec<_>>();
+    let own = root().join(format!("crates/peppercrank-{}/src", parts[0]));
+    // Modules of the daemons stand without their crate's name.
+    let (source, rest) = if own.exists() {
+        (own, &parts[1..])
+    } else {
+        (root().join("crates/peppercrank-daemon/src"), parts.as_slice())
+    };
+    let Some((last, parents)) = rest.split_last() else {
+        return true;
+    };
+    let place = parents
+        .iter()
+        .fold(source.clone(), |place, p| place.join(p));
+    if place.join(format!("{last}.rs")).exists() || place.join(last).join("mod.rs").exists() {
+        return true;
+    }
+    let homes = [
+        place.with_extension("rs"),
+        place.join("mod.rs"),
+        source.join("lib.rs"),
+    ];
+    let mut texts = homes
+        .iter()
+        .filter_map(|home| fs::read_to_string(home).ok());
+    let ends = [
+        format!("::{last};"),
+        format!("struct {last} "),
+        format!("enum {last} "),
+    ];
+    texts.any(|text| ends.iter().any(|end| text.contains(end)))
+}
+
+#[test]
+fn verify_every_module_of_the_architecture_exists() {
+    let page = fs::read_to_string(root().join("docs/ARCHITECTURE.md")).expect("a page");
+    let names = page.split('`').skip(1).step_by(2);
+    let names = names.filter(|n| n.contains("::") && !n.contains(' '));
+    let names = names.collect::<Vec<_>>();
+    assert!(names.len() > 20, "{names:?}");
+    let lost = names.iter().filter(|n| !is_named(n)).collect::<Vec<_>>();
+    assert!(lost.is_empty(), "{lost:?}");
+}
