Serve and end both daemons by one piece of code

Change: `process` serves until told to stop, logs, leaves and waits for the end; the edge's limits moved there too. Conclusion: one place to change how a daemon ends.

--- a/crates/peppercrank-daemon/src/agent/mod.rs
+++ b/crates/peppercrank-daemon/src/agent/mod.rs
@@ -21,7 +21,6 @@
 use peppercrank_admit::Input;
 use peppercrank_core::blackboard::TargetKey;
 use peppercrank_core::blackboard::TargetState;
-use peppercrank_core::events::Event;
 use peppercrank_core::names::PoolName;
 use peppercrank_core::objects::Policy;
 use peppercrank_core::status::DrainStatus;
@@ -41,9 +40,7 @@
 use peppercrank_wire::client::Times;
 use peppercrank_wire::edge::Edge;
 use peppercrank_wire::edge::Finished;
-use peppercrank_wire::pages::Serving;
 use peppercrank_wire::stop::Stop;
-use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use crate::agent::attempt::Attempt;
@@ -57,9 +54,10 @@
 use crate::fleet::Setup;
 use crate::fleet::lock;
 use crate::fleet::pages;
-use crate::limits;
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::process;
+use crate::process::Process;
 
 /// Time without word from the task that watches whether the process is in touch; a process that
 /// was paused admits nothing until that task has looked again.
@@ -110,8 +108,7 @@
     pub address: SocketAddr,
     /// Where operators find its pages.
     pub operators: SocketAddr,
-    pages: Serving,
-    serving: JoinHandle<Finished>,
+    process: Process,
 }
 
 impl Running {
@@ -119,13 +116,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Start`] when its task failed.
+    /// Returns [`crate::errors::Error::Start`] when its task failed.
     pub async fn finished(self) -> Result<Finished> {
-        let ended = self.serving.await;
-        drop(self.pages);
-        ended.map_err(|e| Error::Start {
-            cause: std::io::Error::other(e),
-        })
+        self.process.finished().await
     }
 }
 
@@ -173,39 +166,21 @@
         agent,
         address,
         operators: pages.local_addr(),
-        pages,
-        serving,
+        process: Process { pages, serving },
     })
 }
 
-async fn serve(edge: Edge, agent: Arc<Agent>, mut stop: Stop) -> Finished {
-    let limits = limits::of(&agent.settings.limits, agent.settings.stop_time);
-    agent
-        .fleet
-        .log
-        .event(Event::Started, &edge.local_addr().to_string());
-    let signal = stop.clone();
-    let stopping = Arc::clone(&agent);
-    tokio::spawn(async move {
-        stop.wait().await;
-        stopping.fleet.log.event(Event::Stopping, "");
-        stopping.fleet.stop();
-        stopping.desk.put(Input::Stopping);
-    });
+async fn serve(edge: Edge, agent: Arc<Agent>, stop: Stop) -> Finished {
+    let limits = process::limits(&agent.settings.limits, agent.settings.stop_time);
+    let desk = Arc::clone(&agent.desk);
+    let stopping = move || desk.put(Input::Stopping);
     let shared = Arc::clone(&agent);
     let answer = move |call| serve::answer(Arc::clone(&shared), call);
-    let finished = edge.serve(limits, signal, answer).await;
+    let finished = process::serve(edge, &agent.fleet, limits, stop, stopping, answer).await;
     // The pointers go to the next homes before the process does.
     let mut drained = agent.desk.drained();
     let _told = timeout(HAND_OVER, drained.wait_for(|drained| *drained)).await;
-    agent.fleet.leave();
-    if finished.cut > 0 {
-        agent
-            .fleet
-            .log
-            .event(Event::StopCut, &finished.cut.to_string());
-    }
-    agent.fleet.log.event(Event::Stopped, "");
+    process::end(&agent.fleet, finished);
     finished
 }
 
--- a/crates/peppercrank-daemon/src/lib.rs
+++ b/crates/peppercrank-daemon/src/lib.rs
@@ -11,9 +11,9 @@
 pub mod errors;
 pub mod fleet;
 pub mod headers;
-pub mod limits;
 pub mod log;
 pub mod metrics;
+pub mod process;
 pub mod reply;
 pub mod router;
 
--- a/crates/peppercrank-daemon/src/router/mod.rs
+++ b/crates/peppercrank-daemon/src/router/mod.rs
@@ -16,7 +16,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
-use peppercrank_core::events::Event;
 use peppercrank_core::names::PoolName;
 use peppercrank_member::Role;
 use peppercrank_route::Ranking;
@@ -28,21 +27,19 @@
 use peppercrank_wire::client::Times;
 use peppercrank_wire::edge::Edge;
 use peppercrank_wire::edge::Finished;
-use peppercrank_wire::pages::Serving;
 use peppercrank_wire::stop::Stop;
-use tokio::task::JoinHandle;
 
 use crate::clock::Clock;
 use crate::errors;
-use crate::errors::Error;
 use crate::errors::Result;
 use crate::fleet::Fleet;
 use crate::fleet::Setup;
 use crate::fleet::lock;
 use crate::fleet::pages;
-use crate::limits;
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::process;
+use crate::process::Process;
 use crate::router::claims::Claiming;
 
 /// What a router remembers for one pool: recent chats and hot prefixes.
@@ -84,8 +81,7 @@
     pub address: SocketAddr,
     /// Where operators find its pages.
     pub operators: SocketAddr,
-    pages: Serving,
-    serving: JoinHandle<Finished>,
+    process: Process,
 }
 
 impl Running {
@@ -93,13 +89,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Start`] when its task failed.
+    /// Returns [`crate::errors::Error::Start`] when its task failed.
     pub async fn finished(self) -> Result<Finished> {
-        let ended = self.serving.await;
-        drop(self.pages);
-        ended.map_err(|e| Error::Start {
-            cause: std::io::Error::other(e),
-        })
+        self.process.finished().await
     }
 }
 
@@ -149,35 +141,16 @@
         router,
         address,
         operators: pages.local_addr(),
-        pages,
-        serving,
+        process: Process { pages, serving },
     })
 }
 
-async fn serve(edge: Edge, router: Arc<Router>, mut stop: Stop) -> Finished {
-    let limits = limits::of(&router.settings.limits, router.settings.stop_time);
-    router
-        .fleet
-        .log
-        .event(Event::Started, &edge.local_addr().to_string());
-    let signal = stop.clone();
-    let fleet = Arc::clone(&router.fleet);
-    tokio::spawn(async move {
-        stop.wait().await;
-        fleet.log.event(Event::Stopping, "");
-        fleet.stop();
-    });
+async fn serve(edge: Edge, router: Arc<Router>, stop: Stop) -> Finished {
+    let limits = process::limits(&router.settings.limits, router.settings.stop_time);
     let shared = Arc::clone(&router);
     let answer = move |call| serve::answer(Arc::clone(&shared), call);
-    let finished = edge.serve(limits, signal, answer).await;
-    router.fleet.leave();
-    if finished.cut > 0 {
-        router
-            .fleet
-            .log
-            .event(Event::StopCut, &finished.cut.to_string());
-    }
-    router.fleet.log.event(Event::Stopped, "");
+    let finished = process::serve(edge, &router.fleet, limits, stop, || {}, answer).await;
+    process::end(&router.fleet, finished);
     finished
 }
 
