--- a/crates/peppercrank-daemon/src/fleet/mod.rs
+++ b/crates/peppercrank-daemon/src/fleet/mod.rs
@@ -535,12 +535,15 @@
         lock(&self.rng).random()
     }
 
-    /// The control bytes by kind, datagrams and calls together.
-    fn volumes(&self) -> BTreeMap<&'static str, Volume> {
+    /// `volumes` is the control traffic by kind, datagrams and calls together.
+    #[must_use]
+    pub fn volumes(&self) -> BTreeMap<&'static str, Volume> {
         let mut volumes = self.datagrams.traffic().volumes();
         for desk in [self.client.desk(), &self.served] {
             for (kind, volume) in desk.traffic().volumes() {
                 let sum: &mut Volume = volumes.entry(kind).or_default();
+                sum.sent += volume.sent;
+                sum.received += volume.received;
                 sum.sent_bytes += volume.sent_bytes;
                 sum.received_bytes += volume.received_bytes;
             }
