--- a/crates/peppercrank-lease/tests/verify_claim.rs
+++ b/crates/peppercrank-lease/tests/verify_claim.rs
@@ -199,6 +199,21 @@
     assert!(b.is_granted(20));
 }
 
+#[test]
+fn verify_a_lost_write_cannot_take_effect_after_its_claim_was_given_up() {
+    let mut store = World::default();
+    let mut a = Router::new(policy(), 1);
+    a.on(&mut store, at(0), claim(1, 10), &[Fate::Lost]);
+    a.on(&mut store, at(2_000), Input::Tick, &[]);
+    a.on(&mut store, at(2_100), Input::Tick, &[]);
+    // The store held nothing, yet a write went over the lost one, which comes late.
+    assert_eq!(store.shard.writes, 1);
+    let mut late = Shard::default();
+    late.add(ClaimKey(1), RequestId(10));
+    let answer = store.shard.put(None, late);
+    assert!(matches!(answer, Answer::Conflict { .. }), "{answer:?}");
+}
+
 #[test]
 fn verify_an_outage_refuses_truly_then_at_once_and_ends() {
     let mut claims = Claims::new(policy(), 1).expect("policy in range");
@@ -334,6 +349,19 @@
     }
 }
 
+#[test]
+fn verify_a_router_that_was_idle_reads_the_epoch_before_it_claims() {
+    let mut store = World::default();
+    let (mut idle, mut other) = (Router::new(policy(), 1), Router::new(policy(), 2));
+    idle.on(&mut store, at(0), claim(9, 9), &[]);
+    // Others have let many epochs pass, none of them with a claim in this shard.
+    store.epoch.put(None, Shard::of_epoch(20));
+    idle.on(&mut store, at(6_000_000), claim(1, 10), &[]);
+    other.on(&mut store, at(0), claim(1, 20), &[]);
+    assert!(idle.is_granted(10));
+    assert_eq!(other.verdict(20), Some(Verdict::Begun));
+}
+
 #[test]
 fn verify_many_routers_let_the_epoch_rise_once_a_period() {
     let mut store = World::default();
--- a/crates/peppercrank-member/src/lib.rs
+++ b/crates/peppercrank-member/src/lib.rs
@@ -21,13 +21,16 @@
 pub mod size;
 
 mod compose;
+mod facts;
 mod join;
 mod news;
+mod outward;
 mod probe;
 mod receive;
 mod repair;
 mod suspicion;
 mod table;
+mod view;
 
 pub use counters::Counters;
 pub use description::Agent;
