Add a trace bench that drives routing and admission beside baselines

Cause: the trial of the routing parts had no queues, no organisations, unlimited caches and no baselines, so that none of the issue's bars could be measured.

Change: a crate that is not published draws a seeded trace, and carries it in virtual time through the real Routes, Pointers, Admission and load estimator, and through five baselines in the same run.

--- /dev/null
+++ b/crates/peppercrank-bench/src/churn.rs
@@ -0,0 +1,89 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! What happens to engines and routers in a run.
+
+/// Milliseconds after which agents and routers know of a change.
+pub const VIEW_MS: u64 = 2_000;
+
+/// Milliseconds by which half of the routers know later, where views are apart.
+pub const APART_MS: u64 = 5_000;
+
+/// Availability zones; engine `n` is in zone `n % ZONES`.
+const ZONES: usize = 4;
+
+/// `Churn` is what happens in the middle of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Churn {
+    /// Nothing.
+    Nothing,
+    /// One more engine joins.
+    Join,
+    /// One engine is shut down gracefully.
+    Leave,
+    /// One engine fails.
+    Fail,
+    /// One engine fails and comes back three times, 20 seconds apart.
+    Flap,
+    /// All routers are replaced.
+    Routers,
+    /// An availability zone is lost.
+    Zone,
+    /// One engine leaves for a minute, and half of the routers know five seconds later.
+    Apart,
+}
+
+/// `Step` is one change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Step {
+    /// An engine starts with nothing cached.
+    Up(usize),
+    /// An engine fails.
+    Down(usize),
+    /// An engine takes no new work.
+    Mark(usize),
+    /// It takes new work again.
+    Unmark(usize),
+    /// All routers are replaced.
+    Routers,
+}
+
+impl Churn {
+    /// All kinds but none.
+    pub const ALL: [Self; 7] = [
+        Self::Join,
+        Self::Leave,
+        Self::Fail,
+        Self::Flap,
+        Self::Routers,
+        Self::Zone,
+        Self::Apart,
+    ];
+
+    /// `steps` lists the changes with their times, in milliseconds after the middle.
+    #[must_use]
+    pub fn steps(self, engines: usize) -> Vec<(u64, Step)> {
+        match self {
+            Self::Nothing => Vec::new(),
+            Self::Join => vec![(0, Step::Up(engines))],
+            Self::Leave => vec![(0, Step::Mark(0))],
+            Self::Fail => vec![(0, Step::Down(0))],
+            Self::Flap => {
+                let cycle = |at| [(at, Step::Down(0)), (at + 20_000, Step::Up(0))];
+                [0, 40_000, 80_000].into_iter().flat_map(cycle).collect()
+            }
+            Self::Routers => vec![(0, Step::Routers)],
+            Self::Zone => {
+                let lost = (0..engines).step_by(ZONES);
+                lost.map(|n| (0, Step::Down(n))).collect()
+            }
+            Self::Apart => vec![(0, Step::Mark(0)), (60_000, Step::Unmark(0))],
+        }
+    }
+
+    /// `lag` is how much later every second router knows, in milliseconds.
+    #[must_use]
+    pub fn lag(self) -> u64 {
+        if self == Self::Apart { APART_MS } else { 0 }
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-bench/src/engine.rs
@@ -0,0 +1,157 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! One engine with the real admission and pointer table of its agent.
+
+use peppercrank_admit::Admission;
+use peppercrank_admit::Input;
+use peppercrank_admit::Settings;
+use peppercrank_core::blackboard::TargetKey;
+use peppercrank_core::names::OrganisationName;
+use peppercrank_core::objects::Parameters;
+use peppercrank_core::objects::Policy;
+use peppercrank_core::time::Moment;
+use peppercrank_core::units::Cost;
+use peppercrank_route::Pointers;
+use peppercrank_route::cache::CacheEvent;
+use peppercrank_route::cache::Change;
+use peppercrank_route::rank::TargetHash;
+use slotmap::KeyData;
+
+use crate::cache::Cache;
+use crate::trace::CEILING;
+use crate::trace::ORGANISATIONS;
+use crate::trace::SHARES;
+use crate::ways::Way;
+
+/// Multiple of the mean that an engine admits up to.
+pub const MULTIPLE: f64 = 1.25;
+
+/// Work that an engine may always carry.
+pub const FLOOR: u64 = CEILING / 4;
+
+/// Longest wait in an engine's queue, in milliseconds.
+pub const WAIT_MS: u64 = 10_000;
+
+/// Requests that may wait at one engine.
+const QUEUE: u32 = 64;
+
+/// Bytes of an agent's pointer table.
+const POINTERS: usize = 1 << 18;
+
+/// `Engine` is one engine and what its agent knows.
+#[derive(Debug)]
+pub struct Engine {
+    /// The agent's admission.
+    pub admission: Admission,
+    /// The agent's pointer table.
+    pub pointers: Pointers,
+    /// What the engine holds.
+    pub cache: Cache,
+    /// Whether it can be reached.
+    pub up: bool,
+    /// How often it has started.
+    pub incarnation: u64,
+    /// Work that waits.
+    pub waiting: u64,
+    seq: u64,
+}
+
+impl Engine {
+    /// `new` is an idle engine with nothing cached.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the bench's own settings are out of range.
+    #[must_use]
+    pub fn new(now: Moment, n: usize, way: Way, memory: u64, incarnation: u64) -> Self {
+        let capped = way.is_capped();
+        let policy = Policy {
+            cap: if capped { MULTIPLE } else { 10.0 },
+            floor: Cost(if capped { FLOOR } else { CEILING }),
+            queue: QUEUE,
+            wait_ms: WAIT_MS,
+            prefix: 1_024,
+            tries: crate::ways::TRIES,
+            retries: 0.3,
+        };
+        let settings = Settings {
+            ceiling: Cost(CEILING),
+            ..Settings::default()
+        };
+        let mut admission = Admission::new(now, settings, policy).expect("settings in range");
+        admission.on(now, Input::TargetsHeard(1));
+        for of in 0..ORGANISATIONS {
+            let parameters = Input::ParametersChanged(organisation(of), Some(parameters(of)));
+            admission.on(now, parameters);
+        }
+        Self {
+            admission,
+            pointers: Pointers::new(key(n), POINTERS),
+            cache: Cache::new(memory),
+            up: true,
+            incarnation,
+            waiting: 0,
+            seq: 0,
+        }
+    }
+
+    /// `load` is what runs and waits.
+    #[must_use]
+    pub fn load(&self) -> u64 {
+        self.admission.status().reserved.0 + self.waiting
+    }
+
+    /// `event` is the engine's next cache event.
+    pub fn event(&mut self, change: Change, key: u64) -> CacheEvent {
+        self.seq += 1;
+        CacheEvent {
+            incarnation: self.incarnation,
+            seq: self.seq,
+            change,
+            key,
+        }
+    }
+}
+
+/// `organisation` is the name of an organisation.
+///
+/// # Panics
+///
+/// Never: the names are well formed.
+#[must_use]
+pub fn organisation(of: usize) -> OrganisationName {
+    OrganisationName::new(&format!("organisation-{of}")).expect("well formed")
+}
+
+/// `key` is the key of an engine.
+#[must_use]
+pub fn key(n: usize) -> TargetKey {
+    TargetKey::from(KeyData::from_ffi(1 << 32 | (n as u64 + 1)))
+}
+
+/// `index` is the engine of a key.
+#[must_use]
+pub fn index(target: TargetKey) -> usize {
+    let low = slotmap::Key::data(&target).as_ffi() & 0xffff_ffff;
+    low as usize - 1
+}
+
+/// `hash` is the hash of an engine's name.
+#[must_use]
+pub fn hash(n: usize) -> TargetHash {
+    TargetHash::of(&format!("engine-{n}"))
+}
+
+/// Operators weigh organisations by their usual shares.
+fn parameters(of: usize) -> Parameters {
+    Parameters {
+        weight: SHARES[of],
+        priority: 5,
+        limit: Cost(1 << 40),
+        output: 250,
+        deadline_ms: 120_000,
+        models: Vec::new(),
+        services: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-bench/src/trace.rs
@@ -0,0 +1,275 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The requests of a run, drawn from a seed before any routing.
+
+use peppercrank_core::hash::hash64;
+use peppercrank_core::units::Cost;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::cache::Cache;
+
+/// Organisations in a trace; the first may surge.
+pub const ORGANISATIONS: usize = 10;
+
+/// Shares of the organisations, a few large, in hundredths.
+pub const SHARES: [u32; ORGANISATIONS] = [10, 25, 20, 15, 5, 5, 5, 5, 5, 5];
+
+/// Prompt tokens of a document.
+pub const DOCUMENT: u64 = 8_000;
+
+/// Generated tokens that a router expects, and their mean.
+pub const OUTPUT: u64 = 250;
+
+/// Milliseconds between generated tokens.
+const TOKEN_MS: f64 = 60.0;
+
+/// Prompt tokens that are read in a millisecond.
+const PREFILL: f64 = 8.0;
+
+/// Work that an engine can carry at once: about 45 requests whose context is cached.
+pub const CEILING: u64 = 48_000;
+
+/// Rounds in which the rate of a load is found.
+const ROUNDS: usize = 3;
+
+/// Seconds before the start from which chats may stem.
+const BEFORE: f64 = 1_200.0;
+
+/// `Shape` is what a trace is drawn from.
+#[derive(Debug, Clone, Copy)]
+pub struct Shape {
+    /// Engines when it starts.
+    pub engines: usize,
+    /// Routers.
+    pub routers: usize,
+    /// Seconds of arrivals.
+    pub seconds: u64,
+    /// Seconds after which measuring begins.
+    pub warm: u64,
+    /// Load offered, as a share of all ceilings, if contexts were always found.
+    pub load: f64,
+    /// When the first organisation offers ten times its share, in seconds.
+    pub surge: Option<(u64, u64)>,
+    /// Documents; the first one has a fifth of the chats on documents.
+    pub documents: usize,
+    /// Share of new chats that are on a document.
+    pub lead: f64,
+    /// Mean pause of a returning chat, in seconds.
+    pub pause: f64,
+    /// Share of pauses that take an hour in the mean.
+    pub hours: f64,
+    /// Tokens that an engine can hold.
+    pub memory: u64,
+}
+
+impl Shape {
+    /// `measured` is the first minute that is measured, and the one after the last.
+    #[must_use]
+    pub fn measured(&self) -> (usize, usize) {
+        (self.warm as usize / 60, self.seconds as usize / 60)
+    }
+
+    /// `middle` is the minute in which the churn begins.
+    #[must_use]
+    pub fn middle(&self) -> usize {
+        self.seconds as usize / 120
+    }
+}
+
+/// `Turn` is one request.
+#[derive(Debug, Clone, Copy)]
+pub struct Turn {
+    /// When it comes, in milliseconds.
+    pub at: u64,
+    /// Whose it is.
+    pub organisation: usize,
+    /// The chat's key.
+    pub chat: u64,
+    /// The document's key.
+    pub document: Option<u64>,
+    /// Tokens of the chat's earlier turns.
+    pub prior: u32,
+    /// New prompt tokens.
+    pub fresh: u32,
+    /// Tokens that will be generated.
+    pub output: u32,
+}
+
+impl Turn {
+    /// `prompt` is the whole prompt, in tokens.
+    #[must_use]
+    pub fn prompt(&self) -> u64 {
+        self.document.map_or(0, |_| DOCUMENT) + u64::from(self.prior + self.fresh)
+    }
+
+    /// `cost` is what it costs an engine that holds `cached` tokens of its prompt.
+    #[must_use]
+    pub fn cost(&self, cached: u64) -> Cost {
+        Cost::of_chat(self.prompt() - cached.min(self.prompt()), OUTPUT)
+    }
+
+    /// `read_time` is how long an engine that holds `cached` tokens reads the prompt, in
+    /// milliseconds.
+    #[must_use]
+    pub fn read_time(&self, cached: u64) -> u64 {
+        ((self.prompt() - cached.min(self.prompt())) as f64 / PREFILL) as u64
+    }
+
+    /// `write_time` is how long the answer takes then, in milliseconds.
+    #[must_use]
+    pub fn write_time(&self) -> u64 {
+        (f64::from(self.output) * TOKEN_MS) as u64
+    }
+
+    /// The work that it is to an engine: its cost over the time for which that is reserved.
+    fn work(&self, cached: u64) -> f64 {
+        let read = self.cost(cached).0 as f64 * self.read_time(cached) as f64;
+        read + Cost::of_chat(0, OUTPUT).0 as f64 * self.write_time() as f64
+    }
+}
+
+/// `Trace` is the requests in the order of their coming.
+#[derive(Debug, Clone)]
+pub struct Trace {
+    /// The requests.
+    pub turns: Vec<Turn>,
+    /// What one memory of the size of all engines' would have reused of each.
+    pub bound: Vec<u64>,
+    /// Load offered if that much were reused, as a share of all ceilings.
+    pub offered: f64,
+}
+
+impl Trace {
+    /// `new` draws the trace of a shape; the surge is not part of its load.
+    #[must_use]
+    pub fn new(shape: &Shape) -> Self {
+        let calm = Shape {
+            surge: None,
+            ..*shape
+        };
+        // The load of a rate is only known once its requests are drawn.
+        let mut rate = shape.engines as f64;
+        for _ in 0..ROUNDS {
+            rate *= shape.load / Self::draw(&calm, rate).offered;
+        }
+        Self::draw(shape, rate)
+    }
+
+    fn draw(shape: &Shape, rate: f64) -> Self {
+        let mut turns = Vec::new();
+        let documents = Documents::new(shape.documents);
+        for organisation in 0..ORGANISATIONS {
+            draw(shape, rate, organisation, &documents, &mut turns);
+        }
+        turns.sort_by_key(|turn| (turn.at, turn.chat));
+        let mut all = Cache::new(shape.memory * shape.engines as u64);
+        let mut work = 0.0;
+        let mut bound = Vec::with_capacity(turns.len());
+        for turn in &turns {
+            let cached = all.reuse(turn);
+            all.store(turn);
+            bound.push(cached);
+            if turn.at >= shape.warm * 1_000 {
+                work += turn.work(cached);
+            }
+        }
+        let seconds = shape.seconds - shape.warm;
+        let room = (seconds * 1_000 * CEILING) as f64 * shape.engines as f64;
+        let offered = work / room;
+        Self {
+            turns,
+            bound,
+            offered,
+        }
+    }
+}
+
+/// Draws one organisation's chats from a seed of its own, so that no other's differ by them.
+fn draw(shape: &Shape, rate: f64, of: usize, documents: &Documents, turns: &mut Vec<Turn>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(20_261_202 + of as u64);
+    // A chat has 3.3 turns in the mean.
+    let chats = rate * f64::from(SHARES[of]) / 100.0 * 0.3;
+    let mut at = -BEFORE;
+    while at < shape.seconds as f64 {
+        let surge = shape
+            .surge
+            .filter(|(from, to)| of == 0 && (*from as f64..*to as f64).contains(&at));
+        at += even(&mut rng, surge.map_or(1.0, |_| 0.1) / chats);
+        chat(shape, at, of, documents, &mut rng, turns);
+    }
+}
+
+fn chat(
+    shape: &Shape,
+    at: f64,
+    organisation: usize,
+    documents: &Documents,
+    rng: &mut ChaCha8Rng,
+    turns: &mut Vec<Turn>,
+) {
+    let chat = rng.random();
+    let document = rng.random_bool(shape.lead).then(|| documents.pick(rng));
+    let (mut at, mut prior) = (at, 0);
+    loop {
+        let fresh = rng.random_range(50..350);
+        let output = even(rng, OUTPUT as f64).clamp(1.0, 2_000.0) as u32;
+        let turn = Turn {
+            at: (at.max(0.0) * 1_000.0) as u64,
+            organisation,
+            chat,
+            document,
+            prior,
+            fresh,
+            output,
+        };
+        if at >= shape.seconds as f64 {
+            return;
+        }
+        if at >= 0.0 {
+            turns.push(turn);
+        }
+        prior += fresh + output;
+        if !rng.random_bool(0.7) {
+            return;
+        }
+        let long = rng.random_bool(shape.hours);
+        let pause = if long { 3_600.0 } else { shape.pause };
+        // Reading the answer and writing on takes a while at least.
+        at += f64::from(output) * TOKEN_MS / 1_000.0 + 10.0 + even(rng, pause);
+    }
+}
+
+/// Draws from an exponential distribution.
+fn even(rng: &mut ChaCha8Rng, mean: f64) -> f64 {
+    let even: f64 = rng.random_range(f64::EPSILON..1.0);
+    -even.ln() * mean
+}
+
+/// `Documents` is how often each document is asked for: Zipf after the first.
+struct Documents {
+    sums: Vec<f64>,
+}
+
+impl Documents {
+    fn new(count: usize) -> Self {
+        let rest: f64 = (2..=count).map(|n| 1.0 / n as f64).sum();
+        let mut sum = 0.0;
+        let share = |n: usize| if n == 1 { 0.2 } else { 0.8 / n as f64 / rest };
+        let sums = (1..=count).map(|n| {
+            sum += share(n);
+            sum
+        });
+        Self {
+            sums: sums.collect(),
+        }
+    }
+
+    fn pick(&self, rng: &mut ChaCha8Rng) -> u64 {
+        let at: f64 = rng.random();
+        let place = self.sums.partition_point(|sum| *sum < at);
+        hash64(1, &(place as u64).to_be_bytes())
+    }
+}
