Report what waits as load, so that a cap at its floor rises

Cause: the cap is a multiple of the mean of what agents report. They report what runs.

Change: Admission::demand and Status::demand, what runs and what waits, are the load to report. Admission::load stays what it was. The daemon reports Status::reserved still and must be changed to Status::demand.

--- a/crates/peppercrank-admit/src/admission/mod.rs
+++ b/crates/peppercrank-admit/src/admission/mod.rs
@@ -54,6 +54,8 @@
 pub struct Status {
     /// What is reserved by the requests that run.
     pub reserved: Cost,
+    /// What runs and what waits: the load to report to peers.
+    pub demand: Cost,
     /// How many requests run.
     pub running: usize,
     /// How many requests wait.
@@ -181,6 +183,7 @@
     pub fn status(&self) -> Status {
         Status {
             reserved: self.reserved,
+            demand: self.demand(),
             running: self.running,
             waiting: self.queue.len(),
             cap: self.cap.at(self.now),
@@ -190,7 +193,17 @@
         }
     }
 
-    /// `load` is the load to report to peers: what is reserved by the requests that run.
+    /// `demand` is the load to report to peers: what runs and what waits.
+    ///
+    /// The cap follows the mean of what peers report. Were that only what runs, then what a cap
+    /// keeps waiting would not show in the mean, and a cap that has come down to its floor would
+    /// stay there while callers wait.
+    #[must_use]
+    pub fn demand(&self) -> Cost {
+        self.reserved + self.queue.cost()
+    }
+
+    /// `load` is what is reserved by the requests that run.
     #[must_use]
     pub fn load(&self) -> Cost {
         self.reserved
--- a/crates/peppercrank-bench/src/world/load.rs
+++ b/crates/peppercrank-bench/src/world/load.rs
@@ -120,7 +120,7 @@
                 id: MemberId((n as u64).to_be_bytes()),
                 boot: engine.incarnation,
                 weight: 100,
-                cost: engine.admission.load(),
+                cost: engine.admission.demand(),
                 at,
             };
             self.meter.fresh.push((engine.load(), report));
