Let the spread of a prefix fade with time

Cause: a refusal doubles the breadth of a prefix at a router, and only admissions of that prefix narrow it again. A document that is asked for seldom stayed wide for hours after one refusal, so that each of its chats loaded it on another engine.

Change: the logarithm also falls by 1 every 120 s. The time is that of the latest news of any prefix, so the interface is unchanged.

--- a/crates/peppercrank-route/src/spread.rs
+++ b/crates/peppercrank-route/src/spread.rs
@@ -24,11 +24,22 @@
 /// The widest spread, as a binary logarithm: 4,096 targets.
 const WIDEST: f32 = 12.0;
 
+/// Seconds in which the logarithm falls by 1, whatever is asked for.
+///
+/// Without it a prefix that is asked for seldom stays wide for hours after one refusal, and each of
+/// its chats lands on another target.
+const FADE: f32 = 120.0;
+
+/// Steps of a stamp in a second.
+const STEPS: f32 = 10.0;
+
 /// `Spread` holds the breadth of the prefixes that are hot here.
 #[derive(Debug)]
 pub struct Spread {
-    /// The binary logarithm of each breadth.
+    /// The binary logarithm of each breadth, as it was at its stamp.
     table: Table<f32>,
+    /// The latest moment that was told.
+    latest: Stamp,
 }
 
 impl Spread {
@@ -37,38 +48,50 @@
     pub fn new(prefixes: usize) -> Self {
         Self {
             table: Table::new(prefixes),
+            latest: Stamp(0),
         }
     }
 
     /// `breadth` is the number of targets to spread `prefix` over; 1 unless it is hot.
     #[must_use]
     pub fn breadth(&self, prefix: Option<PrefixKey>) -> u32 {
-        let wide = prefix.and_then(|p| self.table.get(p.0));
+        let wide = prefix.map_or(0.0, |p| self.wide(p));
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "1 to 4,096 by the bounds of the logarithm"
         )]
-        wide.map_or(1, |slot| slot.value.exp2().round() as u32)
+        let breadth = wide.exp2().round() as u32;
+        breadth
     }
 
     /// `refused` notes that the first target tried for `prefix` was over its cap.
     pub fn refused(&mut self, now: Moment, prefix: PrefixKey) {
-        let wide = self.table.get(prefix.0).map_or(0.0, |slot| slot.value);
-        let wide = (wide + WIDEN).min(WIDEST);
-        self.table.put(prefix.0, Stamp::of(now), wide);
+        self.latest = self.latest.max(Stamp::of(now));
+        let wide = (self.wide(prefix) + WIDEN).min(WIDEST);
+        self.table.put(prefix.0, self.latest, wide);
     }
 
     /// `admitted` notes that the first target tried for `prefix` took it.
     pub fn admitted(&mut self, now: Moment, prefix: PrefixKey) {
-        let Some(wide) = self.table.get(prefix.0).map(|slot| slot.value) else {
-            return;
-        };
+        self.latest = self.latest.max(Stamp::of(now));
+        let wide = self.wide(prefix);
         if wide <= NARROW {
             self.table.remove(prefix.0);
             return;
         }
-        self.table.put(prefix.0, Stamp::of(now), wide - NARROW);
+        self.table.put(prefix.0, self.latest, wide - NARROW);
+    }
+
+    /// The logarithm of a breadth, less what time has taken from it.
+    fn wide(&self, prefix: PrefixKey) -> f32 {
+        let Some(slot) = self.table.get(prefix.0) else {
+            return 0.0;
+        };
+        let steps = self.latest.0.saturating_sub(slot.at.0);
+        #[expect(clippy::cast_precision_loss, reason = "an age to the second suffices")]
+        let age = steps as f32 / STEPS;
+        (slot.value - age / FADE).max(0.0)
     }
 
     /// `bytes` is the memory held, in bytes.
