Let a request wait a little for room before it goes elsewhere

Cause: a target over its cap refused at once whatever could go elsewhere. A slot frees every few hundred milliseconds on a busy engine, while the next target reads the prompt anew and drops other contexts for it.

Change: Settings::patience bounds how long such a request waits first; it is then refused as over_cap. Given up for another reason (leaving, a full queue, its deadline) it is refused at once. The default of zero is what was; the daemon must set it.

--- a/crates/peppercrank-admit/src/admission/arrive.rs
+++ b/crates/peppercrank-admit/src/admission/arrive.rs
@@ -64,7 +64,8 @@
         Ok(organisation)
     }
 
-    /// Queues a request, runs it if its turn is now, and else keeps it only if it may wait.
+    /// Queues a request, runs it if its turn is now, and else keeps it only if it may wait or the
+    /// target has patience.
     fn accept(
         &mut self,
         arrival: &Arrival,
@@ -76,15 +77,19 @@
         let key = self.queue.push(entry);
         self.places.insert(arrival.ticket, Place::Waiting(key));
         self.dispatch(actions);
-        if self.queue.contains(key) && !arrival.may_wait {
+        let patient = arrival.may_wait || !self.settings.patience.is_zero();
+        if self.queue.contains(key) && !patient {
             self.give_up(key, NotRun::OverCap, actions);
         }
         self.shorten(organisation, actions);
     }
 
     fn entry(&self, arrival: &Arrival, organisation: OrganisationKey) -> Entry {
-        let most = self.organisations.priority(organisation).min(TOP);
-        let longest = self.now + Duration::from_millis(self.policy.wait_ms);
+        let top = self.organisations.priority(organisation).min(TOP);
+        let wait = Duration::from_millis(self.policy.wait_ms);
+        let brief = !arrival.may_wait;
+        let most = if brief { self.settings.patience } else { wait };
+        let longest = self.now + wait.min(most);
         // A request that starts later than this could not end in time.
         let left = arrival.deadline.since(self.now + arrival.need);
         let latest = self.now + left;
@@ -93,10 +98,11 @@
             attempt: arrival.attempt,
             organisation,
             cost: arrival.cost.min(MAX_COST),
-            class: arrival.priority.min(most),
+            class: arrival.priority.min(top),
             since: self.now,
             until: longest.min(latest),
             dated: latest < longest,
+            brief,
         }
     }
 
--- a/crates/peppercrank-admit/src/admission/mod.rs
+++ b/crates/peppercrank-admit/src/admission/mod.rs
@@ -295,10 +295,10 @@
             self.queue.forget(gone);
         }
         while let Some(entry) = self.queue.take_expired(self.now) {
-            let reason = if entry.dated {
-                NotRun::Deadline
-            } else {
-                NotRun::QueueTimeout
+            let reason = match (entry.dated, entry.brief) {
+                (true, _) => NotRun::Deadline,
+                (false, true) => NotRun::OverCap,
+                (false, false) => NotRun::QueueTimeout,
             };
             self.refuse(&entry, reason, actions);
         }
--- a/crates/peppercrank-admit/src/queue.rs
+++ b/crates/peppercrank-admit/src/queue.rs
@@ -55,6 +55,8 @@
     pub until: Moment,
     /// Whether its deadline, not the longest wait, sets `until`.
     pub dated: bool,
+    /// Whether it may go elsewhere, so that it waits for [`crate::Settings::patience`] only.
+    pub brief: bool,
 }
 
 /// `Standing` is whether the head of a flow may run now.
--- a/crates/peppercrank-admit/src/settings.rs
+++ b/crates/peppercrank-admit/src/settings.rs
@@ -56,6 +56,11 @@
     pub touch: Duration,
     /// How long an organisation counts as active here after its last request.
     pub active: Duration,
+    /// How long a request that may go elsewhere waits here first; at zero it is refused at once.
+    ///
+    /// A wait shorter than the reading of the prompt anew costs its caller less than another
+    /// target does, and keeps the context of the chat in one place.
+    pub patience: Duration,
     /// Time over which an organisation's demand is smoothed to tell whether it surges.
     pub smooth: Duration,
 }
@@ -73,6 +78,7 @@
             stale: Duration::from_secs(30),
             touch: Duration::from_secs(30),
             active: Duration::from_secs(30),
+            patience: Duration::ZERO,
             smooth: Duration::from_secs(10),
         }
     }
--- a/crates/peppercrank-bench/src/engine.rs
+++ b/crates/peppercrank-bench/src/engine.rs
@@ -3,6 +3,8 @@
 
 //! One engine with the real admission and pointer table of its agent.
 
+use std::time::Duration;
+
 use peppercrank_admit::Admission;
 use peppercrank_admit::Input;
 use peppercrank_admit::Settings;
@@ -33,6 +35,9 @@
 /// Longest wait in an engine's queue, in milliseconds.
 pub const WAIT_MS: u64 = 10_000;
 
+/// How long a request waits at an engine before it goes on to another.
+pub const PATIENCE: Duration = Duration::from_secs(2);
+
 /// Requests that may wait at one engine.
 const QUEUE: u32 = 64;
 
@@ -77,6 +82,7 @@
         };
         let settings = Settings {
             ceiling: Cost(CEILING),
+            patience: PATIENCE,
             ..Settings::default()
         };
         let mut admission = Admission::new(now, settings, policy).expect("settings in range");
