--- a/crates/peppercrank-bench/src/report.rs
+++ b/crates/peppercrank-bench/src/report.rs
@@ -11,7 +11,7 @@
 pub const WINDOW_MS: u64 = 60_000;
 
 /// `Window` is what came of one minute of requests.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Window {
     /// Prompt tokens that were cached.
     pub reused: u64,
@@ -24,7 +24,7 @@
 }
 
 /// `Report` is what came of a run, from the end of its warming on.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Report {
     /// Requests that came, in the whole run.
     pub came: u64,
