--- a/crates/peppercrank-config/examples/config_cost.rs
+++ b/crates/peppercrank-config/examples/config_cost.rs
@@ -51,6 +51,7 @@
 
 fn main() {
     state();
+    bootstrap();
     println!("1% loss, 1% of processes restarting, one change each 14.4 s, {CHANGES} changes");
     for (count, zones) in SIZES {
         spread(count, zones);
@@ -67,6 +68,10 @@
     for (count, zones) in SIZES {
         survey(count, zones);
     }
+    println!("an API that takes 5 s a call: ten changes, 14.4 s apart");
+    for (count, zones) in SIZES {
+        slow(count, zones);
+    }
     println!("a burst: {BURST} changes within a second");
     for (count, zones) in SIZES {
         burst(count, zones);
@@ -188,6 +193,27 @@
     );
 }
 
+fn slow(count: usize, zones: usize) {
+    let mut fleet = settled(count, zones);
+    fleet.platform.health = Health::Up(Duration::from_secs(5));
+    fleet.run(Duration::from_secs(60));
+    let mut times = Vec::new();
+    for change in 0..10 {
+        let object = fleet.put(&key(Kind::Template, "slow"), Some(&template(change + 1)));
+        let at = fleet.now;
+        fleet.run(SPACING);
+        let last = fleet.arrivals.values().max().copied().unwrap_or_default();
+        assert_eq!(fleet.lacking(&object.key, object.version), 0);
+        times.push(last.saturating_sub(at));
+    }
+    times.sort();
+    println!(
+        "{count:5} members: everywhere p50 {:.1} max {:.1} s",
+        at_share(&times, 0.5),
+        at_share(&times, 1.0),
+    );
+}
+
 fn restart(count: usize, zones: usize) {
     let mut fleet = Fleet::new(count, zones, 8);
     fleet
@@ -312,6 +338,31 @@
     assert!(store.completes().iter().all(|v| *v == Version(0)));
 }
 
+/// How soon a fresh process serves when there are 4,600 organisations.
+fn bootstrap() {
+    let mut fleet = Fleet::new(13, 4, 9);
+    for i in 0..4_600 {
+        let key = key(Kind::Organisation, &format!("organisation-{i:04}"));
+        fleet.platform.put(&key, Some(&organisation(i)));
+    }
+    fleet.start_all(&all(13));
+    fleet.run(Duration::from_secs(60));
+    assert_eq!(fleet.ready(), 13);
+    // One that does not watch: it asks peers alone.
+    let fresh = (0..13).find(|i| !fleet.relay(*i).is_watcher());
+    let fresh = fresh.unwrap_or_default();
+    let before: u64 = fleet.processes.iter().map(|p| p.bytes).sum();
+    fleet.start(fresh);
+    let ready = time_ready(&mut fleet);
+    let sent = fleet.processes.iter().map(|p| p.bytes).sum::<u64>() - before;
+    let calls = fleet.relay(fresh).counters().calls;
+    println!(
+        "a fresh process among 13, with 4,600 organisations: ready after {:.1} s, {sent} bytes \
+         sent by all, {calls} calls of its own to the API",
+        ready.as_secs_f64(),
+    );
+}
+
 fn organisation(i: u32) -> String {
     let digest = format!("{i:064x}");
     format!(
