--- a/crates/peppercrank-cli/tests/verify_docs.rs
+++ b/crates/peppercrank-cli/tests/verify_docs.rs
@@ -112,7 +112,10 @@
     let (source, rest) = if own.exists() {
         (own, &parts[1..])
     } else {
-        (root().join("crates/peppercrank-daemon/src"), parts.as_slice())
+        (
+            root().join("crates/peppercrank-daemon/src"),
+            parts.as_slice(),
+        )
     };
     let Some((last, parents)) = rest.split_last() else {
         return true;
--- a/crates/peppercrank-cli/tests/verify_usage.rs
+++ b/crates/peppercrank-cli/tests/verify_usage.rs
@@ -64,6 +64,18 @@
     );
 }
 
+#[test]
+fn verify_every_verb_has_its_row() {
+    let page = include_str!("../../../docs/operators/command-line.md");
+    for (verb, _) in VERBS {
+        let row = |l: &&str| {
+            let rest = l.strip_prefix("| `").and_then(|l| l.strip_prefix(verb));
+            rest.is_some_and(|rest| rest.starts_with([' ', '`']))
+        };
+        assert!(page.lines().any(|l| row(&l)), "no row for {verb}");
+    }
+}
+
 #[test]
 fn verify_misuse_is_told_before_anything_is_done() {
     let environment = Environment {
