Let the pause between reads of the list of VMs grow with the list

Cause: a watcher read the platform's list each 5 s at any size. At 1,670 VMs of 110 bytes each that is 184 KB a read, 37 KB a second for each of 30 watchers, nine times the 4 KB a second that control may take (worked out, not run).

Change: list_pause keeps each process within 1,000 bytes a second, which today's 13 VMs never reach. Watchers draw their pauses apart, so one of 30 still reads the list each 6 s or so, and tells the others by heartbeats.

--- a/crates/peppercrank-daemon/src/fleet/platform.rs
+++ b/crates/peppercrank-daemon/src/fleet/platform.rs
@@ -3,7 +3,6 @@
 
 //! Calls to the platform, made on plain threads and counted.
 
-use std::sync::Arc;
 use std::sync::Weak;
 use std::sync::mpsc;
 use std::thread;
@@ -42,6 +41,12 @@
 /// The least time between two reads of the list of VMs by another process.
 const VMS_LEAST: Duration = Duration::from_secs(10);
 
+/// Bytes of the list of VMs for each VM, with names as in `deploy/`.
+const VM_BYTES: f64 = 110.0;
+
+/// Bytes a second that one process spends on reading the list of VMs, on average.
+const VMS_BYTES_RATE: f64 = 1_000.0;
+
 /// Time before the list of VMs is read again after a failure.
 const VMS_RETRY: Duration = Duration::from_secs(1);
 
@@ -108,7 +113,7 @@
                 Ok(vms) => {
                     fleet.note_platform(true);
                     fleet.gossip(peppercrank_member::Input::Seeds(seeds(vms.vms)));
-                    pause(&fleet)
+                    list_pause(fleet.live(), fleet.is_watcher())
                 }
                 Err(Failure::Throttled(Some(after))) => after,
                 Err(_) => VMS_RETRY,
@@ -121,17 +126,24 @@
     spawn("platform-vms", run)
 }
 
-/// How long the list of VMs is not read again: few read it often, the rest share a slow rate.
-fn pause(fleet: &Arc<Fleet>) -> Duration {
-    if fleet.live() <= 1 {
+/// `list_pause` is how long a process does not read the list of VMs again.
+///
+/// Watchers read it often, the rest share a slow rate. The list grows with the fleet, so that even
+/// a watcher's pause does; as watchers draw their pauses apart, one of them still reads it each few
+/// seconds, and tells the others by heartbeats.
+#[must_use]
+pub fn list_pause(live: usize, watcher: bool) -> Duration {
+    if live <= 1 {
         // The list lags: one that names nobody else is read again soon.
         return VMS_RETRY;
     }
-    if fleet.is_watcher() {
-        return VMS_WATCHER;
+    let members = f64::from(u32::try_from(live).unwrap_or(u32::MAX));
+    let by_bytes = Duration::from_secs_f64(members * VM_BYTES / VMS_BYTES_RATE);
+    if watcher {
+        return VMS_WATCHER.max(by_bytes);
     }
-    let members = u32::try_from(fleet.live()).unwrap_or(u32::MAX);
-    VMS_LEAST.max(Duration::from_secs_f64(f64::from(members) / VMS_RATE))
+    let by_rate = Duration::from_secs_f64(members / VMS_RATE);
+    VMS_LEAST.max(by_bytes).max(by_rate)
 }
 
 fn seeds(vms: Vec<Vm>) -> Vec<Seed> {
