Show a fleet of processes on one machine, to kill, pause and restart

Cause: the daemons and stand-ins start as processes of their own, but nothing showed how; each tester had to write nine settings files that fit each other.

Change: deploy/loopback and a page for it; a test holds addresses, VM list, pools and targets there to each other, and the stand-ins' settings to their types.

--- a/crates/peppercrank-cli/tests/verify_deploy.rs
+++ b/crates/peppercrank-cli/tests/verify_deploy.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::ffi::OsStr;
 use std::fs;
 use std::path::Path;
@@ -17,8 +18,12 @@
 use peppercrank_core::names::ObjectName;
 use peppercrank_core::objects::Kind;
 use peppercrank_core::objects::Serves;
+use peppercrank_core::settings::parse;
 use peppercrank_settings::AgentSettings;
 use peppercrank_settings::RouterSettings;
+use peppercrank_standin::engine::EngineSettings;
+use peppercrank_standin::platform::PlatformSettings;
+use peppercrank_standin::service::ServiceSettings;
 use serde_json::Value;
 use support::Bench;
 
@@ -72,6 +77,63 @@
     all.collect()
 }
 
+/// Reads a stand-in's settings, whose file is named after its kind.
+fn check_stand_in(path: &Path, text: &str) {
+    let parsed = match stem(path).split('-').next() {
+        Some("platform") => parse::<PlatformSettings>(text).map(drop),
+        Some("engine") => parse::<EngineSettings>(text).map(drop),
+        Some("service") => parse::<ServiceSettings>(text).map(drop),
+        _ => panic!("{}", path.display()),
+    };
+    parsed.unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+}
+
+#[test]
+fn verify_the_loopback_fleet_holds_together() {
+    let objects = objects("loopback");
+    let read = |place: &str| {
+        let paths = files(&root().join("loopback").join(place));
+        let read = |path: PathBuf| {
+            let text = fs::read_to_string(&path).expect("a text");
+            let value: Value = peppercrank_core::settings::parse(&text).expect("sound");
+            (stem(&path).to_owned(), value)
+        };
+        paths.into_iter().map(read).collect::<BTreeMap<_, _>>()
+    };
+    let stand_ins = read("standin");
+    let daemons = read("settings");
+    let vms = stand_ins["platform"]["vms"].as_array().expect("a list");
+    assert_eq!(vms.len(), daemons.len());
+    let platform = stand_ins["platform"]["listen"].as_str().expect("a text");
+    let mut taken = BTreeSet::new();
+    for (name, daemon) in &daemons {
+        let fleet = &daemon["fleet"];
+        let listed = vms.iter().find(|vm| vm["name"] == fleet["vm"]);
+        let listed = listed.unwrap_or_else(|| panic!("{name} is not listed"));
+        assert_eq!(listed["address"], fleet["gossip"], "{name}");
+        assert_eq!(listed["zone"], fleet["zone"], "{name}");
+        assert_eq!(fleet["platform"]["url"], format!("http://{platform}"));
+        let own = [
+            &fleet["gossip"],
+            &fleet["control"],
+            &fleet["operators"],
+            &daemon["listen"],
+        ];
+        for address in own {
+            assert!(
+                taken.insert(address.to_string()),
+                "{name}: {address} stands twice"
+            );
+        }
+        if let Some(target) = daemon.get("target") {
+            let pool = target["pool"].as_str().expect("a name").to_owned();
+            assert!(objects.contains_key(&(Kind::Pool, pool)), "{name}");
+            let serves = |s: &&Value| s["listen"] == target["address"];
+            assert!(stand_ins.values().any(|s| serves(&s)), "{name}: no target");
+        }
+    }
+}
+
 #[test]
 fn verify_every_file_is_of_a_known_sort_and_sound() {
     let mut seen = 0;
@@ -90,6 +152,10 @@
             "examples" | "settings" if name.starts_with("agent-") => {
                 AgentSettings::parse(&text).map(drop)
             }
+            "standin" => {
+                check_stand_in(&path, &text);
+                Ok(())
+            }
             kind => {
                 assert!(Kind::from_code(kind).is_some(), "{}", path.display());
                 Ok(())
@@ -99,7 +165,7 @@
         seen += 1;
     }
     assert_eq!(
-        seen, 39,
+        seen, 52,
         "files were added or lost: look at them, then change this number"
     );
 }
