--- a/crates/peppercrank/src/lib.rs
+++ b/crates/peppercrank/src/lib.rs
@@ -121,6 +121,79 @@
 //! # Ok::<(), peppercrank::core::Error>(())
 //! ```
 //!
+//! # Know who lives
+//!
+//! A [`member::Members`] of each process takes datagrams in and gives datagrams out. Here two of
+//! them meet in virtual time, where a datagram is there at once; then one falls silent.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use peppercrank::core::time::Moment;
+//! use peppercrank::member::Action;
+//! use peppercrank::member::Change;
+//! use peppercrank::member::Description;
+//! use peppercrank::member::Facts;
+//! use peppercrank::member::Input;
+//! use peppercrank::member::Local;
+//! use peppercrank::member::Members;
+//! use peppercrank::member::Role;
+//! use peppercrank::member::Seed;
+//! use peppercrank::member::SeedRole;
+//! use peppercrank::member::Settings;
+//!
+//! fn describe(number: u16) -> Description {
+//!     Description {
+//!         vm: format!("entry-{number}").parse().expect("a name"),
+//!         zone: "rae".parse().expect("a name"),
+//!         gossip: ([127, 0, 0, 1], 7_000 + number).into(),
+//!         control: ([127, 0, 0, 1], 7_100 + number).into(),
+//!         role: Role::Router,
+//!     }
+//! }
+//!
+//! let mut all = [0, 1].map(|number| {
+//!     let facts = Facts::default();
+//!     let seed = u64::from(number);
+//!     let local = Local { description: describe(number), boot: 1, facts, seed };
+//!     Members::new(local, Settings::default(), Moment::ZERO)
+//! });
+//! // The platform's list names the first; the second learns of it from there.
+//! let first = describe(0);
+//! let listed = Seed {
+//!     vm: first.vm,
+//!     zone: first.zone,
+//!     address: first.gossip,
+//!     role: SeedRole::Router,
+//!     leaving: false,
+//! };
+//! let mut todo = Vec::new();
+//! for action in all[1].on(Moment::ZERO, Input::Seeds(vec![listed])) {
+//!     todo.push((1, action));
+//! }
+//! let mut heard = Vec::new();
+//! for tick in 0..1_200 {
+//!     let now = Moment::ZERO + Duration::from_millis(100) * tick;
+//!     // The first hears and says nothing from the first minute on.
+//!     let silent = tick >= 600;
+//!     for who in 0..2 {
+//!         todo.extend(all[who].on(now, Input::Tick).into_iter().map(|a| (who, a)));
+//!     }
+//!     while let Some((who, action)) = todo.pop() {
+//!         match action {
+//!             Action::Send { message, .. } if !silent => {
+//!                 let from = describe(u16::try_from(who).expect("0 or 1")).gossip;
+//!                 let came = all[1 - who].on(now, Input::Datagram { from, message });
+//!                 todo.extend(came.into_iter().map(|a| (1 - who, a)));
+//!             }
+//!             Action::Changed { change, .. } if who == 1 => heard.push(change),
+//!             _ => {}
+//!         }
+//!     }
+//! }
+//! assert_eq!(heard, [Change::Alive, Change::Suspect, Change::Dead]);
+//! ```
+//!
 //! # Merge configuration
 //!
 //! Versions come by any path, in any order, as often as they like: the highest one that passes its
