--- a/crates/peppercrank-cli/src/verbs/local.rs
+++ b/crates/peppercrank-cli/src/verbs/local.rs
@@ -3,6 +3,9 @@
 
 //! A whole small fleet in one process: platform, engines and services stand-ins, agents, routers.
 
+mod objects;
+mod show;
+
 use std::io::Write;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -45,15 +48,11 @@
 use tokio::time::timeout;
 
 use crate::access::Access;
-use crate::access::DAEMONS;
-use crate::access::OPERATORS_TOKEN;
-use crate::access::PLATFORM;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::flags;
 use crate::report::Report;
 use crate::verbs::daemon;
-use crate::words::Form;
 
 /// Port of the first router, unless set.
 const DEFAULT_PORT: u16 = 8_080;
@@ -70,9 +69,6 @@
 /// The operators' token of a local fleet; it guards nothing but this process.
 pub(crate) const TOKEN: &str = "local-operators-token";
 
-/// SHA-256 of `demo-key`, the API key of the organisation `demo`.
-const DEMO_DIGEST: &str = "c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c";
-
 /// `Local` is a fleet that runs.
 struct Local {
     stopper: Stopper,
@@ -244,37 +240,7 @@
 
     /// Writes the first configuration.
     async fn publish(&self) -> Result<()> {
-        let policy = json!({
-            "cap": 1.25, "floor": 20_000, "queue": 64, "wait_ms": 2_000,
-            "prefix": 1_024, "tries": 3, "retries": 0.2
-        });
-        let app = json!({
-            "cap": 1.5, "floor": 16, "queue": 64, "wait_ms": 1_000,
-            "prefix": 1, "tries": 2, "retries": 0.1
-        });
-        let parameters = json!({
-            "weight": 10, "priority": 5, "limit": 10_000_000, "output": 200, "deadline_ms": 120_000
-        });
-        let objects = [
-            (
-                "pool",
-                "engines",
-                json!({ "serves": { "models": ["local"] }, "policy": policy }),
-            ),
-            (
-                "pool",
-                "app",
-                json!({ "serves": { "service": { "cost": 1, "repeatable": false } }, "policy": app }),
-            ),
-            ("template", "standard", json!({ "parameters": parameters })),
-            ("organisation", "guest", json!({ "template": "standard" })),
-            (
-                "organisation",
-                "demo",
-                json!({ "template": "standard", "keys": [DEMO_DIGEST] }),
-            ),
-        ];
-        for (kind, name, spec) in objects {
+        for (kind, name, spec) in objects::first() {
             self.put(&format!("objects/{kind}/{name}"), &json!({ "spec": spec }))
                 .await?;
         }
@@ -348,57 +314,6 @@
         self.platform.kill().await;
         Ok(())
     }
-
-    fn show(&self, form: Form) -> String {
-        match form {
-            Form::Json => self.json().to_string(),
-            Form::Text => self.lines().join("\n"),
-        }
-    }
-
-    /// The operators' addresses of all daemons.
-    fn operators(&self) -> Vec<SocketAddr> {
-        let agents = self.agents.iter().map(|a| a.operators);
-        let routers = self.routers.iter().map(|r| r.operators);
-        agents.chain(routers).collect()
-    }
-
-    fn json(&self) -> Value {
-        let routers: Vec<_> = self.routers.iter().map(|r| r.address).collect();
-        let agents: Vec<_> = self.agents.iter().map(|a| a.address).collect();
-        let targets: Vec<_> = self.targets.iter().map(|t| t.addr).collect();
-        json!({
-            "routers": routers, "agents": agents, "targets": targets,
-            "platform": self.platform.addr, "operators": self.operators(),
-            "operators_token": TOKEN
-        })
-    }
-
-    fn lines(&self) -> Vec<String> {
-        let platform = self.platform.addr;
-        let mut lines = vec![format!("platform  http://{platform}")];
-        for (agent, target) in self.agents.iter().zip(&self.targets) {
-            lines.push(format!(
-                "target    http://{}  agent http://{}  operators http://{}  {}",
-                target.addr, agent.address, agent.operators, agent.agent.settings.target.name
-            ));
-        }
-        for router in &self.routers {
-            lines.push(format!(
-                "router    http://{}  operators http://{}",
-                router.address, router.operators
-            ));
-        }
-        let daemons: Vec<_> = self.operators().iter().map(ToString::to_string).collect();
-        lines.push("for the other verbs, in another terminal:".to_owned());
-        // One line, so that it is pasted whole.
-        lines.push(format!(
-            "export {PLATFORM}=http://{platform} {OPERATORS_TOKEN}={TOKEN} {DAEMONS}={}",
-            daemons.join(",")
-        ));
-        lines.push("ready".to_owned());
-        lines
-    }
 }
 
 /// A loopback address.
--- /dev/null
+++ b/crates/peppercrank-cli/src/verbs/local/show.rs
@@ -0,0 +1,70 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Where the parts of a local fleet are, for people and programs.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::access::DAEMONS;
+use crate::access::OPERATORS_TOKEN;
+use crate::access::PLATFORM;
+use crate::verbs::local::Local;
+use crate::verbs::local::TOKEN;
+use crate::words::Form;
+
+impl Local {
+    /// Tells where each part is.
+    pub(super) fn show(&self, form: Form) -> String {
+        match form {
+            Form::Json => self.json().to_string(),
+            Form::Text => self.lines().join("\n"),
+        }
+    }
+
+    /// The operators' addresses of all daemons.
+    fn operators(&self) -> Vec<SocketAddr> {
+        let agents = self.agents.iter().map(|a| a.operators);
+        let routers = self.routers.iter().map(|r| r.operators);
+        agents.chain(routers).collect()
+    }
+
+    fn json(&self) -> Value {
+        let routers: Vec<_> = self.routers.iter().map(|r| r.address).collect();
+        let agents: Vec<_> = self.agents.iter().map(|a| a.address).collect();
+        let targets: Vec<_> = self.targets.iter().map(|t| t.addr).collect();
+        json!({
+            "routers": routers, "agents": agents, "targets": targets,
+            "platform": self.platform.addr, "operators": self.operators(),
+            "operators_token": TOKEN
+        })
+    }
+
+    fn lines(&self) -> Vec<String> {
+        let platform = self.platform.addr;
+        let mut lines = vec![format!("platform  http://{platform}")];
+        for (agent, target) in self.agents.iter().zip(&self.targets) {
+            lines.push(format!(
+                "target    http://{}  agent http://{}  operators http://{}  {}",
+                target.addr, agent.address, agent.operators, agent.agent.settings.target.name
+            ));
+        }
+        for router in &self.routers {
+            lines.push(format!(
+                "router    http://{}  operators http://{}",
+                router.address, router.operators
+            ));
+        }
+        let daemons: Vec<_> = self.operators().iter().map(ToString::to_string).collect();
+        lines.push("for the other verbs, in another terminal:".to_owned());
+        // One line, so that it is pasted whole.
+        lines.push(format!(
+            "export {PLATFORM}=http://{platform} {OPERATORS_TOKEN}={TOKEN} {DAEMONS}={}",
+            daemons.join(",")
+        ));
+        lines.push("ready".to_owned());
+        lines
+    }
+}
