--- a/crates/peppercrank-cli/tests/verify_docs.rs
+++ b/crates/peppercrank-cli/tests/verify_docs.rs
@@ -7,13 +7,30 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-/// Directories of the repository that hold pages.
-const PLACES: &[&str] = &[".", "docs", "docs/design", "docs/operators", "deploy"];
+/// Directories of the repository that hold pages, besides those below `docs`.
+const PLACES: &[&str] = &[".", "deploy"];
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
 
+/// All pages.
+fn all() -> Vec<(PathBuf, String)> {
+    let mut found = PLACES.iter().flat_map(|p| pages(p)).collect::<Vec<_>>();
+    let mut places = vec!["docs".to_owned()];
+    while let Some(place) = places.pop() {
+        found.extend(pages(&place));
+        for entry in fs::read_dir(root().join(&place)).expect("a directory") {
+            let entry = entry.expect("an entry");
+            if entry.path().is_dir() {
+                places.push(format!("{place}/{}", entry.file_name().display()));
+            }
+        }
+    }
+    assert!(found.len() > 30, "pages are not found any more");
+    found
+}
+
 /// The pages of one directory, by name.
 fn pages(place: &str) -> Vec<(PathBuf, String)> {
     let entries = fs::read_dir(root().join(place)).expect("a directory");
@@ -47,7 +64,7 @@
 #[test]
 fn verify_nothing_is_left_to_be_filled_in() {
     let mut open = Vec::new();
-    for (path, text) in PLACES.iter().flat_map(|place| pages(place)) {
+    for (path, text) in all() {
         let marks = text.lines().filter(|line| {
             let letters =
                 line.len() > 3 && line.bytes().all(|b| b.is_ascii_uppercase() || b == b'_');
@@ -83,7 +100,7 @@
 fn verify_every_test_that_a_page_names_exists() {
     let tests = tests();
     let mut lost = Vec::new();
-    for (path, text) in PLACES.iter().flat_map(|place| pages(place)) {
+    for (path, text) in all() {
         for name in text.split('`').skip(1).step_by(2) {
             // `verify_…` stands for all of them, a page's own name of a file for its tests.
             let whole =
