--- a/crates/peppercrank-daemon/tests/bench/mod.rs
+++ b/crates/peppercrank-daemon/tests/bench/mod.rs
@@ -66,7 +66,9 @@
         let stand = |_| {
             let (end, ended) = mpsc::channel();
             // It blocks one of the runtime's threads; the end comes as an error.
-            self.runtime.spawn(async move { drop(ended.recv()) });
+            self.runtime.spawn(async move {
+                let _ended = ended.recv();
+            });
             end
         };
         (0..THREADS).map(stand).collect()
