Draw each process's random numbers from its VM and its start

Cause: ids of requests and attempts were drawn from a seed that was the start's microsecond alone. Two processes that start in one microsecond, likely once or so in seven restarts of a whole fleet of 1,670 within ten seconds (worked out), would have drawn the same ids, on which matching answers and claims rests. Their probes would have gone the same ways too. Besides, the boot number in microseconds takes 8 bytes in each load report, 24 of which ride on a message.

Change: the seed is a digest of the VM's name and the microsecond; membership and relay draw theirs from it. Boots count milliseconds, 6 bytes.

--- a/crates/peppercrank-daemon/src/fleet/join.rs
+++ b/crates/peppercrank-daemon/src/fleet/join.rs
@@ -16,6 +16,7 @@
 use peppercrank_config::relay;
 use peppercrank_core::blackboard::Blackboard;
 use peppercrank_core::blackboard::TargetState;
+use peppercrank_core::names::VmName;
 use peppercrank_member::Description;
 use peppercrank_member::Facts;
 use peppercrank_member::Local;
@@ -35,8 +36,11 @@
 use peppercrank_wire::seal::Identity;
 use peppercrank_wire::seal::SenderId;
 use peppercrank_wire::stop::Stop;
+use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sha2::Digest;
+use sha2::Sha256;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -103,7 +107,10 @@
     /// not make a ring.
     pub async fn join(settings: FleetSettings, setup: Setup) -> Result<(Arc<Self>, Inbox)> {
         let clock = Clock::start();
-        let boot = wall_micros();
+        let started = wall_micros();
+        // Milliseconds, since each load report and refutation carries a boot and pays for its digits.
+        let boot = started / 1_000;
+        let mut draws = ChaCha8Rng::from_seed(seed_of(&settings.vm, started));
         let ring = rotate::ring(&settings)?;
         let identity = Identity {
             sender: SenderId::of(&settings.vm),
@@ -144,7 +151,7 @@
                 description,
                 boot,
                 facts: Facts::default(),
-                seed: boot,
+                seed: draws.random(),
             };
             Self {
                 clock,
@@ -155,13 +162,13 @@
                 control: server.address(),
                 listen: setup.listen,
                 members: Mutex::new(Members::new(local, Settings::default(), now)),
-                relay: RwLock::new(Relay::new(now, me, boot)),
+                relay: RwLock::new(Relay::new(now, me, draws.random())),
                 board: RwLock::new(board),
                 rankings: RwLock::default(),
                 names: RwLock::default(),
                 facts: Mutex::default(),
                 ring: RwLock::new(ring),
-                rng: Mutex::new(ChaCha8Rng::seed_from_u64(boot)),
+                rng: Mutex::new(draws),
                 outbox,
                 datagrams: datagrams.clone(),
                 client,
@@ -216,6 +223,18 @@
     }
 }
 
+/// `seed_of` is where the random numbers of a process begin that started at this microsecond.
+///
+/// Ids of requests and attempts are drawn from them, so two VMs that start in one instant must not
+/// draw alike.
+#[must_use]
+pub fn seed_of(vm: &VmName, started: u64) -> [u8; 32] {
+    let digest = Sha256::new()
+        .chain_update(started.to_be_bytes())
+        .chain_update(vm.as_str());
+    digest.finalize().into()
+}
+
 fn wall_micros() -> u64 {
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
