Report what waits, give a prompt's cost back, and wait a little for room

Change: agents report running and waiting work to the mean; with the first event only the answer's cost stays reserved; `patience` (1 s unless set) lets a request wait for room before it goes elsewhere.

--- a/crates/peppercrank-cli/tests/verify_pages.rs
+++ b/crates/peppercrank-cli/tests/verify_pages.rs
@@ -342,7 +342,7 @@
         checked += 1;
     }
     assert_eq!(
-        checked, 41,
+        checked, 42,
         "rows were added or lost: look at them, then change this number"
     );
 }
--- a/crates/peppercrank-daemon/src/agent/attempt.rs
+++ b/crates/peppercrank-daemon/src/agent/attempt.rs
@@ -75,6 +75,8 @@
     pub cost: Cost,
     /// The expected cost where the chat's context is still held.
     pub held: Cost,
+    /// The part of the cost that is the answer's.
+    pub output: Cost,
     /// The priority.
     pub priority: u8,
     /// The time left.
@@ -114,6 +116,7 @@
             returning: headers::text(from, &headers::RETURNING) == Some("yes"),
             cost: Cost(cost),
             held: Cost(headers::parsed(from, &headers::HELD).unwrap_or(cost)),
+            output: Cost(headers::parsed(from, &headers::OUTPUT).unwrap_or(cost)),
             priority,
             left: Duration::from_millis(left),
             repeatable: repeatable == "yes",
@@ -129,6 +132,7 @@
         headers::put(to, headers::ORGANISATION, self.organisation.as_str());
         headers::put(to, headers::POOL, self.pool.as_str());
         headers::put(to, headers::COST, &self.cost.0.to_string());
+        headers::put(to, headers::OUTPUT, &self.output.0.to_string());
         headers::put(to, headers::HELD, &self.held.0.to_string());
         headers::put(
             to,
--- a/crates/peppercrank-daemon/src/agent/control.rs
+++ b/crates/peppercrank-daemon/src/agent/control.rs
@@ -45,7 +45,7 @@
 async fn follow_load(agent: Arc<Agent>) {
     loop {
         let status = agent.desk.status();
-        agent.fleet.report(status.reserved, status.leaving);
+        agent.fleet.report(agent.desk.demand(), status.leaving);
         agent.metrics.load.set(gauge(status.reserved.0));
         agent.metrics.cap.set(gauge(status.cap.0));
         agent.metrics.waiting.set(gauge(status.waiting as u64));
--- a/crates/peppercrank-daemon/src/agent/desk.rs
+++ b/crates/peppercrank-daemon/src/agent/desk.rs
@@ -23,6 +23,7 @@
 use peppercrank_core::refusal::NotRun;
 use peppercrank_core::refusal::Outcome;
 use peppercrank_core::time::Moment;
+use peppercrank_core::units::Cost;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -162,6 +163,12 @@
         self.lock().admission.status()
     }
 
+    /// `demand` is the load to report to peers: what runs and what waits.
+    #[must_use]
+    pub fn demand(&self) -> Cost {
+        self.lock().admission.demand()
+    }
+
     /// `drained` tells when the target is drained.
     #[must_use]
     pub fn drained(&self) -> watch::Receiver<bool> {
@@ -270,7 +277,7 @@
     }
 
     /// `revise` puts the true cost in place of the expected one.
-    pub fn revise(&self, cost: peppercrank_core::units::Cost) {
+    pub fn revise(&self, cost: Cost) {
         self.desk.put(Input::Actual {
             ticket: self.ticket,
             cost,
--- a/crates/peppercrank-daemon/src/agent/mod.rs
+++ b/crates/peppercrank-daemon/src/agent/mod.rs
@@ -197,6 +197,7 @@
         let admit = peppercrank_admit::Settings {
             weight: settings.target.weight,
             ceiling: ceiling(settings.ceiling),
+            patience: settings.patience,
             fresh: settings.mean_age,
             stale: settings.mean_age.saturating_mul(FADE),
             touch: TOUCH,
--- a/crates/peppercrank-daemon/src/agent/relay.rs
+++ b/crates/peppercrank-daemon/src/agent/relay.rs
@@ -12,6 +12,7 @@
 use peppercrank_core::keys::RequestId;
 use peppercrank_core::refusal::MayHaveRun;
 use peppercrank_core::time::Moment;
+use peppercrank_core::units::Cost;
 use peppercrank_route::resume;
 use peppercrank_route::resume::Input;
 use peppercrank_route::resume::Stream;
@@ -61,6 +62,8 @@
     pub attempt: AttemptId,
     /// The request.
     pub request: RequestId,
+    /// What the answer alone is expected to cost.
+    pub output: Cost,
     /// When its time is over.
     pub deadline: Moment,
     /// The clock.
@@ -136,6 +139,10 @@
             None => match next(&mut from, &to, work).await {
                 Step::Frame(bytes) => {
                     events.push(&bytes);
+                    if stream.passed() == 0 {
+                        // The prompt has been read, whatever of it was cached.
+                        work.revise(source.output);
+                    }
                     match pass_whole(&mut events, &mut stream, source, &to).await {
                         Some(end) => return finish(end, to, source, &events).await,
                         None => continue,
--- a/crates/peppercrank-daemon/src/agent/serve.rs
+++ b/crates/peppercrank-daemon/src/agent/serve.rs
@@ -313,6 +313,7 @@
             target: agent.settings.target.address,
             attempt: attempt.id,
             request: attempt.request,
+            output: attempt.output,
             deadline,
             clock: agent.clock,
         };
--- a/crates/peppercrank-daemon/src/agent/work.rs
+++ b/crates/peppercrank-daemon/src/agent/work.rs
@@ -8,6 +8,7 @@
 
 use http::Request;
 use peppercrank_core::keys::AttemptId;
+use peppercrank_core::units::Cost;
 use peppercrank_settings::agent::TargetKind;
 use peppercrank_wire::body;
 use peppercrank_wire::client::Reuse;
@@ -50,6 +51,13 @@
         }
     }
 
+    /// `revise` puts the true cost in place of the expected one.
+    pub fn revise(&self, cost: Cost) {
+        if let Some(pass) = &self.pass {
+            pass.revise(cost);
+        }
+    }
+
     /// `end` notes that the target has nothing left to do for it.
     pub const fn end(&mut self) {
         self.over = true;
--- a/crates/peppercrank-daemon/src/headers.rs
+++ b/crates/peppercrank-daemon/src/headers.rs
@@ -23,6 +23,8 @@
 pub const COST: HeaderName = HeaderName::from_static("x-peppercrank-cost");
 /// The expected cost where the chat's context is still held, in cost units.
 pub const HELD: HeaderName = HeaderName::from_static("x-peppercrank-held-cost");
+/// The part of the expected cost that is the answer's, in cost units.
+pub const OUTPUT: HeaderName = HeaderName::from_static("x-peppercrank-output-cost");
 /// Whether another target was asked first, `yes` or `no`.
 pub const SPILLED: HeaderName = HeaderName::from_static("x-peppercrank-spilled");
 /// Whether the chat was answered before, `yes` or `no`.
--- a/crates/peppercrank-daemon/src/router/job.rs
+++ b/crates/peppercrank-daemon/src/router/job.rs
@@ -79,6 +79,8 @@
     pub cost: Cost,
     /// The expected cost where the chat's context is held.
     pub held: Cost,
+    /// The part of the cost that is the answer's.
+    pub output: Cost,
     /// The priority.
     pub priority: u8,
     /// When its time is over.
@@ -153,6 +155,7 @@
             shape,
             cost,
             held: rest,
+            output: Cost::of_chat(0, output),
             priority: wishes.priority,
             deadline: fleet.clock.now() + wishes.time,
             repeatable: wishes.repeatable.unwrap_or(true),
@@ -202,6 +205,7 @@
             shape: Shape::Plain,
             cost,
             held: cost,
+            output: cost,
             priority: wishes.priority,
             deadline: fleet.clock.now() + wishes.time,
             repeatable: wishes.repeatable.unwrap_or(safe || repeatable),
--- a/crates/peppercrank-daemon/src/router/try_once.rs
+++ b/crates/peppercrank-daemon/src/router/try_once.rs
@@ -114,6 +114,7 @@
         returning: job.talk.is_some_and(|t| t.returning),
         cost: job.cost,
         held: job.held,
+        output: job.output,
         priority: job.priority,
         left: job.deadline.since(router.clock.now()),
         repeatable: job.repeatable,
--- a/crates/peppercrank-settings/src/agent.rs
+++ b/crates/peppercrank-settings/src/agent.rs
@@ -20,6 +20,11 @@
 /// Time that running work gets when an agent stops, unless set.
 pub const DEFAULT_STOP_TIME: Duration = Duration::from_secs(120);
 
+/// Time that a request which may go elsewhere waits for room first, unless set.
+///
+/// Design note 0009 has the figures: below the time to a first token, and most of the reuse.
+pub const DEFAULT_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Memory for the table of where chats' contexts are, unless set, in bytes.
 ///
 /// 17 million chats over 1,300 agents are 13,000 each; this holds many times that.
@@ -60,6 +65,13 @@
     #[serde(default)]
     #[serde(deserialize_with = "checked::count::<_, 0, 1_000_000_000>")]
     pub ceiling: u32,
+    /// Time that a request which may go elsewhere waits for room here first; 0 s to 1 m,
+    /// [`DEFAULT_PATIENCE`] unless set.
+    ///
+    /// A longer one keeps more contexts and lets loads differ more; the pool's `wait_ms` bounds it.
+    #[serde(default = "default_patience")]
+    #[serde(deserialize_with = "checked::duration::<_, 0, 60_000>")]
+    pub patience: Duration,
     /// Memory for chats' pointers; 64 KiB to 128 MiB, [`DEFAULT_POINTERS`] unless set.
     #[serde(default = "default_pointers")]
     #[serde(deserialize_with = "checked::bytes::<_, 0x1_0000, 0x800_0000>")]
@@ -122,6 +134,7 @@
             limits: Limits::default(),
             stop_time: DEFAULT_STOP_TIME,
             ceiling: 0,
+            patience: DEFAULT_PATIENCE,
             pointers: DEFAULT_POINTERS,
             mean_age: DEFAULT_MEAN_AGE,
             events: DEFAULT_EVENTS,
@@ -153,6 +166,11 @@
     DEFAULT_STOP_TIME
 }
 
+/// Serde takes defaults as functions.
+const fn default_patience() -> Duration {
+    DEFAULT_PATIENCE
+}
+
 /// Serde takes defaults as functions.
 const fn default_pointers() -> usize {
     DEFAULT_POINTERS
