Log the three events that were catalogued and never logged

Cause: 2006 (stream resumed), 3004 (control message refused) and 5002 (target drained) stood in the catalogue and on the operators' pages, but no daemon logged them.

Change: the agent logs a resumed stream and each time that its target is drained; every process logs rejected messages by reason, at most one line a reason in five seconds, so that nobody can flood the log. Tests: 5002 after a drain and 3004 after a forged datagram on real daemons; every event of the catalogue is logged in some source (that test only looks for its name).

--- a/crates/peppercrank-cli/tests/verify_daemons.rs
+++ b/crates/peppercrank-cli/tests/verify_daemons.rs
@@ -5,12 +5,19 @@
 
 mod support;
 
+use std::io;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use peppercrank_cli::Exit;
+use peppercrank_core::events::Event;
+use peppercrank_core::events::Level;
 use peppercrank_daemon::agent;
 use peppercrank_daemon::log::Log;
 use peppercrank_daemon::router;
@@ -30,11 +37,40 @@
 
 const TOKEN: &str = "an-operators-token";
 
+/// The lines of a daemon's log.
+#[derive(Debug, Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Lines {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("a lock").extend(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Lines {
+    /// Tells whether an event was logged about this.
+    fn has(&self, event: Event, about: &str) -> bool {
+        let bytes = self.0.lock().expect("a lock").clone();
+        let text = String::from_utf8(bytes).expect("text");
+        let lines = text
+            .lines()
+            .filter_map(|l| serde_json::from_str::<Value>(l).ok());
+        let mut lines = lines.filter(|l| l["event"] == event.number());
+        lines.any(|l| l["about"].as_str().is_some_and(|a| a.contains(about)))
+    }
+}
+
 /// A platform, an engine with its agent, and a router, on loopback.
 struct Fleet {
     bench: Bench,
     operators: [SocketAddr; 2],
-    _agent: agent::Running,
+    agent: agent::Running,
+    log: Lines,
     router: router::Running,
     _engine: peppercrank_standin::Running,
     _stopper: stop::Stopper,
@@ -53,6 +89,7 @@
         bench.expect(Exit::Done, "set-organisation o template=t");
         let runtime = Runtime::new().expect("a runtime");
         let (stopper, signal) = stop::stop();
+        let log = Lines::default();
         let started = runtime.block_on(async {
             let engine = engine::start(EngineSettings::default())
                 .await
@@ -62,7 +99,8 @@
             });
             let target = serde_json::from_value(target).expect("a target");
             let settings = AgentSettings::new(fleet(&bench, "vm-1"), any(), target);
-            let agent = agent::start(settings, Log::none(), signal.clone()).await;
+            let out = Log::to(log.clone(), Level::Info, "vm-1");
+            let agent = agent::start(settings, out, signal.clone()).await;
             let settings = RouterSettings::new(fleet(&bench, "entry-1"), any());
             let router = router::start(settings, Log::none(), signal).await;
             (engine, agent.expect("an agent"), router.expect("a router"))
@@ -78,7 +116,8 @@
         Self {
             bench,
             operators: [agent.operators, router.operators],
-            _agent: agent,
+            agent,
+            log,
             router,
             _engine: engine,
             _stopper: stopper,
@@ -163,6 +202,8 @@
     let status = fleet.expect(Exit::Done, "status").json();
     assert_eq!(status["targets"][0]["drain"]["drained"], true, "{status}");
 
+    until(|| fleet.log.has(Event::Drained, "e-1"));
+
     fleet.expect(Exit::Done, "unmark e-1 --wait --within 60s");
     let status = fleet.expect(Exit::Done, "status").json();
     assert_eq!(status["targets"][0]["drain"], json!(null), "{status}");
@@ -178,6 +219,15 @@
     assert_eq!(silent[1]["why"], json!({ "refused": 401 }));
 }
 
+#[test]
+fn verify_a_message_that_is_not_authentic_is_logged() {
+    let fleet = Fleet::new();
+    let to = fleet.agent.agent.fleet.gossip_address();
+    let socket = UdpSocket::bind(any()).expect("a socket");
+    socket.send_to(&[7; 100], to).expect("a datagram");
+    until(|| fleet.log.has(Event::Forged, " x 1"));
+}
+
 /// Sends a chat through the router and returns its whole answer.
 fn chat(router: SocketAddr, tokens: u32) -> (u16, String) {
     let config = ureq::Agent::config_builder()
--- a/crates/peppercrank-cli/tests/verify_docs.rs
+++ b/crates/peppercrank-cli/tests/verify_docs.rs
@@ -7,6 +7,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use peppercrank_core::events::Event;
+
 /// Directories of the repository that hold pages, besides those below `docs`.
 const PLACES: &[&str] = &[".", "deploy"];
 
@@ -75,11 +77,11 @@
     assert!(open.is_empty(), "{open:#?}");
 }
 
-/// All test sources, in one text.
-fn tests() -> String {
+/// The sources below one directory of every crate, in one text.
+fn sources(part: &str) -> String {
     let crates = fs::read_dir(root().join("crates")).expect("the crates");
     let mut places = crates
-        .map(|e| e.expect("an entry").path().join("tests"))
+        .map(|e| e.expect("an entry").path().join(part))
         .filter(|p| p.exists())
         .collect::<Vec<_>>();
     let mut all = String::new();
@@ -98,7 +100,7 @@
 
 #[test]
 fn verify_every_test_that_a_page_names_exists() {
-    let tests = tests();
+    let tests = sources("tests");
     let mut lost = Vec::new();
     for (path, text) in all() {
         for name in text.split('`').skip(1).step_by(2) {
@@ -169,3 +171,20 @@
     let lost = names.iter().filter(|n| !is_named(n)).collect::<Vec<_>>();
     assert!(lost.is_empty(), "{lost:?}");
 }
+
+#[test]
+fn verify_every_event_is_logged_somewhere() {
+    let sources = sources("src");
+    let missing = Event::ALL.iter().filter(|e| {
+        let name = format!("Event::{e:?}");
+        let mut uses = sources
+            .match_indices(&name)
+            .map(|(at, _)| &sources[at + name.len()..]);
+        !uses.any(|rest| !rest.starts_with(|c: char| c.is_ascii_alphanumeric()))
+    });
+    let missing = missing.collect::<Vec<_>>();
+    assert!(
+        missing.is_empty(),
+        "catalogued and never logged: {missing:?}"
+    );
+}
--- a/crates/peppercrank-daemon/src/agent/mod.rs
+++ b/crates/peppercrank-daemon/src/agent/mod.rs
@@ -15,12 +15,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::Weak;
 use std::time::Duration;
 
 use peppercrank_admit::Admission;
 use peppercrank_admit::Input;
 use peppercrank_core::blackboard::TargetKey;
 use peppercrank_core::blackboard::TargetState;
+use peppercrank_core::events::Event;
 use peppercrank_core::names::PoolName;
 use peppercrank_core::objects::Policy;
 use peppercrank_core::status::DrainStatus;
@@ -41,6 +43,7 @@
 use peppercrank_wire::edge::Edge;
 use peppercrank_wire::edge::Finished;
 use peppercrank_wire::stop::Stop;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::agent::attempt::Attempt;
@@ -161,6 +164,8 @@
         tokio::spawn(reports::read_load(Arc::clone(&agent)));
         tokio::spawn(orders::run(Arc::clone(&agent), inbox.orders));
     }
+    let drained = agent.desk.drained();
+    tokio::spawn(log_drains(Arc::downgrade(&agent), drained));
     let serving = tokio::spawn(serve(edge, Arc::clone(&agent), stop));
     Ok(Running {
         agent,
@@ -184,6 +189,22 @@
     finished
 }
 
+/// Logs each time that the target is drained, until the agent is no more.
+async fn log_drains(agent: Weak<Agent>, mut drained: watch::Receiver<bool>) {
+    while drained.wait_for(|drained| *drained).await.is_ok() {
+        let Some(agent) = agent.upgrade() else {
+            return;
+        };
+        let about = agent.settings.target.name.as_str();
+        agent.fleet.log.event(Event::Drained, about);
+        drop(agent);
+        // A mark taken back can be set again.
+        if drained.wait_for(|drained| !*drained).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// The most that the target carries, as the settings say; 0 leaves it to be learnt.
 fn ceiling(set: u32) -> Cost {
     if set == 0 {
--- a/crates/peppercrank-daemon/src/agent/serve.rs
+++ b/crates/peppercrank-daemon/src/agent/serve.rs
@@ -12,6 +12,7 @@
 use http::StatusCode;
 use http::request::Parts;
 use http::response;
+use peppercrank_core::events::Event;
 use peppercrank_core::keys::AttemptId;
 use peppercrank_core::refusal::MayHaveRun;
 use peppercrank_core::refusal::NotRun;
@@ -318,6 +319,8 @@
         };
         let resumed = || {
             agent.metrics.resumed.inc();
+            let about = attempt.id.to_string();
+            agent.fleet.log.event(Event::Resumed, &about);
         };
         let ending = relay::streamed(from, feed, &work, &source, resumed).await;
         if matches!(ending, Ending::Whole(_)) {
--- a/crates/peppercrank-daemon/src/fleet/tasks.rs
+++ b/crates/peppercrank-daemon/src/fleet/tasks.rs
@@ -9,9 +9,11 @@
 use std::time::Duration;
 
 use peppercrank_config::relay;
+use peppercrank_core::events::Event;
 use peppercrank_member::Input;
 use peppercrank_member::Message;
 use peppercrank_wire::datagram::Datagrams;
+use peppercrank_wire::seal::Rejected;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -25,6 +27,9 @@
 /// The shortest sleep of a timer, so that one that is always due does not spin.
 const SHORTEST: Duration = Duration::from_millis(1);
 
+/// Time between two looks at what was rejected, so that nobody can flood the log.
+const LOOK: Duration = Duration::from_secs(5);
+
 /// Starts the tasks; they end once the fleet is dropped.
 pub(super) fn start(
     fleet: &Arc<Fleet>,
@@ -35,6 +40,7 @@
     tokio::spawn(send(datagrams.clone(), sends));
     tokio::spawn(receive(datagrams, Weak::clone(&weak)));
     tokio::spawn(time_members(Weak::clone(&weak)));
+    tokio::spawn(log_rejected(Weak::clone(&weak)));
     tokio::spawn(time_config(weak));
 }
 
@@ -90,3 +96,23 @@
         sleep(pause.clamp(SHORTEST, LONGEST)).await;
     }
 }
+
+/// Logs for each reason how many control messages were rejected since the last look.
+async fn log_rejected(fleet: Weak<Fleet>) {
+    let mut known = [0; Rejected::ALL.len()];
+    loop {
+        sleep(LOOK).await;
+        let Some(fleet) = fleet.upgrade() else {
+            return;
+        };
+        for (reason, known) in Rejected::ALL.iter().zip(&mut known) {
+            let count = fleet.rejected(*reason);
+            let more = count.saturating_sub(*known);
+            *known = count;
+            if more > 0 {
+                let about = format!("{} x {more}", reason.code());
+                fleet.log.event(Event::Forged, &about);
+            }
+        }
+    }
+}
