--- a/crates/peppercrank-daemon/src/agent/serve.rs
+++ b/crates/peppercrank-daemon/src/agent/serve.rs
@@ -83,6 +83,7 @@
         return reply::reject(StatusCode::METHOD_NOT_ALLOWED, "method_unknown", None);
     }
     if !agent.fleet.is_authentic(head) {
+        agent.count(Outcome::NotRun(NotRun::Unauthentic));
         return reply::refuse(Refusal::not_run(NotRun::Unauthentic), None);
     }
     let Ok(attempt) = id.parse() else {
