Round a pause up in the trace bench, and free what is given up

A request given up at its deadline also kept its place at its engine, and one that waited at a failed engine was taken from the sum of what waits twice.

Change: pauses are rounded up from nanoseconds; what is given up frees its place; what waited at a failed engine waits no more.

--- a/crates/peppercrank-bench/src/world.rs
+++ b/crates/peppercrank-bench/src/world.rs
@@ -251,7 +251,8 @@
                 last,
             } => self.send(n, index(target), attempt, redirect, last),
             Next::Wait { until } => {
-                let until = until.since_origin().as_micros().div_ceil(1_000);
+                // Rounded up: before its moment a tick only asks for another.
+                let until = until.since_origin().as_nanos().div_ceil(1_000_000);
                 self.plan(until as u64, Happening::Resume(n));
             }
             Next::Deliver | Next::Ignore => {}
@@ -272,7 +273,14 @@
     }
 
     fn fail(&mut self, n: usize, outcome: Outcome) {
-        self.flights.remove(&n);
+        self.stop_waiting(n);
+        if let Some(flight) = self.flights.remove(&n) {
+            // Where it is at an engine still, its guard is dropped.
+            let ticket = ticket(n, flight.course.tries());
+            if self.engines[flight.engine].up {
+                self.put(flight.engine, Input::End(ticket));
+            }
+        }
         let reason = match outcome {
             Outcome::NotRun(reason) => reason.code(),
             Outcome::MayHaveRun(reason) => reason.code(),
--- a/crates/peppercrank-bench/src/world/agent.rs
+++ b/crates/peppercrank-bench/src/world/agent.rs
@@ -145,7 +145,7 @@
         self.refuse(n, attempt, reason, hint);
     }
 
-    fn stop_waiting(&mut self, n: usize) {
+    pub(super) fn stop_waiting(&mut self, n: usize) {
         let Some(flight) = self.flights.get_mut(&n) else {
             return;
         };
--- a/crates/peppercrank-bench/src/world/change.rs
+++ b/crates/peppercrank-bench/src/world/change.rs
@@ -69,8 +69,11 @@
     fn break_down(&mut self, n: usize) {
         self.drop_load(n);
         self.engines[n].up = false;
-        let there = self.flights.iter().filter(|(_, flight)| flight.engine == n);
+        self.engines[n].waiting = 0;
+        let there = self.flights.iter_mut();
+        let there = there.filter(|(_, flight)| flight.engine == n);
         let cut = there.map(|(turn, flight)| {
+            flight.waits = false;
             let event = Event::MayHaveRun {
                 attempt: flight.attempt,
                 reason: MayHaveRun::Cut,
