--- a/crates/peppercrank-cli/tests/verify_docs.rs
+++ b/crates/peppercrank-cli/tests/verify_docs.rs
@@ -1,7 +1,8 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! All pages: indexes are whole, nothing is left to be filled in, tests that they name exist.
+//! All pages: links lead somewhere, indexes are whole, nothing is left to be filled in, and what
+//! they name exists.
 
 use std::fs;
 use std::path::Path;
@@ -48,6 +49,45 @@
     paths.into_iter().map(read).collect()
 }
 
+/// The anchor that a heading gets.
+fn anchor(heading: &str) -> String {
+    let kept = heading.trim_start_matches('#').trim().to_lowercase();
+    let kept = kept
+        .chars()
+        .filter(|c| c.is_alphanumeric() || " -_".contains(*c));
+    kept.collect::<String>().replace(' ', "-")
+}
+
+#[test]
+fn verify_every_link_leads_somewhere() {
+    let mut lost = Vec::new();
+    for (path, text) in all() {
+        let place = path.parent().expect("a directory");
+        for link in text.split("](").skip(1) {
+            let target = link.split(')').next().expect("a target");
+            if target.starts_with("http") {
+                continue;
+            }
+            let (file, head) = target.split_once('#').unwrap_or((target, ""));
+            let to = if file.is_empty() {
+                path.clone()
+            } else {
+                place.join(file)
+            };
+            let found = to.exists()
+                && (head.is_empty() || {
+                    let text = fs::read_to_string(&to).expect("a page");
+                    let mut heads = text.lines().filter(|l| l.starts_with('#'));
+                    heads.any(|h| anchor(h) == head)
+                });
+            if !found {
+                lost.push(format!("{}: {target}", path.display()));
+            }
+        }
+    }
+    assert!(lost.is_empty(), "{lost:#?}");
+}
+
 #[test]
 fn verify_every_page_is_in_its_index() {
     for place in ["docs/design", "docs/operators"] {
