Tell a request whose deadline passed in a queue that it did not run

Cause: the router gave the agent the whole time left, so that its own timer always ran out before the agent's refusal came, and a request that waited in the queue to its end was told that it may have run. That is no lie, but a caller whose request may not run twice cannot send it again. Change: the agent gets a tenth less, at most 100 ms, so that its refusal is heard in time. What runs at the deadline is told that it may have run, as before.

--- a/crates/peppercrank-daemon/src/router/try_once.rs
+++ b/crates/peppercrank-daemon/src/router/try_once.rs
@@ -3,6 +3,8 @@
 
 //! One attempt: the request to one agent, up to the first part of its answer.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::Request;
 use http::response::Parts;
@@ -30,6 +32,15 @@
 /// The longest answer that is kept whole before any of it is delivered, in bytes.
 const MAX_WHOLE: usize = 16 * 1_024 * 1_024;
 
+/// The most time that is kept for an agent's refusal to come back before the deadline.
+///
+/// Without it the router's own time is over first, and it cannot tell a request that waited in a
+/// queue to its end, and did not run, from one that may have run.
+const ANSWER: Duration = Duration::from_millis(100);
+
+/// The part of the time left that is kept at most: a tenth.
+const ANSWER_PART: u32 = 10;
+
 /// `Tried` is how one attempt went.
 #[derive(Debug)]
 pub enum Tried {
@@ -104,6 +115,7 @@
 }
 
 fn attempt(router: &Router, job: &Job, id: AttemptId, allow: Allow) -> Attempt {
+    let left = job.deadline.since(router.clock.now());
     Attempt {
         id,
         request: job.id,
@@ -115,7 +127,7 @@
         cost: job.cost,
         held: job.held,
         priority: job.priority,
-        left: job.deadline.since(router.clock.now()),
+        left: left.saturating_sub(ANSWER.min(left / ANSWER_PART)),
         repeatable: job.repeatable,
         spilled: false,
         allow,
