Tell operators how to give orders, and run the page's commands

The page tells the verb, each outcome and what to do; its commands run in verify_pages against an agent's control address, and the help of the verb is checked as that of the others. Conclusion: no fault found beside an endless wait of the new test itself under a clock that stood still, which the test now avoids.

--- /dev/null
+++ b/crates/peppercrank-cli/tests/verify_orders.rs
@@ -0,0 +1,365 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Orders from the command line, through real agents, to engines.
+
+mod support;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use peppercrank_cli::Exit;
+use peppercrank_cli::fate::Fate;
+use peppercrank_cli::holder::Holder;
+use peppercrank_core::names::PoolName;
+use peppercrank_core::names::VmName;
+use peppercrank_core::time::Moment;
+use peppercrank_daemon::agent;
+use peppercrank_daemon::log::Log;
+use peppercrank_lease::lease::Session;
+use peppercrank_settings::AgentSettings;
+use peppercrank_settings::FleetSettings;
+use peppercrank_standin::engine;
+use peppercrank_standin::engine::EngineSettings;
+use peppercrank_wire::control::ControlError;
+use peppercrank_wire::platform::Access;
+use peppercrank_wire::platform::Platform;
+use peppercrank_wire::stop;
+use serde_json::Value;
+use serde_json::json;
+use support::Bench;
+use support::Ended;
+use support::file;
+use support::run;
+use tokio::runtime::Runtime;
+
+const TOKEN: &str = "an-operators-token";
+
+/// A platform, and engines that check fencing numbers, each with its agent.
+struct Fleet {
+    bench: Bench,
+    engines: Vec<peppercrank_standin::Running>,
+    agents: Vec<agent::Running>,
+    keys: String,
+    _stopper: stop::Stopper,
+    _runtime: Runtime,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let bench = Bench::new();
+        Self::on(bench)
+    }
+
+    fn on(bench: Bench) -> Self {
+        let runtime = Runtime::new().expect("a runtime");
+        let (stopper, signal) = stop::stop();
+        let (mut engines, mut agents) = (Vec::new(), Vec::new());
+        for name in ["e-1", "e-2"] {
+            let set = EngineSettings {
+                check_fence: true,
+                ..EngineSettings::default()
+            };
+            let engine = runtime.block_on(engine::start(set)).expect("an engine");
+            let target = json!({
+                "name": name, "pool": "galley-llm", "kind": "engine", "address": engine.addr,
+                "checks_orders": true,
+            });
+            let target = serde_json::from_value(target).expect("a target");
+            let settings = AgentSettings::new(fleet(&bench, name), any(), target);
+            let agent = agent::start(settings, Log::none(), signal.clone());
+            agents.push(runtime.block_on(agent).expect("an agent"));
+            engines.push(engine);
+        }
+        let own = std::thread::current().id();
+        let keys = file(
+            &format!("keys-{own:?}.jsonc"),
+            &format!(
+                "// The fleet's.\n[{{ \"id\": 1, \"secret\": \"{}\" }}]",
+                "0f".repeat(16)
+            ),
+        );
+        Self {
+            bench,
+            engines,
+            agents,
+            keys,
+            _stopper: stopper,
+            _runtime: runtime,
+        }
+    }
+
+    /// Runs `order` with these words, by the file of keys given.
+    fn order_by(&self, keys: &str, line: &str) -> Ended {
+        let daemons = self.agents.iter().map(|a| a.operators.to_string());
+        let daemons = daemons.collect::<Vec<_>>();
+        let mut words = vec!["order"];
+        words.extend(line.split(' '));
+        words.extend([
+            "--keys",
+            keys,
+            "--operators-token",
+            TOKEN,
+            "--output",
+            "json",
+        ]);
+        daemons.iter().for_each(|at| words.extend(["--daemon", at]));
+        run(&self.bench.environment, &words)
+    }
+
+    #[track_caller]
+    fn order(&self, exit: Exit, line: &str) -> Ended {
+        let ended = self.order_by(&self.keys, line);
+        assert_eq!(ended.exit, exit, "{line}: {ended:?}");
+        ended
+    }
+
+    /// The orders that an engine obeyed, in turn.
+    fn obeyed(&self, engine: usize) -> Vec<Value> {
+        let at = self.engines[engine].addr;
+        let page = ureq::get(format!("http://{at}/orders")).call();
+        let page: Value = page.expect("a page").body_mut().read_json().expect("JSON");
+        page["obeyed"].as_array().expect("a list").clone()
+    }
+
+    fn engine_faults(&self, json: &str) {
+        for engine in &self.engines {
+            let answer = ureq::put(format!("http://{}/faults", engine.addr)).send(json);
+            assert!(answer.expect("an answer").status().is_success(), "{json}");
+        }
+    }
+
+    /// The pool's lease as the platform holds it.
+    fn lease(&self) -> Value {
+        let at = self.bench.address;
+        let page = ureq::get(format!("http://{at}/objects/lease/galley-llm")).call();
+        page.expect("a lease").body_mut().read_json().expect("JSON")
+    }
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn fleet(bench: &Bench, vm: &str) -> FleetSettings {
+    let settings = json!({
+        "vm": vm, "zone": "rae", "gossip": any(), "control": any(), "operators": any(),
+        "platform": { "url": format!("http://{}", bench.address) },
+        "keys": [{ "id": 1, "secret": "0f".repeat(16) }],
+        "tokens": [TOKEN],
+    });
+    serde_json::from_value(settings).expect("settings")
+}
+
+fn outcomes(ended: &Ended) -> Vec<String> {
+    let told = ended.json();
+    let targets = told["targets"].as_array().expect("targets").clone();
+    let words = targets.iter().filter_map(|t| t["outcome"].as_str());
+    words.map(str::to_owned).collect()
+}
+
+#[test]
+fn verify_a_pool_obeys_and_the_lease_goes_back() {
+    let fleet = Fleet::new();
+    let first = fleet.order(Exit::Done, "galley-llm --load-model galley-plan");
+    assert_eq!(outcomes(&first), ["obeyed", "obeyed"]);
+    let fence = first.json()["fence"].as_u64().expect("a number");
+    let order = json!({ "fence": fence, "order": { "load_model": "galley-plan" } });
+    assert_eq!(fleet.obeyed(0), [order.clone()]);
+    assert_eq!(fleet.obeyed(1), [order]);
+    assert_eq!(first.json()["given_back"], true);
+    assert_eq!(fleet.lease()["body"]["released"], true);
+    // The next run need not wait, and its number is higher.
+    let second = fleet.order(Exit::Done, "e-2 --set-role prefill");
+    assert_eq!(outcomes(&second), ["obeyed"]);
+    assert!(second.json()["fence"].as_u64() > Some(fence));
+    assert_eq!((fleet.obeyed(0).len(), fleet.obeyed(1).len()), (1, 2));
+}
+
+#[test]
+fn verify_an_order_sent_again_by_its_id_is_passed_once() {
+    let fleet = Fleet::new();
+    fleet.engine_faults(r#"{"only": "orders", "times": 1, "drop_after": true}"#);
+    let first = fleet.order(Exit::Unknown, "galley-llm --load-adapter a");
+    assert_eq!(outcomes(&first), ["unknown", "unknown"]);
+    let id = first.json()["order"].as_str().expect("an id").to_owned();
+    let again = format!("galley-llm --load-adapter a --order-id {id}");
+    assert_eq!(
+        outcomes(&fleet.order(Exit::Unknown, &again)),
+        ["unknown", "unknown"]
+    );
+    assert_eq!((fleet.obeyed(0).len(), fleet.obeyed(1).len()), (1, 1));
+}
+
+#[test]
+fn verify_an_engine_that_refuses_is_told() {
+    let fleet = Fleet::new();
+    let at = fleet.engines[0].addr;
+    let newer = json!({ "fence": 1_000_000, "order": { "set_role": "decode" } });
+    let posted = ureq::post(format!("http://{at}/orders")).send_json(newer);
+    assert_eq!(posted.expect("an answer").status(), 200);
+    let ended = fleet.order(Exit::Failure, "galley-llm --set-role prefill");
+    assert_eq!(outcomes(&ended), ["refused", "obeyed"]);
+}
+
+#[test]
+fn verify_other_keys_give_no_orders() {
+    let fleet = Fleet::new();
+    let keys = file(
+        "other-keys.jsonc",
+        &format!("[{{ \"id\": 1, \"secret\": \"{}\" }}]", "f0".repeat(16)),
+    );
+    let ended = fleet.order_by(&keys, "galley-llm --set-role prefill");
+    assert_eq!(ended.exit, Exit::Failure, "{ended:?}");
+    assert_eq!(outcomes(&ended), ["unauthentic", "unauthentic"]);
+    assert!(fleet.obeyed(0).is_empty() && fleet.obeyed(1).is_empty());
+}
+
+#[test]
+fn verify_nothing_is_ordered_without_the_lease() {
+    let fleet = Fleet::new();
+    let line = "galley-llm --set-role prefill --within 1s";
+    fleet.bench.faults(r#"{"outage": true}"#);
+    let away = fleet.order(Exit::Unavailable, line);
+    assert_eq!(away.error()["error"], "unavailable");
+    fleet.bench.faults("{}");
+    let lease = json!({
+        "holder": "operator-1", "session": 1, "beat": 1, "duration_ms": 15_000, "released": false,
+    });
+    let at = format!("http://{}/objects/lease/galley-llm", fleet.bench.address);
+    let put = ureq::put(at).header("if-none-match", "*").send_json(&lease);
+    assert_eq!(put.expect("an answer").status(), 200);
+    let held = fleet.order(Exit::Conflict, line);
+    let message = held.error()["message"].as_str().expect("a text").to_owned();
+    assert!(message.contains("operator-1"), "{message}");
+    assert_eq!(fleet.lease()["body"], lease, "nothing was overwritten");
+    assert!(fleet.obeyed(0).is_empty() && fleet.obeyed(1).is_empty());
+}
+
+#[test]
+fn verify_an_agent_that_reads_the_lease_late_gets_a_renewed_number() {
+    let bench = Bench::new();
+    bench.faults(r#"{"only": "get", "outage": true}"#);
+    let fleet = Fleet::on(bench);
+    let tries = || fleet.bench.calls()["calls"]["get"].as_u64().unwrap_or(0);
+    let end = Instant::now() + Duration::from_secs(60);
+    // Both agents have failed to read the lease at their start, and read it again with the order.
+    while tries() < 2 {
+        assert!(Instant::now() < end, "{}", fleet.bench.calls());
+    }
+    fleet.bench.faults("{}");
+    let ended = fleet.order(Exit::Done, "galley-llm --set-role prefill");
+    assert_eq!(outcomes(&ended), ["obeyed", "obeyed"]);
+    let first = ended.json()["fence"].as_u64();
+    for engine in [0, 1] {
+        let obeyed = fleet.obeyed(engine);
+        assert_eq!(obeyed.len(), 1, "{obeyed:?}");
+        assert!(obeyed[0]["fence"].as_u64() > first, "{obeyed:?} {first:?}");
+    }
+}
+
+#[test]
+fn verify_misuse_and_unknown_names() {
+    let fleet = Fleet::new();
+    for (line, exit) in [
+        ("galley-llm", Exit::Usage),
+        ("galley-llm --set-role a --load-adapter b", Exit::Usage),
+        ("galley-llm --set-role a --order-id 12", Exit::Usage),
+        ("nowhere --set-role a", Exit::NotFound),
+    ] {
+        fleet.order(exit, line);
+    }
+    let ended = fleet.order_by("no-such-file", "galley-llm --set-role a");
+    assert_eq!(ended.exit, Exit::Failure, "{ended:?}");
+    assert!(fleet.obeyed(0).is_empty() && fleet.obeyed(1).is_empty());
+}
+
+/// A holder of the lease of a pool, on a clock that the test moves.
+fn holder<'a>(
+    bench: &Bench,
+    session: u64,
+    clock: &'a Cell<u64>,
+) -> Holder<impl Fn() -> Moment + use<'a>> {
+    let platform = Platform::new(&Access::new(bench.address));
+    let pool = PoolName::new("galley-llm").expect("a name");
+    let vm = VmName::new(&format!("operator-{session}")).expect("a name");
+    let now = || Moment::from_millis(clock.get());
+    Holder::new(platform, pool, vm, Session(session), now).expect("a policy that holds")
+}
+
+#[test]
+fn verify_a_holder_paused_past_its_lease_does_not_act() {
+    let bench = Bench::new();
+    let (clock, other_clock) = (Cell::new(0), Cell::new(0));
+    let mut holder = holder(&bench, 1, &clock);
+    // The clocks stand still unless the test moves them, so nothing may wait.
+    let end = Moment::ZERO;
+    let first = holder.seek(end).expect("the lease");
+    clock.set(13_999);
+    assert_eq!(
+        holder.fence(),
+        Some(first),
+        "held for 15 s less a margin of 1 s"
+    );
+    clock.set(14_000);
+    assert_eq!(
+        holder.fence(),
+        None,
+        "not a moment longer, whatever was not yet noticed"
+    );
+    // Another takes over by its own clock, 16 s after it saw the lease.
+    let mut other = self::holder(&bench, 2, &other_clock);
+    assert_eq!(other.seek(end), None);
+    assert_eq!(other.other().map(VmName::as_str), Some("operator-1"));
+    let mut second = None;
+    while second.is_none() && other_clock.get() < 30_000 {
+        other_clock.set(other_clock.get() + 5_000);
+        other.renew();
+        second = other.fence();
+    }
+    assert_eq!(other_clock.get(), 20_000, "at the first look after 16 s");
+    assert!(second > Some(first));
+    // The first wakes: no renewal brings it back, and what it owes is nothing of the other's.
+    holder.renew();
+    assert_eq!(holder.fence(), None);
+    assert!(holder.give_back(end));
+    assert_eq!(other.fence(), second, "the other holds on");
+    assert!(other.give_back(end));
+}
+
+#[test]
+fn verify_fates_and_their_exit_codes() {
+    let told = |text: &str| Fate::of(Ok(text.to_owned()));
+    let cases = [
+        (told(r#"{"Passed":"Obeyed"}"#), Fate::Obeyed, 0),
+        (told(r#"{"Passed":"Refused"}"#), Fate::Refused, 1),
+        (told(r#"{"Passed":"Unknown"}"#), Fate::Unknown, 8),
+        (
+            told(r#"{"Stale":{"least":7}}"#),
+            Fate::Stale { least: 7 },
+            3,
+        ),
+        (told(r#""Unread""#), Fate::Unread, 1),
+        (told(r#""Busy""#), Fate::Busy, 1),
+        (told(r#""no_target""#), Fate::NoEngine, 1),
+        (told(r#""malformed""#), Fate::Malformed, 1),
+        // A newer agent's word may mean anything.
+        (told(r#""Deferred""#), Fate::Unknown, 8),
+        (Fate::of(Err(ControlError::Timeout)), Fate::Unknown, 8),
+        (Fate::of(Err(ControlError::Closed)), Fate::Unknown, 8),
+        (Fate::of(Err(ControlError::Busy)), Fate::Busy, 1),
+    ];
+    for (seen, fate, code) in cases {
+        assert_eq!((seen, seen.exit().code()), (fate, code));
+    }
+    let worst = |fates: &[Fate]| Fate::worst(fates.iter().copied());
+    assert_eq!(worst(&[Fate::Obeyed, Fate::Obeyed]), Exit::Done);
+    assert_eq!(worst(&[Fate::Obeyed, Fate::Busy]), Exit::Failure);
+    assert_eq!(worst(&[Fate::Lapsed, Fate::Busy]), Exit::Conflict);
+    assert_eq!(
+        worst(&[Fate::Lapsed, Fate::Unknown, Fate::Obeyed]),
+        Exit::Unknown
+    );
+}
--- a/crates/peppercrank-cli/tests/verify_pages.rs
+++ b/crates/peppercrank-cli/tests/verify_pages.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use std::fs;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -16,18 +17,30 @@
 use peppercrank_core::refusal::NotRun;
 use peppercrank_settings::AgentSettings;
 use peppercrank_settings::RouterSettings;
+use peppercrank_wire::control::ControlLimits;
+use peppercrank_wire::control::ControlServer;
+use peppercrank_wire::control::Told;
+use peppercrank_wire::seal::Identity;
+use peppercrank_wire::seal::Key;
+use peppercrank_wire::seal::KeyRing;
+use peppercrank_wire::seal::SenderId;
+use peppercrank_wire::stop::Stop;
+use peppercrank_wire::stop::Stopper;
+use peppercrank_wire::stop::stop;
 use rouille::Response;
 use serde_json::Value;
 use serde_json::json;
 use support::Bench;
 use support::pages;
 use support::run;
+use tokio::runtime::Runtime;
 
 /// The pages whose commands are run here.
 const PAGES: &[&str] = &[
     "command-line.md",
     "draining.md",
     "install.md",
+    "orders.md",
     "settings.md",
     "templates.md",
     "troubleshooting.md",
@@ -79,11 +92,35 @@
 struct Fleet {
     bench: Bench,
     port: String,
+    _stopper: Stopper,
+    _runtime: Runtime,
+}
+
+/// An agent's control address, where every order is obeyed, and the keys for it in a file.
+async fn agent(stop: Stop) -> SocketAddr {
+    let secret = "0f".repeat(16);
+    let keys = format!("[{{ \"id\": 1, \"secret\": \"{secret}\" }}]");
+    fs::write(place("keys.jsonc"), keys).expect("a file");
+    let key = Key::from_hex(1, &secret).expect("a key");
+    let ring = KeyRing::new(vec![key]).expect("a ring");
+    let sender = SenderId(1);
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let identity = Identity { sender, boot: 1 };
+    let server = ControlServer::bind(any, None, identity, ring, ControlLimits::default()).await;
+    let server = server.expect("a server");
+    let address = server.address();
+    let obeyed = |_, _| async { Told::Order(r#"{"Passed":"Obeyed"}"#.to_owned()) };
+    tokio::spawn(server.serve(stop, obeyed));
+    address
 }
 
 impl Fleet {
     fn new() -> Self {
+        let runtime = Runtime::new().expect("a runtime");
+        let (stopper, stop) = stop();
+        let control = runtime.block_on(agent(stop));
         let status = json!({
+            "control": control,
             "vm": "entry-1", "zone": "rae", "role": "agent", "ready": true,
             "configuration": { "digest": "00", "version": 1, "objects": 1 },
             "targets": [{
@@ -101,6 +138,8 @@
         Self {
             bench: Bench::with(settings.expect("settings")),
             port: address.port().to_string(),
+            _stopper: stopper,
+            _runtime: runtime,
         }
     }
 
--- a/crates/peppercrank-cli/tests/verify_usage.rs
+++ b/crates/peppercrank-cli/tests/verify_usage.rs
@@ -25,6 +25,7 @@
     ("get-organisation", "<name>"),
     ("mark", "--grace"),
     ("unmark", "--wait"),
+    ("order", "--load-adapter"),
     ("status", "loads and drains"),
     ("check-objects", "refers to nothing"),
     ("check-settings", "line and column"),
