Test idempotency keys through two routers

A key sent again through the other router while the first call runs and after its end, and at both routers at once while answers to the claims' writes are lost, cut, dropped or throttled: one run each, one answer of two.

--- a/crates/peppercrank-daemon/tests/verify_path_claims.rs
+++ b/crates/peppercrank-daemon/tests/verify_path_claims.rs
@@ -5,18 +5,26 @@
 
 mod bench;
 
+use std::net::SocketAddr;
+use std::thread;
+
 use bench::ACME;
 use bench::Bench;
 use bench::client::Seen;
 use bench::client::faults;
 use bench::client::runs;
 use bench::client::send;
+use bench::client::settled;
 use serde_json::json;
 
 fn order(bench: &Bench, key: &str) -> Seen {
+    order_at(bench.at(), key)
+}
+
+fn order_at(at: SocketAddr, key: &str) -> Seen {
     let headers = [ACME, ("idempotency-key", key)];
     let call = "POST /services/app/order";
-    send(bench.at(), call, &headers, "one trolley").expect("an answer")
+    send(at, call, &headers, "one trolley").expect("an answer")
 }
 
 /// How often the call of a key ran at any target.
@@ -74,3 +82,61 @@
         assert_eq!(count == 1, runs, "{about}");
     }
 }
+
+#[test]
+fn verify_key_sent_through_the_other_router_runs_once() {
+    let mut bench = Bench::services(2);
+    let other = bench.start_second();
+    // While the first runs, and after it has ended.
+    bench.faults(&json!({"only": "call", "delay_ms": 1_500}));
+    let at = bench.at();
+    let first = thread::spawn(move || order_at(at, "k1"));
+    assert_eq!(settled(&1, || ran(&bench, "k1")), 1, "at work");
+    let during = order_at(other, "k1");
+    let first = first.join().expect("an answer");
+    assert_eq!(first.status, 200, "{}", first.text);
+    bench.faults(&json!({}));
+    let after = order_at(other, "k1");
+    for again in [during, after] {
+        assert_eq!(again.status, 409, "{}", again.text);
+        assert_eq!(
+            again.json()["error"]["run"],
+            "may_have_run",
+            "{}",
+            again.text
+        );
+    }
+    assert_eq!(ran(&bench, "k1"), 1);
+}
+
+#[test]
+fn verify_key_at_both_routers_runs_once_while_write_answers_are_lost() {
+    let mut bench = Bench::services(2);
+    let other = bench.start_second();
+    for (n, switches) in [
+        json!({"only": "put", "times": 1, "drop_after": true}),
+        json!({"only": "put", "times": 2, "drop_after": true}),
+        json!({"only": "put", "times": 1, "cut_after": 3}),
+        json!({"only": "put", "times": 1, "drop_before": true}),
+        json!({"only": "put", "times": 1, "throttle": true}),
+    ]
+    .iter()
+    .enumerate()
+    {
+        faults(bench.platform.addr, switches);
+        let key = format!("both-{n}");
+        let at = bench.at();
+        let seen = thread::scope(|scope| {
+            let both = [at, other].map(|at| {
+                let key = key.as_str();
+                scope.spawn(move || order_at(at, key))
+            });
+            both.map(|one| one.join().expect("an answer"))
+        });
+        faults(bench.platform.addr, &json!({}));
+        let served = seen.iter().filter(|s| s.status == 200).count();
+        let about = format!("{switches}: {} {}", seen[0].text, seen[1].text);
+        assert_eq!(ran(&bench, &key), 1, "{about}");
+        assert_eq!(served, 1, "{about}");
+    }
+}
