Share the daemons' settings between two test files

Cause: `any`, `fleet` and the token stood the same in verify_daemons and verify_orders. Change: they stand once, in the tests' support module; no assertion is touched. Conclusion: one place.

--- a/crates/peppercrank-cli/tests/support/mod.rs
+++ b/crates/peppercrank-cli/tests/support/mod.rs
@@ -12,6 +12,7 @@
 
 use peppercrank_cli::Environment;
 use peppercrank_cli::Exit;
+use peppercrank_settings::FleetSettings;
 use peppercrank_standin::Running;
 use peppercrank_standin::platform;
 use peppercrank_standin::platform::PlatformSettings;
@@ -19,8 +20,12 @@
 use rouille::Response;
 use rouille::Server;
 use serde_json::Value;
+use serde_json::json;
 use tokio::runtime::Runtime;
 
+/// The operators' token of the daemons of a test.
+pub const TOKEN: &str = "an-operators-token";
+
 /// How one run of the command ended.
 #[derive(Debug)]
 pub struct Ended {
@@ -145,3 +150,19 @@
     std::thread::spawn(move || server.run());
     address
 }
+
+/// A free port of loopback.
+pub fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// The part of the settings that all daemons of a test share.
+pub fn fleet(bench: &Bench, vm: &str) -> FleetSettings {
+    let settings = json!({
+        "vm": vm, "zone": "rae", "gossip": any(), "control": any(), "operators": any(),
+        "platform": { "url": format!("http://{}", bench.address) },
+        "keys": [{ "id": 1, "secret": "0f".repeat(16) }],
+        "tokens": [TOKEN],
+    });
+    serde_json::from_value(settings).expect("settings")
+}
--- a/crates/peppercrank-cli/tests/verify_daemons.rs
+++ b/crates/peppercrank-cli/tests/verify_daemons.rs
@@ -22,7 +22,6 @@
 use peppercrank_daemon::log::Log;
 use peppercrank_daemon::router;
 use peppercrank_settings::AgentSettings;
-use peppercrank_settings::FleetSettings;
 use peppercrank_settings::RouterSettings;
 use peppercrank_standin::engine;
 use peppercrank_standin::engine::EngineSettings;
@@ -31,12 +30,13 @@
 use serde_json::json;
 use support::Bench;
 use support::Ended;
+use support::TOKEN;
+use support::any;
+use support::fleet;
 use support::run;
 use support::template;
 use tokio::runtime::Runtime;
 
-const TOKEN: &str = "an-operators-token";
-
 /// The lines of a daemon's log.
 #[derive(Debug, Clone, Default)]
 struct Lines(Arc<Mutex<Vec<u8>>>);
@@ -159,20 +159,6 @@
     answer.body_mut().read_json().expect("JSON")
 }
 
-fn any() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
-fn fleet(bench: &Bench, vm: &str) -> FleetSettings {
-    let settings = json!({
-        "vm": vm, "zone": "rae", "gossip": any(), "control": any(), "operators": any(),
-        "platform": { "url": format!("http://{}", bench.address) },
-        "keys": [{ "id": 1, "secret": "0f".repeat(16) }],
-        "tokens": [TOKEN],
-    });
-    serde_json::from_value(settings).expect("settings")
-}
-
 #[test]
 fn verify_changes_are_in_force_and_drains_end_on_real_daemons() {
     let fleet = Fleet::new();
--- a/crates/peppercrank-cli/tests/verify_orders.rs
+++ b/crates/peppercrank-cli/tests/verify_orders.rs
@@ -6,7 +6,6 @@
 mod support;
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,7 +19,6 @@
 use peppercrank_daemon::log::Log;
 use peppercrank_lease::lease::Session;
 use peppercrank_settings::AgentSettings;
-use peppercrank_settings::FleetSettings;
 use peppercrank_standin::engine;
 use peppercrank_standin::engine::EngineSettings;
 use peppercrank_wire::control::ControlError;
@@ -31,12 +29,13 @@
 use serde_json::json;
 use support::Bench;
 use support::Ended;
+use support::TOKEN;
+use support::any;
 use support::file;
+use support::fleet;
 use support::run;
 use tokio::runtime::Runtime;
 
-const TOKEN: &str = "an-operators-token";
-
 /// A platform, and engines that check fencing numbers, each with its agent.
 struct Fleet {
     bench: Bench,
@@ -141,20 +140,6 @@
     }
 }
 
-fn any() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
-fn fleet(bench: &Bench, vm: &str) -> FleetSettings {
-    let settings = json!({
-        "vm": vm, "zone": "rae", "gossip": any(), "control": any(), "operators": any(),
-        "platform": { "url": format!("http://{}", bench.address) },
-        "keys": [{ "id": 1, "secret": "0f".repeat(16) }],
-        "tokens": [TOKEN],
-    });
-    serde_json::from_value(settings).expect("settings")
-}
-
 fn outcomes(ended: &Ended) -> Vec<String> {
     let told = ended.json();
     let targets = told["targets"].as_array().expect("targets").clone();
