--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -64,6 +64,10 @@
     StopCut = 1004 Warning "streams cut at the end of the time for stopping";
     /// The readiness of a daemon changed.
     Ready = 1005 Info "readiness changed";
+    /// Settings were read anew.
+    SettingsRead = 1006 Info "settings read";
+    /// A settings file is invalid; the last good one stays in force.
+    SettingsInvalid = 1007 Error "invalid settings held back";
     /// A request was refused.
     Refused = 2001 Info "request refused";
     /// A request is tried at another target.
@@ -78,6 +82,10 @@
     Resumed = 2006 Warning "stream resumed";
     /// A stream was cut and ended with an error.
     StreamCut = 2007 Warning "stream ended with an error";
+    /// A request was answered.
+    Answered = 2008 Info "request answered";
+    /// An attempt at a target ended without an answer to pass on.
+    AttemptFailed = 2009 Info "attempt failed";
     /// A member joined, or came back.
     MemberAlive = 3001 Info "member alive";
     /// A member is suspected.
@@ -96,6 +104,10 @@
     PlatformDown = 4003 Warning "platform not answering";
     /// The platform's API answers again.
     PlatformUp = 4004 Info "platform answering";
+    /// An entry of the platform's store could not be decoded.
+    EntryInvalid = 4005 Error "invalid entry in the store";
+    /// The store's history is gone, so a kind of entries is listed anew.
+    Relisted = 4006 Info "entries listed anew";
     /// A target was marked as leaving.
     Leaving = 5001 Info "target leaving";
     /// A leaving target has no work left.
@@ -106,4 +118,12 @@
     OrderPassed = 5004 Info "order passed";
     /// Keys were read anew.
     KeysRotated = 5005 Info "keys rotated";
+    /// A target registered itself.
+    TargetJoined = 5006 Info "target joined";
+    /// A target's entry is gone.
+    TargetGone = 5007 Info "target gone";
+    /// A target's entry is missing after an outage of the store.
+    TargetMissing = 5008 Warning "target missing after an outage";
+    /// A target failed too often and gets no work for a while.
+    TargetEjected = 5009 Warning "target ejected";
 }
--- a/crates/peppercrank-daemon/src/lib.rs
+++ b/crates/peppercrank-daemon/src/lib.rs
@@ -7,14 +7,14 @@
 
 pub mod agent;
 pub mod chat;
-pub mod clock;
 pub mod errors;
 pub mod fleet;
 pub mod headers;
-pub mod log;
 pub mod metrics;
 pub mod process;
 pub mod reply;
 pub mod router;
-
 pub mod stream;
+
+pub use peppercrank_log as log;
+pub use peppercrank_wire::clock;
--- /dev/null
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -0,0 +1,261 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The operators' configuration: routes, pools, organisations and bounds on callers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use peppercrank_core::hash::hash64;
+
+/// Seed of the hash that draws one of a route's pools.
+const POOL_SEED: u64 = 0x706f_6f6c;
+
+/// `RouteKind` is what a route's requests allow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// Requests may run more than once.
+    Repeatable,
+    /// Requests run at most once.
+    Once,
+    /// Answers are streams of events.
+    Stream {
+        /// Whether a stream may be continued by another run.
+        resumable: bool,
+    },
+}
+
+impl RouteKind {
+    /// `repeats` tells whether a request may run again while nothing of its answer was passed on.
+    #[must_use]
+    pub const fn repeats(self) -> bool {
+        match self {
+            Self::Repeatable => true,
+            Self::Once => false,
+            Self::Stream { resumable } => resumable,
+        }
+    }
+}
+
+/// `PoolShare` is one of the pools that a route's requests are spread over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PoolShare {
+    /// The pool's name.
+    pub pool: Arc<str>,
+    /// Its weight among the route's pools.
+    pub weight: u32,
+}
+
+/// `Route` tells where requests of one host and path go and what they allow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// The route's name.
+    pub name: Arc<str>,
+    /// The host that it serves, in lower case.
+    pub host: Arc<str>,
+    /// The path that it serves, with a slash at both ends.
+    pub prefix: Arc<str>,
+    /// What its requests allow.
+    pub kind: RouteKind,
+    /// The longest time that a request is kept.
+    pub timeout: Duration,
+    /// The time within which an answer is wanted.
+    pub goal: Duration,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Its pools.
+    pub pools: Vec<PoolShare>,
+    /// Targets that one request may run on.
+    pub attempts: u32,
+    /// Whether requests need no key.
+    pub open: bool,
+}
+
+impl Route {
+    /// `pool` is the pool of the request with this id; the same for each of its attempts.
+    #[must_use]
+    pub fn pool(&self, id: &[u8]) -> Option<&Arc<str>> {
+        let total = self.pools.iter().map(|p| u64::from(p.weight)).sum::<u64>();
+        let mut left = hash64(POOL_SEED, id).checked_rem(total)?;
+        for share in &self.pools {
+            let weight = u64::from(share.weight);
+            if left < weight {
+                return Some(&share.pool);
+            }
+            left -= weight;
+        }
+        None
+    }
+}
+
+/// `Pool` is a set of targets that serve alike.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pool {
+    /// The pool's name.
+    pub name: Arc<str>,
+    /// Connections that one of its targets takes from all callers.
+    pub connections: u32,
+    /// Tokens that one engine of the pool keeps in memory; none for plain services.
+    pub memory: Option<u64>,
+}
+
+/// `CallerBounds` bound what callers may send and how long they may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerBounds {
+    /// The longest request head, in bytes.
+    pub head: usize,
+    /// The longest request body, in bytes.
+    pub body: u64,
+    /// Time from a head's first byte to its last.
+    pub head_time: Duration,
+    /// Time that a connection may stay without a request.
+    pub idle: Duration,
+}
+
+/// `Organisation` is one whose callers hold keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Organisation {
+    /// The organisation's name.
+    pub name: Arc<str>,
+    /// Its rank, which goes before the route's; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// The keys of its callers.
+    pub keys: Vec<Arc<str>>,
+}
+
+/// `Desired` is one version of the whole configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Desired {
+    /// The version, which only grows.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// All pools.
+    pub pools: Vec<Pool>,
+    /// Bounds on callers.
+    pub bounds: CallerBounds,
+    /// Organisations; without any, requests need no keys.
+    pub organisations: Vec<Organisation>,
+}
+
+/// `Index` finds routes and organisations of one configuration.
+#[derive(Debug)]
+pub struct Index {
+    desired: Desired,
+    /// Routes by host, the longest prefix first.
+    hosts: HashMap<Arc<str>, Vec<usize>>,
+    /// Organisations by key.
+    keys: HashMap<Arc<str>, usize>,
+}
+
+/// `Allowed` is whether a request may run, and for whom.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Allowed<'a> {
+    /// For anyone: the route is open, or there are no organisations.
+    Anyone,
+    /// For a caller of this organisation.
+    Member(&'a Organisation),
+    /// The key is missing or nobody's.
+    Denied,
+}
+
+impl Index {
+    /// `new` indexes a configuration.
+    #[must_use]
+    pub fn new(desired: Desired) -> Self {
+        let mut hosts: HashMap<Arc<str>, Vec<usize>> = HashMap::new();
+        for (i, route) in desired.routes.iter().enumerate() {
+            hosts.entry(Arc::clone(&route.host)).or_default().push(i);
+        }
+        for list in hosts.values_mut() {
+            list.sort_by_key(|i| std::cmp::Reverse(desired.routes[*i].prefix.len()));
+        }
+        let mut keys = HashMap::new();
+        for (i, organisation) in desired.organisations.iter().enumerate() {
+            for key in &organisation.keys {
+                keys.insert(Arc::clone(key), i);
+            }
+        }
+        Self {
+            desired,
+            hosts,
+            keys,
+        }
+    }
+
+    /// `desired` is the indexed configuration.
+    #[must_use]
+    pub const fn desired(&self) -> &Desired {
+        &self.desired
+    }
+
+    /// `route` is the route of the longest prefix that begins `path`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let list = match self.hosts.get(name) {
+            Some(list) => list,
+            None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
+        };
+        let mut routes = list.iter().map(|i| &self.desired.routes[*i]);
+        routes.find(|r| path.starts_with(&*r.prefix))
+    }
+
+    /// `allowed` tells for whom a request with this key may run.
+    #[must_use]
+    pub fn allowed(&self, route: &Route, key: Option<&str>) -> Allowed<'_> {
+        if self.desired.organisations.is_empty() {
+            return Allowed::Anyone;
+        }
+        match key.and_then(|k| self.keys.get(k)) {
+            Some(i) => Allowed::Member(&self.desired.organisations[*i]),
+            None if route.open => Allowed::Anyone,
+            None => Allowed::Denied,
+        }
+    }
+
+    /// `pool` is the pool of this name.
+    #[must_use]
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.desired.pools.iter().find(|p| &*p.name == name)
+    }
+}
+
+/// `InForce` holds the highest version seen; it never goes back.
+#[derive(Debug, Clone, Default)]
+pub struct InForce {
+    index: Option<Arc<Index>>,
+}
+
+/// `Applied` is what became of a version that was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// It is in force.
+    InForce,
+    /// It was in force already.
+    Same,
+    /// It is older than the one in force and was dropped.
+    Older,
+}
+
+impl InForce {
+    /// `apply` brings a version in force unless it is older.
+    pub fn apply(&mut self, desired: Desired) -> Applied {
+        let current = self.index.as_ref().map(|i| i.desired.version);
+        match current {
+            Some(version) if version == desired.version => Applied::Same,
+            Some(version) if version > desired.version => Applied::Older,
+            _ => {
+                self.index = Some(Arc::new(Index::new(desired)));
+                Applied::InForce
+            }
+        }
+    }
+
+    /// `index` is the configuration in force; none before the first was read.
+    #[must_use]
+    pub const fn index(&self) -> Option<&Arc<Index>> {
+        self.index.as_ref()
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-direct/src/freshness.rs
@@ -0,0 +1,58 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! How old the knowledge of keys is.
+//!
+//! A key that was taken away must not be served past a bound, also by a router that no longer
+//! hears from the store. The age counts from when the question was sent that the store answered,
+//! never from the answer: what the store read may be as old as the question.
+
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+
+/// Time in which a watch of the store may be silent although there are changes; the platform's
+/// figure is one second.
+pub const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Time from the check to the target's taking up of the request, with room for a slow process.
+pub const SENDING: Duration = Duration::from_millis(300);
+
+/// `Freshness` tells whether what is known of keys is young enough.
+#[derive(Debug, Clone, Copy)]
+pub struct Freshness {
+    /// The bound on the age; none where keys need not be confirmed.
+    limit: Option<Duration>,
+    /// When the question was sent that was answered last.
+    asked: Option<Moment>,
+}
+
+impl Freshness {
+    /// `new` bounds the age by the time after which a revoked key must not be served.
+    #[must_use]
+    pub fn new(revoke: Option<Duration>) -> Self {
+        let limit = revoke.map(|r| r.saturating_sub(SILENCE + SENDING));
+        Self { limit, asked: None }
+    }
+
+    /// `confirm` notes that the store answered, with the newest state, a question sent at `asked`.
+    pub fn confirm(&mut self, asked: Moment) {
+        self.asked = self.asked.max(Some(asked));
+    }
+
+    /// `age` is the age of what is known; none before the first answer.
+    #[must_use]
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.asked.map(|at| now.since(at))
+    }
+
+    /// `is_fresh` tells whether keys may be trusted.
+    #[must_use]
+    pub fn is_fresh(&self, now: Moment) -> bool {
+        match (self.limit, self.age(now)) {
+            (None, age) => age.is_some(),
+            (Some(limit), Some(age)) => age < limit,
+            (Some(_), None) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -0,0 +1,24 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Decisions of a router that sends requests straight to targets, without input or output.
+//!
+//! - [`desired`]: the operators' configuration, indexed for the request path.
+//! - [`directory`]: the targets there are, and which of them leave.
+//! - [`events`]: whole events of streams that may be resumed.
+//! - [`freshness`]: how old the knowledge of keys may be before requests are refused.
+//! - [`place`]: which target a request goes to, by its predicted first token.
+//! - [`prefixes`]: which target holds which part of which prompt.
+//! - [`rates`]: what is learnt of a pool's speed.
+//! - [`retries`]: the fleet's retry budget, and what follows a failed attempt.
+//! - [`peers`]: what routers tell each other.
+
+pub mod desired;
+pub mod directory;
+pub mod events;
+pub mod freshness;
+pub mod peers;
+pub mod place;
+pub mod prefixes;
+pub mod rates;
+pub mod retries;
--- /dev/null
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -0,0 +1,165 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! What routers tell each other by datagrams: their own work on each target, and which target
+//! was just sent which part of a prompt.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use peppercrank_core::hash::hash64;
+use peppercrank_core::time::Moment;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Longest datagram, in bytes: below the usual path limit, so that none is fragmented.
+pub const MOST_BYTES: usize = 1_200;
+
+/// Time without a word after which a peer's work counts no more: some ten summaries.
+pub const SILENT: Duration = Duration::from_millis(2_500);
+
+/// Seed of the short names of targets on datagrams.
+const NAME_SEED: u64 = 0x7461_7267;
+
+/// `TargetId` is a target's short name on datagrams; a hash, so that it needs no agreement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TargetId(pub u32);
+
+impl TargetId {
+    /// `of` is the short name of an instance.
+    #[must_use]
+    pub fn of(instance: &str) -> Self {
+        let hash = hash64(NAME_SEED, instance.as_bytes());
+        Self((hash >> 32) as u32)
+    }
+}
+
+/// `Work` is one router's unfinished work on one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// The target.
+    pub target: TargetId,
+    /// Requests sent there and not ended.
+    pub running: u32,
+    /// Prompt tokens that it has yet to read for them.
+    pub reading: u64,
+    /// Whether this router takes the target for failing.
+    pub failing: bool,
+}
+
+/// `Hint` tells that a target was sent a part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hint {
+    /// The target.
+    pub target: TargetId,
+    /// The hash of the chain of parts up to this one.
+    pub chain: u64,
+}
+
+/// `Summary` is one datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The sender's start, so that a restarted router's counts begin anew.
+    pub incarnation: u64,
+    /// Grows with each datagram of one start.
+    pub sequence: u64,
+    /// All of its work.
+    pub work: Vec<Work>,
+    /// Parts sent since the datagram before.
+    pub hints: Vec<Hint>,
+}
+
+impl Summary {
+    /// `encode` is the datagram, with as many hints as fit.
+    ///
+    /// # Errors
+    ///
+    /// Returns the codec's error, which these types do not bring about.
+    pub fn encode(&mut self) -> postcard::Result<Vec<u8>> {
+        loop {
+            let bytes = postcard::to_stdvec(self)?;
+            if bytes.len() <= MOST_BYTES || self.hints.is_empty() {
+                return Ok(bytes);
+            }
+            let over = bytes.len() - MOST_BYTES;
+            let drop = (over / 6 + 1).min(self.hints.len());
+            self.hints.drain(..drop);
+        }
+    }
+
+    /// `decode` reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns the codec's error for bytes that are no summary.
+    pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        postcard::from_bytes(bytes)
+    }
+}
+
+/// `Peer` is what is known of another router.
+#[derive(Debug)]
+struct Peer {
+    incarnation: u64,
+    sequence: u64,
+    heard: Moment,
+    work: Vec<Work>,
+}
+
+/// `Peers` holds the other routers' latest summaries.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: HashMap<SocketAddr, Peer>,
+}
+
+impl Peers {
+    /// `take` takes in a datagram; false for one that is older than what is known.
+    pub fn take(&mut self, now: Moment, from: SocketAddr, summary: &Summary) -> bool {
+        let order = (summary.incarnation, summary.sequence);
+        if let Some(peer) = self.peers.get(&from)
+            && (peer.incarnation, peer.sequence) >= order
+        {
+            return false;
+        }
+        let peer = Peer {
+            incarnation: summary.incarnation,
+            sequence: summary.sequence,
+            heard: now,
+            work: summary.work.clone(),
+        };
+        self.peers.insert(from, peer);
+        true
+    }
+
+    /// `expire` forgets peers that were silent for long.
+    pub fn expire(&mut self, now: Moment) {
+        self.peers.retain(|_, p| now.since(p.heard) < SILENT);
+    }
+
+    /// `alive` is how many other routers were heard of late.
+    #[must_use]
+    pub fn alive(&self, now: Moment) -> usize {
+        let alive = |p: &&Peer| now.since(p.heard) < SILENT;
+        self.peers.values().filter(alive).count()
+    }
+
+    /// `work` sums the others' work by target.
+    #[must_use]
+    pub fn work(&self, now: Moment) -> HashMap<TargetId, Work> {
+        let mut sums: HashMap<TargetId, Work> = HashMap::new();
+        let alive = self.peers.values().filter(|p| now.since(p.heard) < SILENT);
+        for work in alive.flat_map(|p| &p.work) {
+            let sum = sums.entry(work.target).or_insert(Work {
+                running: 0,
+                reading: 0,
+                failing: false,
+                ..*work
+            });
+            sum.running = sum.running.saturating_add(work.running);
+            sum.reading = sum.reading.saturating_add(work.reading);
+            sum.failing |= work.failing;
+        }
+        sums
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-direct/src/rates.rs
@@ -0,0 +1,70 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! What is learnt of a pool's speed from its answers.
+
+use std::time::Duration;
+
+/// Prompt tokens read in a millisecond before anything was learnt: the order of one accelerator.
+const FIRST_RATE: f64 = 50.0;
+
+/// Time of an answer that needs no reading, before anything was learnt, in milliseconds.
+const FIRST_BASE: f64 = 20.0;
+
+/// Weight of one sample in the running means: some twenty samples count.
+const WEIGHT: f64 = 0.05;
+
+/// Least tokens read for a sample of the rate; with fewer, the base's spread drowns them.
+const LEAST_READ: u64 = 600;
+
+/// Bounds on a sample of the rate, in tokens a millisecond; what lies beyond was misjudged.
+const RATES: (f64, f64) = (5.0, 500.0);
+
+/// `Rates` are a pool's speeds as learnt from answers of targets that had nothing else to read.
+#[derive(Debug, Clone, Copy)]
+pub struct Rates {
+    rate: f64,
+    base: f64,
+}
+
+impl Default for Rates {
+    fn default() -> Self {
+        Self {
+            rate: FIRST_RATE,
+            base: FIRST_BASE,
+        }
+    }
+}
+
+impl Rates {
+    /// `learn` takes in the time to an answer's first part, for a request whose target had to
+    /// read `tokens` of it and nothing before it.
+    pub fn learn(&mut self, tokens: u64, first: Duration) {
+        let millis = first.as_secs_f64() * 1_000.0;
+        if tokens < LEAST_READ {
+            self.base += (millis - self.base) * WEIGHT;
+            return;
+        }
+        let reading = (millis - self.base).max(1.0);
+        let sample = (as_f64(tokens) / reading).clamp(RATES.0, RATES.1);
+        self.rate += (sample - self.rate) * WEIGHT;
+    }
+
+    /// `reading` is the time to read `tokens`, in milliseconds.
+    #[must_use]
+    pub fn reading(&self, tokens: u64) -> f64 {
+        as_f64(tokens) / self.rate
+    }
+
+    /// `base` is the time of an answer that needs no reading, in milliseconds.
+    #[must_use]
+    pub const fn base(&self) -> f64 {
+        self.base
+    }
+}
+
+/// The nearest float; counts here stay far below 2^52.
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+pub(crate) const fn as_f64(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/admin.rs
@@ -0,0 +1,61 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Answers the balancer and serves the metrics.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use http::StatusCode;
+use http::header;
+use peppercrank_platform::READY_PATH;
+use peppercrank_wire::body;
+use peppercrank_wire::edge::Call;
+use peppercrank_wire::edge::Reply;
+
+use crate::gateway::Gateway;
+
+/// Part of the bound on keys after which a router asks for no more callers: others may still be
+/// in touch with the store.
+const READY_SHARE: f64 = 0.5;
+
+/// `is_ready` tells whether the router should get new callers.
+#[must_use]
+pub fn is_ready(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    let settings = gateway.settings();
+    let state = gateway.state();
+    let age = state.freshness.age(now);
+    let young = match (age, settings.keys) {
+        (None, _) => false,
+        (Some(_), None) => true,
+        (Some(age), Some(keys)) => age < keys.revoke.mul_f64(READY_SHARE),
+    };
+    young && state.listed && !gateway.stop.is_stopping()
+}
+
+/// `ready` answers the balancer.
+#[must_use]
+pub fn ready(gateway: &Gateway, call: &Call) -> Reply {
+    let mut reply = Reply::new(body::empty());
+    *reply.status_mut() = match call.head.uri.path() {
+        READY_PATH if is_ready(gateway) => StatusCode::OK,
+        READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    reply
+}
+
+/// `metrics` serves the metrics as text.
+#[must_use]
+pub fn metrics(gateway: &Arc<Gateway>, call: &Call) -> Reply {
+    if call.head.uri.path() != "/metrics" {
+        let mut reply = Reply::new(body::empty());
+        *reply.status_mut() = StatusCode::NOT_FOUND;
+        return reply;
+    }
+    let mut reply = Reply::new(body::full(gateway.metrics.text(gateway)));
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    reply.headers_mut().insert(header::CONTENT_TYPE, kind);
+    reply
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -0,0 +1,417 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Follows the kinds of entries in the store: lists them once, then waits for changes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use peppercrank_core::events::Event as LogEvent;
+use peppercrank_core::time::Moment;
+use peppercrank_direct::desired::Applied;
+use peppercrank_direct::desired::Desired;
+use peppercrank_direct::directory::Change;
+use peppercrank_direct::directory::Noted;
+use peppercrank_direct::directory::Registration;
+use peppercrank_direct::peers::TargetId;
+use peppercrank_log::Field;
+use peppercrank_platform::router::RouterEntry;
+use peppercrank_platform::store::Entry;
+use peppercrank_platform::store::Event;
+use peppercrank_platform::store::Kind;
+use peppercrank_platform::store;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+use crate::store::Ended;
+use crate::store::Store;
+
+/// Time that the watch of the configuration waits: what it confirms counts from when it was
+/// asked, so two of these and the store's silence stay within half of the usual bound on keys.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time that the watch of targets waits; a change ends it at once, and a connection that went
+/// silent is noticed after it.
+const TARGETS_WAIT: Duration = Duration::from_millis(5_000);
+
+/// Time that the watch of routers waits: they change rarely, and datagrams tell who lives.
+const ROUTERS_WAIT: Duration = Duration::from_millis(20_000);
+
+/// Pause after a first failed call; it doubles with each further one.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// The longest pause: what a store's return may cost in time.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// `Outage` tells the followers when one of them finds the store away or back, since the others
+/// may wait on connections that are dead.
+#[derive(Debug, Clone)]
+pub struct Outage(watch::Sender<bool>);
+
+impl Default for Outage {
+    fn default() -> Self {
+        Self(watch::channel(false).0)
+    }
+}
+
+impl Outage {
+    fn set(&self, away: bool) -> bool {
+        self.0.send_if_modified(|now| std::mem::replace(now, away) != away)
+    }
+}
+
+/// `Follower` follows one kind.
+#[derive(Debug)]
+pub struct Follower {
+    gateway: Arc<Gateway>,
+    store: Store,
+    kind: Kind,
+    outage: Outage,
+    /// The revision up to which changes are known.
+    revision: Option<u64>,
+    /// Failures in a row.
+    failures: u32,
+}
+
+/// `Turn` is how one call of a follower went.
+enum Turn {
+    Fine,
+    Relist,
+    Failed(&'static str),
+}
+
+impl Follower {
+    /// `new` follows a kind.
+    #[must_use]
+    pub fn new(gateway: &Arc<Gateway>, store: &Store, kind: Kind, outage: &Outage) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            store: store.clone(),
+            kind,
+            outage: outage.clone(),
+            revision: None,
+            failures: 0,
+        }
+    }
+
+    /// `run` follows the kind for ever.
+    pub async fn run(mut self) {
+        let mut told = self.outage.0.subscribe();
+        loop {
+            let revision = self.revision;
+            let turn = tokio::select! {
+                turn = self.turn(revision) => turn,
+                // Only a store that is back makes a waiting call worth dropping.
+                () = returned(&mut told) => Turn::Fine,
+            };
+            self.after(turn).await;
+        }
+    }
+
+    async fn turn(&mut self, revision: Option<u64>) -> Turn {
+        match revision {
+            None => self.list().await,
+            Some(revision) => self.watch(revision).await,
+        }
+    }
+
+    async fn after(&mut self, turn: Turn) {
+        match turn {
+            Turn::Fine => self.failures = 0,
+            Turn::Relist => {
+                self.revision = None;
+                let fields = [("kind", Field::Text(self.kind.word()))];
+                self.gateway.log.write(LogEvent::Relisted, &fields);
+            }
+            Turn::Failed(what) => {
+                self.lost(what);
+                let pause = PAUSE * 2_u32.saturating_pow(self.failures.min(4));
+                self.failures += 1;
+                sleep(jittered(pause.min(LONGEST_PAUSE))).await;
+            }
+        }
+    }
+
+    async fn list(&mut self) -> Turn {
+        let asked = self.gateway.now();
+        let mut entries = Vec::new();
+        let mut after = None;
+        let mut first = None;
+        loop {
+            let path = store::list(self.kind, after.as_deref());
+            let body = match self.call(&path, Duration::ZERO).await {
+                Ok(body) => body,
+                Err(turn) => return turn,
+            };
+            let Ok(page) = store::read_page(self.kind, &body) else {
+                return Turn::Failed("malformed list");
+            };
+            entries.extend(page.entries);
+            // Changes since the first page may have missed the later ones.
+            let from = *first.get_or_insert(page.revision);
+            after = page.next;
+            if after.is_none() {
+                self.back();
+                self.replace(asked, entries);
+                self.revision = Some(from);
+                return Turn::Fine;
+            }
+        }
+    }
+
+    async fn watch(&mut self, revision: u64) -> Turn {
+        let wait = match self.kind {
+            Kind::Configuration => CONFIG_WAIT,
+            Kind::Targets => TARGETS_WAIT,
+            Kind::Routers => ROUTERS_WAIT,
+        };
+        let asked = self.gateway.now();
+        let path = store::watch(self.kind, revision, wait);
+        let body = match self.call(&path, wait).await {
+            Ok(body) => body,
+            Err(turn) => return turn,
+        };
+        let Ok(changes) = store::read_changes(self.kind, &body) else {
+            return Turn::Failed("malformed changes");
+        };
+        self.back();
+        self.revision = Some(changes.revision);
+        self.apply(asked, changes.events);
+        Turn::Fine
+    }
+
+    async fn call(&self, path: &str, wait: Duration) -> Result<Bytes, Turn> {
+        let ended = self.store.get(path, wait).await;
+        self.gateway.metrics.called(self.kind.word(), ended.code());
+        match ended {
+            Ended::Done(body) => Ok(body),
+            Ended::HistoryGone => Err(Turn::Relist),
+            Ended::Refused(_) => Err(Turn::Failed("refused")),
+            Ended::Lost => Err(Turn::Failed("no answer")),
+            Ended::Conflict | Ended::Missing => Err(Turn::Failed("unexpected answer")),
+        }
+    }
+
+    /// Notes that the store does not answer.
+    fn lost(&self, what: &'static str) {
+        self.gateway.state().directory.store_lost();
+        if self.outage.set(true) {
+            let fields = [("what", Field::Text(what))];
+            self.gateway.log.write(LogEvent::PlatformDown, &fields);
+        }
+    }
+
+    /// Notes that the store answers.
+    fn back(&self) {
+        let now = self.gateway.now();
+        self.gateway.state().directory.store_back(now);
+        if self.outage.set(false) {
+            self.gateway.log.write(LogEvent::PlatformUp, &[]);
+        }
+    }
+
+    /// Takes in the whole list of entries.
+    fn replace(&self, asked: Moment, entries: Vec<Entry>) {
+        match self.kind {
+            Kind::Configuration => {
+                let events = entries.into_iter().map(Event::Put);
+                self.apply(asked, events.collect());
+            }
+            Kind::Targets => {
+                let entries = entries.into_iter().filter_map(|e| self.target(e));
+                let entries = entries.collect();
+                let now = self.gateway.now();
+                let mut state = self.gateway.state();
+                let noted = state.directory.replace(now, entries);
+                state.listed = true;
+                drop(state);
+                self.note_all(noted);
+            }
+            Kind::Routers => {
+                self.gateway.state().routers.clear();
+                for entry in entries {
+                    self.router(entry);
+                }
+            }
+        }
+    }
+
+    /// Takes in changes.
+    fn apply(&self, asked: Moment, events: Vec<Event>) {
+        match self.kind {
+            Kind::Configuration => self.configure(asked, events),
+            Kind::Targets => {
+                for event in events {
+                    self.change(event);
+                }
+            }
+            Kind::Routers => {
+                for event in events {
+                    match event {
+                        Event::Put(entry) => self.router(entry),
+                        Event::Removed(name) => {
+                            self.gateway.state().routers.remove(&name);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Brings the newest configuration in force, and confirms what is known of keys unless an
+    /// entry could not be read.
+    fn configure(&self, asked: Moment, events: Vec<Event>) {
+        let mut sound = true;
+        for event in events {
+            match event {
+                Event::Put(Entry::Configuration(desired)) => self.bring_in_force(desired),
+                Event::Put(Entry::Malformed(name, e)) => {
+                    sound = false;
+                    self.malformed(&name, &e);
+                }
+                Event::Put(_) | Event::Removed(_) => {}
+            }
+        }
+        if sound {
+            let mut state = self.gateway.state();
+            if state.config.index().is_some() {
+                state.freshness.confirm(asked);
+            }
+        }
+    }
+
+    fn bring_in_force(&self, desired: Desired) {
+        let version = desired.version;
+        let applied = self.gateway.state().config.apply(desired);
+        if applied == Applied::InForce {
+            self.gateway.metrics.in_force(version);
+            let fields = [("version", Field::Number(version))];
+            self.gateway.log.write(LogEvent::ConfigApplied, &fields);
+        }
+    }
+
+    fn target(&self, entry: Entry) -> Option<Registration> {
+        match entry {
+            Entry::Target(registration) => Some(registration),
+            Entry::Malformed(name, e) => {
+                self.malformed(&name, &e);
+                None
+            }
+            Entry::Configuration(_) | Entry::Router(_) | Entry::Other => None,
+        }
+    }
+
+    fn change(&self, event: Event) {
+        let change = match event {
+            Event::Put(entry) => self.target(entry).map(Change::Put),
+            Event::Removed(instance) => Some(Change::Removed(instance)),
+        };
+        let Some(change) = change else {
+            return;
+        };
+        let now = self.gateway.now();
+        let noted = self.gateway.state().directory.apply(now, change);
+        self.note_all(vec![noted]);
+    }
+
+    fn router(&self, entry: Entry) {
+        match entry {
+            Entry::Router(RouterEntry { name, address }) => {
+                if *name != *self.gateway.settings().name {
+                    self.gateway.state().routers.insert(name, address);
+                }
+            }
+            Entry::Malformed(name, e) => self.malformed(&name, &e),
+            Entry::Configuration(_) | Entry::Target(_) | Entry::Other => {}
+        }
+    }
+
+    fn note_all(&self, noted: Vec<Noted>) {
+        for noted in noted {
+            match noted {
+                Noted::Joined(key) => {
+                    let mut state = self.gateway.state();
+                    let instance = state.directory.get(key);
+                    let instance = instance.map(|t| Arc::clone(&t.registration.instance));
+                    if let Some(instance) = instance {
+                        state.names.insert(TargetId::of(&instance), key);
+                        drop(state);
+                        self.told(LogEvent::TargetJoined, &instance);
+                    }
+                }
+                Noted::Gone(key) => {
+                    self.gateway.state().forget(key);
+                    self.told(LogEvent::TargetGone, "");
+                }
+                Noted::Left(key) => self.told_key(LogEvent::Leaving, key),
+                Noted::Missing(key) => self.told_key(LogEvent::TargetMissing, key),
+                Noted::Nothing => {}
+            }
+        }
+    }
+
+    fn told_key(&self, event: LogEvent, key: peppercrank_direct::directory::TargetKey) {
+        let state = self.gateway.state();
+        let instance = state.directory.get(key);
+        let instance = instance.map(|t| Arc::clone(&t.registration.instance));
+        drop(state);
+        self.told(event, instance.as_deref().unwrap_or(""));
+    }
+
+    fn told(&self, event: LogEvent, instance: &str) {
+        let revision = self.revision.unwrap_or(0);
+        let fields = [
+            ("target", Field::Text(instance)),
+            ("revision", Field::Number(revision)),
+        ];
+        self.gateway.log.write(event, &fields);
+    }
+
+    fn malformed(&self, name: &str, error: &peppercrank_platform::Error) {
+        let text = error.to_string();
+        let fields = [
+            ("kind", Field::Text(self.kind.word())),
+            ("name", Field::Text(name)),
+            ("error", Field::Text(&text)),
+        ];
+        self.gateway.log.write(LogEvent::EntryInvalid, &fields);
+    }
+}
+
+/// Returns once the store was away and is back.
+async fn returned(told: &mut watch::Receiver<bool>) {
+    loop {
+        if told.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+        if !*told.borrow_and_update() {
+            return;
+        }
+    }
+}
+
+/// A pause of half to the whole of `most`, so that routers do not call in step.
+fn jittered(most: Duration) -> Duration {
+    most.mul_f64(rand::random_range(0.5..1.0))
+}
+
+/// `expire` drops, for ever, the targets that did not return after an outage in time.
+pub async fn expire(gateway: Arc<Gateway>) {
+    /// How often it looks; the grace period ends a little late at most.
+    const EVERY: Duration = Duration::from_millis(250);
+    loop {
+        sleep(EVERY).await;
+        let now = gateway.now();
+        let mut state = gateway.state();
+        let gone = state.directory.expire(now);
+        for key in &gone {
+            state.forget(*key);
+        }
+        drop(state);
+        for _ in gone {
+            gateway.log.write(LogEvent::TargetGone, &[]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -0,0 +1,101 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! What all tasks of the gateway share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use peppercrank_log::Log;
+use peppercrank_settings::GatewaySettings;
+use peppercrank_wire::client::Client;
+use peppercrank_wire::client::Times;
+use peppercrank_wire::clock::Clock;
+use peppercrank_wire::stop::Stop;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::metrics::Metrics;
+use crate::state::State;
+
+/// Time for a connection to a target: a hundred round trips between availability zones.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// Time for which an unused connection is kept; below the usual idle times of servers.
+const KEEP: Duration = Duration::from_secs(4);
+
+/// Unused connections kept for each target: the bursts of one router seen by one target.
+const SPARE: usize = 8;
+
+/// Longest wait of the client itself; each request brings a shorter one of its own.
+const LONGEST: Duration = Duration::from_secs(60 * 60);
+
+/// `Gateway` is what all tasks share.
+#[derive(Debug)]
+pub struct Gateway {
+    /// The process's clock.
+    pub clock: Clock,
+    /// The settings in force.
+    pub settings: watch::Receiver<Arc<GatewaySettings>>,
+    /// The client towards targets.
+    pub client: Client,
+    /// The log.
+    pub log: Log,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The signal that tells to stop.
+    pub stop: Stop,
+    state: Mutex<State>,
+}
+
+impl Gateway {
+    /// `new` makes what the tasks share.
+    #[must_use]
+    pub fn new(settings: watch::Receiver<Arc<GatewaySettings>>, log: Log, stop: Stop) -> Self {
+        let clock = Clock::start();
+        let state = State::new(clock.now(), &settings.borrow());
+        let times = Times {
+            connect: CONNECT,
+            first_byte: LONGEST,
+            idle: LONGEST,
+            keep: KEEP,
+            spare: SPARE,
+        };
+        Self {
+            clock,
+            settings,
+            client: Client::new(times),
+            log,
+            metrics: Metrics::default(),
+            stop,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// `state` is the blackboard; it is never held across an await.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// `now` is the present moment.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// `instant` is a moment on the runtime's clock.
+    #[must_use]
+    pub fn instant(&self, at: Moment) -> Instant {
+        Instant::from_std(self.clock.instant(at))
+    }
+
+    /// `settings` are the settings in force.
+    #[must_use]
+    pub fn settings(&self) -> Arc<GatewaySettings> {
+        Arc::clone(&self.settings.borrow())
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -0,0 +1,141 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! One request with all that its attempts need.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use peppercrank_core::hash::hash64;
+use peppercrank_core::time::Moment;
+use peppercrank_direct::desired::Allowed;
+use peppercrank_direct::desired::Index;
+use peppercrank_direct::desired::Route;
+use peppercrank_direct::desired::RouteKind;
+use peppercrank_direct::prefixes::Part;
+use peppercrank_platform::call;
+use peppercrank_platform::call::CallHead;
+
+use crate::gateway::Gateway;
+use crate::refuse::Reason;
+
+/// Seed of the home of a request without a prompt.
+const ID_SEED: u64 = 0x6964;
+
+/// Parts of a prompt that decide its home: those that other requests share.
+const HOME_PARTS: usize = 2;
+
+/// `Job` is one request with all that its attempts need.
+#[derive(Debug)]
+pub struct Job {
+    /// The request's id.
+    pub id: String,
+    /// Its method, path and headers, without those of its connection.
+    pub head: Parts,
+    /// Its whole body.
+    pub body: Bytes,
+    /// The pool that it goes to.
+    pub pool: Arc<str>,
+    /// What its route allows.
+    pub kind: RouteKind,
+    /// Its route's name.
+    pub route: Arc<str>,
+    /// Targets that it may run on.
+    pub attempts: u32,
+    /// The time within which an answer is wanted.
+    pub goal: Duration,
+    /// The organisation that its caller belongs to.
+    pub organisation: Option<Arc<str>>,
+    /// Whether it runs only while its caller's key is known to be good.
+    pub keyed: bool,
+    /// The rank that it runs at.
+    pub priority: u8,
+    /// Tokens of its prompt.
+    pub tokens: u64,
+    /// Parts of its prompt.
+    pub parts: Vec<Part>,
+    /// When it came.
+    pub begun: Moment,
+    /// When it must have its final answer.
+    pub deadline: Moment,
+    /// The configuration that it was judged by.
+    pub version: u64,
+}
+
+impl Job {
+    /// `home` is the hash that the request's home is drawn by.
+    #[must_use]
+    pub fn home(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1).min(HOME_PARTS);
+        match shared.checked_sub(1).and_then(|i| self.parts.get(i)) {
+            Some(part) => part.chain,
+            None => hash64(ID_SEED, self.id.as_bytes()),
+        }
+    }
+
+    /// `judge` finds the route of a request and whether it may run.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for which the request is refused.
+    pub fn judge(
+        gateway: &Gateway,
+        begun: Moment,
+        mut head: Parts,
+        body: Bytes,
+    ) -> Result<Self, Reason> {
+        let said = match call::read(&head.headers) {
+            Ok(said) => said,
+            Err(_) => return Err(Reason::BadRequest),
+        };
+        let now = gateway.now();
+        let (index, fresh) = {
+            let state = gateway.state();
+            let index = state.config.index().cloned();
+            (index, state.freshness.is_fresh(now))
+        };
+        let index = index.ok_or(Reason::NoConfiguration)?;
+        let route = route(&index, &head).ok_or(Reason::NoRoute)?;
+        let allowed = index.allowed(route, said.key.as_deref());
+        if !fresh && !route.open && allowed != Allowed::Anyone {
+            return Err(Reason::StaleKeys);
+        }
+        let organisation = match allowed {
+            Allowed::Anyone => None,
+            Allowed::Member(organisation) => Some(organisation),
+            Allowed::Denied => return Err(Reason::Denied),
+        };
+        let pool = route.pool(said.id.as_bytes()).ok_or(Reason::NoTarget)?;
+        peppercrank_wire::headers::strip(&mut head.headers);
+        let wait = said.wait.unwrap_or(route.timeout).min(route.timeout);
+        let CallHead { id, prompt, .. } = said;
+        let (tokens, parts) = prompt.map_or((0, Vec::new()), |p| (p.tokens, p.parts));
+        let rank = organisation.and_then(|o| o.priority);
+        Ok(Self {
+            pool: Arc::clone(pool),
+            kind: route.kind,
+            route: Arc::clone(&route.name),
+            attempts: route.attempts,
+            goal: route.goal,
+            organisation: organisation.map(|o| Arc::clone(&o.name)),
+            keyed: organisation.is_some(),
+            priority: rank.unwrap_or(route.priority),
+            tokens,
+            parts,
+            begun,
+            deadline: begun + wait,
+            version: index.desired().version,
+            id,
+            head,
+            body,
+        })
+    }
+}
+
+/// The route of a request.
+fn route<'a>(index: &'a Index, head: &Parts) -> Option<&'a Route> {
+    let host = head.headers.get(http::header::HOST)?.to_str().ok()?;
+    index.route(host, head.uri.path())
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -0,0 +1,33 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The gateway daemon: a router on the users' platform that sends straight to targets.
+//!
+//! One thread runs everything. It reads the clock and moves bytes; `peppercrank-direct` decides
+//! and `peppercrank-platform` translates.
+//!
+//! - [`serve`] answers callers: route, key, placement, attempts, answer.
+//! - [`follow`] keeps the configuration and the targets up to date from the store.
+//! - [`gossip`] exchanges loads and held prompts with other routers.
+//! - [`admin`] answers the balancer and serves the metrics.
+//! - [`run`] starts all of it and ends it on SIGTERM.
+
+pub mod admin;
+pub mod attempt;
+pub mod errors;
+pub mod follow;
+pub mod gateway;
+pub mod gossip;
+pub mod job;
+pub mod metrics;
+pub mod refuse;
+pub mod register;
+pub mod relay;
+pub mod reload;
+pub mod run;
+pub mod serve;
+pub mod state;
+pub mod store;
+
+pub use errors::Error;
+pub use errors::Result;
--- /dev/null
+++ b/crates/peppercrank-gateway/src/refuse.rs
@@ -0,0 +1,102 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The gateway's own answers: refusals, with a counter for each reason.
+
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::StatusCode;
+use http::header;
+use peppercrank_wire::body;
+use peppercrank_wire::edge::Reply;
+
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $name:ident $code:literal $status:ident;)*) => {
+        /// `Reason` is why a request got no target's answer.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Reason {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Reason {
+            /// All reasons, in the order of their definition.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// `code` is the reason's stable code in answers, logs and metrics.
+            #[must_use]
+            pub const fn code(self) -> &'static str {
+                match self {
+                    $(Self::$name => $code,)*
+                }
+            }
+
+            /// `status` is the status that the caller gets.
+            #[must_use]
+            pub const fn status(self) -> StatusCode {
+                match self {
+                    $(Self::$name => StatusCode::$status,)*
+                }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// No configuration was read yet.
+    NoConfiguration "no_configuration" SERVICE_UNAVAILABLE;
+    /// What is known of keys is too old to be trusted.
+    StaleKeys "stale_keys" SERVICE_UNAVAILABLE;
+    /// A header that must be there is missing or malformed.
+    BadRequest "bad_request" BAD_REQUEST;
+    /// No route matches the host and path.
+    NoRoute "no_route" NOT_FOUND;
+    /// The key is missing or nobody's.
+    Denied "denied" UNAUTHORIZED;
+    /// The pool has no target.
+    NoTarget "no_target" SERVICE_UNAVAILABLE;
+    /// All targets of the pool are full.
+    Full "full" SERVICE_UNAVAILABLE;
+    /// Targets refused it, or could not be reached, and no further attempt is allowed.
+    Refused "refused" SERVICE_UNAVAILABLE;
+    /// Its time passed before it was sent.
+    Late "late" SERVICE_UNAVAILABLE;
+    /// An attempt may have run and gave no whole answer.
+    Failed "failed" BAD_GATEWAY;
+    /// Its time passed while a target was at work on it.
+    TimedOut "timed_out" GATEWAY_TIMEOUT;
+}
+
+impl Reason {
+    /// `passes` tells whether the same request may fare better a little later.
+    #[must_use]
+    pub const fn passes(self) -> bool {
+        matches!(
+            self,
+            Self::NoConfiguration
+                | Self::StaleKeys
+                | Self::NoTarget
+                | Self::Full
+                | Self::Refused
+                | Self::Late
+        )
+    }
+}
+
+/// `refuse` makes the answer; `after` tells when to come back, where that helps.
+#[must_use]
+pub fn refuse(reason: Reason, after: Duration) -> Reply {
+    let mut reply = Reply::new(body::full(reason.code()));
+    *reply.status_mut() = reason.status();
+    let headers = reply.headers_mut();
+    let code = HeaderValue::from_static(reason.code());
+    headers.insert("x-peppercrank-reason", code);
+    if reason.passes() {
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        // Digits and a point are always a header's value.
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    reply
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -0,0 +1,203 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Passes a stream on, event by event, and resumes it at another target where that is allowed.
+
+use std::pin::Pin;
+use std::pin::pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use peppercrank_core::events::Event;
+use peppercrank_direct::desired::RouteKind;
+use peppercrank_direct::events::Events;
+use peppercrank_direct::retries::After;
+use peppercrank_direct::retries::Fate;
+use peppercrank_log::Field;
+use peppercrank_wire::body;
+use peppercrank_wire::body::Body;
+use peppercrank_wire::body::Feed;
+use peppercrank_wire::client::AnswerBody;
+use tokio::time::Sleep;
+use tokio::time::sleep_until;
+
+use crate::attempt::Flight;
+use crate::attempt::Given;
+use crate::attempt::begin;
+use crate::attempt::next;
+use crate::attempt::send;
+use crate::serve::Run;
+
+/// Parts that may wait for a caller that reads slowly.
+const DEPTH: usize = 8;
+
+/// `Relay` is one stream on its way.
+struct Relay {
+    run: Run,
+    flight: Flight,
+    rest: AnswerBody,
+    feed: Feed,
+    /// Whole events only, of streams that may be resumed.
+    events: Option<Events>,
+}
+
+/// `Step` is what happened to a stream.
+enum Step {
+    Part(Bytes),
+    End,
+    Cut,
+    CallerGone,
+    Late,
+}
+
+/// `start` passes a stream on from a task of its own.
+#[must_use]
+pub fn start(run: &Run, flight: Flight, first: Bytes, rest: AnswerBody) -> Body {
+    let (feed, body) = body::channel(DEPTH);
+    let resumable = matches!(run.job.kind, RouteKind::Stream { resumable: true });
+    let relay = Relay {
+        run: Run::of(run),
+        flight,
+        rest,
+        feed,
+        events: resumable.then(Events::default),
+    };
+    tokio::spawn(relay.go(first));
+    body
+}
+
+impl Relay {
+    async fn go(mut self, first: Bytes) {
+        let end = self.run.gateway.instant(self.run.job.deadline);
+        let mut late = pin!(sleep_until(end));
+        let mut step = Step::Part(first);
+        loop {
+            match step {
+                Step::Part(part) => {
+                    if self.pass(part).await.is_err() {
+                        return self.over("caller gone");
+                    }
+                }
+                Step::End if self.is_whole() => return self.feed.finish(),
+                Step::End | Step::Cut => {
+                    self.flight.failed();
+                    self.run.note(&self.flight, "stream cut");
+                    if !self.resume().await {
+                        return self.over("stream cut");
+                    }
+                }
+                Step::CallerGone => return self.over("caller gone"),
+                Step::Late => return self.over("deadline passed"),
+            }
+            step = self.step(late.as_mut()).await;
+        }
+    }
+
+    /// Waits for what happens next.
+    async fn step(&mut self, late: Pin<&mut Sleep>) -> Step {
+        tokio::select! {
+            biased;
+            part = next(&mut self.rest) => match part {
+                Ok(Some(part)) => Step::Part(part),
+                Ok(None) => Step::End,
+                Err(()) => Step::Cut,
+            },
+            () = self.feed.closed() => Step::CallerGone,
+            () = late => Step::Late,
+        }
+    }
+
+    /// Passes a part on; of a stream that may be resumed, the events that it completes.
+    async fn pass(&mut self, part: Bytes) -> Result<(), peppercrank_wire::Error> {
+        let part = match &mut self.events {
+            Some(events) => Bytes::from(events.push(&part)),
+            None => part,
+        };
+        if part.is_empty() {
+            return Ok(());
+        }
+        self.feed.send(part).await
+    }
+
+    fn is_whole(&self) -> bool {
+        self.events.as_ref().is_none_or(Events::is_between)
+    }
+
+    /// Goes on at another target after the last whole event.
+    async fn resume(&mut self) -> bool {
+        while self.events.is_some() {
+            let after = self.run.plan.after(Fate::Unknown);
+            if after != After::AgainIfAllowed || !self.run.may_repeat() {
+                return false;
+            }
+            if self.resume_once().await {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn resume_once(&mut self) -> bool {
+        let run = &mut self.run;
+        let Ok(mut flight) = begin(&run.gateway, &run.job, &run.tried) else {
+            return false;
+        };
+        run.tried.push(flight.key);
+        let last = self.events.as_ref().and_then(Events::last);
+        let last = last.map(str::to_owned);
+        let until = run.job.deadline;
+        let sent = send(&run.gateway, &run.job, &mut flight, until, last.as_deref()).await;
+        match sent {
+            Ok(Given::Stream { first, rest, .. }) => {
+                if let Some(events) = &mut self.events {
+                    events.restart();
+                }
+                let fields = [
+                    ("request", Field::Text(&run.job.id)),
+                    ("target", Field::Text(&flight.instance)),
+                    ("after", Field::Text(last.as_deref().unwrap_or(""))),
+                ];
+                run.gateway.log.write(Event::Resumed, &fields);
+                self.flight = flight;
+                self.rest = rest;
+                self.pass(first).await.is_ok()
+            }
+            Ok(Given::Whole { .. }) => {
+                run.note(&flight, "failure of the target");
+                false
+            }
+            Err(missed) => {
+                if missed.against {
+                    flight.failed();
+                }
+                run.note(&flight, missed.what);
+                false
+            }
+        }
+    }
+
+    /// Ends a stream before its end: the feed is dropped unfinished, so that the caller's
+    /// connection breaks off.
+    fn over(self, what: &'static str) {
+        let fields = [
+            ("request", Field::Text(&self.run.job.id)),
+            ("target", Field::Text(&self.flight.instance)),
+            ("what", Field::Text(what)),
+        ];
+        self.run.gateway.metrics.missed(what);
+        self.run.gateway.log.write(Event::StreamCut, &fields);
+    }
+}
+
+impl Run {
+    /// A run that goes on from where another one is.
+    fn of(run: &Self) -> Self {
+        Self {
+            gateway: Arc::clone(&run.gateway),
+            job: Arc::clone(&run.job),
+            plan: run.plan,
+            tried: run.tried.clone(),
+            failure: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/reload.rs
@@ -0,0 +1,68 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Reads the settings anew, on SIGHUP and when the file has changed without a signal.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use peppercrank_core::events::Event;
+use peppercrank_log::Field;
+use peppercrank_settings::GatewaySettings;
+use peppercrank_settings::file;
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+use crate::state::terms;
+
+/// Pause between looks at the file.
+const EVERY: Duration = Duration::from_secs(1);
+
+/// `reload` keeps the settings up to date; an invalid file leaves the last good one in force.
+pub async fn reload(
+    gateway: Arc<Gateway>,
+    path: PathBuf,
+    settings: watch::Sender<Arc<GatewaySettings>>,
+    mut hangup: Signal,
+) {
+    let mut seen = file::read(&path).unwrap_or_default();
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = sleep(EVERY) => {}
+        }
+        read(&gateway, &path, &settings, &mut seen);
+    }
+}
+
+fn read(
+    gateway: &Gateway,
+    path: &Path,
+    settings: &watch::Sender<Arc<GatewaySettings>>,
+    seen: &mut String,
+) {
+    // A file that cannot be read now may be about to be replaced; the next look tells.
+    let Ok(text) = file::read(path) else {
+        return;
+    };
+    if text == *seen {
+        return;
+    }
+    match GatewaySettings::parse(&text) {
+        Ok(new) => {
+            gateway.state().budget.set(terms(&new));
+            settings.send_replace(Arc::new(new));
+            gateway.log.write(Event::SettingsRead, &[]);
+        }
+        Err(e) => {
+            let text = e.to_string();
+            let fields = [("error", Field::Text(&text))];
+            gateway.log.write(Event::SettingsInvalid, &fields);
+        }
+    }
+    *seen = text;
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -0,0 +1,191 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Starts the gateway and ends it on SIGTERM.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use peppercrank_core::events::Event;
+use peppercrank_core::events::Level;
+use peppercrank_direct::desired::CallerBounds;
+use peppercrank_log::Field;
+use peppercrank_log::Log;
+use peppercrank_platform::store::Kind;
+use peppercrank_settings::GatewaySettings;
+use peppercrank_wire::edge::Edge;
+use peppercrank_wire::edge::Limits;
+use peppercrank_wire::stop::Stop;
+use peppercrank_wire::stop::stop;
+use tokio::net::UdpSocket;
+use tokio::runtime::Builder;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::Error;
+use crate::Result;
+use crate::admin;
+use crate::follow;
+use crate::follow::Follower;
+use crate::follow::Outage;
+use crate::gateway::Gateway;
+use crate::gossip;
+use crate::register;
+use crate::reload;
+use crate::serve;
+use crate::store::Store;
+
+/// Time that new callers still come after SIGTERM: the balancer asks each second and drops a
+/// router after two misses.
+const STOP_IDLE: Duration = Duration::from_millis(3_000);
+
+/// Time left at the end for the process itself.
+const LAST: Duration = Duration::from_millis(400);
+
+/// Bounds on callers before a configuration was read.
+const FIRST_BOUNDS: CallerBounds = CallerBounds {
+    head: 16_384,
+    body: 4_194_304,
+    head_time: Duration::from_secs(3),
+    idle: Duration::from_secs(15),
+};
+
+/// Multiple of the idle time that callers are told; one that reuses a connection late in that
+/// time must not find it closed.
+const IDLE_SLACK: u32 = 2;
+
+/// Part of the memory that bodies of requests may take.
+const BODIES: usize = 4;
+
+/// Pause between looks at the bounds on callers.
+const BOUNDS_EVERY: Duration = Duration::from_millis(200);
+
+/// `run` serves until SIGTERM, then ends what is in progress.
+///
+/// # Errors
+///
+/// Returns an error when the settings are invalid or a socket cannot be bound.
+pub fn run(path: &Path) -> Result<()> {
+    let settings = GatewaySettings::load(path).map_err(Error::Settings)?;
+    let log = Log::to(std::io::stdout(), Level::Info, &settings.name);
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(Error::Start)?;
+    runtime.block_on(serve(path, settings, log))
+}
+
+async fn serve(path: &Path, settings: GatewaySettings, log: Log) -> Result<()> {
+    let (stopper, stopped) = stop();
+    let edge = Edge::bind(settings.listen).await.map_err(Error::Bind)?;
+    let ready = Edge::bind(settings.ready).await.map_err(Error::Bind)?;
+    let socket = UdpSocket::bind(settings.peers).await.map_err(Error::Start)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Start)?;
+    let hangup = signal(SignalKind::hangup()).map_err(Error::Start)?;
+    let (dial, settings) = watch::channel(Arc::new(settings));
+    let gateway = Arc::new(Gateway::new(settings, log, stopped.clone()));
+    let address = edge.local_addr().to_string();
+    let fields = [("listen", Field::Text(&address))];
+    gateway.log.write(Event::Started, &fields);
+
+    let store = Store::new(gateway.settings().store);
+    start(&gateway, &store, Arc::new(socket));
+    tokio::spawn(reload::reload(
+        Arc::clone(&gateway),
+        path.to_owned(),
+        dial,
+        hangup,
+    ));
+    serve_admin(&gateway, ready).await?;
+
+    let limits = limits(&gateway);
+    let shared = Arc::clone(&gateway);
+    let answer = move |call| serve::answer(Arc::clone(&shared), call);
+    let serving = tokio::spawn(edge.serve_within(limits, stopped, answer));
+    let _told = terminate.recv().await;
+    gateway.log.write(Event::Stopping, &[]);
+    stopper.stop();
+    let finished = serving.await.map_err(|e| Error::Start(e.into()))?;
+    register::leave(&gateway, &store).await;
+    let fields = [("cut", Field::Number(finished.cut))];
+    gateway.log.write(Event::Stopped, &fields);
+    Ok(())
+}
+
+/// Starts the tasks that keep the blackboard up to date.
+fn start(gateway: &Arc<Gateway>, store: &Store, socket: Arc<UdpSocket>) {
+    let outage = Outage::default();
+    for kind in [Kind::Configuration, Kind::Targets, Kind::Routers] {
+        tokio::spawn(Follower::new(gateway, store, kind, &outage).run());
+    }
+    tokio::spawn(follow::expire(Arc::clone(gateway)));
+    tokio::spawn(register::register(Arc::clone(gateway), store.clone()));
+    tokio::spawn(gossip::tell(Arc::clone(gateway), Arc::clone(&socket)));
+    tokio::spawn(gossip::hear(Arc::clone(gateway), socket));
+}
+
+/// Serves the balancer and the metrics until the process ends.
+async fn serve_admin(gateway: &Arc<Gateway>, ready: Edge) -> Result<()> {
+    let shared = Arc::clone(gateway);
+    let answer = move |call| {
+        let reply = admin::ready(&shared, &call);
+        async move { reply }
+    };
+    tokio::spawn(ready.serve(Limits::default(), never(), answer));
+    let Some(address) = gateway.settings().metrics else {
+        return Ok(());
+    };
+    let metrics = Edge::bind(address).await.map_err(Error::Bind)?;
+    let shared = Arc::clone(gateway);
+    let answer = move |call| {
+        let reply = admin::metrics(&shared, &call);
+        async move { reply }
+    };
+    tokio::spawn(metrics.serve(Limits::default(), never(), answer));
+    Ok(())
+}
+
+/// A signal that is never given.
+fn never() -> Stop {
+    let (stopper, stop) = stop();
+    // A stopper that is dropped would tell to stop.
+    std::mem::forget(stopper);
+    stop
+}
+
+/// The edge's limits, kept up to date with the configuration.
+fn limits(gateway: &Arc<Gateway>) -> watch::Receiver<Arc<Limits>> {
+    let (dial, limits) = watch::channel(Arc::new(edge_limits(gateway, FIRST_BOUNDS)));
+    let gateway = Arc::clone(gateway);
+    tokio::spawn(async move {
+        let mut seen = FIRST_BOUNDS;
+        loop {
+            sleep(BOUNDS_EVERY).await;
+            let bounds = gateway.state().config.index().map(|i| i.desired().bounds);
+            if let Some(bounds) = bounds
+                && bounds != seen
+            {
+                seen = bounds;
+                dial.send_replace(Arc::new(edge_limits(&gateway, bounds)));
+            }
+        }
+    });
+    limits
+}
+
+fn edge_limits(gateway: &Gateway, bounds: CallerBounds) -> Limits {
+    let settings = gateway.settings();
+    Limits {
+        connections: settings.sockets as usize / 2,
+        head: bounds.head,
+        body: bounds.body,
+        bodies: (settings.memory / BODIES) as u64,
+        head_time: bounds.head_time,
+        body_time: bounds.head_time * 2,
+        idle: bounds.idle * IDLE_SLACK,
+        stop_idle: STOP_IDLE,
+        drain: settings.stop_seconds.saturating_sub(LAST),
+        ..Limits::default()
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -0,0 +1,275 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Answers callers: judge, attempt, attempt again where that is allowed, answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::StatusCode;
+use peppercrank_core::events::Event;
+use peppercrank_core::time::Moment;
+use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::retries::After;
+use peppercrank_direct::retries::Fate;
+use peppercrank_direct::retries::Plan;
+use peppercrank_log::Field;
+use peppercrank_wire::body;
+use peppercrank_wire::body::Body;
+use peppercrank_wire::edge::Call;
+use peppercrank_wire::edge::Reply;
+use peppercrank_wire::edge::refuse_body;
+
+use crate::attempt::Flight;
+use crate::attempt::Given;
+use crate::attempt::Missed;
+use crate::attempt::begin;
+use crate::attempt::send;
+use crate::gateway::Gateway;
+use crate::job::Job;
+use crate::refuse::Reason;
+use crate::refuse::refuse;
+use crate::relay;
+
+/// When to come back after a refusal that passes, unless more is known: several times the lag of
+/// peers' loads, so that what was full may have room.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// Part of the wanted time after which a repeatable request is tried elsewhere.
+const PATIENCE: f64 = 0.5;
+
+/// Multiple of the predicted time that a repeatable request waits at least.
+const SLACK: f64 = 4.0;
+
+/// `answer` answers one call.
+pub async fn answer(gateway: Arc<Gateway>, call: Call) -> Reply {
+    let begun = gateway.now();
+    let body = match call.body.read().await {
+        Ok(body) => body,
+        Err(e) => return refuse_body(e),
+    };
+    match Job::judge(&gateway, begun, call.head, body) {
+        Ok(job) => carry(&gateway, Arc::new(job)).await,
+        Err(reason) => {
+            gateway.metrics.refused(reason);
+            let fields = [("reason", Field::Text(reason.code()))];
+            gateway.log.write(Event::Refused, &fields);
+            refuse(reason, COME_BACK)
+        }
+    }
+}
+
+/// Carries a judged request to its answer.
+async fn carry(gateway: &Arc<Gateway>, job: Arc<Job>) -> Reply {
+    let now = gateway.now();
+    gateway.state().budget.request(now, &job.pool);
+    let mut run = Run {
+        gateway: Arc::clone(gateway),
+        plan: Plan::new(job.kind.repeats(), job.attempts),
+        tried: Vec::new(),
+        failure: None,
+        job,
+    };
+    loop {
+        if let Next::Answer(reply) = run.attempt().await {
+            return reply;
+        }
+    }
+}
+
+/// `Next` is what follows an attempt.
+enum Next {
+    /// The answer.
+    Answer(Reply),
+    /// Another attempt.
+    Again,
+}
+
+/// `Run` is one request over its attempts.
+#[derive(Debug)]
+pub struct Run {
+    /// What all tasks share.
+    pub gateway: Arc<Gateway>,
+    /// The request.
+    pub job: Arc<Job>,
+    /// How far it has come.
+    pub plan: Plan,
+    /// The targets that it was sent to.
+    pub tried: Vec<TargetKey>,
+    /// A target's failure, to pass on if nothing better comes.
+    pub(crate) failure: Option<(StatusCode, HeaderMap, bytes::Bytes)>,
+}
+
+impl Run {
+    async fn attempt(&mut self) -> Next {
+        if self.gateway.now() >= self.job.deadline {
+            return Next::Answer(self.give_up(Reason::Late));
+        }
+        let mut flight = match begin(&self.gateway, &self.job, &self.tried) {
+            Ok(flight) => flight,
+            Err(reason) => return Next::Answer(self.give_up(reason)),
+        };
+        self.tried.push(flight.key);
+        let until = self.patience(&flight);
+        let sent = send(&self.gateway, &self.job, &mut flight, until, None).await;
+        match sent {
+            Ok(given) => self.take(flight, given),
+            Err(missed) => self.miss(&flight, missed),
+        }
+    }
+
+    /// How long this attempt may take to its answer's first part.
+    fn patience(&self, flight: &Flight) -> Moment {
+        let more = self.job.kind.repeats() && self.plan.sends() + 1 < self.job.attempts;
+        if !more {
+            return self.job.deadline;
+        }
+        let wanted = self.job.goal.mul_f64(PATIENCE);
+        let predicted = Duration::from_secs_f64(flight.predicted.max(0.0) * SLACK / 1_000.0);
+        (flight.sent + wanted.max(predicted)).min(self.job.deadline)
+    }
+
+    /// Takes a target's answer: passes it on, or tries elsewhere after a failure.
+    fn take(&mut self, flight: Flight, given: Given) -> Next {
+        match given {
+            Given::Whole {
+                status,
+                headers,
+                body,
+            } => {
+                if status.is_server_error() {
+                    flight.failed();
+                    self.note(&flight, "failure of the target");
+                    let after = self.plan.after(Fate::Failed);
+                    self.failure = Some((status, headers, body));
+                    return self.follow(after, Reason::Failed);
+                }
+                self.done(&flight, status);
+                Next::Answer(reply(status, headers, body::full(body)))
+            }
+            Given::Stream {
+                status,
+                headers,
+                first,
+                rest,
+            } => {
+                self.done(&flight, status);
+                let body = relay::start(self, flight, first, rest);
+                Next::Answer(reply(status, headers, body))
+            }
+        }
+    }
+
+    /// Follows up an attempt that gave no answer.
+    fn miss(&mut self, flight: &Flight, missed: Missed) -> Next {
+        if missed.against {
+            flight.failed();
+        }
+        self.note(flight, missed.what);
+        let after = self.plan.after(missed.fate);
+        let reason = match missed.fate {
+            Fate::NotSent | Fate::NotRun => Reason::Refused,
+            Fate::Unknown | Fate::Failed => Reason::Failed,
+        };
+        self.follow(after, reason)
+    }
+
+    fn follow(&mut self, after: After, reason: Reason) -> Next {
+        match after {
+            After::Again => Next::Again,
+            After::AgainIfAllowed if self.may_repeat() => Next::Again,
+            After::AgainIfAllowed | After::Refuse | After::Fail => {
+                Next::Answer(self.give_up(reason))
+            }
+        }
+    }
+
+    /// `may_repeat` takes a repeat from the fleet's budget, if it has one.
+    pub fn may_repeat(&self) -> bool {
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        let routers = state.sharers(now);
+        let may = state.budget.spend(now, &self.job.pool, routers);
+        drop(state);
+        self.gateway.metrics.repeated(may);
+        may
+    }
+
+    /// Ends the request with the best answer that there is.
+    fn give_up(&mut self, reason: Reason) -> Reply {
+        if let Some((status, headers, body)) = self.failure.take() {
+            return reply(status, headers, body::full(body));
+        }
+        let late = self.gateway.now() >= self.job.deadline;
+        let reason = match (self.plan.has_run(), late) {
+            (true, true) => Reason::TimedOut,
+            (true, false) => Reason::Failed,
+            (false, true) => Reason::Late,
+            (false, false) => reason,
+        };
+        self.gateway.metrics.refused(reason);
+        let fields = [
+            ("request", Field::Text(&self.job.id)),
+            ("route", Field::Text(&self.job.route)),
+            ("reason", Field::Text(reason.code())),
+            ("attempts", Field::Number(u64::from(self.plan.sends()))),
+            ("version", Field::Number(self.job.version)),
+            ("held_ms", Field::Millis(self.held())),
+        ];
+        self.gateway.log.write(Event::Refused, &fields);
+        refuse(reason, COME_BACK)
+    }
+
+    fn held(&self) -> Duration {
+        self.gateway.now().since(self.job.begun)
+    }
+
+    /// Notes an attempt that gave nothing.
+    pub fn note(&self, flight: &Flight, what: &'static str) {
+        self.gateway.metrics.missed(what);
+        let fields = [
+            ("request", Field::Text(&self.job.id)),
+            ("target", Field::Text(&flight.instance)),
+            ("what", Field::Text(what)),
+            ("predicted_ms", Field::Number(whole(flight.predicted))),
+            ("held_ms", Field::Millis(self.held())),
+        ];
+        self.gateway.log.write(Event::AttemptFailed, &fields);
+    }
+
+    /// Notes an answer.
+    fn done(&self, flight: &Flight, status: StatusCode) {
+        let held = self.held();
+        self.gateway.metrics.answered(held);
+        let fields = [
+            ("request", Field::Text(&self.job.id)),
+            ("route", Field::Text(&self.job.route)),
+            ("target", Field::Text(&flight.instance)),
+            ("status", Field::Number(u64::from(status.as_u16()))),
+            ("attempts", Field::Number(u64::from(self.plan.sends()) + 1)),
+            ("version", Field::Number(self.job.version)),
+            ("reading", Field::Number(flight.reading)),
+            ("predicted_ms", Field::Number(whole(flight.predicted))),
+            ("first_ms", Field::Millis(held)),
+        ];
+        self.gateway.log.write(Event::Answered, &fields);
+    }
+}
+
+/// A prediction in whole milliseconds.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a prediction is not negative, and a log line needs no more"
+)]
+fn whole(millis: f64) -> u64 {
+    millis as u64
+}
+
+fn reply(status: StatusCode, headers: HeaderMap, body: Body) -> Reply {
+    let mut reply = Reply::new(body);
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    reply
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -0,0 +1,97 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The blackboard that the gateway's tasks read and write.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use peppercrank_core::time::Moment;
+use peppercrank_direct::desired::InForce;
+use peppercrank_direct::directory::Directory;
+use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::freshness::Freshness;
+use peppercrank_direct::peers::Hint;
+use peppercrank_direct::peers::Peers;
+use peppercrank_direct::peers::TargetId;
+use peppercrank_direct::place::Board;
+use peppercrank_direct::prefixes::Prefixes;
+use peppercrank_direct::rates::Rates;
+use peppercrank_direct::retries::RetryBudget;
+use peppercrank_direct::retries::Terms;
+use peppercrank_settings::GatewaySettings;
+
+/// `State` is what the process believes.
+#[derive(Debug)]
+pub struct State {
+    /// The configuration in force.
+    pub config: InForce,
+    /// How old the knowledge of keys is.
+    pub freshness: Freshness,
+    /// The targets there are.
+    pub directory: Directory,
+    /// Whether the targets were listed once.
+    pub listed: bool,
+    /// What is known of each target.
+    pub board: Board,
+    /// Targets by their names on datagrams.
+    pub names: HashMap<TargetId, TargetKey>,
+    /// Who holds which part of a prompt.
+    pub prefixes: Prefixes,
+    /// What is learnt of each pool's speed.
+    pub rates: HashMap<Arc<str>, Rates>,
+    /// The fleet's retry budget.
+    pub budget: RetryBudget,
+    /// What other routers told.
+    pub peers: Peers,
+    /// Where the other registered routers take datagrams.
+    pub routers: HashMap<Arc<str>, SocketAddr>,
+    /// Parts sent since the last summary.
+    pub hints: Vec<Hint>,
+}
+
+/// `terms` are the bounds on repeats that the settings give.
+#[must_use]
+pub fn terms(settings: &GatewaySettings) -> Terms {
+    Terms {
+        share: settings.retry.share,
+        extra: f64::from(settings.retry.extra),
+        window: settings.retry.window_seconds,
+    }
+}
+
+impl State {
+    /// `new` is the state of a process that knows nothing yet.
+    #[must_use]
+    pub fn new(now: Moment, settings: &GatewaySettings) -> Self {
+        Self {
+            config: InForce::default(),
+            freshness: Freshness::new(settings.keys.map(|k| k.revoke)),
+            directory: Directory::default(),
+            listed: false,
+            board: Board::default(),
+            names: HashMap::new(),
+            prefixes: Prefixes::default(),
+            rates: HashMap::new(),
+            budget: RetryBudget::new(now, terms(settings)),
+            peers: Peers::default(),
+            routers: HashMap::new(),
+            hints: Vec::new(),
+        }
+    }
+
+    /// `forget` drops all that is known of a target that is gone.
+    pub fn forget(&mut self, key: TargetKey) {
+        self.board.forget(key);
+        self.prefixes.forget(key);
+        self.names.retain(|_, k| *k != key);
+    }
+
+    /// `sharers` is how many routers share the retry budget: those registered, those heard of,
+    /// and this one.
+    #[must_use]
+    pub fn sharers(&self, now: Moment) -> usize {
+        self.routers.len().max(self.peers.alive(now)) + 1
+    }
+}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -0,0 +1,141 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Calls to the platform's store, over the one client of the wire.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use peppercrank_wire::body;
+use peppercrank_wire::client::Client;
+use peppercrank_wire::client::Reuse;
+use peppercrank_wire::client::Times;
+use tokio::time::timeout;
+
+/// Time for a connection to the store.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Time for which a connection to the store is kept; it serves a call each second or so.
+const KEEP: Duration = Duration::from_secs(30);
+
+/// Connections kept: one for each kind of entries that is followed, and one for writes.
+const SPARE: usize = 4;
+
+/// Time for an answer of the store beyond what it was asked to wait. Its usual answers take
+/// milliseconds; a store that is slow takes some hundreds.
+pub const ANSWER: Duration = Duration::from_millis(1_500);
+
+/// `Store` calls the platform's store.
+#[derive(Debug, Clone)]
+pub struct Store {
+    client: Client,
+    address: SocketAddr,
+}
+
+/// `Ended` is how a call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ended {
+    /// With this answer.
+    Done(Bytes),
+    /// The history asked for is gone.
+    HistoryGone,
+    /// The entry is there already, or is another version.
+    Conflict,
+    /// There is no such entry.
+    Missing,
+    /// Refused, with nothing done.
+    Refused(StatusCode),
+    /// Without an answer: it may have been done.
+    Lost,
+}
+
+impl Ended {
+    /// `code` is the outcome's stable name in metrics.
+    #[must_use]
+    pub const fn code(&self) -> &'static str {
+        match self {
+            Self::Done(_) => "done",
+            Self::HistoryGone => "history_gone",
+            Self::Conflict => "conflict",
+            Self::Missing => "missing",
+            Self::Refused(_) => "refused",
+            Self::Lost => "lost",
+        }
+    }
+}
+
+impl Store {
+    /// `new` makes a client of the store at this address.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        let times = Times {
+            connect: CONNECT,
+            first_byte: Duration::from_secs(60),
+            idle: Duration::from_secs(60),
+            keep: KEEP,
+            spare: SPARE,
+        };
+        let client = Client::new(times);
+        Self { client, address }
+    }
+
+    /// `get` reads, waiting as long as the store was asked to wait, and then [`ANSWER`].
+    pub async fn get(&self, path: &str, wait: Duration) -> Ended {
+        self.call(Method::GET, path, Bytes::new(), wait).await
+    }
+
+    /// `post` creates an entry.
+    pub async fn post(&self, path: &str, body: Bytes) -> Ended {
+        self.call(Method::POST, path, body, Duration::ZERO).await
+    }
+
+    /// `put` replaces an entry.
+    pub async fn put(&self, path: &str, body: Bytes) -> Ended {
+        self.call(Method::PUT, path, body, Duration::ZERO).await
+    }
+
+    /// `delete` removes an entry.
+    pub async fn delete(&self, path: &str) -> Ended {
+        self.call(Method::DELETE, path, Bytes::new(), Duration::ZERO)
+            .await
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Bytes, wait: Duration) -> Ended {
+        let mut request = Request::new(body::full(body));
+        *request.method_mut() = method;
+        let Ok(uri) = path.parse() else {
+            // Names of entries come from the store itself, which spells them as paths.
+            return Ended::Lost;
+        };
+        *request.uri_mut() = uri;
+        let json = HeaderValue::from_static("application/json");
+        request.headers_mut().insert(header::CONTENT_TYPE, json);
+        let whole = timeout(wait + ANSWER, self.exchange(request));
+        whole.await.unwrap_or(Ended::Lost)
+    }
+
+    async fn exchange(&self, request: Request<body::Body>) -> Ended {
+        let sent = self.client.send(self.address, request, Reuse::Allowed);
+        let Ok(answer) = sent.await else {
+            return Ended::Lost;
+        };
+        let (head, body) = answer.into_parts();
+        let Ok(whole) = body.collect().await else {
+            return Ended::Lost;
+        };
+        match head.status {
+            status if status.is_success() => Ended::Done(whole.to_bytes()),
+            StatusCode::GONE => Ended::HistoryGone,
+            StatusCode::CONFLICT => Ended::Conflict,
+            StatusCode::NOT_FOUND => Ended::Missing,
+            status => Ended::Refused(status),
+        }
+    }
+}
--- a/crates/peppercrank-daemon/src/log.rs
+++ b/crates/peppercrank-log/src/lib.rs
@@ -2,6 +2,9 @@
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
 //! Structured logs: one JSON line an event, with the event's number.
+//!
+//! Lines wait in a bounded queue for a thread that writes them; when it is full they are dropped
+//! and counted, and nothing ever waits for the writer.
 
 use std::io::Write;
 use std::sync::Mutex;
@@ -9,7 +12,10 @@
 use peppercrank_core::events::Event;
 use peppercrank_core::events::Level;
 use slog::Drain;
+use slog::KV;
 use slog::Logger;
+use slog::Record;
+use slog::Serializer;
 use slog::o;
 
 /// Log lines that may wait for the writer; more are dropped and counted by the drain.
@@ -45,6 +51,18 @@
         }
     }
 
+    /// `write` writes one event with its fields.
+    pub fn write(&self, event: Event, fields: &[(&'static str, Field<'_>)]) {
+        let log = &self.logger;
+        let (number, fields) = (event.number(), Fields(fields));
+        match event.level() {
+            Level::Debug => slog::debug!(log, "{}", event.text(); fields, "event" => number),
+            Level::Info => slog::info!(log, "{}", event.text(); fields, "event" => number),
+            Level::Warning => slog::warn!(log, "{}", event.text(); fields, "event" => number),
+            Level::Error => slog::error!(log, "{}", event.text(); fields, "event" => number),
+        }
+    }
+
     /// `event` writes one event with what it was about.
     pub fn event(&self, event: Event, about: &str) {
         let log = &self.logger;
@@ -66,6 +84,36 @@
     }
 }
 
+/// `Field` is one value of a log line.
+#[derive(Debug, Clone, Copy)]
+pub enum Field<'a> {
+    /// A text.
+    Text(&'a str),
+    /// A whole number.
+    Number(u64),
+    /// A time in milliseconds.
+    Millis(std::time::Duration),
+}
+
+/// The fields of one line.
+struct Fields<'a>(&'a [(&'static str, Field<'a>)]);
+
+impl KV for Fields<'_> {
+    fn serialize(&self, _record: &Record<'_>, out: &mut dyn Serializer) -> slog::Result {
+        for (name, field) in self.0 {
+            match field {
+                Field::Text(text) => out.emit_str(name, text)?,
+                Field::Number(number) => out.emit_u64(name, *number)?,
+                Field::Millis(time) => {
+                    let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+                    out.emit_u64(name, millis)?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
 fn slog_level(level: Level) -> slog::Level {
     match level {
         Level::Debug => slog::Level::Debug,
--- a/crates/peppercrank-settings/src/checked.rs
+++ b/crates/peppercrank-settings/src/checked.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use serde::Deserialize;
 use serde::Deserializer;
 use serde::de::Error;
 use serde::de::Visitor;
@@ -83,6 +84,23 @@
     from.deserialize_any(Share)
 }
 
+/// `seconds` reads a number of seconds, `LEAST` to `MOST`, with fractions.
+///
+/// # Errors
+///
+/// Fails for anything but a number, and outside the range.
+pub fn seconds<'de, D, const LEAST: u32, const MOST: u32>(from: D) -> Result<Duration, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let number = f64::deserialize(from)?;
+    if (f64::from(LEAST)..=f64::from(MOST)).contains(&number) {
+        return Ok(Duration::from_secs_f64(number));
+    }
+    let (least, most) = (LEAST.to_string(), MOST.to_string());
+    Err(D::Error::custom(errors::range(&number.to_string(), &least, &most)))
+}
+
 /// Reads a text by a function.
 struct Text<F> {
     what: &'static str,
--- a/crates/peppercrank-wire/src/edge/connection.rs
+++ b/crates/peppercrank-wire/src/edge/connection.rs
@@ -28,6 +28,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
@@ -58,11 +59,18 @@
 /// `Shared` is what all connections of an edge share.
 #[derive(Debug)]
 pub(super) struct Shared<F> {
-    pub(super) limits: Arc<Limits>,
+    pub(super) limits: watch::Receiver<Arc<Limits>>,
     pub(super) counters: Arc<Counters>,
     pub(super) answer: F,
 }
 
+impl<F> Shared<F> {
+    /// The limits at this moment; a connection keeps those that it began with.
+    pub(super) fn limits(&self) -> Arc<Limits> {
+        Arc::clone(&self.limits.borrow())
+    }
+}
+
 /// `Busy` marks a call as in progress until it is dropped.
 #[derive(Debug)]
 struct Busy {
@@ -122,29 +130,36 @@
     F: Fn(Call) -> R + Send + Sync + 'static,
     R: Future<Output = Reply> + Send,
 {
+    let limits = shared.limits();
     let flow = Arc::new(Flow::new());
-    let gate = Gate::new(io, Arc::clone(&flow), Arc::clone(&shared.limits));
+    let gate = Gate::new(io, Arc::clone(&flow), Arc::clone(&limits));
     let service = {
         let flow = Arc::clone(&flow);
         let shared = Arc::clone(&shared);
+        let limits = Arc::clone(&limits);
         let stop = stop.clone();
         service_fn(move |request| {
             let busy = Busy::new(&flow, &shared.counters);
-            serve(request, peer, Arc::clone(&shared), stop.clone(), busy)
+            let call = Taken {
+                request,
+                peer,
+                limits: Arc::clone(&limits),
+            };
+            serve(call, Arc::clone(&shared), stop.clone(), busy)
         })
     };
     let mut conn = http1::Builder::new()
         // The gate has read the whole head, and bounds the time it takes.
         .header_read_timeout(None)
-        .max_buf_size(shared.limits.head.saturating_mul(2).max(LEAST_BUFFER))
+        .max_buf_size(limits.head.saturating_mul(2).max(LEAST_BUFFER))
         .serve_connection(TokioIo::new(gate), service);
-    let end = watch(&mut conn, &flow, &shared.limits, stop).await;
+    let end = drive(&mut conn, &flow, &limits, stop).await;
     let busy = flow.phase() == Phase::Busy;
     // This drops the answer in progress, which is how its work is cancelled.
     let io = conn.into_parts().io.into_inner().into_inner();
     match next(end, busy, &flow) {
-        Next::TurnAway(reason) => turn_away(io, reason, &flow, &shared).await,
-        Next::Close => close(io, &shared.limits).await,
+        Next::TurnAway(reason) => turn_away(io, reason, &flow, &limits, &shared.counters).await,
+        Next::Close => close(io, &limits).await,
         Next::CallerGone => shared.counters.caller_gone(),
     }
 }
@@ -164,9 +179,15 @@
     }
 }
 
-async fn serve<F, R>(
+/// `Taken` is a request as hyper hands it over.
+struct Taken {
     request: Request<Incoming>,
     peer: SocketAddr,
+    limits: Arc<Limits>,
+}
+
+async fn serve<F, R>(
+    taken: Taken,
     shared: Arc<Shared<F>>,
     stop: Stop,
     busy: Busy,
@@ -175,10 +196,11 @@
     F: Fn(Call) -> R,
     R: Future<Output = Reply>,
 {
-    let (head, body) = request.into_parts();
+    let peer = taken.peer;
+    let (head, body) = taken.request.into_parts();
     // The gate cannot tell where a chunked body ends, so nothing may follow it.
     let last = head.headers.contains_key(header::TRANSFER_ENCODING);
-    let body = CallBody::new(body, Arc::clone(&shared.limits), Arc::clone(&busy.held));
+    let body = CallBody::new(body, taken.limits, Arc::clone(&busy.held));
     let mut reply = (shared.answer)(Call { head, body, peer }).await;
     if last || stop.is_stopping() {
         let close = HeaderValue::from_static("close");
@@ -205,7 +227,7 @@
 }
 
 /// Drives the connection until it closes or one of its times runs out.
-async fn watch<C>(conn: &mut C, flow: &Flow, limits: &Limits, mut stop: Stop) -> End
+async fn drive<C>(conn: &mut C, flow: &Flow, limits: &Limits, mut stop: Stop) -> End
 where
     C: Future<Output = hyper::Result<()>> + Unpin,
 {
@@ -230,15 +252,21 @@
 }
 
 /// Answers a refused caller, unless an answer has begun, and closes.
-async fn turn_away<F>(mut io: TcpStream, reason: Refused, flow: &Flow, shared: &Shared<F>) {
-    shared.counters.refuse(reason);
+async fn turn_away(
+    mut io: TcpStream,
+    reason: Refused,
+    flow: &Flow,
+    limits: &Limits,
+    counters: &Counters,
+) {
+    counters.refuse(reason);
     if !flow.wrote() {
-        let sent = timeout(shared.limits.linger, io.write_all(&raw(reason))).await;
+        let sent = timeout(limits.linger, io.write_all(&raw(reason))).await;
         if !matches!(sent, Ok(Ok(()))) {
             return;
         }
     }
-    close(io, &shared.limits).await;
+    close(io, limits).await;
 }
 
 /// Closes without losing what was written: a socket closed with unread bytes would be reset.
--- a/crates/peppercrank-wire/src/edge/mod.rs
+++ b/crates/peppercrank-wire/src/edge/mod.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -107,12 +108,28 @@
     /// Each call's answering future is dropped when its caller goes away. Once stopping, answers
     /// close their connections and what outlasts [`Limits::drain`] is cut.
     pub async fn serve<F, R>(self, limits: Limits, stop: Stop, answer: F) -> Finished
+    where
+        F: Fn(Call) -> R + Send + Sync + 'static,
+        R: Future<Output = Reply> + Send + 'static,
+    {
+        let (_fixed, limits) = watch::channel(Arc::new(limits));
+        self.serve_within(limits, stop, answer).await
+    }
+
+    /// `serve_within` is [`Edge::serve`] with limits that may change; a connection keeps those
+    /// that it began with.
+    pub async fn serve_within<F, R>(
+        self,
+        limits: watch::Receiver<Arc<Limits>>,
+        stop: Stop,
+        answer: F,
+    ) -> Finished
     where
         F: Fn(Call) -> R + Send + Sync + 'static,
         R: Future<Output = Reply> + Send + 'static,
     {
         let shared = Arc::new(Shared {
-            limits: Arc::new(limits),
+            limits,
             counters: Arc::clone(&self.counters),
             answer,
         });
@@ -122,11 +139,12 @@
             () = signal.wait() => {}
             () = self.accept(&mut tasks, &shared, &stop) => {}
         }
-        let end = after(Instant::now(), shared.limits.drain);
+        let limits = shared.limits();
+        let end = after(Instant::now(), limits.drain);
         // Callers hear of the stop by and by. One that the system connects as the listener closes
         // is reset, so it closes only when few come any more.
         let late = self.accept(&mut tasks, &shared, &stop);
-        let time = shared.limits.stop_idle.min(shared.limits.drain);
+        let time = limits.stop_idle.min(limits.drain);
         let _over = timeout(time, late).await;
         while let Some(Ok((io, peer))) = self.listener.accept().now_or_never() {
             admit(&mut tasks, io, peer, &shared, &stop);
@@ -194,11 +212,12 @@
 {
     let now = shared.counters.opened();
     let open = Open(Arc::clone(&shared.counters));
-    let most = shared.limits.connections as u64;
+    let limits = shared.limits();
+    let most = limits.connections as u64;
     if now > most {
         shared.counters.refuse(Refused::Connections);
         if now - most <= TURNED_AWAY {
-            tasks.spawn(turn_away(io, open, Arc::clone(&shared.limits)));
+            tasks.spawn(turn_away(io, open, limits));
         }
         return;
     }
--- a/crates/peppercrank-wire/src/lib.rs
+++ b/crates/peppercrank-wire/src/lib.rs
@@ -44,7 +44,7 @@
 
 pub mod body;
 pub mod client;
-
+pub mod clock;
 pub mod control;
 pub mod datagram;
 pub mod edge;
