Place requests by what they cost the fleet, and copy prompts between engines

Change: costs in tokens: reading again, lateness by the request's size, load; the home counts as holder until one is known; an engine that lacks what another holds is told to copy it.

--- a/crates/peppercrank-cli/tests/verify_deploy.rs
+++ b/crates/peppercrank-cli/tests/verify_deploy.rs
@@ -20,6 +20,7 @@
 use peppercrank_core::objects::Serves;
 use peppercrank_core::settings::parse;
 use peppercrank_settings::AgentSettings;
+use peppercrank_settings::GatewaySettings;
 use peppercrank_settings::RouterSettings;
 use peppercrank_standin::engine::EngineSettings;
 use peppercrank_standin::platform::PlatformSettings;
@@ -134,6 +135,59 @@
     }
 }
 
+/// The platform's file of roles names templates that are there and a program that is built.
+fn check_roles(path: &Path) {
+    let text = fs::read_to_string(path).expect("a text");
+    let values = |key: &str| {
+        let lines = text.lines().filter_map(|l| l.split_once(" = "));
+        let found = lines.filter(|(k, _)| *k == key);
+        let found = found.map(|(_, v)| v.trim_matches('"').to_owned());
+        found.collect::<Vec<_>>()
+    };
+    let templates = values("template");
+    assert!(!templates.is_empty());
+    for template in templates {
+        let path = root().join("..").join(&template);
+        assert!(path.exists(), "{template}");
+    }
+    for run in values("run") {
+        let program = run.split(' ').next().and_then(|p| p.rsplit('/').next());
+        let program = program.expect("a program");
+        assert!(values("build").iter().any(|b| b.contains(program)), "{run}");
+    }
+}
+
+/// A template as the platform fills it in where every section applies.
+fn filled(template: &str) -> String {
+    let values = [
+        ("{{nodeName|json}}", "\"gateway-1\""),
+        ("{{zone|json}}", "\"ulemiste\""),
+        ("{{listen.frontend|json}}", "\"10.1.0.40:8227\""),
+        ("{{listen.readyAddress|json}}", "\"10.1.0.40:8220\""),
+        ("{{platform.address|json}}", "\"10.200.1.7:8223\""),
+        ("{{ip}}", "10.1.0.40"),
+        ("{{internalPorts.0}}", "7340"),
+        ("{{limits.fileDescriptors}}", "4100"),
+        ("{{limits.memoryMb}}", "260"),
+        ("{{bounds.graceS}}", "8"),
+        ("{{bounds.revokeMs}}", "5000"),
+        ("{{bounds.capFactor}}", "2"),
+        ("{{bounds.retryBudgetRatio}}", "0.2"),
+        ("{{bounds.budgetExtraRetries}}", "56"),
+        ("{{bounds.budgetWindowS}}", "10"),
+    ];
+    let mut text = template.to_owned();
+    for section in ["strictRevocation", "capFactor", "budgetWindowS"] {
+        text = text.replace(&format!("{{{{#bounds.{section}}}}}"), "");
+        text = text.replace(&format!("{{{{/bounds.{section}}}}}"), "");
+    }
+    for (name, value) in values {
+        text = text.replace(name, value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    text
+}
+
 #[test]
 fn verify_every_file_is_of_a_known_sort_and_sound() {
     let mut seen = 0;
@@ -142,6 +196,11 @@
         if name == "README.md" {
             continue;
         }
+        if name == "system.toml" {
+            check_roles(&path);
+            seen += 1;
+            continue;
+        }
         let comments = path.extension() == Some(OsStr::new("jsonc"));
         assert!(comments, "{}", path.display());
         let text = fs::read_to_string(&path).expect("a text");
@@ -152,6 +211,8 @@
             "examples" | "settings" if name.starts_with("agent-") => {
                 AgentSettings::parse(&text).map(drop)
             }
+            "examples" if name.starts_with("gateway") => GatewaySettings::parse(&text).map(drop),
+            "platform" => GatewaySettings::parse(&filled(&text)).map(drop),
             "standin" => {
                 check_stand_in(&path, &text);
                 Ok(())
@@ -165,7 +226,7 @@
         seen += 1;
     }
     assert_eq!(
-        seen, 52,
+        seen, 55,
         "files were added or lost: look at them, then change this number"
     );
 }
--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -90,14 +90,34 @@
 }
 
 /// `Pool` is a set of targets that serve alike.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Pool {
     /// The pool's name.
     pub name: Arc<str>,
     /// Connections that one of its targets takes from all callers.
     pub connections: u32,
-    /// Tokens that one engine of the pool keeps in memory; none for plain services.
-    pub memory: Option<u64>,
+    /// The memory of its engines; none for plain services.
+    pub memory: Option<Memory>,
+}
+
+/// `Memory` is what one engine of a pool keeps of prompts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Memory {
+    /// Tokens that it keeps.
+    pub tokens: u64,
+    /// Bytes of one token.
+    pub token_bytes: f64,
+    /// Bytes that it copies to another engine in a millisecond.
+    pub link: f64,
+}
+
+impl Memory {
+    /// `copying` is how many tokens it copies in a millisecond; none where it cannot.
+    #[must_use]
+    pub fn copying(&self) -> Option<f64> {
+        let rate = self.link / self.token_bytes;
+        (rate.is_finite() && rate > 0.0).then_some(rate)
+    }
 }
 
 /// `CallerBounds` bound what callers may send and how long they may take.
@@ -125,7 +145,7 @@
 }
 
 /// `Desired` is one version of the whole configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Desired {
     /// The version, which only grows.
     pub version: u64,
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -19,7 +19,7 @@
 
 /// Time after the store's return in which living targets register again; the platform's figure
 /// is about two seconds.
-pub const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
 new_key_type! {
     /// `TargetKey` names one start of one target.
@@ -151,7 +151,11 @@
         let left = target.state == State::Leaving;
         let leaving = left || entry.leaving;
         target.registration = entry;
-        target.state = if leaving { State::Leaving } else { State::Ready };
+        target.state = if leaving {
+            State::Leaving
+        } else {
+            State::Ready
+        };
         if leaving && !left {
             return Noted::Left(key);
         }
@@ -162,7 +166,11 @@
         let instance = Arc::clone(&entry.instance);
         let pool = Arc::clone(&entry.pool);
         let leaving = entry.leaving;
-        let state = if leaving { State::Leaving } else { State::Ready };
+        let state = if leaving {
+            State::Leaving
+        } else {
+            State::Ready
+        };
         let registration = entry;
         let key = self.targets.insert(Target {
             registration,
@@ -253,6 +261,12 @@
         list.iter().filter(usable).copied().collect()
     }
 
+    /// `leaving` lists the targets of a pool that finish what they have.
+    pub fn leaving(&self, name: &str) -> impl Iterator<Item = TargetKey> {
+        let list = self.pools.get(name).into_iter().flatten().copied();
+        list.filter(|k| self.targets[*k].state == State::Leaving)
+    }
+
     /// `len` is how many targets there are.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/peppercrank-direct/src/freshness.rs
+++ b/crates/peppercrank-direct/src/freshness.rs
@@ -13,7 +13,7 @@
 
 /// Time in which a watch of the store may be silent although there are changes; the platform's
 /// figure is one second.
-pub const SILENCE: Duration = Duration::from_millis(1_000);
+pub const SILENCE: Duration = Duration::from_secs(1);
 
 /// Time from the check to the target's taking up of the request, with room for a slow process.
 pub const SENDING: Duration = Duration::from_millis(300);
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -1,11 +1,15 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! Which target a request goes to: the one with the earliest predicted first token.
+//! Which target a request goes to: the one where it costs the fleet least.
 //!
-//! The prediction is the reading that waits at the target, the reading of what it does not hold
-//! of the prompt, and what is known of its speed and failures. A request's home, the first of its
-//! pool by rendezvous hash, breaks ties, so that routers that know nothing yet agree.
+//! Costs are counted in tokens. Reading shared parts of a prompt again that another target holds
+//! costs engine time; an answer that is predicted to come late loses the request's worth, which
+//! grows with its size. Within the wanted time a little later costs next to nothing, so a request
+//! waits for the target that holds its prompt rather than have it read twice.
+//!
+//! Where nobody is known to hold a prompt, its home, the first of its pool by rendezvous hash,
+//! counts as holder, so that routers that know nothing yet agree.
 
 use std::time::Duration;
 
@@ -21,12 +25,29 @@
 /// Seed of the rendezvous hash.
 const HOME_SEED: u64 = 0x686f_6d65;
 
-/// Cost of leaving the availability zone, in milliseconds: a round trip between zones, and the
-/// price of the bytes.
-const ZONE_COST: f64 = 3.0;
+/// Tokens that reading one token again costs: it takes engine time from all that run there.
+///
+/// The users' prices set one such token to the worth of 2.3 tokens of a request's size.
+const READ_COST: f64 = 2.3;
+
+/// Tokens that copying one token from another engine costs, by the users' prices for memory moved.
+const COPY_COST: f64 = 0.4;
+
+/// Part of the wanted time from which an answer counts as endangered, and by how much more of it
+/// it counts as lost: predictions are off by about a third.
+const LATE: (f64, f64) = (0.4, 0.7);
+
+/// Part of a request's size that the whole wanted time costs while it is not endangered.
+const TIME_COST: f64 = 0.05;
 
-/// Cost of a target that is not the request's home, in milliseconds; it only breaks ties.
-const AWAY_COST: f64 = 2.0;
+/// Part of a request's size that another availability zone costs: the price of the bytes.
+const ZONE_COST: f64 = 0.012;
+
+/// Part of a request's size that the pool's mean load costs; it keeps loads even.
+const LOAD_COST: f64 = 0.03;
+
+/// Part of a request's size that a target other than its home costs; it only breaks ties.
+const AWAY_COST: f64 = 0.005;
 
 /// Requests over the multiple of the mean that a target may hold; the users' bound allows three.
 const CAP_EXTRA: f64 = 1.5;
@@ -46,8 +67,8 @@
 /// Weight of one answer in a target's running share of failures.
 const FAIL_WEIGHT: f64 = 0.12;
 
-/// Cost of a sure failure, in milliseconds, per second of the wanted time: the request is lost.
-const FAIL_COST: f64 = 1.5;
+/// Part of a request's size that a sure failure costs: it is lost, or runs twice.
+const FAIL_COST: f64 = 1.2;
 
 /// Weight of one answer in a target's running speed.
 const SPEED_WEIGHT: f64 = 0.15;
@@ -199,39 +220,64 @@
     pub slots: u32,
     /// Whether it stands in the router's availability zone.
     pub near: bool,
-    /// Prompt tokens that it would have to read.
-    pub reading: u64,
+    /// Leading tokens of the prompt that it holds.
+    pub held: u64,
     /// What is known of it.
     pub stats: Stats,
 }
 
+/// `Copying` is how fast engines copy what they hold from each other.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Copying {
+    /// Tokens copied in a millisecond.
+    pub rate: f64,
+    /// Leading tokens of the prompt that a target which takes no work any more still holds.
+    pub leaving: u64,
+}
+
 /// `Ask` is what placement needs to know of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask {
-    /// The hash that its home is drawn by: its prompt's first parts, or its own id.
+    /// The hash that its home is drawn by: its prompt's shared parts, or its own id.
     pub home: u64,
     /// The time within which its answer is wanted.
     pub goal: Duration,
     /// The multiple of the pool's mean load that a target may hold.
     pub cap: f64,
+    /// Tokens of its prompt.
+    pub tokens: u64,
+    /// Tokens of its prompt that other requests share.
+    pub shared: u64,
+    /// Its size in tokens, with those of its answer by their weight.
+    pub size: u64,
+    /// How engines copy from each other; none where they do not.
+    pub copying: Option<Copying>,
 }
 
 /// `Placed` is where a request goes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Placed {
-    /// To this target; its answer's first part is predicted after so many milliseconds.
-    At {
-        /// The target.
-        key: TargetKey,
-        /// The predicted time to the answer's first part, in milliseconds.
-        first: f64,
-    },
+    /// To this target.
+    At(Choice),
     /// Nowhere: all are full.
     Full,
     /// Nowhere: there are no targets.
     NoTarget,
 }
 
+/// `Choice` is a target and what is expected of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// The target.
+    pub key: TargetKey,
+    /// The predicted time to the answer's first part, in milliseconds.
+    pub first: f64,
+    /// Tokens of the prompt that it is expected to read.
+    pub reading: u64,
+    /// Leading tokens of the prompt that it should copy first, beyond what it holds.
+    pub copy: u64,
+}
+
 /// `place` chooses among the candidates.
 #[must_use]
 pub fn place(now: Moment, rates: &Rates, ask: &Ask, candidates: &[Candidate]) -> Placed {
@@ -243,51 +289,106 @@
     let most = (mean * ask.cap * CAP_USED + CAP_EXTRA).max(1.0);
     let fits = |c: &&Candidate| f64::from(c.stats.load()) < most;
     let sound = |c: &&Candidate| !c.stats.is_ejected(now);
-    let mut pick = best(rates, ask, candidates.iter().filter(fits).filter(sound));
+    let view = View::new(rates, ask, candidates, mean);
+    let mut pick = view.best(candidates.iter().filter(fits).filter(sound));
     if pick.is_none() {
         // A bounded part is ejected: where all that have room are, evidence gives way to room.
-        pick = best(rates, ask, candidates.iter().filter(fits));
-    }
-    match pick {
-        Some((key, first)) => Placed::At { key, first },
-        None => Placed::Full,
+        pick = view.best(candidates.iter().filter(fits));
     }
+    pick.map_or(Placed::Full, Placed::At)
 }
 
-/// The candidate of the least cost, and its predicted time.
-fn best<'a>(
-    rates: &Rates,
-    ask: &Ask,
-    candidates: impl Iterator<Item = &'a Candidate> + Clone,
-) -> Option<(TargetKey, f64)> {
-    let rank = |c: &Candidate| hash64(HOME_SEED ^ ask.home, &c.name.to_le_bytes());
-    let home = candidates.clone().max_by_key(|c| rank(c))?.key;
-    let costs = candidates.map(|c| {
-        let first = predict(rates, c);
-        let away = if c.key == home { 0.0 } else { AWAY_COST };
-        (c.key, first, first + away + burden(ask, c))
-    });
-    let best = costs.min_by(|a, b| a.2.total_cmp(&b.2))?;
-    Some((best.0, best.1))
+/// What one request sees of its pool.
+struct View<'a> {
+    rates: &'a Rates,
+    ask: &'a Ask,
+    /// The request's home.
+    home: TargetKey,
+    /// Tokens of the prompt that the target which holds most of it holds.
+    most: u64,
+    /// Whether the home is only assumed to hold them, as no target is known to.
+    assumed: bool,
+    /// The pool's mean load.
+    mean: f64,
 }
 
-/// The predicted time to the answer's first part, in milliseconds.
+impl<'a> View<'a> {
+    fn new(rates: &'a Rates, ask: &'a Ask, candidates: &[Candidate], mean: f64) -> Self {
+        let rank = |c: &&Candidate| hash64(HOME_SEED ^ ask.home, &c.name.to_le_bytes());
+        let home = candidates.iter().max_by_key(rank);
+        let home = home.map_or_else(TargetKey::default, |c| c.key);
+        let held = candidates.iter().map(|c| c.held.min(ask.shared)).max();
+        let leaving = ask.copying.map_or(0, |c| c.leaving.min(ask.shared));
+        let known = held.unwrap_or(0).max(leaving);
+        Self {
+            rates,
+            ask,
+            home,
+            most: ask.shared,
+            assumed: known < ask.shared,
+            mean,
+        }
+    }
+
+    /// The candidate of the least cost.
+    fn best(&self, candidates: impl Iterator<Item = &'a Candidate>) -> Option<Choice> {
+        let costs = candidates.map(|c| self.judge(c));
+        let best = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        Some(best.1)
+    }
+
+    /// The cost of a candidate, in tokens, and what is expected of it.
+    fn judge(&self, candidate: &Candidate) -> (f64, Choice) {
+        let ask = self.ask;
+        let held = if self.assumed && candidate.key == self.home {
+            self.most
+        } else {
+            candidate.held
+        };
+        let gap = self.most.saturating_sub(held);
+        let copying = ask.copying.filter(|_| gap > 0 && !self.assumed);
+        let copy = if copying.is_some() { gap } else { 0 };
+        let reading = ask.tokens.saturating_sub(candidate.held + copy);
+        let copied = copying.map_or(0.0, |c| as_f64(copy) / c.rate.max(0.001));
+        let first = predict(self.rates, candidate, reading) + copied;
+        let again = as_f64(gap) * if copy > 0 { COPY_COST } else { READ_COST };
+        let cost = again + as_f64(ask.size) * self.burden(candidate, first);
+        let choice = Choice {
+            key: candidate.key,
+            first,
+            reading,
+            copy,
+        };
+        (cost, choice)
+    }
+
+    /// What speaks against a candidate, as a part of the request's size.
+    fn burden(&self, candidate: &Candidate, first: f64) -> f64 {
+        let stats = &candidate.stats;
+        let part = first / (self.ask.goal.as_secs_f64() * 1_000.0).max(1.0);
+        let late = ((part - LATE.0) / LATE.1).clamp(0.0, 1.0);
+        let zone = if candidate.near { 0.0 } else { ZONE_COST };
+        let away = if candidate.key == self.home {
+            0.0
+        } else {
+            AWAY_COST
+        };
+        let load = LOAD_COST * f64::from(stats.load()) / (self.mean + 1.0);
+        late + TIME_COST * part + zone + away + load + FAIL_COST * stats.failing
+    }
+}
+
+/// The predicted time to the answer's first part, in milliseconds, for a prompt of which a target
+/// has to read so many tokens.
 #[must_use]
-pub fn predict(rates: &Rates, candidate: &Candidate) -> f64 {
+pub fn predict(rates: &Rates, candidate: &Candidate, reading: u64) -> f64 {
     let stats = &candidate.stats;
     let waiting = stats.reading.saturating_add(stats.others_reading);
-    let reading = rates.reading(waiting.saturating_add(candidate.reading));
-    let over = stats.load().saturating_add(1).saturating_sub(candidate.slots);
+    let reading = rates.reading(waiting.saturating_add(reading));
+    let over = stats
+        .load()
+        .saturating_add(1)
+        .saturating_sub(candidate.slots);
     let queue = f64::from(over) / f64::from(candidate.slots.max(1));
     (rates.base() * (1.0 + queue) + reading) * stats.speed
 }
-
-/// What speaks against a candidate besides its time, in milliseconds.
-fn burden(ask: &Ask, candidate: &Candidate) -> f64 {
-    let stats = &candidate.stats;
-    let zone = if candidate.near { 0.0 } else { ZONE_COST };
-    let share = f64::from(stats.load()) / f64::from(candidate.slots.max(1));
-    let goal = ask.goal.as_secs_f64() * 1_000.0;
-    // A fuller batch makes each token slower; a twentieth of the wanted time for a full one.
-    zone + share * goal * 0.05 + stats.failing * goal * FAIL_COST
-}
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -20,6 +20,8 @@
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::place::Ask;
 use peppercrank_direct::place::Candidate;
+use peppercrank_direct::place::Choice;
+use peppercrank_direct::place::Copying;
 use peppercrank_direct::place::Placed;
 use peppercrank_direct::place::place;
 use peppercrank_direct::retries::Fate;
@@ -57,6 +59,8 @@
     pub predicted: f64,
     /// Prompt tokens that it was thought to have to read.
     pub reading: u64,
+    /// The target that it should copy from.
+    pub copy_from: Option<SocketAddr>,
     /// Whether it had nothing else to read when the request was sent.
     alone: bool,
     /// When the request was sent.
@@ -130,20 +134,52 @@
         return Err(Reason::StaleKeys);
     }
     let candidates = candidates(&state, now, job, tried, &settings.zone);
+    let source = leaving_source(&state, job);
     let ask = Ask {
         home: job.home(),
         goal: job.goal,
         cap: settings.cap,
+        tokens: job.tokens,
+        shared: job.shared().iter().map(|p| p.tokens).sum(),
+        size: job.size(),
+        copying: job.copying.map(|rate| Copying {
+            rate,
+            leaving: source.map_or(0, |s| s.1),
+        }),
     };
     let rates = state.rates.get(&job.pool).copied().unwrap_or_default();
-    let (key, predicted) = match place(now, &rates, &ask, &candidates) {
-        Placed::At { key, first } => (key, first),
+    let choice = match place(now, &rates, &ask, &candidates) {
+        Placed::At(choice) => choice,
         Placed::Full => return Err(Reason::Full),
         Placed::NoTarget => return Err(Reason::NoTarget),
     };
-    let chosen = candidates.iter().find(|c| c.key == key);
-    let reading = chosen.map_or(0, |c| c.reading);
-    Ok(take(gateway, &mut state, job, key, predicted, reading))
+    let copy_from = copy_source(&state, &choice, &candidates, source);
+    Ok(take(gateway, &mut state, job, &choice, copy_from))
+}
+
+/// The target that takes no work any more and holds most of a request's shared parts.
+fn leaving_source(state: &State, job: &Job) -> Option<(TargetKey, u64)> {
+    job.copying?;
+    let leaving = state.directory.leaving(&job.pool);
+    let held = leaving.map(|k| (k, state.prefixes.held(k, job.shared())));
+    held.filter(|(_, held)| *held > 0)
+        .max_by_key(|(_, held)| *held)
+}
+
+/// Where the chosen target should copy from: the target that holds most of the prompt.
+fn copy_source(
+    state: &State,
+    choice: &Choice,
+    candidates: &[Candidate],
+    leaving: Option<(TargetKey, u64)>,
+) -> Option<SocketAddr> {
+    if choice.copy == 0 {
+        return None;
+    }
+    let held = candidates.iter().map(|c| (c.key, c.held));
+    let most = held.chain(leaving).max_by_key(|(_, held)| *held)?;
+    let target = state.directory.get(most.0)?;
+    Some(target.registration.address)
 }
 
 /// Counts the request at its target.
@@ -151,10 +187,10 @@
     gateway: &Arc<Gateway>,
     state: &mut State,
     job: &Job,
-    key: TargetKey,
-    predicted: f64,
-    reading: u64,
+    choice: &Choice,
+    copy_from: Option<SocketAddr>,
 ) -> Flight {
+    let Choice { key, reading, .. } = *choice;
     let now = gateway.now();
     let registration = state.directory.get(key).map(|t| t.registration.clone());
     let (instance, address) = registration.map_or_else(
@@ -167,7 +203,9 @@
     if state.hints.len() < MOST_HINTS {
         // The last part is the request's own or its session's; peers gain nothing from one that
         // no other request shares.
-        state.hints.extend(parts.map(|chain| Hint { target, chain }));
+        state
+            .hints
+            .extend(parts.map(|chain| Hint { target, chain }));
     }
     let mut alone = true;
     if let Some(stats) = state.board.of(key) {
@@ -181,8 +219,9 @@
         key,
         instance,
         address,
-        predicted,
+        predicted: choice.first,
         reading,
+        copy_from,
         alone,
         sent: now,
         unread: true,
@@ -208,7 +247,7 @@
             name: TargetId::of(&registration.instance).0,
             slots: registration.slots,
             near: &*registration.zone == zone,
-            reading: job.tokens.saturating_sub(state.prefixes.held(key, &job.parts)),
+            held: state.prefixes.held(key, &job.parts),
             stats: state.board.get(key),
         })
     };
@@ -282,9 +321,8 @@
     };
     let end = gateway.instant(until);
     let sending = gateway.client.send(flight.address, request, reuse);
-    let sent = match timeout_at(end, sending).await {
-        Ok(sent) => sent,
-        Err(_) => return Err(Missed::new(Fate::Unknown, "no answer in time", true)),
+    let Ok(sent) = timeout_at(end, sending).await else {
+        return Err(Missed::new(Fate::Unknown, "no answer in time", true));
     };
     match sent {
         Ok(answer) => match timeout_at(end, judge(job, flight, answer)).await {
@@ -312,6 +350,7 @@
         organisation: job.organisation.as_deref(),
         priority: job.priority,
         last_event,
+        copy_from: flight.copy_from,
     };
     let mut request = Request::new(body::full(job.body.clone()));
     *request.method_mut() = job.head.method.clone();
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -14,13 +14,14 @@
 use peppercrank_direct::directory::Change;
 use peppercrank_direct::directory::Noted;
 use peppercrank_direct::directory::Registration;
+use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_log::Field;
 use peppercrank_platform::router::RouterEntry;
+use peppercrank_platform::store;
 use peppercrank_platform::store::Entry;
 use peppercrank_platform::store::Event;
 use peppercrank_platform::store::Kind;
-use peppercrank_platform::store;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -30,14 +31,14 @@
 
 /// Time that the watch of the configuration waits: what it confirms counts from when it was
 /// asked, so two of these and the store's silence stay within half of the usual bound on keys.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+const CONFIG_WAIT: Duration = Duration::from_secs(1);
 
 /// Time that the watch of targets waits; a change ends it at once, and a connection that went
 /// silent is noticed after it.
-const TARGETS_WAIT: Duration = Duration::from_millis(5_000);
+const TARGETS_WAIT: Duration = Duration::from_secs(5);
 
 /// Time that the watch of routers waits: they change rarely, and datagrams tell who lives.
-const ROUTERS_WAIT: Duration = Duration::from_millis(20_000);
+const ROUTERS_WAIT: Duration = Duration::from_secs(20);
 
 /// Pause after a first failed call; it doubles with each further one.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -58,7 +59,8 @@
 
 impl Outage {
     fn set(&self, away: bool) -> bool {
-        self.0.send_if_modified(|now| std::mem::replace(now, away) != away)
+        self.0
+            .send_if_modified(|now| std::mem::replace(now, away) != away)
     }
 }
 
@@ -352,7 +354,7 @@
         }
     }
 
-    fn told_key(&self, event: LogEvent, key: peppercrank_direct::directory::TargetKey) {
+    fn told_key(&self, event: LogEvent, key: TargetKey) {
         let state = self.gateway.state();
         let instance = state.directory.get(key);
         let instance = instance.map(|t| Arc::clone(&t.registration.instance));
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::peers::Summary;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::peers::Work;
@@ -64,17 +65,13 @@
 }
 
 /// This router's own work on a target, if there is any.
-fn work(
-    state: &State,
-    target: TargetId,
-    key: peppercrank_direct::directory::TargetKey,
-) -> Option<Work> {
-    let stats = state.board.get(key);
-    let busy = stats.running > 0;
+fn work(state: &State, target: TargetId, key: TargetKey) -> Option<Work> {
+    let known = state.board.get(key);
+    let busy = known.running > 0;
     busy.then_some(Work {
         target,
-        running: stats.running,
-        reading: stats.reading,
+        running: known.running,
+        reading: known.reading,
         failing: false,
     })
 }
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -24,8 +24,12 @@
 /// Seed of the home of a request without a prompt.
 const ID_SEED: u64 = 0x6964;
 
-/// Parts of a prompt that decide its home: those that other requests share.
-const HOME_PARTS: usize = 2;
+/// Tokens of a request's size that one token of its answer weighs, by the users' figure: tokens
+/// are written one by one and read by the thousand.
+const OUTPUT_WEIGHT: u64 = 10;
+
+/// The size of a request without a prompt, in tokens; only its ratios to itself matter.
+const PLAIN_SIZE: u64 = 1_000;
 
 /// `Job` is one request with all that its attempts need.
 #[derive(Debug)]
@@ -54,6 +58,10 @@
     pub priority: u8,
     /// Tokens of its prompt.
     pub tokens: u64,
+    /// The most tokens of its answer.
+    pub output: u64,
+    /// How fast its pool's engines copy from each other, in tokens a millisecond.
+    pub copying: Option<f64>,
     /// Parts of its prompt.
     pub parts: Vec<Part>,
     /// When it came.
@@ -68,13 +76,28 @@
     /// `home` is the hash that the request's home is drawn by.
     #[must_use]
     pub fn home(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1).min(HOME_PARTS);
-        match shared.checked_sub(1).and_then(|i| self.parts.get(i)) {
+        match self.shared().last() {
             Some(part) => part.chain,
             None => hash64(ID_SEED, self.id.as_bytes()),
         }
     }
 
+    /// `shared` are the parts of its prompt that other requests share: all but its own last one.
+    #[must_use]
+    pub fn shared(&self) -> &[Part] {
+        let most = self.parts.len().saturating_sub(1);
+        &self.parts[..most]
+    }
+
+    /// `size` is its size in tokens.
+    #[must_use]
+    pub fn size(&self) -> u64 {
+        if self.tokens == 0 {
+            return PLAIN_SIZE;
+        }
+        self.tokens + self.output * OUTPUT_WEIGHT
+    }
+
     /// `judge` finds the route of a request and whether it may run.
     ///
     /// # Errors
@@ -86,9 +109,8 @@
         mut head: Parts,
         body: Bytes,
     ) -> Result<Self, Reason> {
-        let said = match call::read(&head.headers) {
-            Ok(said) => said,
-            Err(_) => return Err(Reason::BadRequest),
+        let Ok(said) = call::read(&head.headers) else {
+            return Err(Reason::BadRequest);
         };
         let now = gateway.now();
         let (index, fresh) = {
@@ -111,7 +133,8 @@
         peppercrank_wire::headers::strip(&mut head.headers);
         let wait = said.wait.unwrap_or(route.timeout).min(route.timeout);
         let CallHead { id, prompt, .. } = said;
-        let (tokens, parts) = prompt.map_or((0, Vec::new()), |p| (p.tokens, p.parts));
+        let prompt = prompt.unwrap_or_default();
+        let memory = index.pool(pool).and_then(|p| p.memory);
         let rank = organisation.and_then(|o| o.priority);
         Ok(Self {
             pool: Arc::clone(pool),
@@ -122,8 +145,10 @@
             organisation: organisation.map(|o| Arc::clone(&o.name)),
             keyed: organisation.is_some(),
             priority: rank.unwrap_or(route.priority),
-            tokens,
-            parts,
+            tokens: prompt.tokens,
+            output: prompt.output,
+            copying: memory.and_then(|m| m.copying()),
+            parts: prompt.parts,
             begun,
             deadline: begun + wait,
             version: index.desired().version,
--- a/crates/peppercrank-gateway/src/metrics.rs
+++ b/crates/peppercrank-gateway/src/metrics.rs
@@ -86,7 +86,11 @@
 
     fn register(&mut self) {
         let r = &mut self.registry;
-        r.register("refused", "Requests refused, by reason", self.refused.clone());
+        r.register(
+            "refused",
+            "Requests refused, by reason",
+            self.refused.clone(),
+        );
         r.register(
             "attempts_failed",
             "Attempts and streams without a whole answer, by cause",
--- a/crates/peppercrank-gateway/src/register.rs
+++ b/crates/peppercrank-gateway/src/register.rs
@@ -30,7 +30,9 @@
     };
     let kind = store::entry(Kind::Routers, &entry.name);
     loop {
-        let made = store.post(&store::list(Kind::Routers, None), body.clone()).await;
+        let made = store
+            .post(&store::list(Kind::Routers, None), body.clone())
+            .await;
         gateway.metrics.called("register", made.code());
         let written = match made {
             Ended::Conflict => store.put(&kind, body.clone()).await,
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -40,7 +40,7 @@
 
 /// Time that new callers still come after SIGTERM: the balancer asks each second and drops a
 /// router after two misses.
-const STOP_IDLE: Duration = Duration::from_millis(3_000);
+const STOP_IDLE: Duration = Duration::from_secs(3);
 
 /// Time left at the end for the process itself.
 const LAST: Duration = Duration::from_millis(400);
@@ -77,14 +77,18 @@
 }
 
 async fn serve(path: &Path, settings: GatewaySettings, log: Log) -> Result<()> {
-    let (stopper, stopped) = stop();
+    let (stopper, told) = stop();
+    // The balancer and the metrics are answered until the process ends.
+    let (_ending, end) = stop();
     let edge = Edge::bind(settings.listen).await.map_err(Error::Bind)?;
     let ready = Edge::bind(settings.ready).await.map_err(Error::Bind)?;
-    let socket = UdpSocket::bind(settings.peers).await.map_err(Error::Start)?;
+    let socket = UdpSocket::bind(settings.peers)
+        .await
+        .map_err(Error::Start)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Start)?;
     let hangup = signal(SignalKind::hangup()).map_err(Error::Start)?;
     let (dial, settings) = watch::channel(Arc::new(settings));
-    let gateway = Arc::new(Gateway::new(settings, log, stopped.clone()));
+    let gateway = Arc::new(Gateway::new(settings, log, told.clone()));
     let address = edge.local_addr().to_string();
     let fields = [("listen", Field::Text(&address))];
     gateway.log.write(Event::Started, &fields);
@@ -97,13 +101,13 @@
         dial,
         hangup,
     ));
-    serve_admin(&gateway, ready).await?;
+    serve_admin(&gateway, ready, &end).await?;
 
     let limits = limits(&gateway);
     let shared = Arc::clone(&gateway);
     let answer = move |call| serve::answer(Arc::clone(&shared), call);
-    let serving = tokio::spawn(edge.serve_within(limits, stopped, answer));
-    let _told = terminate.recv().await;
+    let serving = tokio::spawn(edge.serve_within(limits, told, answer));
+    let _given = terminate.recv().await;
     gateway.log.write(Event::Stopping, &[]);
     stopper.stop();
     let finished = serving.await.map_err(|e| Error::Start(e.into()))?;
@@ -126,13 +130,13 @@
 }
 
 /// Serves the balancer and the metrics until the process ends.
-async fn serve_admin(gateway: &Arc<Gateway>, ready: Edge) -> Result<()> {
+async fn serve_admin(gateway: &Arc<Gateway>, ready: Edge, end: &Stop) -> Result<()> {
     let shared = Arc::clone(gateway);
     let answer = move |call| {
         let reply = admin::ready(&shared, &call);
         async move { reply }
     };
-    tokio::spawn(ready.serve(Limits::default(), never(), answer));
+    tokio::spawn(ready.serve(Limits::default(), end.clone(), answer));
     let Some(address) = gateway.settings().metrics else {
         return Ok(());
     };
@@ -142,18 +146,10 @@
         let reply = admin::metrics(&shared, &call);
         async move { reply }
     };
-    tokio::spawn(metrics.serve(Limits::default(), never(), answer));
+    tokio::spawn(metrics.serve(Limits::default(), end.clone(), answer));
     Ok(())
 }
 
-/// A signal that is never given.
-fn never() -> Stop {
-    let (stopper, stop) = stop();
-    // A stopper that is dropped would tell to stop.
-    std::mem::forget(stopper);
-    stop
-}
-
 /// The edge's limits, kept up to date with the configuration.
 fn limits(gateway: &Arc<Gateway>) -> watch::Receiver<Arc<Limits>> {
     let (dial, limits) = watch::channel(Arc::new(edge_limits(gateway, FIRST_BOUNDS)));
--- a/crates/peppercrank-log/src/lib.rs
+++ b/crates/peppercrank-log/src/lib.rs
@@ -99,14 +99,14 @@
 struct Fields<'a>(&'a [(&'static str, Field<'a>)]);
 
 impl KV for Fields<'_> {
-    fn serialize(&self, _record: &Record<'_>, out: &mut dyn Serializer) -> slog::Result {
+    fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
         for (name, field) in self.0 {
             match field {
-                Field::Text(text) => out.emit_str(name, text)?,
-                Field::Number(number) => out.emit_u64(name, *number)?,
+                Field::Text(text) => serializer.emit_str(name, text)?,
+                Field::Number(number) => serializer.emit_u64(name, *number)?,
                 Field::Millis(time) => {
                     let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-                    out.emit_u64(name, millis)?;
+                    serializer.emit_u64(name, millis)?;
                 }
             }
         }
--- a/crates/peppercrank-settings/src/checked.rs
+++ b/crates/peppercrank-settings/src/checked.rs
@@ -98,7 +98,11 @@
         return Ok(Duration::from_secs_f64(number));
     }
     let (least, most) = (LEAST.to_string(), MOST.to_string());
-    Err(D::Error::custom(errors::range(&number.to_string(), &least, &most)))
+    Err(D::Error::custom(errors::range(
+        &number.to_string(),
+        &least,
+        &most,
+    )))
 }
 
 /// Reads a text by a function.
