Test the gateway's path, changes and decisions with stand-ins of the platform

Cause: the path stood without tests that run anywhere. Two faults came to light: summaries dropped most of their hints where only some did not fit, and an unknown prompt's home was preferred even where it was so slow that the request would be lost. Change: platform/standin speaks the store's and a target's protocol and misbehaves when told to; tables of misbehaviours, changes, outages and stops; hints are dropped by their true size; a home counts as holder with a likelihood of 0.3.

--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -16,6 +16,9 @@
 /// Longest datagram, in bytes: below the usual path limit, so that none is fragmented.
 pub const MOST_BYTES: usize = 1_200;
 
+/// Most bytes of one hint on a datagram: five of the target's name and ten of the chain's hash.
+const HINT_BYTES: usize = 15;
+
 /// Time without a word after which a peer's work counts no more: some ten summaries.
 pub const SILENT: Duration = Duration::from_millis(2_500);
 
@@ -83,7 +86,7 @@
                 return Ok(bytes);
             }
             let over = bytes.len() - MOST_BYTES;
-            let drop = (over / 6 + 1).min(self.hints.len());
+            let drop = over.div_ceil(HINT_BYTES).min(self.hints.len());
             self.hints.drain(..drop);
         }
     }
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -33,6 +33,10 @@
 /// Tokens that copying one token from another engine costs, by the users' prices for memory moved.
 const COPY_COST: f64 = 0.4;
 
+/// How likely a home holds a prompt that this router knows of nobody to hold: most such prompts are
+/// new to all. A slow or full home must not cost more than the request is worth.
+const ASSUMED: f64 = 0.3;
+
 /// Part of the wanted time from which an answer counts as endangered, and by how much more of it
 /// it counts as lost: predictions are off by about a third.
 const LATE: (f64, f64) = (0.4, 0.7);
@@ -351,7 +355,7 @@
         let reading = ask.tokens.saturating_sub(candidate.held + copy);
         let copied = copying.map_or(0.0, |c| as_f64(copy) / c.rate.max(0.001));
         let first = predict(self.rates, candidate, reading) + copied;
-        let again = as_f64(gap) * if copy > 0 { COPY_COST } else { READ_COST };
+        let again = as_f64(gap) * self.gap_cost(copy);
         let cost = again + as_f64(ask.size) * self.burden(candidate, first);
         let choice = Choice {
             key: candidate.key,
@@ -362,6 +366,17 @@
         (cost, choice)
     }
 
+    /// What each token costs that a candidate lacks of what another target holds.
+    const fn gap_cost(&self, copy: u64) -> f64 {
+        if copy > 0 {
+            COPY_COST
+        } else if self.assumed {
+            READ_COST * ASSUMED
+        } else {
+            READ_COST
+        }
+    }
+
     /// What speaks against a candidate, as a part of the request's size.
     fn burden(&self, candidate: &Candidate, first: f64) -> f64 {
         let stats = &candidate.stats;
--- /dev/null
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -0,0 +1,321 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Freshness, configuration, prompts, speeds, events and peers.
+
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use peppercrank_direct::desired::Allowed;
+use peppercrank_direct::desired::Applied;
+use peppercrank_direct::desired::CallerBounds;
+use peppercrank_direct::desired::Desired;
+use peppercrank_direct::desired::InForce;
+use peppercrank_direct::desired::Index;
+use peppercrank_direct::desired::Organisation;
+use peppercrank_direct::desired::PoolShare;
+use peppercrank_direct::desired::Route;
+use peppercrank_direct::desired::RouteKind;
+use peppercrank_direct::directory::Change;
+use peppercrank_direct::directory::Directory;
+use peppercrank_direct::directory::Registration;
+use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::events::Events;
+use peppercrank_direct::freshness::Freshness;
+use peppercrank_direct::freshness::SENDING;
+use peppercrank_direct::freshness::SILENCE;
+use peppercrank_direct::peers::Hint;
+use peppercrank_direct::peers::MOST_BYTES;
+use peppercrank_direct::peers::Peers;
+use peppercrank_direct::peers::SILENT;
+use peppercrank_direct::peers::Summary;
+use peppercrank_direct::peers::TargetId;
+use peppercrank_direct::peers::Work;
+use peppercrank_direct::prefixes::MOST;
+use peppercrank_direct::prefixes::Part;
+use peppercrank_direct::prefixes::Prefixes;
+use peppercrank_direct::rates::Rates;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+#[test]
+fn verify_keys_are_as_old_as_the_question() {
+    let revoke = Duration::from_secs(5);
+    let mut freshness = Freshness::new(Some(revoke));
+    assert!(!freshness.is_fresh(at(0)));
+    // The answer came at 900 to a question of 100.
+    freshness.confirm(at(100));
+    let limit = revoke.saturating_sub(SILENCE + SENDING);
+    let last = at(100) + limit.saturating_sub(Duration::from_millis(1));
+    assert!(freshness.is_fresh(last));
+    assert!(!freshness.is_fresh(at(100) + limit));
+    // An answer that overtook a later one makes nothing older.
+    freshness.confirm(at(5_000));
+    freshness.confirm(at(4_000));
+    assert_eq!(freshness.age(at(6_000)), Some(Duration::from_secs(1)));
+}
+
+#[test]
+fn verify_without_a_bound_keys_hold_once_known() {
+    let mut freshness = Freshness::new(None);
+    assert!(!freshness.is_fresh(at(0)));
+    freshness.confirm(at(0));
+    assert!(freshness.is_fresh(at(1_000_000)));
+}
+
+fn route(name: &str, host: &str, prefix: &str, open: bool) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Repeatable,
+        timeout: Duration::from_secs(1),
+        goal: Duration::from_secs(1),
+        priority: 1,
+        pools: vec![
+            PoolShare {
+                pool: "most".into(),
+                weight: 90,
+            },
+            PoolShare {
+                pool: "few".into(),
+                weight: 10,
+            },
+        ],
+        attempts: 1,
+        open,
+    }
+}
+
+fn desired(version: u64) -> Desired {
+    Desired {
+        version,
+        routes: vec![
+            route("short", "a.example", "/x/", false),
+            route("long", "a.example", "/x/y/", true),
+            route("other", "b.example", "/", false),
+        ],
+        pools: Vec::new(),
+        bounds: CallerBounds {
+            head: 1,
+            body: 1,
+            head_time: Duration::ZERO,
+            idle: Duration::ZERO,
+        },
+        organisations: vec![Organisation {
+            name: "one".into(),
+            priority: None,
+            keys: vec!["key".into()],
+        }],
+    }
+}
+
+#[test]
+fn verify_the_longest_prefix_of_the_host_is_the_route() {
+    let index = Index::new(desired(1));
+    let rows = [
+        ("a.example", "/x/z", Some("short")),
+        ("a.example", "/x/y/z", Some("long")),
+        ("A.Example:80", "/x/y/", Some("long")),
+        ("a.example", "/x", None),
+        ("a.example", "/", None),
+        ("b.example", "/x/y/", Some("other")),
+        ("c.example", "/x/", None),
+    ];
+    for (host, path, name) in rows {
+        let found = index.route(host, path).map(|r| &*r.name);
+        assert_eq!(found, name, "{host}{path}");
+    }
+}
+
+#[test]
+fn verify_who_may_call() {
+    let index = Index::new(desired(1));
+    let shut = index.route("a.example", "/x/").expect("a route");
+    let open = index.route("a.example", "/x/y/").expect("a route");
+    assert!(matches!(index.allowed(shut, Some("key")), Allowed::Member(o) if &*o.name == "one"));
+    assert_eq!(index.allowed(shut, Some("no")), Allowed::Denied);
+    assert_eq!(index.allowed(shut, None), Allowed::Denied);
+    assert_eq!(index.allowed(open, Some("no")), Allowed::Anyone);
+    let none = Desired {
+        organisations: Vec::new(),
+        ..desired(1)
+    };
+    let none = Index::new(none);
+    assert_eq!(none.allowed(shut, None), Allowed::Anyone);
+}
+
+#[test]
+fn verify_pools_are_drawn_by_weight_and_alike_each_time() {
+    let route = route("r", "a", "/", false);
+    let draw = |n: u32| route.pool(&n.to_le_bytes()).expect("a pool").to_string();
+    let few = (0..10_000).filter(|n| draw(*n) == "few").count();
+    assert!((800..1_200).contains(&few), "{few}");
+    assert_eq!(draw(7), draw(7));
+}
+
+#[test]
+fn verify_versions_only_grow() {
+    let mut force = InForce::default();
+    assert_eq!(force.apply(desired(5)), Applied::InForce);
+    assert_eq!(force.apply(desired(4)), Applied::Older);
+    assert_eq!(force.apply(desired(5)), Applied::Same);
+    assert_eq!(force.apply(desired(900)), Applied::InForce);
+    let version = force.index().map(|i| i.desired().version);
+    assert_eq!(version, Some(900));
+}
+
+fn two_keys() -> (TargetKey, TargetKey) {
+    let mut directory = Directory::default();
+    for name in ["one", "two"] {
+        let entry = Registration {
+            instance: name.into(),
+            pool: "pool".into(),
+            address: "10.0.0.1:80".parse().expect("an address"),
+            zone: "a".into(),
+            slots: 4,
+            leaving: false,
+        };
+        directory.apply(at(0), Change::Put(entry));
+    }
+    let key = |name| directory.find(name).expect("a key");
+    (key("one"), key("two"))
+}
+
+#[test]
+fn verify_a_part_counts_only_after_all_before_it() {
+    let (one, two) = two_keys();
+    let parts = [(1, 100), (2, 200), (3, 300)].map(|(chain, tokens)| Part { chain, tokens });
+    let mut prefixes = Prefixes::default();
+    prefixes.note(at(0), one, [1, 2].into_iter());
+    prefixes.note(at(0), two, [2, 3].into_iter());
+    assert_eq!(prefixes.held(one, &parts), 300);
+    assert_eq!(prefixes.held(two, &parts), 0);
+    prefixes.forget(one);
+    assert_eq!(prefixes.held(one, &parts), 0);
+}
+
+#[test]
+fn verify_parts_remembered_are_bounded_and_the_newest_stay() {
+    let (one, _) = two_keys();
+    let mut prefixes = Prefixes::default();
+    let most = 3 * MOST as u64;
+    for n in 0..most {
+        prefixes.note(at(n), one, std::iter::once(n));
+    }
+    assert!(prefixes.len() <= MOST);
+    let newest = Part {
+        chain: most - 1,
+        tokens: 7,
+    };
+    assert_eq!(prefixes.held(one, &[newest]), 7);
+}
+
+#[test]
+fn verify_speeds_are_learnt() {
+    let mut rates = Rates::default();
+    for _ in 0..200 {
+        rates.learn(0, Duration::from_millis(40));
+        // 10,000 tokens in 200 ms more.
+        rates.learn(10_000, Duration::from_millis(240));
+    }
+    assert!((rates.base() - 40.0).abs() < 1.0, "{}", rates.base());
+    assert!((rates.reading(5_000) - 100.0).abs() < 3.0);
+    // One absurd sample moves little.
+    rates.learn(10_000, Duration::from_secs(60));
+    assert!(rates.reading(5_000) < 110.0);
+}
+
+#[test]
+fn verify_only_whole_events_pass_however_a_stream_is_cut() {
+    fn holds(cuts: Vec<u8>, returns: bool) -> bool {
+        let end = if returns { "\r\n\r\n" } else { "\n\n" };
+        let stream = (1..20).map(|n| format!("id: {n}{}data: x{n}{end}", &end[..end.len() / 2]));
+        let stream = stream.collect::<String>().into_bytes();
+        let mut events = Events::default();
+        let mut passed = Vec::new();
+        let mut rest = stream.as_slice();
+        for cut in cuts {
+            let (part, after) = rest.split_at(usize::from(cut % 23).min(rest.len()));
+            rest = after;
+            passed.extend(events.push(part));
+            let whole = passed.is_empty() || passed.ends_with(end.as_bytes());
+            let named = String::from_utf8_lossy(&passed);
+            let last = named.lines().rev().find_map(|l| l.strip_prefix("id: "));
+            if !whole || events.last() != last {
+                return false;
+            }
+        }
+        passed.extend(events.push(rest));
+        passed == stream && events.is_between()
+    }
+    let generator = Gen::from_size_and_seed(200, 11);
+    QuickCheck::new()
+        .rng(generator)
+        .quickcheck(holds as fn(Vec<u8>, bool) -> bool);
+}
+
+#[test]
+fn verify_a_half_event_is_dropped_before_another_run_goes_on() {
+    let mut events = Events::default();
+    assert_eq!(
+        events.push(b"id: 1\ndata: a\n\nid: 2\nda"),
+        b"id: 1\ndata: a\n\n"
+    );
+    assert!(!events.is_between());
+    events.restart();
+    assert_eq!(events.last(), Some("1"));
+    assert_eq!(events.push(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n");
+}
+
+fn summary(incarnation: u64, sequence: u64, running: u32) -> Summary {
+    Summary {
+        incarnation,
+        sequence,
+        work: vec![Work {
+            target: TargetId(1),
+            running,
+            reading: 10,
+            failing: false,
+        }],
+        hints: Vec::new(),
+    }
+}
+
+#[test]
+fn verify_only_the_newest_word_of_each_living_peer_counts() {
+    let one = "10.0.0.1:1".parse().expect("an address");
+    let two = "10.0.0.2:1".parse().expect("an address");
+    let mut peers = Peers::default();
+    assert!(peers.take(at(0), one, &summary(1, 2, 5)));
+    assert!(!peers.take(at(0), one, &summary(1, 1, 9)));
+    assert!(!peers.take(at(0), one, &summary(1, 2, 9)));
+    assert!(peers.take(at(0), two, &summary(9, 1, 2)));
+    let sum = |peers: &Peers, now| peers.work(now).get(&TargetId(1)).map(|w| w.running);
+    assert_eq!(sum(&peers, at(0)), Some(7));
+    let later = at(0) + SILENT;
+    peers.take(later, two, &summary(9, 2, 2));
+    peers.expire(later);
+    assert_eq!(sum(&peers, later), Some(2));
+    assert_eq!(peers.alive(later), 1);
+}
+
+#[test]
+fn verify_datagrams_are_bounded_and_their_work_is_kept() {
+    let mut long = summary(1, 1, 5);
+    let hint = |chain| Hint {
+        target: TargetId(u32::MAX),
+        chain,
+    };
+    long.hints = (0..1_000).map(|n| hint(u64::MAX - n)).collect();
+    let bytes = long.encode().expect("bytes");
+    assert!(bytes.len() <= MOST_BYTES);
+    let read = Summary::decode(&bytes).expect("a summary");
+    assert_eq!(read.work.len(), 1);
+    assert!(read.hints.len() > 50);
+    Summary::decode(&bytes[..bytes.len() / 2]).unwrap_err();
+}
--- /dev/null
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -0,0 +1,223 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Which target a request goes to.
+
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use peppercrank_direct::directory::Change;
+use peppercrank_direct::directory::Directory;
+use peppercrank_direct::directory::Registration;
+use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::place::Ask;
+use peppercrank_direct::place::Candidate;
+use peppercrank_direct::place::Choice;
+use peppercrank_direct::place::Copying;
+use peppercrank_direct::place::Placed;
+use peppercrank_direct::place::Stats;
+use peppercrank_direct::place::place;
+use peppercrank_direct::rates::Rates;
+
+const NOW: Moment = Moment::ZERO;
+
+/// Keys of so many targets.
+fn keys(count: usize) -> Vec<TargetKey> {
+    let mut directory = Directory::default();
+    for n in 0..count {
+        let entry = Registration {
+            instance: format!("i-{n}").into(),
+            pool: "pool".into(),
+            address: "10.0.0.1:80".parse().expect("an address"),
+            zone: "a".into(),
+            slots: 64,
+            leaving: false,
+        };
+        directory.apply(NOW, Change::Put(entry));
+    }
+    directory.pool(NOW, "pool")
+}
+
+fn idle(count: usize) -> Vec<Candidate> {
+    let of = |(n, key): (usize, TargetKey)| Candidate {
+        key,
+        name: u32::try_from(n).expect("a small number"),
+        slots: 64,
+        near: true,
+        held: 0,
+        stats: Stats::default(),
+    };
+    keys(count).into_iter().enumerate().map(of).collect()
+}
+
+/// A long prompt, most of which others share.
+fn ask() -> Ask {
+    Ask {
+        home: 7,
+        goal: Duration::from_secs(1),
+        cap: 2.0,
+        tokens: 11_000,
+        shared: 10_000,
+        size: 15_000,
+        copying: None,
+    }
+}
+
+fn choose(ask: &Ask, candidates: &[Candidate]) -> Choice {
+    match place(NOW, &Rates::default(), ask, candidates) {
+        Placed::At(choice) => choice,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn verify_routers_that_know_nothing_agree() {
+    let candidates = idle(9);
+    let first = choose(&ask(), &candidates);
+    let mut turned = candidates.clone();
+    turned.reverse();
+    assert_eq!(choose(&ask(), &turned), first);
+    // Other prompts have other homes.
+    let homes = (0..64).map(|home| choose(&Ask { home, ..ask() }, &candidates).key);
+    let mut homes = homes.collect::<Vec<_>>();
+    homes.sort();
+    homes.dedup();
+    assert!(homes.len() >= 7, "{}", homes.len());
+}
+
+#[test]
+fn verify_a_prompt_goes_where_it_is_held_though_that_takes_longer() {
+    let mut candidates = idle(9);
+    let home = choose(&ask(), &candidates).key;
+    let holder = candidates.iter().position(|c| c.key != home);
+    let holder = holder.expect("another one");
+    candidates[holder].held = 10_000;
+    candidates[holder].stats.running = 1;
+    // A few hundred milliseconds of reading wait there.
+    candidates[holder].stats.reading = 10_000;
+    let choice = choose(&ask(), &candidates);
+    assert_eq!(choice.key, candidates[holder].key);
+    assert_eq!(choice.reading, 1_000);
+}
+
+#[test]
+fn verify_a_request_that_would_be_late_is_read_again_elsewhere_if_it_is_short() {
+    let mut candidates = idle(3);
+    candidates[0].held = 500;
+    candidates[0].stats.reading = 200_000;
+    let short = Ask {
+        tokens: 600,
+        shared: 500,
+        size: 3_600,
+        ..ask()
+    };
+    assert_ne!(choose(&short, &candidates).key, candidates[0].key);
+}
+
+#[test]
+fn verify_an_engine_copies_what_another_holds() {
+    let mut candidates = idle(3);
+    candidates[0].held = 10_000;
+    candidates[0].stats.reading = 60_000;
+    let copying = Some(Copying {
+        rate: 900.0,
+        leaving: 0,
+    });
+    let choice = choose(&Ask { copying, ..ask() }, &candidates);
+    assert_ne!(choice.key, candidates[0].key);
+    assert_eq!(choice.copy, 10_000);
+    assert_eq!(choice.reading, 1_000);
+}
+
+#[test]
+fn verify_an_engine_copies_from_one_that_leaves() {
+    let candidates = idle(3);
+    let copying = Some(Copying {
+        rate: 900.0,
+        leaving: 10_000,
+    });
+    let choice = choose(&Ask { copying, ..ask() }, &candidates);
+    assert_eq!(choice.copy, 10_000);
+}
+
+#[test]
+fn verify_no_target_holds_more_than_its_multiple_of_the_mean() {
+    let mut candidates = idle(9);
+    candidates[4].held = 10_000;
+    for _ in 0..500 {
+        let choice = choose(&ask(), &candidates);
+        let chosen = candidates.iter_mut().find(|c| c.key == choice.key);
+        chosen.expect("a candidate").stats.running += 1;
+        let loads = candidates.iter().map(|c| c.stats.load());
+        let sum = loads.clone().sum::<u32>();
+        let most = f64::from(sum) / 9.0 * 2.0 + 3.0;
+        assert!(loads.max().is_some_and(|l| f64::from(l) <= most));
+    }
+}
+
+#[test]
+fn verify_failures_in_a_row_eject_a_target_until_a_trial_succeeds() {
+    let mut candidates = idle(2);
+    let home = choose(&ask(), &candidates).key;
+    let home = candidates.iter().position(|c| c.key == home);
+    let home = home.expect("a candidate");
+    let stats = &mut candidates[home].stats;
+    assert!(!stats.failed(NOW));
+    assert!(!stats.failed(NOW));
+    assert!(stats.failed(NOW));
+    assert_ne!(choose(&ask(), &candidates).key, candidates[home].key);
+    // Once its time is over one request tries it; until that one ends it gets no other.
+    let later = Moment::from_millis(60_000);
+    candidates[1 - home].stats.reading = 10_000_000;
+    let at = |candidates: &[Candidate]| match place(later, &Rates::default(), &ask(), candidates) {
+        Placed::At(choice) => choice.key,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(at(&candidates), candidates[home].key);
+    candidates[home].stats.sent(later);
+    assert_ne!(at(&candidates), candidates[home].key);
+    candidates[home].stats.succeeded();
+    assert_eq!(at(&candidates), candidates[home].key);
+}
+
+#[test]
+fn verify_a_trial_that_ends_without_a_verdict_leaves_the_next_one() {
+    let mut stats = Stats::default();
+    for _ in 0..3 {
+        stats.failed(NOW);
+    }
+    let later = Moment::from_millis(60_000);
+    let mut candidates = idle(2);
+    candidates[0].stats = stats;
+    candidates[1].stats.reading = 10_000_000;
+    candidates[0].stats.sent(later);
+    candidates[0].stats.ended();
+    let placed = place(later, &Rates::default(), &ask(), &candidates);
+    assert!(matches!(placed, Placed::At(c) if c.key == candidates[0].key));
+}
+
+#[test]
+fn verify_ejection_gives_way_where_all_are_ejected() {
+    let mut candidates = idle(3);
+    for candidate in &mut candidates {
+        for _ in 0..3 {
+            candidate.stats.failed(NOW);
+        }
+    }
+    let placed = place(NOW, &Rates::default(), &ask(), &candidates);
+    assert!(matches!(placed, Placed::At(_)));
+    let none = place(NOW, &Rates::default(), &ask(), &[]);
+    assert_eq!(none, Placed::NoTarget);
+}
+
+#[test]
+fn verify_slow_targets_get_less() {
+    let mut candidates = idle(2);
+    let home = choose(&ask(), &candidates).key;
+    let home = candidates.iter().position(|c| c.key == home);
+    let home = home.expect("a candidate");
+    for _ in 0..30 {
+        candidates[home].stats.timed(4_000.0, 200.0);
+    }
+    assert_ne!(choose(&ask(), &candidates).key, candidates[home].key);
+}
--- /dev/null
+++ b/crates/peppercrank-direct/tests/verify_retries.rs
@@ -0,0 +1,126 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! The fleet's retry budget, and what follows each fate of an attempt.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use peppercrank_direct::retries::After::Again;
+use peppercrank_direct::retries::After::AgainIfAllowed;
+use peppercrank_direct::retries::After::Fail;
+use peppercrank_direct::retries::After::Refuse;
+use peppercrank_direct::retries::Fate;
+use peppercrank_direct::retries::Plan;
+use peppercrank_direct::retries::RetryBudget;
+use peppercrank_direct::retries::Terms;
+
+const TERMS: Terms = Terms {
+    share: 0.2,
+    extra: 50.0,
+    window: Duration::from_secs(10),
+};
+
+/// So many routers spend all that they may; returns the most repeats of any window.
+fn spend_all(routers: usize, restart: bool) -> (usize, usize) {
+    let pool: Arc<str> = "pool".into();
+    let new = |at| RetryBudget::new(Moment::from_millis(at), TERMS);
+    let mut budgets = (0..routers).map(|_| new(0)).collect::<Vec<_>>();
+    let (mut repeats, mut requests) = (Vec::new(), Vec::new());
+    for millis in (0..40_000).step_by(20) {
+        let now = Moment::from_millis(millis);
+        if restart && millis % 7_000 == 0 {
+            budgets = (0..routers).map(|_| new(millis)).collect();
+        }
+        let budget = &mut budgets[usize::try_from(millis / 20).expect("small") % routers];
+        budget.request(now, &pool);
+        requests.push(millis);
+        while budget.spend(now, &pool, routers) {
+            repeats.push(millis);
+        }
+    }
+    let most = |times: &[u64], from: u64| {
+        let within = times.iter().filter(|t| (from..from + 10_000).contains(*t));
+        within.count()
+    };
+    let worst = (0..30_000).step_by(100).map(|from| most(&repeats, from));
+    (worst.max().expect("some"), most(&requests, 10_000))
+}
+
+#[test]
+fn verify_the_budget_holds_over_all_routers() {
+    for routers in [1, 4, 29] {
+        for restart in [false, true] {
+            let (repeats, requests) = spend_all(routers, restart);
+            let allowed = requests / 5 + 50;
+            assert!(
+                repeats <= allowed,
+                "{routers} {restart}: {repeats} > {allowed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn verify_the_budget_is_used() {
+    let (repeats, requests) = spend_all(4, false);
+    assert!(repeats >= requests / 10 + 20, "{repeats} of {requests}");
+}
+
+#[test]
+fn verify_what_follows_each_fate() {
+    let rows = [
+        (false, 1, Fate::NotSent, Again),
+        (false, 1, Fate::NotRun, AgainIfAllowed),
+        (false, 1, Fate::Unknown, Fail),
+        (false, 3, Fate::Unknown, Fail),
+        (false, 3, Fate::Failed, Fail),
+        (true, 1, Fate::Unknown, Fail),
+        (true, 2, Fate::Unknown, AgainIfAllowed),
+        (true, 2, Fate::Failed, AgainIfAllowed),
+    ];
+    for (repeats, attempts, fate, after) in rows {
+        let mut plan = Plan::new(repeats, attempts);
+        assert_eq!(plan.after(fate), after, "{repeats} {attempts} {fate:?}");
+        assert_eq!(plan.give_up() == Refuse, !plan.has_run());
+    }
+}
+
+#[test]
+fn verify_a_request_that_may_have_run_is_never_called_not_run() {
+    let fates = [Fate::NotSent, Fate::NotRun, Fate::Unknown, Fate::Failed];
+    for repeats in [false, true] {
+        for code in 0..4_usize.pow(4) {
+            let mut plan = Plan::new(repeats, 2);
+            let mut ran = 0;
+            for step in 0..4 {
+                let fate = fates[code / 4_usize.pow(step) % 4];
+                ran += u32::from(matches!(fate, Fate::Unknown | Fate::Failed));
+                match plan.after(fate) {
+                    Again | AgainIfAllowed => {
+                        assert!(ran < 2);
+                        assert!(repeats || ran == 0);
+                    }
+                    Refuse => {
+                        assert_eq!(ran, 0);
+                        break;
+                    }
+                    Fail => {
+                        assert!(ran > 0);
+                        break;
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn verify_an_outage_is_not_fed() {
+    let mut plan = Plan::new(true, 9);
+    for _ in 0..3 {
+        assert_eq!(plan.after(Fate::NotRun), AgainIfAllowed);
+    }
+    assert_eq!(plan.after(Fate::NotRun), Refuse);
+}
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -3,6 +3,7 @@
 
 //! Starts the gateway and ends it on SIGTERM.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,14 +16,18 @@
 use peppercrank_platform::store::Kind;
 use peppercrank_settings::GatewaySettings;
 use peppercrank_wire::edge::Edge;
+use peppercrank_wire::edge::Finished;
 use peppercrank_wire::edge::Limits;
 use peppercrank_wire::stop::Stop;
+use peppercrank_wire::stop::Stopper;
 use peppercrank_wire::stop::stop;
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::Error;
@@ -77,56 +82,105 @@
 }
 
 async fn serve(path: &Path, settings: GatewaySettings, log: Log) -> Result<()> {
-    let (stopper, told) = stop();
-    // The balancer and the metrics are answered until the process ends.
-    let (_ending, end) = stop();
-    let edge = Edge::bind(settings.listen).await.map_err(Error::Bind)?;
-    let ready = Edge::bind(settings.ready).await.map_err(Error::Bind)?;
-    let socket = UdpSocket::bind(settings.peers)
-        .await
-        .map_err(Error::Start)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Start)?;
-    let hangup = signal(SignalKind::hangup()).map_err(Error::Start)?;
-    let (dial, settings) = watch::channel(Arc::new(settings));
-    let gateway = Arc::new(Gateway::new(settings, log, told.clone()));
-    let address = edge.local_addr().to_string();
-    let fields = [("listen", Field::Text(&address))];
-    gateway.log.write(Event::Started, &fields);
-
-    let store = Store::new(gateway.settings().store);
-    start(&gateway, &store, Arc::new(socket));
-    tokio::spawn(reload::reload(
-        Arc::clone(&gateway),
-        path.to_owned(),
-        dial,
-        hangup,
-    ));
-    serve_admin(&gateway, ready, &end).await?;
-
-    let limits = limits(&gateway);
-    let shared = Arc::clone(&gateway);
-    let answer = move |call| serve::answer(Arc::clone(&shared), call);
-    let serving = tokio::spawn(edge.serve_within(limits, told, answer));
+    let running = Running::start(path, settings, log).await?;
     let _given = terminate.recv().await;
-    gateway.log.write(Event::Stopping, &[]);
-    stopper.stop();
-    let finished = serving.await.map_err(|e| Error::Start(e.into()))?;
-    register::leave(&gateway, &store).await;
-    let fields = [("cut", Field::Number(finished.cut))];
-    gateway.log.write(Event::Stopped, &fields);
-    Ok(())
+    running.finish().await
+}
+
+/// `Running` is a gateway that serves.
+#[derive(Debug)]
+pub struct Running {
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Where it answers the balancer.
+    pub ready: SocketAddr,
+    /// What its tasks share.
+    pub gateway: Arc<Gateway>,
+    store: Store,
+    stopper: Stopper,
+    /// The balancer and the metrics are answered until the process ends.
+    ending: Stopper,
+    serving: JoinHandle<Finished>,
+    tasks: JoinSet<()>,
+}
+
+impl Running {
+    /// `start` binds the sockets and starts all tasks; `path` is where the settings are read anew.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a socket cannot be bound.
+    pub async fn start(path: &Path, settings: GatewaySettings, log: Log) -> Result<Self> {
+        let (stopper, told) = stop();
+        let (ending, end) = stop();
+        let edge = Edge::bind(settings.listen).await.map_err(Error::Bind)?;
+        let ready = Edge::bind(settings.ready).await.map_err(Error::Bind)?;
+        let socket = UdpSocket::bind(settings.peers)
+            .await
+            .map_err(Error::Start)?;
+        let hangup = signal(SignalKind::hangup()).map_err(Error::Start)?;
+        let (dial, settings) = watch::channel(Arc::new(settings));
+        let gateway = Arc::new(Gateway::new(settings, log, told.clone()));
+        let (callers, asked) = (edge.local_addr(), ready.local_addr());
+        let address = callers.to_string();
+        let fields = [("listen", Field::Text(&address))];
+        gateway.log.write(Event::Started, &fields);
+
+        let store = Store::new(gateway.settings().store);
+        let mut tasks = JoinSet::new();
+        start_tasks(&mut tasks, &gateway, &store, Arc::new(socket));
+        let reading = reload::reload(Arc::clone(&gateway), path.to_owned(), dial, hangup);
+        tasks.spawn(reading);
+        serve_admin(&gateway, ready, &end).await?;
+        let limits = follow_limits(&mut tasks, &gateway);
+        let shared = Arc::clone(&gateway);
+        let answer = move |call| serve::answer(Arc::clone(&shared), call);
+        Ok(Self {
+            callers,
+            ready: asked,
+            gateway,
+            store,
+            stopper,
+            ending,
+            serving: tokio::spawn(edge.serve_within(limits, told, answer)),
+            tasks,
+        })
+    }
+
+    /// `finish` ends what is in progress, and then the gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the task that serves failed.
+    pub async fn finish(mut self) -> Result<()> {
+        self.gateway.log.write(Event::Stopping, &[]);
+        self.stopper.stop();
+        let finished = self.serving.await.map_err(|e| Error::Start(e.into()))?;
+        self.tasks.shutdown().await;
+        register::leave(&self.gateway, &self.store).await;
+        self.ending.stop();
+        let fields = [("cut", Field::Number(finished.cut))];
+        self.gateway.log.write(Event::Stopped, &fields);
+        Ok(())
+    }
 }
 
 /// Starts the tasks that keep the blackboard up to date.
-fn start(gateway: &Arc<Gateway>, store: &Store, socket: Arc<UdpSocket>) {
+fn start_tasks(
+    tasks: &mut JoinSet<()>,
+    gateway: &Arc<Gateway>,
+    store: &Store,
+    socket: Arc<UdpSocket>,
+) {
     let outage = Outage::default();
     for kind in [Kind::Configuration, Kind::Targets, Kind::Routers] {
-        tokio::spawn(Follower::new(gateway, store, kind, &outage).run());
+        tasks.spawn(Follower::new(gateway, store, kind, &outage).run());
     }
-    tokio::spawn(follow::expire(Arc::clone(gateway)));
-    tokio::spawn(register::register(Arc::clone(gateway), store.clone()));
-    tokio::spawn(gossip::tell(Arc::clone(gateway), Arc::clone(&socket)));
-    tokio::spawn(gossip::hear(Arc::clone(gateway), socket));
+    tasks.spawn(follow::expire(Arc::clone(gateway)));
+    tasks.spawn(register::register(Arc::clone(gateway), store.clone()));
+    tasks.spawn(gossip::tell(Arc::clone(gateway), Arc::clone(&socket)));
+    tasks.spawn(gossip::hear(Arc::clone(gateway), socket));
 }
 
 /// Serves the balancer and the metrics until the process ends.
@@ -151,10 +205,10 @@
 }
 
 /// The edge's limits, kept up to date with the configuration.
-fn limits(gateway: &Arc<Gateway>) -> watch::Receiver<Arc<Limits>> {
+fn follow_limits(tasks: &mut JoinSet<()>, gateway: &Arc<Gateway>) -> watch::Receiver<Arc<Limits>> {
     let (dial, limits) = watch::channel(Arc::new(edge_limits(gateway, FIRST_BOUNDS)));
     let gateway = Arc::clone(gateway);
-    tokio::spawn(async move {
+    tasks.spawn(async move {
         let mut seen = FIRST_BOUNDS;
         loop {
             sleep(BOUNDS_EVERY).await;
--- /dev/null
+++ b/crates/peppercrank-gateway/tests/verify_changes.rs
@@ -0,0 +1,177 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Changes of configuration, keys and targets, and what holds while the store is away.
+
+mod support;
+
+use http::StatusCode;
+use peppercrank_platform_standin::Act;
+use peppercrank_platform_standin::Mood;
+use support::Fleet;
+use support::KEY;
+use support::desired;
+use support::entry;
+use support::target;
+
+const OK: StatusCode = StatusCode::OK;
+
+/// Asks until the answer has this status.
+async fn until_status(fleet: &Fleet, path: &str, status: StatusCode) {
+    for n in 0..2_000 {
+        if fleet.ask(path, &format!("u{n}")).await.0 == status {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    panic!("no answer became {status}");
+}
+
+#[tokio::test]
+async fn verify_nothing_is_denied_before_a_configuration_is_known() {
+    let fleet = Fleet::unready().await;
+    let (status, headers, _) = fleet.ask("/safe/x", "1").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(headers.contains_key("retry-after"));
+    fleet.until_ready(false).await;
+}
+
+#[tokio::test]
+async fn verify_changes_come_in_force_and_never_go_back() {
+    let (one, _one) = target("i-one").await;
+    let fleet = Fleet::start(&[&one]).await;
+    assert_eq!(fleet.ask("/safe/x", "1").await.0, OK);
+    fleet.store.put("config", "main", &desired(5, &["another"]));
+    until_status(&fleet, "/safe/x", StatusCode::UNAUTHORIZED).await;
+    // An older version that the store shows again, and one that cannot be read, change nothing.
+    fleet.store.put("config", "main", &desired(4, &[KEY]));
+    fleet.store.put("config", "main", &serde_json::json!({}));
+    let seen = fleet.store.calls().len();
+    fleet.until(|f| f.store.calls().len() > seen + 3).await;
+    assert_eq!(fleet.ask("/safe/x", "2").await.0, StatusCode::UNAUTHORIZED);
+    // A history that is gone is made up for by a list.
+    fleet.store.forget();
+    fleet.store.put("config", "main", &desired(6, &[KEY]));
+    until_status(&fleet, "/safe/x", OK).await;
+}
+
+#[tokio::test]
+async fn verify_keys_are_not_trusted_without_the_store() {
+    for mood in [
+        Mood::Silent,
+        Mood::Refusing(StatusCode::SERVICE_UNAVAILABLE),
+        Mood::Refusing(StatusCode::TOO_MANY_REQUESTS),
+    ] {
+        let (one, _one) = target("i-one").await;
+        let fleet = Fleet::start(&[&one]).await;
+        fleet.store.set_mood(mood);
+        until_status(&fleet, "/safe/x", StatusCode::SERVICE_UNAVAILABLE).await;
+        fleet.until_ready(false).await;
+        // Neither does a key that is nobody's get another answer than "come back".
+        let unknown = fleet.send(Fleet::request("/safe/x", "2", "nobody's")).await;
+        let unknown = unknown.expect("an answer").status();
+        assert_eq!(unknown, StatusCode::SERVICE_UNAVAILABLE);
+        fleet.store.set_mood(Mood::Sound);
+        until_status(&fleet, "/safe/x", OK).await;
+        fleet.until_ready(true).await;
+    }
+}
+
+#[tokio::test]
+async fn verify_a_leaving_target_gets_no_more() {
+    let (one, _one) = target("i-one").await;
+    let (two, _two) = target("i-two").await;
+    let fleet = Fleet::start(&[&one, &two]).await;
+    fleet.register(&one, "draining");
+    fleet.until_targets(1).await;
+    let before = one.seen().len();
+    for n in 0..20 {
+        assert_eq!(fleet.ask("/safe/x", &n.to_string()).await.0, OK);
+    }
+    assert_eq!(one.seen().len(), before);
+    // A mark that was seen holds although the store goes away, and although its entry says
+    // otherwise later.
+    fleet.register(&one, "ready");
+    fleet.store.delete("servers", two.instance());
+    until_status(&fleet, "/safe/x", StatusCode::SERVICE_UNAVAILABLE).await;
+    assert_eq!(one.seen().len(), before);
+}
+
+#[tokio::test]
+async fn verify_targets_that_lapse_with_the_store_are_used_until_they_are_gone() {
+    let (one, _one) = target("i-one").await;
+    let fleet = Fleet::start(&[&one]).await;
+    let gone = Mood::Refusing(StatusCode::SERVICE_UNAVAILABLE);
+    fleet.store.set_mood(gone);
+    fleet
+        .until(|f| f.running.gateway.state().directory.is_away())
+        .await;
+    fleet.store.delete("servers", one.instance());
+    fleet.store.set_mood(Mood::Sound);
+    fleet
+        .until(|f| !f.running.gateway.state().directory.is_away())
+        .await;
+    // It is missing, and yet the only one that may live.
+    assert_eq!(fleet.usable(), 1);
+    fleet.until_targets(0).await;
+    // One that returns is used again.
+    fleet.register(&one, "ready");
+    fleet.until_targets(1).await;
+    until_status(&fleet, "/safe/x", OK).await;
+}
+
+#[tokio::test]
+async fn verify_an_address_that_is_used_again_runs_nothing_of_the_old_target() {
+    let (new, _new) = target("i-new").await;
+    let (two, _two) = target("i-two").await;
+    let fleet = Fleet::start(&[&two]).await;
+    // The entry of a target that is gone still names the address that the new one has.
+    fleet.store.put("servers", "i-old", &entry(&new, "ready"));
+    fleet.until_targets(2).await;
+    let mut busy = new.busy();
+    for n in 0..20 {
+        let path = if n % 2 == 0 {
+            "/safe/x"
+        } else {
+            "/stream/on/x"
+        };
+        assert_eq!(fleet.ask(path, &n.to_string()).await.0, OK);
+    }
+    assert!(
+        !busy.has_changed().expect("a target"),
+        "{}",
+        *busy.borrow_and_update()
+    );
+    assert!(!new.seen().is_empty());
+}
+
+#[tokio::test]
+async fn verify_a_stop_cuts_nothing() {
+    let (one, _one) = target("i-one").await;
+    let fleet = Fleet::start(&[&one]).await;
+    one.next(&[Act::Slow(std::time::Duration::from_millis(30))]);
+    let answer = fleet.send(Fleet::request("/stream/once/x", "1", KEY)).await;
+    let answer = answer.expect("an answer");
+    let Fleet { running, .. } = fleet;
+    let whole = async {
+        use http_body_util::BodyExt;
+        let body = answer.into_body().collect().await;
+        body.map(http_body_util::Collected::to_bytes)
+    };
+    let (finished, whole) = tokio::join!(running.finish(), whole);
+    finished.expect("an end");
+    assert_eq!(whole.expect("a whole stream"), support::whole_stream());
+}
+
+#[tokio::test]
+async fn verify_routers_register_and_leave() {
+    let fleet = Fleet::start(&[]).await;
+    let names = |f: &Fleet| f.store.list("peppercrank-routers")["items"].to_string();
+    fleet.until(|f| names(f).contains("gateway-1")).await;
+    let store = fleet.store.clone();
+    fleet.running.finish().await.expect("an end");
+    assert_eq!(
+        store.list("peppercrank-routers")["items"],
+        serde_json::json!([])
+    );
+}
