--- a/crates/peppercrank-cli/tests/verify_shares.rs
+++ b/crates/peppercrank-cli/tests/verify_shares.rs
@@ -13,6 +13,7 @@
 const COORDINATION: &[&str] = &[
     "peppercrank-admit",
     "peppercrank-config",
+    "peppercrank-direct",
     "peppercrank-lease",
     "peppercrank-member",
     "peppercrank-route",
