Keep prompts at their homes, hand them over by copies, and pace the store's calls

Datagrams took 31 KB a second, not the four that are allowed. Change: an unknown prompt stays at its home unless that would lose the request; a home that came or became one lately copies from the one before; news goes round all peers once, within 4,096 bytes a second; peers' reading runs off with time; the configuration is asked for once a second and answered at once, which keeps keys younger for the same calls; targets' changes gather for 0.4 s; one follower finds out when the store is back, with short probes.

--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -70,6 +70,8 @@
     pub registration: Registration,
     /// Whether it may get work.
     pub state: State,
+    /// When it came to be known.
+    pub since: Moment,
 }
 
 /// `Directory` holds the targets.
@@ -136,14 +138,14 @@
     /// `apply` takes in one change.
     pub fn apply(&mut self, now: Moment, change: Change) -> Noted {
         match change {
-            Change::Put(entry) => self.put(entry),
+            Change::Put(entry) => self.put(now, entry),
             Change::Removed(instance) => self.remove(now, &instance),
         }
     }
 
-    fn put(&mut self, entry: Registration) -> Noted {
+    fn put(&mut self, now: Moment, entry: Registration) -> Noted {
         let Some(key) = self.instances.get(&entry.instance).copied() else {
-            return self.join(entry);
+            return self.join(now, entry);
         };
         let Some(target) = self.targets.get_mut(key) else {
             return Noted::Nothing;
@@ -162,7 +164,7 @@
         Noted::Nothing
     }
 
-    fn join(&mut self, entry: Registration) -> Noted {
+    fn join(&mut self, now: Moment, entry: Registration) -> Noted {
         let instance = Arc::clone(&entry.instance);
         let pool = Arc::clone(&entry.pool);
         let leaving = entry.leaving;
@@ -175,6 +177,7 @@
         let key = self.targets.insert(Target {
             registration,
             state,
+            since: now,
         });
         self.instances.insert(instance, key);
         self.pools.entry(pool).or_default().push(key);
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`prefixes`]: which target holds which part of which prompt.
 //! - [`rates`]: what is learnt of a pool's speed.
 //! - [`retries`]: the fleet's retry budget, and what follows a failed attempt.
+//! - [`stats`]: what a router knows of each target.
 //! - [`peers`]: what routers tell each other.
 
 pub mod desired;
@@ -22,3 +23,4 @@
 pub mod prefixes;
 pub mod rates;
 pub mod retries;
+pub mod stats;
--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -5,6 +5,7 @@
 //! was just sent which part of a prompt.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,9 +20,21 @@
 /// Most bytes of one hint on a datagram: five of the target's name and ten of the chain's hash.
 const HINT_BYTES: usize = 15;
 
-/// Time without a word after which a peer's work counts no more: some ten summaries.
+/// Time without a word after which a peer's work counts no more, in a small fleet: some ten
+/// summaries.
 pub const SILENT: Duration = Duration::from_millis(2_500);
 
+/// The same for each peer of a large fleet, where summaries go round: at the usual size of a
+/// summary each peer is reached every 50 ms times their number.
+const SILENT_EACH: Duration = Duration::from_millis(150);
+
+/// `silent` is the time without a word after which a peer's work counts no more.
+#[must_use]
+pub fn silent(peers: usize) -> Duration {
+    let each = SILENT_EACH.saturating_mul(u32::try_from(peers).unwrap_or(u32::MAX));
+    SILENT.max(each)
+}
+
 /// Seed of the short names of targets on datagrams.
 const NAME_SEED: u64 = 0x7461_7267;
 
@@ -60,6 +73,45 @@
     pub chain: u64,
 }
 
+/// Hints on one datagram, so that they and the work of a large fleet's pool fit.
+const HINTS: usize = 40;
+
+/// Hints that wait to be told; more would be stale before they are.
+const MOST_HINTS: usize = 2_000;
+
+/// `Outbox` holds the hints that not all peers were told yet.
+///
+/// Summaries go round the peers, so a hint stays until it has gone round once.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    hints: VecDeque<(Hint, usize)>,
+}
+
+impl Outbox {
+    /// `add` adds news for so many peers.
+    pub fn add(&mut self, hint: Hint, peers: usize) {
+        if peers == 0 {
+            return;
+        }
+        if self.hints.len() >= MOST_HINTS {
+            self.hints.pop_front();
+        }
+        self.hints.push_back((hint, peers));
+    }
+
+    /// `take` gives the hints of a summary that goes to so many peers.
+    pub fn take(&mut self, to: usize) -> Vec<Hint> {
+        let count = self.hints.len().min(HINTS);
+        let told = self.hints.drain(..count).collect::<Vec<_>>();
+        for (hint, left) in &told {
+            if *left > to {
+                self.hints.push_back((*hint, left - to));
+            }
+        }
+        told.into_iter().map(|(hint, _)| hint).collect()
+    }
+}
+
 /// `Summary` is one datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
@@ -137,13 +189,15 @@
 
     /// `expire` forgets peers that were silent for long.
     pub fn expire(&mut self, now: Moment) {
-        self.peers.retain(|_, p| now.since(p.heard) < SILENT);
+        let silent = silent(self.peers.len());
+        self.peers.retain(|_, p| now.since(p.heard) < silent);
     }
 
     /// `alive` is how many other routers were heard of late.
     #[must_use]
     pub fn alive(&self, now: Moment) -> usize {
-        let alive = |p: &&Peer| now.since(p.heard) < SILENT;
+        let silent = silent(self.peers.len());
+        let alive = |p: &&Peer| now.since(p.heard) < silent;
         self.peers.values().filter(alive).count()
     }
 
@@ -151,7 +205,8 @@
     #[must_use]
     pub fn work(&self, now: Moment) -> HashMap<TargetId, Work> {
         let mut sums: HashMap<TargetId, Work> = HashMap::new();
-        let alive = self.peers.values().filter(|p| now.since(p.heard) < SILENT);
+        let silent = silent(self.peers.len());
+        let alive = self.peers.values().filter(|p| now.since(p.heard) < silent);
         for work in alive.flat_map(|p| &p.work) {
             let sum = sums.entry(work.target).or_insert(Work {
                 running: 0,
--- a/crates/peppercrank-direct/src/prefixes.rs
+++ b/crates/peppercrank-direct/src/prefixes.rs
@@ -48,15 +48,13 @@
 }
 
 impl Prefixes {
-    /// `note` remembers that a target was sent these parts.
-    pub fn note(&mut self, now: Moment, target: TargetKey, parts: impl Iterator<Item = u64>) {
-        for part in parts {
-            if self.parts.len() >= MOST && !self.parts.contains_key(&part) {
-                self.halve();
-            }
-            let holders = self.parts.entry(part).or_default();
-            put(holders, target, now);
+    /// `note` remembers that a target was sent a part, and tells whether that is news.
+    pub fn note(&mut self, now: Moment, target: TargetKey, part: u64) -> bool {
+        if self.parts.len() >= MOST && !self.parts.contains_key(&part) {
+            self.halve();
         }
+        let holders = self.parts.entry(part).or_default();
+        put(holders, target, now)
     }
 
     /// `held` is how many leading tokens of a prompt the target holds.
@@ -100,10 +98,11 @@
     }
 }
 
-fn put(holders: &mut Vec<Holder>, target: TargetKey, used: Moment) {
+/// Puts a holder in, in place of the one used longest ago if there are many; true if it is new.
+fn put(holders: &mut Vec<Holder>, target: TargetKey, used: Moment) -> bool {
     if let Some(holder) = holders.iter_mut().find(|h| h.target == target) {
         holder.used = used;
-        return;
+        return false;
     }
     if holders.len() >= HOLDERS {
         let oldest = holders.iter().enumerate().min_by_key(|(_, h)| h.used);
@@ -112,4 +111,5 @@
         }
     }
     holders.push(Holder { target, used });
+    true
 }
--- a/crates/peppercrank-direct/src/rates.rs
+++ b/crates/peppercrank-direct/src/rates.rs
@@ -56,6 +56,13 @@
         as_f64(tokens) / self.rate
     }
 
+    /// `left` is how many of `tokens` are still to be read after a time.
+    #[must_use]
+    pub fn left(&self, tokens: u64, time: Duration) -> u64 {
+        let millis = time.as_secs_f64() * 1_000.0;
+        tokens.saturating_sub(whole(millis * self.rate))
+    }
+
     /// `base` is the time of an answer that needs no reading, in milliseconds.
     #[must_use]
     pub const fn base(&self) -> f64 {
@@ -68,3 +75,13 @@
 pub(crate) const fn as_f64(count: u64) -> f64 {
     count as f64
 }
+
+/// A number's whole part; what is negative is none.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates, which is what is meant"
+)]
+pub(crate) const fn whole(number: f64) -> u64 {
+    number as u64
+}
--- /dev/null
+++ b/crates/peppercrank-direct/src/stats.rs
@@ -0,0 +1,165 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! What a router knows of each target: its work there, the peers' work, speed and failures.
+
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use slotmap::SecondaryMap;
+
+use crate::directory::TargetKey;
+use crate::peers::Work;
+
+/// Failures in a row that eject a target.
+const EJECT_AFTER: u32 = 3;
+
+/// The first ejection's time; it doubles with each further one.
+const EJECT_FIRST: Duration = Duration::from_millis(600);
+
+/// The longest ejection.
+const EJECT_MOST: Duration = Duration::from_secs(5);
+
+/// Weight of one answer in a target's running share of failures.
+const FAIL_WEIGHT: f64 = 0.12;
+
+/// Weight of one answer in a target's running speed.
+const SPEED_WEIGHT: f64 = 0.15;
+
+/// Bounds on a target's speed against its pool's.
+const SPEEDS: (f64, f64) = (0.4, 12.0);
+
+/// `Stats` is what this router knows of one target.
+#[derive(Debug, Clone, Copy)]
+pub struct Stats {
+    /// Requests sent there and not ended.
+    pub running: u32,
+    /// Prompt tokens that it has yet to read for them.
+    pub reading: u64,
+    /// The peers' work there.
+    pub others: u32,
+    /// Prompt tokens that it has yet to read for peers.
+    pub others_reading: u64,
+    /// How long its answers take against its pool's; 1 is as long.
+    pub speed: f64,
+    /// The running share of failures.
+    pub failing: f64,
+    /// Failures since the last success.
+    row: u32,
+    /// Ejections since the last success.
+    ejections: u32,
+    /// Until when it gets no work.
+    ejected: Option<Moment>,
+    /// Whether a request is on its way that tries an ejected target.
+    trial: bool,
+}
+
+impl Default for Stats {
+    fn default() -> Self {
+        Self {
+            running: 0,
+            reading: 0,
+            others: 0,
+            others_reading: 0,
+            speed: 1.0,
+            failing: 0.0,
+            row: 0,
+            ejections: 0,
+            ejected: None,
+            trial: false,
+        }
+    }
+}
+
+impl Stats {
+    /// `load` is all known work on the target.
+    #[must_use]
+    pub const fn load(&self) -> u32 {
+        self.running.saturating_add(self.others)
+    }
+
+    /// `succeeded` notes an answer of a working target.
+    pub fn succeeded(&mut self) {
+        self.row = 0;
+        self.ejections = 0;
+        self.ejected = None;
+        self.trial = false;
+        self.failing -= self.failing * FAIL_WEIGHT;
+    }
+
+    /// `failed` notes a failure that speaks against the target; true if it is now ejected.
+    pub fn failed(&mut self, now: Moment) -> bool {
+        self.failing += (1.0 - self.failing) * FAIL_WEIGHT;
+        self.row += 1;
+        let again = self.trial && self.ejected.is_some();
+        self.trial = false;
+        if self.row < EJECT_AFTER && !again {
+            return false;
+        }
+        let time = EJECT_FIRST * 2_u32.saturating_pow(self.ejections.min(4));
+        self.ejections += 1;
+        self.ejected = Some(now + time.min(EJECT_MOST));
+        true
+    }
+
+    /// `timed` notes how long an answer took against what was predicted, both in milliseconds.
+    pub fn timed(&mut self, took: f64, predicted: f64) {
+        let sample = (took / predicted.max(1.0)).clamp(SPEEDS.0, SPEEDS.1);
+        self.speed += (sample - self.speed) * SPEED_WEIGHT;
+    }
+
+    /// `sent` notes that a request goes there; to an ejected target it goes as a trial.
+    pub fn sent(&mut self, now: Moment) {
+        self.trial |= self.ejected.is_some_and(|until| now >= until);
+    }
+
+    /// `ended` notes that a request ended, whatever came of it.
+    pub const fn ended(&mut self) {
+        self.running = self.running.saturating_sub(1);
+        self.trial = false;
+    }
+
+    /// `is_ejected` tells whether it gets no work at this moment: one request tries it once its time
+    /// is over.
+    #[must_use]
+    pub fn is_ejected(&self, now: Moment) -> bool {
+        self.ejected.is_some_and(|until| now < until || self.trial)
+    }
+}
+
+/// `Board` holds what this router knows of all targets.
+#[derive(Debug, Default)]
+pub struct Board {
+    stats: SecondaryMap<TargetKey, Stats>,
+}
+
+impl Board {
+    /// `get` is what is known of a target.
+    #[must_use]
+    pub fn get(&self, key: TargetKey) -> Stats {
+        self.stats.get(key).copied().unwrap_or_default()
+    }
+
+    /// `of` is what is known of a target, to change it.
+    pub fn of(&mut self, key: TargetKey) -> Option<&mut Stats> {
+        Some(self.stats.entry(key)?.or_default())
+    }
+
+    /// `forget` drops a target that is gone.
+    pub fn forget(&mut self, key: TargetKey) {
+        self.stats.remove(key);
+    }
+
+    /// `iter` lists the targets and what is known of them.
+    pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &Stats)> {
+        self.stats.iter()
+    }
+
+    /// `hear` sets the peers' work on a target.
+    pub fn hear(&mut self, key: TargetKey, work: Option<&Work>) {
+        if let Some(stats) = self.of(key) {
+            stats.others = work.map_or(0, |w| w.running);
+            stats.others_reading = work.map_or(0, |w| w.reading);
+        }
+    }
+}
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -26,11 +26,13 @@
 use peppercrank_direct::freshness::SILENCE;
 use peppercrank_direct::peers::Hint;
 use peppercrank_direct::peers::MOST_BYTES;
+use peppercrank_direct::peers::Outbox;
 use peppercrank_direct::peers::Peers;
 use peppercrank_direct::peers::SILENT;
 use peppercrank_direct::peers::Summary;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::peers::Work;
+use peppercrank_direct::peers::silent;
 use peppercrank_direct::prefixes::MOST;
 use peppercrank_direct::prefixes::Part;
 use peppercrank_direct::prefixes::Prefixes;
@@ -191,8 +193,10 @@
     let (one, two) = two_keys();
     let parts = [(1, 100), (2, 200), (3, 300)].map(|(chain, tokens)| Part { chain, tokens });
     let mut prefixes = Prefixes::default();
-    prefixes.note(at(0), one, [1, 2].into_iter());
-    prefixes.note(at(0), two, [2, 3].into_iter());
+    for (target, part) in [(one, 1), (one, 2), (two, 2), (two, 3)] {
+        assert!(prefixes.note(at(0), target, part));
+        assert!(!prefixes.note(at(1), target, part));
+    }
     assert_eq!(prefixes.held(one, &parts), 300);
     assert_eq!(prefixes.held(two, &parts), 0);
     prefixes.forget(one);
@@ -205,7 +209,7 @@
     let mut prefixes = Prefixes::default();
     let most = 3 * MOST as u64;
     for n in 0..most {
-        prefixes.note(at(n), one, std::iter::once(n));
+        prefixes.note(at(n), one, n);
     }
     assert!(prefixes.len() <= MOST);
     let newest = Part {
@@ -304,6 +308,43 @@
     assert_eq!(peers.alive(later), 1);
 }
 
+#[test]
+fn verify_news_goes_round_once() {
+    let peers = 28;
+    let mut outbox = Outbox::default();
+    let hint = |chain| Hint {
+        target: TargetId(1),
+        chain,
+    };
+    for chain in 0..100 {
+        outbox.add(hint(chain), peers);
+    }
+    let mut told = vec![0; 100];
+    // Each summary goes to the next five peers.
+    loop {
+        let hints = outbox.take(5);
+        if hints.is_empty() {
+            break;
+        }
+        for hint in hints {
+            told[usize::try_from(hint.chain).expect("small")] += 5;
+        }
+    }
+    assert!(
+        told.iter().all(|n| (peers..peers + 5).contains(n)),
+        "{told:?}"
+    );
+    outbox.add(hint(1), 0);
+    assert!(outbox.take(5).is_empty());
+}
+
+#[test]
+fn verify_peers_of_a_large_fleet_may_be_silent_longer() {
+    assert_eq!(silent(3), SILENT);
+    // 370 peers are gone round at 200 ms a round of four, or slower with longer summaries.
+    assert!(silent(370) > Duration::from_millis(200 * 370 / 4));
+}
+
 #[test]
 fn verify_datagrams_are_bounded_and_their_work_is_kept() {
     let mut long = summary(1, 1, 5);
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -13,11 +13,12 @@
 use peppercrank_direct::place::Ask;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Choice;
-use peppercrank_direct::place::Copying;
+use peppercrank_direct::place::Leaving;
 use peppercrank_direct::place::Placed;
-use peppercrank_direct::place::Stats;
 use peppercrank_direct::place::place;
+use peppercrank_direct::place::rank;
 use peppercrank_direct::rates::Rates;
+use peppercrank_direct::stats::Stats;
 
 const NOW: Moment = Moment::ZERO;
 
@@ -45,6 +46,8 @@
         slots: 64,
         near: true,
         held: 0,
+        fresh: false,
+        lag: Duration::ZERO,
         stats: Stats::default(),
     };
     keys(count).into_iter().enumerate().map(of).collect()
@@ -64,7 +67,7 @@
 }
 
 fn choose(ask: &Ask, candidates: &[Candidate]) -> Choice {
-    match place(NOW, &Rates::default(), ask, candidates) {
+    match place(NOW, &Rates::default(), ask, candidates, &[]) {
         Placed::At(choice) => choice,
         other => panic!("{other:?}"),
     }
@@ -114,30 +117,80 @@
     assert_ne!(choose(&short, &candidates).key, candidates[0].key);
 }
 
+/// The candidates with the request's home first.
+fn ranked(count: usize) -> Vec<Candidate> {
+    let mut candidates = idle(count);
+    candidates.sort_by_key(|c| std::cmp::Reverse(rank(ask().home, c.name)));
+    candidates
+}
+
+fn copying() -> Ask {
+    Ask {
+        copying: Some(900.0),
+        ..ask()
+    }
+}
+
 #[test]
 fn verify_an_engine_copies_what_another_holds() {
-    let mut candidates = idle(3);
+    let mut candidates = ranked(3);
     candidates[0].held = 10_000;
     candidates[0].stats.reading = 60_000;
-    let copying = Some(Copying {
-        rate: 900.0,
-        leaving: 0,
-    });
-    let choice = choose(&Ask { copying, ..ask() }, &candidates);
+    let choice = choose(&copying(), &candidates);
     assert_ne!(choice.key, candidates[0].key);
-    assert_eq!(choice.copy, 10_000);
+    assert_eq!(choice.copy, Some((candidates[0].key, 10_000)));
     assert_eq!(choice.reading, 1_000);
+    assert!(!choice.unknown);
+}
+
+#[test]
+fn verify_the_next_home_copies_from_one_that_leaves() {
+    let mut candidates = ranked(4);
+    let leaving = candidates.remove(0);
+    for held in [0, 10_000] {
+        let leaving = Leaving {
+            key: leaving.key,
+            name: leaving.name,
+            held,
+        };
+        let placed = place(NOW, &Rates::default(), &copying(), &candidates, &[leaving]);
+        let Placed::At(choice) = placed else {
+            panic!("{placed:?}");
+        };
+        assert_eq!(choice.key, candidates[0].key);
+        assert_eq!(choice.copy, Some((leaving.key, 10_000)));
+        assert_eq!(choice.unknown, held == 0);
+    }
+}
+
+#[test]
+fn verify_a_fresh_home_copies_from_the_one_before() {
+    let mut candidates = ranked(4);
+    candidates[0].fresh = true;
+    let choice = choose(&copying(), &candidates);
+    assert_eq!(choice.key, candidates[0].key);
+    assert_eq!(choice.copy, Some((candidates[1].key, 10_000)));
+    // Whether it is there is not known, so it is not counted on.
+    assert_eq!(choice.reading, 11_000);
+    // Where all came at once, as to a router that has just started, there was none before.
+    for candidate in &mut candidates {
+        candidate.fresh = true;
+    }
+    let choice = choose(&copying(), &candidates);
+    assert_eq!((choice.key, choice.copy), (candidates[0].key, None));
+    assert!(choice.home);
 }
 
 #[test]
-fn verify_an_engine_copies_from_one_that_leaves() {
-    let candidates = idle(3);
-    let copying = Some(Copying {
-        rate: 900.0,
-        leaving: 10_000,
-    });
-    let choice = choose(&Ask { copying, ..ask() }, &candidates);
-    assert_eq!(choice.copy, 10_000);
+fn verify_peers_reading_is_over_after_its_time() {
+    let mut candidates = ranked(2);
+    candidates[0].stats.others_reading = 60_000;
+    assert_ne!(choose(&copying(), &candidates).key, candidates[0].key);
+    // At 50 tokens a millisecond it was read since they told of it.
+    for candidate in &mut candidates {
+        candidate.lag = Duration::from_millis(1_200);
+    }
+    assert_eq!(choose(&copying(), &candidates).key, candidates[0].key);
 }
 
 #[test]
@@ -169,10 +222,11 @@
     // Once its time is over one request tries it; until that one ends it gets no other.
     let later = Moment::from_millis(60_000);
     candidates[1 - home].stats.reading = 10_000_000;
-    let at = |candidates: &[Candidate]| match place(later, &Rates::default(), &ask(), candidates) {
-        Placed::At(choice) => choice.key,
-        other => panic!("{other:?}"),
-    };
+    let at =
+        |candidates: &[Candidate]| match place(later, &Rates::default(), &ask(), candidates, &[]) {
+            Placed::At(choice) => choice.key,
+            other => panic!("{other:?}"),
+        };
     assert_eq!(at(&candidates), candidates[home].key);
     candidates[home].stats.sent(later);
     assert_ne!(at(&candidates), candidates[home].key);
@@ -192,7 +246,7 @@
     candidates[1].stats.reading = 10_000_000;
     candidates[0].stats.sent(later);
     candidates[0].stats.ended();
-    let placed = place(later, &Rates::default(), &ask(), &candidates);
+    let placed = place(later, &Rates::default(), &ask(), &candidates, &[]);
     assert!(matches!(placed, Placed::At(c) if c.key == candidates[0].key));
 }
 
@@ -204,9 +258,9 @@
             candidate.stats.failed(NOW);
         }
     }
-    let placed = place(NOW, &Rates::default(), &ask(), &candidates);
+    let placed = place(NOW, &Rates::default(), &ask(), &candidates, &[]);
     assert!(matches!(placed, Placed::At(_)));
-    let none = place(NOW, &Rates::default(), &ask(), &[]);
+    let none = place(NOW, &Rates::default(), &ask(), &[], &[]);
     assert_eq!(none, Placed::NoTarget);
 }
 
--- a/crates/peppercrank-gateway/src/admin.rs
+++ b/crates/peppercrank-gateway/src/admin.rs
@@ -31,7 +31,7 @@
         (Some(_), None) => true,
         (Some(age), Some(keys)) => age < keys.revoke.mul_f64(READY_SHARE),
     };
-    young && state.listed && !gateway.stop.is_stopping()
+    young && state.listed.is_some() && !gateway.stop.is_stopping()
 }
 
 /// `ready` answers the balancer.
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -16,12 +16,11 @@
 use peppercrank_core::time::Moment;
 use peppercrank_direct::desired::RouteKind;
 use peppercrank_direct::directory::TargetKey;
-use peppercrank_direct::peers::Hint;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::place::Ask;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Choice;
-use peppercrank_direct::place::Copying;
+use peppercrank_direct::place::Leaving;
 use peppercrank_direct::place::Placed;
 use peppercrank_direct::place::place;
 use peppercrank_direct::retries::Fate;
@@ -42,23 +41,29 @@
 use crate::refuse::Reason;
 use crate::state::State;
 
-/// Hints kept for the next summary; more would not fit its datagram.
-const MOST_HINTS: usize = 160;
+/// Time for which a target that came counts as fresh: prompts that are asked for less often than
+/// that are worth little in memory.
+const FRESH: Duration = Duration::from_secs(30);
+
+/// Time after the first list of targets in which more of the same start of a fleet may come.
+const FIRST: Duration = Duration::from_secs(10);
+
+/// Whether a target came lately to a fleet that was there before.
+fn is_fresh(state: &State, now: Moment, since: Moment) -> bool {
+    let first = state.listed.unwrap_or(now);
+    since > first + FIRST && now.since(since) < FRESH
+}
 
 /// `Flight` counts a request as a target's work until it is dropped.
 #[derive(Debug)]
 pub struct Flight {
     gateway: Arc<Gateway>,
-    /// The target.
-    pub key: TargetKey,
+    /// The target, and what is expected of it.
+    pub choice: Choice,
     /// The name of its start.
     pub instance: Arc<str>,
     /// Where it listens.
     pub address: SocketAddr,
-    /// The predicted time to its answer's first part, in milliseconds.
-    pub predicted: f64,
-    /// Prompt tokens that it was thought to have to read.
-    pub reading: u64,
     /// The target that it should copy from.
     pub copy_from: Option<SocketAddr>,
     /// Whether it had nothing else to read when the request was sent.
@@ -76,13 +81,13 @@
         let took = gateway.now().since(self.sent);
         let mut state = gateway.state();
         self.read(&mut state);
-        if let Some(stats) = state.board.of(self.key) {
+        if let Some(stats) = state.board.of(self.choice.key) {
             stats.succeeded();
-            stats.timed(took.as_secs_f64() * 1_000.0, self.predicted);
+            stats.timed(took.as_secs_f64() * 1_000.0, self.choice.first);
         }
         if self.alone {
             let rates = state.rates.entry(Arc::clone(&job.pool)).or_default();
-            rates.learn(self.reading, took);
+            rates.learn(self.choice.reading, took);
         }
     }
 
@@ -91,8 +96,8 @@
             return;
         }
         self.unread = false;
-        if let Some(stats) = state.board.of(self.key) {
-            stats.reading = stats.reading.saturating_sub(self.reading);
+        if let Some(stats) = state.board.of(self.choice.key) {
+            stats.reading = stats.reading.saturating_sub(self.choice.reading);
         }
     }
 
@@ -100,7 +105,10 @@
     pub fn failed(&self) {
         let now = self.gateway.now();
         let mut state = self.gateway.state();
-        let ejected = state.board.of(self.key).is_some_and(|s| s.failed(now));
+        let ejected = state
+            .board
+            .of(self.choice.key)
+            .is_some_and(|s| s.failed(now));
         drop(state);
         if ejected {
             let fields = [("target", Field::Text(&self.instance))];
@@ -114,7 +122,7 @@
         let gateway = Arc::clone(&self.gateway);
         let mut state = gateway.state();
         self.read(&mut state);
-        if let Some(stats) = state.board.of(self.key) {
+        if let Some(stats) = state.board.of(self.choice.key) {
             stats.ended();
         }
     }
@@ -134,7 +142,7 @@
         return Err(Reason::StaleKeys);
     }
     let candidates = candidates(&state, now, job, tried, &settings.zone);
-    let source = leaving_source(&state, job);
+    let leaving = leaving(&state, job);
     let ask = Ask {
         home: job.home(),
         goal: job.goal,
@@ -142,70 +150,51 @@
         tokens: job.tokens,
         shared: job.shared().iter().map(|p| p.tokens).sum(),
         size: job.size(),
-        copying: job.copying.map(|rate| Copying {
-            rate,
-            leaving: source.map_or(0, |s| s.1),
-        }),
+        copying: job.copying,
     };
     let rates = state.rates.get(&job.pool).copied().unwrap_or_default();
-    let choice = match place(now, &rates, &ask, &candidates) {
+    let choice = match place(now, &rates, &ask, &candidates, &leaving) {
         Placed::At(choice) => choice,
         Placed::Full => return Err(Reason::Full),
         Placed::NoTarget => return Err(Reason::NoTarget),
     };
-    let copy_from = copy_source(&state, &choice, &candidates, source);
-    Ok(take(gateway, &mut state, job, &choice, copy_from))
+    Ok(take(gateway, &mut state, job, &choice))
 }
 
-/// The target that takes no work any more and holds most of a request's shared parts.
-fn leaving_source(state: &State, job: &Job) -> Option<(TargetKey, u64)> {
-    job.copying?;
-    let leaving = state.directory.leaving(&job.pool);
-    let held = leaving.map(|k| (k, state.prefixes.held(k, job.shared())));
-    held.filter(|(_, held)| *held > 0)
-        .max_by_key(|(_, held)| *held)
-}
-
-/// Where the chosen target should copy from: the target that holds most of the prompt.
-fn copy_source(
-    state: &State,
-    choice: &Choice,
-    candidates: &[Candidate],
-    leaving: Option<(TargetKey, u64)>,
-) -> Option<SocketAddr> {
-    if choice.copy == 0 {
-        return None;
+/// The targets that take no work any more and may hold the prompt.
+fn leaving(state: &State, job: &Job) -> Vec<Leaving> {
+    if job.copying.is_none() {
+        return Vec::new();
     }
-    let held = candidates.iter().map(|c| (c.key, c.held));
-    let most = held.chain(leaving).max_by_key(|(_, held)| *held)?;
-    let target = state.directory.get(most.0)?;
-    Some(target.registration.address)
+    let see = |key: TargetKey| {
+        let registration = &state.directory.get(key)?.registration;
+        Some(Leaving {
+            key,
+            name: TargetId::of(&registration.instance).0,
+            held: state.prefixes.held(key, job.shared()),
+        })
+    };
+    state.directory.leaving(&job.pool).filter_map(see).collect()
 }
 
 /// Counts the request at its target.
-fn take(
-    gateway: &Arc<Gateway>,
-    state: &mut State,
-    job: &Job,
-    choice: &Choice,
-    copy_from: Option<SocketAddr>,
-) -> Flight {
+fn take(gateway: &Arc<Gateway>, state: &mut State, job: &Job, choice: &Choice) -> Flight {
     let Choice { key, reading, .. } = *choice;
     let now = gateway.now();
+    let source = choice
+        .copy
+        .and_then(|(source, _)| state.directory.get(source));
+    let copy_from = source.map(|t| t.registration.address);
     let registration = state.directory.get(key).map(|t| t.registration.clone());
     let (instance, address) = registration.map_or_else(
         || (Arc::from(""), SocketAddr::from(([0, 0, 0, 0], 0))),
         |r| (r.instance, r.address),
     );
-    let parts = job.parts.iter().map(|p| p.chain);
-    state.prefixes.note(now, key, parts.clone());
     let target = TargetId::of(&instance);
-    if state.hints.len() < MOST_HINTS {
-        // The last part is the request's own or its session's; peers gain nothing from one that
-        // no other request shares.
-        state
-            .hints
-            .extend(parts.map(|chain| Hint { target, chain }));
+    state.sent(now, choice, target, job.shared());
+    if let Some(own) = job.parts.last() {
+        // Peers gain nothing from the last part, which is the request's own.
+        state.prefixes.note(now, key, own.chain);
     }
     let mut alone = true;
     if let Some(stats) = state.board.of(key) {
@@ -216,11 +205,9 @@
     }
     Flight {
         gateway: Arc::clone(gateway),
-        key,
+        choice: *choice,
         instance,
         address,
-        predicted: choice.first,
-        reading,
         copy_from,
         alone,
         sent: now,
@@ -241,13 +228,16 @@
         keys.retain(|k| !tried.contains(k));
     }
     let see = |key: TargetKey| {
-        let registration = &state.directory.get(key)?.registration;
+        let target = state.directory.get(key)?;
+        let registration = &target.registration;
         Some(Candidate {
             key,
             name: TargetId::of(&registration.instance).0,
             slots: registration.slots,
             near: &*registration.zone == zone,
             held: state.prefixes.held(key, &job.parts),
+            fresh: is_fresh(state, now, target.since),
+            lag: now.since(state.heard),
             stats: state.board.get(key),
         })
     };
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -24,14 +24,16 @@
 use peppercrank_platform::store::Kind;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::gateway::Gateway;
 use crate::store::Ended;
 use crate::store::Store;
 
-/// Time that the watch of the configuration waits: what it confirms counts from when it was
-/// asked, so two of these and the store's silence stay within half of the usual bound on keys.
-const CONFIG_WAIT: Duration = Duration::from_secs(1);
+/// Time that a call for changes of the configuration waits. What an answer confirms is as old as
+/// the question, so questions that are answered at once keep the knowledge of keys younger than
+/// the same number of questions that wait.
+const CONFIG_WAIT: Duration = Duration::from_millis(1);
 
 /// Time that the watch of targets waits; a change ends it at once, and a connection that went
 /// silent is noticed after it.
@@ -40,12 +42,33 @@
 /// Time that the watch of routers waits: they change rarely, and datagrams tell who lives.
 const ROUTERS_WAIT: Duration = Duration::from_secs(20);
 
+/// Pause between calls for targets: each change ends a watch, and many come at once when a pool is
+/// replaced. A leaving target gets work for this much longer, a fifth of the usual bound.
+const TARGETS_PACE: Duration = Duration::from_millis(400);
+
+/// Pause between calls for the configuration: below half of the usual bounds for a change to come
+/// in force, and a fifth of the usual bound on keys.
+const CONFIG_PACE: Duration = Duration::from_millis(900);
+
+/// Pause between calls for routers, which are all registered within the first second of a fleet.
+const ROUTERS_PACE: Duration = Duration::from_secs(2);
+
 /// Pause after a first failed call; it doubles with each further one.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// The longest pause: what a store's return may cost in time.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// Time after which a follower that leaves it to another one looks for itself.
+const SPARE: Duration = Duration::from_secs(3);
+
+/// Time for an answer of the store beyond what it was asked to wait. Its usual answers take
+/// milliseconds; a store that is slow takes some hundreds.
+const ANSWER: Duration = Duration::from_millis(1_200);
+
+/// The same after a failed call: a question that was lost with the outage must not hide its end.
+const PROBE: Duration = Duration::from_millis(700);
+
 /// `Outage` tells the followers when one of them finds the store away or back, since the others
 /// may wait on connections that are dead.
 #[derive(Debug, Clone)]
@@ -80,6 +103,7 @@
 /// `Turn` is how one call of a follower went.
 enum Turn {
     Fine,
+    Again,
     Relist,
     Failed(&'static str),
 }
@@ -102,16 +126,26 @@
     pub async fn run(mut self) {
         let mut told = self.outage.0.subscribe();
         loop {
+            self.spare(&mut told).await;
             let revision = self.revision;
             let turn = tokio::select! {
                 turn = self.turn(revision) => turn,
                 // Only a store that is back makes a waiting call worth dropping.
-                () = returned(&mut told) => Turn::Fine,
+                () = returned(&mut told) => Turn::Again,
             };
             self.after(turn).await;
         }
     }
 
+    /// Leaves it to the configuration's follower to find out when the store is back, as each call
+    /// has its price, and looks for itself now and then.
+    async fn spare(&self, told: &mut watch::Receiver<bool>) {
+        let away = *told.borrow_and_update();
+        if away && self.kind != Kind::Configuration {
+            let _looks = timeout(SPARE, returned(told)).await;
+        }
+    }
+
     async fn turn(&mut self, revision: Option<u64>) -> Turn {
         match revision {
             None => self.list().await,
@@ -121,7 +155,11 @@
 
     async fn after(&mut self, turn: Turn) {
         match turn {
-            Turn::Fine => self.failures = 0,
+            Turn::Fine => {
+                self.failures = 0;
+                self.pace().await;
+            }
+            Turn::Again => {}
             Turn::Relist => {
                 self.revision = None;
                 let fields = [("kind", Field::Text(self.kind.word()))];
@@ -136,6 +174,19 @@
         }
     }
 
+    /// Lets changes gather, since each call has its price.
+    async fn pace(&self) {
+        if self.revision.is_none() {
+            return;
+        }
+        let pace = match self.kind {
+            Kind::Configuration => CONFIG_PACE,
+            Kind::Targets => TARGETS_PACE,
+            Kind::Routers => ROUTERS_PACE,
+        };
+        sleep(jittered(pace)).await;
+    }
+
     async fn list(&mut self) -> Turn {
         let asked = self.gateway.now();
         let mut entries = Vec::new();
@@ -185,7 +236,8 @@
     }
 
     async fn call(&self, path: &str, wait: Duration) -> Result<Bytes, Turn> {
-        let ended = self.store.get(path, wait).await;
+        let patience = if self.failures == 0 { ANSWER } else { PROBE };
+        let ended = self.store.get(path, wait + patience).await;
         self.gateway.metrics.called(self.kind.word(), ended.code());
         match ended {
             Ended::Done(body) => Ok(body),
@@ -227,7 +279,7 @@
                 let now = self.gateway.now();
                 let mut state = self.gateway.state();
                 let noted = state.directory.replace(now, entries);
-                state.listed = true;
+                state.listed.get_or_insert(now);
                 drop(state);
                 self.note_all(noted);
             }
@@ -394,9 +446,9 @@
     }
 }
 
-/// A pause of half to the whole of `most`, so that routers do not call in step.
+/// A pause of most to the whole of `most`, so that routers do not call in step.
 fn jittered(most: Duration) -> Duration {
-    most.mul_f64(rand::random_range(0.5..1.0))
+    most.mul_f64(rand::random_range(0.8..1.0))
 }
 
 /// `expire` drops, for ever, the targets that did not return after an outage in time.
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -11,7 +11,6 @@
 use peppercrank_direct::peers::Summary;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::peers::Work;
-use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -22,45 +21,91 @@
 /// Pause between summaries: the lag of reports that engines give themselves.
 const EVERY: Duration = Duration::from_millis(200);
 
-/// Routers that get each summary; with more, a random choice, so that the bytes a router sends
-/// do not grow with the fleet.
-const FAN_OUT: usize = 8;
+/// Bytes of datagrams that a router sends in a second, headers included; the users allow a daemon
+/// four kilobytes a second for control.
+const BYTES_A_SECOND: usize = 4_096;
+
+/// Bytes of the headers of a datagram, IPv4 and UDP.
+const HEADERS: usize = 28;
 
 /// Room for a datagram, beyond the longest that is sent.
 const ROOM: usize = 2_048;
 
-/// `tell` sends a summary to other routers, several times a second.
+/// `Round` sends summaries round the peers, as many as the allowance of bytes allows.
+#[derive(Debug)]
+struct Round {
+    incarnation: u64,
+    sequence: u64,
+    /// Bytes that may be sent now.
+    allowance: usize,
+    /// The peer that is next, in the order of names.
+    next: usize,
+    /// The length of the summary before, in bytes.
+    size: usize,
+}
+
+impl Round {
+    /// The next summary and who gets it.
+    fn turn(&mut self, state: &mut State) -> (Summary, Vec<SocketAddr>) {
+        let each = BYTES_A_SECOND / usize::try_from(1_000 / EVERY.as_millis()).unwrap_or(1);
+        // What a pause saved does not add up to a burst.
+        self.allowance = (self.allowance + each).min(2 * each.max(self.size));
+        let mut peers = state.routers.iter().collect::<Vec<_>>();
+        peers.sort_unstable();
+        let most = (self.allowance / self.size.max(1)).min(peers.len());
+        let turned = peers.iter().cycle().skip(self.next % peers.len().max(1));
+        let to = turned.take(most).map(|(_, address)| **address);
+        let to = to.collect::<Vec<_>>();
+        self.next = (self.next + most) % peers.len().max(1);
+        self.sequence += 1;
+        (self.summary(state, to.len()), to)
+    }
+
+    fn summary(&self, state: &mut State, to: usize) -> Summary {
+        let names = state.names.iter();
+        let work = names.filter_map(|(name, key)| work(state, *name, *key));
+        Summary {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            work: work.collect(),
+            hints: if to == 0 {
+                Vec::new()
+            } else {
+                state.outbox.take(to)
+            },
+        }
+    }
+
+    /// Notes what was sent.
+    fn sent(&mut self, bytes: usize, datagrams: usize) {
+        self.size = bytes + HEADERS;
+        let spent = self.size * datagrams;
+        self.allowance = self.allowance.saturating_sub(spent);
+    }
+}
+
+/// `tell` sends summaries to other routers, several times a second.
 pub async fn tell(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
-    let incarnation = rand::random();
-    let mut sequence = 0;
+    let mut round = Round {
+        incarnation: rand::random(),
+        sequence: 0,
+        allowance: 0,
+        next: 0,
+        size: HEADERS,
+    };
     let mut ticks = interval(EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        sequence += 1;
-        let (mut summary, to) = {
-            let mut state = gateway.state();
-            let summary = summary(&mut state, incarnation, sequence);
-            (summary, choose(&state))
-        };
+        let (mut summary, to) = round.turn(&mut gateway.state());
         let Ok(bytes) = summary.encode() else {
             continue;
         };
-        for address in to {
+        for address in &to {
             let sent = socket.send_to(&bytes, address).await;
             gateway.metrics.told(sent.is_ok());
         }
-    }
-}
-
-fn summary(state: &mut State, incarnation: u64, sequence: u64) -> Summary {
-    let names = state.names.iter();
-    let work = names.filter_map(|(name, key)| work(state, *name, *key));
-    Summary {
-        incarnation,
-        sequence,
-        work: work.collect(),
-        hints: std::mem::take(&mut state.hints),
+        round.sent(bytes.len(), to.len());
     }
 }
 
@@ -76,15 +121,6 @@
     })
 }
 
-fn choose(state: &State) -> Vec<SocketAddr> {
-    let mut to = state.routers.values().copied().collect::<Vec<_>>();
-    if to.len() > FAN_OUT {
-        to.shuffle(&mut rand::rng());
-        to.truncate(FAN_OUT);
-    }
-    to
-}
-
 /// `hear` takes in the others' summaries.
 pub async fn hear(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     /// Pause after a failed read, so that a broken socket is not polled in a tight loop.
@@ -111,9 +147,10 @@
     state.peers.expire(now);
     for hint in &summary.hints {
         if let Some(key) = state.names.get(&hint.target).copied() {
-            state.prefixes.note(now, key, std::iter::once(hint.chain));
+            state.prefixes.note(now, key, hint.chain);
         }
     }
+    state.heard = now;
     let work = state.peers.work(now);
     let names = state.names.iter().map(|(n, k)| (*n, *k));
     let names = names.collect::<Vec<_>>();
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -142,7 +142,7 @@
         let Ok(mut flight) = begin(&run.gateway, &run.job, &run.tried) else {
             return false;
         };
-        run.tried.push(flight.key);
+        run.tried.push(flight.choice.key);
         let last = self.events.as_ref().and_then(Events::last);
         let last = last.map(str::to_owned);
         let until = run.job.deadline;
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -110,7 +110,7 @@
             Ok(flight) => flight,
             Err(reason) => return Next::Answer(self.give_up(reason)),
         };
-        self.tried.push(flight.key);
+        self.tried.push(flight.choice.key);
         let until = self.patience(&flight);
         let sent = send(&self.gateway, &self.job, &mut flight, until, None).await;
         match sent {
@@ -126,7 +126,7 @@
             return self.job.deadline;
         }
         let wanted = self.job.goal.mul_f64(PATIENCE);
-        let predicted = Duration::from_secs_f64(flight.predicted.max(0.0) * SLACK / 1_000.0);
+        let predicted = Duration::from_secs_f64(flight.choice.first.max(0.0) * SLACK / 1_000.0);
         (flight.sent + wanted.max(predicted)).min(self.job.deadline)
     }
 
@@ -232,7 +232,7 @@
             ("request", Field::Text(&self.job.id)),
             ("target", Field::Text(&flight.instance)),
             ("what", Field::Text(what)),
-            ("predicted_ms", Field::Number(whole(flight.predicted))),
+            ("predicted_ms", Field::Number(whole(flight.choice.first))),
             ("held_ms", Field::Millis(self.held())),
         ];
         self.gateway.log.write(Event::AttemptFailed, &fields);
@@ -249,8 +249,14 @@
             ("status", Field::Number(u64::from(status.as_u16()))),
             ("attempts", Field::Number(u64::from(self.plan.sends()) + 1)),
             ("version", Field::Number(self.job.version)),
-            ("reading", Field::Number(flight.reading)),
-            ("predicted_ms", Field::Number(whole(flight.predicted))),
+            ("reading", Field::Number(flight.choice.reading)),
+            (
+                "copy",
+                Field::Number(flight.choice.copy.map_or(0, |(_, tokens)| tokens)),
+            ),
+            ("unknown", Field::Number(u64::from(flight.choice.unknown))),
+            ("home", Field::Number(u64::from(flight.choice.home))),
+            ("predicted_ms", Field::Number(whole(flight.choice.first))),
             ("first_ms", Field::Millis(held)),
         ];
         self.gateway.log.write(Event::Answered, &fields);
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -13,13 +13,16 @@
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::freshness::Freshness;
 use peppercrank_direct::peers::Hint;
+use peppercrank_direct::peers::Outbox;
 use peppercrank_direct::peers::Peers;
 use peppercrank_direct::peers::TargetId;
-use peppercrank_direct::place::Board;
+use peppercrank_direct::place::Choice;
+use peppercrank_direct::prefixes::Part;
 use peppercrank_direct::prefixes::Prefixes;
 use peppercrank_direct::rates::Rates;
 use peppercrank_direct::retries::RetryBudget;
 use peppercrank_direct::retries::Terms;
+use peppercrank_direct::stats::Board;
 use peppercrank_settings::GatewaySettings;
 
 /// `State` is what the process believes.
@@ -31,8 +34,10 @@
     pub freshness: Freshness,
     /// The targets there are.
     pub directory: Directory,
-    /// Whether the targets were listed once.
-    pub listed: bool,
+    /// When the targets were first listed.
+    pub listed: Option<Moment>,
+    /// When peers' work was heard of last.
+    pub heard: Moment,
     /// What is known of each target.
     pub board: Board,
     /// Targets by their names on datagrams.
@@ -47,8 +52,8 @@
     pub peers: Peers,
     /// Where the other registered routers take datagrams.
     pub routers: HashMap<Arc<str>, SocketAddr>,
-    /// Parts sent since the last summary.
-    pub hints: Vec<Hint>,
+    /// News of who holds what, for the peers.
+    pub outbox: Outbox,
 }
 
 /// `terms` are the bounds on repeats that the settings give.
@@ -69,7 +74,8 @@
             config: InForce::default(),
             freshness: Freshness::new(settings.keys.map(|k| k.revoke)),
             directory: Directory::default(),
-            listed: false,
+            listed: None,
+            heard: now,
             board: Board::default(),
             names: HashMap::new(),
             prefixes: Prefixes::default(),
@@ -77,7 +83,7 @@
             budget: RetryBudget::new(now, terms(settings)),
             peers: Peers::default(),
             routers: HashMap::new(),
-            hints: Vec::new(),
+            outbox: Outbox::default(),
         }
     }
 
@@ -88,6 +94,17 @@
         self.names.retain(|_, k| *k != key);
     }
 
+    /// `sent` notes that a target was sent these parts, and tells the peers what is news.
+    pub fn sent(&mut self, now: Moment, choice: &Choice, target: TargetId, parts: &[Part]) {
+        for part in parts {
+            if self.prefixes.note(now, choice.key, part.chain) {
+                let chain = part.chain;
+                let hint = Hint { target, chain };
+                self.outbox.add(hint, self.routers.len());
+            }
+        }
+    }
+
     /// `sharers` is how many routers share the retry budget: those registered, those heard of,
     /// and this one.
     #[must_use]
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -28,9 +28,8 @@
 /// Connections kept: one for each kind of entries that is followed, and one for writes.
 const SPARE: usize = 4;
 
-/// Time for an answer of the store beyond what it was asked to wait. Its usual answers take
-/// milliseconds; a store that is slow takes some hundreds.
-pub const ANSWER: Duration = Duration::from_millis(1_500);
+/// Time for the answer to a write.
+const WRITE: Duration = Duration::from_millis(1_500);
 
 /// `Store` calls the platform's store.
 #[derive(Debug, Clone)]
@@ -86,28 +85,27 @@
         Self { client, address }
     }
 
-    /// `get` reads, waiting as long as the store was asked to wait, and then [`ANSWER`].
-    pub async fn get(&self, path: &str, wait: Duration) -> Ended {
-        self.call(Method::GET, path, Bytes::new(), wait).await
+    /// `get` reads, within a time.
+    pub async fn get(&self, path: &str, within: Duration) -> Ended {
+        self.call(Method::GET, path, Bytes::new(), within).await
     }
 
     /// `post` creates an entry.
     pub async fn post(&self, path: &str, body: Bytes) -> Ended {
-        self.call(Method::POST, path, body, Duration::ZERO).await
+        self.call(Method::POST, path, body, WRITE).await
     }
 
     /// `put` replaces an entry.
     pub async fn put(&self, path: &str, body: Bytes) -> Ended {
-        self.call(Method::PUT, path, body, Duration::ZERO).await
+        self.call(Method::PUT, path, body, WRITE).await
     }
 
     /// `delete` removes an entry.
     pub async fn delete(&self, path: &str) -> Ended {
-        self.call(Method::DELETE, path, Bytes::new(), Duration::ZERO)
-            .await
+        self.call(Method::DELETE, path, Bytes::new(), WRITE).await
     }
 
-    async fn call(&self, method: Method, path: &str, body: Bytes, wait: Duration) -> Ended {
+    async fn call(&self, method: Method, path: &str, body: Bytes, within: Duration) -> Ended {
         let mut request = Request::new(body::full(body));
         *request.method_mut() = method;
         let Ok(uri) = path.parse() else {
@@ -117,7 +115,7 @@
         *request.uri_mut() = uri;
         let json = HeaderValue::from_static("application/json");
         request.headers_mut().insert(header::CONTENT_TYPE, json);
-        let whole = timeout(wait + ANSWER, self.exchange(request));
+        let whole = timeout(within, self.exchange(request));
         whole.await.unwrap_or(Ended::Lost)
     }
 
