Explain a request from the logs, and leave word of requests in progress

Change: each refusal has its id and the beliefs it rests on; streams tell their end; requests that take longer are named on a line twice a second; readiness changes are told; peppercrank explain reads any number of logs once and tells the story and the likely cause.

--- a/crates/peppercrank-cli/src/errors.rs
+++ b/crates/peppercrank-cli/src/errors.rs
@@ -243,7 +243,7 @@
         f.write_str(match self {
             Self::Kind => "expected template, organisation, pool or mark",
             Self::Form => "expected text or json",
-            Self::Daemon => "expected router or agent",
+            Self::Daemon => "expected router, agent or gateway",
             Self::Part => "expected engine, service or platform",
             Self::Assignment => "expected key=value",
             Self::Order => "expected 32 hexadecimal digits",
--- a/crates/peppercrank-cli/src/flags.rs
+++ b/crates/peppercrank-cli/src/flags.rs
@@ -233,10 +233,20 @@
         cmd check-settings {
             /// The file.
             required file: PathBuf
-            /// router or agent; else told by whether the file names a target.
+            /// router, agent or gateway; else told by what the file names.
             optional --daemon-kind daemon: Daemon
         }
 
+        /// Tells one request's story and its likely cause from the logs of any number of daemons.
+        /// Reads each log once, in memory that does not grow with it. Exit code 7 if no line
+        /// tells of the request.
+        cmd explain {
+            /// The request's id, as its caller sent it.
+            required id: String
+            /// Logs of daemons; standard input without any.
+            repeated files: PathBuf
+        }
+
         /// Serves callers until SIGTERM, then ends what is in progress.
         cmd router {
             /// Its settings: a file of JSON with comments.
--- /dev/null
+++ b/crates/peppercrank-cli/src/verbs/explain.rs
@@ -0,0 +1,91 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! One request's story out of the daemons' logs.
+
+use std::fmt::Write;
+use std::fs::File;
+use std::io;
+use std::io::BufReader;
+use std::path::Path;
+
+use peppercrank_log::story::Step;
+use peppercrank_log::story::Story;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::exit::Exit;
+use crate::flags;
+use crate::report::Report;
+
+/// Reads the logs and tells the story.
+pub(super) fn explain(flags: &flags::Explain) -> Result<Report> {
+    let mut story = Story::new(&flags.id);
+    if flags.files.is_empty() {
+        let read = story.read(io::stdin().lock());
+        read.map_err(|e| unreadable(Path::new("standard input"), e))?;
+    }
+    for path in &flags.files {
+        let log = File::open(path).map_err(|e| unreadable(path, e))?;
+        let read = story.read(BufReader::new(log));
+        read.map_err(|e| unreadable(path, e))?;
+    }
+    Ok(report(&flags.id, &story))
+}
+
+fn unreadable(path: &Path, e: io::Error) -> Error {
+    Error::Settings(peppercrank_settings::errors::file(path, e))
+}
+
+fn report(id: &str, story: &Story) -> Report {
+    let steps = story.steps();
+    let cause = story.cause();
+    if steps.is_empty() {
+        let text = format!("no line of these logs tells of {id}\nlikely cause: {cause}");
+        let json = json!({ "id": id, "steps": [], "cause": cause });
+        return Report::ending(Exit::NotFound, text, json);
+    }
+    let mut text = String::new();
+    for step in &steps {
+        write_step(&mut text, step);
+    }
+    // Writing into a string does not fail.
+    let _written = write!(text, "likely cause: {cause}");
+    let told = steps.iter().map(|s| step_json(s)).collect::<Vec<_>>();
+    Report::done(text, json!({ "id": id, "steps": told, "cause": cause }))
+}
+
+fn write_step(text: &mut String, step: &Step) {
+    let fields = fields_text(&step.fields);
+    let event = step.event.text();
+    // Writing into a string does not fail.
+    let _written = writeln!(text, "{} {} {event}: {fields}", step.time, step.process);
+    for belief in &step.beliefs {
+        let _written = writeln!(text, "    since {}: {}", belief.time, belief.what);
+    }
+}
+
+fn fields_text(fields: &Map<String, Value>) -> String {
+    let shown = fields.iter().filter(|(name, _)| *name != "request");
+    let shown = shown.map(|(name, value)| match value {
+        Value::String(text) => format!("{name}={text}"),
+        other => format!("{name}={other}"),
+    });
+    shown.collect::<Vec<_>>().join(" ")
+}
+
+fn step_json(step: &Step) -> Value {
+    let beliefs = step.beliefs.iter();
+    let beliefs = beliefs.map(|b| json!({ "since": b.time, "what": b.what }));
+    json!({
+        "time": step.time,
+        "process": step.process,
+        "event": step.event.number(),
+        "text": step.event.text(),
+        "fields": step.fields,
+        "beliefs": beliefs.collect::<Vec<_>>(),
+    })
+}
--- a/crates/peppercrank-cli/src/verbs/mod.rs
+++ b/crates/peppercrank-cli/src/verbs/mod.rs
@@ -5,6 +5,7 @@
 
 mod batch;
 mod daemon;
+mod explain;
 mod local;
 mod mark;
 mod objects;
@@ -41,6 +42,7 @@
     "status",
     "check-objects",
     "check-settings",
+    "explain",
     "router",
     "agent",
     "local",
@@ -66,6 +68,7 @@
         PeppercrankCmd::Status(_) => status::status(access),
         PeppercrankCmd::CheckObjects(_) => objects::check(access),
         PeppercrankCmd::CheckSettings(flags) => settings::check(flags),
+        PeppercrankCmd::Explain(flags) => explain::explain(flags),
         PeppercrankCmd::Router(flags) => daemon::router(flags),
         PeppercrankCmd::Agent(flags) => daemon::agent(flags),
         PeppercrankCmd::Local(flags) => local::local(access, flags, out),
--- a/crates/peppercrank-cli/src/verbs/settings.rs
+++ b/crates/peppercrank-cli/src/verbs/settings.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 
 use peppercrank_settings::AgentSettings;
+use peppercrank_settings::GatewaySettings;
 use peppercrank_settings::RouterSettings;
 use peppercrank_settings::file;
 use serde_json::Value;
@@ -29,6 +30,7 @@
     let checked = match daemon {
         Daemon::Router => RouterSettings::parse(&text).map(drop),
         Daemon::Agent => AgentSettings::parse(&text).map(drop),
+        Daemon::Gateway => GatewaySettings::parse(&text).map(drop),
     };
     checked.map_err(|e| named(path, e))?;
     let word = daemon.word();
@@ -36,12 +38,18 @@
     Ok(Report::done(text, json!({ "valid": true, "daemon": word })))
 }
 
-/// Only an agent's settings name a target.
+/// Only an agent's settings name a target, and only a gateway's a store.
 fn guess(path: &Path, text: &str) -> Result<Daemon> {
     let value = peppercrank_core::settings::parse::<Value>(text);
     let value = value.map_err(|e| errors::file(path, e))?;
-    let agent = value.get("target").is_some();
-    Ok(if agent { Daemon::Agent } else { Daemon::Router })
+    let names = |field| value.get(field).is_some();
+    Ok(if names("target") {
+        Daemon::Agent
+    } else if names("store") {
+        Daemon::Gateway
+    } else {
+        Daemon::Router
+    })
 }
 
 /// Names the file beside the place in it.
--- a/crates/peppercrank-cli/src/words.rs
+++ b/crates/peppercrank-cli/src/words.rs
@@ -84,6 +84,8 @@
     Router,
     /// The agent.
     Agent,
+    /// The gateway.
+    Gateway,
 }
 
 impl Daemon {
@@ -93,6 +95,7 @@
         match self {
             Self::Router => "router",
             Self::Agent => "agent",
+            Self::Gateway => "gateway",
         }
     }
 }
@@ -104,6 +107,7 @@
         match s {
             "router" => Ok(Self::Router),
             "agent" => Ok(Self::Agent),
+            "gateway" => Ok(Self::Gateway),
             _ => Err(Word::Daemon),
         }
     }
--- a/crates/peppercrank-cli/tests/verify_usage.rs
+++ b/crates/peppercrank-cli/tests/verify_usage.rs
@@ -29,6 +29,7 @@
     ("status", "loads and drains"),
     ("check-objects", "refers to nothing"),
     ("check-settings", "line and column"),
+    ("explain", "likely cause"),
     ("router", "ends what is in progress"),
     ("agent", "one target"),
     ("local", "--run-time"),
--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -86,6 +86,8 @@
     Answered = 2008 Info "request answered";
     /// An attempt at a target ended without an answer to pass on.
     AttemptFailed = 2009 Info "attempt failed";
+    /// Requests that are in progress, so that a process that is killed leaves word of them.
+    InProgress = 2010 Info "requests in progress";
     /// A member joined, or came back.
     MemberAlive = 3001 Info "member alive";
     /// A member is suspected.
--- a/crates/peppercrank-gateway/src/admin.rs
+++ b/crates/peppercrank-gateway/src/admin.rs
@@ -4,10 +4,13 @@
 //! Answers the balancer and serves the metrics.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use http::HeaderValue;
 use http::StatusCode;
 use http::header;
+use peppercrank_core::events::Event;
+use peppercrank_log::Field;
 use peppercrank_platform::READY_PATH;
 use peppercrank_wire::body;
 use peppercrank_wire::edge::Call;
@@ -38,11 +41,21 @@
 #[must_use]
 pub fn ready(gateway: &Gateway, call: &Call) -> Reply {
     let mut reply = Reply::new(body::empty());
+    let ready = is_ready(gateway);
     *reply.status_mut() = match call.head.uri.path() {
-        READY_PATH if is_ready(gateway) => StatusCode::OK,
+        READY_PATH if ready => StatusCode::OK,
         READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
         _ => StatusCode::NOT_FOUND,
     };
+    if gateway.told_ready.swap(ready, Ordering::Relaxed) != ready {
+        let stopping = gateway.stop.is_stopping();
+        let fields = [
+            ("ready", Field::Number(u64::from(ready))),
+            ("stopping", Field::Number(u64::from(stopping))),
+        ];
+        let fields = [&fields[..], &gateway.beliefs().fields()[..]].concat();
+        gateway.log.write(Event::Ready, &fields);
+    }
     reply
 }
 
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -7,9 +7,11 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use peppercrank_core::time::Moment;
+use peppercrank_log::Field;
 use peppercrank_log::Log;
 use peppercrank_settings::GatewaySettings;
 use peppercrank_wire::client::Client;
@@ -34,6 +36,33 @@
 /// Longest wait of the client itself; each request brings a shorter one of its own.
 const LONGEST: Duration = Duration::from_secs(60 * 60);
 
+/// `Beliefs` are what decisions rest on.
+#[derive(Debug, Clone, Copy)]
+pub struct Beliefs {
+    /// The version of the configuration in force, 0 before the first.
+    pub version: u64,
+    /// The age of what is known of keys; none before the first answer of the store.
+    pub age: Option<Duration>,
+    /// Whether the store does not answer.
+    pub away: bool,
+    /// Targets registered.
+    pub targets: usize,
+}
+
+impl Beliefs {
+    /// `fields` are the beliefs as fields of a log line.
+    #[must_use]
+    pub fn fields(&self) -> [(&'static str, Field<'static>); 4] {
+        let age = self.age.unwrap_or(Duration::MAX);
+        [
+            ("version", Field::Number(self.version)),
+            ("keys_age_ms", Field::Millis(age)),
+            ("store_away", Field::Number(u64::from(self.away))),
+            ("targets", Field::Number(self.targets as u64)),
+        ]
+    }
+}
+
 /// `Gateway` is what all tasks share.
 #[derive(Debug)]
 pub struct Gateway {
@@ -49,6 +78,8 @@
     pub metrics: Metrics,
     /// The signal that tells to stop.
     pub stop: Stop,
+    /// Whether the balancer was last told that the router is ready.
+    pub told_ready: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -72,6 +103,7 @@
             log,
             metrics: Metrics::default(),
             stop,
+            told_ready: AtomicBool::new(false),
             state: Mutex::new(state),
         }
     }
@@ -93,6 +125,19 @@
         Instant::from_std(self.clock.instant(at))
     }
 
+    /// `beliefs` are what decisions rest on, with their versions and ages.
+    #[must_use]
+    pub fn beliefs(&self) -> Beliefs {
+        let now = self.now();
+        let state = self.state();
+        Beliefs {
+            version: state.config.index().map_or(0, |i| i.desired().version),
+            age: state.freshness.age(now),
+            away: state.directory.is_away(),
+            targets: state.directory.len(),
+        }
+    }
+
     /// `settings` are the settings in force.
     #[must_use]
     pub fn settings(&self) -> Arc<GatewaySettings> {
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod gossip;
 pub mod job;
 pub mod metrics;
+pub mod progress;
 pub mod refuse;
 pub mod register;
 pub mod relay;
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -6,8 +6,10 @@
 use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use peppercrank_core::events::Event;
 use peppercrank_direct::desired::RouteKind;
 use peppercrank_direct::events::Events;
@@ -37,6 +39,8 @@
     flight: Flight,
     rest: AnswerBody,
     feed: Feed,
+    /// When the first part came, since the request did.
+    began: Duration,
     /// Whole events only, of streams that may be resumed.
     events: Option<Events>,
 }
@@ -60,6 +64,7 @@
         flight,
         rest,
         feed,
+        began: run.held(),
         events: resumable.then(Events::default),
     };
     tokio::spawn(relay.go(first));
@@ -78,7 +83,7 @@
                         return self.over("caller gone");
                     }
                 }
-                Step::End if self.is_whole() => return self.feed.finish(),
+                Step::End if self.is_whole() => return self.finish(),
                 Step::End | Step::Cut => {
                     self.flight.failed();
                     self.run.note(&self.flight, "stream cut");
@@ -176,6 +181,12 @@
         }
     }
 
+    /// Ends a stream properly.
+    fn finish(self) {
+        self.run.done(&self.flight, StatusCode::OK, self.began);
+        self.feed.finish();
+    }
+
     /// Ends a stream before its end: the feed is dropped unfinished, so that the caller's
     /// connection breaks off.
     fn over(self, what: &'static str) {
@@ -183,6 +194,8 @@
             ("request", Field::Text(&self.run.job.id)),
             ("target", Field::Text(&self.flight.instance)),
             ("what", Field::Text(what)),
+            ("first_ms", Field::Millis(self.began)),
+            ("held_ms", Field::Millis(self.run.held())),
         ];
         self.run.gateway.metrics.missed(what);
         self.run.gateway.log.write(Event::StreamCut, &fields);
@@ -193,6 +206,7 @@
     /// A run that goes on from where another one is.
     fn of(run: &Self) -> Self {
         Self {
+            open: Arc::clone(&run.open),
             gateway: Arc::clone(&run.gateway),
             job: Arc::clone(&run.job),
             plan: run.plan,
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -38,6 +38,7 @@
 use crate::follow::Outage;
 use crate::gateway::Gateway;
 use crate::gossip;
+use crate::progress;
 use crate::register;
 use crate::reload;
 use crate::serve;
@@ -178,6 +179,7 @@
         tasks.spawn(Follower::new(gateway, store, kind, &outage).run());
     }
     tasks.spawn(follow::expire(Arc::clone(gateway)));
+    tasks.spawn(progress::tell(Arc::clone(gateway)));
     tasks.spawn(register::register(Arc::clone(gateway), store.clone()));
     tasks.spawn(gossip::tell(Arc::clone(gateway), Arc::clone(&socket)));
     tasks.spawn(gossip::hear(Arc::clone(gateway), socket));
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -15,6 +15,7 @@
 use peppercrank_direct::retries::Fate;
 use peppercrank_direct::retries::Plan;
 use peppercrank_log::Field;
+use peppercrank_platform::call;
 use peppercrank_wire::body;
 use peppercrank_wire::body::Body;
 use peppercrank_wire::edge::Call;
@@ -31,6 +32,7 @@
 use crate::refuse::Reason;
 use crate::refuse::refuse;
 use crate::relay;
+use crate::state::OpenKey;
 
 /// When to come back after a refusal that passes, unless more is known: several times the lag of
 /// peers' loads, so that what was full may have room.
@@ -49,11 +51,16 @@
         Ok(body) => body,
         Err(e) => return refuse_body(e),
     };
+    let id = call::id(&call.head.headers).to_owned();
     match Job::judge(&gateway, begun, call.head, body) {
         Ok(job) => carry(&gateway, Arc::new(job)).await,
         Err(reason) => {
             gateway.metrics.refused(reason);
-            let fields = [("reason", Field::Text(reason.code()))];
+            let fields = [
+                ("request", Field::Text(&id)),
+                ("reason", Field::Text(reason.code())),
+            ];
+            let fields = [&fields[..], &gateway.beliefs().fields()[..]].concat();
             gateway.log.write(Event::Refused, &fields);
             refuse(reason, COME_BACK)
         }
@@ -65,6 +72,7 @@
     let now = gateway.now();
     gateway.state().budget.request(now, &job.pool);
     let mut run = Run {
+        open: Arc::new(Open::new(gateway, &job)),
         gateway: Arc::clone(gateway),
         plan: Plan::new(job.kind.repeats(), job.attempts),
         tried: Vec::new(),
@@ -86,9 +94,34 @@
     Again,
 }
 
+/// `Open` counts a request as in progress until it is dropped.
+#[derive(Debug)]
+pub struct Open {
+    gateway: Arc<Gateway>,
+    key: OpenKey,
+}
+
+impl Open {
+    fn new(gateway: &Arc<Gateway>, job: &Job) -> Self {
+        let key = gateway.state().open.insert(job.id.clone());
+        Self {
+            gateway: Arc::clone(gateway),
+            key,
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.gateway.state().open.remove(self.key);
+    }
+}
+
 /// `Run` is one request over its attempts.
 #[derive(Debug)]
 pub struct Run {
+    /// That it is in progress.
+    pub open: Arc<Open>,
     /// What all tasks share.
     pub gateway: Arc<Gateway>,
     /// The request.
@@ -145,7 +178,8 @@
                     self.failure = Some((status, headers, body));
                     return self.follow(after, Reason::Failed);
                 }
-                self.done(&flight, status);
+                self.gateway.metrics.answered(self.held());
+                self.done(&flight, status, self.held());
                 Next::Answer(reply(status, headers, body::full(body)))
             }
             Given::Stream {
@@ -154,7 +188,7 @@
                 first,
                 rest,
             } => {
-                self.done(&flight, status);
+                self.gateway.metrics.answered(self.held());
                 let body = relay::start(self, flight, first, rest);
                 Next::Answer(reply(status, headers, body))
             }
@@ -199,6 +233,7 @@
     /// Ends the request with the best answer that there is.
     fn give_up(&mut self, reason: Reason) -> Reply {
         if let Some((status, headers, body)) = self.failure.take() {
+            self.passed_on(status);
             return reply(status, headers, body::full(body));
         }
         let late = self.gateway.now() >= self.job.deadline;
@@ -214,14 +249,30 @@
             ("route", Field::Text(&self.job.route)),
             ("reason", Field::Text(reason.code())),
             ("attempts", Field::Number(u64::from(self.plan.sends()))),
-            ("version", Field::Number(self.job.version)),
+            ("judged_by", Field::Number(self.job.version)),
             ("held_ms", Field::Millis(self.held())),
         ];
+        let fields = [&fields[..], &self.gateway.beliefs().fields()[..]].concat();
         self.gateway.log.write(Event::Refused, &fields);
         refuse(reason, COME_BACK)
     }
 
-    fn held(&self) -> Duration {
+    /// Notes a target's failure that is passed on.
+    fn passed_on(&self, status: StatusCode) {
+        let fields = [
+            ("request", Field::Text(&self.job.id)),
+            ("route", Field::Text(&self.job.route)),
+            ("status", Field::Number(u64::from(status.as_u16()))),
+            ("attempts", Field::Number(u64::from(self.plan.sends()))),
+            ("version", Field::Number(self.job.version)),
+            ("held_ms", Field::Millis(self.held())),
+        ];
+        self.gateway.log.write(Event::Answered, &fields);
+    }
+
+    /// `held` is how long the request has been here.
+    #[must_use]
+    pub fn held(&self) -> Duration {
         self.gateway.now().since(self.job.begun)
     }
 
@@ -238,10 +289,8 @@
         self.gateway.log.write(Event::AttemptFailed, &fields);
     }
 
-    /// Notes an answer.
-    fn done(&self, flight: &Flight, status: StatusCode) {
-        let held = self.held();
-        self.gateway.metrics.answered(held);
+    /// `done` notes an answer that was passed on to its end, and when its first part came.
+    pub fn done(&self, flight: &Flight, status: StatusCode, first: Duration) {
         let fields = [
             ("request", Field::Text(&self.job.id)),
             ("route", Field::Text(&self.job.route)),
@@ -257,7 +306,8 @@
             ("unknown", Field::Number(u64::from(flight.choice.unknown))),
             ("home", Field::Number(u64::from(flight.choice.home))),
             ("predicted_ms", Field::Number(whole(flight.choice.first))),
-            ("first_ms", Field::Millis(held)),
+            ("first_ms", Field::Millis(first)),
+            ("held_ms", Field::Millis(self.held())),
         ];
         self.gateway.log.write(Event::Answered, &fields);
     }
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -24,6 +24,8 @@
 use peppercrank_direct::retries::Terms;
 use peppercrank_direct::stats::Board;
 use peppercrank_settings::GatewaySettings;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
 
 /// `State` is what the process believes.
 #[derive(Debug)]
@@ -52,10 +54,17 @@
     pub peers: Peers,
     /// Where the other registered routers take datagrams.
     pub routers: HashMap<Arc<str>, SocketAddr>,
+    /// The ids of the requests in progress.
+    pub open: SlotMap<OpenKey, String>,
     /// News of who holds what, for the peers.
     pub outbox: Outbox,
 }
 
+new_key_type! {
+    /// `OpenKey` names one request in progress.
+    pub struct OpenKey;
+}
+
 /// `terms` are the bounds on repeats that the settings give.
 #[must_use]
 pub fn terms(settings: &GatewaySettings) -> Terms {
@@ -83,6 +92,7 @@
             budget: RetryBudget::new(now, terms(settings)),
             peers: Peers::default(),
             routers: HashMap::new(),
+            open: SlotMap::with_key(),
             outbox: Outbox::default(),
         }
     }
--- a/crates/peppercrank-log/src/lib.rs
+++ b/crates/peppercrank-log/src/lib.rs
@@ -6,6 +6,8 @@
 //! Lines wait in a bounded queue for a thread that writes them; when it is full they are dropped
 //! and counted, and nothing ever waits for the writer.
 
+pub mod story;
+
 use std::io::Write;
 use std::sync::Mutex;
 
--- /dev/null
+++ b/crates/peppercrank-log/tests/verify_log.rs
@@ -0,0 +1,96 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Lines are whole events with their fields, and a writer that does not write blocks nobody.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use peppercrank_core::events::Event;
+use peppercrank_core::events::Level;
+use peppercrank_log::Field;
+use peppercrank_log::Log;
+use serde_json::Value;
+
+/// Whether the gate is shut, and what was written.
+type Held = (bool, Vec<u8>);
+
+/// A writer that keeps what it gets, and waits while its gate is shut.
+#[derive(Debug, Clone, Default)]
+struct Gate(Arc<(Mutex<Held>, Condvar)>);
+
+impl Gate {
+    fn shut(&self, shut: bool) {
+        self.0.0.lock().expect("a lock").0 = shut;
+        self.0.1.notify_all();
+    }
+
+    fn lines(&self) -> Vec<Value> {
+        let held = self.0.0.lock().expect("a lock");
+        let text = String::from_utf8(held.1.clone()).expect("text");
+        let lines = text.lines().map(|l| serde_json::from_str(l).expect("JSON"));
+        lines.collect()
+    }
+}
+
+impl Write for Gate {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let held = self.0.0.lock().expect("a lock");
+        let mut held = self.0.1.wait_while(held, |h| h.0).expect("a lock");
+        held.1.extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn verify_a_line_is_an_event_with_its_fields() {
+    let gate = Gate::default();
+    let log = Log::to(gate.clone(), Level::Info, "one");
+    let fields = [
+        ("request", Field::Text("a\"b")),
+        ("attempts", Field::Number(2)),
+        ("held_ms", Field::Millis(Duration::from_millis(70))),
+    ];
+    log.write(Event::Refused, &fields);
+    drop(log);
+    let lines = gate.lines();
+    let [line] = lines.as_slice() else {
+        panic!("{lines:?}");
+    };
+    assert_eq!(line["event"], 2001);
+    assert_eq!(line["process"], "one");
+    assert_eq!(line["request"], "a\"b");
+    assert_eq!(line["attempts"], 2);
+    assert_eq!(line["held_ms"], 70);
+}
+
+#[test]
+fn verify_a_reader_that_stops_reading_blocks_nobody_and_drops_are_told() {
+    let gate = Gate::default();
+    gate.shut(true);
+    let log = Log::to(gate.clone(), Level::Info, "one");
+    // Far more than may wait: if a line could wait for the writer, this would never end.
+    for n in 0..50_000 {
+        log.write(Event::Answered, &[("n", Field::Number(n))]);
+    }
+    gate.shut(false);
+    // The next line that finds room tells of those that did not.
+    let told = |lines: &[Value]| lines.iter().any(|l| l.to_string().contains("dropped"));
+    let mut looks = 0;
+    while !told(&gate.lines()) {
+        looks += 1;
+        assert!(looks < 2_000, "the drops are not told");
+        log.write(Event::Answered, &[]);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    drop(log);
+    assert!(gate.lines().len() < 20_000);
+}
