--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -94,9 +94,27 @@
     pub held: u64,
 }
 
+/// `Policy` is how a target is chosen; all but the first are baselines to measure it against.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// Where it costs the fleet least.
+    #[default]
+    Cost,
+    /// Anywhere, evenly.
+    Spread,
+    /// Where the least work is known.
+    LeastLoad,
+    /// At the home of its prompt, or the next one with room.
+    Home,
+}
+
 /// `Ask` is what placement needs to know of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask {
+    /// How the target is chosen.
+    pub policy: Policy,
+    /// A hash of its own id.
+    pub id: u64,
     /// The hash that its home is drawn by: its prompt's shared parts, or its own id.
     pub home: u64,
     /// The time within which its answer is wanted.
@@ -253,7 +271,12 @@
         };
         let reading = ask.tokens.saturating_sub(lack.held);
         let first = predict(self.rates, candidate, reading) + copied;
-        let cost = lack.cost + as_f64(ask.size) * self.burden(candidate, first);
+        let cost = match ask.policy {
+            Policy::Cost => lack.cost + as_f64(ask.size) * self.burden(candidate, first),
+            Policy::Spread => -as_f64(rank(ask.id, candidate.name)),
+            Policy::LeastLoad => f64::from(candidate.stats.load()),
+            Policy::Home => -as_f64(rank(ask.home, candidate.name)),
+        };
         let choice = Choice {
             key: candidate.key,
             first,
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -15,6 +15,7 @@
 use peppercrank_direct::place::Choice;
 use peppercrank_direct::place::Leaving;
 use peppercrank_direct::place::Placed;
+use peppercrank_direct::place::Policy;
 use peppercrank_direct::place::place;
 use peppercrank_direct::place::rank;
 use peppercrank_direct::rates::Rates;
@@ -56,6 +57,8 @@
 /// A long prompt, most of which others share.
 fn ask() -> Ask {
     Ask {
+        policy: Policy::Cost,
+        id: 1,
         home: 7,
         goal: Duration::from_secs(1),
         cap: 2.0,
@@ -275,3 +278,26 @@
     }
     assert_ne!(choose(&ask(), &candidates).key, candidates[home].key);
 }
+
+#[test]
+fn verify_the_baselines_choose_as_they_say() {
+    let mut candidates = ranked(4);
+    candidates[0].stats.running = 5;
+    candidates[1].stats.running = 4;
+    candidates[2].stats.running = 3;
+    candidates[3].stats.running = 4;
+    let with = |policy, id| Ask {
+        policy,
+        id,
+        ..ask()
+    };
+    let home = choose(&with(Policy::Home, 1), &candidates);
+    assert_eq!(home.key, candidates[0].key);
+    let least = choose(&with(Policy::LeastLoad, 1), &candidates);
+    assert_eq!(least.key, candidates[2].key);
+    let spread = (0..100).map(|id| choose(&with(Policy::Spread, id), &candidates).key);
+    let mut spread = spread.collect::<Vec<_>>();
+    spread.sort();
+    spread.dedup();
+    assert_eq!(spread.len(), 4);
+}
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use peppercrank_direct::place::Choice;
 use peppercrank_direct::place::Leaving;
 use peppercrank_direct::place::Placed;
+use peppercrank_direct::place::Policy;
 use peppercrank_direct::place::place;
 use peppercrank_direct::retries::Fate;
 use peppercrank_log::Field;
@@ -29,6 +30,7 @@
 use peppercrank_platform::answer::Kind;
 use peppercrank_platform::call;
 use peppercrank_platform::call::Sent;
+use peppercrank_settings::gateway::Placement;
 use peppercrank_wire::body;
 use peppercrank_wire::client::Answer;
 use peppercrank_wire::client::AnswerBody;
@@ -144,6 +146,8 @@
     let candidates = candidates(&state, now, job, tried, &settings.zone);
     let leaving = leaving(&state, job);
     let ask = Ask {
+        policy: policy(settings.placement),
+        id: job.own(),
         home: job.home(),
         goal: job.goal,
         cap: settings.cap,
@@ -161,6 +165,16 @@
     Ok(take(gateway, &mut state, job, &choice))
 }
 
+/// How the settings want targets chosen.
+const fn policy(placement: Placement) -> Policy {
+    match placement {
+        Placement::Cost => Policy::Cost,
+        Placement::Spread => Policy::Spread,
+        Placement::LeastLoad => Policy::LeastLoad,
+        Placement::Home => Policy::Home,
+    }
+}
+
 /// The targets that take no work any more and may hold the prompt.
 fn leaving(state: &State, job: &Job) -> Vec<Leaving> {
     if job.copying.is_none() {
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -78,10 +78,16 @@
     pub fn home(&self) -> u64 {
         match self.shared().last() {
             Some(part) => part.chain,
-            None => hash64(ID_SEED, self.id.as_bytes()),
+            None => self.own(),
         }
     }
 
+    /// `own` is a hash of the request's id.
+    #[must_use]
+    pub fn own(&self) -> u64 {
+        hash64(ID_SEED, self.id.as_bytes())
+    }
+
     /// `shared` are the parts of its prompt that other requests share: all but its own last one.
     #[must_use]
     pub fn shared(&self) -> &[Part] {
--- a/crates/peppercrank-settings/src/gateway.rs
+++ b/crates/peppercrank-settings/src/gateway.rs
@@ -58,11 +58,29 @@
     /// Bounds on the fleet's repeats; a fifth of the requests and ten in ten seconds unless set.
     #[serde(default)]
     pub retry: RetryBounds,
+    /// How targets are chosen; by cost unless set.
+    #[serde(default)]
+    pub placement: Placement,
     /// Multiple of a pool's mean load that a target may hold; [`DEFAULT_CAP`] unless set.
     #[serde(default = "default_cap")]
     pub cap: f64,
 }
 
+/// `Placement` is how targets are chosen; all but the first are baselines to measure it against.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Placement {
+    /// `cost`: where a request costs the fleet least.
+    #[default]
+    Cost,
+    /// `spread`: anywhere, evenly.
+    Spread,
+    /// `least_load`: where the least work is known.
+    LeastLoad,
+    /// `home`: at the home of its prompt, or the next one with room.
+    Home,
+}
+
 /// `Keys` is how old the knowledge of keys may be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
