--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -391,13 +391,14 @@
                     let instance = instance.map(|t| Arc::clone(&t.registration.instance));
                     if let Some(instance) = instance {
                         state.names.insert(TargetId::of(&instance), key);
+                        state.labels.insert(key, Arc::clone(&instance));
                         drop(state);
                         self.told(LogEvent::TargetJoined, &instance);
                     }
                 }
                 Noted::Gone(key) => {
-                    self.gateway.state().forget(key);
-                    self.told(LogEvent::TargetGone, "");
+                    let instance = self.gateway.state().forget(key);
+                    self.told(LogEvent::TargetGone, instance.as_deref().unwrap_or(""));
                 }
                 Noted::Left(key) => self.told_key(LogEvent::Leaving, key),
                 Noted::Missing(key) => self.told_key(LogEvent::TargetMissing, key),
@@ -460,12 +461,12 @@
         let now = gateway.now();
         let mut state = gateway.state();
         let gone = state.directory.expire(now);
-        for key in &gone {
-            state.forget(*key);
-        }
+        let gone = gone.into_iter().filter_map(|key| state.forget(key));
+        let gone = gone.collect::<Vec<_>>();
         drop(state);
-        for _ in gone {
-            gateway.log.write(LogEvent::TargetGone, &[]);
+        for instance in gone {
+            let fields = [("target", Field::Text(&instance))];
+            gateway.log.write(LogEvent::TargetGone, &fields);
         }
     }
 }
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -24,6 +24,7 @@
 use peppercrank_direct::retries::Terms;
 use peppercrank_direct::stats::Board;
 use peppercrank_settings::GatewaySettings;
+use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
@@ -44,6 +45,8 @@
     pub board: Board,
     /// Targets by their names on datagrams.
     pub names: HashMap<TargetId, TargetKey>,
+    /// The instances of the targets, also of those just gone.
+    pub labels: SecondaryMap<TargetKey, Arc<str>>,
     /// Who holds which part of a prompt.
     pub prefixes: Prefixes,
     /// What is learnt of each pool's speed.
@@ -87,6 +90,7 @@
             heard: now,
             board: Board::default(),
             names: HashMap::new(),
+            labels: SecondaryMap::new(),
             prefixes: Prefixes::default(),
             rates: HashMap::new(),
             budget: RetryBudget::new(now, terms(settings)),
@@ -97,11 +101,12 @@
         }
     }
 
-    /// `forget` drops all that is known of a target that is gone.
-    pub fn forget(&mut self, key: TargetKey) {
+    /// `forget` drops all that is known of a target that is gone, and returns its instance.
+    pub fn forget(&mut self, key: TargetKey) -> Option<Arc<str>> {
         self.board.forget(key);
         self.prefixes.forget(key);
         self.names.retain(|_, k| *k != key);
+        self.labels.remove(key)
     }
 
     /// `sent` notes that a target was sent these parts, and tells the peers what is news.
--- a/crates/peppercrank-log/src/story.rs
+++ b/crates/peppercrank-log/src/story.rs
@@ -191,7 +191,7 @@
     fn step(&self, line: Line) -> Step {
         let target = text_of(&line.fields, "target").to_owned();
         let bears = |subject: &Subject| match subject {
-            Subject::Target(name) => *name == target,
+            Subject::Target(name) => !name.is_empty() && *name == target,
             _ => true,
         };
         let held = self.beliefs.iter();
