Bound what slow callers, kept connections and reused addresses can do

Cause, found by reading: a stream to a caller that does not read waited past its deadline, with its target at work; a caller that left its answer unread could be told 408, which promises that it had not run; 29 routers with eight kept connections each fill the 230 that one service takes; an address that another instance has was tried until its entry went. Change: passing on ends at the deadline; that caller is told nothing; kept connections are shared out of half of what targets take; a target whose address answers as another takes no more work.

--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -120,6 +120,18 @@
     }
 }
 
+/// Part of a target's connections that routers may keep unused, over all of them.
+const SPARE_PART: usize = 2;
+
+/// `spare` is how many unused connections each of so many routers may keep to one target, `most` at
+/// the most.
+#[must_use]
+pub fn spare(pools: &[Pool], routers: usize, most: usize) -> usize {
+    let fewest = pools.iter().map(|p| p.connections).min();
+    let fewest = fewest.map_or(usize::MAX, |c| usize::try_from(c).unwrap_or(usize::MAX));
+    (fewest / SPARE_PART / routers.max(1)).min(most)
+}
+
 /// `CallerBounds` bound what callers may send and how long they may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerBounds {
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -215,6 +215,13 @@
         }
     }
 
+    /// `lost` notes that another instance answers at a target's address: it takes no more work.
+    pub fn lost(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.state = State::Leaving;
+        }
+    }
+
     /// `expire` drops the targets that did not return in time, and names them.
     pub fn expire(&mut self, now: Moment) -> Vec<TargetKey> {
         let late = |t: &Target| matches!(t.state, State::Missing(until) if now >= until);
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -13,9 +13,11 @@
 use peppercrank_direct::desired::InForce;
 use peppercrank_direct::desired::Index;
 use peppercrank_direct::desired::Organisation;
+use peppercrank_direct::desired::Pool;
 use peppercrank_direct::desired::PoolShare;
 use peppercrank_direct::desired::Route;
 use peppercrank_direct::desired::RouteKind;
+use peppercrank_direct::desired::spare;
 use peppercrank_direct::directory::Change;
 use peppercrank_direct::directory::Directory;
 use peppercrank_direct::directory::Registration;
@@ -360,3 +362,17 @@
     assert!(read.hints.len() > 50);
     Summary::decode(&bytes[..bytes.len() / 2]).unwrap_err();
 }
+
+#[test]
+fn verify_kept_connections_fit_what_targets_take() {
+    let pool = |connections| Pool {
+        name: "pool".into(),
+        connections,
+        memory: None,
+    };
+    let pools = [pool(490), pool(230)];
+    assert_eq!(spare(&pools, 4, 8), 8);
+    assert_eq!(spare(&pools, 29, 8), 3);
+    assert_eq!(spare(&pools, 370, 8), 0);
+    assert_eq!(spare(&[], 0, 8), 8);
+}
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Notes that another instance answers at the target's address.
+    fn lost(&self) {
+        self.gateway.state().directory.lost(self.choice.key);
+    }
+
     /// `failed` notes a failure that speaks against the target.
     pub fn failed(&self) {
         let now = self.gateway.now();
@@ -376,6 +381,7 @@
             return Err(Missed::new(Fate::NotRun, "refused by the target", false));
         }
         Kind::OtherInstance => {
+            flight.lost();
             drain(body).await;
             return Err(Missed::new(Fate::NotRun, "other instance", true));
         }
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -31,7 +31,7 @@
 const KEEP: Duration = Duration::from_secs(4);
 
 /// Unused connections kept for each target: the bursts of one router seen by one target.
-const SPARE: usize = 8;
+pub const SPARE: usize = 8;
 
 /// Longest wait of the client itself; each request brings a shorter one of its own.
 const LONGEST: Duration = Duration::from_secs(60 * 60);
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -22,6 +22,7 @@
 use peppercrank_wire::client::AnswerBody;
 use tokio::time::Sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout_at;
 
 use crate::attempt::Flight;
 use crate::attempt::Given;
@@ -79,8 +80,11 @@
         loop {
             match step {
                 Step::Part(part) => {
-                    if self.pass(part).await.is_err() {
-                        return self.over("caller gone");
+                    // A caller that reads slowly must not hold its target past the deadline.
+                    match timeout_at(end, self.pass(part)).await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(_)) => return self.over("caller gone"),
+                        Err(_) => return self.over("deadline passed"),
                     }
                 }
                 Step::End if self.is_whole() => return self.finish(),
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -10,6 +10,7 @@
 
 use peppercrank_core::events::Event;
 use peppercrank_core::events::Level;
+use peppercrank_direct::desired;
 use peppercrank_direct::desired::CallerBounds;
 use peppercrank_log::Field;
 use peppercrank_log::Log;
@@ -37,6 +38,7 @@
 use crate::follow::Follower;
 use crate::follow::Outage;
 use crate::gateway::Gateway;
+use crate::gateway::SPARE;
 use crate::gossip;
 use crate::progress;
 use crate::register;
@@ -206,7 +208,7 @@
     Ok(())
 }
 
-/// The edge's limits, kept up to date with the configuration.
+/// The edge's limits, kept up to date with the configuration, as are the connections kept.
 fn follow_limits(tasks: &mut JoinSet<()>, gateway: &Arc<Gateway>) -> watch::Receiver<Arc<Limits>> {
     let (dial, limits) = watch::channel(Arc::new(edge_limits(gateway, FIRST_BOUNDS)));
     let gateway = Arc::clone(gateway);
@@ -214,10 +216,14 @@
         let mut seen = FIRST_BOUNDS;
         loop {
             sleep(BOUNDS_EVERY).await;
-            let bounds = gateway.state().config.index().map(|i| i.desired().bounds);
-            if let Some(bounds) = bounds
-                && bounds != seen
-            {
+            let Some(index) = gateway.state().config.index().cloned() else {
+                continue;
+            };
+            let routers = gateway.state().sharers(gateway.now());
+            let spare = desired::spare(&index.desired().pools, routers, SPARE);
+            gateway.client.set_spare(spare);
+            let bounds = index.desired().bounds;
+            if bounds != seen {
                 seen = bounds;
                 dial.send_replace(Arc::new(edge_limits(&gateway, bounds)));
             }
--- a/crates/peppercrank-gateway/tests/support/mod.rs
+++ b/crates/peppercrank-gateway/tests/support/mod.rs
@@ -75,6 +75,13 @@
     })
 }
 
+/// `brief` is a route of streams that must end soon.
+fn brief(name: &str, prefix: &str) -> Value {
+    let mut route = route(name, prefix, "streaming", 1);
+    route["timeoutMs"] = json!(700);
+    route
+}
+
 /// `desired` is a configuration with all routes of the tests.
 pub fn desired(version: u64, keys: &[&str]) -> Value {
     json!({
@@ -84,6 +91,7 @@
             route("once", "/once/", "unsafe", 1),
             route("resumable", "/stream/on/", "streaming", 3),
             route("single", "/stream/once/", "streaming", 1),
+            brief("brief", "/stream/brief/"),
         ],
         "services": [{ "name": "pool", "healthPath": "/healthz", "maxConnections": 100 }],
         "limits": {
--- a/crates/peppercrank-gateway/tests/verify_changes.rs
+++ b/crates/peppercrank-gateway/tests/verify_changes.rs
@@ -142,7 +142,9 @@
         "{}",
         *busy.borrow_and_update()
     );
-    assert!(!new.seen().is_empty());
+    // It met it once and asked no more.
+    assert_eq!(new.seen().len(), 1);
+    assert_eq!(fleet.usable(), 1);
 }
 
 #[tokio::test]
--- a/crates/peppercrank-gateway/tests/verify_path.rs
+++ b/crates/peppercrank-gateway/tests/verify_path.rs
@@ -218,3 +218,31 @@
         busy.wait_for(|n| *n == 0).await.expect("a target");
     }
 }
+
+#[tokio::test]
+async fn verify_a_stream_ends_at_its_deadline_whether_its_caller_reads_or_not() {
+    for (act, reads) in [
+        (Act::Slow(std::time::Duration::from_secs(3_600)), true),
+        (Act::Flood, false),
+    ] {
+        let (one, _one) = target("i-one").await;
+        let fleet = Fleet::start(&[&one]).await;
+        one.next(&[act]);
+        let mut busy = one.busy();
+        let request = Fleet::request("/stream/brief/x", "5", KEY);
+        let answer = fleet.send(request).await.expect("an answer");
+        let unread = if reads {
+            let body = http_body_util::BodyExt::collect(answer.into_body()).await;
+            assert!(
+                body.is_err(),
+                "a stream cut at its deadline never looks whole"
+            );
+            None
+        } else {
+            Some(answer)
+        };
+        // Nothing but the end of the test bounds this wait: the target is told, or it never ends.
+        busy.wait_for(|n| *n == 0).await.expect("a target");
+        drop(unread);
+    }
+}
--- a/crates/peppercrank-wire/src/client/mod.rs
+++ b/crates/peppercrank-wire/src/client/mod.rs
@@ -139,6 +139,11 @@
         &self.counters
     }
 
+    /// `set_spare` keeps at most so many unused connections for each address from now on.
+    pub fn set_spare(&self, spare: usize) {
+        self.pool.set_spare(spare);
+    }
+
     /// `kept` is how many open connections wait for their next request.
     #[must_use]
     pub fn kept(&self) -> usize {
--- a/crates/peppercrank-wire/src/client/pool.rs
+++ b/crates/peppercrank-wire/src/client/pool.rs
@@ -8,6 +8,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -24,7 +26,7 @@
 #[derive(Debug)]
 pub(super) struct Pool {
     keep: Duration,
-    spare: usize,
+    spare: AtomicUsize,
     kept: Mutex<Kept>,
 }
 
@@ -36,11 +38,16 @@
         };
         Self {
             keep,
-            spare,
+            spare: AtomicUsize::new(spare),
             kept: Mutex::new(kept),
         }
     }
 
+    /// Keeps at most so many for each address from now on.
+    pub(super) fn set_spare(&self, spare: usize) {
+        self.spare.store(spare, Ordering::Relaxed);
+    }
+
     /// Takes the connection that was used last, if one is young enough.
     pub(super) fn take(&self, to: SocketAddr) -> Option<Link> {
         let mut kept = self.kept();
@@ -62,7 +69,7 @@
             sweep(&mut kept.links, now, self.keep);
         }
         let links = kept.links.entry(to).or_default();
-        if links.len() < self.spare {
+        if links.len() < self.spare.load(Ordering::Relaxed) {
             links.push((now, link));
         }
     }
--- a/crates/peppercrank-wire/src/edge/connection.rs
+++ b/crates/peppercrank-wire/src/edge/connection.rs
@@ -260,7 +260,8 @@
     counters: &Counters,
 ) {
     counters.refuse(reason);
-    if !flow.wrote() {
+    // A caller that does not read its answer is told nothing: its request may have run.
+    if !flow.wrote() && reason != Refused::WriteTimeout {
         let sent = timeout(limits.linger, io.write_all(&raw(reason))).await;
         if !matches!(sent, Ok(Ok(()))) {
             return;
