--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -8,25 +8,15 @@
 
 use bytes::Bytes;
 use peppercrank_core::events::Event as LogEvent;
-use peppercrank_core::time::Moment;
-use peppercrank_direct::desired::Applied;
-use peppercrank_direct::desired::Desired;
-use peppercrank_direct::directory::Change;
-use peppercrank_direct::directory::Noted;
-use peppercrank_direct::directory::Registration;
-use peppercrank_direct::directory::TargetKey;
-use peppercrank_direct::peers::TargetId;
 use peppercrank_log::Field;
-use peppercrank_platform::router::RouterEntry;
 use peppercrank_platform::store;
-use peppercrank_platform::store::Entry;
-use peppercrank_platform::store::Event;
 use peppercrank_platform::store::Kind;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
+use crate::intake::Intake;
 use crate::store::Ended;
 use crate::store::Store;
 
@@ -94,8 +84,7 @@
     store: Store,
     kind: Kind,
     outage: Outage,
-    /// The revision up to which changes are known.
-    revision: Option<u64>,
+    intake: Intake,
     /// Failures in a row.
     failures: u32,
 }
@@ -117,7 +106,7 @@
             store: store.clone(),
             kind,
             outage: outage.clone(),
-            revision: None,
+            intake: Intake::new(gateway, kind),
             failures: 0,
         }
     }
@@ -127,7 +116,7 @@
         let mut told = self.outage.0.subscribe();
         loop {
             self.spare(&mut told).await;
-            let revision = self.revision;
+            let revision = self.intake.revision;
             let turn = tokio::select! {
                 turn = self.turn(revision) => turn,
                 // Only a store that is back makes a waiting call worth dropping.
@@ -161,7 +150,7 @@
             }
             Turn::Again => {}
             Turn::Relist => {
-                self.revision = None;
+                self.intake.revision = None;
                 let fields = [("kind", Field::Text(self.kind.word()))];
                 self.gateway.log.write(LogEvent::Relisted, &fields);
             }
@@ -176,7 +165,7 @@
 
     /// Lets changes gather, since each call has its price.
     async fn pace(&self) {
-        if self.revision.is_none() {
+        if self.intake.revision.is_none() {
             return;
         }
         let pace = match self.kind {
@@ -207,8 +196,8 @@
             after = page.next;
             if after.is_none() {
                 self.back();
-                self.replace(asked, entries);
-                self.revision = Some(from);
+                self.intake.replace(asked, entries);
+                self.intake.revision = Some(from);
                 return Turn::Fine;
             }
         }
@@ -230,8 +219,8 @@
             return Turn::Failed("malformed changes");
         };
         self.back();
-        self.revision = Some(changes.revision);
-        self.apply(asked, changes.events);
+        self.intake.revision = Some(changes.revision);
+        self.intake.apply(asked, changes.events);
         Turn::Fine
     }
 
@@ -265,174 +254,6 @@
             self.gateway.log.write(LogEvent::PlatformUp, &[]);
         }
     }
-
-    /// Takes in the whole list of entries.
-    fn replace(&self, asked: Moment, entries: Vec<Entry>) {
-        match self.kind {
-            Kind::Configuration => {
-                let events = entries.into_iter().map(Event::Put);
-                self.apply(asked, events.collect());
-            }
-            Kind::Targets => {
-                let entries = entries.into_iter().filter_map(|e| self.target(e));
-                let entries = entries.collect();
-                let now = self.gateway.now();
-                let mut state = self.gateway.state();
-                let noted = state.directory.replace(now, entries);
-                state.listed.get_or_insert(now);
-                drop(state);
-                self.note_all(noted);
-            }
-            Kind::Routers => {
-                self.gateway.state().routers.clear();
-                for entry in entries {
-                    self.router(entry);
-                }
-            }
-        }
-    }
-
-    /// Takes in changes.
-    fn apply(&self, asked: Moment, events: Vec<Event>) {
-        match self.kind {
-            Kind::Configuration => self.configure(asked, events),
-            Kind::Targets => {
-                for event in events {
-                    self.change(event);
-                }
-            }
-            Kind::Routers => {
-                for event in events {
-                    match event {
-                        Event::Put(entry) => self.router(entry),
-                        Event::Removed(name) => {
-                            self.gateway.state().routers.remove(&name);
-                        }
-                    }
-                }
-            }
-        }
-    }
-
-    /// Brings the newest configuration in force, and confirms what is known of keys unless an
-    /// entry could not be read.
-    fn configure(&self, asked: Moment, events: Vec<Event>) {
-        let mut sound = true;
-        for event in events {
-            match event {
-                Event::Put(Entry::Configuration(desired)) => self.bring_in_force(desired),
-                Event::Put(Entry::Malformed(name, e)) => {
-                    sound = false;
-                    self.malformed(&name, &e);
-                }
-                Event::Put(_) | Event::Removed(_) => {}
-            }
-        }
-        if sound {
-            let mut state = self.gateway.state();
-            if state.config.index().is_some() {
-                state.freshness.confirm(asked);
-            }
-        }
-    }
-
-    fn bring_in_force(&self, desired: Desired) {
-        let version = desired.version;
-        let applied = self.gateway.state().config.apply(desired);
-        if applied == Applied::InForce {
-            self.gateway.metrics.in_force(version);
-            let fields = [("version", Field::Number(version))];
-            self.gateway.log.write(LogEvent::ConfigApplied, &fields);
-        }
-    }
-
-    fn target(&self, entry: Entry) -> Option<Registration> {
-        match entry {
-            Entry::Target(registration) => Some(registration),
-            Entry::Malformed(name, e) => {
-                self.malformed(&name, &e);
-                None
-            }
-            Entry::Configuration(_) | Entry::Router(_) | Entry::Other => None,
-        }
-    }
-
-    fn change(&self, event: Event) {
-        let change = match event {
-            Event::Put(entry) => self.target(entry).map(Change::Put),
-            Event::Removed(instance) => Some(Change::Removed(instance)),
-        };
-        let Some(change) = change else {
-            return;
-        };
-        let now = self.gateway.now();
-        let noted = self.gateway.state().directory.apply(now, change);
-        self.note_all(vec![noted]);
-    }
-
-    fn router(&self, entry: Entry) {
-        match entry {
-            Entry::Router(RouterEntry { name, address }) => {
-                if *name != *self.gateway.settings().name {
-                    self.gateway.state().routers.insert(name, address);
-                }
-            }
-            Entry::Malformed(name, e) => self.malformed(&name, &e),
-            Entry::Configuration(_) | Entry::Target(_) | Entry::Other => {}
-        }
-    }
-
-    fn note_all(&self, noted: Vec<Noted>) {
-        for noted in noted {
-            match noted {
-                Noted::Joined(key) => {
-                    let mut state = self.gateway.state();
-                    let instance = state.directory.get(key);
-                    let instance = instance.map(|t| Arc::clone(&t.registration.instance));
-                    if let Some(instance) = instance {
-                        state.names.insert(TargetId::of(&instance), key);
-                        state.labels.insert(key, Arc::clone(&instance));
-                        drop(state);
-                        self.told(LogEvent::TargetJoined, &instance);
-                    }
-                }
-                Noted::Gone(key) => {
-                    let instance = self.gateway.state().forget(key);
-                    self.told(LogEvent::TargetGone, instance.as_deref().unwrap_or(""));
-                }
-                Noted::Left(key) => self.told_key(LogEvent::Leaving, key),
-                Noted::Missing(key) => self.told_key(LogEvent::TargetMissing, key),
-                Noted::Nothing => {}
-            }
-        }
-    }
-
-    fn told_key(&self, event: LogEvent, key: TargetKey) {
-        let state = self.gateway.state();
-        let instance = state.directory.get(key);
-        let instance = instance.map(|t| Arc::clone(&t.registration.instance));
-        drop(state);
-        self.told(event, instance.as_deref().unwrap_or(""));
-    }
-
-    fn told(&self, event: LogEvent, instance: &str) {
-        let revision = self.revision.unwrap_or(0);
-        let fields = [
-            ("target", Field::Text(instance)),
-            ("revision", Field::Number(revision)),
-        ];
-        self.gateway.log.write(event, &fields);
-    }
-
-    fn malformed(&self, name: &str, error: &peppercrank_platform::Error) {
-        let text = error.to_string();
-        let fields = [
-            ("kind", Field::Text(self.kind.word())),
-            ("name", Field::Text(name)),
-            ("error", Field::Text(&text)),
-        ];
-        self.gateway.log.write(LogEvent::EntryInvalid, &fields);
-    }
 }
 
 /// Returns once the store was away and is back.
@@ -451,22 +272,3 @@
 fn jittered(most: Duration) -> Duration {
     most.mul_f64(rand::random_range(0.8..1.0))
 }
-
-/// `expire` drops, for ever, the targets that did not return after an outage in time.
-pub async fn expire(gateway: Arc<Gateway>) {
-    /// How often it looks; the grace period ends a little late at most.
-    const EVERY: Duration = Duration::from_millis(250);
-    loop {
-        sleep(EVERY).await;
-        let now = gateway.now();
-        let mut state = gateway.state();
-        let gone = state.directory.expire(now);
-        let gone = gone.into_iter().filter_map(|key| state.forget(key));
-        let gone = gone.collect::<Vec<_>>();
-        drop(state);
-        for instance in gone {
-            let fields = [("target", Field::Text(&instance))];
-            gateway.log.write(LogEvent::TargetGone, &fields);
-        }
-    }
-}
--- /dev/null
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -0,0 +1,233 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Takes entries of the store in: configuration, targets and routers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use peppercrank_core::events::Event as LogEvent;
+use peppercrank_core::time::Moment;
+use peppercrank_direct::desired::Applied;
+use peppercrank_direct::desired::Desired;
+use peppercrank_direct::directory::Change;
+use peppercrank_direct::directory::Noted;
+use peppercrank_direct::directory::Registration;
+use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::peers::TargetId;
+use peppercrank_log::Field;
+use peppercrank_platform::router::RouterEntry;
+use peppercrank_platform::store::Entry;
+use peppercrank_platform::store::Event;
+use peppercrank_platform::store::Kind;
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+
+/// `Intake` takes entries of one kind in.
+#[derive(Debug)]
+pub struct Intake {
+    gateway: Arc<Gateway>,
+    kind: Kind,
+    /// The revision of the store that told the newest entries.
+    pub revision: Option<u64>,
+}
+
+impl Intake {
+    /// `new` takes entries of a kind in.
+    #[must_use]
+    pub fn new(gateway: &Arc<Gateway>, kind: Kind) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            kind,
+            revision: None,
+        }
+    }
+
+    /// `replace` takes in the whole list of entries, which answers a question of `asked`.
+    pub fn replace(&self, asked: Moment, entries: Vec<Entry>) {
+        match self.kind {
+            Kind::Configuration => {
+                let events = entries.into_iter().map(Event::Put);
+                self.apply(asked, events.collect());
+            }
+            Kind::Targets => {
+                let entries = entries.into_iter().filter_map(|e| self.target(e));
+                let entries = entries.collect();
+                let now = self.gateway.now();
+                let mut state = self.gateway.state();
+                let noted = state.directory.replace(now, entries);
+                state.listed.get_or_insert(now);
+                drop(state);
+                self.note_all(noted);
+            }
+            Kind::Routers => {
+                self.gateway.state().routers.clear();
+                for entry in entries {
+                    self.router(entry);
+                }
+            }
+        }
+    }
+
+    /// `apply` takes in changes, which answer a question of `asked`.
+    pub fn apply(&self, asked: Moment, events: Vec<Event>) {
+        match self.kind {
+            Kind::Configuration => self.configure(asked, events),
+            Kind::Targets => {
+                for event in events {
+                    self.change(event);
+                }
+            }
+            Kind::Routers => {
+                for event in events {
+                    match event {
+                        Event::Put(entry) => self.router(entry),
+                        Event::Removed(name) => {
+                            self.gateway.state().routers.remove(&name);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Brings the newest configuration in force, and confirms what is known of keys unless an
+    /// entry could not be read.
+    fn configure(&self, asked: Moment, events: Vec<Event>) {
+        let mut sound = true;
+        for event in events {
+            match event {
+                Event::Put(Entry::Configuration(desired)) => self.bring_in_force(desired),
+                Event::Put(Entry::Malformed(name, e)) => {
+                    sound = false;
+                    self.malformed(&name, &e);
+                }
+                Event::Put(_) | Event::Removed(_) => {}
+            }
+        }
+        if sound {
+            let mut state = self.gateway.state();
+            if state.config.index().is_some() {
+                state.freshness.confirm(asked);
+            }
+        }
+    }
+
+    fn bring_in_force(&self, desired: Desired) {
+        let version = desired.version;
+        let applied = self.gateway.state().config.apply(desired);
+        if applied == Applied::InForce {
+            self.gateway.metrics.in_force(version);
+            let fields = [("version", Field::Number(version))];
+            self.gateway.log.write(LogEvent::ConfigApplied, &fields);
+        }
+    }
+
+    fn target(&self, entry: Entry) -> Option<Registration> {
+        match entry {
+            Entry::Target(registration) => Some(registration),
+            Entry::Malformed(name, e) => {
+                self.malformed(&name, &e);
+                None
+            }
+            Entry::Configuration(_) | Entry::Router(_) | Entry::Other => None,
+        }
+    }
+
+    fn change(&self, event: Event) {
+        let change = match event {
+            Event::Put(entry) => self.target(entry).map(Change::Put),
+            Event::Removed(instance) => Some(Change::Removed(instance)),
+        };
+        let Some(change) = change else {
+            return;
+        };
+        let now = self.gateway.now();
+        let noted = self.gateway.state().directory.apply(now, change);
+        self.note_all(vec![noted]);
+    }
+
+    fn router(&self, entry: Entry) {
+        match entry {
+            Entry::Router(RouterEntry { name, address }) => {
+                if *name != *self.gateway.settings().name {
+                    self.gateway.state().routers.insert(name, address);
+                }
+            }
+            Entry::Malformed(name, e) => self.malformed(&name, &e),
+            Entry::Configuration(_) | Entry::Target(_) | Entry::Other => {}
+        }
+    }
+
+    fn note_all(&self, noted: Vec<Noted>) {
+        for noted in noted {
+            match noted {
+                Noted::Joined(key) => {
+                    let mut state = self.gateway.state();
+                    let instance = state.directory.get(key);
+                    let instance = instance.map(|t| Arc::clone(&t.registration.instance));
+                    if let Some(instance) = instance {
+                        state.names.insert(TargetId::of(&instance), key);
+                        state.labels.insert(key, Arc::clone(&instance));
+                        drop(state);
+                        self.told(LogEvent::TargetJoined, &instance);
+                    }
+                }
+                Noted::Gone(key) => {
+                    let instance = self.gateway.state().forget(key);
+                    self.told(LogEvent::TargetGone, instance.as_deref().unwrap_or(""));
+                }
+                Noted::Left(key) => self.told_key(LogEvent::Leaving, key),
+                Noted::Missing(key) => self.told_key(LogEvent::TargetMissing, key),
+                Noted::Nothing => {}
+            }
+        }
+    }
+
+    fn told_key(&self, event: LogEvent, key: TargetKey) {
+        let state = self.gateway.state();
+        let instance = state.directory.get(key);
+        let instance = instance.map(|t| Arc::clone(&t.registration.instance));
+        drop(state);
+        self.told(event, instance.as_deref().unwrap_or(""));
+    }
+
+    fn told(&self, event: LogEvent, instance: &str) {
+        let revision = self.revision.unwrap_or(0);
+        let fields = [
+            ("target", Field::Text(instance)),
+            ("revision", Field::Number(revision)),
+        ];
+        self.gateway.log.write(event, &fields);
+    }
+
+    fn malformed(&self, name: &str, error: &peppercrank_platform::Error) {
+        let text = error.to_string();
+        let fields = [
+            ("kind", Field::Text(self.kind.word())),
+            ("name", Field::Text(name)),
+            ("error", Field::Text(&text)),
+        ];
+        self.gateway.log.write(LogEvent::EntryInvalid, &fields);
+    }
+}
+
+/// `expire` drops, for ever, the targets that did not return after an outage in time.
+pub async fn expire(gateway: Arc<Gateway>) {
+    /// How often it looks; the grace period ends a little late at most.
+    const EVERY: Duration = Duration::from_millis(250);
+    loop {
+        sleep(EVERY).await;
+        let now = gateway.now();
+        let mut state = gateway.state();
+        let gone = state.directory.expire(now);
+        let gone = gone.into_iter().filter_map(|key| state.forget(key));
+        let gone = gone.collect::<Vec<_>>();
+        drop(state);
+        for instance in gone {
+            let fields = [("target", Field::Text(&instance))];
+            gateway.log.write(LogEvent::TargetGone, &fields);
+        }
+    }
+}
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -8,16 +8,20 @@
 //!
 //! - [`serve`] answers callers: route, key, placement, attempts, answer.
 //! - [`follow`] keeps the configuration and the targets up to date from the store.
+//! - [`intake`] takes in what the store tells.
 //! - [`gossip`] exchanges loads and held prompts with other routers.
 //! - [`admin`] answers the balancer and serves the metrics.
 //! - [`run`] starts all of it and ends it on SIGTERM.
 
 pub mod admin;
 pub mod attempt;
+pub mod choose;
 pub mod errors;
+pub mod flight;
 pub mod follow;
 pub mod gateway;
 pub mod gossip;
+pub mod intake;
 pub mod job;
 pub mod metrics;
 pub mod progress;
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -24,11 +24,11 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
-use crate::attempt::Flight;
 use crate::attempt::Given;
-use crate::attempt::begin;
 use crate::attempt::next;
 use crate::attempt::send;
+use crate::choose::begin;
+use crate::flight::Flight;
 use crate::serve::Run;
 
 /// Parts that may wait for a caller that reads slowly.
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -34,12 +34,12 @@
 use crate::Error;
 use crate::Result;
 use crate::admin;
-use crate::follow;
 use crate::follow::Follower;
 use crate::follow::Outage;
 use crate::gateway::Gateway;
 use crate::gateway::SPARE;
 use crate::gossip;
+use crate::intake;
 use crate::progress;
 use crate::register;
 use crate::reload;
@@ -180,7 +180,7 @@
     for kind in [Kind::Configuration, Kind::Targets, Kind::Routers] {
         tasks.spawn(Follower::new(gateway, store, kind, &outage).run());
     }
-    tasks.spawn(follow::expire(Arc::clone(gateway)));
+    tasks.spawn(intake::expire(Arc::clone(gateway)));
     tasks.spawn(progress::tell(Arc::clone(gateway)));
     tasks.spawn(register::register(Arc::clone(gateway), store.clone()));
     tasks.spawn(gossip::tell(Arc::clone(gateway), Arc::clone(&socket)));
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -22,11 +22,11 @@
 use peppercrank_wire::edge::Reply;
 use peppercrank_wire::edge::refuse_body;
 
-use crate::attempt::Flight;
 use crate::attempt::Given;
 use crate::attempt::Missed;
-use crate::attempt::begin;
 use crate::attempt::send;
+use crate::choose::begin;
+use crate::flight::Flight;
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::refuse::Reason;
--- a/crates/peppercrank-gateway/tests/verify_path.rs
+++ b/crates/peppercrank-gateway/tests/verify_path.rs
@@ -243,6 +243,11 @@
         };
         // Nothing but the end of the test bounds this wait: the target is told, or it never ends.
         busy.wait_for(|n| *n == 0).await.expect("a target");
+        // The deadline ended it, not the edge's longer patience with callers that do not read.
+        let gateway = &fleet.running.gateway;
+        let line = "attempts_failed_total{reason=\"deadline passed\"} 1";
+        let text = gateway.metrics.text(gateway);
+        assert!(text.contains(line), "{act:?}: {text}");
         drop(unread);
     }
 }
