--- a/crates/peppercrank-cli/src/verbs/daemon.rs
+++ b/crates/peppercrank-cli/src/verbs/daemon.rs
@@ -5,14 +5,12 @@
 
 use std::io;
 
-use peppercrank_core::events::Level;
 use peppercrank_daemon::agent;
 use peppercrank_daemon::log::Log;
 use peppercrank_daemon::router;
 use peppercrank_settings::AgentSettings;
 use peppercrank_settings::FleetSettings;
 use peppercrank_settings::RouterSettings;
-use peppercrank_settings::fleet::LogLevel;
 use peppercrank_wire::edge::Finished;
 use peppercrank_wire::stop;
 use peppercrank_wire::stop::Stopper;
@@ -63,13 +61,7 @@
 
 /// Writes the daemon's events to the standard error, where a process's collector reads them.
 fn log(settings: &FleetSettings) -> Log {
-    let level = match settings.log {
-        LogLevel::Debug => Level::Debug,
-        LogLevel::Info => Level::Info,
-        LogLevel::Warning => Level::Warning,
-        LogLevel::Error => Level::Error,
-    };
-    Log::to(io::stderr(), level, settings.vm.as_str())
+    Log::to(io::stderr(), settings.log.level(), settings.vm.as_str())
 }
 
 /// Stops at the first signal.
--- a/crates/peppercrank-gateway/src/reload.rs
+++ b/crates/peppercrank-gateway/src/reload.rs
@@ -29,7 +29,8 @@
     settings: watch::Sender<Arc<GatewaySettings>>,
     mut hangup: Signal,
 ) {
-    let mut seen = file::read(&path).unwrap_or_default();
+    // The file may have changed since the settings in force were read, so the first look counts.
+    let mut seen = String::new();
     loop {
         tokio::select! {
             _ = hangup.recv() => {}
@@ -53,6 +54,7 @@
         return;
     }
     match GatewaySettings::parse(&text) {
+        Ok(new) if new == *settings.borrow().as_ref() => {}
         Ok(new) => {
             gateway.state().budget.set(terms(&new));
             settings.send_replace(Arc::new(new));
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use peppercrank_core::events::Event;
-use peppercrank_core::events::Level;
 use peppercrank_direct::desired;
 use peppercrank_direct::desired::CallerBounds;
 use peppercrank_log::Field;
@@ -78,7 +77,7 @@
 /// Returns an error when the settings are invalid or a socket cannot be bound.
 pub fn run(path: &Path) -> Result<()> {
     let settings = GatewaySettings::load(path).map_err(Error::Settings)?;
-    let log = Log::to(std::io::stdout(), Level::Info, &settings.name);
+    let log = Log::to(std::io::stdout(), settings.log.level(), &settings.name);
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(Error::Start)?;
     runtime.block_on(serve(path, settings, log))
--- a/crates/peppercrank-settings/src/fleet.rs
+++ b/crates/peppercrank-settings/src/fleet.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use peppercrank_core::events::Level;
 use peppercrank_core::names::VmName;
 use peppercrank_core::names::ZoneName;
 use serde::Deserialize;
@@ -105,6 +106,19 @@
     Error,
 }
 
+impl LogLevel {
+    /// `level` is the least level of events that are logged.
+    #[must_use]
+    pub const fn level(self) -> Level {
+        match self {
+            Self::Debug => Level::Debug,
+            Self::Info => Level::Info,
+            Self::Warning => Level::Warning,
+            Self::Error => Level::Error,
+        }
+    }
+}
+
 impl Default for Touch {
     fn default() -> Self {
         Self {
--- a/crates/peppercrank-settings/src/gateway.rs
+++ b/crates/peppercrank-settings/src/gateway.rs
@@ -12,6 +12,7 @@
 use crate::Result;
 use crate::checked;
 use crate::file;
+use crate::fleet::LogLevel;
 
 /// Multiple of a pool's mean load that a target may hold, unless set.
 pub const DEFAULT_CAP: f64 = 2.0;
@@ -64,6 +65,9 @@
     /// Multiple of a pool's mean load that a target may hold; [`DEFAULT_CAP`] unless set.
     #[serde(default = "default_cap")]
     pub cap: f64,
+    /// The least level that is logged.
+    #[serde(default)]
+    pub log: LogLevel,
 }
 
 /// `Placement` is how targets are chosen; all but the first are baselines to measure it against.
