--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -3,7 +3,6 @@
 
 //! Chooses the target of an attempt from what this router believes.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -70,7 +69,7 @@
         Placed::Full => return Err(Reason::Full),
         Placed::NoTarget => return Err(Reason::NoTarget),
     };
-    Ok(take(gateway, &mut state, job, &choice))
+    take(gateway, &mut state, job, &choice).ok_or(Reason::NoTarget)
 }
 
 /// How the settings want targets chosen.
@@ -99,19 +98,16 @@
     state.directory.leaving(&job.pool).filter_map(see).collect()
 }
 
-/// Counts the request at its target.
-fn take(gateway: &Arc<Gateway>, state: &mut State, job: &Job, choice: &Choice) -> Flight {
+/// Counts the request at its target; none if that is gone.
+fn take(gateway: &Arc<Gateway>, state: &mut State, job: &Job, choice: &Choice) -> Option<Flight> {
     let Choice { key, reading, .. } = *choice;
     let now = gateway.now();
     let source = choice
         .copy
         .and_then(|(source, _)| state.directory.get(source));
     let copy_from = source.map(|t| t.registration.address);
-    let registration = state.directory.get(key).map(|t| t.registration.clone());
-    let (instance, address) = registration.map_or_else(
-        || (Arc::from(""), SocketAddr::from(([0, 0, 0, 0], 0))),
-        |r| (r.instance, r.address),
-    );
+    let registration = &state.directory.get(key)?.registration;
+    let (instance, address) = (Arc::clone(&registration.instance), registration.address);
     let target = TargetId::of(&instance);
     state.sent(now, choice, target, job.shared());
     if let Some(own) = job.parts.last() {
@@ -125,7 +121,7 @@
         stats.reading += reading;
         stats.sent(now);
     }
-    Flight {
+    Some(Flight {
         gateway: Arc::clone(gateway),
         choice: *choice,
         instance,
@@ -134,7 +130,7 @@
         alone,
         sent: now,
         unread: true,
-    }
+    })
 }
 
 /// The targets that may get the request, as it sees them.
