Refuse early what would wait too long, by what a place is held for

Cause: at a sustained multiple of the load each request waited out its time: the wait for a place was predicted by the time of a first token, not by the time that places are held, and nothing was refused. Change: the time that requests hold their places is learnt; what is predicted to wait longer than half of its time left, less for each rank behind the most urgent, is refused at once where three quarters of the places are taken, with the time at which to come back.

--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -222,6 +222,13 @@
         &self.desired
     }
 
+    /// `most_urgent` is the rank of the most urgent route.
+    #[must_use]
+    pub fn most_urgent(&self) -> u8 {
+        let ranks = self.desired.routes.iter().map(|r| r.priority);
+        ranks.min().unwrap_or(0)
+    }
+
     /// `route` is the route of the longest prefix that begins `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -64,6 +64,9 @@
 /// Part of the allowed multiple of the mean that is used: peers' loads are known with a lag.
 const CAP_USED: f64 = 0.85;
 
+/// Part of a target's places that must be taken before a request is refused for the wait there.
+const TAKEN: f64 = 0.75;
+
 /// Part of a request's size that a sure failure costs: it is lost, or runs twice.
 const FAIL_COST: f64 = 1.2;
 
@@ -124,6 +127,8 @@
     pub home: u64,
     /// The time within which its answer is wanted.
     pub goal: Duration,
+    /// The longest wait for its answer's first part that is worth while.
+    pub patience: Duration,
     /// The multiple of the pool's mean load that a target may hold.
     pub cap: f64,
     /// Tokens of its prompt.
@@ -142,7 +147,10 @@
     /// To this target.
     At(Choice),
     /// Nowhere: all are full.
-    Full,
+    Full {
+        /// Time after which there may be room.
+        after: Duration,
+    },
     /// Nowhere: there are no targets.
     NoTarget,
 }
@@ -193,7 +201,29 @@
         // A bounded part is ejected: where all that have room are, evidence gives way to room.
         pick = view.best(candidates.iter().filter(fits));
     }
-    pick.map_or(Placed::Full, Placed::At)
+    let Some(choice) = pick else {
+        return Placed::Full {
+            after: ask.patience,
+        };
+    };
+    let chosen = candidates.iter().find(|c| c.key == choice.key);
+    match chosen.and_then(|c| overdue(ask, c, choice.first)) {
+        Some(after) => Placed::Full { after },
+        None => Placed::At(choice),
+    }
+}
+
+/// How much longer than it has patience a request would wait at a target whose places are taken.
+///
+/// What would come too late only delays what waits behind it: at eight times the usual load, all of
+/// it waited out its time and 28 in 100 were lost.
+fn overdue(ask: &Ask, candidate: &Candidate, first: f64) -> Option<Duration> {
+    let load = f64::from(candidate.stats.load());
+    if load < f64::from(candidate.slots) * TAKEN {
+        return None;
+    }
+    let first = Duration::from_secs_f64(first.max(0.0) / 1_000.0);
+    first.checked_sub(ask.patience).filter(|d| !d.is_zero())
 }
 
 /// `rank` is a target's rank for a home's hash; the highest is the home.
@@ -347,6 +377,6 @@
         .load()
         .saturating_add(1)
         .saturating_sub(candidate.slots);
-    let queue = f64::from(over) / f64::from(candidate.slots.max(1));
-    (rates.base() * (1.0 + queue) + reading) * stats.speed
+    let queue = rates.waiting(over, candidate.slots);
+    (rates.base() + queue + reading) * stats.speed
 }
--- a/crates/peppercrank-direct/src/rates.rs
+++ b/crates/peppercrank-direct/src/rates.rs
@@ -11,6 +11,9 @@
 /// Time of an answer that needs no reading, before anything was learnt, in milliseconds.
 const FIRST_BASE: f64 = 20.0;
 
+/// Time that a request holds its place, before anything was learnt, in milliseconds.
+const FIRST_HOLD: f64 = 200.0;
+
 /// Weight of one sample in the running means: some twenty samples count.
 const WEIGHT: f64 = 0.05;
 
@@ -25,6 +28,7 @@
 pub struct Rates {
     rate: f64,
     base: f64,
+    hold: f64,
 }
 
 impl Default for Rates {
@@ -32,6 +36,7 @@
         Self {
             rate: FIRST_RATE,
             base: FIRST_BASE,
+            hold: FIRST_HOLD,
         }
     }
 }
@@ -50,6 +55,19 @@
         self.rate += (sample - self.rate) * WEIGHT;
     }
 
+    /// `held` takes in how long a request held its place at its target.
+    pub fn held(&mut self, time: Duration) {
+        let millis = time.as_secs_f64() * 1_000.0;
+        self.hold += (millis - self.hold) * WEIGHT;
+    }
+
+    /// `waiting` is the time until one of so many places is free for the last of those `over`, in
+    /// milliseconds.
+    #[must_use]
+    pub fn waiting(&self, over: u32, places: u32) -> f64 {
+        f64::from(over) / f64::from(places.max(1)) * self.hold
+    }
+
     /// `reading` is the time to read `tokens`, in milliseconds.
     #[must_use]
     pub fn reading(&self, tokens: u64) -> f64 {
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -231,6 +231,12 @@
     }
     assert!((rates.base() - 40.0).abs() < 1.0, "{}", rates.base());
     assert!((rates.reading(5_000) - 100.0).abs() < 3.0);
+    // Ten more than 64 places wait for a sixth of the time that each is held.
+    for _ in 0..200 {
+        rates.held(Duration::from_secs(2));
+    }
+    assert!((rates.waiting(10, 64) - 312.5).abs() < 5.0);
+    assert!(rates.waiting(0, 64) < 1.0);
     // One absurd sample moves little.
     rates.learn(10_000, Duration::from_secs(60));
     assert!(rates.reading(5_000) < 110.0);
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -61,6 +61,7 @@
         id: 1,
         home: 7,
         goal: Duration::from_secs(1),
+        patience: Duration::from_secs(600),
         cap: 2.0,
         tokens: 11_000,
         shared: 10_000,
@@ -301,3 +302,32 @@
     spread.dedup();
     assert_eq!(spread.len(), 4);
 }
+
+#[test]
+fn verify_what_would_wait_too_long_is_refused_only_where_places_are_taken() {
+    let mut candidates = idle(3);
+    let short = Ask {
+        patience: Duration::from_secs(2),
+        ..ask()
+    };
+    // 200,000 tokens take four seconds to read.
+    for candidate in &mut candidates {
+        candidate.stats.reading = 200_000;
+        candidate.stats.running = 40;
+    }
+    let placed = |c: &[Candidate]| place(NOW, &Rates::default(), &short, c, &[]);
+    assert!(matches!(placed(&candidates), Placed::At(_)));
+    for candidate in &mut candidates {
+        candidate.stats.running = 60;
+    }
+    let Placed::Full { after } = placed(&candidates) else {
+        panic!("it would wait for four seconds");
+    };
+    // It is told to come back when the wait is down to its patience.
+    assert!(
+        after > Duration::from_secs(2) && after < Duration::from_secs(3),
+        "{after:?}"
+    );
+    candidates[1].stats.reading = 0;
+    assert!(matches!(placed(&candidates), Placed::At(c) if c.key == candidates[1].key));
+}
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -37,18 +37,39 @@
     since > first + FIRST && now.since(since) < FRESH
 }
 
+/// `Nowhere` is why a request goes to no target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Nowhere {
+    /// The reason for which it is refused.
+    pub reason: Reason,
+    /// Time after which it may fare better.
+    pub after: Duration,
+}
+
+/// When to come back after a refusal that passes, unless more is known: several times the lag of
+/// peers' loads.
+pub const COME_BACK: Duration = Duration::from_millis(300);
+
+impl Nowhere {
+    /// A refusal of which no more is known.
+    const fn now(reason: Reason) -> Self {
+        let after = COME_BACK;
+        Self { reason, after }
+    }
+}
+
 /// `begin` chooses a target and counts the request there.
 ///
 /// # Errors
 ///
 /// Returns the reason for which the request goes nowhere.
-pub fn begin(gateway: &Arc<Gateway>, job: &Job, tried: &[TargetKey]) -> Result<Flight, Reason> {
+pub fn begin(gateway: &Arc<Gateway>, job: &Job, tried: &[TargetKey]) -> Result<Flight, Nowhere> {
     let now = gateway.now();
     let settings = gateway.settings();
     let mut state = gateway.state();
     // The process may have stood still since the request was judged.
     if job.keyed && !state.freshness.is_fresh(now) {
-        return Err(Reason::StaleKeys);
+        return Err(Nowhere::now(Reason::StaleKeys));
     }
     let candidates = candidates(&state, now, job, tried, &settings.zone);
     let leaving = leaving(&state, job);
@@ -57,6 +78,7 @@
         id: job.own(),
         home: job.home(),
         goal: job.goal,
+        patience: job.patience(now),
         cap: settings.cap,
         tokens: job.tokens,
         shared: job.shared().iter().map(|p| p.tokens).sum(),
@@ -66,10 +88,13 @@
     let rates = state.rates.get(&job.pool).copied().unwrap_or_default();
     let choice = match place(now, &rates, &ask, &candidates, &leaving) {
         Placed::At(choice) => choice,
-        Placed::Full => return Err(Reason::Full),
-        Placed::NoTarget => return Err(Reason::NoTarget),
+        Placed::Full { after } => {
+            let reason = Reason::Full;
+            return Err(Nowhere { reason, after });
+        }
+        Placed::NoTarget => return Err(Nowhere::now(Reason::NoTarget)),
     };
-    take(gateway, &mut state, job, &choice).ok_or(Reason::NoTarget)
+    take(gateway, &mut state, job, &choice).ok_or(Nowhere::now(Reason::NoTarget))
 }
 
 /// How the settings want targets chosen.
@@ -124,6 +149,7 @@
     Some(Flight {
         gateway: Arc::clone(gateway),
         choice: *choice,
+        pool: Arc::clone(&job.pool),
         instance,
         address,
         copy_from,
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -21,6 +21,8 @@
     pub(crate) gateway: Arc<Gateway>,
     /// The target, and what is expected of it.
     pub choice: Choice,
+    /// The pool that it serves.
+    pub pool: Arc<str>,
     /// The name of its start.
     pub instance: Arc<str>,
     /// Where it listens.
@@ -87,6 +89,11 @@
     fn drop(&mut self) {
         let gateway = Arc::clone(&self.gateway);
         let mut state = gateway.state();
+        if !self.unread {
+            let time = gateway.now().since(self.sent);
+            let rates = state.rates.entry(Arc::clone(&self.pool)).or_default();
+            rates.held(time);
+        }
         self.read(&mut state);
         if let Some(stats) = state.board.of(self.choice.key) {
             stats.ended();
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -28,6 +28,15 @@
 /// are written one by one and read by the thousand.
 const OUTPUT_WEIGHT: u64 = 10;
 
+/// Part of the time left that waiting for an answer's first part may take: the rest is the answer's.
+const WORTH_LEFT: f64 = 0.5;
+
+/// Part of the patience of one rank that the next less urgent one has.
+const LESS_URGENT: f64 = 0.6;
+
+/// Ranks behind the most urgent that make a difference.
+const MOST_BEHIND: u8 = 4;
+
 /// The size of a request without a prompt, in tokens; only its ratios to itself matter.
 const PLAIN_SIZE: u64 = 1_000;
 
@@ -56,6 +65,8 @@
     pub keyed: bool,
     /// The rank that it runs at.
     pub priority: u8,
+    /// How many ranks it is behind the most urgent route.
+    pub behind: u8,
     /// Tokens of its prompt.
     pub tokens: u64,
     /// The most tokens of its answer.
@@ -95,6 +106,14 @@
         &self.parts[..most]
     }
 
+    /// `patience` is the longest wait for its answer's first part that is worth while at this moment;
+    /// the less urgent, the shorter, so that room goes to what is urgent.
+    #[must_use]
+    pub fn patience(&self, now: Moment) -> Duration {
+        let left = self.deadline.since(now).mul_f64(WORTH_LEFT);
+        left.mul_f64(LESS_URGENT.powi(i32::from(self.behind.min(MOST_BEHIND))))
+    }
+
     /// `size` is its size in tokens.
     #[must_use]
     pub fn size(&self) -> u64 {
@@ -142,6 +161,7 @@
         let prompt = prompt.unwrap_or_default();
         let memory = index.pool(pool).and_then(|p| p.memory);
         let rank = organisation.and_then(|o| o.priority);
+        let rank = rank.unwrap_or(route.priority);
         Ok(Self {
             pool: Arc::clone(pool),
             kind: route.kind,
@@ -150,7 +170,8 @@
             goal: route.goal,
             organisation: organisation.map(|o| Arc::clone(&o.name)),
             keyed: organisation.is_some(),
-            priority: rank.unwrap_or(route.priority),
+            priority: rank,
+            behind: rank.saturating_sub(index.most_urgent()),
             tokens: prompt.tokens,
             output: prompt.output,
             copying: memory.and_then(|m| m.copying()),
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -215,6 +215,7 @@
             job: Arc::clone(&run.job),
             plan: run.plan,
             tried: run.tried.clone(),
+            after: run.after,
             failure: None,
         }
     }
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::attempt::Given;
 use crate::attempt::Missed;
 use crate::attempt::send;
+use crate::choose::COME_BACK;
 use crate::choose::begin;
 use crate::flight::Flight;
 use crate::gateway::Gateway;
@@ -34,10 +35,6 @@
 use crate::relay;
 use crate::state::OpenKey;
 
-/// When to come back after a refusal that passes, unless more is known: several times the lag of
-/// peers' loads, so that what was full may have room.
-const COME_BACK: Duration = Duration::from_millis(300);
-
 /// Part of the wanted time after which a repeatable request is tried elsewhere.
 const PATIENCE: f64 = 0.5;
 
@@ -76,6 +73,7 @@
         gateway: Arc::clone(gateway),
         plan: Plan::new(job.kind.repeats(), job.attempts),
         tried: Vec::new(),
+        after: COME_BACK,
         failure: None,
         job,
     };
@@ -130,6 +128,8 @@
     pub plan: Plan,
     /// The targets that it was sent to.
     pub tried: Vec<TargetKey>,
+    /// When its caller may fare better, if it is refused.
+    pub after: Duration,
     /// A target's failure, to pass on if nothing better comes.
     pub(crate) failure: Option<(StatusCode, HeaderMap, bytes::Bytes)>,
 }
@@ -141,7 +141,10 @@
         }
         let mut flight = match begin(&self.gateway, &self.job, &self.tried) {
             Ok(flight) => flight,
-            Err(reason) => return Next::Answer(self.give_up(reason)),
+            Err(nowhere) => {
+                self.after = nowhere.after;
+                return Next::Answer(self.give_up(nowhere.reason));
+            }
         };
         self.tried.push(flight.choice.key);
         let until = self.patience(&flight);
@@ -254,7 +257,7 @@
         ];
         let fields = [&fields[..], &self.gateway.beliefs().fields()[..]].concat();
         self.gateway.log.write(Event::Refused, &fields);
-        refuse(reason, COME_BACK)
+        refuse(reason, self.after)
     }
 
     /// Notes a target's failure that is passed on.
