Wait for a late answer where nothing may follow it

Cause, found by reading: a repeatable request was taken from a slow target after half of the wanted time also where the fleet's budget then allowed no repeat, so that an answer which would have come was thrown away. Change: an attempt is cut short only while the budget has a repeat. The test failed without it.

--- a/crates/peppercrank-direct/src/retries.rs
+++ b/crates/peppercrank-direct/src/retries.rs
@@ -78,6 +78,15 @@
     ///
     /// `routers` is how many routers share the extra, this one included.
     pub fn spend(&mut self, now: Moment, pool: &Arc<str>, routers: usize) -> bool {
+        let fits = self.can_spend(now, pool, routers);
+        if fits {
+            self.counted(pool).repeats.push_back(now);
+        }
+        fits
+    }
+
+    /// `can_spend` tells whether the budget has a repeat.
+    pub fn can_spend(&mut self, now: Moment, pool: &Arc<str>, routers: usize) -> bool {
         let Terms {
             share,
             extra,
@@ -89,11 +98,7 @@
         prune(&mut counted.requests, now, window);
         prune(&mut counted.repeats, now, window);
         let allowed = as_f64(counted.requests.len() as u64) * share * SHARE_USED + extra * part;
-        let fits = as_f64(counted.repeats.len() as u64) + 1.0 <= allowed;
-        if fits {
-            counted.repeats.push_back(now);
-        }
-        fits
+        as_f64(counted.repeats.len() as u64) + 1.0 <= allowed
     }
 
     fn counted(&mut self, pool: &Arc<str>) -> &mut Counted {
--- a/crates/peppercrank-direct/tests/verify_retries.rs
+++ b/crates/peppercrank-direct/tests/verify_retries.rs
@@ -124,3 +124,19 @@
     }
     assert_eq!(plan.after(Fate::NotRun), Refuse);
 }
+
+#[test]
+fn verify_asking_for_a_repeat_takes_none() {
+    let pool: Arc<str> = "pool".into();
+    let mut budget = RetryBudget::new(Moment::ZERO, TERMS);
+    let now = Moment::from_millis(10_000);
+    budget.request(now, &pool);
+    let mut spent = 0;
+    while budget.can_spend(now, &pool, 4) {
+        assert!(budget.can_spend(now, &pool, 4));
+        assert!(budget.spend(now, &pool, 4));
+        spent += 1;
+    }
+    assert!(!budget.spend(now, &pool, 4));
+    assert_eq!(spent, 8);
+}
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -158,7 +158,8 @@
     /// How long this attempt may take to its answer's first part.
     fn patience(&self, flight: &Flight) -> Moment {
         let more = self.job.kind.repeats() && self.plan.sends() + 1 < self.job.attempts;
-        if !more {
+        // An attempt that nothing may follow is waited for: its answer may still come.
+        if !more || !self.could_repeat() {
             return self.job.deadline;
         }
         let wanted = self.job.goal.mul_f64(PATIENCE);
@@ -222,6 +223,14 @@
         }
     }
 
+    /// Whether the fleet's budget has a repeat.
+    fn could_repeat(&self) -> bool {
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        let routers = state.sharers(now);
+        state.budget.can_spend(now, &self.job.pool, routers)
+    }
+
     /// `may_repeat` takes a repeat from the fleet's budget, if it has one.
     pub fn may_repeat(&self) -> bool {
         let now = self.gateway.now();
--- a/crates/peppercrank-gateway/tests/support/mod.rs
+++ b/crates/peppercrank-gateway/tests/support/mod.rs
@@ -82,6 +82,13 @@
     route
 }
 
+/// `hasty` is a route of repeatable requests whose answers are wanted at once.
+fn hasty(name: &str, prefix: &str) -> Value {
+    let mut route = route(name, prefix, "safe", 2);
+    route["latencyGoalMs"] = json!(20);
+    route
+}
+
 /// `desired` is a configuration with all routes of the tests.
 pub fn desired(version: u64, keys: &[&str]) -> Value {
     json!({
@@ -92,6 +99,7 @@
             route("resumable", "/stream/on/", "streaming", 3),
             route("single", "/stream/once/", "streaming", 1),
             brief("brief", "/stream/brief/"),
+            hasty("hasty", "/hasty/"),
         ],
         "services": [{ "name": "pool", "healthPath": "/healthz", "maxConnections": 100 }],
         "limits": {
@@ -117,13 +125,18 @@
     /// `start` starts a gateway before these targets, and waits until it is ready.
     pub async fn start(targets: &[&Target]) -> Self {
         let fleet = Self::unready().await;
+        fleet.serve_by(targets).await;
+        fleet
+    }
+
+    /// Registers these targets and waits until the gateway serves.
+    async fn serve_by(&self, targets: &[&Target]) {
         for target in targets {
-            fleet.register(target, "ready");
+            self.register(target, "ready");
         }
-        fleet.store.put("config", "main", &desired(1, &[KEY]));
-        fleet.until_ready(true).await;
-        fleet.until_targets(targets.len()).await;
-        fleet
+        self.store.put("config", "main", &desired(1, &[KEY]));
+        self.until_ready(true).await;
+        self.until_targets(targets.len()).await;
     }
 
     /// `unready` starts a gateway before an empty store.
@@ -134,7 +147,22 @@
     }
 
     async fn before(store: Store, stopper: Stopper) -> Self {
-        let settings = settings(store.address);
+        Self::with(settings(store.address), store, stopper).await
+    }
+
+    /// `frugal` starts a gateway whose fleet may repeat nothing.
+    pub async fn frugal(targets: &[&Target]) -> Self {
+        let (stopper, end) = stop();
+        let store = Store::start(end).await.expect("a store");
+        let mut settings = settings(store.address);
+        settings.retry.share = 0.0;
+        settings.retry.extra = 0;
+        let fleet = Self::with(settings, store, stopper).await;
+        fleet.serve_by(targets).await;
+        fleet
+    }
+
+    async fn with(settings: GatewaySettings, store: Store, stopper: Stopper) -> Self {
         let nowhere = Path::new("/nowhere/settings.jsonc");
         let running = Running::start(nowhere, settings, Log::none()).await;
         Self {
--- a/crates/peppercrank-gateway/tests/verify_path.rs
+++ b/crates/peppercrank-gateway/tests/verify_path.rs
@@ -251,3 +251,22 @@
         drop(unread);
     }
 }
+
+#[tokio::test]
+async fn verify_a_late_answer_is_waited_for_where_nothing_may_follow_it() {
+    let late = Act::Late(std::time::Duration::from_millis(900));
+    let script = Script::default();
+    let (one, _one) = sharing("i-one", &script).await;
+    let (two, _two) = sharing("i-two", &script).await;
+    let fleet = Fleet::frugal(&[&one, &two]).await;
+    script.next(&[late]);
+    let (status, _, body) = fleet.ask("/hasty/x", "1").await;
+    assert_eq!((status, body.as_deref()), (OK, Some(&b"served"[..])));
+    assert_eq!(one.seen().len() + two.seen().len(), 1);
+    // Where a repeat is allowed, it goes elsewhere.
+    let fleet = Fleet::start(&[&one, &two]).await;
+    script.next(&[late]);
+    let (status, _, body) = fleet.ask("/hasty/x", "2").await;
+    assert_eq!((status, body.as_deref()), (OK, Some(&b"served"[..])));
+    assert_eq!(one.seen().len() + two.seen().len(), 3);
+}
