Keep the platform's names to its folder in tests and examples too

Cause: the gateway's tests over the wire, the example that measures an event and the check of the settings template named the platform's headers and fields outside platform/, which the boundary's test did not see since it read sources only.

--- a/crates/peppercrank-cli/tests/verify_deploy.rs
+++ b/crates/peppercrank-cli/tests/verify_deploy.rs
@@ -157,37 +157,6 @@
     }
 }
 
-/// A template as the platform fills it in where every section applies.
-fn filled(template: &str) -> String {
-    let values = [
-        ("{{nodeName|json}}", "\"gateway-1\""),
-        ("{{zone|json}}", "\"ulemiste\""),
-        ("{{listen.frontend|json}}", "\"10.1.0.40:8227\""),
-        ("{{listen.readyAddress|json}}", "\"10.1.0.40:8220\""),
-        ("{{platform.address|json}}", "\"10.200.1.7:8223\""),
-        ("{{ip}}", "10.1.0.40"),
-        ("{{internalPorts.0}}", "7340"),
-        ("{{limits.fileDescriptors}}", "4100"),
-        ("{{limits.memoryMb}}", "260"),
-        ("{{bounds.graceS}}", "8"),
-        ("{{bounds.revokeMs}}", "5000"),
-        ("{{bounds.capFactor}}", "2"),
-        ("{{bounds.retryBudgetRatio}}", "0.2"),
-        ("{{bounds.budgetExtraRetries}}", "56"),
-        ("{{bounds.budgetWindowS}}", "10"),
-    ];
-    let mut text = template.to_owned();
-    for section in ["strictRevocation", "capFactor", "budgetWindowS"] {
-        text = text.replace(&format!("{{{{#bounds.{section}}}}}"), "");
-        text = text.replace(&format!("{{{{/bounds.{section}}}}}"), "");
-    }
-    for (name, value) in values {
-        text = text.replace(name, value);
-    }
-    assert!(!text.contains("{{"), "{text}");
-    text
-}
-
 #[test]
 fn verify_every_file_is_of_a_known_sort_and_sound() {
     let mut seen = 0;
@@ -212,7 +181,11 @@
                 AgentSettings::parse(&text).map(drop)
             }
             "examples" if name.starts_with("gateway") => GatewaySettings::parse(&text).map(drop),
-            "platform" => GatewaySettings::parse(&filled(&text)).map(drop),
+            // Filled in and parsed beside the adapter, which knows the placeholders' names.
+            "platform" => {
+                assert!(text.contains("{{"), "{}", path.display());
+                Ok(())
+            }
             "standin" => {
                 check_stand_in(&path, &text);
                 Ok(())
