Take no kept connection whose request is still going out

Cause: a server may answer before it has read the whole request and keep the connection. The client gave such a connection back, and the next request to that target waited for it for the time of a whole connect (300 ms at the gateway) before it went elsewhere. No other bytes went out within the body: the HTTP library takes no request before the one before has gone out.

Now a kept connection must be ready within 5 ms, or the request takes another one.

Tests: verify_nothing_follows_a_request_that_is_still_going_out failed before (given up after 30 s), passes after.

--- a/crates/peppercrank-wire/src/client/mod.rs
+++ b/crates/peppercrank-wire/src/client/mod.rs
@@ -34,6 +34,11 @@
 use link::Link;
 use pool::Pool;
 
+/// Time for a kept connection to take a request: its driver has but to look at it once more. One whose
+/// server answered before it had read the whole request is not ready until that has gone out,
+/// and a request must not wait for it.
+const READY: Duration = Duration::from_millis(5);
+
 /// `Answer` is the head of an answer with the body that follows.
 pub type Answer = Response<AnswerBody>;
 
@@ -179,7 +184,7 @@
     ) -> Result<Answer, SendError> {
         if reuse == Reuse::Allowed {
             while let Some(link) = self.pool.take(to) {
-                match self.try_on(link, to, request).await {
+                match self.try_on(link, to, request, READY).await {
                     // The kept connection had closed unseen, so the request is still ours.
                     Tried::Back(unsent, _) => request = unsent,
                     Tried::Answer(answer) => {
@@ -193,15 +198,22 @@
         let opened = Link::open(to, self.times.connect).await;
         let link = opened.map_err(SendError::NotSent)?;
         self.counters.add(Count::Connected);
-        match self.try_on(link, to, request).await {
+        match self.try_on(link, to, request, self.times.connect).await {
             Tried::Answer(answer) => Ok(answer),
             Tried::Back(_, cause) => Err(SendError::NotSent(cause)),
             Tried::Failed(cause) => Err(SendError::MayHaveBeenSent(cause)),
         }
     }
 
-    async fn try_on(&self, mut link: Link, to: SocketAddr, request: Request<Body>) -> Tried {
-        let Ok(Ok(())) = timeout(self.times.connect, link.sender.ready()).await else {
+    /// Sends a request on a connection that is `ready` for it within this time.
+    async fn try_on(
+        &self,
+        mut link: Link,
+        to: SocketAddr,
+        request: Request<Body>,
+        ready: Duration,
+    ) -> Tried {
+        let Ok(Ok(())) = timeout(ready, link.sender.ready()).await else {
             return Tried::Back(request, Cause::Closed);
         };
         let sending = link.sender.try_send_request(request);
--- a/crates/peppercrank-wire/tests/verify_client.rs
+++ b/crates/peppercrank-wire/tests/verify_client.rs
@@ -29,8 +29,10 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use requests::get;
 use requests::text;
@@ -257,6 +259,60 @@
     played.await.expect("a script played");
 }
 
+/// Answers each connection's first request as soon as its head is there, and reads no more.
+fn answer_early() -> (SocketAddr, JoinHandle<()>) {
+    /// Bytes that a connection holds unread.
+    const UNREAD: u32 = 64 << 10;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(UNREAD).expect("a small buffer");
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    socket.bind(any).expect("a free port");
+    let listener = socket.listen(16).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let answering = tokio::spawn(async move {
+        let mut kept = Vec::new();
+        while let Ok((mut io, _)) = listener.accept().await {
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                head.push(io.read_u8().await.expect("a head"));
+            }
+            io.write_all(GOOD.as_bytes()).await.expect("a client");
+            kept.push(io);
+        }
+    });
+    (address, answering)
+}
+
+#[tokio::test]
+async fn verify_nothing_follows_a_request_that_is_still_going_out() {
+    /// More than the buffers of both sides of a connection hold.
+    const LONG: usize = 16 << 20;
+    /// Time after which a test is given up; it is never reached unless it fails.
+    const GIVEN_UP: Duration = Duration::from_secs(30);
+    let (feed, endless) = body::channel(1);
+    feed.send("the first part".into()).await.expect("room");
+    for unread in [endless, body::full(vec![b'x'; LONG])] {
+        let (to, answering) = answer_early();
+        // Whoever waits for the long request waits until the test is given up.
+        let client = Client::new(Times {
+            connect: GIVEN_UP * 2,
+            ..Times::default()
+        });
+        let long = Request::post("/").body(unread).expect("a request");
+        let sending = async {
+            for request in [long, get("/")] {
+                let sent = client.send(to, request, Reuse::Allowed).await;
+                let answer = sent.expect("an answer").into_body();
+                assert_eq!(text(answer).await.as_deref(), Ok("good"));
+            }
+        };
+        let sent = timeout(GIVEN_UP, sending).await;
+        sent.expect("no wait for a request that is still going out");
+        assert_eq!(client.counters().get(Count::Connected), 2);
+        answering.abort();
+    }
+}
+
 /// A header's name and value.
 type Pair = (&'static str, &'static str);
 
