Let streams that fall silent go on elsewhere

Cause: a target that goes dark, or a connection that falls silent without a reset, gave no sign at all, so a stream that had begun held its caller until the caller left. Streams that broke off went on elsewhere already; these did not.

Now a stream that may be resumed counts as silent after three quarters of the pause that its route names (300 ms at least, 1 s where none is named). It goes on elsewhere after its last whole event if the route has an attempt left and the budget a repeat; else it is waited for, as it may speak again. The old connection is closed before the next run begins. A run that goes on waits no longer for its first part than any other attempt that something may follow.

--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -62,6 +62,8 @@
     pub timeout: Duration,
     /// The time within which an answer is wanted.
     pub goal: Duration,
+    /// The longest pause between two events of an answer that is on time, where that is named.
+    pub pause: Option<Duration>,
     /// Its rank; 0 is the most urgent.
     pub priority: u8,
     /// Its pools.
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod prefixes;
 pub mod rates;
 pub mod retries;
+pub mod silence;
 pub mod stats;
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -79,6 +79,7 @@
         kind: RouteKind::Repeatable,
         timeout: Duration::from_secs(1),
         goal: Duration::from_secs(1),
+        pause: None,
         priority: 1,
         pools: vec![
             PoolShare {
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -59,6 +59,8 @@
     pub attempts: u32,
     /// The time within which an answer is wanted.
     pub goal: Duration,
+    /// The longest pause of its answer that is on time, where that is named.
+    pub pause: Option<Duration>,
     /// The organisation that its caller belongs to.
     pub organisation: Option<Arc<str>>,
     /// The rank that it runs at.
@@ -166,6 +168,7 @@
             route: Arc::clone(&route.name),
             attempts: route.attempts,
             goal: route.goal,
+            pause: route.pause,
             organisation: organisation.map(|o| Arc::clone(&o.name)),
             priority: rank,
             behind: rank.saturating_sub(index.most_urgent()),
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -14,6 +14,8 @@
 use peppercrank_direct::events::Events;
 use peppercrank_direct::retries::After;
 use peppercrank_direct::retries::Fate;
+use peppercrank_direct::silence::Heard;
+use peppercrank_direct::silence::Silence;
 use peppercrank_log::Field;
 use peppercrank_wire::body;
 use peppercrank_wire::body::Body;
@@ -28,6 +30,7 @@
 use crate::attempt::send;
 use crate::choose::begin;
 use crate::flight::Flight;
+use crate::gateway::Gateway;
 use crate::serve::Run;
 
 /// Parts that may wait for a caller that reads slowly.
@@ -37,12 +40,14 @@
 struct Relay {
     run: Run,
     flight: Flight,
-    rest: AnswerBody,
+    /// What follows; none once it was given up for another run.
+    rest: Option<AnswerBody>,
     feed: Feed,
     /// When the first part came, since the request did.
     began: Duration,
     /// Whole events only, of streams that may be resumed.
     events: Option<Events>,
+    silence: Silence,
 }
 
 /// `Step` is what happened to a stream.
@@ -50,6 +55,7 @@
     Part(Bytes),
     End,
     Cut,
+    Silent,
     CallerGone,
     Late,
 }
@@ -62,10 +68,11 @@
     let relay = Relay {
         run: run.clone(),
         flight,
-        rest,
+        rest: Some(rest),
         feed,
         began: run.held(),
         events: resumable.then(Events::default),
+        silence: Silence::new(run.gateway.now(), run.job.pause),
     };
     tokio::spawn(relay.go(first));
     body
@@ -81,19 +88,26 @@
                 Step::Part(part) => {
                     // A caller that reads slowly must not hold its target past the deadline.
                     match timeout_at(end, self.pass(part)).await {
-                        Ok(Ok(())) => {}
+                        Ok(Ok(())) => self.silence.heard(self.run.gateway.now()),
                         Ok(Err(_)) => return self.over("caller gone"),
                         Err(_) => return self.over("deadline passed"),
                     }
                 }
                 Step::End if self.is_whole() => return self.finish(),
                 Step::End | Step::Cut => {
-                    self.flight.failed();
-                    self.run.note(&self.flight, "stream cut");
-                    if !self.resume().await {
+                    if !self.go_on("stream cut").await {
                         return self.over("stream cut");
                     }
                 }
+                // It may speak again, so it is waited for unless another run may go on.
+                Step::Silent if !self.run.could_go_on() => {
+                    self.silence.heard(self.run.gateway.now());
+                }
+                Step::Silent => {
+                    if !self.go_on("stream silent").await {
+                        return self.over("stream silent");
+                    }
+                }
                 Step::CallerGone => return self.over("caller gone"),
                 Step::Late => return self.over("deadline passed"),
             }
@@ -103,18 +117,33 @@
 
     /// Waits for what happens next.
     async fn step(&mut self, late: Pin<&mut Sleep>) -> Step {
+        let Some(rest) = &mut self.rest else {
+            return Step::Cut;
+        };
+        let gateway = &self.run.gateway;
+        let watched = self.events.is_some();
         tokio::select! {
             biased;
-            part = next(&mut self.rest) => match part {
+            part = next(rest) => match part {
                 Ok(Some(part)) => Step::Part(part),
                 Ok(None) => Step::End,
                 Err(()) => Step::Cut,
             },
             () = self.feed.closed() => Step::CallerGone,
             () = late => Step::Late,
+            () = quiet(gateway, self.silence), if watched => Step::Silent,
         }
     }
 
+    /// Gives the run up and goes on with another.
+    async fn go_on(&mut self, what: &'static str) -> bool {
+        // Closing the connection ends the run, which must not go on beside the next one.
+        self.rest = None;
+        self.flight.failed();
+        self.run.note(&self.flight, what);
+        self.resume().await
+    }
+
     /// Passes a part on; of a stream that may be resumed, the events that it completes.
     async fn pass(&mut self, part: Bytes) -> Result<(), peppercrank_wire::Error> {
         let part = match &mut self.events {
@@ -153,7 +182,7 @@
         run.tried.push(flight.choice.key);
         let last = self.events.as_ref().and_then(Events::last);
         let last = last.map(str::to_owned);
-        let until = run.job.deadline;
+        let until = run.patience(&flight);
         let sent = send(&run.gateway, &run.job, &mut flight, until, last.as_deref()).await;
         match sent {
             Ok(Given::Stream { first, rest, .. }) => {
@@ -167,7 +196,8 @@
                 ];
                 run.gateway.log.write(Event::Resumed, &fields);
                 self.flight = flight;
-                self.rest = rest;
+                self.rest = Some(rest);
+                self.silence.heard(self.run.gateway.now());
                 self.pass(first).await.is_ok()
             }
             Ok(Given::Whole { .. }) => {
@@ -204,3 +234,10 @@
         self.run.gateway.log.write(Event::StreamCut, &fields);
     }
 }
+
+/// Returns once a stream is silent.
+async fn quiet(gateway: &Gateway, silence: Silence) {
+    while let Heard::Until(at) = silence.at(gateway.now()) {
+        sleep_until(gateway.instant(at)).await;
+    }
+}
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -155,8 +155,9 @@
         }
     }
 
-    /// How long this attempt may take to its answer's first part.
-    fn patience(&self, flight: &Flight) -> Moment {
+    /// `patience` is how long this attempt may take to its answer's first part.
+    #[must_use]
+    pub fn patience(&self, flight: &Flight) -> Moment {
         let more = self.job.kind.repeats() && self.plan.sends() + 1 < self.job.attempts;
         // An attempt that nothing may follow is waited for: its answer may still come.
         if !more || !self.could_repeat() {
@@ -231,6 +232,13 @@
         state.budget.can_spend(now, &self.job.pool, routers)
     }
 
+    /// `could_go_on` tells whether another run may go on where this one is given up.
+    #[must_use]
+    pub fn could_go_on(&self) -> bool {
+        let mut plan = self.plan;
+        plan.after(Fate::Unknown) == After::AgainIfAllowed && self.could_repeat()
+    }
+
     /// `may_repeat` takes a repeat from the fleet's budget, if it has one.
     pub fn may_repeat(&self) -> bool {
         let now = self.gateway.now();
