Count what the log drops, and time answers by kind and target

Cause: drops of the log were told on a line of the library's own, without a number, and not counted; a writer that failed panicked the log's thread and all later lines vanished uncounted. The metrics had one histogram, so that "which kind, which target, between events" could not be answered, and neither the budget left nor the age of the configuration was shown.

Now: event 1008 with the running total, before the next line that finds room; log_lines_dropped; first_seconds and gap_seconds by kind of route; target_first_seconds and target_failures by target, for 64 targets and one series for the others, dropped with the target; repeats_left by pool; configuration_age_milliseconds. A cut stream's line says how long nothing had come, and the likely cause names it where its caller left.

Ruled out: a histogram for each of 1,300 targets (some 400 KB a router, memory is dear). There is no time in queue to show: a router places or refuses a request at once.

--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -68,6 +68,8 @@
     SettingsRead = 1006 Info "settings read";
     /// A settings file is invalid; the last good one stays in force.
     SettingsInvalid = 1007 Error "invalid settings held back";
+    /// Log lines found no room, or could not be written.
+    LogDropped = 1008 Warning "log lines dropped";
     /// A request was refused.
     Refused = 2001 Info "request refused";
     /// A request is tried at another target.
--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use peppercrank_core::hash::hash64;
+use peppercrank_core::time::Moment;
 
 /// Seed of the hash that draws one of a route's pools.
 const POOL_SEED: u64 = 0x706f_6f6c;
@@ -27,6 +28,17 @@
 }
 
 impl RouteKind {
+    /// `code` is the kind's stable name in metrics.
+    #[must_use]
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::Repeatable => "repeatable",
+            Self::Once => "once",
+            Self::Stream { resumable: false } => "stream",
+            Self::Stream { resumable: true } => "resumable_stream",
+        }
+    }
+
     /// `repeats` tells whether a request may run again while nothing of its answer was passed on.
     #[must_use]
     pub const fn repeats(self) -> bool {
@@ -270,6 +282,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct InForce {
     index: Option<Arc<Index>>,
+    /// When it came in force.
+    since: Option<Moment>,
 }
 
 /// `Applied` is what became of a version that was read.
@@ -285,18 +299,25 @@
 
 impl InForce {
     /// `apply` brings a version in force unless it is older.
-    pub fn apply(&mut self, desired: Desired) -> Applied {
+    pub fn apply(&mut self, now: Moment, desired: Desired) -> Applied {
         let current = self.index.as_ref().map(|i| i.desired.version);
         match current {
             Some(version) if version == desired.version => Applied::Same,
             Some(version) if version > desired.version => Applied::Older,
             _ => {
                 self.index = Some(Arc::new(Index::new(desired)));
+                self.since = Some(now);
                 Applied::InForce
             }
         }
     }
 
+    /// `since` is when the configuration came in force.
+    #[must_use]
+    pub const fn since(&self) -> Option<Moment> {
+        self.since
+    }
+
     /// `index` is the configuration in force; none before the first was read.
     #[must_use]
     pub const fn index(&self) -> Option<&Arc<Index>> {
--- a/crates/peppercrank-direct/src/retries.rs
+++ b/crates/peppercrank-direct/src/retries.rs
@@ -87,6 +87,11 @@
 
     /// `can_spend` tells whether the budget has a repeat.
     pub fn can_spend(&mut self, now: Moment, pool: &Arc<str>, routers: usize) -> bool {
+        self.left(now, pool, routers) >= 1.0
+    }
+
+    /// `left` is how many repeats the budget has.
+    pub fn left(&mut self, now: Moment, pool: &Arc<str>, routers: usize) -> f64 {
         let Terms {
             share,
             extra,
@@ -98,7 +103,12 @@
         prune(&mut counted.requests, now, window);
         prune(&mut counted.repeats, now, window);
         let allowed = as_f64(counted.requests.len() as u64) * share * SHARE_USED + extra * part;
-        as_f64(counted.repeats.len() as u64) + 1.0 <= allowed
+        allowed - as_f64(counted.repeats.len() as u64)
+    }
+
+    /// `pools` are the pools that were counted for.
+    pub fn pools(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.pools.keys()
     }
 
     fn counted(&mut self, pool: &Arc<str>) -> &mut Counted {
--- a/crates/peppercrank-direct/src/silence.rs
+++ b/crates/peppercrank-direct/src/silence.rs
@@ -48,6 +48,12 @@
         Self { limit, heard: now }
     }
 
+    /// `quiet` is the time since the last part.
+    #[must_use]
+    pub const fn quiet(&self, now: Moment) -> Duration {
+        now.since(self.heard)
+    }
+
     /// `heard` notes a part, or a wait that begins anew.
     pub const fn heard(&mut self, now: Moment) {
         self.heard = now;
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -166,10 +166,12 @@
 #[test]
 fn verify_versions_only_grow() {
     let mut force = InForce::default();
-    assert_eq!(force.apply(desired(5)), Applied::InForce);
-    assert_eq!(force.apply(desired(4)), Applied::Older);
-    assert_eq!(force.apply(desired(5)), Applied::Same);
-    assert_eq!(force.apply(desired(900)), Applied::InForce);
+    assert_eq!(force.apply(Moment::ZERO, desired(5)), Applied::InForce);
+    assert_eq!(force.apply(Moment::ZERO, desired(4)), Applied::Older);
+    assert_eq!(force.apply(Moment::ZERO, desired(5)), Applied::Same);
+    let later = Moment::from_millis(7);
+    assert_eq!(force.apply(later, desired(900)), Applied::InForce);
+    assert_eq!(force.since(), Some(later));
     let version = force.index().map(|i| i.desired().version);
     assert_eq!(version, Some(900));
 }
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -43,6 +43,7 @@
     pub fn first(&mut self, job: &Job) {
         let gateway = Arc::clone(&self.gateway);
         let took = gateway.now().since(self.sent);
+        gateway.metrics.target_answered(&self.instance, took);
         let mut state = gateway.state();
         self.read(&mut state);
         if let Some(stats) = state.board.of(self.choice.key) {
@@ -82,6 +83,7 @@
     /// `failed` notes a failure that speaks against the target.
     pub fn failed(&self) {
         let now = self.gateway.now();
+        self.gateway.metrics.target_failed(&self.instance);
         let mut state = self.gateway.state();
         let ejected = state
             .board
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -116,7 +116,8 @@
 
     fn bring_in_force(&self, desired: Desired) {
         let version = desired.version;
-        let applied = self.gateway.state().config.apply(desired);
+        let now = self.gateway.now();
+        let applied = self.gateway.state().config.apply(now, desired);
         if applied == Applied::InForce {
             self.gateway.metrics.in_force(version);
             let fields = [("version", Field::Number(version))];
@@ -176,7 +177,9 @@
                 }
                 Noted::Gone(key) => {
                     let instance = self.gateway.state().forget(key);
-                    self.told(LogEvent::TargetGone, instance.as_deref().unwrap_or(""));
+                    let instance = instance.as_deref().unwrap_or("");
+                    self.gateway.metrics.target_gone(instance);
+                    self.told(LogEvent::TargetGone, instance);
                 }
                 Noted::Left(key) => self.told_key(LogEvent::Leaving, key),
                 Noted::Missing(key) => self.told_key(LogEvent::TargetMissing, key),
@@ -227,6 +230,7 @@
         drop(state);
         for instance in gone {
             let fields = [("target", Field::Text(&instance))];
+            gateway.metrics.target_gone(&instance);
             gateway.log.write(LogEvent::TargetGone, &fields);
         }
     }
--- a/crates/peppercrank-gateway/src/metrics.rs
+++ b/crates/peppercrank-gateway/src/metrics.rs
@@ -3,9 +3,16 @@
 
 //! Counters and histograms of the gateway, in Prometheus text.
 
+use std::collections::HashSet;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicI64;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use peppercrank_core::time::Moment;
+use peppercrank_direct::desired::RouteKind;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -17,19 +24,51 @@
 
 use crate::gateway::Gateway;
 use crate::refuse::Reason;
+use crate::state::State;
 
-/// The least time that the histogram tells apart, in seconds.
+/// The least time that the histograms by kind tell apart, in seconds.
 const LEAST_SECONDS: f64 = 0.001;
 
-/// The buckets of the histogram; each doubles the one before.
+/// The buckets of the histograms by kind; each doubles the one before, up to 16 s.
 const BUCKETS: u16 = 15;
 
+/// The least time that the histograms by target tell apart, in seconds.
+const TARGET_LEAST: f64 = 0.01;
+
+/// The buckets of the histograms by target; each is four times the one before, up to 10 s.
+const TARGET_BUCKETS: u16 = 6;
+
+/// Targets that have histograms of their own; more share one, so that a large fleet's metrics stay
+/// below some hundred kilobytes.
+const TARGETS: usize = 64;
+
+/// The label of targets beyond these.
+const OTHER_TARGETS: &str = "other";
+
 /// `Label` is the reason that a counter counts by.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Label {
     reason: &'static str,
 }
 
+/// `KindLabel` is the kind of a route.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabel {
+    kind: &'static str,
+}
+
+/// `TargetLabel` is one start of a target.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TargetLabel {
+    target: String,
+}
+
+/// `PoolLabel` is a pool.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PoolLabel {
+    pool: String,
+}
+
 /// `CallLabel` is a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabel {
@@ -46,7 +85,15 @@
     repeats: Family<Label, Counter>,
     calls: Family<CallLabel, Counter>,
     datagrams: Family<Label, Counter>,
-    first: Histogram,
+    first: Family<KindLabel, Histogram, fn() -> Histogram>,
+    gaps: Family<KindLabel, Histogram, fn() -> Histogram>,
+    targets_first: Family<TargetLabel, Histogram, fn() -> Histogram>,
+    targets_failed: Family<TargetLabel, Counter>,
+    /// Targets that have series of their own.
+    named: Mutex<HashSet<String>>,
+    budget: Family<PoolLabel, Gauge<f64, AtomicU64>>,
+    dropped: Gauge<i64, AtomicI64>,
+    config_age: Gauge<i64, AtomicI64>,
     version: Gauge<i64, AtomicI64>,
     age: Gauge<i64, AtomicI64>,
     peers: Gauge<i64, AtomicI64>,
@@ -70,7 +117,14 @@
             repeats: Family::default(),
             calls: Family::default(),
             datagrams: Family::default(),
-            first: Histogram::new(exponential_buckets(LEAST_SECONDS, 2.0, BUCKETS)),
+            first: Family::new_with_constructor(by_kind),
+            gaps: Family::new_with_constructor(by_kind),
+            targets_first: Family::new_with_constructor(by_target),
+            targets_failed: Family::default(),
+            named: Mutex::default(),
+            budget: Family::default(),
+            dropped: Gauge::default(),
+            config_age: Gauge::default(),
             version: Gauge::default(),
             age: Gauge::default(),
             peers: Gauge::default(),
@@ -105,9 +159,44 @@
         r.register("datagrams", "Datagrams to routers", self.datagrams.clone());
         r.register(
             "first_seconds",
-            "Time to an answer or a stream's first part",
+            "Time to an answer or a stream's first part, by kind of route",
             self.first.clone(),
         );
+        r.register(
+            "gap_seconds",
+            "Time between two parts of a stream, by kind of route",
+            self.gaps.clone(),
+        );
+        r.register(
+            "target_first_seconds",
+            "Time from sending to a target to its answer's first part",
+            self.targets_first.clone(),
+        );
+        r.register(
+            "target_failures",
+            "Failures that speak against a target",
+            self.targets_failed.clone(),
+        );
+        self.register_beliefs();
+    }
+
+    fn register_beliefs(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "repeats_left",
+            "Repeats that this router's part of the budget has, by pool",
+            self.budget.clone(),
+        );
+        r.register(
+            "log_lines_dropped",
+            "Log lines that found no room or could not be written",
+            self.dropped.clone(),
+        );
+        r.register(
+            "configuration_age_milliseconds",
+            "Time since the configuration came in force; -1 before the first",
+            self.config_age.clone(),
+        );
         r.register(
             "configuration_version",
             "Version of the configuration in force",
@@ -152,8 +241,57 @@
     }
 
     /// `answered` notes an answer and its time to the first part.
-    pub fn answered(&self, first: Duration) {
-        self.first.observe(first.as_secs_f64());
+    pub fn answered(&self, kind: RouteKind, first: Duration) {
+        let kind = kind.code();
+        let label = KindLabel { kind };
+        self.first
+            .get_or_create(&label)
+            .observe(first.as_secs_f64());
+    }
+
+    /// `paused` notes the time between two parts of a stream.
+    pub fn paused(&self, kind: RouteKind, gap: Duration) {
+        let kind = kind.code();
+        let label = KindLabel { kind };
+        self.gaps.get_or_create(&label).observe(gap.as_secs_f64());
+    }
+
+    /// `target_answered` notes a target's time to its answer's first part.
+    pub fn target_answered(&self, target: &str, took: Duration) {
+        let label = self.label(target);
+        let histogram = self.targets_first.get_or_create(&label);
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// `target_failed` counts a failure that speaks against a target.
+    pub fn target_failed(&self, target: &str) {
+        let label = self.label(target);
+        self.targets_failed.get_or_create(&label).inc();
+    }
+
+    /// The label of a target's own series, or of the one that targets beyond the bound share.
+    fn label(&self, target: &str) -> TargetLabel {
+        let mut named = self.named();
+        if named.contains(target) {
+            return label_of(target);
+        }
+        if named.len() < TARGETS {
+            named.insert(target.to_owned());
+            return label_of(target);
+        }
+        label_of(OTHER_TARGETS)
+    }
+
+    fn named(&self) -> MutexGuard<'_, HashSet<String>> {
+        self.named.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// `target_gone` drops the series of a target that is gone.
+    pub fn target_gone(&self, target: &str) {
+        self.named().remove(target);
+        let label = label_of(target);
+        self.targets_first.remove(&label);
+        self.targets_failed.remove(&label);
     }
 
     /// `in_force` notes the version in force.
@@ -161,11 +299,25 @@
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    fn show_budget(&self, state: &mut State, now: Moment) {
+        let routers = state.sharers(now);
+        let pools = state.budget.pools().cloned().collect::<Vec<_>>();
+        for pool in pools {
+            let left = state.budget.left(now, &pool, routers);
+            let pool = pool.to_string();
+            self.budget.get_or_create(&PoolLabel { pool }).set(left);
+        }
+    }
+
     /// `text` is all metrics as text.
     #[must_use]
     pub fn text(&self, gateway: &Gateway) -> String {
         let now = gateway.now();
-        let state = gateway.state();
+        let mut state = gateway.state();
+        self.show_budget(&mut state, now);
+        let since = state.config.since().map(|at| now.since(at).as_millis());
+        self.config_age.set(since.map_or(-1, signed));
+        self.dropped.set(signed(u128::from(gateway.log.dropped())));
         let age = state.freshness.age(now).map(|a| a.as_millis());
         self.age.set(age.map_or(-1, signed));
         self.peers.set(signed(state.peers.alive(now) as u128));
@@ -178,6 +330,20 @@
     }
 }
 
+fn label_of(target: &str) -> TargetLabel {
+    TargetLabel {
+        target: target.to_owned(),
+    }
+}
+
+fn by_kind() -> Histogram {
+    Histogram::new(exponential_buckets(LEAST_SECONDS, 2.0, BUCKETS))
+}
+
+fn by_target() -> Histogram {
+    Histogram::new(exponential_buckets(TARGET_LEAST, 4.0, TARGET_BUCKETS))
+}
+
 fn signed(number: u128) -> i64 {
     i64::try_from(number).unwrap_or(i64::MAX)
 }
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -88,7 +88,7 @@
                 Step::Part(part) => {
                     // A caller that reads slowly must not hold its target past the deadline.
                     match timeout_at(end, self.pass(part)).await {
-                        Ok(Ok(())) => self.silence.heard(self.run.gateway.now()),
+                        Ok(Ok(())) => self.passed(),
                         Ok(Err(_)) => return self.over("caller gone"),
                         Err(_) => return self.over("deadline passed"),
                     }
@@ -156,6 +156,15 @@
         self.feed.send(part).await
     }
 
+    /// Notes that a part was passed on.
+    fn passed(&mut self) {
+        let gateway = &self.run.gateway;
+        let now = gateway.now();
+        let quiet = self.silence.quiet(now);
+        gateway.metrics.paused(self.run.job.kind, quiet);
+        self.silence.heard(now);
+    }
+
     fn is_whole(&self) -> bool {
         self.events.as_ref().is_none_or(Events::is_between)
     }
@@ -223,11 +232,13 @@
     /// Ends a stream before its end: the feed is dropped unfinished, so that the caller's
     /// connection breaks off.
     fn over(self, what: &'static str) {
+        let quiet = self.silence.quiet(self.run.gateway.now());
         let fields = [
             ("request", Field::Text(&self.run.job.id)),
             ("target", Field::Text(&self.flight.instance)),
             ("what", Field::Text(what)),
             ("first_ms", Field::Millis(self.began)),
+            ("quiet_ms", Field::Millis(quiet)),
             ("held_ms", Field::Millis(self.run.held())),
         ];
         self.run.gateway.metrics.missed(what);
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -183,7 +183,7 @@
                     self.failure = Some((status, headers, body));
                     return self.follow(after, Reason::Failed);
                 }
-                self.gateway.metrics.answered(self.held());
+                self.gateway.metrics.answered(self.job.kind, self.held());
                 self.done(&flight, status, self.held());
                 Next::Answer(reply(status, headers, body::full(body)))
             }
@@ -193,7 +193,7 @@
                 first,
                 rest,
             } => {
-                self.gateway.metrics.answered(self.held());
+                self.gateway.metrics.answered(self.job.kind, self.held());
                 let body = relay::start(self, flight, first, rest);
                 Next::Answer(reply(status, headers, body))
             }
--- /dev/null
+++ b/crates/peppercrank-log/examples/line_cost.rs
@@ -0,0 +1,78 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! What a log line costs: the thread that writes the event, and the whole process with the thread
+//! that makes JSON of it.
+//!
+//! `cargo run --release -p peppercrank-log --example line_cost`
+
+use std::io::Write;
+use std::time::Duration;
+use std::time::Instant;
+
+use peppercrank_core::events::Event;
+use peppercrank_core::events::Level;
+use peppercrank_log::Field;
+use peppercrank_log::Log;
+
+/// Lines of one burst: fewer than may wait, so that none is dropped.
+const BURST: u64 = 2_000;
+
+/// Bursts of each log.
+const BURSTS: u64 = 100;
+
+/// The fields of a request that was answered at the first try.
+fn write(log: &Log, n: u64) {
+    let fields = [
+        ("request", Field::Text("9c41d07be2a35f68")),
+        ("route", Field::Text("r-qrvkdpx")),
+        ("target", Field::Text("i-2e9b2496bd")),
+        ("status", Field::Number(200)),
+        ("attempts", Field::Number(1)),
+        ("version", Field::Number(3)),
+        ("reading", Field::Number(n)),
+        ("copy", Field::Number(0)),
+        ("unknown", Field::Number(0)),
+        ("home", Field::Number(1)),
+        ("predicted_ms", Field::Number(65)),
+        ("first_ms", Field::Millis(Duration::from_millis(62))),
+        ("held_ms", Field::Millis(Duration::from_millis(1_062))),
+    ];
+    log.write(Event::Answered, &fields);
+}
+
+/// Nanoseconds a line for the thread that writes the events, and until the last line is out.
+fn measure(make: impl Fn() -> Log) -> (u128, u128) {
+    let (mut writing, mut whole) = (Duration::ZERO, Duration::ZERO);
+    for _ in 0..BURSTS {
+        let log = make();
+        let start = Instant::now();
+        for n in 0..BURST {
+            write(&log, n);
+        }
+        writing += start.elapsed();
+        assert_eq!(log.dropped(), 0);
+        // The log's end waits for its writer.
+        drop(log);
+        whole += start.elapsed();
+    }
+    let lines = u128::from(BURST * BURSTS);
+    (writing.as_nanos() / lines, whole.as_nanos() / lines)
+}
+
+fn main() -> std::io::Result<()> {
+    let sink = || Log::to(std::io::sink(), Level::Info, "edge-muuga-1");
+    let quiet = || Log::to(std::io::sink(), Level::Error, "edge-muuga-1");
+    let mut out = std::io::stdout();
+    for (name, (writing, whole)) in [
+        ("none", measure(Log::none)),
+        ("level too low", measure(quiet)),
+        ("written", measure(sink)),
+    ] {
+        writeln!(
+            out,
+            "{name:>14}: {writing} ns a line, {whole} ns until it is out"
+        )?;
+    }
+    Ok(())
+}
--- a/crates/peppercrank-log/src/lib.rs
+++ b/crates/peppercrank-log/src/lib.rs
@@ -6,9 +6,11 @@
 //! Lines wait in a bounded queue for a thread that writes them; when it is full they are dropped
 //! and counted, and nothing ever waits for the writer.
 
+mod lost;
 pub mod story;
 
 use std::io::Write;
+use std::sync::Arc;
 use std::sync::Mutex;
 
 use peppercrank_core::events::Event;
@@ -20,28 +22,33 @@
 use slog::Serializer;
 use slog::o;
 
-/// Log lines that may wait for the writer; more are dropped and counted by the drain.
+use crate::lost::Lost;
+
+/// Log lines that may wait for the writer; more are dropped and counted.
 const QUEUE: usize = 4_096;
 
 /// `Log` writes numbered events.
 #[derive(Debug, Clone)]
 pub struct Log {
     logger: Logger,
+    lost: Arc<Lost>,
 }
 
 impl Log {
     /// `to` writes JSON lines of `level` and above to `out`, from a thread of its own.
     #[must_use]
     pub fn to<W: Write + Send + 'static>(out: W, level: Level, process: &str) -> Self {
+        let lost = Arc::new(Lost::default());
         let json = slog_json::Json::new(out).add_default_keys().build();
-        let drain = Mutex::new(json).fuse();
-        let drain = slog_async::Async::new(drain)
+        let written = lost.counting(Mutex::new(json));
+        let queue = slog_async::AsyncCore::custom(written)
             .chan_size(QUEUE)
-            .build()
-            .fuse();
+            .build();
+        let drain = lost.counting(queue);
         let drain = slog::LevelFilter::new(drain, slog_level(level)).fuse();
         Self {
             logger: Logger::root(drain, o!("process" => process.to_owned())),
+            lost,
         }
     }
 
@@ -50,11 +57,25 @@
     pub fn none() -> Self {
         Self {
             logger: Logger::root(slog::Discard, o!()),
+            lost: Arc::default(),
         }
     }
 
-    /// `write` writes one event with its fields.
+    /// `dropped` is how many lines found no room or could not be written.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.lost.total()
+    }
+
+    /// `write` writes one event with its fields, after word of lines that were dropped.
     pub fn write(&self, event: Event, fields: &[(&'static str, Field<'_>)]) {
+        if let Some(total) = self.lost.news() {
+            self.line(Event::LogDropped, &[("total", Field::Number(total))]);
+        }
+        self.line(event, fields);
+    }
+
+    fn line(&self, event: Event, fields: &[(&'static str, Field<'_>)]) {
         let log = &self.logger;
         let (number, fields) = (event.number(), Fields(fields));
         match event.level() {
--- a/crates/peppercrank-log/src/story.rs
+++ b/crates/peppercrank-log/src/story.rs
@@ -23,6 +23,10 @@
 /// The longest line that is read as an event, in bytes.
 const LONGEST: usize = 64 * 1_024;
 
+/// A target's silence that is worth telling where its caller left, in milliseconds: callers wait two
+/// seconds for an event at least.
+const QUIET: u64 = 1_000;
+
 /// `Step` is one line of a request's story.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Step {
@@ -367,6 +371,10 @@
 fn cut(last: &Step, steps: &[&Step]) -> String {
     let held = number_of(&last.fields, "held_ms");
     match text_of(&last.fields, "what") {
+        "caller gone" if number_of(&last.fields, "quiet_ms") >= QUIET => format!(
+            "its caller went away after {held} ms; its target had sent nothing for {} ms",
+            number_of(&last.fields, "quiet_ms")
+        ),
         "caller gone" => format!("its caller went away after {held} ms"),
         "deadline passed" => format!("its time was over after {held} ms while the stream ran"),
         _ => format!(
--- a/crates/peppercrank-log/tests/verify_log.rs
+++ b/crates/peppercrank-log/tests/verify_log.rs
@@ -103,3 +103,48 @@
     let told = lines.iter().any(|l| l.to_string().contains("dropped"));
     assert!(told, "the drops are not told");
 }
+
+#[test]
+fn verify_drops_are_counted_and_the_last_total_is_told() {
+    let gate = Gate::default();
+    gate.shut(true);
+    let log = Log::to(gate.clone(), Level::Info, "one");
+    for n in 0..50_000 {
+        log.write(Event::Answered, &[("n", Field::Number(n))]);
+    }
+    let dropped = log.dropped();
+    assert!(dropped > 40_000, "{dropped}");
+    gate.shut(false);
+    gate.until_written(50_000);
+    log.write(Event::Answered, &[]);
+    assert_eq!(log.dropped(), dropped);
+    drop(log);
+    let lines = gate.lines();
+    let totals = lines.iter().filter(|l| l["event"] == 1008);
+    let last = totals.filter_map(|l| l["total"].as_u64()).max();
+    assert_eq!(last, Some(dropped));
+}
+
+#[derive(Debug)]
+struct Broken;
+
+impl Write for Broken {
+    fn write(&mut self, _buf: &[u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn verify_lines_that_could_not_be_written_are_counted() {
+    let log = Log::to(Broken, Level::Info, "one");
+    log.write(Event::Answered, &[]);
+    // The writer's thread counts; nothing but the end of the test bounds this wait.
+    while log.dropped() == 0 {
+        std::thread::yield_now();
+    }
+    log.write(Event::Answered, &[]);
+}
--- a/crates/peppercrank-log/tests/verify_story.rs
+++ b/crates/peppercrank-log/tests/verify_story.rs
@@ -87,6 +87,11 @@
             "\"what\":\"caller gone\",\"held_ms\":70",
             "went away after 70",
         ),
+        (
+            "2007",
+            "\"what\":\"caller gone\",\"held_ms\":3300,\"quiet_ms\":3200",
+            "sent nothing for 3200 ms",
+        ),
         ("2007", "\"what\":\"stream cut\"", "broke off"),
         ("2008", "\"status\":500", "own failure 500"),
         (
