Have a few routers ask the store for the newest keys and confirm them to the others

Now two routers, or one in twenty, ask; the others ask one of these by a datagram, and watch the store for changes. An answer's age counts from the question, on the asker's own clock. Without an answer that is young enough, a router asks the store itself. One that the store does not answer for 1.5 s takes no new callers, whatever others confirm to it.

Also found by its test: an age that reaches back before the process's clock began would have counted from there, and looked younger than it is.

--- /dev/null
+++ b/crates/peppercrank-direct/src/confirm.rs
@@ -0,0 +1,114 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Routers confirm to each other that what they know of keys is the store's newest.
+//!
+//! Each router must know at any moment how old its knowledge of keys is, and each question to the
+//! store has its price. So a few routers ask the store, and the others ask one of these. A
+//! confirmation names the version in force there and the age of the knowledge when it was given. The
+//! one who asked counts that age from the moment of its own question, so that neither a slow network nor
+//! a process that stood still makes knowledge look younger than it is.
+
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Routers that ask the store at least: one may fail.
+const LEAST: usize = 2;
+
+/// Routers of which one more asks the store, so that none answers more than some twenty others.
+const EACH: usize = 20;
+
+/// The oldest knowledge that is worth taking over: those who ask the store do so more often.
+pub const OLDEST: Duration = Duration::from_millis(1_200);
+
+/// `Question` asks another router for a confirmation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Names the question in its answer.
+    pub nonce: u64,
+}
+
+/// `Confirmation` answers a question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// The question's.
+    pub nonce: u64,
+    /// The version in force there.
+    pub version: u64,
+    /// The age of the knowledge there, in milliseconds, rounded up.
+    pub age: u32,
+}
+
+impl Confirmation {
+    /// `new` answers a question by what is known at this moment; none where nothing is.
+    #[must_use]
+    pub fn new(question: Question, version: Option<u64>, age: Option<Duration>) -> Option<Self> {
+        let age = u32::try_from(age?.as_millis()).ok()?;
+        Some(Self {
+            nonce: question.nonce,
+            version: version?,
+            age: age.saturating_add(1),
+        })
+    }
+}
+
+/// `Asked` is a question on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asked {
+    /// The question.
+    pub question: Question,
+    /// When it was sent.
+    pub at: Moment,
+}
+
+/// `Verdict` is what a confirmation is worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// What is in force here was the newest at this moment.
+    Newest(Moment),
+    /// There is a newer version, which the store has.
+    Outdated,
+    /// It answers another question, or is too old to be worth anything.
+    Nothing,
+}
+
+impl Asked {
+    /// `judge` tells what an answer is worth where this version is in force.
+    #[must_use]
+    pub fn judge(&self, told: Confirmation, version: Option<u64>) -> Verdict {
+        let age = Duration::from_millis(u64::from(told.age));
+        if told.nonce != self.question.nonce || age > OLDEST {
+            return Verdict::Nothing;
+        }
+        // A moment before this process's clock began cannot be told, and a later one would make
+        // the knowledge look younger.
+        let Some(since) = self.at.since_origin().checked_sub(age) else {
+            return Verdict::Nothing;
+        };
+        match version {
+            Some(version) if version >= told.version => Verdict::Newest(Moment::from_origin(since)),
+            _ => Verdict::Outdated,
+        }
+    }
+}
+
+/// `asks_store` tells whether the router of this name asks the store itself, among these others that
+/// are alive: the first ones by name do.
+pub fn asks_store<'a>(own: &str, others: impl Iterator<Item = &'a str>) -> bool {
+    let (mut count, mut before) = (1, 0);
+    for other in others {
+        count += 1;
+        before += usize::from(other < own);
+    }
+    before < asking(count)
+}
+
+/// `asking` is how many of so many routers ask the store.
+#[must_use]
+pub const fn asking(routers: usize) -> usize {
+    let part = routers / EACH;
+    if part > LEAST { part } else { LEAST }
+}
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`stats`]: what a router knows of each target.
 //! - [`peers`]: what routers tell each other.
 
+pub mod confirm;
 pub mod desired;
 pub mod directory;
 pub mod events;
--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -14,6 +14,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::confirm::Confirmation;
+use crate::confirm::Question;
+
 /// Longest datagram, in bytes: below the usual path limit, so that none is fragmented.
 pub const MOST_BYTES: usize = 1_200;
 
@@ -112,7 +115,18 @@
     }
 }
 
-/// `Summary` is one datagram.
+/// `Datagram` is what one router sends another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// Its work and news.
+    Summary(Summary),
+    /// Asks for a confirmation of what is known of keys.
+    Question(Question),
+    /// Answers that.
+    Confirmation(Confirmation),
+}
+
+/// `Summary` is a router's work and news.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
     /// The sender's start, so that a restarted router's counts begin anew.
@@ -125,8 +139,8 @@
     pub hints: Vec<Hint>,
 }
 
-impl Summary {
-    /// `encode` is the datagram, with as many hints as fit.
+impl Datagram {
+    /// `encode` is the bytes to send; of a summary's hints as many as fit.
     ///
     /// # Errors
     ///
@@ -134,12 +148,15 @@
     pub fn encode(&mut self) -> postcard::Result<Vec<u8>> {
         loop {
             let bytes = postcard::to_stdvec(self)?;
-            if bytes.len() <= MOST_BYTES || self.hints.is_empty() {
+            let Self::Summary(summary) = self else {
+                return Ok(bytes);
+            };
+            if bytes.len() <= MOST_BYTES || summary.hints.is_empty() {
                 return Ok(bytes);
             }
             let over = bytes.len() - MOST_BYTES;
-            let drop = over.div_ceil(HINT_BYTES).min(self.hints.len());
-            self.hints.drain(..drop);
+            let drop = over.div_ceil(HINT_BYTES).min(summary.hints.len());
+            summary.hints.drain(..drop);
         }
     }
 
@@ -147,7 +164,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the codec's error for bytes that are no summary.
+    /// Returns the codec's error for bytes that are no datagram.
     pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
         postcard::from_bytes(bytes)
     }
@@ -193,6 +210,14 @@
         self.peers.retain(|_, p| now.since(p.heard) < silent);
     }
 
+    /// `hears` tells whether the router at this address was heard of late.
+    #[must_use]
+    pub fn hears(&self, now: Moment, from: SocketAddr) -> bool {
+        let silent = silent(self.peers.len());
+        let peer = self.peers.get(&from);
+        peer.is_some_and(|p| now.since(p.heard) < silent)
+    }
+
     /// `alive` is how many other routers were heard of late.
     #[must_use]
     pub fn alive(&self, now: Moment) -> usize {
--- /dev/null
+++ b/crates/peppercrank-direct/tests/verify_confirm.rs
@@ -0,0 +1,110 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Confirmations between routers never make knowledge look younger than it is.
+
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use peppercrank_direct::confirm::Asked;
+use peppercrank_direct::confirm::Confirmation;
+use peppercrank_direct::confirm::Question;
+use peppercrank_direct::confirm::Verdict;
+use peppercrank_direct::confirm::asking;
+use peppercrank_direct::confirm::asks_store;
+use peppercrank_direct::freshness::Freshness;
+
+const QUESTION: Question = Question { nonce: 7 };
+
+const fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn told(version: u64, age: u64) -> Confirmation {
+    let age = Some(Duration::from_millis(age));
+    Confirmation::new(QUESTION, Some(version), age).expect("knowledge")
+}
+
+#[test]
+fn verify_what_an_answer_is_worth() {
+    let asked = Asked {
+        question: QUESTION,
+        at: at(10_000),
+    };
+    let other = Confirmation {
+        nonce: 8,
+        ..told(5, 0)
+    };
+    let rows = [
+        // The age counts from the question, and is rounded up.
+        (told(5, 0), Some(5), Verdict::Newest(at(9_999))),
+        (told(5, 700), Some(5), Verdict::Newest(at(9_299))),
+        // A router that is behind confirms what is newer here, but not the other way round.
+        (told(4, 700), Some(5), Verdict::Newest(at(9_299))),
+        (told(6, 0), Some(5), Verdict::Outdated),
+        (told(5, 0), None, Verdict::Outdated),
+        (told(5, 1_300), Some(5), Verdict::Nothing),
+        (other, Some(5), Verdict::Nothing),
+    ];
+    for (told, version, verdict) in rows {
+        assert_eq!(asked.judge(told, version), verdict, "{told:?} {version:?}");
+    }
+}
+
+#[test]
+fn verify_knowledge_from_before_the_clock_began_is_worth_nothing() {
+    // As the moment at which it was known cannot be told, it would count from the clock's origin.
+    let asked = Asked {
+        question: QUESTION,
+        at: at(300),
+    };
+    assert_eq!(asked.judge(told(5, 700), Some(5)), Verdict::Nothing);
+    assert_eq!(asked.judge(told(5, 200), Some(5)), Verdict::Newest(at(99)));
+}
+
+#[test]
+fn verify_nothing_is_told_where_nothing_is_known() {
+    let age = Some(Duration::ZERO);
+    assert_eq!(Confirmation::new(QUESTION, None, age), None);
+    assert_eq!(Confirmation::new(QUESTION, Some(1), None), None);
+}
+
+#[test]
+fn verify_a_chain_of_routers_is_never_younger_than_the_store_was_asked() {
+    // The clocks of the three differ; the store was asked at 0 of the common time.
+    let offsets = [5_000, 90_000, 40_000];
+    let mut known = Freshness::new(None);
+    known.confirm(at(offsets[0]));
+    let mut common = 0;
+    for hop in 1..offsets.len() {
+        // A question takes 60 ms, the one who answers stands still for 200, the answer takes 90.
+        let (sent, answered) = (common + 60, common + 120);
+        let age = known.age(at(offsets[hop - 1] + answered));
+        let told = Confirmation::new(QUESTION, Some(1), age).expect("knowledge");
+        let asked = Asked {
+            question: QUESTION,
+            at: at(offsets[hop] + sent),
+        };
+        let Verdict::Newest(moment) = asked.judge(told, Some(1)) else {
+            panic!("{told:?}");
+        };
+        assert!(moment <= at(offsets[hop]), "hop {hop}");
+        known = Freshness::new(None);
+        known.confirm(moment);
+        common += 60 + 200 + 90;
+    }
+}
+
+#[test]
+fn verify_a_few_routers_ask_the_store() {
+    let names = |count: usize| (0..count).map(|n| format!("r-{n:03}")).collect::<Vec<_>>();
+    for (count, ask) in [(1, 1), (2, 2), (4, 2), (29, 2), (100, 5), (370, 18)] {
+        let names = names(count);
+        let asks = names.iter().filter(|own| {
+            let others = names.iter().filter(|n| n != own);
+            asks_store(own, others.map(String::as_str))
+        });
+        assert_eq!(asks.count(), ask, "{count}");
+        assert!(asking(count) >= ask);
+    }
+}
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -26,6 +26,7 @@
 use peppercrank_direct::freshness::Freshness;
 use peppercrank_direct::freshness::SENDING;
 use peppercrank_direct::freshness::SILENCE;
+use peppercrank_direct::peers::Datagram;
 use peppercrank_direct::peers::Hint;
 use peppercrank_direct::peers::MOST_BYTES;
 use peppercrank_direct::peers::Outbox;
@@ -364,12 +365,15 @@
         chain,
     };
     long.hints = (0..1_000).map(|n| hint(u64::MAX - n)).collect();
-    let bytes = long.encode().expect("bytes");
+    let bytes = Datagram::Summary(long).encode().expect("bytes");
     assert!(bytes.len() <= MOST_BYTES);
-    let read = Summary::decode(&bytes).expect("a summary");
+    let read = Datagram::decode(&bytes).expect("a datagram");
+    let Datagram::Summary(read) = read else {
+        panic!("{read:?}");
+    };
     assert_eq!(read.work.len(), 1);
     assert!(read.hints.len() > 50);
-    Summary::decode(&bytes[..bytes.len() / 2]).unwrap_err();
+    Datagram::decode(&bytes[..bytes.len() / 2]).unwrap_err();
 }
 
 #[test]
--- a/crates/peppercrank-gateway/src/admin.rs
+++ b/crates/peppercrank-gateway/src/admin.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use http::HeaderValue;
 use http::StatusCode;
@@ -22,6 +23,10 @@
 /// in touch with the store.
 const READY_SHARE: f64 = 0.5;
 
+/// Time without the store after which a router asks for no more callers although others confirm to it
+/// what it knows of keys: it does not hear of targets that come and leave.
+const AWAY: Duration = Duration::from_millis(1_500);
+
 /// `is_ready` tells whether the router should get new callers.
 #[must_use]
 pub fn is_ready(gateway: &Gateway) -> bool {
@@ -34,7 +39,8 @@
         (Some(_), None) => true,
         (Some(age), Some(keys)) => age < keys.revoke.mul_f64(READY_SHARE),
     };
-    young && state.listed.is_some() && !gateway.stop.is_stopping()
+    let in_touch = state.away.is_none_or(|since| now.since(since) < AWAY);
+    young && in_touch && state.listed.is_some() && !gateway.stop.is_stopping()
 }
 
 /// `ready` answers the balancer.
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -15,15 +15,21 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::confirm::Confirmer;
 use crate::gateway::Gateway;
 use crate::intake::Intake;
 use crate::store::Ended;
 use crate::store::Store;
 
-/// Time that a call for changes of the configuration waits. What an answer confirms is as old as
-/// the question, so questions that are answered at once keep the knowledge of keys younger than
-/// the same number of questions that wait.
-const CONFIG_WAIT: Duration = Duration::from_millis(1);
+/// Time that a question which confirms what is known of keys waits. What an answer confirms is as old
+/// as the question, so questions that are answered at once keep the knowledge younger than the
+/// same number of questions that wait.
+const CONFIRM_WAIT: Duration = Duration::from_millis(1);
+
+/// Time that the watch of the configuration waits, below the history that the store keeps. Changes end
+/// it at once, and one that went silent does no harm: a version that another router tells of twice is
+/// fetched.
+const CONFIG_WAIT: Duration = Duration::from_secs(10);
 
 /// Time that the watch of targets waits; a change ends it at once, and a connection that went
 /// silent is noticed after it.
@@ -36,9 +42,13 @@
 /// replaced. A leaving target gets work for this much longer, a fifth of the usual bound.
 const TARGETS_PACE: Duration = Duration::from_millis(400);
 
-/// Pause between calls for the configuration: below half of the usual bounds for a change to come
+/// Pause between confirmations of what is known of keys: below half of the usual bounds for a change to come
 /// in force, and a fifth of the usual bound on keys.
-const CONFIG_PACE: Duration = Duration::from_millis(900);
+const CONFIRM_PACE: Duration = Duration::from_millis(900);
+
+/// Pause between watches of the configuration, so that a series of changes gathers: the first one is in
+/// force at once, the next within a third of the usual bound.
+const CONFIG_PACE: Duration = Duration::from_millis(700);
 
 /// Pause between calls for routers, which are all registered within the first second of a fleet.
 const ROUTERS_PACE: Duration = Duration::from_secs(2);
@@ -71,17 +81,34 @@
 }
 
 impl Outage {
+    fn is_away(&self) -> bool {
+        *self.0.borrow()
+    }
+
     fn set(&self, away: bool) -> bool {
         self.0
             .send_if_modified(|now| std::mem::replace(now, away) != away)
     }
 }
 
+/// `Role` is what a follower is for.
+#[derive(Debug, Clone)]
+pub enum Role {
+    /// Takes changes of the targets or the routers in as soon as they come.
+    Waits(Kind),
+    /// Takes changes of the configuration in as soon as they come, where others confirm it.
+    Watches(Confirmer),
+    /// Confirms again and again that the configuration is the newest, and finds out when the store is
+    /// back after an outage.
+    Confirms(Confirmer),
+}
+
 /// `Follower` follows one kind.
 #[derive(Debug)]
 pub struct Follower {
     gateway: Arc<Gateway>,
     store: Store,
+    role: Role,
     kind: Kind,
     outage: Outage,
     intake: Intake,
@@ -98,12 +125,17 @@
 }
 
 impl Follower {
-    /// `new` follows a kind.
+    /// `new` follows the kind of its role.
     #[must_use]
-    pub fn new(gateway: &Arc<Gateway>, store: &Store, kind: Kind, outage: &Outage) -> Self {
+    pub fn new(gateway: &Arc<Gateway>, store: &Store, role: Role, outage: &Outage) -> Self {
+        let kind = match &role {
+            Role::Waits(kind) => *kind,
+            Role::Watches(_) | Role::Confirms(_) => Kind::Configuration,
+        };
         Self {
             gateway: Arc::clone(gateway),
             store: store.clone(),
+            role,
             kind,
             outage: outage.clone(),
             intake: Intake::new(gateway, kind),
@@ -116,9 +148,8 @@
         let mut told = self.outage.0.subscribe();
         loop {
             self.spare(&mut told).await;
-            let revision = self.intake.revision;
             let turn = tokio::select! {
-                turn = self.turn(revision) => turn,
+                turn = self.turn() => turn,
                 // Only a store that is back makes a waiting call worth dropping.
                 () = returned(&mut told) => Turn::Again,
             };
@@ -126,22 +157,44 @@
         }
     }
 
-    /// Leaves it to the configuration's follower to find out when the store is back, as each call
-    /// has its price, and looks for itself now and then.
+    /// Leaves it to the follower that confirms to find out when the store is back, as each call has
+    /// its price, and looks for itself now and then.
     async fn spare(&self, told: &mut watch::Receiver<bool>) {
         let away = *told.borrow_and_update();
-        if away && self.kind != Kind::Configuration {
+        if away && !matches!(self.role, Role::Confirms(_)) {
             let _looks = timeout(SPARE, returned(told)).await;
         }
     }
 
-    async fn turn(&mut self, revision: Option<u64>) -> Turn {
-        match revision {
+    async fn turn(&mut self) -> Turn {
+        let known = self.known();
+        match &mut self.role {
+            Role::Confirms(confirmer) if known.is_some() => {
+                let told = confirmer.by_router().await;
+                self.gateway.metrics.confirmed(told);
+                // Only the store itself tells that it is back.
+                if told && !self.outage.is_away() {
+                    return Turn::Fine;
+                }
+            }
+            // One that asks the store anyway hears of changes by that.
+            Role::Watches(confirmer) if confirmer.asks_store() => return Turn::Fine,
+            Role::Confirms(_) | Role::Watches(_) | Role::Waits(_) => {}
+        }
+        match self.known() {
             None => self.list().await,
             Some(revision) => self.watch(revision).await,
         }
     }
 
+    /// The revision up to which the kind is known; of the configuration, to either of its followers.
+    fn known(&self) -> Option<u64> {
+        match self.kind {
+            Kind::Configuration => self.gateway.state().known,
+            Kind::Targets | Kind::Routers => self.intake.revision,
+        }
+    }
+
     async fn after(&mut self, turn: Turn) {
         match turn {
             Turn::Fine => {
@@ -151,6 +204,9 @@
             Turn::Again => {}
             Turn::Relist => {
                 self.intake.revision = None;
+                if self.kind == Kind::Configuration {
+                    self.gateway.state().known = None;
+                }
                 let fields = [("kind", Field::Text(self.kind.word()))];
                 self.gateway.log.write(LogEvent::Relisted, &fields);
             }
@@ -165,13 +221,12 @@
 
     /// Lets changes gather, since each call has its price.
     async fn pace(&self) {
-        if self.intake.revision.is_none() {
-            return;
-        }
-        let pace = match self.kind {
-            Kind::Configuration => CONFIG_PACE,
-            Kind::Targets => TARGETS_PACE,
-            Kind::Routers => ROUTERS_PACE,
+        let pace = match &self.role {
+            Role::Watches(_) => CONFIG_PACE,
+            _ if self.known().is_none() => return,
+            Role::Confirms(_) | Role::Waits(Kind::Configuration) => CONFIRM_PACE,
+            Role::Waits(Kind::Targets) => TARGETS_PACE,
+            Role::Waits(Kind::Routers) => ROUTERS_PACE,
         };
         sleep(jittered(pace)).await;
     }
@@ -197,17 +252,27 @@
             if after.is_none() {
                 self.back();
                 self.intake.replace(asked, entries);
-                self.intake.revision = Some(from);
+                self.know(from);
                 return Turn::Fine;
             }
         }
     }
 
+    /// Notes the revision up to which the kind is known.
+    fn know(&mut self, revision: u64) {
+        self.intake.revision = Some(revision);
+        if self.kind == Kind::Configuration {
+            let mut state = self.gateway.state();
+            state.known = state.known.max(Some(revision));
+        }
+    }
+
     async fn watch(&mut self, revision: u64) -> Turn {
-        let wait = match self.kind {
-            Kind::Configuration => CONFIG_WAIT,
-            Kind::Targets => TARGETS_WAIT,
-            Kind::Routers => ROUTERS_WAIT,
+        let wait = match &self.role {
+            Role::Confirms(_) | Role::Waits(Kind::Configuration) => CONFIRM_WAIT,
+            Role::Watches(_) => CONFIG_WAIT,
+            Role::Waits(Kind::Targets) => TARGETS_WAIT,
+            Role::Waits(Kind::Routers) => ROUTERS_WAIT,
         };
         let asked = self.gateway.now();
         let path = store::watch(self.kind, revision, wait);
@@ -219,7 +284,7 @@
             return Turn::Failed("malformed changes");
         };
         self.back();
-        self.intake.revision = Some(changes.revision);
+        self.know(changes.revision);
         self.intake.apply(asked, changes.events);
         Turn::Fine
     }
@@ -239,7 +304,11 @@
 
     /// Notes that the store does not answer.
     fn lost(&self, what: &'static str) {
-        self.gateway.state().directory.store_lost();
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        state.directory.store_lost();
+        state.away.get_or_insert(now);
+        drop(state);
         if self.outage.set(true) {
             let fields = [("what", Field::Text(what))];
             self.gateway.log.write(LogEvent::PlatformDown, &fields);
@@ -249,7 +318,10 @@
     /// Notes that the store answers.
     fn back(&self) {
         let now = self.gateway.now();
-        self.gateway.state().directory.store_back(now);
+        let mut state = self.gateway.state();
+        state.directory.store_back(now);
+        state.away = None;
+        drop(state);
         if self.outage.set(false) {
             self.gateway.log.write(LogEvent::PlatformUp, &[]);
         }
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use peppercrank_wire::client::Times;
 use peppercrank_wire::clock::Clock;
 use peppercrank_wire::stop::Stop;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -78,6 +79,8 @@
     pub metrics: Metrics,
     /// The signal that tells to stop.
     pub stop: Stop,
+    /// Wakes the one who asked another router when its answer has come.
+    pub answered: Notify,
     /// Whether the balancer was last told that the router is ready.
     pub told_ready: AtomicBool,
     state: Mutex<State>,
@@ -103,6 +106,7 @@
             log,
             metrics: Metrics::default(),
             stop,
+            answered: Notify::new(),
             told_ready: AtomicBool::new(false),
             state: Mutex::new(state),
         }
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::peers::Datagram;
 use peppercrank_direct::peers::Summary;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::peers::Work;
@@ -15,6 +16,7 @@
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
+use crate::confirm;
 use crate::gateway::Gateway;
 use crate::state::State;
 
@@ -98,8 +100,8 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let (mut summary, to) = round.turn(&mut gateway.state());
-        let Ok(bytes) = summary.encode() else {
+        let (summary, to) = round.turn(&mut gateway.state());
+        let Ok(bytes) = Datagram::Summary(summary).encode() else {
             continue;
         };
         for address in &to {
@@ -132,13 +134,28 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        match Summary::decode(&space[..len]) {
-            Ok(summary) => take(&gateway, from, &summary),
+        match Datagram::decode(&space[..len]) {
+            Ok(Datagram::Summary(summary)) => take(&gateway, from, &summary),
+            Ok(Datagram::Question(question)) => {
+                if let Some(told) = confirm::answer(&gateway, question) {
+                    send(&gateway, &socket, from, Datagram::Confirmation(told)).await;
+                }
+            }
+            Ok(Datagram::Confirmation(told)) => confirm::take(&gateway, told),
             Err(_) => gateway.metrics.missed("malformed datagram"),
         }
     }
 }
 
+/// `send` sends one datagram.
+pub async fn send(gateway: &Gateway, socket: &UdpSocket, to: SocketAddr, mut datagram: Datagram) {
+    let Ok(bytes) = datagram.encode() else {
+        return;
+    };
+    let sent = socket.send_to(&bytes, to).await;
+    gateway.metrics.told(sent.is_ok());
+}
+
 fn take(gateway: &Gateway, from: SocketAddr, summary: &Summary) {
     let now = gateway.now();
     let mut state = gateway.state();
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`serve`] answers callers: route, key, placement, attempts, answer.
 //! - [`follow`] keeps the configuration and the targets up to date from the store.
+//! - [`confirm`] has other routers confirm what is known of keys, where they may.
 //! - [`intake`] takes in what the store tells.
 //! - [`gossip`] exchanges loads and held prompts with other routers.
 //! - [`admin`] answers the balancer and serves the metrics.
@@ -16,6 +17,7 @@
 pub mod admin;
 pub mod attempt;
 pub mod choose;
+pub mod confirm;
 pub mod errors;
 pub mod flight;
 pub mod follow;
--- a/crates/peppercrank-gateway/src/metrics.rs
+++ b/crates/peppercrank-gateway/src/metrics.rs
@@ -85,6 +85,7 @@
     repeats: Family<Label, Counter>,
     calls: Family<CallLabel, Counter>,
     datagrams: Family<Label, Counter>,
+    confirmations: Family<Label, Counter>,
     first: Family<KindLabel, Histogram, fn() -> Histogram>,
     gaps: Family<KindLabel, Histogram, fn() -> Histogram>,
     targets_first: Family<TargetLabel, Histogram, fn() -> Histogram>,
@@ -117,6 +118,7 @@
             repeats: Family::default(),
             calls: Family::default(),
             datagrams: Family::default(),
+            confirmations: Family::default(),
             first: Family::new_with_constructor(by_kind),
             gaps: Family::new_with_constructor(by_kind),
             targets_first: Family::new_with_constructor(by_target),
@@ -156,6 +158,11 @@
             self.repeats.clone(),
         );
         r.register("store_calls", "Calls to the store", self.calls.clone());
+        r.register(
+            "confirmations",
+            "Confirmations of what is known of keys, by who was asked last",
+            self.confirmations.clone(),
+        );
         r.register("datagrams", "Datagrams to routers", self.datagrams.clone());
         r.register(
             "first_seconds",
@@ -234,6 +241,12 @@
         self.calls.get_or_create(&label).inc();
     }
 
+    /// `confirmed` counts a confirmation of what is known of keys, by who gave it.
+    pub fn confirmed(&self, by_router: bool) {
+        let reason = if by_router { "router" } else { "store" };
+        self.confirmations.get_or_create(&Label { reason }).inc();
+    }
+
     /// `told` counts a datagram.
     pub fn told(&self, sent: bool) {
         let reason = if sent { "sent" } else { "failed" };
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -33,8 +33,10 @@
 use crate::Error;
 use crate::Result;
 use crate::admin;
+use crate::confirm::Confirmer;
 use crate::follow::Follower;
 use crate::follow::Outage;
+use crate::follow::Role;
 use crate::gateway::Gateway;
 use crate::gateway::SPARE;
 use crate::gossip;
@@ -176,8 +178,14 @@
     socket: Arc<UdpSocket>,
 ) {
     let outage = Outage::default();
-    for kind in [Kind::Configuration, Kind::Targets, Kind::Routers] {
-        tasks.spawn(Follower::new(gateway, store, kind, &outage).run());
+    let confirmer = Confirmer::new(gateway, &socket);
+    for role in [
+        Role::Confirms(confirmer.clone()),
+        Role::Watches(confirmer),
+        Role::Waits(Kind::Targets),
+        Role::Waits(Kind::Routers),
+    ] {
+        tasks.spawn(Follower::new(gateway, store, role, &outage).run());
     }
     tasks.spawn(intake::expire(Arc::clone(gateway)));
     tasks.spawn(progress::tell(Arc::clone(gateway)));
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use peppercrank_core::time::Moment;
+use peppercrank_direct::confirm::Asked;
 use peppercrank_direct::desired::InForce;
 use peppercrank_direct::directory::Directory;
 use peppercrank_direct::directory::TargetKey;
@@ -35,8 +36,14 @@
     pub config: InForce,
     /// How old the knowledge of keys is.
     pub freshness: Freshness,
+    /// The question to another router that is on its way.
+    pub asked: Option<Asked>,
+    /// The newest revision of the store up to which the configuration is known.
+    pub known: Option<u64>,
     /// The targets there are.
     pub directory: Directory,
+    /// Since when the store does not answer this router.
+    pub away: Option<Moment>,
     /// When the targets were first listed.
     pub listed: Option<Moment>,
     /// When peers' work was heard of last.
@@ -85,7 +92,10 @@
         Self {
             config: InForce::default(),
             freshness: Freshness::new(settings.keys.map(|k| k.revoke)),
+            asked: None,
+            known: None,
             directory: Directory::default(),
+            away: None,
             listed: None,
             heard: now,
             board: Board::default(),
