--- a/crates/peppercrank-gateway/src/confirm.rs
+++ b/crates/peppercrank-gateway/src/confirm.rs
@@ -78,7 +78,7 @@
         let own = self.gateway.settings().name.clone();
         let state = self.gateway.state();
         let others = state.routers.iter();
-        let others = others.filter(|(_, address)| state.peers.hears(now, **address));
+        let others = others.filter(|(_, r)| state.peers.hears(now, r.address));
         let others = others.collect::<Vec<_>>();
         let names = || others.iter().map(|(name, _)| &***name);
         if asks_store(&own, names()) {
@@ -88,7 +88,7 @@
             let rest = names().filter(|n| *n != &***name).chain([own.as_str()]);
             asks_store(name, rest)
         });
-        let asking = asking.map(|(_, address)| **address).collect::<Vec<_>>();
+        let asking = asking.map(|(_, r)| r.address).collect::<Vec<_>>();
         let index = rand::random_range(0..asking.len().max(1));
         asking.get(index).copied()
     }
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -81,6 +81,8 @@
     pub stop: Stop,
     /// Wakes the one who asked another router when its answer has come.
     pub answered: Notify,
+    /// Wakes the one who registers this router when its entry has gone.
+    pub unregistered: Notify,
     /// Whether the balancer was last told that the router is ready.
     pub told_ready: AtomicBool,
     state: Mutex<State>,
@@ -107,6 +109,7 @@
             metrics: Metrics::default(),
             stop,
             answered: Notify::new(),
+            unregistered: Notify::new(),
             told_ready: AtomicBool::new(false),
             state: Mutex::new(state),
         }
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -53,11 +53,12 @@
         let each = BYTES_A_SECOND / usize::try_from(1_000 / EVERY.as_millis()).unwrap_or(1);
         // What a pause saved does not add up to a burst.
         self.allowance = (self.allowance + each).min(2 * each.max(self.size));
-        let mut peers = state.routers.iter().collect::<Vec<_>>();
+        let peers = state.routers.iter().map(|(name, r)| (name, r.address));
+        let mut peers = peers.collect::<Vec<_>>();
         peers.sort_unstable();
         let most = (self.allowance / self.size.max(1)).min(peers.len());
         let turned = peers.iter().cycle().skip(self.next % peers.len().max(1));
-        let to = turned.take(most).map(|(_, address)| **address);
+        let to = turned.take(most).map(|(_, address)| *address);
         let to = to.collect::<Vec<_>>();
         self.next = (self.next + most) % peers.len().max(1);
         self.sequence += 1;
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -23,6 +23,7 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
+use crate::state::Registered;
 
 /// `Intake` takes entries of one kind in.
 #[derive(Debug)]
@@ -62,6 +63,11 @@
                 self.note_all(noted);
             }
             Kind::Routers => {
+                let own = self.gateway.settings().name.clone();
+                let named = |e: &Entry| matches!(e, Entry::Router(r) if *r.name == *own);
+                if self.revision.is_some() && !entries.iter().any(named) {
+                    self.gateway.unregistered.notify_one();
+                }
                 self.gateway.state().routers.clear();
                 for entry in entries {
                     self.router(entry);
@@ -85,6 +91,9 @@
                         Event::Put(entry) => self.router(entry),
                         Event::Removed(name) => {
                             self.gateway.state().routers.remove(&name);
+                            if *name == *self.gateway.settings().name {
+                                self.gateway.unregistered.notify_one();
+                            }
                         }
                     }
                 }
@@ -151,9 +160,18 @@
 
     fn router(&self, entry: Entry) {
         match entry {
-            Entry::Router(RouterEntry { name, address }) => {
+            Entry::Router(RouterEntry {
+                name,
+                revision,
+                address,
+            }) => {
                 if *name != *self.gateway.settings().name {
-                    self.gateway.state().routers.insert(name, address);
+                    let registered = Registered {
+                        address,
+                        revision,
+                        heard: self.gateway.now(),
+                    };
+                    self.gateway.state().routers.insert(name, registered);
                 }
             }
             Entry::Malformed(name, e) => self.malformed(&name, &e),
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -179,6 +179,8 @@
 ) {
     let outage = Outage::default();
     let confirmer = Confirmer::new(gateway, &socket);
+    let pruning = register::prune(Arc::clone(gateway), store.clone(), confirmer.clone());
+    tasks.spawn(pruning);
     for role in [
         Role::Confirms(confirmer.clone()),
         Role::Watches(confirmer),
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -63,13 +63,24 @@
     /// What other routers told.
     pub peers: Peers,
     /// Where the other registered routers take datagrams.
-    pub routers: HashMap<Arc<str>, SocketAddr>,
+    pub routers: HashMap<Arc<str>, Registered>,
     /// The ids of the requests in progress.
     pub open: SlotMap<OpenKey, String>,
     /// News of who holds what, for the peers.
     pub outbox: Outbox,
 }
 
+/// `Registered` is another router's entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Registered {
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    /// The revision of its entry.
+    pub revision: u64,
+    /// When it was heard of last, or its entry was read.
+    pub heard: Moment,
+}
+
 new_key_type! {
     /// `OpenKey` names one request in progress.
     pub struct OpenKey;
