Close the connection with a refusal that another router would not give

Callers keep their connections, so each next request met the same router again.

Now a refusal for keys that are too old, or for want of a configuration, closes its connection, and the caller's next one comes to a router that is ready.

Ruled out: handing newer versions from router to router (the refusals would end, but not the old list of targets); closing connections whenever a router is not ready (all are when the whole store is away).

--- a/crates/peppercrank-gateway/src/refuse.rs
+++ b/crates/peppercrank-gateway/src/refuse.rs
@@ -81,6 +81,13 @@
                 | Self::Late
         )
     }
+
+    /// `parts` tells whether the caller fares better by another router, so that its connection is closed:
+    /// only a new one comes to a router that is ready.
+    #[must_use]
+    pub const fn parts(self) -> bool {
+        matches!(self, Self::NoConfiguration | Self::StaleKeys)
+    }
 }
 
 /// `refuse` makes the answer; `after` tells when to come back, where that helps.
@@ -91,6 +98,9 @@
     let headers = reply.headers_mut();
     let code = HeaderValue::from_static(reason.code());
     headers.insert("x-peppercrank-reason", code);
+    if reason.parts() {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     if reason.passes() {
         let seconds = format!("{:.3}", after.as_secs_f64());
         // Digits and a point are always a header's value.
