Keep the peers' work up by what each summary changes

Now sums by target are kept up with each summary and each peer that falls silent, and only targets whose sum changed are told. The field "failing" of a summary was never set and read by nobody: removed.

Tests: sums against the newest summaries of living peers (quickcheck), each change told once.

--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -5,6 +5,7 @@
 //! was just sent which part of a prompt.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -63,8 +64,6 @@
     pub running: u32,
     /// Prompt tokens that it has yet to read for them.
     pub reading: u64,
-    /// Whether this router takes the target for failing.
-    pub failing: bool,
 }
 
 /// `Hint` tells that a target was sent a part of a prompt.
@@ -179,17 +178,32 @@
     work: Vec<Work>,
 }
 
+/// `Sum` is the work of all other routers on one target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sum {
+    /// Requests sent there and not ended.
+    pub running: u64,
+    /// Prompt tokens that it has yet to read for them.
+    pub reading: u64,
+}
+
 /// `Peers` holds the other routers' latest summaries.
+///
+/// Sums by target are kept up with each summary, so that one costs what it holds and not what all
+/// peers hold.
 #[derive(Debug, Default)]
 pub struct Peers {
-    peers: HashMap<SocketAddr, Peer>,
+    latest: HashMap<SocketAddr, Peer>,
+    sums: HashMap<TargetId, Sum>,
+    /// Targets whose sums changed since they were asked for.
+    changed: HashSet<TargetId>,
 }
 
 impl Peers {
     /// `take` takes in a datagram; false for one that is older than what is known.
     pub fn take(&mut self, now: Moment, from: SocketAddr, summary: &Summary) -> bool {
         let order = (summary.incarnation, summary.sequence);
-        if let Some(peer) = self.peers.get(&from)
+        if let Some(peer) = self.latest.get(&from)
             && (peer.incarnation, peer.sequence) >= order
         {
             return false;
@@ -200,49 +214,73 @@
             heard: now,
             work: summary.work.clone(),
         };
-        self.peers.insert(from, peer);
+        self.count(&summary.work);
+        if let Some(old) = self.latest.insert(from, peer) {
+            self.discount(&old.work);
+        }
         true
     }
 
     /// `expire` forgets peers that were silent for long.
     pub fn expire(&mut self, now: Moment) {
-        let silent = silent(self.peers.len());
-        self.peers.retain(|_, p| now.since(p.heard) < silent);
+        let silent = silent(self.latest.len());
+        let gone = self
+            .latest
+            .extract_if(|_, p| now.since(p.heard) >= silent)
+            .collect::<Vec<_>>();
+        for (_, peer) in gone {
+            self.discount(&peer.work);
+        }
+    }
+
+    fn count(&mut self, work: &[Work]) {
+        for work in work {
+            let sum = self.sums.entry(work.target).or_default();
+            // What is added is taken away again, so that sums which wrap are right in the end.
+            sum.running = sum.running.wrapping_add(work.running.into());
+            sum.reading = sum.reading.wrapping_add(work.reading);
+            self.changed.insert(work.target);
+        }
+    }
+
+    fn discount(&mut self, work: &[Work]) {
+        for work in work {
+            let sum = self.sums.entry(work.target).or_default();
+            sum.running = sum.running.wrapping_sub(work.running.into());
+            sum.reading = sum.reading.wrapping_sub(work.reading);
+            if *sum == Sum::default() {
+                self.sums.remove(&work.target);
+            }
+            self.changed.insert(work.target);
+        }
+    }
+
+    /// `sum` is the others' work on a target.
+    #[must_use]
+    pub fn sum(&self, target: TargetId) -> Sum {
+        self.sums.get(&target).copied().unwrap_or_default()
+    }
+
+    /// `changed` is the others' work on the targets on which it changed since the last call.
+    pub fn changed(&mut self) -> Vec<(TargetId, Sum)> {
+        let changed = std::mem::take(&mut self.changed);
+        let sums = changed.into_iter().map(|target| (target, self.sum(target)));
+        sums.collect()
     }
 
     /// `hears` tells whether the router at this address was heard of late.
     #[must_use]
     pub fn hears(&self, now: Moment, from: SocketAddr) -> bool {
-        let silent = silent(self.peers.len());
-        let peer = self.peers.get(&from);
+        let silent = silent(self.latest.len());
+        let peer = self.latest.get(&from);
         peer.is_some_and(|p| now.since(p.heard) < silent)
     }
 
     /// `alive` is how many other routers were heard of late.
     #[must_use]
     pub fn alive(&self, now: Moment) -> usize {
-        let silent = silent(self.peers.len());
+        let silent = silent(self.latest.len());
         let alive = |p: &&Peer| now.since(p.heard) < silent;
-        self.peers.values().filter(alive).count()
-    }
-
-    /// `work` sums the others' work by target.
-    #[must_use]
-    pub fn work(&self, now: Moment) -> HashMap<TargetId, Work> {
-        let mut sums: HashMap<TargetId, Work> = HashMap::new();
-        let silent = silent(self.peers.len());
-        let alive = self.peers.values().filter(|p| now.since(p.heard) < silent);
-        for work in alive.flat_map(|p| &p.work) {
-            let sum = sums.entry(work.target).or_insert(Work {
-                running: 0,
-                reading: 0,
-                failing: false,
-                ..*work
-            });
-            sum.running = sum.running.saturating_add(work.running);
-            sum.reading = sum.reading.saturating_add(work.reading);
-            sum.failing |= work.failing;
-        }
-        sums
+        self.latest.values().filter(alive).count()
     }
 }
--- a/crates/peppercrank-direct/src/stats.rs
+++ b/crates/peppercrank-direct/src/stats.rs
@@ -9,7 +9,7 @@
 use slotmap::SecondaryMap;
 
 use crate::directory::TargetKey;
-use crate::peers::Work;
+use crate::peers::Sum;
 
 /// Time for which a target's word of its load counts: some requests of each router's later, peers
 /// have sent it more than this router knows of.
@@ -189,10 +189,10 @@
     }
 
     /// `hear` sets the peers' work on a target.
-    pub fn hear(&mut self, key: TargetKey, work: Option<&Work>) {
+    pub fn hear(&mut self, key: TargetKey, sum: Sum) {
         if let Some(stats) = self.of(key) {
-            stats.others = work.map_or(0, |w| w.running);
-            stats.others_reading = work.map_or(0, |w| w.reading);
+            stats.others = u32::try_from(sum.running).unwrap_or(u32::MAX);
+            stats.others_reading = sum.reading;
         }
     }
 }
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -296,7 +296,6 @@
             target: TargetId(1),
             running,
             reading: 10,
-            failing: false,
         }],
         hints: Vec::new(),
     }
@@ -311,15 +310,58 @@
     assert!(!peers.take(at(0), one, &summary(1, 1, 9)));
     assert!(!peers.take(at(0), one, &summary(1, 2, 9)));
     assert!(peers.take(at(0), two, &summary(9, 1, 2)));
-    let sum = |peers: &Peers, now| peers.work(now).get(&TargetId(1)).map(|w| w.running);
-    assert_eq!(sum(&peers, at(0)), Some(7));
+    let sum = |peers: &Peers| peers.sum(TargetId(1)).running;
+    assert_eq!(sum(&peers), 7);
     let later = at(0) + SILENT;
     peers.take(later, two, &summary(9, 2, 2));
     peers.expire(later);
-    assert_eq!(sum(&peers, later), Some(2));
+    assert_eq!(sum(&peers), 2);
     assert_eq!(peers.alive(later), 1);
 }
 
+quickcheck::quickcheck! {
+    /// Sums kept up with each summary are those of all newest summaries of living peers.
+    fn verify_sums_are_those_of_the_newest_summaries(words: Vec<(u8, u8, u8, u8)>) -> bool {
+        let mut peers = Peers::default();
+        let mut newest = std::collections::HashMap::new();
+        let mut heard = std::collections::HashMap::new();
+        for (n, (peer, target, running, pause)) in words.into_iter().enumerate() {
+            let now = at(n as u64 * 1_000 + u64::from(pause));
+            let from = std::net::SocketAddr::from(([10, 0, 0, peer % 3], 1));
+            let mut summary = summary(1, n as u64 + 1, running.into());
+            summary.work[0].target = TargetId(u32::from(target % 3));
+            peers.take(now, from, &summary);
+            peers.expire(now);
+            newest.insert(from, summary.work[0]);
+            heard.insert(from, now);
+            newest.retain(|from, _| now.since(heard[from]) < SILENT);
+        }
+        (0..3).map(TargetId).all(|target| {
+            let of = newest.values().filter(|w| w.target == target);
+            let running = of.clone().map(|w| u64::from(w.running)).sum::<u64>();
+            let sum = peers.sum(target);
+            sum.running == running && sum.reading == of.count() as u64 * 10
+        })
+    }
+}
+
+#[test]
+fn verify_only_changed_sums_are_told_once() {
+    let one = "10.0.0.1:1".parse().expect("an address");
+    let mut peers = Peers::default();
+    assert!(peers.changed().is_empty());
+    peers.take(at(0), one, &summary(1, 1, 5));
+    let told = peers.changed();
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].1.running, 5);
+    assert!(peers.changed().is_empty());
+    // A peer that falls silent takes its work along.
+    peers.expire(at(0) + SILENT);
+    let told = peers.changed();
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].1.running, 0);
+}
+
 #[test]
 fn verify_news_goes_round_once() {
     let peers = 28;
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -121,7 +121,6 @@
         target,
         running: known.running,
         reading: known.reading,
-        failing: false,
     })
 }
 
@@ -170,10 +169,9 @@
         }
     }
     state.heard = now;
-    let work = state.peers.work(now);
-    let names = state.names.iter().map(|(n, k)| (*n, *k));
-    let names = names.collect::<Vec<_>>();
-    for (name, key) in names {
-        state.board.hear(key, work.get(&name));
+    for (target, sum) in state.peers.changed() {
+        if let Some(key) = state.names.get(&target).copied() {
+            state.board.hear(key, sum);
+        }
     }
 }
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -187,7 +187,11 @@
                     let instance = state.directory.get(key);
                     let instance = instance.map(|t| Arc::clone(&t.registration.instance));
                     if let Some(instance) = instance {
-                        state.names.insert(TargetId::of(&instance), key);
+                        let target = TargetId::of(&instance);
+                        state.names.insert(target, key);
+                        // Peers may have known of it sooner.
+                        let sum = state.peers.sum(target);
+                        state.board.hear(key, sum);
                         state.labels.insert(key, Arc::clone(&instance));
                         drop(state);
                         self.told(LogEvent::TargetJoined, &instance);
