--- a/crates/peppercrank-cli/tests/verify_docs.rs
+++ b/crates/peppercrank-cli/tests/verify_docs.rs
@@ -117,11 +117,15 @@
     assert!(open.is_empty(), "{open:#?}");
 }
 
-/// The sources below one directory of every crate, in one text.
+/// The sources below one directory of every crate, those of the platform's folder included, in one
+/// text.
 fn sources(part: &str) -> String {
     let crates = fs::read_dir(root().join("crates")).expect("the crates");
+    let platform = fs::read_dir(root().join("platform")).expect("the platform's crates");
     let mut places = crates
+        .chain(platform)
         .map(|e| e.expect("an entry").path().join(part))
+        .chain([root().join("platform").join(part)])
         .filter(|p| p.exists())
         .collect::<Vec<_>>();
     let mut all = String::new();
