--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 
 //! What all tasks of the gateway share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -83,15 +84,22 @@
     pub answered: Notify,
     /// Wakes the one who registers this router when its entry has gone.
     pub unregistered: Notify,
+    /// Where this router takes datagrams.
+    pub peers: SocketAddr,
     /// Whether the balancer was last told that the router is ready.
     pub told_ready: AtomicBool,
     state: Mutex<State>,
 }
 
 impl Gateway {
-    /// `new` makes what the tasks share.
+    /// `new` makes what the tasks share, of a router that takes datagrams at `peers`.
     #[must_use]
-    pub fn new(settings: watch::Receiver<Arc<GatewaySettings>>, log: Log, stop: Stop) -> Self {
+    pub fn new(
+        settings: watch::Receiver<Arc<GatewaySettings>>,
+        log: Log,
+        stop: Stop,
+        peers: SocketAddr,
+    ) -> Self {
         let clock = Clock::start();
         let state = State::new(clock.now(), &settings.borrow());
         let times = Times {
@@ -110,6 +118,7 @@
             stop,
             answered: Notify::new(),
             unregistered: Notify::new(),
+            peers,
             told_ready: AtomicBool::new(false),
             state: Mutex::new(state),
         }
--- a/crates/peppercrank-gateway/src/register.rs
+++ b/crates/peppercrank-gateway/src/register.rs
@@ -53,7 +53,7 @@
     let entry = RouterEntry {
         name: settings.name.as_str().into(),
         revision: 0,
-        address: settings.peers,
+        address: gateway.peers,
     };
     let Ok(body) = store::router(&entry) else {
         return false;
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -122,9 +122,10 @@
         let socket = UdpSocket::bind(settings.peers)
             .await
             .map_err(Error::Start)?;
+        let peers = socket.local_addr().map_err(Error::Start)?;
         let hangup = signal(SignalKind::hangup()).map_err(Error::Start)?;
         let (dial, settings) = watch::channel(Arc::new(settings));
-        let gateway = Arc::new(Gateway::new(settings, log, told.clone()));
+        let gateway = Arc::new(Gateway::new(settings, log, told.clone(), peers));
         let (callers, asked) = (edge.local_addr(), ready.local_addr());
         let address = callers.to_string();
         let fields = [("listen", Field::Text(&address))];
