--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -32,6 +32,8 @@
     kind: Kind,
     /// The revision of the store that told the newest entries.
     pub revision: Option<u64>,
+    /// Whether the whole list was taken in before.
+    listed: bool,
 }
 
 impl Intake {
@@ -42,11 +44,12 @@
             gateway: Arc::clone(gateway),
             kind,
             revision: None,
+            listed: false,
         }
     }
 
     /// `replace` takes in the whole list of entries, which answers a question of `asked`.
-    pub fn replace(&self, asked: Moment, entries: Vec<Entry>) {
+    pub fn replace(&mut self, asked: Moment, entries: Vec<Entry>) {
         match self.kind {
             Kind::Configuration => {
                 let events = entries.into_iter().map(Event::Put);
@@ -65,7 +68,9 @@
             Kind::Routers => {
                 let own = self.gateway.settings().name.clone();
                 let named = |e: &Entry| matches!(e, Entry::Router(r) if *r.name == *own);
-                if self.revision.is_some() && !entries.iter().any(named) {
+                // The first list may be older than this router's own first entry.
+                let again = std::mem::replace(&mut self.listed, true);
+                if again && !entries.iter().any(named) {
                     self.gateway.unregistered.notify_one();
                 }
                 self.gateway.state().routers.clear();
