Bound the wait in an overload by rank, and tell refused callers to return later

Cause: past saturation requests were judged by a share of each one's own deadline, so a long deadline bought a place in front, all waited behind a queue of about a second, and an organisation's priority replaced the route's, so that all routes of one organisation were alike. Requests that found free places were admitted whatever the target had yet to read: at the start of a flood each engine got up to 128 prompts within half a second, and streams that were only slow were given up as silent and run again.

--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -10,6 +10,8 @@
 use peppercrank_core::hash::hash64;
 use peppercrank_core::time::Moment;
 
+use crate::ranks::Ranks;
+
 /// Seed of the hash that draws one of a route's pools.
 const POOL_SEED: u64 = 0x706f_6f6c;
 
@@ -76,7 +78,7 @@
     pub goal: Duration,
     /// The longest pause between two events of an answer that is on time, where that is named.
     pub pause: Option<Duration>,
-    /// Its rank; 0 is the most urgent.
+    /// Its priority; 0 is the most urgent.
     pub priority: u8,
     /// Its pools.
     pub pools: Vec<PoolShare>,
@@ -164,7 +166,7 @@
 pub struct Organisation {
     /// The organisation's name.
     pub name: Arc<str>,
-    /// Its rank, which goes before the route's; 0 is the most urgent.
+    /// Its priority, which goes before the route's; 0 is the most urgent.
     pub priority: Option<u8>,
     /// The keys of its callers.
     pub keys: Vec<Arc<str>>,
@@ -193,8 +195,8 @@
     hosts: HashMap<Arc<str>, Vec<usize>>,
     /// Organisations by key.
     keys: HashMap<Arc<str>, usize>,
-    /// The rank of the most urgent route.
-    urgent: u8,
+    /// How urgent requests are.
+    ranks: Ranks,
 }
 
 /// `Allowed` is whether a request may run, and for whom.
@@ -225,9 +227,8 @@
                 keys.insert(Arc::clone(key), i);
             }
         }
-        let ranks = desired.routes.iter().map(|r| r.priority);
         Self {
-            urgent: ranks.min().unwrap_or(0),
+            ranks: Ranks::new(&desired),
             desired,
             hosts,
             keys,
@@ -240,10 +241,10 @@
         &self.desired
     }
 
-    /// `most_urgent` is the rank of the most urgent route.
+    /// `ranks` tells how urgent requests are.
     #[must_use]
-    pub const fn most_urgent(&self) -> u8 {
-        self.urgent
+    pub const fn ranks(&self) -> &Ranks {
+        &self.ranks
     }
 
     /// `route` is the route of the longest prefix that begins `path`.
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -3,17 +3,20 @@
 
 //! Decisions of a router that sends requests straight to targets, without input or output.
 //!
+//! - [`admission`]: who is admitted to a pool that cannot serve all who ask.
 //! - [`desired`]: the operators' configuration, indexed for the request path.
 //! - [`directory`]: the targets there are, and which of them leave.
 //! - [`events`]: whole events of streams that may be resumed.
 //! - [`freshness`]: how old the knowledge of keys may be before requests are refused.
 //! - [`place`]: which target a request goes to, by its predicted first token.
 //! - [`prefixes`]: which target holds which part of which prompt.
+//! - [`ranks`]: how urgent requests are among those of their pool.
 //! - [`rates`]: what is learnt of a pool's speed.
 //! - [`retries`]: the fleet's retry budget, and what follows a failed attempt.
 //! - [`stats`]: what a router knows of each target.
 //! - [`peers`]: what routers tell each other.
 
+pub mod admission;
 pub mod confirm;
 pub mod desired;
 pub mod directory;
@@ -22,6 +25,7 @@
 pub mod peers;
 pub mod place;
 pub mod prefixes;
+pub mod ranks;
 pub mod rates;
 pub mod retries;
 pub mod silence;
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -129,6 +129,8 @@
     pub goal: Duration,
     /// The longest wait for its answer's first part that is worth while.
     pub patience: Duration,
+    /// The longest wait at a target behind its other work, where the pool is overloaded.
+    pub limit: Option<Duration>,
     /// The multiple of the pool's mean load that a target may hold.
     pub cap: f64,
     /// Tokens of its prompt.
@@ -189,6 +191,13 @@
     let most = (mean * ask.cap * CAP_USED + CAP_EXTRA).max(1.0);
     let fits = |c: &&Candidate| f64::from(c.stats.load()) < most;
     let sound = |c: &&Candidate| !c.stats.is_ejected(now);
+    let limit = ask.limit.map(|l| l.as_secs_f64() * 1_000.0);
+    let open = |c: &&Candidate| limit.is_none_or(|l| wait(rates, c) <= l);
+    if !candidates.iter().any(|c| open(&c)) {
+        return Placed::Full {
+            after: ask.patience,
+        };
+    }
     let view = View {
         rates,
         ask,
@@ -196,7 +205,11 @@
         home: home(ask, candidates),
         mean,
     };
-    let mut pick = view.best(candidates.iter().filter(fits).filter(sound));
+    let fitting = candidates.iter().filter(fits).filter(sound);
+    let mut pick = view.best(fitting.clone().filter(open));
+    if pick.is_none() {
+        pick = view.best(fitting);
+    }
     if pick.is_none() {
         // A bounded part is ejected: where all that have room are, evidence gives way to room.
         pick = view.best(candidates.iter().filter(fits));
@@ -365,6 +378,18 @@
     }
 }
 
+/// `least_wait` is the wait at the target that has the least of it, in milliseconds.
+#[must_use]
+pub fn least_wait(now: Moment, rates: &Rates, candidates: &[Candidate]) -> f64 {
+    let sound = candidates.iter().filter(|c| !c.stats.is_ejected(now));
+    sound.map(|c| wait(rates, c)).fold(f64::INFINITY, f64::min)
+}
+
+/// The wait behind a target's other work, in milliseconds.
+fn wait(rates: &Rates, candidate: &Candidate) -> f64 {
+    predict(rates, candidate, 0) - rates.base() * candidate.stats.speed
+}
+
 /// The predicted time to the answer's first part, in milliseconds, for a prompt of which a target
 /// has to read so many tokens.
 #[must_use]
--- /dev/null
+++ b/crates/peppercrank-direct/src/ranks.rs
@@ -0,0 +1,127 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! How urgent requests are among those of their pool.
+//!
+//! An organisation's priority goes before a route's, so requests are ordered by the organisation's
+//! first and by the route's among equals. Where one priority merely replaced the other, all routes
+//! of an organisation were alike, and its short answers lost their places to its long ones.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::desired::Desired;
+use crate::desired::Organisation;
+use crate::desired::Route;
+
+/// Goal of a pool whose routes name none.
+const DEFAULT_GOAL: Duration = Duration::from_secs(1);
+
+/// `Rank` is a request's place among the priorities of its pool.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Rank {
+    /// Its place; 0 is the most urgent.
+    pub place: u8,
+    /// How many places there are, at least one.
+    pub places: u8,
+}
+
+impl Rank {
+    /// `part` is how far the place lies behind the most urgent one, from 0 to 1.
+    #[must_use]
+    pub fn part(self) -> f64 {
+        let last = self.places.saturating_sub(1).max(1);
+        f64::from(self.place.min(last)) / f64::from(last)
+    }
+
+    /// `scaled` is the place on a scale that ends at `last`.
+    #[must_use]
+    pub fn scaled(self, last: u8) -> u8 {
+        let behind = self.places.saturating_sub(1);
+        if behind <= last {
+            return self.place;
+        }
+        let place = u16::from(self.place.min(behind)) * u16::from(last) / u16::from(behind);
+        u8::try_from(place).unwrap_or(last)
+    }
+}
+
+/// The priorities that order a request: its organisation's, then its route's.
+type Priorities = (u8, u8);
+
+/// `PoolRanks` are the priorities that occur in one pool.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct PoolRanks {
+    /// All that occur, the most urgent first.
+    order: Vec<Priorities>,
+    /// The shortest goal of the pool's routes.
+    goal: Option<Duration>,
+}
+
+/// `Ranks` orders the priorities of each pool of a configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Ranks {
+    pools: HashMap<Arc<str>, PoolRanks>,
+}
+
+impl Ranks {
+    /// `new` orders the priorities of a configuration.
+    #[must_use]
+    pub fn new(desired: &Desired) -> Self {
+        let own = desired.organisations.iter().map(|o| o.priority);
+        let own = own.collect::<BTreeSet<_>>();
+        let mut ranks = Self::default();
+        for route in &desired.routes {
+            for share in &route.pools {
+                let pool = ranks.pools.entry(Arc::clone(&share.pool)).or_default();
+                pool.add(route, &own);
+            }
+        }
+        for pool in ranks.pools.values_mut() {
+            pool.order.sort_unstable();
+            pool.order.dedup();
+        }
+        ranks
+    }
+
+    /// `rank` is the rank of a route's request, for an organisation if it has one.
+    #[must_use]
+    pub fn rank(&self, pool: &str, route: &Route, organisation: Option<&Organisation>) -> Rank {
+        let own = organisation.and_then(|o| o.priority);
+        let Some(pool) = self.pools.get(pool) else {
+            return Rank::default();
+        };
+        let place = pool.order.partition_point(|p| *p < priorities(own, route));
+        let small = |count: usize| u8::try_from(count).unwrap_or(u8::MAX);
+        Rank {
+            place: small(place),
+            places: small(pool.order.len()),
+        }
+    }
+
+    /// `goal` is the shortest time within which a request for the pool wants its answer.
+    #[must_use]
+    pub fn goal(&self, pool: &str) -> Duration {
+        let goal = self.pools.get(pool).and_then(|p| p.goal);
+        goal.unwrap_or(DEFAULT_GOAL)
+    }
+}
+
+impl PoolRanks {
+    fn add(&mut self, route: &Route, own: &BTreeSet<Option<u8>>) {
+        if route.open || own.is_empty() {
+            self.order.push(priorities(None, route));
+        }
+        let with = own.iter().map(|own| priorities(*own, route));
+        self.order.extend(with);
+        let goal = Some(route.goal).filter(|g| !g.is_zero());
+        self.goal = self.goal.into_iter().chain(goal).min();
+    }
+}
+
+/// An organisation without a priority of its own has that of the route.
+fn priorities(own: Option<u8>, route: &Route) -> Priorities {
+    (own.unwrap_or(route.priority), route.priority)
+}
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -62,6 +62,7 @@
         home: 7,
         goal: Duration::from_secs(1),
         patience: Duration::from_secs(600),
+        limit: None,
         cap: 2.0,
         tokens: 11_000,
         shared: 10_000,
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -122,7 +122,7 @@
         wait: left,
         instance: &flight.instance,
         organisation: job.organisation.as_deref(),
-        priority: job.priority,
+        rank: job.rank,
         last_event,
         copy_from: flight.copy_from,
     };
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use peppercrank_core::time::Moment;
+use peppercrank_direct::admission::Pool;
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::place::Ask;
@@ -15,7 +16,10 @@
 use peppercrank_direct::place::Leaving;
 use peppercrank_direct::place::Placed;
 use peppercrank_direct::place::Policy;
+use peppercrank_direct::place::least_wait;
 use peppercrank_direct::place::place;
+use peppercrank_direct::ranks::Rank;
+use peppercrank_direct::rates::Rates;
 use peppercrank_settings::gateway::Placement;
 
 use crate::flight::Flight;
@@ -73,23 +77,33 @@
     }
     let candidates = candidates(&state, now, job, tried, &settings.zone);
     let leaving = leaving(&state, job);
+    let rates = state.rates.get(&job.pool).copied().unwrap_or_default();
+    let first = tried.is_empty();
+    let wait = least_wait(now, &rates, &candidates);
+    let limit = limit(&mut state, now, job, &rates, wait, first);
     let ask = Ask {
         policy: policy(settings.placement),
         id: job.own(),
         home: job.home(),
         goal: job.goal,
         patience: job.patience(now),
+        limit,
         cap: settings.cap,
         tokens: job.tokens,
         shared: job.shared().iter().map(|p| p.tokens).sum(),
         size: job.size(),
         copying: job.copying,
     };
-    let rates = state.rates.get(&job.pool).copied().unwrap_or_default();
-    let choice = match place(now, &rates, &ask, &candidates, &leaving) {
+    let placed = place(now, &rates, &ask, &candidates, &leaving);
+    let admission = state.admission.entry(Arc::clone(&job.pool)).or_default();
+    if first && placed != Placed::NoTarget {
+        admission.count(now, job.rank, matches!(placed, Placed::At(_)));
+    }
+    let choice = match placed {
         Placed::At(choice) => choice,
-        Placed::Full { after } => {
+        Placed::Full { .. } => {
             let reason = Reason::Full;
+            let after = admission.come_back(now, job.deadline.since(now));
             return Err(Nowhere { reason, after });
         }
         Placed::NoTarget => return Err(Nowhere::now(Reason::NoTarget)),
@@ -97,6 +111,28 @@
     take(gateway, &mut state, job, &choice).ok_or(Nowhere::now(Reason::NoTarget))
 }
 
+/// The longest wait at which the request is admitted, if the pool is overloaded.
+///
+/// What was admitted once is as urgent as the most urgent when it is tried again: work was spent
+/// on it.
+fn limit(
+    state: &mut State,
+    now: Moment,
+    job: &Job,
+    rates: &Rates,
+    wait: f64,
+    first: bool,
+) -> Option<Duration> {
+    let pool = Pool {
+        goal: job.pool_goal,
+        base: rates.base(),
+        wait,
+    };
+    let rank = if first { job.rank } else { Rank::default() };
+    let admission = state.admission.entry(Arc::clone(&job.pool)).or_default();
+    admission.limit(now, &pool, rank)
+}
+
 /// How the settings want targets chosen.
 const fn policy(placement: Placement) -> Policy {
     match placement {
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -15,6 +15,7 @@
 use peppercrank_direct::desired::Route;
 use peppercrank_direct::desired::RouteKind;
 use peppercrank_direct::prefixes::Part;
+use peppercrank_direct::ranks::Rank;
 use peppercrank_platform::call;
 use peppercrank_platform::call::CallHead;
 
@@ -31,12 +32,6 @@
 /// Part of the time left that waiting for an answer's first part may take: the rest is the answer's.
 const WORTH_LEFT: f64 = 0.5;
 
-/// Part of the patience of one rank that the next less urgent one has.
-const LESS_URGENT: f64 = 0.6;
-
-/// Ranks behind the most urgent that make a difference.
-const MOST_BEHIND: u8 = 4;
-
 /// The size of a request without a prompt, in tokens; only its ratios to itself matter.
 const PLAIN_SIZE: u64 = 1_000;
 
@@ -63,10 +58,10 @@
     pub pause: Option<Duration>,
     /// The organisation that its caller belongs to.
     pub organisation: Option<Arc<str>>,
-    /// The rank that it runs at.
-    pub priority: u8,
-    /// How many ranks it is behind the most urgent route.
-    pub behind: u8,
+    /// How urgent it is among the requests for its pool.
+    pub rank: Rank,
+    /// The shortest time within which a request for its pool wants its answer.
+    pub pool_goal: Duration,
     /// Tokens of its prompt.
     pub tokens: u64,
     /// The most tokens of its answer.
@@ -106,12 +101,10 @@
         &self.parts[..most]
     }
 
-    /// `patience` is the longest wait for its answer's first part that is worth while at this moment;
-    /// the less urgent, the shorter, so that room goes to what is urgent.
+    /// `patience` is the longest wait for its answer's first part that is worth while at this moment.
     #[must_use]
     pub fn patience(&self, now: Moment) -> Duration {
-        let left = self.deadline.since(now).mul_f64(WORTH_LEFT);
-        left.mul_f64(LESS_URGENT.powi(i32::from(self.behind.min(MOST_BEHIND))))
+        self.deadline.since(now).mul_f64(WORTH_LEFT)
     }
 
     /// `size` is its size in tokens.
@@ -160,8 +153,6 @@
         let CallHead { id, prompt, .. } = said;
         let prompt = prompt.unwrap_or_default();
         let memory = index.pool(pool).and_then(|p| p.memory);
-        let rank = organisation.and_then(|o| o.priority);
-        let rank = rank.unwrap_or(route.priority);
         Ok(Self {
             pool: Arc::clone(pool),
             kind: route.kind,
@@ -170,8 +161,8 @@
             goal: route.goal,
             pause: route.pause,
             organisation: organisation.map(|o| Arc::clone(&o.name)),
-            priority: rank,
-            behind: rank.saturating_sub(index.most_urgent()),
+            rank: index.ranks().rank(pool, route, organisation),
+            pool_goal: index.ranks().goal(pool),
             tokens: prompt.tokens,
             output: prompt.output,
             copying: memory.and_then(|m| m.copying()),
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use peppercrank_core::events::Event;
 use peppercrank_core::time::Moment;
+use peppercrank_direct::admission::Admission;
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::retries::After;
 use peppercrank_direct::retries::Fate;
@@ -160,7 +161,7 @@
     pub fn patience(&self, flight: &Flight) -> Moment {
         let more = self.job.kind.repeats() && self.plan.sends() + 1 < self.job.attempts;
         // An attempt that nothing may follow is waited for: its answer may still come.
-        if !more || !self.could_repeat() {
+        if !more || self.is_overloaded() || !self.could_repeat() {
             return self.job.deadline;
         }
         let wanted = self.job.goal.mul_f64(PATIENCE);
@@ -232,11 +233,19 @@
         state.budget.can_spend(now, &self.job.pool, routers)
     }
 
+    /// Whether all targets of the pool are slow by their load, so that another one would be no faster.
+    fn is_overloaded(&self) -> bool {
+        let state = self.gateway.state();
+        let admission = state.admission.get(&self.job.pool);
+        admission.is_some_and(Admission::is_overloaded)
+    }
+
     /// `could_go_on` tells whether another run may go on where this one is given up.
     #[must_use]
     pub fn could_go_on(&self) -> bool {
         let mut plan = self.plan;
-        plan.after(Fate::Unknown) == After::AgainIfAllowed && self.could_repeat()
+        let may = plan.after(Fate::Unknown) == After::AgainIfAllowed;
+        may && !self.is_overloaded() && self.could_repeat()
     }
 
     /// `may_repeat` takes a repeat from the fleet's budget, if it has one.
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use peppercrank_core::time::Moment;
+use peppercrank_direct::admission::Admission;
 use peppercrank_direct::confirm::Asked;
 use peppercrank_direct::desired::InForce;
 use peppercrank_direct::directory::Directory;
@@ -58,6 +59,8 @@
     pub prefixes: Prefixes,
     /// What is learnt of each pool's speed.
     pub rates: HashMap<Arc<str>, Rates>,
+    /// Who is admitted to each pool.
+    pub admission: HashMap<Arc<str>, Admission>,
     /// The fleet's retry budget.
     pub budget: RetryBudget,
     /// What other routers told.
@@ -114,6 +117,7 @@
             labels: SecondaryMap::new(),
             prefixes: Prefixes::default(),
             rates: HashMap::new(),
+            admission: HashMap::new(),
             budget: RetryBudget::new(now, terms(settings)),
             peers: Peers::default(),
             routers: HashMap::new(),
