Decide admission and placement in one function of the library

The gateway's glue between admission, placement and the refusal's Retry-After moves to direct::decide, so that the model of the fleet drives the very code that the gateway runs. Without any target callers are told to return later the longer that lasts, as in an overload. Ask becomes PlacementRequest, Nowhere becomes Rejection.

--- /dev/null
+++ b/crates/peppercrank-direct/src/decide.rs
@@ -0,0 +1,90 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Whether a request is sent, where to, and when its caller should return if not.
+
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+
+use crate::admission::Admission;
+use crate::admission::Pool;
+use crate::place::Candidate;
+use crate::place::Choice;
+use crate::place::Leaving;
+use crate::place::Placed;
+use crate::place::PlacementRequest;
+use crate::place::least_wait;
+use crate::place::place;
+use crate::ranks::Rank;
+use crate::rates::Rates;
+
+/// `Attempt` is one attempt of a request, for admission.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempt {
+    /// How urgent the request is among those of its pool.
+    pub rank: Rank,
+    /// The shortest goal of the requests for its pool.
+    pub goal: Duration,
+    /// The time that its caller still waits.
+    pub left: Duration,
+    /// Whether it is the request's first.
+    pub first: bool,
+}
+
+/// `Decision` is what becomes of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Decision {
+    /// It is sent.
+    Send(Choice),
+    /// No target can serve it in time.
+    Full {
+        /// When its caller should return.
+        after: Duration,
+    },
+    /// There are no targets.
+    NoTarget {
+        /// When its caller should return.
+        after: Duration,
+    },
+}
+
+/// `decide` admits an attempt and chooses its target, or refuses it.
+///
+/// A request is admitted once: its further attempts count as the most urgent, since work was spent
+/// on it.
+pub fn decide(
+    now: Moment,
+    admission: &mut Admission,
+    rates: &Rates,
+    attempt: &Attempt,
+    request: &PlacementRequest,
+    candidates: &[Candidate],
+    leaving: &[Leaving],
+) -> Decision {
+    let pool = Pool {
+        goal: attempt.goal,
+        base: rates.base(),
+        wait: least_wait(now, rates, candidates),
+    };
+    let rank = if attempt.first {
+        attempt.rank
+    } else {
+        Rank::default()
+    };
+    let request = PlacementRequest {
+        limit: admission.limit(now, &pool, rank),
+        ..*request
+    };
+    let placed = place(now, rates, &request, candidates, leaving);
+    if attempt.first && placed != Placed::NoTarget {
+        let admitted = matches!(placed, Placed::At(_));
+        admission.count(now, attempt.rank, admitted);
+    }
+    let after = admission.come_back(now, attempt.left);
+    match placed {
+        Placed::At(choice) => Decision::Send(choice),
+        Placed::Full => Decision::Full { after },
+        Placed::NoTarget => Decision::NoTarget { after },
+    }
+}
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -4,6 +4,7 @@
 //! Decisions of a router that sends requests straight to targets, without input or output.
 //!
 //! - [`admission`]: who is admitted to a pool that cannot serve all who ask.
+//! - [`decide`]: whether a request is sent, and where to.
 //! - [`desired`]: the operators' configuration, indexed for the request path.
 //! - [`directory`]: the targets there are, and which of them leave.
 //! - [`events`]: whole events of streams that may be resumed.
@@ -18,6 +19,7 @@
 
 pub mod admission;
 pub mod confirm;
+pub mod decide;
 pub mod desired;
 pub mod directory;
 pub mod events;
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -118,9 +118,9 @@
     Home,
 }
 
-/// `Ask` is what placement needs to know of a request.
+/// `PlacementRequest` is what placement needs to know of a request.
 #[derive(Debug, Clone, Copy)]
-pub struct Ask {
+pub struct PlacementRequest {
     /// How the target is chosen.
     pub policy: Policy,
     /// A hash of its own id.
@@ -150,11 +150,8 @@
 pub enum Placed {
     /// To this target.
     At(Choice),
-    /// Nowhere: all are full.
-    Full {
-        /// Time after which there may be room.
-        after: Duration,
-    },
+    /// Nowhere: at all of them it would wait too long.
+    Full,
     /// Nowhere: there are no targets.
     NoTarget,
 }
@@ -181,7 +178,7 @@
 pub fn place(
     now: Moment,
     rates: &Rates,
-    ask: &Ask,
+    request: &PlacementRequest,
     candidates: &[Candidate],
     leaving: &[Leaving],
 ) -> Placed {
@@ -190,21 +187,19 @@
     }
     let sum = candidates.iter().map(|c| u64::from(c.stats.load()));
     let mean = as_f64(sum.sum::<u64>()) / as_f64(candidates.len() as u64);
-    let most = (mean * ask.cap * CAP_USED + CAP_EXTRA).max(1.0);
+    let most = (mean * request.cap * CAP_USED + CAP_EXTRA).max(1.0);
     let fits = |c: &&Candidate| f64::from(c.stats.load()) < most;
     let sound = |c: &&Candidate| !c.stats.is_ejected(now);
-    let limit = ask.limit.map(|l| l.as_secs_f64() * 1_000.0);
+    let limit = request.limit.map(|l| l.as_secs_f64() * 1_000.0);
     let open = |c: &&Candidate| limit.is_none_or(|l| wait(rates, c) <= l);
     if !candidates.iter().any(|c| open(&c)) {
-        return Placed::Full {
-            after: ask.patience,
-        };
+        return Placed::Full;
     }
     let view = View {
         rates,
-        ask,
-        source: source(ask, candidates, leaving),
-        home: home(ask, candidates),
+        request,
+        source: source(request, candidates, leaving),
+        home: home(request, candidates),
         mean,
     };
     let fitting = candidates.iter().filter(fits).filter(sound);
@@ -217,28 +212,23 @@
         pick = view.best(candidates.iter().filter(fits));
     }
     let Some(choice) = pick else {
-        return Placed::Full {
-            after: ask.patience,
-        };
+        return Placed::Full;
     };
     let chosen = candidates.iter().find(|c| c.key == choice.key);
-    match chosen.and_then(|c| overdue(ask, c, choice.first)) {
-        Some(after) => Placed::Full { after },
-        None => Placed::At(choice),
+    match chosen {
+        Some(c) if is_overdue(request, c, choice.first) => Placed::Full,
+        _ => Placed::At(choice),
     }
 }
 
-/// How much longer than it has patience a request would wait at a target whose places are taken.
+/// Whether a request would wait longer than is worth while at a target whose places are taken.
 ///
 /// What would come too late only delays what waits behind it: at eight times the usual load, all of
 /// it waited out its time and 28 in 100 were lost.
-fn overdue(ask: &Ask, candidate: &Candidate, first: f64) -> Option<Duration> {
+fn is_overdue(request: &PlacementRequest, candidate: &Candidate, first: f64) -> bool {
     let load = f64::from(candidate.stats.load());
-    if load < f64::from(candidate.slots) * TAKEN {
-        return None;
-    }
-    let first = Duration::from_secs_f64(first.max(0.0) / 1_000.0);
-    first.checked_sub(ask.patience).filter(|d| !d.is_zero())
+    let taken = load >= f64::from(candidate.slots) * TAKEN;
+    taken && first > request.patience.as_secs_f64() * 1_000.0
 }
 
 /// `rank` is a target's rank for a home's hash; the highest is the home.
@@ -247,8 +237,8 @@
     hash64(HOME_SEED ^ home, &name.to_le_bytes())
 }
 
-fn home(ask: &Ask, candidates: &[Candidate]) -> TargetKey {
-    let home = candidates.iter().max_by_key(|c| rank(ask.home, c.name));
+fn home(request: &PlacementRequest, candidates: &[Candidate]) -> TargetKey {
+    let home = candidates.iter().max_by_key(|c| rank(request.home, c.name));
     home.map_or_else(TargetKey::default, |c| c.key)
 }
 
@@ -266,27 +256,33 @@
     },
 }
 
-fn source(ask: &Ask, candidates: &[Candidate], leaving: &[Leaving]) -> Source {
+fn source(request: &PlacementRequest, candidates: &[Candidate], leaving: &[Leaving]) -> Source {
     let known = candidates.iter().map(|c| (c.held, c.key));
     let known = known.chain(leaving.iter().map(|l| (l.held, l.key)));
     let most = known.max_by_key(|(held, _)| *held);
     match most {
-        Some((held, key)) if held >= ask.shared => Source::Known(key),
+        Some((held, key)) if held >= request.shared => Source::Known(key),
         _ => Source::Home {
-            before: home_before(ask, candidates, leaving),
+            before: home_before(request, candidates, leaving),
             part: most.filter(|(held, _)| *held > 0).map(|(h, key)| (key, h)),
         },
     }
 }
 
 /// The target that was the home until another one came or it was told to leave.
-fn home_before(ask: &Ask, candidates: &[Candidate], leaving: &[Leaving]) -> Option<TargetKey> {
+fn home_before(
+    request: &PlacementRequest,
+    candidates: &[Candidate],
+    leaving: &[Leaving],
+) -> Option<TargetKey> {
     let settled = candidates.iter().filter(|c| !c.fresh);
     let settled = settled.map(|c| (c.name, c.key));
     let gone = leaving.iter().map(|l| (l.name, l.key));
-    let before = settled.chain(gone).max_by_key(|(n, _)| rank(ask.home, *n));
+    let before = settled
+        .chain(gone)
+        .max_by_key(|(n, _)| rank(request.home, *n));
     let before = before.map(|(_, key)| key);
-    before.filter(|key| *key != home(ask, candidates))
+    before.filter(|key| *key != home(request, candidates))
 }
 
 /// What a candidate lacks of a prompt's shared parts.
@@ -302,7 +298,7 @@
 /// What one request sees of its pool.
 struct View<'a> {
     rates: &'a Rates,
-    ask: &'a Ask,
+    request: &'a PlacementRequest,
     source: Source,
     /// The request's home.
     home: TargetKey,
@@ -320,19 +316,19 @@
 
     /// The cost of a candidate, in tokens, and what is expected of it.
     fn judge(&self, candidate: &Candidate) -> (f64, Choice) {
-        let ask = self.ask;
+        let request = self.request;
         let lack = self.lack(candidate);
-        let copied = match (lack.copy, ask.copying) {
+        let copied = match (lack.copy, request.copying) {
             (Some((_, tokens)), Some(rate)) => as_f64(tokens) / rate.max(0.001),
             _ => 0.0,
         };
-        let reading = ask.tokens.saturating_sub(lack.held);
+        let reading = request.tokens.saturating_sub(lack.held);
         let first = predict(self.rates, candidate, reading) + copied;
-        let cost = match ask.policy {
-            Policy::Cost => lack.cost + as_f64(ask.size) * self.burden(candidate, first),
-            Policy::Spread => -as_f64(rank(ask.id, candidate.name)),
+        let cost = match request.policy {
+            Policy::Cost => lack.cost + as_f64(request.size) * self.burden(candidate, first),
+            Policy::Spread => -as_f64(rank(request.id, candidate.name)),
             Policy::LeastLoad => f64::from(candidate.stats.load()),
-            Policy::Home => -as_f64(rank(ask.home, candidate.name)),
+            Policy::Home => -as_f64(rank(request.home, candidate.name)),
         };
         let choice = Choice {
             key: candidate.key,
@@ -347,9 +343,9 @@
 
     /// What a candidate lacks of the prompt's shared parts.
     fn lack(&self, candidate: &Candidate) -> Lack {
-        let ask = self.ask;
-        let gap = ask.shared.saturating_sub(candidate.held);
-        let copies = ask.copying.is_some() && gap > 0;
+        let request = self.request;
+        let gap = request.shared.saturating_sub(candidate.held);
+        let copies = request.copying.is_some() && gap > 0;
         let copy = |from: TargetKey| copies.then_some((from, gap));
         match self.source {
             Source::Known(from) => Lack {
@@ -389,10 +385,10 @@
     /// What speaks against a candidate, as a part of the request's size.
     fn burden(&self, candidate: &Candidate, first: f64) -> f64 {
         let stats = &candidate.stats;
-        let part = first / (self.ask.goal.as_secs_f64() * 1_000.0).max(1.0);
+        let part = first / (self.request.goal.as_secs_f64() * 1_000.0).max(1.0);
         let late = ((part - LATE.0) / LATE.1).clamp(0.0, 1.0);
         let zone = if candidate.near { 0.0 } else { ZONE_COST };
-        let away = match (candidate.key == self.home, self.ask.shared) {
+        let away = match (candidate.key == self.home, self.request.shared) {
             (true, _) => 0.0,
             (false, 0) => TIE_COST,
             (false, _) => AWAY_COST,
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -7,19 +7,16 @@
 use std::time::Duration;
 
 use peppercrank_core::time::Moment;
-use peppercrank_direct::admission::Pool;
+use peppercrank_direct::decide::Attempt;
+use peppercrank_direct::decide::Decision;
+use peppercrank_direct::decide::decide;
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::peers::TargetId;
-use peppercrank_direct::place::Ask;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Choice;
 use peppercrank_direct::place::Leaving;
-use peppercrank_direct::place::Placed;
+use peppercrank_direct::place::PlacementRequest;
 use peppercrank_direct::place::Policy;
-use peppercrank_direct::place::least_wait;
-use peppercrank_direct::place::place;
-use peppercrank_direct::ranks::Rank;
-use peppercrank_direct::rates::Rates;
 use peppercrank_settings::gateway::Placement;
 
 use crate::flight::Flight;
@@ -41,9 +38,9 @@
     since > first + FIRST && now.since(since) < FRESH
 }
 
-/// `Nowhere` is why a request goes to no target.
+/// `Rejection` is why a request is sent to no target, and when its caller should return.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Nowhere {
+pub struct Rejection {
     /// The reason for which it is refused.
     pub reason: Reason,
     /// Time after which it may fare better.
@@ -54,7 +51,7 @@
 /// peers' loads.
 pub const COME_BACK: Duration = Duration::from_millis(300);
 
-impl Nowhere {
+impl Rejection {
     /// A refusal of which no more is known.
     const fn now(reason: Reason) -> Self {
         let after = COME_BACK;
@@ -67,70 +64,58 @@
 /// # Errors
 ///
 /// Returns the reason for which the request goes nowhere.
-pub fn begin(gateway: &Arc<Gateway>, job: &Job, tried: &[TargetKey]) -> Result<Flight, Nowhere> {
+pub fn begin(gateway: &Arc<Gateway>, job: &Job, tried: &[TargetKey]) -> Result<Flight, Rejection> {
     let now = gateway.now();
     let settings = gateway.settings();
     let mut state = gateway.state();
     // The process may have stood still since the request was judged.
     if job.organisation.is_some() && !state.freshness.is_fresh(now) {
-        return Err(Nowhere::now(Reason::StaleKeys));
+        return Err(Rejection::now(Reason::StaleKeys));
     }
     let candidates = candidates(&state, now, job, tried, &settings.zone);
     let leaving = leaving(&state, job);
     let rates = state.rates.get(&job.pool).copied().unwrap_or_default();
-    let first = tried.is_empty();
-    let wait = least_wait(now, &rates, &candidates);
-    let limit = limit(&mut state, now, job, &rates, wait, first);
-    let ask = Ask {
+    let request = PlacementRequest {
         policy: policy(settings.placement),
         id: job.own(),
         home: job.home(),
         goal: job.goal,
         patience: job.patience(now),
-        limit,
+        limit: None,
         cap: settings.cap,
         tokens: job.tokens,
         shared: job.shared().iter().map(|p| p.tokens).sum(),
         size: job.size(),
         copying: job.copying,
     };
-    let placed = place(now, &rates, &ask, &candidates, &leaving);
+    let attempt = Attempt {
+        rank: job.rank,
+        goal: job.pool_goal,
+        left: job.deadline.since(now),
+        first: tried.is_empty(),
+    };
     let admission = state.admission.entry(Arc::clone(&job.pool)).or_default();
-    if first && placed != Placed::NoTarget {
-        admission.count(now, job.rank, matches!(placed, Placed::At(_)));
-    }
-    let choice = match placed {
-        Placed::At(choice) => choice,
-        Placed::Full { .. } => {
+    let decision = decide(
+        now,
+        admission,
+        &rates,
+        &attempt,
+        &request,
+        &candidates,
+        &leaving,
+    );
+    let choice = match decision {
+        Decision::Send(choice) => choice,
+        Decision::Full { after } => {
             let reason = Reason::Full;
-            let after = admission.come_back(now, job.deadline.since(now));
-            return Err(Nowhere { reason, after });
+            return Err(Rejection { reason, after });
+        }
+        Decision::NoTarget { after } => {
+            let reason = Reason::NoTarget;
+            return Err(Rejection { reason, after });
         }
-        Placed::NoTarget => return Err(Nowhere::now(Reason::NoTarget)),
-    };
-    take(gateway, &mut state, job, &choice).ok_or(Nowhere::now(Reason::NoTarget))
-}
-
-/// The longest wait at which the request is admitted, if the pool is overloaded.
-///
-/// What was admitted once is as urgent as the most urgent when it is tried again: work was spent
-/// on it.
-fn limit(
-    state: &mut State,
-    now: Moment,
-    job: &Job,
-    rates: &Rates,
-    wait: f64,
-    first: bool,
-) -> Option<Duration> {
-    let pool = Pool {
-        goal: job.pool_goal,
-        base: rates.base(),
-        wait,
     };
-    let rank = if first { job.rank } else { Rank::default() };
-    let admission = state.admission.entry(Arc::clone(&job.pool)).or_default();
-    admission.limit(now, &pool, rank)
+    take(gateway, &mut state, job, &choice).ok_or(Rejection::now(Reason::NoTarget))
 }
 
 /// How the settings want targets chosen.
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -142,9 +142,9 @@
         }
         let mut flight = match begin(&self.gateway, &self.job, &self.tried) {
             Ok(flight) => flight,
-            Err(nowhere) => {
-                self.after = nowhere.after;
-                return Next::Answer(self.give_up(nowhere.reason));
+            Err(rejection) => {
+                self.after = rejection.after;
+                return Next::Answer(self.give_up(rejection.reason));
             }
         };
         self.tried.push(flight.choice.key);
