Play surges of callers in a model of the fleet, and test what they get

The model drives direct::decide, placement, rates and prefixes in virtual time: engines that read prompts in chunks between the tokens of a batch, callers with deadlines who return once, routers that hear of each other with a lag.

Found by the model: a rank could be granted more than a more urgent one, so a rank is now granted its share only while it fares worse than all before it.

--- a/crates/peppercrank-bench/src/lib.rs
+++ b/crates/peppercrank-bench/src/lib.rs
@@ -6,6 +6,9 @@
 //! [`trace::Trace`] draws the requests, [`world::World`] carries them through one [`ways::Way`] of
 //! routing, and [`report::Report`] is what came of them. Engines are a cost and cache model:
 //! nothing else of the fleet is imitated.
+//!
+//! [`surge`] does the same for routers that send straight to engines, under more load than these can
+//! serve.
 
 #![expect(
     clippy::cast_precision_loss,
@@ -20,6 +23,7 @@
 pub mod report;
 pub mod router;
 pub mod shapes;
+pub mod surge;
 pub mod trace;
 pub mod ways;
 pub mod world;
--- /dev/null
+++ b/crates/peppercrank-bench/src/surge/fleet.rs
@@ -0,0 +1,564 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Routers before engines, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use peppercrank_direct::admission::Admission;
+use peppercrank_direct::decide::Attempt;
+use peppercrank_direct::decide::Decision;
+use peppercrank_direct::decide::decide;
+use peppercrank_direct::directory::Change;
+use peppercrank_direct::directory::Directory;
+use peppercrank_direct::directory::Registration;
+use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::peers::Sum;
+use peppercrank_direct::place::Candidate;
+use peppercrank_direct::place::Choice;
+use peppercrank_direct::place::PlacementRequest;
+use peppercrank_direct::place::Policy;
+use peppercrank_direct::prefixes::Part;
+use peppercrank_direct::prefixes::Prefixes;
+use peppercrank_direct::ranks::Rank;
+use peppercrank_direct::rates::Rates;
+use peppercrank_direct::stats::Board;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::surge::Caller;
+use crate::surge::Class;
+use crate::surge::Engine;
+use crate::surge::Outcome;
+use crate::surge::Speed;
+use crate::surge::Summary;
+use crate::surge::engine::Made;
+use crate::surge::engine::Run;
+
+/// Part of the time left that waiting for a first token may take, as the gateway has it.
+const WORTH_LEFT: f64 = 0.5;
+
+/// `Scene` is what is played.
+#[derive(Debug, Clone)]
+pub struct Scene {
+    /// Routers.
+    pub routers: usize,
+    /// Engines.
+    pub engines: usize,
+    /// How fast each works.
+    pub speed: Speed,
+    /// Prompt tokens that an engine copies from another in a millisecond.
+    pub copying: f64,
+    /// What is asked for, the most urgent first.
+    pub classes: Vec<Class>,
+    /// The multiple of the usual load in the surge.
+    pub times: f64,
+    /// When the surge begins and ends.
+    pub surge: (Duration, Duration),
+    /// When the last caller comes.
+    pub length: Duration,
+    /// The lag with which routers know each other's work.
+    pub lag: Duration,
+    /// When engines are lost and back, and how many.
+    pub outage: Option<(Duration, Duration, usize)>,
+    /// The seed of all that is drawn.
+    pub seed: u64,
+}
+
+/// `What` happens at a moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Arrive(usize),
+    Return(usize),
+    Stepped(usize, u32),
+    Deadline(usize),
+    Tell(usize),
+    Lose,
+    Regain,
+}
+
+/// One router's knowledge.
+#[derive(Debug, Default)]
+struct Router {
+    board: Board,
+    rates: Rates,
+    admission: Admission,
+    prefixes: Prefixes,
+    /// Prompts sent since the others were told.
+    news: Vec<(TargetKey, u64)>,
+}
+
+/// One attempt on its way.
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    caller: usize,
+    router: usize,
+    engine: usize,
+    choice: Choice,
+    sent: Moment,
+    /// Whether its engine had nothing else to read.
+    alone: bool,
+    unread: bool,
+    open: bool,
+}
+
+/// `Fleet` plays a scene.
+#[derive(Debug)]
+pub struct Fleet {
+    scene: Scene,
+    rng: ChaCha8Rng,
+    now: Moment,
+    queue: BinaryHeap<Reverse<(Moment, u64, What)>>,
+    /// Events so far, which orders those of one moment.
+    count: u64,
+    keys: Vec<TargetKey>,
+    engines: Vec<Engine>,
+    made: Vec<Vec<Made>>,
+    routers: Vec<Router>,
+    flights: Vec<Flight>,
+    told: Moment,
+    /// What each router told last of its work on each engine.
+    work: Vec<Vec<Sum>>,
+    /// The callers, in the order of their coming.
+    pub callers: Vec<Caller>,
+    /// Returns after a refusal, and those of them that were refused again.
+    pub returns: (u32, u32),
+}
+
+impl Fleet {
+    /// `play` plays a scene to its end.
+    #[must_use]
+    pub fn play(scene: &Scene) -> Self {
+        let mut fleet = Self::new(scene);
+        fleet.run();
+        fleet
+    }
+
+    fn new(scene: &Scene) -> Self {
+        let keys = keys(scene);
+        let engines = keys.iter().map(|_| Engine::new(scene.speed));
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(scene.seed),
+            now: Moment::ZERO,
+            queue: BinaryHeap::new(),
+            count: 0,
+            engines: engines.collect(),
+            made: vec![Vec::new(); keys.len()],
+            keys,
+            routers: (0..scene.routers).map(|_| Router::default()).collect(),
+            flights: Vec::new(),
+            told: Moment::ZERO,
+            work: vec![vec![Sum::default(); scene.engines]; scene.routers],
+            callers: Vec::new(),
+            returns: (0, 0),
+            scene: scene.clone(),
+        }
+    }
+
+    fn run(&mut self) {
+        for class in 0..self.scene.classes.len() {
+            self.at(Duration::ZERO, What::Arrive(class));
+        }
+        for router in 0..self.routers.len() {
+            let part = router as f64 / self.routers.len() as f64;
+            self.at(self.scene.lag.mul_f64(part), What::Tell(router));
+        }
+        if let Some((from, to, _)) = self.scene.outage {
+            self.at(from, What::Lose);
+            self.at(to, What::Regain);
+        }
+        while let Some(Reverse((now, _, what))) = self.queue.pop() {
+            self.now = now;
+            self.happen(what);
+        }
+    }
+
+    fn at(&mut self, after: Duration, what: What) {
+        self.count += 1;
+        let at = self.now + after;
+        self.queue.push(Reverse((at, self.count, what)));
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::Arrive(class) => self.arrive(class),
+            What::Return(caller) => {
+                self.returns.0 += 1;
+                self.call(caller);
+            }
+            What::Stepped(engine, incarnation) => self.stepped(engine, incarnation),
+            What::Deadline(flight) => self.expire(flight),
+            What::Tell(router) => self.tell(router),
+            What::Lose => self.lose(),
+            What::Regain => {
+                for engine in &mut self.engines {
+                    engine.up = true;
+                }
+            }
+        }
+    }
+
+    /// A caller comes, and the next of its class is drawn.
+    fn arrive(&mut self, class: usize) {
+        let of = self.scene.classes[class];
+        let since = self.now.since_origin();
+        if since > self.scene.length {
+            return;
+        }
+        let (from, to) = self.scene.surge;
+        let times = if since >= from && since < to {
+            self.scene.times
+        } else {
+            1.0
+        };
+        let even: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        let pause = -even.ln() / (of.rate * times);
+        self.at(Duration::from_secs_f64(pause), What::Arrive(class));
+        let caller = Caller::draw(&mut self.rng, class, &of, self.now);
+        self.callers.push(caller);
+        self.call(self.callers.len() - 1);
+    }
+
+    /// A caller calls a router, which decides.
+    fn call(&mut self, caller: usize) {
+        let router = self.rng.random_range(0..self.routers.len());
+        let of = self.scene.classes[self.callers[caller].class];
+        let left = of
+            .deadline
+            .saturating_sub(self.now.since(self.callers[caller].begun));
+        match self.decide(caller, router, left) {
+            Decision::Send(choice) => self.send(caller, router, choice, left),
+            Decision::Full { after } | Decision::NoTarget { after } => {
+                self.refuse(caller, after.min(left / 3));
+            }
+        }
+    }
+
+    fn decide(&mut self, caller: usize, router: usize, left: Duration) -> Decision {
+        let asked = self.callers[caller];
+        let of = self.scene.classes[asked.class];
+        let parts = [part(&asked, &of)];
+        let candidates = self.candidates(router, &parts);
+        let goals = self.scene.classes.iter().map(|c| c.goal);
+        let attempt = Attempt {
+            rank: self.rank(asked.class),
+            goal: goals.min().unwrap_or(of.goal),
+            left,
+            first: true,
+        };
+        let request = PlacementRequest {
+            policy: Policy::Cost,
+            id: caller as u64,
+            home: asked.shared,
+            goal: of.goal,
+            patience: left.mul_f64(WORTH_LEFT),
+            limit: None,
+            cap: 2.0,
+            tokens: parts[0].tokens + asked.own,
+            shared: parts[0].tokens,
+            size: parts[0].tokens + asked.size(),
+            copying: Some(self.scene.copying),
+        };
+        let router = &mut self.routers[router];
+        let Router {
+            admission, rates, ..
+        } = router;
+        decide(
+            self.now,
+            admission,
+            rates,
+            &attempt,
+            &request,
+            &candidates,
+            &[],
+        )
+    }
+
+    fn rank(&self, class: usize) -> Rank {
+        Rank {
+            place: u8::try_from(class).unwrap_or(u8::MAX),
+            places: u8::try_from(self.scene.classes.len()).unwrap_or(u8::MAX),
+        }
+    }
+
+    /// The engines as a router sees them; it knows at once which are down.
+    fn candidates(&self, router: usize, parts: &[Part]) -> Vec<Candidate> {
+        let router = &self.routers[router];
+        let up = self.keys.iter().zip(&self.engines).enumerate();
+        let up = up.filter(|(_, (_, engine))| engine.up);
+        let see = |(n, (key, _)): (usize, (&TargetKey, &Engine))| Candidate {
+            key: *key,
+            name: u32::try_from(n).unwrap_or(u32::MAX),
+            slots: self.scene.speed.slots,
+            near: true,
+            held: router.prefixes.held(*key, parts),
+            fresh: false,
+            lag: self.now.since(self.told),
+            stats: router.board.get(*key).at(self.now),
+        };
+        up.map(see).collect()
+    }
+
+    fn send(&mut self, caller: usize, router: usize, choice: Choice, left: Duration) {
+        let Some(engine) = self.keys.iter().position(|k| *k == choice.key) else {
+            return;
+        };
+        let asked = self.callers[caller];
+        let shared = self.scene.classes[asked.class].shared.1;
+        let flight = self.flights.len();
+        let known = &mut self.routers[router];
+        let stats = known.board.of(choice.key);
+        let alone = stats.is_some_and(|stats| {
+            let alone = stats.reading == 0 && stats.others_reading == 0;
+            stats.running += 1;
+            stats.reading += choice.reading;
+            stats.sent(self.now);
+            alone
+        });
+        if known.prefixes.note(self.now, choice.key, asked.shared) {
+            known.news.push((choice.key, asked.shared));
+        }
+        self.flights.push(Flight {
+            caller,
+            router,
+            engine,
+            choice,
+            sent: self.now,
+            alone,
+            unread: true,
+            open: true,
+        });
+        let copied = choice
+            .copy
+            .is_some_and(|(from, _)| self.holds(from, asked.shared));
+        let missing = self.engines[engine].held.insert(asked.shared);
+        let unread = if missing && !copied { shared } else { 0 };
+        self.engines[engine].arrive(Run {
+            flight,
+            rank: u8::try_from(asked.class).unwrap_or(u8::MAX),
+            unread: asked.own + unread,
+            output: asked.output,
+            begun: false,
+        });
+        self.at(left, What::Deadline(flight));
+        self.begin(engine);
+    }
+
+    fn holds(&self, key: TargetKey, shared: u64) -> bool {
+        let engine = self.keys.iter().position(|k| *k == key);
+        engine.is_some_and(|e| self.engines[e].held.contains(&shared))
+    }
+
+    fn refuse(&mut self, caller: usize, after: Duration) {
+        let asked = &mut self.callers[caller];
+        if asked.returned {
+            asked.outcome = Outcome::Refused;
+            self.returns.1 += 1;
+            return;
+        }
+        asked.returned = true;
+        self.at(after, What::Return(caller));
+    }
+
+    /// Begins an engine's next step, if none goes on.
+    fn begin(&mut self, engine: usize) {
+        let working = &mut self.engines[engine];
+        if working.busy || !working.up {
+            return;
+        }
+        let Some((time, made)) = working.step() else {
+            return;
+        };
+        working.busy = true;
+        let incarnation = working.incarnation;
+        self.made[engine] = made;
+        let after = Duration::from_secs_f64(time / 1_000.0);
+        self.at(after, What::Stepped(engine, incarnation));
+    }
+
+    fn stepped(&mut self, engine: usize, incarnation: u32) {
+        if self.engines[engine].incarnation != incarnation {
+            return;
+        }
+        self.engines[engine].busy = false;
+        for made in std::mem::take(&mut self.made[engine]) {
+            match made {
+                Made::First(flight) => self.first(flight),
+                Made::Last(flight) => self.last(flight),
+            }
+        }
+        self.begin(engine);
+    }
+
+    fn first(&mut self, flight: usize) {
+        if !self.flights[flight].open {
+            return;
+        }
+        self.read(flight);
+        let Flight {
+            caller,
+            router,
+            engine,
+            choice,
+            sent,
+            alone,
+            ..
+        } = self.flights[flight];
+        self.callers[caller].first = Some(self.now);
+        let took = self.now.since(sent);
+        let load = self.engines[engine].load();
+        let router = &mut self.routers[router];
+        if let Some(stats) = router.board.of(choice.key) {
+            stats.told(self.now, load);
+            stats.succeeded();
+            stats.timed(took.as_secs_f64() * 1_000.0, choice.first);
+        }
+        if alone {
+            router.rates.learn(choice.reading, took);
+        }
+    }
+
+    fn last(&mut self, flight: usize) {
+        if !self.flights[flight].open {
+            return;
+        }
+        let Flight { caller, sent, .. } = self.flights[flight];
+        let of = self.scene.classes[self.callers[caller].class];
+        let asked = &mut self.callers[caller];
+        let first = asked.first.map(|at| at.since(asked.begun));
+        asked.outcome = match first {
+            Some(first) if first <= of.goal => Outcome::InTime,
+            _ => Outcome::Late,
+        };
+        let router = self.flights[flight].router;
+        self.routers[router].rates.held(self.now.since(sent));
+        self.end(flight);
+    }
+
+    fn expire(&mut self, flight: usize) {
+        if !self.flights[flight].open {
+            return;
+        }
+        let Flight { caller, engine, .. } = self.flights[flight];
+        self.callers[caller].outcome = Outcome::Died;
+        self.engines[engine].cancel(flight);
+        self.end(flight);
+    }
+
+    /// Counts a flight's prompt as read.
+    fn read(&mut self, flight: usize) {
+        let flight = &mut self.flights[flight];
+        let stats = self.routers[flight.router].board.of(flight.choice.key);
+        if let Some(stats) = stats.filter(|_| flight.unread) {
+            stats.reading = stats.reading.saturating_sub(flight.choice.reading);
+        }
+        flight.unread = false;
+    }
+
+    fn end(&mut self, flight: usize) {
+        self.read(flight);
+        let flight = &mut self.flights[flight];
+        flight.open = false;
+        let stats = self.routers[flight.router].board.of(flight.choice.key);
+        if let Some(stats) = stats {
+            stats.ended();
+        }
+    }
+
+    /// A router tells the others its work and news.
+    fn tell(&mut self, router: usize) {
+        for (engine, key) in self.keys.iter().enumerate() {
+            let stats = self.routers[router].board.get(*key);
+            self.work[router][engine] = Sum {
+                running: stats.running.into(),
+                reading: stats.reading,
+            };
+            let running = self.work.iter().map(|w| w[engine].running).sum::<u64>();
+            let reading = self.work.iter().map(|w| w[engine].reading).sum::<u64>();
+            for (router, own) in self.routers.iter_mut().zip(&self.work) {
+                let others = Sum {
+                    running: running - own[engine].running,
+                    reading: reading - own[engine].reading,
+                };
+                router.board.hear(*key, others);
+            }
+        }
+        let news = std::mem::take(&mut self.routers[router].news);
+        for router in &mut self.routers {
+            for (key, shared) in &news {
+                router.prefixes.note(self.now, *key, *shared);
+            }
+        }
+        self.told = self.now;
+        let open = self.flights.iter().any(|f| f.open);
+        if open || self.now.since_origin() < self.scene.length {
+            self.at(self.scene.lag, What::Tell(router));
+        }
+    }
+
+    fn lose(&mut self) {
+        let Some((_, _, count)) = self.scene.outage else {
+            return;
+        };
+        for engine in 0..count.min(self.engines.len()) {
+            for flight in self.engines[engine].crash() {
+                let caller = self.flights[flight].caller;
+                self.callers[caller].outcome = Outcome::Lost;
+                self.end(flight);
+            }
+            let key = self.keys[engine];
+            for router in &mut self.routers {
+                router.prefixes.forget(key);
+            }
+        }
+    }
+
+    /// `summaries` are what the callers of each class got that came in this time.
+    #[must_use]
+    pub fn summaries(&self, from: Duration, to: Duration) -> Vec<Summary> {
+        let mut all = vec![Summary::default(); self.scene.classes.len()];
+        for caller in &self.callers {
+            let came = caller.begun.since_origin();
+            if came >= from && came < to {
+                all[caller.class].add(caller, &self.scene.classes[caller.class]);
+            }
+        }
+        all
+    }
+
+    /// `earned` is what all callers earned.
+    #[must_use]
+    pub fn earned(&self) -> f64 {
+        let all = self.summaries(Duration::ZERO, Duration::MAX);
+        all.iter().map(|s| s.earned).sum()
+    }
+}
+
+/// The shared part of a caller's prompt.
+fn part(caller: &Caller, class: &Class) -> Part {
+    Part {
+        chain: caller.shared,
+        tokens: class.shared.1,
+    }
+}
+
+/// A key for each engine.
+fn keys(scene: &Scene) -> Vec<TargetKey> {
+    let mut directory = Directory::default();
+    for n in 0..scene.engines {
+        let entry = Registration {
+            instance: format!("engine-{n}").into(),
+            pool: "pool".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: "zone".into(),
+            slots: scene.speed.slots,
+            leaving: false,
+        };
+        directory.apply(Moment::ZERO, Change::Put(entry));
+    }
+    directory.pool(Moment::ZERO, "pool")
+}
--- a/crates/peppercrank-direct/src/admission.rs
+++ b/crates/peppercrank-direct/src/admission.rs
@@ -138,15 +138,22 @@
         }
     }
 
+    /// Whether a rank is admitted so rarely that it starves; never while it fares better than a more
+    /// urgent one.
     fn is_below_its_share(&self, rank: Rank) -> bool {
-        let counted = self.ranks.get(usize::from(rank.place));
-        let counted = counted.copied().unwrap_or_default();
+        let place = usize::from(rank.place);
+        let Some(counted) = self.ranks.get(place).filter(|c| c.asked >= ENOUGH) else {
+            return false;
+        };
+        let share = counted.share();
         let sum = |a: Counted, b: &Counted| Counted {
             asked: a.asked + b.asked,
             admitted: a.admitted + b.admitted,
         };
         let all = self.ranks.iter().fold(Counted::default(), sum);
-        counted.asked >= ENOUGH && counted.share() < all.share() * GRANTED
+        let urgent = self.ranks.iter().take(place);
+        let mut urgent = urgent.filter(|c| c.asked >= ENOUGH);
+        share < all.share() * GRANTED && urgent.all(|c| share < c.share())
     }
 
     /// The least urgent rank that is admitted whole, as are all before it; else the most urgent.
