Name what a target reports, consecutive failures and placement's terms as the field does

told becomes reported, row becomes consecutive failures, others become peers, Lack becomes MissingPrefix, burden becomes penalty, judge becomes score.

--- a/crates/peppercrank-bench/src/surge/fleet.rs
+++ b/crates/peppercrank-bench/src/surge/fleet.rs
@@ -313,7 +313,7 @@
         let known = &mut self.routers[router];
         let stats = known.board.of(choice.key);
         let alone = stats.is_some_and(|stats| {
-            let alone = stats.reading == 0 && stats.others_reading == 0;
+            let alone = stats.reading == 0 && stats.peers_reading == 0;
             stats.running += 1;
             stats.reading += choice.reading;
             stats.sent(self.now);
@@ -413,7 +413,7 @@
         let load = self.engines[engine].load();
         let router = &mut self.routers[router];
         if let Some(stats) = router.board.of(choice.key) {
-            stats.told(self.now, load);
+            stats.reported(self.now, load);
             stats.succeeded();
             stats.timed(took.as_secs_f64() * 1_000.0, choice.first);
         }
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -286,7 +286,7 @@
 }
 
 /// What a candidate lacks of a prompt's shared parts.
-struct Lack {
+struct MissingPrefix {
     /// Leading tokens that it will not have to read.
     held: u64,
     /// Where it should copy from, and how many tokens.
@@ -309,23 +309,23 @@
 impl<'a> View<'a> {
     /// The candidate of the least cost.
     fn best(&self, candidates: impl Iterator<Item = &'a Candidate>) -> Option<Choice> {
-        let costs = candidates.map(|c| self.judge(c));
+        let costs = candidates.map(|c| self.score(c));
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
         Some(best.1)
     }
 
     /// The cost of a candidate, in tokens, and what is expected of it.
-    fn judge(&self, candidate: &Candidate) -> (f64, Choice) {
+    fn score(&self, candidate: &Candidate) -> (f64, Choice) {
         let request = self.request;
-        let lack = self.lack(candidate);
-        let copied = match (lack.copy, request.copying) {
+        let missing = self.missing(candidate);
+        let copied = match (missing.copy, request.copying) {
             (Some((_, tokens)), Some(rate)) => as_f64(tokens) / rate.max(0.001),
             _ => 0.0,
         };
-        let reading = request.tokens.saturating_sub(lack.held);
+        let reading = request.tokens.saturating_sub(missing.held);
         let first = predict(self.rates, candidate, reading) + copied;
         let cost = match request.policy {
-            Policy::Cost => lack.cost + as_f64(request.size) * self.burden(candidate, first),
+            Policy::Cost => missing.cost + as_f64(request.size) * self.penalty(candidate, first),
             Policy::Spread => -as_f64(rank(request.id, candidate.name)),
             Policy::LeastLoad => f64::from(candidate.stats.load()),
             Policy::Home => -as_f64(rank(request.home, candidate.name)),
@@ -334,7 +334,7 @@
             key: candidate.key,
             first,
             reading,
-            copy: lack.copy,
+            copy: missing.copy,
             unknown: matches!(self.source, Source::Home { .. }),
             home: candidate.key == self.home,
         };
@@ -342,13 +342,13 @@
     }
 
     /// What a candidate lacks of the prompt's shared parts.
-    fn lack(&self, candidate: &Candidate) -> Lack {
+    fn missing(&self, candidate: &Candidate) -> MissingPrefix {
         let request = self.request;
         let gap = request.shared.saturating_sub(candidate.held);
         let copies = request.copying.is_some() && gap > 0;
         let copy = |from: TargetKey| copies.then_some((from, gap));
         match self.source {
-            Source::Known(from) => Lack {
+            Source::Known(from) => MissingPrefix {
                 held: candidate.held + if copies { gap } else { 0 },
                 copy: copy(from),
                 cost: as_f64(gap) * if copies { COPY_COST } else { READ_COST },
@@ -357,7 +357,7 @@
             Source::Home {
                 before: Some(before),
                 ..
-            } if candidate.key == self.home => Lack {
+            } if candidate.key == self.home => MissingPrefix {
                 held: candidate.held,
                 copy: copy(before),
                 cost: 0.0,
@@ -368,13 +368,13 @@
                 // twice on a calm day of 1,800 requests (mean of three runs).
                 let more = part.filter(|(_, held)| copies && *held > candidate.held);
                 let copy = more.map(|(from, held)| (from, held - candidate.held));
-                Lack {
+                MissingPrefix {
                     held: candidate.held + copy.map_or(0, |(_, tokens)| tokens),
                     copy,
                     cost: 0.0,
                 }
             }
-            Source::Home { .. } => Lack {
+            Source::Home { .. } => MissingPrefix {
                 held: candidate.held,
                 copy: copy(self.home),
                 cost: as_f64(gap) * READ_COST * ASSUMED,
@@ -383,7 +383,7 @@
     }
 
     /// What speaks against a candidate, as a part of the request's size.
-    fn burden(&self, candidate: &Candidate, first: f64) -> f64 {
+    fn penalty(&self, candidate: &Candidate, first: f64) -> f64 {
         let stats = &candidate.stats;
         let part = first / (self.request.goal.as_secs_f64() * 1_000.0).max(1.0);
         let late = ((part - LATE.0) / LATE.1).clamp(0.0, 1.0);
@@ -415,7 +415,7 @@
 #[must_use]
 pub fn predict(rates: &Rates, candidate: &Candidate, reading: u64) -> f64 {
     let stats = &candidate.stats;
-    let others = rates.left(stats.others_reading, candidate.lag);
+    let others = rates.left(stats.peers_reading, candidate.lag);
     let waiting = stats.reading.saturating_add(others);
     let reading = rates.reading(waiting.saturating_add(reading));
     let over = stats
--- a/crates/peppercrank-direct/src/stats.rs
+++ b/crates/peppercrank-direct/src/stats.rs
@@ -13,7 +13,7 @@
 
 /// Time for which a target's word of its load counts: some requests of each router's later, peers
 /// have sent it more than this router knows of.
-const TOLD: Duration = Duration::from_secs(1);
+const REPORTED: Duration = Duration::from_secs(1);
 
 /// Failures in a row that eject a target.
 const EJECT_AFTER: u32 = 3;
@@ -41,19 +41,19 @@
     /// Prompt tokens that it has yet to read for them.
     pub reading: u64,
     /// The peers' work there.
-    pub others: u32,
+    pub peers_running: u32,
     /// Prompt tokens that it has yet to read for peers.
-    pub others_reading: u64,
+    pub peers_reading: u64,
     /// What the target told of its load last, and when.
-    told: Option<(Moment, u32)>,
+    reported: Option<(Moment, u32)>,
     /// Requests sent there since.
-    since: u32,
+    sent_since: u32,
     /// How long its answers take against its pool's; 1 is as long.
     pub speed: f64,
     /// The running share of failures.
     pub failing: f64,
-    /// Failures since the last success.
-    row: u32,
+    /// Consecutive failures.
+    failures: u32,
     /// Ejections since the last success.
     ejections: u32,
     /// Until when it gets no work.
@@ -67,13 +67,13 @@
         Self {
             running: 0,
             reading: 0,
-            others: 0,
-            others_reading: 0,
-            told: None,
-            since: 0,
+            peers_running: 0,
+            peers_reading: 0,
+            reported: None,
+            sent_since: 0,
             speed: 1.0,
             failing: 0.0,
-            row: 0,
+            failures: 0,
             ejections: 0,
             ejected: None,
             trial: false,
@@ -90,29 +90,29 @@
     /// target that held more than twice the mean.
     #[must_use]
     pub fn load(&self) -> u32 {
-        let counted = self.running.saturating_add(self.others);
-        match self.told {
-            Some((_, told)) => counted.min(told.saturating_add(self.since)),
+        let counted = self.running.saturating_add(self.peers_running);
+        match self.reported {
+            Some((_, load)) => counted.min(load.saturating_add(self.sent_since)),
             None => counted,
         }
     }
 
-    /// `told` notes what the target tells of its load.
-    pub const fn told(&mut self, now: Moment, load: u32) {
-        self.told = Some((now, load));
-        self.since = 0;
+    /// `reported` notes what the target tells of its load.
+    pub const fn reported(&mut self, now: Moment, load: u32) {
+        self.reported = Some((now, load));
+        self.sent_since = 0;
     }
 
     /// `at` is what is known at a moment, without what the target told too long ago.
     #[must_use]
     pub fn at(mut self, now: Moment) -> Self {
-        self.told = self.told.filter(|(at, _)| now.since(*at) < TOLD);
+        self.reported = self.reported.filter(|(at, _)| now.since(*at) < REPORTED);
         self
     }
 
     /// `succeeded` notes an answer of a working target.
     pub fn succeeded(&mut self) {
-        self.row = 0;
+        self.failures = 0;
         self.ejections = 0;
         self.ejected = None;
         self.trial = false;
@@ -122,10 +122,10 @@
     /// `failed` notes a failure that speaks against the target; true if it is now ejected.
     pub fn failed(&mut self, now: Moment) -> bool {
         self.failing += (1.0 - self.failing) * FAIL_WEIGHT;
-        self.row += 1;
+        self.failures += 1;
         let again = self.trial && self.ejected.is_some();
         self.trial = false;
-        if self.row < EJECT_AFTER && !again {
+        if self.failures < EJECT_AFTER && !again {
             return false;
         }
         let time = EJECT_FIRST * 2_u32.saturating_pow(self.ejections.min(4));
@@ -142,7 +142,7 @@
 
     /// `sent` notes that a request goes there; to an ejected target it goes as a trial.
     pub fn sent(&mut self, now: Moment) {
-        self.since = self.since.saturating_add(1);
+        self.sent_since = self.sent_since.saturating_add(1);
         self.trial |= self.ejected.is_some_and(|until| now >= until);
     }
 
@@ -191,8 +191,8 @@
     /// `hear` sets the peers' work on a target.
     pub fn hear(&mut self, key: TargetKey, sum: Sum) {
         if let Some(stats) = self.of(key) {
-            stats.others = u32::try_from(sum.running).unwrap_or(u32::MAX);
-            stats.others_reading = sum.reading;
+            stats.peers_running = u32::try_from(sum.running).unwrap_or(u32::MAX);
+            stats.peers_reading = sum.reading;
         }
     }
 }
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -190,7 +190,7 @@
 #[test]
 fn verify_peers_reading_is_over_after_its_time() {
     let mut candidates = ranked(2);
-    candidates[0].stats.others_reading = 200_000;
+    candidates[0].stats.peers_reading = 200_000;
     assert_ne!(choose(&copying(), &candidates).key, candidates[0].key);
     // At 50 tokens a millisecond it was read since they told of it.
     for candidate in &mut candidates {
@@ -339,8 +339,8 @@
     let mut candidates = ranked(9);
     for candidate in &mut candidates {
         candidate.stats.running = 20;
-        candidate.stats.others = 20;
-        candidate.stats.told(NOW, 2);
+        candidate.stats.peers_running = 20;
+        candidate.stats.reported(NOW, 2);
     }
     let mut sent = 0;
     while choose(&request(), &candidates).key == candidates[0].key {
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -162,7 +162,7 @@
     }
     let mut alone = true;
     if let Some(stats) = state.board.of(key) {
-        alone = stats.reading == 0 && stats.others_reading == 0;
+        alone = stats.reading == 0 && stats.peers_reading == 0;
         stats.running += 1;
         stats.reading += reading;
         stats.sent(now);
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -71,7 +71,7 @@
         let now = self.gateway.now();
         let mut state = self.gateway.state();
         if let Some(stats) = state.board.of(self.choice.key) {
-            stats.told(now, load.running.saturating_add(load.waiting));
+            stats.reported(now, load.running.saturating_add(load.waiting));
         }
     }
 
