Take back the shorter summaries: targets held too much after a great surge

The cause is not traced: less of what was admitted dies there, so that more is left on some targets when the surge ends. A cap with one request less over the multiple, and reports of load that count for 4 s, changed nothing. What was gained at eight times the load (67,635 to 70,550) is given up: a rule goes first. The test of the summary's length goes with the change that it held.

--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -75,10 +75,10 @@
     pub chain: u64,
 }
 
-/// Hints on one datagram. Routers may send only so many bytes, so that each hint makes peers' loads
-/// older: with 8 in place of 40, 31 routers served 70,550 in place of 67,635 of a worth of 72,661 at
-/// eight times the usual load, and 2 in place of 6 in 100 requests failed (one seed).
-const HINTS: usize = 8;
+/// Hints on one datagram, so that they and the work of a large fleet's pool fit. With 8 of them 31
+/// routers earned more at eight times the usual load (70,550 of 72,661 in place of 67,635), but after
+/// sixteen times the load targets held more than their multiple of the mean in three runs of three.
+const HINTS: usize = 40;
 
 /// Hints that wait to be told; more would be stale before they are.
 const MOST_HINTS: usize = 2_000;
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -418,30 +418,6 @@
     Datagram::decode(&bytes[..bytes.len() / 2]).unwrap_err();
 }
 
-#[test]
-fn verify_much_news_does_not_make_the_peers_loads_old() {
-    let mut outbox = Outbox::default();
-    for n in 0..1_000 {
-        let target = TargetId(u32::MAX - n);
-        let chain = u64::MAX - u64::from(n);
-        outbox.add(Hint { target, chain }, 30);
-    }
-    let work = (0..43).map(|n| Work {
-        target: TargetId(u32::MAX - n),
-        running: 100,
-        reading: 10_000,
-    });
-    let mut datagram = Datagram::Summary(Summary {
-        incarnation: u64::MAX,
-        sequence: 10_000,
-        work: work.collect(),
-        hints: outbox.take(30),
-    });
-    let bytes = datagram.encode().expect("a summary").len();
-    // At four kilobytes a second 30 peers hear of all work every 4.5 s, not every 7.
-    assert!(bytes < 600, "{bytes}");
-}
-
 #[test]
 fn verify_kept_connections_fit_what_targets_take() {
     let pool = |connections| Pool {
