Remove the early refusal by patience, which the bound on the wait replaced

The rule came from floods of eight times the load, where all waited out their time; the bound on the wait refuses them sooner, and by rank.

Its test at placement becomes one at the decision: refused on all targets that would have it wait for seconds, also where places are free, and sent where one has room.

--- a/crates/peppercrank-bench/src/surge/fleet.rs
+++ b/crates/peppercrank-bench/src/surge/fleet.rs
@@ -39,9 +39,6 @@
 use crate::surge::engine::Made;
 use crate::surge::engine::Run;
 
-/// Part of the time left that waiting for a first token may take, as the gateway has it.
-const WORTH_LEFT: f64 = 0.5;
-
 /// `Scene` is what is played.
 #[derive(Debug, Clone)]
 pub struct Scene {
@@ -255,7 +252,6 @@
             id: caller as u64,
             home: asked.shared,
             goal: of.goal,
-            patience: left.mul_f64(WORTH_LEFT),
             limit: None,
             cap: 2.0,
             tokens: parts[0].tokens + asked.own,
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -66,9 +66,6 @@
 /// Part of the allowed multiple of the mean that is used: peers' loads are known with a lag.
 const CAP_USED: f64 = 0.85;
 
-/// Part of a target's places that must be taken before a request is refused for the wait there.
-const TAKEN: f64 = 0.75;
-
 /// Part of a request's size that a sure failure costs: it is lost, or runs twice.
 const FAIL_COST: f64 = 1.2;
 
@@ -129,8 +126,6 @@
     pub home: u64,
     /// The time within which its answer is wanted.
     pub goal: Duration,
-    /// The longest wait for its answer's first part that is worth while.
-    pub patience: Duration,
     /// The longest wait at a target behind its other work, where the pool is overloaded.
     pub limit: Option<Duration>,
     /// The multiple of the pool's mean load that a target may hold.
@@ -214,21 +209,7 @@
     let Some(choice) = pick else {
         return Placed::Full;
     };
-    let chosen = candidates.iter().find(|c| c.key == choice.key);
-    match chosen {
-        Some(c) if is_overdue(request, c, choice.first) => Placed::Full,
-        _ => Placed::At(choice),
-    }
-}
-
-/// Whether a request would wait longer than is worth while at a target whose places are taken.
-///
-/// What would come too late only delays what waits behind it: at eight times the usual load, all of
-/// it waited out its time and 28 in 100 were lost.
-fn is_overdue(request: &PlacementRequest, candidate: &Candidate, first: f64) -> bool {
-    let load = f64::from(candidate.stats.load());
-    let taken = load >= f64::from(candidate.slots) * TAKEN;
-    taken && first > request.patience.as_secs_f64() * 1_000.0
+    Placed::At(choice)
 }
 
 /// `rank` is a target's rank for a home's hash; the highest is the home.
--- a/crates/peppercrank-direct/tests/verify_decide.rs
+++ b/crates/peppercrank-direct/tests/verify_decide.rs
@@ -29,7 +29,6 @@
         id: 1,
         home: 7,
         goal: Duration::from_secs(1),
-        patience: Duration::from_secs(600),
         limit: None,
         cap: 2.0,
         tokens: 1_000,
@@ -90,6 +89,29 @@
     assert!(matches!(sent, Decision::Send(_)), "{sent:?}");
 }
 
+#[test]
+fn verify_what_would_wait_too_long_is_refused_unless_one_target_has_room() {
+    // 200,000 tokens take four seconds to read.
+    let mut admission = Admission::default();
+    let mut targets = [target(200_000), target(200_000), target(200_000)];
+    for target in &mut targets {
+        target.stats.running = 60;
+    }
+    let refused = at(0, &mut admission, true, &targets);
+    assert!(matches!(refused, Decision::Full { .. }), "{refused:?}");
+    targets[1].stats.reading = 0;
+    targets[1].slots = 65;
+    let sent = at(0, &mut admission, true, &targets);
+    assert!(
+        matches!(sent, Decision::Send(c) if c.reading == 1_000),
+        "{sent:?}"
+    );
+    let Decision::Send(choice) = sent else {
+        panic!("{sent:?}");
+    };
+    assert!(choice.first < 1_000.0, "{choice:?}");
+}
+
 #[test]
 fn verify_what_was_admitted_once_is_tried_again_before_what_is_new() {
     let mut admission = Admission::default();
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -61,7 +61,6 @@
         id: 1,
         home: 7,
         goal: Duration::from_secs(1),
-        patience: Duration::from_secs(600),
         limit: None,
         cap: 2.0,
         tokens: 11_000,
@@ -310,29 +309,6 @@
     assert_eq!(spread.len(), 4);
 }
 
-#[test]
-fn verify_what_would_wait_too_long_is_refused_only_where_places_are_taken() {
-    let mut candidates = idle(3);
-    let short = PlacementRequest {
-        patience: Duration::from_secs(2),
-        ..request()
-    };
-    // 200,000 tokens take four seconds to read.
-    for candidate in &mut candidates {
-        candidate.stats.reading = 200_000;
-        candidate.stats.running = 40;
-    }
-    let placed = |c: &[Candidate]| place(NOW, &Rates::default(), &short, c, &[]);
-    assert!(matches!(placed(&candidates), Placed::At(_)));
-    for candidate in &mut candidates {
-        candidate.stats.running = 60;
-    }
-    // It would wait for four seconds.
-    assert_eq!(placed(&candidates), Placed::Full);
-    candidates[1].stats.reading = 0;
-    assert!(matches!(placed(&candidates), Placed::At(c) if c.key == candidates[1].key));
-}
-
 #[test]
 fn verify_requests_whose_answers_were_lost_do_not_raise_the_cap() {
     // Each target ended what it had, and told so; the routers still count 40 on each.
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -80,7 +80,6 @@
         id: job.own(),
         home: job.home(),
         goal: job.goal,
-        patience: job.patience(now),
         limit: None,
         cap: settings.cap,
         tokens: job.tokens,
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -29,9 +29,6 @@
 /// are written one by one and read by the thousand.
 const OUTPUT_WEIGHT: u64 = 10;
 
-/// Part of the time left that waiting for an answer's first part may take: the rest is the answer's.
-const WORTH_LEFT: f64 = 0.5;
-
 /// The size of a request without a prompt, in tokens; only its ratios to itself matter.
 const PLAIN_SIZE: u64 = 1_000;
 
@@ -101,12 +98,6 @@
         &self.parts[..most]
     }
 
-    /// `patience` is the longest wait for its answer's first part that is worth while at this moment.
-    #[must_use]
-    pub fn patience(&self, now: Moment) -> Duration {
-        self.deadline.since(now).mul_f64(WORTH_LEFT)
-    }
-
     /// `size` is its size in tokens.
     #[must_use]
     pub fn size(&self) -> u64 {
