Say once when a caller returns, where a repeat helps and what bounds a wait

The 0.3 s after which a refused caller returns stood in admission and in the gateway; the overload and the budget were asked for in two places that always ask both, each under a lock of its own; every caller of placement filled in a bound on the wait that only the decision sets, which then copied the request; an attempt's error spelled the same three arguments five times.

Now admission's SOONEST serves both, could_repeat asks for both at once, the bound is an argument of place, and AttemptError::unknown names the common case.

Ruled out: merging the loop that admission and placement share by shape (tables of constants only), and one fixture for verify_place and verify_decide, whose requests differ.

--- a/crates/peppercrank-bench/src/surge/fleet.rs
+++ b/crates/peppercrank-bench/src/surge/fleet.rs
@@ -252,7 +252,6 @@
             id: caller as u64,
             home: asked.shared,
             goal: of.goal,
-            limit: None,
             cap: 2.0,
             tokens: parts[0].tokens + asked.own,
             shared: parts[0].tokens,
--- a/crates/peppercrank-direct/src/admission.rs
+++ b/crates/peppercrank-direct/src/admission.rs
@@ -41,8 +41,8 @@
 /// Requests that must have been counted before a rank's share says anything.
 const ENOUGH: f64 = 5.0;
 
-/// The soonest return of a refused request: several times the lag of peers' loads.
-const SOONEST: Duration = Duration::from_millis(300);
+/// `SOONEST` is the soonest return of a refused request: several times the lag of peers' loads.
+pub const SOONEST: Duration = Duration::from_millis(300);
 
 /// Part of the time for which an overload has lasted that a refused request is told to wait. The
 /// whole time cost 11 in 100 of what callers earned at twenty-four times the usual load, since they
--- a/crates/peppercrank-direct/src/decide.rs
+++ b/crates/peppercrank-direct/src/decide.rs
@@ -74,11 +74,8 @@
     } else {
         Rank::default()
     };
-    let request = PlacementRequest {
-        limit: admission.limit(now, &pool, rank),
-        ..*request
-    };
-    let placed = place(now, rates, &request, candidates, leaving);
+    let limit = admission.limit(now, &pool, rank);
+    let placed = place(now, rates, request, limit, candidates, leaving);
     if attempt.first && placed != Placed::NoTarget {
         let admitted = matches!(placed, Placed::At(_));
         admission.count(now, attempt.rank, admitted);
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -126,8 +126,6 @@
     pub home: u64,
     /// The time within which its answer is wanted.
     pub goal: Duration,
-    /// The longest wait at a target behind its other work, where the pool is overloaded.
-    pub limit: Option<Duration>,
     /// The multiple of the pool's mean load that a target may hold.
     pub cap: f64,
     /// Tokens of its prompt.
@@ -168,12 +166,14 @@
     pub home: bool,
 }
 
-/// `place` chooses among the candidates.
+/// `place` chooses among the candidates; where the pool is overloaded, among those at which the
+/// request waits behind other work for no longer than `limit`.
 #[must_use]
 pub fn place(
     now: Moment,
     rates: &Rates,
     request: &PlacementRequest,
+    limit: Option<Duration>,
     candidates: &[Candidate],
     leaving: &[Leaving],
 ) -> Placed {
@@ -185,7 +185,7 @@
     let most = (mean * request.cap * CAP_USED + CAP_EXTRA).max(1.0);
     let fits = |c: &&Candidate| f64::from(c.stats.load()) < most;
     let sound = |c: &&Candidate| !c.stats.is_ejected(now);
-    let limit = request.limit.map(|l| l.as_secs_f64() * 1_000.0);
+    let limit = limit.map(|l| l.as_secs_f64() * 1_000.0);
     let open = |c: &&Candidate| limit.is_none_or(|l| wait(rates, c) <= l);
     if !candidates.iter().any(|c| open(&c)) {
         return Placed::Full;
@@ -206,10 +206,7 @@
         // A bounded part is ejected: where all that have room are, evidence gives way to room.
         pick = view.best(candidates.iter().filter(fits));
     }
-    let Some(choice) = pick else {
-        return Placed::Full;
-    };
-    Placed::At(choice)
+    pick.map_or(Placed::Full, Placed::At)
 }
 
 /// `rank` is a target's rank for a home's hash; the highest is the home.
--- a/crates/peppercrank-direct/tests/verify_decide.rs
+++ b/crates/peppercrank-direct/tests/verify_decide.rs
@@ -29,7 +29,6 @@
         id: 1,
         home: 7,
         goal: Duration::from_secs(1),
-        limit: None,
         cap: 2.0,
         tokens: 1_000,
         shared: 0,
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -61,7 +61,6 @@
         id: 1,
         home: 7,
         goal: Duration::from_secs(1),
-        limit: None,
         cap: 2.0,
         tokens: 11_000,
         shared: 10_000,
@@ -71,7 +70,7 @@
 }
 
 fn choose(request: &PlacementRequest, candidates: &[Candidate]) -> Choice {
-    match place(NOW, &Rates::default(), request, candidates, &[]) {
+    match place(NOW, &Rates::default(), request, None, candidates, &[]) {
         Placed::At(choice) => choice,
         other => panic!("{other:?}"),
     }
@@ -158,7 +157,14 @@
             name: leaving.name,
             held,
         };
-        let placed = place(NOW, &Rates::default(), &copying(), &candidates, &[leaving]);
+        let placed = place(
+            NOW,
+            &Rates::default(),
+            &copying(),
+            None,
+            &candidates,
+            &[leaving],
+        );
         let Placed::At(choice) = placed else {
             panic!("{placed:?}");
         };
@@ -231,6 +237,7 @@
         later,
         &Rates::default(),
         &request(),
+        None,
         candidates,
         &[],
     ) {
@@ -256,7 +263,7 @@
     candidates[1].stats.reading = 10_000_000;
     candidates[0].stats.sent(later);
     candidates[0].stats.ended();
-    let placed = place(later, &Rates::default(), &request(), &candidates, &[]);
+    let placed = place(later, &Rates::default(), &request(), None, &candidates, &[]);
     assert!(matches!(placed, Placed::At(c) if c.key == candidates[0].key));
 }
 
@@ -268,9 +275,9 @@
             candidate.stats.failed(NOW);
         }
     }
-    let placed = place(NOW, &Rates::default(), &request(), &candidates, &[]);
+    let placed = place(NOW, &Rates::default(), &request(), None, &candidates, &[]);
     assert!(matches!(placed, Placed::At(_)));
-    let none = place(NOW, &Rates::default(), &request(), &[], &[]);
+    let none = place(NOW, &Rates::default(), &request(), None, &[], &[]);
     assert_eq!(none, Placed::NoTarget);
 }
 
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -65,6 +65,11 @@
 }
 
 impl AttemptError {
+    /// The target may have run the request and its answer is of no use.
+    const fn unknown(what: &'static str) -> Self {
+        Self::new(ExecutionState::Unknown, what, true)
+    }
+
     const fn new(execution: ExecutionState, what: &'static str, against: bool) -> Self {
         Self {
             execution,
@@ -96,31 +101,19 @@
     let end = gateway.instant(until);
     let sending = gateway.client.send(flight.address, request, reuse);
     let Ok(sent) = timeout_at(end, sending).await else {
-        return Err(AttemptError::new(
-            ExecutionState::Unknown,
-            "no answer in time",
-            true,
-        ));
+        return Err(AttemptError::unknown("no answer in time"));
     };
     match sent {
         Ok(answer) => match timeout_at(end, judge(job, flight, answer)).await {
             Ok(judged) => judged,
-            Err(_) => Err(AttemptError::new(
-                ExecutionState::Unknown,
-                "no whole answer in time",
-                true,
-            )),
+            Err(_) => Err(AttemptError::unknown("no whole answer in time")),
         },
         Err(SendError::NotSent(_)) => Err(AttemptError::new(
             ExecutionState::NotSent,
             "not connected",
             true,
         )),
-        Err(SendError::MayHaveBeenSent(_)) => Err(AttemptError::new(
-            ExecutionState::Unknown,
-            "connection lost",
-            true,
-        )),
+        Err(SendError::MayHaveBeenSent(_)) => Err(AttemptError::unknown("connection lost")),
     }
 }
 
@@ -180,17 +173,13 @@
             ));
         }
         Kind::Foreign => {
-            return Err(AttemptError::new(
-                ExecutionState::Unknown,
-                "foreign answer",
-                true,
-            ));
+            return Err(AttemptError::unknown("foreign answer"));
         }
         Kind::Success | Kind::Failure => {}
     }
     peppercrank_wire::headers::strip(&mut headers);
     answer::pass_on(&mut headers);
-    let cut = AttemptError::new(ExecutionState::Unknown, "answer cut", true);
+    let cut = AttemptError::unknown("answer cut");
     if said.kind == Kind::Success && matches!(job.kind, RouteKind::Stream { .. }) {
         let first = next(&mut body).await.map_err(|()| cut)?;
         flight.first(job);
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use peppercrank_core::time::Moment;
+use peppercrank_direct::admission::SOONEST;
 use peppercrank_direct::decide::Attempt;
 use peppercrank_direct::decide::Decision;
 use peppercrank_direct::decide::decide;
@@ -47,14 +48,10 @@
     pub after: Duration,
 }
 
-/// When to come back after a refusal that passes, unless more is known: several times the lag of
-/// peers' loads.
-pub const COME_BACK: Duration = Duration::from_millis(300);
-
 impl Rejection {
     /// A refusal of which no more is known.
     const fn now(reason: Reason) -> Self {
-        let after = COME_BACK;
+        let after = SOONEST;
         Self { reason, after }
     }
 }
@@ -80,7 +77,6 @@
         id: job.own(),
         home: job.home(),
         goal: job.goal,
-        limit: None,
         cap: settings.cap,
         tokens: job.tokens,
         shared: job.shared().iter().map(|p| p.tokens).sum(),
@@ -103,18 +99,15 @@
         &candidates,
         &leaving,
     );
-    let choice = match decision {
-        Decision::Send(choice) => choice,
-        Decision::Full { after } => {
-            let reason = Reason::Full;
-            return Err(Rejection { reason, after });
-        }
-        Decision::NoTarget { after } => {
-            let reason = Reason::NoTarget;
-            return Err(Rejection { reason, after });
+    let (reason, after) = match decision {
+        Decision::Send(choice) => {
+            let flight = take(gateway, &mut state, job, &choice);
+            return flight.ok_or(Rejection::now(Reason::NoTarget));
         }
+        Decision::Full { after } => (Reason::Full, after),
+        Decision::NoTarget { after } => (Reason::NoTarget, after),
     };
-    take(gateway, &mut state, job, &choice).ok_or(Rejection::now(Reason::NoTarget))
+    Err(Rejection { reason, after })
 }
 
 /// How the settings want targets chosen.
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -11,6 +11,7 @@
 use peppercrank_core::events::Event;
 use peppercrank_core::time::Moment;
 use peppercrank_direct::admission::Admission;
+use peppercrank_direct::admission::SOONEST;
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::retries::After;
 use peppercrank_direct::retries::ExecutionState;
@@ -26,7 +27,6 @@
 use crate::attempt::AttemptError;
 use crate::attempt::TargetAnswer;
 use crate::attempt::send;
-use crate::choose::COME_BACK;
 use crate::choose::begin;
 use crate::flight::Flight;
 use crate::gateway::Gateway;
@@ -60,7 +60,7 @@
             ];
             let fields = [&fields[..], &gateway.beliefs().fields()[..]].concat();
             gateway.log.write(Event::Refused, &fields);
-            refuse(reason, COME_BACK)
+            refuse(reason, SOONEST)
         }
     }
 }
@@ -74,7 +74,7 @@
         gateway: Arc::clone(gateway),
         plan: Plan::new(job.kind.repeats(), job.attempts),
         tried: Vec::new(),
-        after: COME_BACK,
+        after: SOONEST,
         failure: None,
         job,
     };
@@ -161,7 +161,7 @@
     pub fn patience(&self, flight: &Flight) -> Moment {
         let more = self.job.kind.repeats() && self.plan.sends() + 1 < self.job.attempts;
         // An attempt that nothing may follow is waited for: its answer may still come.
-        if !more || self.is_overloaded() || !self.could_repeat() {
+        if !more || !self.could_repeat() {
             return self.job.deadline;
         }
         let wanted = self.job.goal.mul_f64(PATIENCE);
@@ -225,27 +225,25 @@
         }
     }
 
-    /// Whether the fleet's budget has a repeat.
+    /// Whether a repeat is worth while and the fleet's budget has one: where all targets of the pool are
+    /// slow by their load, another one would be no faster.
     fn could_repeat(&self) -> bool {
         let now = self.gateway.now();
         let mut state = self.gateway.state();
+        let admission = state.admission.get(&self.job.pool);
+        if admission.is_some_and(Admission::is_overloaded) {
+            return false;
+        }
         let routers = state.sharers(now);
         state.budget.can_spend(now, &self.job.pool, routers)
     }
 
-    /// Whether all targets of the pool are slow by their load, so that another one would be no faster.
-    fn is_overloaded(&self) -> bool {
-        let state = self.gateway.state();
-        let admission = state.admission.get(&self.job.pool);
-        admission.is_some_and(Admission::is_overloaded)
-    }
-
     /// `could_go_on` tells whether another run may go on where this one is given up.
     #[must_use]
     pub fn could_go_on(&self) -> bool {
         let mut plan = self.plan;
         let may = plan.after(ExecutionState::Unknown) == After::AgainIfAllowed;
-        may && !self.is_overloaded() && self.could_repeat()
+        may && self.could_repeat()
     }
 
     /// `may_repeat` takes a repeat from the fleet's budget, if it has one.
