Count an attempt at its target in one place, for the gateway and the model

Cause: the model of surges kept its own copy of what the gateway's flight does with a target's counts, speeds and rates, so that a change to one would have left the other behind; the model's file was 560 lines and two jobs.

direct::in_flight now begins, notes the first part and ends an attempt; the gateway's Flight holds it and ends it when dropped, and the model's routers use it. The model's router is a file of its own (182 lines), its scenes hold what a scene is, and the fleet (397 lines) only lets things happen.

Ruled out: feeding the model's summaries through direct::peers, which wants addresses and datagrams that the model has not.

--- a/crates/peppercrank-bench/src/surge/fleet.rs
+++ b/crates/peppercrank-bench/src/surge/fleet.rs
@@ -8,63 +8,27 @@
 use std::time::Duration;
 
 use peppercrank_core::time::Moment;
-use peppercrank_direct::admission::Admission;
-use peppercrank_direct::decide::Attempt;
 use peppercrank_direct::decide::Decision;
-use peppercrank_direct::decide::decide;
 use peppercrank_direct::directory::Change;
 use peppercrank_direct::directory::Directory;
 use peppercrank_direct::directory::Registration;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::in_flight::InFlight;
 use peppercrank_direct::peers::Sum;
-use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Choice;
-use peppercrank_direct::place::PlacementRequest;
-use peppercrank_direct::place::Policy;
-use peppercrank_direct::prefixes::Part;
-use peppercrank_direct::prefixes::Prefixes;
-use peppercrank_direct::ranks::Rank;
-use peppercrank_direct::rates::Rates;
-use peppercrank_direct::stats::Board;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::surge::Caller;
-use crate::surge::Class;
 use crate::surge::Engine;
 use crate::surge::Outcome;
-use crate::surge::Speed;
+use crate::surge::Scene;
 use crate::surge::Summary;
 use crate::surge::engine::Made;
 use crate::surge::engine::Run;
-
-/// `Scene` is what is played.
-#[derive(Debug, Clone)]
-pub struct Scene {
-    /// Routers.
-    pub routers: usize,
-    /// Engines.
-    pub engines: usize,
-    /// How fast each works.
-    pub speed: Speed,
-    /// Prompt tokens that an engine copies from another in a millisecond.
-    pub copying: f64,
-    /// What is asked for, the most urgent first.
-    pub classes: Vec<Class>,
-    /// The multiple of the usual load in the surge.
-    pub times: f64,
-    /// When the surge begins and ends.
-    pub surge: (Duration, Duration),
-    /// When the last caller comes.
-    pub length: Duration,
-    /// The lag with which routers know each other's work.
-    pub lag: Duration,
-    /// When engines are lost and back, and how many.
-    pub outage: Option<(Duration, Duration, usize)>,
-    /// The seed of all that is drawn.
-    pub seed: u64,
-}
+use crate::surge::router::Router;
+use crate::surge::router::View;
 
 /// `What` happens at a moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -78,28 +42,13 @@
     Regain,
 }
 
-/// One router's knowledge.
-#[derive(Debug, Default)]
-struct Router {
-    board: Board,
-    rates: Rates,
-    admission: Admission,
-    prefixes: Prefixes,
-    /// Prompts sent since the others were told.
-    news: Vec<(TargetKey, u64)>,
-}
-
 /// One attempt on its way.
 #[derive(Debug, Clone, Copy)]
 struct Flight {
     caller: usize,
     router: usize,
     engine: usize,
-    choice: Choice,
-    sent: Moment,
-    /// Whether its engine had nothing else to read.
-    alone: bool,
-    unread: bool,
+    counted: InFlight,
     open: bool,
 }
 
@@ -227,7 +176,8 @@
         let left = of
             .deadline
             .saturating_sub(self.now.since(self.callers[caller].begun));
-        match self.decide(caller, router, left) {
+        let decision = self.decide(caller, router, left);
+        match decision {
             Decision::Send(choice) => self.send(caller, router, choice, left),
             Decision::Full { after } | Decision::NoTarget { after } => {
                 self.refuse(caller, after.min(left / 3));
@@ -237,65 +187,17 @@
 
     fn decide(&mut self, caller: usize, router: usize, left: Duration) -> Decision {
         let asked = self.callers[caller];
-        let of = self.scene.classes[asked.class];
-        let parts = [part(&asked, &of)];
-        let candidates = self.candidates(router, &parts);
-        let goals = self.scene.classes.iter().map(|c| c.goal);
-        let attempt = Attempt {
-            rank: self.rank(asked.class),
-            goal: goals.min().unwrap_or(of.goal),
-            left,
-            first: true,
-        };
-        let request = PlacementRequest {
-            policy: Policy::Cost,
-            id: caller as u64,
-            home: asked.shared,
-            goal: of.goal,
-            cap: 2.0,
-            tokens: parts[0].tokens + asked.own,
-            shared: parts[0].tokens,
-            size: parts[0].tokens + asked.size(),
-            copying: Some(self.scene.copying),
-        };
-        let router = &mut self.routers[router];
-        let Router {
-            admission, rates, ..
-        } = router;
-        decide(
-            self.now,
-            admission,
-            rates,
-            &attempt,
-            &request,
-            &candidates,
-            &[],
-        )
-    }
-
-    fn rank(&self, class: usize) -> Rank {
-        Rank {
-            place: u8::try_from(class).unwrap_or(u8::MAX),
-            places: u8::try_from(self.scene.classes.len()).unwrap_or(u8::MAX),
-        }
-    }
-
-    /// The engines as a router sees them; it knows at once which are down.
-    fn candidates(&self, router: usize, parts: &[Part]) -> Vec<Candidate> {
-        let router = &self.routers[router];
-        let up = self.keys.iter().zip(&self.engines).enumerate();
-        let up = up.filter(|(_, (_, engine))| engine.up);
-        let see = |(n, (key, _)): (usize, (&TargetKey, &Engine))| Candidate {
-            key: *key,
-            name: u32::try_from(n).unwrap_or(u32::MAX),
-            slots: self.scene.speed.slots,
-            near: true,
-            held: router.prefixes.held(*key, parts),
-            fresh: false,
+        // A router knows at once which engines are down.
+        let up = self.keys.iter().zip(&self.engines);
+        let up = up.map(|(key, engine)| (*key, engine.up));
+        let up = up.collect::<Vec<_>>();
+        let view = View {
+            now: self.now,
+            scene: &self.scene,
+            engines: &up,
             lag: self.now.since(self.told),
-            stats: router.board.get(*key).at(self.now),
         };
-        up.map(see).collect()
+        self.routers[router].decide(&view, caller as u64, &asked, left)
     }
 
     fn send(&mut self, caller: usize, router: usize, choice: Choice, left: Duration) {
@@ -305,26 +207,11 @@
         let asked = self.callers[caller];
         let shared = self.scene.classes[asked.class].shared.1;
         let flight = self.flights.len();
-        let known = &mut self.routers[router];
-        let stats = known.board.of(choice.key);
-        let alone = stats.is_some_and(|stats| {
-            let alone = stats.reading == 0 && stats.peers_reading == 0;
-            stats.running += 1;
-            stats.reading += choice.reading;
-            stats.sent(self.now);
-            alone
-        });
-        if known.prefixes.note(self.now, choice.key, asked.shared) {
-            known.news.push((choice.key, asked.shared));
-        }
         self.flights.push(Flight {
             caller,
             router,
             engine,
-            choice,
-            sent: self.now,
-            alone,
-            unread: true,
+            counted: self.routers[router].send(self.now, choice, asked.shared),
             open: true,
         });
         let copied = choice
@@ -390,47 +277,26 @@
     }
 
     fn first(&mut self, flight: usize) {
-        if !self.flights[flight].open {
+        let flight = &mut self.flights[flight];
+        if !flight.open {
             return;
         }
-        self.read(flight);
-        let Flight {
-            caller,
-            router,
-            engine,
-            choice,
-            sent,
-            alone,
-            ..
-        } = self.flights[flight];
-        self.callers[caller].first = Some(self.now);
-        let took = self.now.since(sent);
-        let load = self.engines[engine].load();
-        let router = &mut self.routers[router];
-        if let Some(stats) = router.board.of(choice.key) {
-            stats.reported(self.now, load);
-            stats.succeeded();
-            stats.timed(took.as_secs_f64() * 1_000.0, choice.first);
-        }
-        if alone {
-            router.rates.learn(choice.reading, took);
-        }
+        self.callers[flight.caller].first = Some(self.now);
+        let load = self.engines[flight.engine].load();
+        self.routers[flight.router].first(self.now, &mut flight.counted, load);
     }
 
     fn last(&mut self, flight: usize) {
         if !self.flights[flight].open {
             return;
         }
-        let Flight { caller, sent, .. } = self.flights[flight];
-        let of = self.scene.classes[self.callers[caller].class];
-        let asked = &mut self.callers[caller];
+        let asked = &mut self.callers[self.flights[flight].caller];
+        let goal = self.scene.classes[asked.class].goal;
         let first = asked.first.map(|at| at.since(asked.begun));
         asked.outcome = match first {
-            Some(first) if first <= of.goal => Outcome::InTime,
+            Some(first) if first <= goal => Outcome::InTime,
             _ => Outcome::Late,
         };
-        let router = self.flights[flight].router;
-        self.routers[router].rates.held(self.now.since(sent));
         self.end(flight);
     }
 
@@ -444,34 +310,16 @@
         self.end(flight);
     }
 
-    /// Counts a flight's prompt as read.
-    fn read(&mut self, flight: usize) {
-        let flight = &mut self.flights[flight];
-        let stats = self.routers[flight.router].board.of(flight.choice.key);
-        if let Some(stats) = stats.filter(|_| flight.unread) {
-            stats.reading = stats.reading.saturating_sub(flight.choice.reading);
-        }
-        flight.unread = false;
-    }
-
     fn end(&mut self, flight: usize) {
-        self.read(flight);
         let flight = &mut self.flights[flight];
         flight.open = false;
-        let stats = self.routers[flight.router].board.of(flight.choice.key);
-        if let Some(stats) = stats {
-            stats.ended();
-        }
+        self.routers[flight.router].end(self.now, &mut flight.counted);
     }
 
     /// A router tells the others its work and news.
     fn tell(&mut self, router: usize) {
         for (engine, key) in self.keys.iter().enumerate() {
-            let stats = self.routers[router].board.get(*key);
-            self.work[router][engine] = Sum {
-                running: stats.running.into(),
-                reading: stats.reading,
-            };
+            self.work[router][engine] = self.routers[router].work(*key);
             let running = self.work.iter().map(|w| w[engine].running).sum::<u64>();
             let reading = self.work.iter().map(|w| w[engine].reading).sum::<u64>();
             for (router, own) in self.routers.iter_mut().zip(&self.work) {
@@ -479,14 +327,12 @@
                     running: running - own[engine].running,
                     reading: reading - own[engine].reading,
                 };
-                router.board.hear(*key, others);
+                router.hear(*key, others);
             }
         }
-        let news = std::mem::take(&mut self.routers[router].news);
+        let news = self.routers[router].news();
         for router in &mut self.routers {
-            for (key, shared) in &news {
-                router.prefixes.note(self.now, *key, *shared);
-            }
+            router.learn(self.now, &news);
         }
         self.told = self.now;
         let open = self.flights.iter().any(|f| f.open);
@@ -507,7 +353,7 @@
             }
             let key = self.keys[engine];
             for router in &mut self.routers {
-                router.prefixes.forget(key);
+                router.forget(key);
             }
         }
     }
@@ -533,14 +379,6 @@
     }
 }
 
-/// The shared part of a caller's prompt.
-fn part(caller: &Caller, class: &Class) -> Part {
-    Part {
-        chain: caller.shared,
-        tokens: class.shared.1,
-    }
-}
-
 /// A key for each engine.
 fn keys(scene: &Scene) -> Vec<TargetKey> {
     let mut directory = Directory::default();
--- a/crates/peppercrank-bench/src/surge/mod.rs
+++ b/crates/peppercrank-bench/src/surge/mod.rs
@@ -4,13 +4,14 @@
 //! A surge of callers at a fleet of engines, in virtual time, decided by the gateway's own code.
 //!
 //! [`engine`] models engines that read prompts in chunks between the tokens of a batch, [`callers`]
-//! what callers ask for and get, and [`fleet`] carries requests through routers that know each
-//! other's work with a lag. Nothing else is imitated: no network and no memory that runs
+//! what callers ask for and get, and [`router`] what a router knows and decides, and [`fleet`]
+//! carries requests through routers that know each other's work with a lag. Nothing else is imitated: no network and no memory that runs
 //! out.
 
 pub mod callers;
 pub mod engine;
 pub mod fleet;
+pub mod router;
 pub mod scenes;
 
 pub use callers::Caller;
@@ -20,4 +21,4 @@
 pub use engine::Engine;
 pub use engine::Speed;
 pub use fleet::Fleet;
-pub use fleet::Scene;
+pub use scenes::Scene;
--- /dev/null
+++ b/crates/peppercrank-bench/src/surge/router.rs
@@ -0,0 +1,182 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! One model router: what it knows, and what it decides by the gateway's own code.
+
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use peppercrank_direct::admission::Admission;
+use peppercrank_direct::decide::Attempt;
+use peppercrank_direct::decide::Decision;
+use peppercrank_direct::decide::decide;
+use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::in_flight::InFlight;
+use peppercrank_direct::peers::Sum;
+use peppercrank_direct::place::Candidate;
+use peppercrank_direct::place::Choice;
+use peppercrank_direct::place::PlacementRequest;
+use peppercrank_direct::place::Policy;
+use peppercrank_direct::prefixes::Part;
+use peppercrank_direct::prefixes::Prefixes;
+use peppercrank_direct::ranks::Rank;
+use peppercrank_direct::rates::Rates;
+use peppercrank_direct::stats::Board;
+
+use crate::surge::Caller;
+use crate::surge::Class;
+use crate::surge::Scene;
+
+/// Multiple of the mean load that an engine may hold, as the gateway's settings have it.
+const CAP: f64 = 2.0;
+
+/// `View` is what a router sees of its surroundings at one moment.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The moment.
+    pub now: Moment,
+    /// What is played.
+    pub scene: &'a Scene,
+    /// The engines, and which of them are up.
+    pub engines: &'a [(TargetKey, bool)],
+    /// Time since a router told of its work.
+    pub lag: Duration,
+}
+
+/// `Router` is what one router knows.
+#[derive(Debug, Default)]
+pub struct Router {
+    board: Board,
+    rates: Rates,
+    admission: Admission,
+    prefixes: Prefixes,
+    /// Prompts sent since the others were told.
+    news: Vec<(TargetKey, u64)>,
+}
+
+impl Router {
+    /// `decide` decides about a call of a caller that waits for so much longer.
+    pub fn decide(
+        &mut self,
+        view: &View<'_>,
+        id: u64,
+        caller: &Caller,
+        left: Duration,
+    ) -> Decision {
+        let classes = &view.scene.classes;
+        let of = classes[caller.class];
+        let parts = [part(caller, &of)];
+        let candidates = self.candidates(view, &parts);
+        let goals = classes.iter().map(|c| c.goal);
+        let attempt = Attempt {
+            rank: rank(caller.class, classes),
+            goal: goals.min().unwrap_or(of.goal),
+            left,
+            first: true,
+        };
+        let request = PlacementRequest {
+            policy: Policy::Cost,
+            id,
+            home: caller.shared,
+            goal: of.goal,
+            cap: CAP,
+            tokens: parts[0].tokens + caller.own,
+            shared: parts[0].tokens,
+            size: parts[0].tokens + caller.size(),
+            copying: Some(view.scene.copying),
+        };
+        decide(
+            view.now,
+            &mut self.admission,
+            &self.rates,
+            &attempt,
+            &request,
+            &candidates,
+            &[],
+        )
+    }
+
+    fn candidates(&self, view: &View<'_>, parts: &[Part]) -> Vec<Candidate> {
+        let up = view.engines.iter().enumerate();
+        let up = up.filter(|(_, (_, up))| *up);
+        let see = |(n, (key, _)): (usize, &(TargetKey, bool))| Candidate {
+            key: *key,
+            name: u32::try_from(n).unwrap_or(u32::MAX),
+            slots: view.scene.speed.slots,
+            near: true,
+            held: self.prefixes.held(*key, parts),
+            fresh: false,
+            lag: view.lag,
+            stats: self.board.get(*key).at(view.now),
+        };
+        up.map(see).collect()
+    }
+
+    /// `send` counts an attempt with such a shared prompt that is sent.
+    pub fn send(&mut self, now: Moment, choice: Choice, shared: u64) -> InFlight {
+        if self.prefixes.note(now, choice.key, shared) {
+            self.news.push((choice.key, shared));
+        }
+        InFlight::begin(now, &mut self.board, choice)
+    }
+
+    /// `first` notes an attempt's first token, with which its engine tells its load.
+    pub fn first(&mut self, now: Moment, counted: &mut InFlight, load: u32) {
+        if let Some(stats) = self.board.of(counted.choice.key) {
+            stats.reported(now, load);
+        }
+        counted.first(now, &mut self.board, &mut self.rates);
+    }
+
+    /// `end` notes the end of an attempt.
+    pub fn end(&mut self, now: Moment, counted: &mut InFlight) {
+        counted.end(now, &mut self.board, &mut self.rates);
+    }
+
+    /// `work` is its own work on an engine.
+    #[must_use]
+    pub fn work(&self, engine: TargetKey) -> Sum {
+        let stats = self.board.get(engine);
+        Sum {
+            running: stats.running.into(),
+            reading: stats.reading,
+        }
+    }
+
+    /// `hear` takes in the others' work on an engine.
+    pub fn hear(&mut self, engine: TargetKey, others: Sum) {
+        self.board.hear(engine, others);
+    }
+
+    /// `news` are the prompts that it sent since it was asked last.
+    pub fn news(&mut self) -> Vec<(TargetKey, u64)> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// `learn` takes in the prompts that another router sent.
+    pub fn learn(&mut self, now: Moment, news: &[(TargetKey, u64)]) {
+        for (engine, shared) in news {
+            self.prefixes.note(now, *engine, *shared);
+        }
+    }
+
+    /// `forget` drops the prompts of an engine that crashed.
+    pub fn forget(&mut self, engine: TargetKey) {
+        self.prefixes.forget(engine);
+    }
+}
+
+/// The shared part of a caller's prompt.
+fn part(caller: &Caller, class: &Class) -> Part {
+    Part {
+        chain: caller.shared,
+        tokens: class.shared.1,
+    }
+}
+
+fn rank(class: usize, classes: &[Class]) -> Rank {
+    Rank {
+        place: u8::try_from(class).unwrap_or(u8::MAX),
+        places: u8::try_from(classes.len()).unwrap_or(u8::MAX),
+    }
+}
--- a/crates/peppercrank-bench/src/surge/scenes.rs
+++ b/crates/peppercrank-bench/src/surge/scenes.rs
@@ -6,9 +6,35 @@
 use std::time::Duration;
 
 use crate::surge::Class;
-use crate::surge::Scene;
 use crate::surge::Speed;
 
+/// `Scene` is what is played.
+#[derive(Debug, Clone)]
+pub struct Scene {
+    /// Routers.
+    pub routers: usize,
+    /// Engines.
+    pub engines: usize,
+    /// How fast each works.
+    pub speed: Speed,
+    /// Prompt tokens that an engine copies from another in a millisecond.
+    pub copying: f64,
+    /// What is asked for, the most urgent first.
+    pub classes: Vec<Class>,
+    /// The multiple of the usual load in the surge.
+    pub times: f64,
+    /// When the surge begins and ends.
+    pub surge: (Duration, Duration),
+    /// When the last caller comes.
+    pub length: Duration,
+    /// The lag with which routers know each other's work.
+    pub lag: Duration,
+    /// When engines are lost and back, and how many.
+    pub outage: Option<(Duration, Duration, usize)>,
+    /// The seed of all that is drawn.
+    pub seed: u64,
+}
+
 /// Three kinds of request of falling urgency: long prompts of great worth, digests, and long
 /// answers of little worth, which take most of the engines' time.
 pub const CLASSES: [Class; 3] = [
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`directory`]: the targets there are, and which of them leave.
 //! - [`events`]: whole events of streams that may be resumed.
 //! - [`freshness`]: how old the knowledge of keys may be before requests are refused.
+//! - [`in_flight`]: what an attempt counts for at its target.
 //! - [`place`]: which target a request goes to, by its predicted first token.
 //! - [`prefixes`]: which target holds which part of which prompt.
 //! - [`ranks`]: how urgent requests are among those of their pool.
@@ -24,6 +25,7 @@
 pub mod directory;
 pub mod events;
 pub mod freshness;
+pub mod in_flight;
 pub mod peers;
 pub mod place;
 pub mod prefixes;
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -182,7 +182,7 @@
     let cut = AttemptError::unknown("answer cut");
     if said.kind == Kind::Success && matches!(job.kind, RouteKind::Stream { .. }) {
         let first = next(&mut body).await.map_err(|()| cut)?;
-        flight.first(job);
+        flight.first();
         return Ok(TargetAnswer::Stream {
             status,
             headers,
@@ -193,7 +193,7 @@
     let Ok(whole) = body.collect().await else {
         return Err(cut);
     };
-    flight.first(job);
+    flight.first();
     Ok(TargetAnswer::Whole {
         status,
         headers,
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -12,6 +12,7 @@
 use peppercrank_direct::decide::Decision;
 use peppercrank_direct::decide::decide;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::in_flight::InFlight;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Choice;
@@ -138,7 +139,7 @@
 
 /// Counts the request at its target; none if that is gone.
 fn take(gateway: &Arc<Gateway>, state: &mut State, job: &Job, choice: &Choice) -> Option<Flight> {
-    let Choice { key, reading, .. } = *choice;
+    let key = choice.key;
     let now = gateway.now();
     let source = choice
         .copy
@@ -152,23 +153,13 @@
         // Peers gain nothing from the last part, which is the request's own.
         state.prefixes.note(now, key, own.chain);
     }
-    let mut alone = true;
-    if let Some(stats) = state.board.of(key) {
-        alone = stats.reading == 0 && stats.peers_reading == 0;
-        stats.running += 1;
-        stats.reading += reading;
-        stats.sent(now);
-    }
     Some(Flight {
         gateway: Arc::clone(gateway),
-        choice: *choice,
+        counted: InFlight::begin(now, &mut state.board, *choice),
         pool: Arc::clone(&job.pool),
         instance,
         address,
         copy_from,
-        alone,
-        sent: now,
-        unread: true,
     })
 }
 
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -7,21 +7,19 @@
 use std::sync::Arc;
 
 use peppercrank_core::events::Event;
-use peppercrank_core::time::Moment;
-use peppercrank_direct::place::Choice;
+use peppercrank_direct::in_flight::InFlight;
 use peppercrank_log::Field;
 use peppercrank_platform::answer::Load;
 
 use crate::gateway::Gateway;
-use crate::job::Job;
 use crate::state::State;
 
 /// `Flight` counts a request as a target's work until it is dropped.
 #[derive(Debug)]
 pub struct Flight {
     pub(crate) gateway: Arc<Gateway>,
-    /// The target, and what is expected of it.
-    pub choice: Choice,
+    /// What it counts for at its target.
+    pub counted: InFlight,
     /// The pool that it serves.
     pub pool: Arc<str>,
     /// The name of its start.
@@ -30,54 +28,32 @@
     pub address: SocketAddr,
     /// The target that it should copy from.
     pub copy_from: Option<SocketAddr>,
-    /// Whether it had nothing else to read when the request was sent.
-    pub(crate) alone: bool,
-    /// When the request was sent.
-    pub sent: Moment,
-    /// Whether the reading still counts.
-    pub(crate) unread: bool,
 }
 
 impl Flight {
     /// `first` notes the answer's first part: the prompt is read.
-    pub fn first(&mut self, job: &Job) {
-        let gateway = Arc::clone(&self.gateway);
-        let took = gateway.now().since(self.sent);
-        gateway.metrics.target_answered(&self.instance, took);
-        let mut state = gateway.state();
-        self.read(&mut state);
-        if let Some(stats) = state.board.of(self.choice.key) {
-            stats.succeeded();
-            stats.timed(took.as_secs_f64() * 1_000.0, self.choice.first);
-        }
-        if self.alone {
-            let rates = state.rates.entry(Arc::clone(&job.pool)).or_default();
-            rates.learn(self.choice.reading, took);
-        }
-    }
-
-    fn read(&mut self, state: &mut State) {
-        if !self.unread {
-            return;
-        }
-        self.unread = false;
-        if let Some(stats) = state.board.of(self.choice.key) {
-            stats.reading = stats.reading.saturating_sub(self.choice.reading);
-        }
+    pub fn first(&mut self) {
+        let now = self.gateway.now();
+        let took = now.since(self.counted.sent);
+        self.gateway.metrics.target_answered(&self.instance, took);
+        let mut state = self.gateway.state();
+        let State { board, rates, .. } = &mut *state;
+        let rates = rates.entry(Arc::clone(&self.pool)).or_default();
+        self.counted.first(now, board, rates);
     }
 
     /// `told` notes what the target tells of its load.
     pub fn told(&self, load: Load) {
         let now = self.gateway.now();
         let mut state = self.gateway.state();
-        if let Some(stats) = state.board.of(self.choice.key) {
+        if let Some(stats) = state.board.of(self.counted.choice.key) {
             stats.reported(now, load.running.saturating_add(load.waiting));
         }
     }
 
     /// `lost` notes that another instance answers at the target's address.
     pub fn lost(&self) {
-        self.gateway.state().directory.lost(self.choice.key);
+        self.gateway.state().directory.lost(self.counted.choice.key);
     }
 
     /// `failed` notes a failure that speaks against the target.
@@ -87,7 +63,7 @@
         let mut state = self.gateway.state();
         let ejected = state
             .board
-            .of(self.choice.key)
+            .of(self.counted.choice.key)
             .is_some_and(|s| s.failed(now));
         drop(state);
         if ejected {
@@ -99,16 +75,10 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        let gateway = Arc::clone(&self.gateway);
-        let mut state = gateway.state();
-        if !self.unread {
-            let time = gateway.now().since(self.sent);
-            let rates = state.rates.entry(Arc::clone(&self.pool)).or_default();
-            rates.held(time);
-        }
-        self.read(&mut state);
-        if let Some(stats) = state.board.of(self.choice.key) {
-            stats.ended();
-        }
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        let State { board, rates, .. } = &mut *state;
+        let rates = rates.entry(Arc::clone(&self.pool)).or_default();
+        self.counted.end(now, board, rates);
     }
 }
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -188,7 +188,7 @@
         let Ok(mut flight) = begin(&run.gateway, &run.job, &run.tried) else {
             return false;
         };
-        run.tried.push(flight.choice.key);
+        run.tried.push(flight.counted.choice.key);
         let last = self.events.as_ref().and_then(Events::last);
         let last = last.map(str::to_owned);
         let until = run.patience(&flight);
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -147,7 +147,7 @@
                 return Next::Answer(self.give_up(rejection.reason));
             }
         };
-        self.tried.push(flight.choice.key);
+        self.tried.push(flight.counted.choice.key);
         let until = self.patience(&flight);
         let sent = send(&self.gateway, &self.job, &mut flight, until, None).await;
         match sent {
@@ -165,8 +165,9 @@
             return self.job.deadline;
         }
         let wanted = self.job.goal.mul_f64(PATIENCE);
-        let predicted = Duration::from_secs_f64(flight.choice.first.max(0.0) * SLACK / 1_000.0);
-        (flight.sent + wanted.max(predicted)).min(self.job.deadline)
+        let predicted =
+            Duration::from_secs_f64(flight.counted.choice.first.max(0.0) * SLACK / 1_000.0);
+        (flight.counted.sent + wanted.max(predicted)).min(self.job.deadline)
     }
 
     /// Takes a target's answer: passes it on, or tries elsewhere after a failure.
@@ -310,7 +311,10 @@
             ("request", Field::Text(&self.job.id)),
             ("target", Field::Text(&flight.instance)),
             ("what", Field::Text(what)),
-            ("predicted_ms", Field::Number(whole(flight.choice.first))),
+            (
+                "predicted_ms",
+                Field::Number(whole(flight.counted.choice.first)),
+            ),
             ("held_ms", Field::Millis(self.held())),
         ];
         self.gateway.log.write(Event::AttemptFailed, &fields);
@@ -325,14 +329,20 @@
             ("status", Field::Number(u64::from(status.as_u16()))),
             ("attempts", Field::Number(u64::from(self.plan.sends()) + 1)),
             ("version", Field::Number(self.job.version)),
-            ("reading", Field::Number(flight.choice.reading)),
+            ("reading", Field::Number(flight.counted.choice.reading)),
             (
                 "copy",
-                Field::Number(flight.choice.copy.map_or(0, |(_, tokens)| tokens)),
+                Field::Number(flight.counted.choice.copy.map_or(0, |(_, tokens)| tokens)),
+            ),
+            (
+                "unknown",
+                Field::Number(u64::from(flight.counted.choice.unknown)),
+            ),
+            ("home", Field::Number(u64::from(flight.counted.choice.home))),
+            (
+                "predicted_ms",
+                Field::Number(whole(flight.counted.choice.first)),
             ),
-            ("unknown", Field::Number(u64::from(flight.choice.unknown))),
-            ("home", Field::Number(u64::from(flight.choice.home))),
-            ("predicted_ms", Field::Number(whole(flight.choice.first))),
             ("first_ms", Field::Millis(first)),
             ("held_ms", Field::Millis(self.held())),
         ];
