Show what is read of the configuration, and who confirmed it

Cause looked for: a router that came back into touch answered 404 for a route that the newest version had. Logs could not tell whether an answer of changes was incomplete, whether calls were given up while bytes were coming in, or whether another router confirmed by mistake.

Change: line 4007 for each answer that holds a configuration and each call for it that failed, with bytes and time; keys_by (store or router) among the beliefs; store_bytes_total. No decision changes.

--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -112,6 +112,8 @@
     EntryInvalid = 4005 Error "invalid entry in the store";
     /// The store's history is gone, so a kind of entries is listed anew.
     Relisted = 4006 Info "entries listed anew";
+    /// Changes of the configuration were read from the store.
+    ChangesRead = 4007 Info "changes read from the store";
     /// A target was marked as leaving.
     Leaving = 5001 Info "target leaving";
     /// A leaving target has no work left.
--- a/crates/peppercrank-direct/src/freshness.rs
+++ b/crates/peppercrank-direct/src/freshness.rs
@@ -18,6 +18,26 @@
 /// Time from the check to the target's taking up of the request, with room for a slow process.
 pub const SENDING: Duration = Duration::from_millis(300);
 
+/// `Source` is who confirmed what is known of keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The store, by an answer of its own.
+    Store,
+    /// Another router.
+    Router,
+}
+
+impl Source {
+    /// `code` is the source's stable name in logs.
+    #[must_use]
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Router => "router",
+        }
+    }
+}
+
 /// `Freshness` tells whether what is known of keys is young enough.
 #[derive(Debug, Clone, Copy)]
 pub struct Freshness {
@@ -25,6 +45,8 @@
     limit: Option<Duration>,
     /// When the question was sent that was answered last.
     asked: Option<Moment>,
+    /// Who answered it.
+    source: Option<Source>,
 }
 
 impl Freshness {
@@ -32,12 +54,25 @@
     #[must_use]
     pub fn new(revoke: Option<Duration>) -> Self {
         let limit = revoke.map(|r| r.saturating_sub(SILENCE + SENDING));
-        Self { limit, asked: None }
+        Self {
+            limit,
+            asked: None,
+            source: None,
+        }
+    }
+
+    /// `confirm` notes that a question sent at `asked` was answered with the newest state.
+    pub fn confirm(&mut self, asked: Moment, source: Source) {
+        if self.asked < Some(asked) {
+            self.asked = Some(asked);
+            self.source = Some(source);
+        }
     }
 
-    /// `confirm` notes that the store answered, with the newest state, a question sent at `asked`.
-    pub fn confirm(&mut self, asked: Moment) {
-        self.asked = self.asked.max(Some(asked));
+    /// `source` is who confirmed last; none before the first answer.
+    #[must_use]
+    pub const fn source(&self) -> Option<Source> {
+        self.source
     }
 
     /// `age` is the age of what is known; none before the first answer.
--- a/crates/peppercrank-direct/tests/verify_confirm.rs
+++ b/crates/peppercrank-direct/tests/verify_confirm.rs
@@ -12,6 +12,7 @@
 use peppercrank_direct::confirm::Verdict;
 use peppercrank_direct::confirm::askers;
 use peppercrank_direct::freshness::Freshness;
+use peppercrank_direct::freshness::Source;
 
 const QUESTION: Question = Question { nonce: 7 };
 
@@ -73,7 +74,7 @@
     // The clocks of the three differ; the store was asked at 0 of the common time.
     let offsets = [5_000, 90_000, 40_000];
     let mut known = Freshness::new(None);
-    known.confirm(at(offsets[0]));
+    known.confirm(at(offsets[0]), Source::Store);
     let mut common = 0;
     for hop in 1..offsets.len() {
         // A question takes 60 ms, the one who answers stands still for 200, the answer takes 90.
@@ -89,7 +90,7 @@
         };
         assert!(moment <= at(offsets[hop]), "hop {hop}");
         known = Freshness::new(None);
-        known.confirm(moment);
+        known.confirm(moment, Source::Store);
         common += 60 + 200 + 90;
     }
 }
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -26,6 +26,7 @@
 use peppercrank_direct::freshness::Freshness;
 use peppercrank_direct::freshness::SENDING;
 use peppercrank_direct::freshness::SILENCE;
+use peppercrank_direct::freshness::Source;
 use peppercrank_direct::peers::Datagram;
 use peppercrank_direct::peers::Hint;
 use peppercrank_direct::peers::MOST_BYTES;
@@ -53,14 +54,14 @@
     let mut freshness = Freshness::new(Some(revoke));
     assert!(!freshness.is_fresh(at(0)));
     // The answer came at 900 to a question of 100.
-    freshness.confirm(at(100));
+    freshness.confirm(at(100), Source::Store);
     let limit = revoke.saturating_sub(SILENCE + SENDING);
     let last = at(100) + limit.saturating_sub(Duration::from_millis(1));
     assert!(freshness.is_fresh(last));
     assert!(!freshness.is_fresh(at(100) + limit));
     // An answer that overtook a later one makes nothing older.
-    freshness.confirm(at(5_000));
-    freshness.confirm(at(4_000));
+    freshness.confirm(at(5_000), Source::Store);
+    freshness.confirm(at(4_000), Source::Store);
     assert_eq!(freshness.age(at(6_000)), Some(Duration::from_secs(1)));
 }
 
@@ -68,7 +69,7 @@
 fn verify_without_a_bound_keys_hold_once_known() {
     let mut freshness = Freshness::new(None);
     assert!(!freshness.is_fresh(at(0)));
-    freshness.confirm(at(0));
+    freshness.confirm(at(0), Source::Store);
     assert!(freshness.is_fresh(at(1_000_000)));
 }
 
--- a/crates/peppercrank-gateway/src/confirm.rs
+++ b/crates/peppercrank-gateway/src/confirm.rs
@@ -12,6 +12,7 @@
 use peppercrank_direct::confirm::Question;
 use peppercrank_direct::confirm::Verdict;
 use peppercrank_direct::confirm::askers;
+use peppercrank_direct::freshness::Source;
 use peppercrank_direct::peers::Datagram;
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
@@ -105,7 +106,7 @@
     let verdict = state.asked.map(|asked| asked.judge(told, version));
     match verdict {
         Some(Verdict::Newest(at)) => {
-            state.freshness.confirm(at);
+            state.freshness.confirm(at, Source::Router);
             state.asked = None;
         }
         // The question stays, which tells that its answer confirmed nothing.
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use peppercrank_core::events::Event as LogEvent;
+use peppercrank_core::time::Moment;
 use peppercrank_log::Field;
 use peppercrank_platform::store;
 use peppercrank_platform::store::Kind;
@@ -37,6 +38,9 @@
 /// The same after a failed call: a question that was lost with the outage must not hide its end.
 const PROBE: Duration = Duration::from_millis(700);
 
+/// Bytes below which an answer holds no configuration, whose bounds on callers alone take more.
+const NO_CHANGES: usize = 128;
+
 /// `Outage` tells the followers when one of them finds the store away or back, since the others
 /// may wait on connections that are dead.
 #[derive(Debug, Clone)]
@@ -237,8 +241,10 @@
 
     async fn call(&self, path: &str, wait: Duration) -> Result<Bytes, Turn> {
         let patience = if self.failures == 0 { ANSWER } else { PROBE };
+        let asked = self.gateway.now();
         let ended = self.store.get(path, wait + patience).await;
         self.gateway.metrics.called(self.kind.word(), ended.code());
+        self.note(wait, asked, &ended);
         match ended {
             Ended::Done(body) => Ok(body),
             Ended::HistoryGone => Err(Turn::Relist),
@@ -248,6 +254,26 @@
         }
     }
 
+    /// Notes an answer that holds a configuration, and a call for it that failed.
+    fn note(&self, wait: Duration, asked: Moment, ended: &Ended) {
+        let bytes = match ended {
+            Ended::Done(body) => body.len(),
+            _ => 0,
+        };
+        let empty = matches!(ended, Ended::Done(_)) && bytes < NO_CHANGES;
+        if self.kind != Kind::Configuration || empty {
+            return;
+        }
+        let fields = [
+            ("after", Field::Number(self.known().unwrap_or(0))),
+            ("waits_ms", Field::Millis(wait)),
+            ("bytes", Field::Number(bytes as u64)),
+            ("took_ms", Field::Millis(self.gateway.now().since(asked))),
+            ("outcome", Field::Text(ended.code())),
+        ];
+        self.gateway.log.write(LogEvent::ChangesRead, &fields);
+    }
+
     /// Notes that the store does not answer.
     fn lost(&self, what: &'static str) {
         let now = self.gateway.now();
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use peppercrank_core::time::Moment;
 use peppercrank_direct::desired::Applied;
 use peppercrank_direct::desired::Desired;
+use peppercrank_direct::freshness::Source;
 use peppercrank_log::Field;
 use peppercrank_log::Log;
 use peppercrank_settings::GatewaySettings;
@@ -50,6 +51,8 @@
     pub version: u64,
     /// The age of what is known of keys; none before the first answer of the store.
     pub age: Option<Duration>,
+    /// Who confirmed what is known of keys last.
+    pub source: Option<Source>,
     /// Whether the store does not answer.
     pub away: bool,
     /// Targets registered.
@@ -59,11 +62,13 @@
 impl Beliefs {
     /// `fields` are the beliefs as fields of a log line.
     #[must_use]
-    pub fn fields(&self) -> [(&'static str, Field<'static>); 4] {
+    pub fn fields(&self) -> [(&'static str, Field<'static>); 5] {
         let age = self.age.unwrap_or(Duration::MAX);
+        let source = self.source.map_or("", Source::code);
         [
             ("version", Field::Number(self.version)),
             ("keys_age_ms", Field::Millis(age)),
+            ("keys_by", Field::Text(source)),
             ("store_away", Field::Number(u64::from(self.away))),
             ("targets", Field::Number(self.targets as u64)),
         ]
@@ -172,6 +177,7 @@
         Beliefs {
             version: state.config.index().map_or(0, |i| i.desired().version),
             age: state.freshness.age(now),
+            source: state.freshness.source(),
             away: state.directory.is_away(),
             targets: state.directory.len(),
         }
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -14,6 +14,7 @@
 use peppercrank_direct::directory::Noted;
 use peppercrank_direct::directory::Registration;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::freshness::Source;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_log::Field;
 use peppercrank_platform::router::RouterEntry;
@@ -123,7 +124,7 @@
         if sound {
             let mut state = self.gateway.state();
             if state.config.index().is_some() {
-                state.freshness.confirm(asked);
+                state.freshness.confirm(asked, Source::Store);
             }
         }
     }
--- a/crates/peppercrank-gateway/src/metrics.rs
+++ b/crates/peppercrank-gateway/src/metrics.rs
@@ -84,6 +84,7 @@
     missed: Family<Label, Counter>,
     repeats: Family<Label, Counter>,
     calls: Family<CallLabel, Counter>,
+    bytes: Counter,
     datagrams: Family<Label, Counter>,
     confirmations: Family<Label, Counter>,
     first: Family<KindLabel, Histogram, fn() -> Histogram>,
@@ -117,6 +118,7 @@
             missed: Family::default(),
             repeats: Family::default(),
             calls: Family::default(),
+            bytes: Counter::default(),
             datagrams: Family::default(),
             confirmations: Family::default(),
             first: Family::new_with_constructor(by_kind),
@@ -158,6 +160,11 @@
             self.repeats.clone(),
         );
         r.register("store_calls", "Calls to the store", self.calls.clone());
+        r.register(
+            "store_bytes",
+            "Bytes of the store's answers, also of those given up",
+            self.bytes.clone(),
+        );
         r.register(
             "confirmations",
             "Confirmations of what is known of keys, by who was asked last",
@@ -241,6 +248,12 @@
         self.calls.get_or_create(&label).inc();
     }
 
+    /// `store_bytes` counts the bytes of the store's answers.
+    #[must_use]
+    pub fn store_bytes(&self) -> Counter {
+        self.bytes.clone()
+    }
+
     /// `confirmed` counts a confirmation of what is known of keys, by who gave it.
     pub fn confirmed(&self, by_router: bool) {
         let reason = if by_router { "router" } else { "store" };
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -108,7 +108,7 @@
         let fields = [("listen", Field::Text(&address))];
         gateway.log.write(Event::Started, &fields);
 
-        let store = Store::new(gateway.settings().store);
+        let store = Store::new(gateway.settings().store, gateway.metrics.store_bytes());
         let mut tasks = JoinSet::new();
         start_tasks(&mut tasks, &gateway, &store, Arc::new(socket));
         let reading = reload::reload(Arc::clone(&gateway), path.to_owned(), dial, hangup);
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -14,9 +15,11 @@
 use http::header;
 use http_body_util::BodyExt;
 use peppercrank_wire::body;
+use peppercrank_wire::client::AnswerBody;
 use peppercrank_wire::client::Client;
 use peppercrank_wire::client::Reuse;
 use peppercrank_wire::client::Times;
+use prometheus_client::metrics::counter::Counter;
 use tokio::time::timeout;
 
 /// Time for a connection to the store.
@@ -36,6 +39,8 @@
 pub struct Store {
     client: Client,
     address: SocketAddr,
+    /// Counts the bytes of answers, also of those that were given up.
+    bytes: Counter,
 }
 
 /// `Ended` is how a call ended.
@@ -71,9 +76,9 @@
 }
 
 impl Store {
-    /// `new` makes a client of the store at this address.
+    /// `new` makes a client of the store at this address, which counts the bytes that it reads.
     #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, bytes: Counter) -> Self {
         let times = Times {
             connect: CONNECT,
             first_byte: Duration::from_secs(60),
@@ -82,7 +87,11 @@
             spare: SPARE,
         };
         let client = Client::new(times);
-        Self { client, address }
+        Self {
+            client,
+            address,
+            bytes,
+        }
     }
 
     /// `get` reads, within a time.
@@ -125,15 +134,28 @@
             return Ended::Lost;
         };
         let (head, body) = answer.into_parts();
-        let Ok(whole) = body.collect().await else {
+        let Some(whole) = self.whole(body).await else {
             return Ended::Lost;
         };
         match head.status {
-            status if status.is_success() => Ended::Done(whole.to_bytes()),
+            status if status.is_success() => Ended::Done(whole),
             StatusCode::GONE => Ended::HistoryGone,
             StatusCode::CONFLICT => Ended::Conflict,
             StatusCode::NOT_FOUND => Ended::Missing,
             status => Ended::Refused(status),
         }
     }
+
+    /// The whole body of an answer; none where it broke off.
+    async fn whole(&self, mut body: AnswerBody) -> Option<Bytes> {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(part) = frame.ok()?.into_data() else {
+                continue;
+            };
+            self.bytes.inc_by(part.len() as u64);
+            whole.extend_from_slice(&part);
+        }
+        Some(whole.freeze())
+    }
 }
