Read the newest configuration in place of the history, and take only a whole answer for the newest

Cause: a router that came back into touch asked for the changes since the revision that it knew. The history holds each version whole, the store cuts such an answer near one mebibyte without saying so, and the router counted the part as a confirmation: it was ready with a version that had been replaced four seconds before, and refused routes of later ones with 404. The mebibyte took a second of a 10 Mbit/s link, two followers asked for it at once, and a whole call had 0.7 or 1.2 s, so that answers were given up half read and begun again for up to 8 s. Class: an incomplete answer taken for the state; a catch-up whose cost grows with what was missed; a time limit on a transfer that starts over.

Ruled out: confirmations between routers (keys_by was store on each line of a router that was ready too early), the connections' reuse (a dropped answer closes its connection), cancelled readings (nothing is awaited between noting a revision and applying its version), times that a confirmation counts from (always the question's).

Change: peppercrank-direct::catch_up decides what to read and what an answer proves. The state is read where what is known is 2.5 s old or versions come faster than they are read; changes prove nothing unless there are none. A call has a time for its answer to begin and 1.2 s between two parts of it; one that is being answered is not dropped when another follower finds the store back. Elsewhere: followers of targets and routers ask on without a pause after an answer that may have been cut (100 changes or 256 KiB).

--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`in_flight`]: what an attempt counts for at its target.
 //! - [`place`]: which target a request goes to, by its predicted first token.
 //! - [`prefixes`]: which target holds which part of which prompt.
+//! - [`catch_up`]: how the configuration is read anew, and what an answer proves.
 //! - [`ranks`]: how urgent requests are among those of their pool.
 //! - [`rates`]: what is learnt of a pool's speed.
 //! - [`retries`]: the fleet's retry budget, and what follows a failed attempt.
@@ -19,6 +20,7 @@
 //! - [`peers`]: what routers tell each other.
 
 pub mod admission;
+pub mod catch_up;
 pub mod confirm;
 pub mod decide;
 pub mod desired;
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -9,8 +9,13 @@
 use bytes::Bytes;
 use peppercrank_core::events::Event as LogEvent;
 use peppercrank_core::time::Moment;
+use peppercrank_direct::catch_up::Proof;
+use peppercrank_direct::catch_up::Reading;
 use peppercrank_log::Field;
 use peppercrank_platform::store;
+use peppercrank_platform::store::Changes;
+use peppercrank_platform::store::Entry;
+use peppercrank_platform::store::Event;
 use peppercrank_platform::store::Kind;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -31,7 +36,14 @@
 /// Time after which a follower that leaves it to another one looks for itself.
 const SPARE: Duration = Duration::from_secs(3);
 
-/// Time for an answer of the store beyond what it was asked to wait. Its usual answers take
+/// Changes in an answer from which there may be more: a fifth of what the store puts on one page of a list. It
+/// cuts long answers of changes too, and does not say so.
+const MANY: usize = 100;
+
+/// Bytes of such an answer: a quarter of the mebibyte near which answers were seen to end.
+const LONG: usize = 256 * 1_024;
+
+/// Time for an answer of the store to begin, beyond what it was asked to wait. Its usual answers take
 /// milliseconds; a store that is slow takes some hundreds.
 const ANSWER: Duration = Duration::from_millis(1_200);
 
@@ -71,9 +83,13 @@
     role: Role,
     kind: Kind,
     outage: Outage,
+    /// Tells when the store is away or back.
+    told: watch::Receiver<bool>,
     intake: Intake,
     /// Failures in a row.
     failures: u32,
+    /// Answers in a row that did not prove what is known to be the newest.
+    unproven: u32,
 }
 
 /// `Turn` is how one call of a follower went.
@@ -95,31 +111,28 @@
             role,
             kind,
             outage: outage.clone(),
+            told: outage.0.subscribe(),
             intake: Intake::new(gateway, kind),
             failures: 0,
+            unproven: 0,
         }
     }
 
     /// `run` follows the kind for ever.
     pub async fn run(mut self) {
-        let mut told = self.outage.0.subscribe();
         loop {
-            self.spare(&mut told).await;
-            let turn = tokio::select! {
-                turn = self.turn() => turn,
-                // Only a store that is back makes a waiting call worth dropping.
-                () = returned(&mut told) => Turn::Again,
-            };
+            self.spare().await;
+            let turn = self.turn().await;
             self.after(turn).await;
         }
     }
 
     /// Leaves it to the follower that confirms to find out when the store is back, as each call has
     /// its price, and looks for itself now and then.
-    async fn spare(&self, told: &mut watch::Receiver<bool>) {
-        let away = *told.borrow_and_update();
+    async fn spare(&mut self) {
+        let away = *self.told.borrow_and_update();
         if away && !matches!(self.role, Role::Confirms(_)) {
-            let _looks = timeout(SPARE, returned(told)).await;
+            let _looks = timeout(SPARE, returned(&mut self.told)).await;
         }
     }
 
@@ -138,16 +151,28 @@
             Role::Watches(confirmer) if confirmer.asks_store() => return Turn::Fine,
             Role::Confirms(_) | Role::Watches(_) | Role::Targets | Role::Routers => {}
         }
-        match self.known() {
-            None => self.list().await,
-            Some(revision) => self.watch(revision).await,
+        match self.reading() {
+            Reading::Whole => self.list().await,
+            Reading::Changes(revision) => self.watch(revision).await,
+        }
+    }
+
+    /// What to ask the store for.
+    fn reading(&self) -> Reading {
+        if self.kind == Kind::Configuration {
+            let now = self.gateway.now();
+            let state = self.gateway.state();
+            return state.catch_up.reading(state.freshness.age(now));
         }
+        self.intake
+            .revision
+            .map_or(Reading::Whole, Reading::Changes)
     }
 
     /// The revision up to which the kind is known; of the configuration, to either of its followers.
     fn known(&self) -> Option<u64> {
         match self.kind {
-            Kind::Configuration => self.gateway.state().known,
+            Kind::Configuration => self.gateway.state().catch_up.known(),
             Kind::Targets | Kind::Routers => self.intake.revision,
         }
     }
@@ -162,7 +187,7 @@
             Turn::Relist => {
                 self.intake.revision = None;
                 if self.kind == Kind::Configuration {
-                    self.gateway.state().known = None;
+                    self.gateway.state().catch_up.forget();
                 }
                 let fields = [("kind", Field::Text(self.kind.word()))];
                 self.gateway.log.write(LogEvent::Relisted, &fields);
@@ -205,21 +230,23 @@
             let from = *first.get_or_insert(page.revision);
             after = page.next;
             if after.is_none() {
-                self.back();
-                self.intake.replace(asked, entries);
-                self.know(from);
-                return Turn::Fine;
+                return self.take_list(asked, from, entries);
             }
         }
     }
 
-    /// Notes the revision up to which the kind is known.
-    fn know(&mut self, revision: u64) {
-        self.intake.revision = Some(revision);
+    /// Takes in the whole list, which shows at least this revision.
+    fn take_list(&mut self, asked: Moment, revision: u64, entries: Vec<Entry>) -> Turn {
+        self.back();
         if self.kind == Kind::Configuration {
-            let mut state = self.gateway.state();
-            state.known = state.known.max(Some(revision));
+            let events = entries.into_iter().map(Event::Put).collect();
+            let changes = Changes { events, revision };
+            let proof = self.intake.configure(asked, Reading::Whole, changes);
+            return self.proven(proof);
         }
+        self.intake.replace(entries);
+        self.intake.revision = Some(revision);
+        Turn::Fine
     }
 
     async fn watch(&mut self, revision: u64) -> Turn {
@@ -234,22 +261,55 @@
             return Turn::Failed("malformed changes");
         };
         self.back();
-        self.know(changes.revision);
-        self.intake.apply(asked, changes.events);
-        Turn::Fine
+        if self.kind == Kind::Configuration {
+            let reading = Reading::Changes(revision);
+            let proof = self.intake.configure(asked, reading, changes);
+            return self.proven(proof);
+        }
+        let cut = may_be_cut(changes.events.len(), body.len());
+        self.intake.revision = Some(changes.revision);
+        self.intake.apply(changes.events);
+        if cut { Turn::Again } else { Turn::Fine }
+    }
+
+    /// What follows an answer that holds the configuration, or tells that it has not changed.
+    ///
+    /// The one that confirms asks once more at once after a change, which costs a call and no bytes; where
+    /// changes go on, the state is read after a pause.
+    fn proven(&mut self, proof: Proof) -> Turn {
+        match proof {
+            Proof::Newest => self.unproven = 0,
+            Proof::Nothing => self.unproven += 1,
+        }
+        match self.role {
+            Role::Confirms(_) if self.unproven == 1 => Turn::Again,
+            _ => Turn::Fine,
+        }
     }
 
-    async fn call(&self, path: &str, wait: Duration) -> Result<Bytes, Turn> {
+    async fn call(&mut self, path: &str, wait: Duration) -> Result<Bytes, Turn> {
         let patience = if self.failures == 0 { ANSWER } else { PROBE };
         let asked = self.gateway.now();
-        let ended = self.store.get(path, wait + patience).await;
+        let answer = tokio::select! {
+            answer = self.store.ask(path, wait + patience) => answer,
+            // Only a store that is back makes a call worth dropping that waits, and none that is being answered.
+            () = returned(&mut self.told) => return Err(Turn::Again),
+        };
+        let ended = match answer {
+            Ok(answer) => self.store.finish(answer).await,
+            Err(ended) => ended,
+        };
         self.gateway.metrics.called(self.kind.word(), ended.code());
         self.note(wait, asked, &ended);
         match ended {
-            Ended::Done(body) => Ok(body),
+            Ended::Done(body) => {
+                self.failures = 0;
+                Ok(body)
+            }
             Ended::HistoryGone => Err(Turn::Relist),
             Ended::Refused(_) => Err(Turn::Failed("refused")),
             Ended::Lost => Err(Turn::Failed("no answer")),
+            Ended::Cut => Err(Turn::Failed("answer broke off")),
             Ended::Conflict | Ended::Missing => Err(Turn::Failed("unexpected answer")),
         }
     }
@@ -312,6 +372,13 @@
     }
 }
 
+/// `may_be_cut` tells whether an answer of changes may have been cut, so that the rest is asked for without
+/// a pause.
+#[must_use]
+pub const fn may_be_cut(changes: usize, bytes: usize) -> bool {
+    changes >= MANY || bytes >= LONG
+}
+
 /// A pause of most to the whole of `most`, so that routers do not call in step.
 fn jittered(most: Duration) -> Duration {
     most.mul_f64(rand::random_range(0.8..1.0))
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -8,6 +8,8 @@
 
 use peppercrank_core::events::Event as LogEvent;
 use peppercrank_core::time::Moment;
+use peppercrank_direct::catch_up::Proof;
+use peppercrank_direct::catch_up::Reading;
 use peppercrank_direct::desired::Applied;
 use peppercrank_direct::desired::Desired;
 use peppercrank_direct::directory::Change;
@@ -18,6 +20,7 @@
 use peppercrank_direct::peers::TargetId;
 use peppercrank_log::Field;
 use peppercrank_platform::router::RouterEntry;
+use peppercrank_platform::store::Changes;
 use peppercrank_platform::store::Entry;
 use peppercrank_platform::store::Event;
 use peppercrank_platform::store::Kind;
@@ -49,13 +52,10 @@
         }
     }
 
-    /// `replace` takes in the whole list of entries, which answers a question of `asked`.
-    pub fn replace(&mut self, asked: Moment, entries: Vec<Entry>) {
+    /// `replace` takes in the whole list of targets or routers.
+    pub fn replace(&mut self, entries: Vec<Entry>) {
         match self.kind {
-            Kind::Configuration => {
-                let events = entries.into_iter().map(Event::Put);
-                self.apply(asked, events.collect());
-            }
+            Kind::Configuration => {}
             Kind::Targets => {
                 let entries = entries.into_iter().filter_map(|e| self.target(e));
                 let entries = entries.collect();
@@ -82,10 +82,10 @@
         }
     }
 
-    /// `apply` takes in changes, which answer a question of `asked`.
-    pub fn apply(&self, asked: Moment, events: Vec<Event>) {
+    /// `apply` takes in changes of targets or routers.
+    pub fn apply(&self, events: Vec<Event>) {
         match self.kind {
-            Kind::Configuration => self.configure(asked, events),
+            Kind::Configuration => {}
             Kind::Targets => {
                 for event in events {
                     self.change(event);
@@ -107,13 +107,18 @@
         }
     }
 
-    /// Brings the newest configuration in force, and confirms what is known of keys unless an
-    /// entry could not be read.
-    fn configure(&self, asked: Moment, events: Vec<Event>) {
+    /// `configure` brings the newest configuration in force, and confirms what is known of keys where the
+    /// answer to a question of `asked` proves that it is the newest.
+    #[must_use]
+    pub fn configure(&self, asked: Moment, reading: Reading, changes: Changes) -> Proof {
+        let versions = changes.events.len();
         let mut sound = true;
-        for event in events {
+        let mut newer = false;
+        for event in changes.events {
             match event {
-                Event::Put(Entry::Configuration(desired)) => self.bring_in_force(desired),
+                Event::Put(Entry::Configuration(desired)) => {
+                    newer |= self.bring_in_force(desired) == Applied::InForce;
+                }
                 Event::Put(Entry::Malformed(name, e)) => {
                     sound = false;
                     self.malformed(&name, &e);
@@ -121,15 +126,16 @@
                 Event::Put(_) | Event::Removed(_) => {}
             }
         }
-        if sound {
-            let mut state = self.gateway.state();
-            if state.config.index().is_some() {
-                state.freshness.confirm(asked, Source::Store);
-            }
+        let mut state = self.gateway.state();
+        let revision = changes.revision;
+        let proof = state.catch_up.read(reading, revision, versions, newer);
+        if sound && proof == Proof::Newest && state.config.index().is_some() {
+            state.freshness.confirm(asked, Source::Store);
         }
+        proof
     }
 
-    fn bring_in_force(&self, desired: Desired) {
+    fn bring_in_force(&self, desired: Desired) -> Applied {
         let version = desired.version;
         let applied = self.gateway.bring_in_force(desired);
         if applied == Applied::InForce {
@@ -137,6 +143,7 @@
             let fields = [("version", Field::Number(version))];
             self.gateway.log.write(LogEvent::ConfigApplied, &fields);
         }
+        applied
     }
 
     fn target(&self, entry: Entry) -> Option<Registration> {
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -9,6 +9,7 @@
 
 use peppercrank_core::time::Moment;
 use peppercrank_direct::admission::Admission;
+use peppercrank_direct::catch_up::CatchUp;
 use peppercrank_direct::confirm::Asked;
 use peppercrank_direct::desired::InForce;
 use peppercrank_direct::directory::Directory;
@@ -39,8 +40,8 @@
     pub freshness: Freshness,
     /// The question to another router that is on its way.
     pub asked: Option<Asked>,
-    /// The newest revision of the store up to which the configuration is known.
-    pub known: Option<u64>,
+    /// How far the configuration was read.
+    pub catch_up: CatchUp,
     /// The targets there are.
     pub directory: Directory,
     /// Since when the store does not answer this router.
@@ -107,7 +108,7 @@
             config: InForce::default(),
             freshness: Freshness::new(settings.keys.map(|k| k.revoke)),
             asked: None,
-            known: None,
+            catch_up: CatchUp::default(),
             directory: Directory::default(),
             away: None,
             listed: None,
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -15,6 +15,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use peppercrank_wire::body;
+use peppercrank_wire::client::Answer;
 use peppercrank_wire::client::AnswerBody;
 use peppercrank_wire::client::Client;
 use peppercrank_wire::client::Reuse;
@@ -31,6 +32,14 @@
 /// Connections kept: one for each kind of entries that is followed, and one for writes.
 const SPARE: usize = 4;
 
+/// Time between two parts of an answer. A link that is shared with streams may be slow, but one that brings
+/// nothing for so long is cut: a round trip, and a packet that was lost and sent again.
+const PART: Duration = Duration::from_millis(1_200);
+
+/// Time for a whole answer from its head on: a mebibyte, near which the store ends its answers, over a tenth
+/// of the slowest link. It bounds a store that never ends one.
+const WHOLE: Duration = Duration::from_secs(10);
+
 /// Time for the answer to a write.
 const WRITE: Duration = Duration::from_millis(1_500);
 
@@ -58,6 +67,8 @@
     Refused(StatusCode),
     /// Without an answer: it may have been done.
     Lost,
+    /// The answer began and broke off.
+    Cut,
 }
 
 impl Ended {
@@ -71,6 +82,7 @@
             Self::Missing => "missing",
             Self::Refused(_) => "refused",
             Self::Lost => "lost",
+            Self::Cut => "cut",
         }
     }
 }
@@ -82,7 +94,7 @@
         let times = Times {
             connect: CONNECT,
             first_byte: Duration::from_secs(60),
-            idle: Duration::from_secs(60),
+            idle: PART,
             keep: KEEP,
             spare: SPARE,
         };
@@ -94,48 +106,69 @@
         }
     }
 
-    /// `get` reads, within a time.
-    pub async fn get(&self, path: &str, within: Duration) -> Ended {
-        self.call(Method::GET, path, Bytes::new(), within).await
+    /// `ask` reads; its answer has to begin within a time.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call ended without an answer.
+    pub async fn ask(&self, path: &str, within: Duration) -> Result<Answer, Ended> {
+        self.open(Method::GET, path, Bytes::new(), within).await
     }
 
     /// `post` creates an entry.
     pub async fn post(&self, path: &str, body: Bytes) -> Ended {
-        self.call(Method::POST, path, body, WRITE).await
+        self.call(Method::POST, path, body).await
     }
 
     /// `put` replaces an entry.
     pub async fn put(&self, path: &str, body: Bytes) -> Ended {
-        self.call(Method::PUT, path, body, WRITE).await
+        self.call(Method::PUT, path, body).await
     }
 
     /// `delete` removes an entry.
     pub async fn delete(&self, path: &str) -> Ended {
-        self.call(Method::DELETE, path, Bytes::new(), WRITE).await
+        self.call(Method::DELETE, path, Bytes::new()).await
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Bytes) -> Ended {
+        match self.open(method, path, body, WRITE).await {
+            Ok(answer) => self.finish(answer).await,
+            Err(ended) => ended,
+        }
     }
 
-    async fn call(&self, method: Method, path: &str, body: Bytes, within: Duration) -> Ended {
+    async fn open(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        within: Duration,
+    ) -> Result<Answer, Ended> {
         let mut request = Request::new(body::full(body));
         *request.method_mut() = method;
         let Ok(uri) = path.parse() else {
             // Names of entries come from the store itself, which spells them as paths.
-            return Ended::Lost;
+            return Err(Ended::Lost);
         };
         *request.uri_mut() = uri;
         let json = HeaderValue::from_static("application/json");
         request.headers_mut().insert(header::CONTENT_TYPE, json);
-        let whole = timeout(within, self.exchange(request));
-        whole.await.unwrap_or(Ended::Lost)
+        let sent = self.client.send(self.address, request, Reuse::Allowed);
+        match timeout(within, sent).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) | Err(_) => Err(Ended::Lost),
+        }
     }
 
-    async fn exchange(&self, request: Request<body::Body>) -> Ended {
-        let sent = self.client.send(self.address, request, Reuse::Allowed);
-        let Ok(answer) = sent.await else {
-            return Ended::Lost;
-        };
+    /// `finish` reads an answer to its end, however long that takes while it comes in.
+    ///
+    /// A bound on the time of the whole call made routers on slow links give up answers half read, and
+    /// begin again at the first byte, for 8 s.
+    pub async fn finish(&self, answer: Answer) -> Ended {
         let (head, body) = answer.into_parts();
-        let Some(whole) = self.whole(body).await else {
-            return Ended::Lost;
+        let whole = timeout(WHOLE, self.whole(body)).await;
+        let Some(whole) = whole.unwrap_or(None) else {
+            return Ended::Cut;
         };
         match head.status {
             status if status.is_success() => Ended::Done(whole),
