Refuse no route for good by what is too old to be trusted

Cause: a route was looked for before the age of what is known was asked, so a router out of touch answered a final 404 for routes that had been added meanwhile. Callers do not come back after a 404; they do after a 503, at another router.

Change: Freshness::may_deny; such a request gets 503 stale_routes with Retry-After, and its connection is closed. It counts as a refusal by its own reason and has its line in explain.

--- a/crates/peppercrank-direct/src/freshness.rs
+++ b/crates/peppercrank-direct/src/freshness.rs
@@ -18,6 +18,10 @@
 /// Time from the check to the target's taking up of the request, with room for a slow process.
 pub const SENDING: Duration = Duration::from_millis(300);
 
+/// Age from which what is known denies no route where keys need not be confirmed: a route that was added since is
+/// overdue by the users' usual bounds of two to three seconds.
+pub const DENIAL: Duration = Duration::from_secs(4);
+
 /// `Source` is who confirmed what is known of keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -81,6 +85,16 @@
         self.asked.map(|at| now.since(at))
     }
 
+    /// `may_deny` tells whether what is known is young enough to refuse a request for good.
+    ///
+    /// Callers do not come back after such a refusal, and a router that was cut off gave it for routes that had been
+    /// added meanwhile.
+    #[must_use]
+    pub fn may_deny(&self, now: Moment) -> bool {
+        let limit = self.limit.unwrap_or(DENIAL);
+        self.age(now).is_some_and(|age| age < limit)
+    }
+
     /// `is_fresh` tells whether keys may be trusted.
     #[must_use]
     pub fn is_fresh(&self, now: Moment) -> bool {
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -23,6 +23,7 @@
 use peppercrank_direct::directory::Registration;
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::events::Events;
+use peppercrank_direct::freshness::DENIAL;
 use peppercrank_direct::freshness::Freshness;
 use peppercrank_direct::freshness::SENDING;
 use peppercrank_direct::freshness::SILENCE;
@@ -71,6 +72,11 @@
     assert!(!freshness.is_fresh(at(0)));
     freshness.confirm(at(0), Source::Store);
     assert!(freshness.is_fresh(at(1_000_000)));
+    // Routes are another matter: a refusal for good rests on what is young, whatever keys need.
+    let limit = at(0) + DENIAL;
+    assert!(freshness.may_deny(at(100)));
+    assert!(!freshness.may_deny(limit));
+    assert!(!Freshness::new(None).may_deny(at(0)));
 }
 
 fn route(name: &str, host: &str, prefix: &str, open: bool) -> Route {
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -122,15 +122,20 @@
             return Err(Reason::BadRequest);
         };
         let now = gateway.now();
-        let (index, fresh) = {
+        let (index, freshness) = {
             let state = gateway.state();
-            let index = state.config.index().cloned();
-            (index, state.freshness.is_fresh(now))
+            (state.config.index().cloned(), state.freshness)
         };
         let index = index.ok_or(Reason::NoConfiguration)?;
-        let route = route(&index, &head).ok_or(Reason::NoRoute)?;
+        let Some(route) = route(&index, &head) else {
+            return Err(if freshness.may_deny(now) {
+                Reason::NoRoute
+            } else {
+                Reason::StaleRoutes
+            });
+        };
         let allowed = index.allowed(route, said.key.as_deref());
-        if !fresh && !route.open && allowed != Allowed::Anyone {
+        if !freshness.is_fresh(now) && !route.open && allowed != Allowed::Anyone {
             return Err(Reason::StaleKeys);
         }
         let organisation = match allowed {
--- a/crates/peppercrank-gateway/src/refuse.rs
+++ b/crates/peppercrank-gateway/src/refuse.rs
@@ -47,6 +47,8 @@
     NoConfiguration "no_configuration" SERVICE_UNAVAILABLE;
     /// What is known of keys is too old to be trusted.
     StaleKeys "stale_keys" SERVICE_UNAVAILABLE;
+    /// No route matches, but what is known of routes is too old to tell.
+    StaleRoutes "stale_routes" SERVICE_UNAVAILABLE;
     /// A header that must be there is missing or malformed.
     BadRequest "bad_request" BAD_REQUEST;
     /// No route matches the host and path.
@@ -75,6 +77,7 @@
             self,
             Self::NoConfiguration
                 | Self::StaleKeys
+                | Self::StaleRoutes
                 | Self::NoTarget
                 | Self::Full
                 | Self::Refused
@@ -86,7 +89,10 @@
     /// only a new one comes to a router that is ready.
     #[must_use]
     pub const fn parts(self) -> bool {
-        matches!(self, Self::NoConfiguration | Self::StaleKeys)
+        matches!(
+            self,
+            Self::NoConfiguration | Self::StaleKeys | Self::StaleRoutes
+        )
     }
 }
 
--- a/crates/peppercrank-log/src/story.rs
+++ b/crates/peppercrank-log/src/story.rs
@@ -352,6 +352,9 @@
         "stale_keys" => format!(
             "what was known of keys was {age} ms old, too old to trust, though the store was not known to be away: the process may have stood still"
         ),
+        "stale_routes" => format!(
+            "no route of configuration {version} matches, but that was last confirmed {age} ms ago: it may have been added since"
+        ),
         "no_route" => format!("no route of configuration {version} matches its host and path"),
         "denied" => format!("its key is nobody's in configuration {version}"),
         "bad_request" => "a header that must be there is missing or malformed".to_owned(),
--- a/crates/peppercrank-log/tests/verify_story.rs
+++ b/crates/peppercrank-log/tests/verify_story.rs
@@ -75,6 +75,11 @@
             "\"reason\":\"stale_keys\",\"keys_age_ms\":4100,\"store_away\":1",
             "store was out of reach",
         ),
+        (
+            "2001",
+            "\"reason\":\"stale_routes\",\"version\":4,\"keys_age_ms\":4100",
+            "may have been added since",
+        ),
         ("2001", "\"reason\":\"failed\"", "connection lost at i-1"),
         ("2001", "\"reason\":\"timed_out\"", "connection lost at i-1"),
         (
