--- a/crates/peppercrank-cli/tests/verify_deploy.rs
+++ b/crates/peppercrank-cli/tests/verify_deploy.rs
@@ -157,6 +157,26 @@
     }
 }
 
+/// A day of trouble says what it is after, is named like its file, and fits any deployment: what it names of one
+/// is a placeholder.
+fn check_day(path: &Path) {
+    let text = fs::read_to_string(path).expect("a text");
+    assert!(text.starts_with("# "), "{}", path.display());
+    assert!(text.contains("After:"), "{}", path.display());
+    let stem = path.file_stem().and_then(OsStr::to_str).expect("a name");
+    assert!(text.contains(&format!("name = \"{stem}\"")), "{stem}");
+    assert_eq!(text.matches("[[day]]").count(), 1, "{stem}");
+    assert!(text.contains("plan = [") && text.contains("faults = ["));
+    for entry in text.lines().filter(|l| l.starts_with("  {")) {
+        assert!(entry.contains("at = ") && entry.contains("kind = \""));
+        for key in ["class", "service", "zone", "to_zone"] {
+            let named = format!(" {key} = \"");
+            let mut values = entry.split(&named).skip(1);
+            assert!(values.all(|v| v.starts_with('@')), "{entry}");
+        }
+    }
+}
+
 #[test]
 fn verify_every_file_is_of_a_known_sort_and_sound() {
     let mut seen = 0;
@@ -170,6 +190,11 @@
             seen += 1;
             continue;
         }
+        if directory(&path) == "days" {
+            check_day(&path);
+            seen += 1;
+            continue;
+        }
         let comments = path.extension() == Some(OsStr::new("jsonc"));
         assert!(comments, "{}", path.display());
         let text = fs::read_to_string(&path).expect("a text");
@@ -199,7 +224,7 @@
         seen += 1;
     }
     assert_eq!(
-        seen, 55,
+        seen, 64,
         "files were added or lost: look at them, then change this number"
     );
 }
