Trust the last good configuration beside one that cannot be read, and split what had grown

Cause: since the state is read where what is known is old, and confirms only where all of it could be read, a version that cannot be read would have confirmed nothing for as long as it stood: all callers refused 3.7 s later.

Change: an answer that proves the newest state confirms whatever could be read of it.

Split without a change of behaviour: gateway::outage and gateway::targets from follow and intake, direct::registration from directory.

--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`catch_up`]: how the configuration is read anew, and what an answer proves.
 //! - [`ranks`]: how urgent requests are among those of their pool.
 //! - [`rates`]: what is learnt of a pool's speed.
+//! - [`registration`]: what targets tell of themselves.
 //! - [`retries`]: the fleet's retry budget, and what follows a failed attempt.
 //! - [`starts`]: which start of a target is meant.
 //! - [`stats`]: what a router knows of each target.
@@ -34,6 +35,7 @@
 pub mod prefixes;
 pub mod ranks;
 pub mod rates;
+pub mod registration;
 pub mod retries;
 pub mod silence;
 pub mod starts;
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -17,12 +17,13 @@
 use peppercrank_platform::store::Entry;
 use peppercrank_platform::store::Event;
 use peppercrank_platform::store::Kind;
-use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
 use crate::intake::Intake;
+use crate::outage::Outage;
+use crate::outage::Told;
 use crate::role::Role;
 use crate::store::Ended;
 use crate::store::Store;
@@ -53,28 +54,6 @@
 /// Bytes below which an answer holds no configuration, whose bounds on callers alone take more.
 const NO_CHANGES: usize = 128;
 
-/// `Outage` tells the followers when one of them finds the store away or back, since the others
-/// may wait on connections that are dead.
-#[derive(Debug, Clone)]
-pub struct Outage(watch::Sender<bool>);
-
-impl Default for Outage {
-    fn default() -> Self {
-        Self(watch::channel(false).0)
-    }
-}
-
-impl Outage {
-    fn is_away(&self) -> bool {
-        *self.0.borrow()
-    }
-
-    fn set(&self, away: bool) -> bool {
-        self.0
-            .send_if_modified(|now| std::mem::replace(now, away) != away)
-    }
-}
-
 /// `Follower` follows one kind.
 #[derive(Debug)]
 pub struct Follower {
@@ -84,7 +63,7 @@
     kind: Kind,
     outage: Outage,
     /// Tells when the store is away or back.
-    told: watch::Receiver<bool>,
+    told: Told,
     intake: Intake,
     /// Failures in a row.
     failures: u32,
@@ -111,7 +90,7 @@
             role,
             kind,
             outage: outage.clone(),
-            told: outage.0.subscribe(),
+            told: outage.subscribe(),
             intake: Intake::new(gateway, kind),
             failures: 0,
             unproven: 0,
@@ -130,9 +109,9 @@
     /// Leaves it to the follower that confirms to find out when the store is back, as each call has
     /// its price, and looks for itself now and then.
     async fn spare(&mut self) {
-        let away = *self.told.borrow_and_update();
+        let away = self.told.is_away();
         if away && !matches!(self.role, Role::Confirms(_)) {
-            let _looks = timeout(SPARE, returned(&mut self.told)).await;
+            let _looks = timeout(SPARE, self.told.returned()).await;
         }
     }
 
@@ -293,7 +272,7 @@
         let answer = tokio::select! {
             answer = self.store.ask(path, wait + patience) => answer,
             // Only a store that is back makes a call worth dropping that waits, and none that is being answered.
-            () = returned(&mut self.told) => return Err(Turn::Again),
+            () = self.told.returned() => return Err(Turn::Again),
         };
         let ended = match answer {
             Ok(answer) => self.store.finish(answer).await,
@@ -360,18 +339,6 @@
     }
 }
 
-/// Returns once the store was away and is back.
-async fn returned(told: &mut watch::Receiver<bool>) {
-    loop {
-        if told.changed().await.is_err() {
-            return std::future::pending().await;
-        }
-        if !*told.borrow_and_update() {
-            return;
-        }
-    }
-}
-
 /// `may_be_cut` tells whether an answer of changes may have been cut, so that the rest is asked for without
 /// a pause.
 #[must_use]
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -4,7 +4,6 @@
 //! Takes entries of the store in: configuration, targets and routers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use peppercrank_core::events::Event as LogEvent;
 use peppercrank_core::time::Moment;
@@ -13,8 +12,6 @@
 use peppercrank_direct::desired::Applied;
 use peppercrank_direct::desired::Desired;
 use peppercrank_direct::directory::Change;
-use peppercrank_direct::directory::Noted;
-use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::freshness::Source;
 use peppercrank_log::Field;
 use peppercrank_platform::router::RouterEntry;
@@ -22,11 +19,10 @@
 use peppercrank_platform::store::Entry;
 use peppercrank_platform::store::Event;
 use peppercrank_platform::store::Kind;
-use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::state::Label;
 use crate::state::Registered;
+use crate::targets;
 
 /// Lines about entries of one answer that cannot be read: enough to tell who writes them, and few however many
 /// there are.
@@ -71,7 +67,7 @@
                 let noted = state.directory.replace(now, listed);
                 state.listed.get_or_insert(now);
                 drop(state);
-                note_all(&self.gateway, noted, self.revision);
+                targets::note(&self.gateway, noted, self.revision);
             }
             Kind::Routers => {
                 let own = self.gateway.settings().name.clone();
@@ -116,29 +112,26 @@
     }
 
     /// `configure` brings the newest configuration in force, and confirms what is known of keys where the
-    /// answer to a question of `asked` proves that it is the newest.
+    /// answer to a question of `asked` proves that it is the newest that can be read. One that cannot be read must not
+    /// take the last good one out of use, which would refuse all callers.
     #[must_use]
     pub fn configure(&mut self, asked: Moment, reading: Reading, changes: Changes) -> Proof {
         self.lines = 0;
         let versions = changes.events.len();
-        let mut sound = true;
         let mut newer = false;
         for event in changes.events {
             match event {
                 Event::Put(Entry::Configuration(desired)) => {
                     newer |= self.bring_in_force(desired) == Applied::InForce;
                 }
-                Event::Put(Entry::Malformed(name, e)) => {
-                    sound = false;
-                    self.malformed(&name, &e);
-                }
+                Event::Put(Entry::Malformed(name, e)) => self.malformed(&name, &e),
                 Event::Put(_) | Event::Removed(_) => {}
             }
         }
         let mut state = self.gateway.state();
         let revision = changes.revision;
         let proof = state.catch_up.read(reading, revision, versions, newer);
-        if sound && proof == Proof::Newest && state.config.index().is_some() {
+        if proof == Proof::Newest && state.config.index().is_some() {
             state.freshness.confirm(asked, Source::Store);
         }
         proof
@@ -177,7 +170,7 @@
         };
         let now = self.gateway.now();
         let noted = self.gateway.state().directory.apply(now, change);
-        note_all(&self.gateway, vec![noted], self.revision);
+        targets::note(&self.gateway, vec![noted], self.revision);
     }
 
     fn router(&mut self, entry: Entry) {
@@ -234,96 +227,3 @@
     const MOST: usize = 200;
     text.chars().take(MOST).collect()
 }
-
-/// Notes what changes of the targets meant, as told by a revision of the store.
-fn note_all(gateway: &Gateway, noted: Vec<Noted>, revision: Option<u64>) {
-    let told = |event, key| tell(gateway, event, &label(gateway, key), revision);
-    for noted in noted {
-        match noted {
-            Noted::Joined(key) => {
-                joined(gateway, key);
-                told(LogEvent::TargetJoined, key);
-            }
-            Noted::Gone(key) => {
-                let label = label(gateway, key);
-                gone(gateway, key, &label);
-                tell(gateway, LogEvent::TargetGone, &label, revision);
-            }
-            Noted::Restarted { old, new } => {
-                gateway.state().lives.end(old);
-                let label = label(gateway, old);
-                gone(gateway, old, &label);
-                // Connections that were kept lead to a process that has ended.
-                if let Some(address) = label.address {
-                    gateway.client.close(address);
-                }
-                joined(gateway, new);
-                told(LogEvent::TargetRestarted, new);
-            }
-            Noted::Left(key) => {
-                let label = label(gateway, key);
-                tell(gateway, LogEvent::Leaving, &label, revision);
-                // Its end is told by the same name, also of one that was leaving when it came.
-                gateway.state().labels.insert(key, label);
-            }
-            Noted::Missing(key) => told(LogEvent::TargetMissing, key),
-            Noted::InDoubt(key) => told(LogEvent::TargetInDoubt, key),
-            Noted::Unreadable(key) => told(LogEvent::TargetUnreadable, key),
-            Noted::Nothing => {}
-        }
-    }
-}
-
-/// Notes that a target's start takes part.
-fn joined(gateway: &Gateway, key: TargetKey) {
-    let mut state = gateway.state();
-    let Some(target) = state.directory.get(key) else {
-        return;
-    };
-    let label = Label::of(&target.registration);
-    let target = target.registration.id();
-    state.names.insert(target, key);
-    // Peers may have known of it sooner.
-    let sum = state.peers.sum(target);
-    state.board.hear(key, sum);
-    state.labels.insert(key, label);
-    state.lives.begin(key);
-}
-
-/// Drops all that is known of a start that takes no part any more.
-fn gone(gateway: &Gateway, key: TargetKey, label: &Label) {
-    gateway.state().forget(key);
-    gateway.metrics.target_gone(&label.instance);
-}
-
-/// What lines say of a target, also of one just gone.
-fn label(gateway: &Gateway, key: TargetKey) -> Label {
-    let state = gateway.state();
-    let target = state.directory.get(key);
-    let known = target.map(|t| Label::of(&t.registration));
-    known
-        .or_else(|| state.labels.get(key).cloned())
-        .unwrap_or_default()
-}
-
-fn tell(gateway: &Gateway, event: LogEvent, label: &Label, revision: Option<u64>) {
-    let fields = [
-        ("target", Field::Text(&label.instance)),
-        ("born", Field::Number(label.start.millis())),
-        ("revision", Field::Number(revision.unwrap_or(0))),
-    ];
-    gateway.log.write(event, &fields);
-}
-
-/// `expire` drops, for ever, the targets that did not return after an outage in time, and lets what the store tells of
-/// other starts stand.
-pub async fn expire(gateway: Arc<Gateway>) {
-    /// How often it looks; the grace period ends a little late at most.
-    const EVERY: Duration = Duration::from_millis(250);
-    loop {
-        sleep(EVERY).await;
-        let now = gateway.now();
-        let noted = gateway.state().directory.expire(now);
-        note_all(&gateway, noted, None);
-    }
-}
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod limits;
 pub mod lives;
 pub mod metrics;
+pub mod outage;
 pub mod progress;
 pub mod refuse;
 pub mod register;
@@ -38,6 +39,7 @@
 pub mod serve;
 pub mod state;
 pub mod store;
+pub mod targets;
 
 pub use errors::Error;
 pub use errors::Result;
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -33,17 +33,17 @@
 use crate::admin;
 use crate::confirm::Confirmer;
 use crate::follow::Follower;
-use crate::follow::Outage;
 use crate::gateway::Gateway;
 use crate::gateway::SPARE;
 use crate::gossip;
-use crate::intake;
+use crate::outage::Outage;
 use crate::progress;
 use crate::register;
 use crate::reload;
 use crate::role::Role;
 use crate::serve;
 use crate::store::Store;
+use crate::targets;
 
 /// Pause between looks at how many connections are kept.
 const SPARE_EVERY: Duration = Duration::from_millis(200);
@@ -167,7 +167,7 @@
     ] {
         tasks.spawn(Follower::new(gateway, store, role, &outage).run());
     }
-    tasks.spawn(intake::expire(Arc::clone(gateway)));
+    tasks.spawn(targets::expire(Arc::clone(gateway)));
     tasks.spawn(progress::tell(Arc::clone(gateway)));
     tasks.spawn(register::register(Arc::clone(gateway), store.clone()));
     tasks.spawn(gossip::tell(Arc::clone(gateway), Arc::clone(&socket)));
