--- a/crates/peppercrank-direct/src/catch_up.rs
+++ b/crates/peppercrank-direct/src/catch_up.rs
@@ -4,7 +4,7 @@
 //! How a router reads the configuration anew, and what an answer proves.
 //!
 //! Only the newest version matters, and each change in the store's history holds a whole one. So the
-//! changes are read while they are few, and otherwise the state, which is one version whatever was missed.
+//! changes are read while they are few, and otherwise a snapshot, which is one version whatever was missed.
 //! With 44 versions of 54 KB in a row, routers on links of 10 Mbit/s that came back into touch
 //! read up to 1.18 MB a second for 8 s by the history.
 
@@ -20,8 +20,8 @@
 pub enum Reading {
     /// The changes after this revision.
     Changes(u64),
-    /// The state.
-    Whole,
+    /// A snapshot: the state as it is.
+    Snapshot,
 }
 
 /// `Proof` is what an answer proves of the version that is then in force.
@@ -55,7 +55,7 @@
         let few = age.is_some_and(|age| age < FEW) && !self.series;
         match self.known {
             Some(known) if few => Reading::Changes(known),
-            Some(_) | None => Reading::Whole,
+            Some(_) | None => Reading::Snapshot,
         }
     }
 
@@ -68,7 +68,7 @@
     pub fn read(&mut self, reading: Reading, revision: u64, versions: usize, newer: bool) -> Proof {
         self.known = self.known.max(Some(revision));
         match reading {
-            Reading::Whole => {
+            Reading::Snapshot => {
                 self.series = self.series && newer;
                 Proof::Newest
             }
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -20,8 +20,8 @@
 pub use crate::registration::Change;
 pub use crate::registration::Registration;
 
+use crate::starts::Relation;
 use crate::starts::SETTLE;
-use crate::starts::Told;
 
 /// Time after the store's return in which living targets register again; the platform's figure
 /// is about two seconds.
@@ -174,7 +174,7 @@
     pub fn apply(&mut self, now: Moment, change: Change) -> Noted {
         match change {
             Change::Put(entry) => self.put(now, entry),
-            Change::Unreadable(instance) => self.spoil(&instance),
+            Change::Unreadable(instance) => self.mark_unreadable(&instance),
             Change::Removed(instance) => self.remove(now, &instance),
         }
     }
@@ -186,17 +186,17 @@
         let Some(target) = self.targets.get_mut(key) else {
             return Noted::Nothing;
         };
-        match target.registration.start.told(entry.start) {
-            Told::Same => target.renew(key, entry),
-            Told::New => self.restart(now, key, entry),
-            Told::InDoubt => target.doubt(now, key, entry),
-            Told::Foreign => self.spoil(&entry.instance),
+        match target.registration.start.relation(entry.start) {
+            Relation::Same => target.renew(key, entry),
+            Relation::Newer => self.restart(now, key, entry),
+            Relation::Older => target.doubt(now, key, entry),
+            Relation::Missing => self.mark_unreadable(&entry.instance),
         }
     }
 
     /// Takes in that a target's entry cannot be read. A mark of leaving holds on, as the target may have been told
     /// that it was heard.
-    fn spoil(&mut self, instance: &Arc<str>) -> Noted {
+    fn mark_unreadable(&mut self, instance: &Arc<str>) -> Noted {
         let Some(key) = self.instances.get(instance).copied() else {
             return Noted::Nothing;
         };
--- a/crates/peppercrank-direct/src/starts.rs
+++ b/crates/peppercrank-direct/src/starts.rs
@@ -30,28 +30,28 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Start(pub Option<u64>);
 
-/// `Told` is what word of a start means where one is known.
+/// `Relation` is how another start relates to the known one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Told {
-    /// It is the known one.
+pub enum Relation {
+    /// It is the same.
     Same,
-    /// It is a new one.
-    New,
-    /// It is an earlier one told late, or a new one whose clock was set back.
-    InDoubt,
-    /// It lacks what the known one tells, so that somebody else wrote it.
-    Foreign,
+    /// It began later.
+    Newer,
+    /// It began earlier: a late write, or a clock that was set back.
+    Older,
+    /// It is not named although the known one is, so that somebody else wrote the entry.
+    Missing,
 }
 
 impl Start {
-    /// `told` judges word of another start.
+    /// `relation` compares another start with this one.
     #[must_use]
-    pub fn told(self, other: Self) -> Told {
+    pub fn relation(self, other: Self) -> Relation {
         match other.cmp(&self) {
-            Ordering::Less if other.0.is_none() => Told::Foreign,
-            Ordering::Equal => Told::Same,
-            Ordering::Greater => Told::New,
-            Ordering::Less => Told::InDoubt,
+            Ordering::Less if other.0.is_none() => Relation::Missing,
+            Ordering::Equal => Relation::Same,
+            Ordering::Greater => Relation::Newer,
+            Ordering::Less => Relation::Older,
         }
     }
 
--- a/crates/peppercrank-direct/tests/verify_catch_up.rs
+++ b/crates/peppercrank-direct/tests/verify_catch_up.rs
@@ -48,7 +48,7 @@
     /// proves what does not hold.
     fn answer(&mut self, asked: Asked, most: u64) -> bool {
         let (shown, versions) = match asked.reading {
-            Reading::Whole => (self.newest, u64::from(self.newest > 0)),
+            Reading::Snapshot => (self.newest, u64::from(self.newest > 0)),
             Reading::Changes(after) => {
                 let shown = self.newest.min(after + most);
                 (shown, shown - after)
@@ -66,20 +66,20 @@
 #[test]
 fn verify_the_state_is_read_where_changes_may_be_many() {
     let mut catch_up = CatchUp::default();
-    assert_eq!(catch_up.reading(YOUNG), Reading::Whole);
-    assert_eq!(catch_up.read(Reading::Whole, 7, 1, true), Proof::Newest);
+    assert_eq!(catch_up.reading(YOUNG), Reading::Snapshot);
+    assert_eq!(catch_up.read(Reading::Snapshot, 7, 1, true), Proof::Newest);
     let almost = FEW.saturating_sub(Duration::from_millis(1));
     let rows = [
         (YOUNG, Reading::Changes(7)),
         (Some(almost), Reading::Changes(7)),
-        (Some(FEW), Reading::Whole),
-        (None, Reading::Whole),
+        (Some(FEW), Reading::Snapshot),
+        (None, Reading::Snapshot),
     ];
     for (age, reading) in rows {
         assert_eq!(catch_up.reading(age), reading, "{age:?}");
     }
     catch_up.forget();
-    assert_eq!(catch_up.reading(YOUNG), Reading::Whole);
+    assert_eq!(catch_up.reading(YOUNG), Reading::Snapshot);
     assert_eq!(catch_up.known(), None);
 }
 
@@ -87,11 +87,11 @@
 fn verify_changes_prove_nothing_unless_there_are_none() {
     let mut catch_up = CatchUp::default();
     let rows = [
-        (Reading::Whole, 3, 0, Proof::Newest),
+        (Reading::Snapshot, 3, 0, Proof::Newest),
         (Reading::Changes(3), 3, 0, Proof::Newest),
         (Reading::Changes(3), 4, 1, Proof::Nothing),
         (Reading::Changes(4), 9, 5, Proof::Nothing),
-        (Reading::Whole, 9, 1, Proof::Newest),
+        (Reading::Snapshot, 9, 1, Proof::Newest),
     ];
     for (reading, revision, versions, proof) in rows {
         let read = catch_up.read(reading, revision, versions, versions > 0);
--- a/crates/peppercrank-direct/tests/verify_directory.rs
+++ b/crates/peppercrank-direct/tests/verify_directory.rs
@@ -12,9 +12,9 @@
 use peppercrank_direct::directory::Noted;
 use peppercrank_direct::directory::RETURN_GRACE;
 use peppercrank_direct::directory::Registration;
+use peppercrank_direct::starts::Relation;
 use peppercrank_direct::starts::SETTLE;
 use peppercrank_direct::starts::Start;
-use peppercrank_direct::starts::Told;
 
 fn entry(instance: &str, leaving: bool) -> Registration {
     Registration {
@@ -144,15 +144,15 @@
 #[test]
 fn verify_what_word_of_a_start_means() {
     let rows = [
-        (Some(5), Some(5), Told::Same),
-        (Some(5), Some(6), Told::New),
-        (Some(5), Some(4), Told::InDoubt),
-        (Some(5), None, Told::Foreign),
-        (None, None, Told::Same),
-        (None, Some(4), Told::New),
+        (Some(5), Some(5), Relation::Same),
+        (Some(5), Some(6), Relation::Newer),
+        (Some(5), Some(4), Relation::Older),
+        (Some(5), None, Relation::Missing),
+        (None, None, Relation::Same),
+        (None, Some(4), Relation::Newer),
     ];
     for (known, told, meant) in rows {
-        let found = Start(known).told(Start(told));
+        let found = Start(known).relation(Start(told));
         assert_eq!(found, meant, "{told:?} where {known:?} is known");
     }
 }
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -100,7 +100,7 @@
         Reuse::Never
     };
     let end = gateway.instant(until);
-    let mut life = flight.life.clone();
+    let mut termination = flight.termination.clone();
     let exchange = async {
         let sending = gateway.client.send(flight.address, request, reuse);
         let Ok(sent) = timeout_at(end, sending).await else {
@@ -111,7 +111,7 @@
     tokio::select! {
         biased;
         taken = exchange => taken,
-        () = life.ended() => Err(AttemptError::new(
+        () = termination.wait() => Err(AttemptError::new(
             ExecutionState::Unknown,
             "target started again",
             false,
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -153,7 +153,7 @@
         state.prefixes.note(now, key, own.chain);
     }
     Some(Flight {
-        life: state.lives.life(key),
+        termination: state.terminations.subscribe(key),
         gateway: Arc::clone(gateway),
         counted: InFlight::begin(now, &mut state.board, *choice),
         pool: Arc::clone(&job.pool),
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -12,8 +12,8 @@
 use peppercrank_platform::answer::Load;
 
 use crate::gateway::Gateway;
-use crate::lives::Life;
 use crate::state::State;
+use crate::termination::Termination;
 
 /// `Flight` counts a request as a target's work until it is dropped.
 #[derive(Debug)]
@@ -22,7 +22,7 @@
     /// What it counts for at its target.
     pub counted: InFlight,
     /// Tells when the target's start has ended.
-    pub life: Life,
+    pub termination: Termination,
     /// The pool that it serves.
     pub pool: Arc<str>,
     /// The target's name.
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -23,7 +23,7 @@
 use crate::gateway::Gateway;
 use crate::intake::Intake;
 use crate::outage::Outage;
-use crate::outage::Told;
+use crate::outage::OutageListener;
 use crate::role::Role;
 use crate::store::Ended;
 use crate::store::Store;
@@ -63,7 +63,7 @@
     kind: Kind,
     outage: Outage,
     /// Tells when the store is away or back.
-    told: Told,
+    outages: OutageListener,
     intake: Intake,
     /// Failures in a row.
     failures: u32,
@@ -90,7 +90,7 @@
             role,
             kind,
             outage: outage.clone(),
-            told: outage.subscribe(),
+            outages: outage.subscribe(),
             intake: Intake::new(gateway, kind),
             failures: 0,
             unproven: 0,
@@ -109,9 +109,9 @@
     /// Leaves it to the follower that confirms to find out when the store is back, as each call has
     /// its price, and looks for itself now and then.
     async fn spare(&mut self) {
-        let away = self.told.is_away();
+        let away = self.outages.is_away();
         if away && !matches!(self.role, Role::Confirms(_)) {
-            let _looks = timeout(SPARE, self.told.returned()).await;
+            let _looks = timeout(SPARE, self.outages.returned()).await;
         }
     }
 
@@ -131,7 +131,7 @@
             Role::Confirms(_) | Role::Watches(_) | Role::Targets | Role::Routers => {}
         }
         match self.reading() {
-            Reading::Whole => self.list().await,
+            Reading::Snapshot => self.list().await,
             Reading::Changes(revision) => self.watch(revision).await,
         }
     }
@@ -145,7 +145,7 @@
         }
         self.intake
             .revision
-            .map_or(Reading::Whole, Reading::Changes)
+            .map_or(Reading::Snapshot, Reading::Changes)
     }
 
     /// The revision up to which the kind is known; of the configuration, to either of its followers.
@@ -220,7 +220,7 @@
         if self.kind == Kind::Configuration {
             let events = entries.into_iter().map(Event::Put).collect();
             let changes = Changes { events, revision };
-            let proof = self.intake.configure(asked, Reading::Whole, changes);
+            let proof = self.intake.configure(asked, Reading::Snapshot, changes);
             return self.proven(proof);
         }
         self.intake.replace(entries);
@@ -272,7 +272,7 @@
         let answer = tokio::select! {
             answer = self.store.ask(path, wait + patience) => answer,
             // Only a store that is back makes a call worth dropping that waits, and none that is being answered.
-            () = self.told.returned() => return Err(Turn::Again),
+            () = self.outages.returned() => return Err(Turn::Again),
         };
         let ended = match answer {
             Ok(answer) => self.store.finish(answer).await,
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -9,7 +9,9 @@
 //! - [`serve`] answers callers: route, key, placement, attempts, answer.
 //! - [`follow`] keeps the configuration and the targets up to date from the store.
 //! - [`confirm`] has other routers confirm what is known of keys, where they may.
-//! - [`intake`] takes in what the store tells.
+//! - [`intake`] takes in what the store tells, and [`targets`] what that means for each target.
+//! - [`outage`] tells the followers whether the store answers.
+//! - [`termination`] tells attempts that their target has started again.
 //! - [`gossip`] exchanges loads and held prompts with other routers.
 //! - [`admin`] answers the balancer and serves the metrics.
 //! - [`run`] starts all of it and ends it on SIGTERM.
@@ -26,7 +28,6 @@
 pub mod intake;
 pub mod job;
 pub mod limits;
-pub mod lives;
 pub mod metrics;
 pub mod outage;
 pub mod progress;
@@ -40,6 +41,7 @@
 pub mod state;
 pub mod store;
 pub mod targets;
+pub mod termination;
 
 pub use errors::Error;
 pub use errors::Result;
--- a/crates/peppercrank-gateway/src/outage.rs
+++ b/crates/peppercrank-gateway/src/outage.rs
@@ -32,16 +32,16 @@
 
     /// `subscribe` is what a follower hears by.
     #[must_use]
-    pub fn subscribe(&self) -> Told {
-        Told(self.0.subscribe())
+    pub fn subscribe(&self) -> OutageListener {
+        OutageListener(self.0.subscribe())
     }
 }
 
-/// `Told` is what one follower has heard of the store's outages.
+/// `OutageListener` tells one follower of the store's outages.
 #[derive(Debug, Clone)]
-pub struct Told(watch::Receiver<bool>);
+pub struct OutageListener(watch::Receiver<bool>);
 
-impl Told {
+impl OutageListener {
     /// `is_away` tells whether the store is away, and takes that as heard.
     pub fn is_away(&mut self) -> bool {
         *self.0.borrow_and_update()
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -128,7 +128,7 @@
         };
         let gateway = &self.run.gateway;
         let watched = self.events.is_some();
-        let life = &mut self.flight.life;
+        let termination = &mut self.flight.termination;
         tokio::select! {
             biased;
             part = next(rest) => match part {
@@ -138,7 +138,7 @@
             },
             () = self.feed.closed() => Step::CallerGone,
             () = late => Step::Late,
-            () = life.ended() => Step::Ended,
+            () = termination.wait() => Step::Ended,
             () = quiet(gateway, self.silence), if watched => Step::Silent,
         }
     }
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -33,7 +33,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
-use crate::lives::Lives;
+use crate::termination::Terminations;
 
 /// `State` is what the process believes.
 #[derive(Debug)]
@@ -61,7 +61,7 @@
     /// What lines say of the targets, also of those just gone.
     pub labels: SecondaryMap<TargetKey, Label>,
     /// Tells attempts that their target's start has ended.
-    pub lives: Lives,
+    pub terminations: Terminations,
     /// Who holds which part of a prompt.
     pub prefixes: Prefixes,
     /// What is learnt of each pool's speed.
@@ -145,7 +145,7 @@
             board: Board::default(),
             names: HashMap::new(),
             labels: SecondaryMap::new(),
-            lives: Lives::default(),
+            terminations: Terminations::default(),
             prefixes: Prefixes::default(),
             rates: HashMap::new(),
             admission: HashMap::new(),
@@ -162,7 +162,7 @@
         self.board.forget(key);
         self.prefixes.forget(key);
         self.names.retain(|_, k| *k != key);
-        self.lives.forget(key);
+        self.terminations.forget(key);
         self.labels.remove(key);
     }
 
--- a/crates/peppercrank-gateway/src/targets.rs
+++ b/crates/peppercrank-gateway/src/targets.rs
@@ -30,7 +30,7 @@
                 tell(gateway, LogEvent::TargetGone, &label, revision);
             }
             Noted::Restarted { old, new } => {
-                gateway.state().lives.end(old);
+                gateway.state().terminations.terminate(old);
                 let label = label(gateway, old);
                 gone(gateway, old, &label);
                 // Connections that were kept lead to a process that has ended.
@@ -67,7 +67,7 @@
     let sum = state.peers.sum(target);
     state.board.hear(key, sum);
     state.labels.insert(key, label);
-    state.lives.begin(key);
+    state.terminations.track(key);
 }
 
 /// Drops all that is known of a start that takes no part any more.
--- a/crates/peppercrank-gateway/src/lives.rs
+++ b/crates/peppercrank-gateway/src/termination.rs
@@ -17,20 +17,20 @@
 /// zones.
 const ON_ITS_WAY: Duration = Duration::from_millis(300);
 
-/// `Lives` holds the starts of targets that take part.
+/// `Terminations` holds the starts of targets that take part.
 #[derive(Debug, Default)]
-pub struct Lives {
+pub struct Terminations {
     starts: SecondaryMap<TargetKey, watch::Sender<bool>>,
 }
 
-impl Lives {
-    /// `begin` notes a start that takes part.
-    pub fn begin(&mut self, key: TargetKey) {
+impl Terminations {
+    /// `track` notes a start that takes part.
+    pub fn track(&mut self, key: TargetKey) {
         self.starts.insert(key, watch::Sender::new(false));
     }
 
-    /// `end` tells all attempts at a start that it has ended.
-    pub fn end(&mut self, key: TargetKey) {
+    /// `terminate` tells all attempts at a start that it has ended.
+    pub fn terminate(&mut self, key: TargetKey) {
         if let Some(start) = self.starts.get(key) {
             start.send_replace(true);
         }
@@ -41,20 +41,20 @@
         self.starts.remove(key);
     }
 
-    /// `life` is what an attempt at a start watches.
+    /// `subscribe` is what an attempt at a start watches.
     #[must_use]
-    pub fn life(&self, key: TargetKey) -> Life {
-        Life(self.starts.get(key).map(watch::Sender::subscribe))
+    pub fn subscribe(&self, key: TargetKey) -> Termination {
+        Termination(self.starts.get(key).map(watch::Sender::subscribe))
     }
 }
 
-/// `Life` is what an attempt knows of its target's start.
+/// `Termination` is what an attempt knows of its target's start.
 #[derive(Debug, Clone)]
-pub struct Life(Option<watch::Receiver<bool>>);
+pub struct Termination(Option<watch::Receiver<bool>>);
 
-impl Life {
-    /// `ended` returns once the start has ended and what it sent before has come in.
-    pub async fn ended(&mut self) {
+impl Termination {
+    /// `wait` returns once the start has ended and what it sent before has come in.
+    pub async fn wait(&mut self) {
         let Some(start) = &mut self.0 else {
             return std::future::pending().await;
         };
