Move a target whose entry names another pool, and let no doubt outlast an entry that cannot be read

Cause, found by reading the change again: an entry that was rewritten with another pool left its target in the list of the pool before; it went on getting that pool's work, and once the entry was removed the next request for the pool ended the process (a list with a key of nothing). And word of an earlier start stood after 4 s although the entry had become unreadable meanwhile.

Both tests failed before.

--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -187,7 +187,16 @@
             return Noted::Nothing;
         };
         match target.registration.start.relation(entry.start) {
-            Relation::Same => target.renew(key, entry),
+            Relation::Same => {
+                let pool = Arc::clone(&entry.pool);
+                let before = Arc::clone(&target.registration.pool);
+                let noted = target.renew(key, entry);
+                if pool != before {
+                    self.unlist(&before, key);
+                    self.pools.entry(pool).or_default().push(key);
+                }
+                noted
+            }
             Relation::Newer => self.restart(now, key, entry),
             Relation::Older => target.doubt(now, key, entry),
             Relation::Missing => self.mark_unreadable(&entry.instance),
@@ -203,6 +212,8 @@
         let Some(target) = self.targets.get_mut(key) else {
             return Noted::Nothing;
         };
+        // What was told before this entry is no more the store's last word.
+        target.rival = None;
         match target.state {
             State::Leaving | State::Unreadable => Noted::Nothing,
             State::Ready | State::Missing(_) => {
@@ -267,8 +278,16 @@
     fn forget(&mut self, key: TargetKey) {
         if let Some(target) = self.targets.remove(key) {
             self.instances.remove(&target.registration.instance);
-            if let Some(list) = self.pools.get_mut(&target.registration.pool) {
-                list.retain(|k| *k != key);
+            self.unlist(&target.registration.pool, key);
+        }
+    }
+
+    /// Takes a target out of a pool's list, and the list away with its last one, as other writers may name any pool.
+    fn unlist(&mut self, pool: &Arc<str>, key: TargetKey) {
+        if let Some(list) = self.pools.get_mut(pool) {
+            list.retain(|k| *k != key);
+            if list.is_empty() {
+                self.pools.remove(pool);
             }
         }
     }
--- a/crates/peppercrank-direct/tests/verify_directory.rs
+++ b/crates/peppercrank-direct/tests/verify_directory.rs
@@ -228,3 +228,39 @@
     directory.apply(ZERO, put("one", false));
     assert_eq!(ready(&directory, ZERO), ["one"]);
 }
+
+/// An entry that was rewritten with another pool left its target in the list of the pool before; once that entry
+/// was removed, the next request for that pool ended the process.
+#[test]
+fn verify_an_entry_that_names_another_pool_moves_its_target() {
+    let elsewhere = |leaving| {
+        let mut entry = entry("one", leaving);
+        entry.pool = "unheard of".into();
+        Change::Put(entry)
+    };
+    let mut directory = Directory::default();
+    directory.apply(ZERO, put("one", false));
+    directory.apply(ZERO, put("two", false));
+    directory.apply(ZERO, elsewhere(false));
+    assert_eq!(ready(&directory, ZERO), ["two"]);
+    assert_eq!(directory.pool(ZERO, "unheard of").len(), 1);
+    directory.apply(ZERO, removed("one"));
+    assert_eq!(ready(&directory, ZERO), ["two"]);
+    assert!(directory.pool(ZERO, "unheard of").is_empty());
+    // It is the same target, and a mark of leaving goes with it.
+    directory.apply(ZERO, put("one", true));
+    directory.apply(ZERO, elsewhere(false));
+    directory.apply(ZERO, put("one", false));
+    assert_eq!(ready(&directory, ZERO), ["two"]);
+    assert_eq!(directory.leaving("pool").count(), 1);
+}
+
+#[test]
+fn verify_what_was_in_doubt_does_not_outlast_an_entry_that_cannot_be_read() {
+    let mut directory = Directory::default();
+    directory.apply(ZERO, born(Some(5)));
+    directory.apply(ZERO, born(Some(4)));
+    directory.apply(ZERO, Change::Unreadable("one".into()));
+    assert!(directory.expire(ZERO + SETTLE).is_empty());
+    assert!(ready(&directory, ZERO + SETTLE).is_empty());
+}
