Count failures that targets answer, once it is known whom they speak against

Open finding: a failure that a target answered counted as a success first, and as a quick one, so that such failures never added up to an ejection.

Cause: the answer's end was noted before its status was looked at. Where a stream should go on, a failure of the next target was not counted at all.

Some requests fail wherever they run, and spoke against both targets that were asked.

Change: the verdict waits for the next target's answer (direct::attribution). What another serves speaks against the first; what two fail speaks against neither; what may not be repeated speaks against the one. One place counts errors of an attempt.

--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`peers`]: what routers tell each other.
 
 pub mod admission;
+pub mod attribution;
 pub mod catch_up;
 pub mod confirm;
 pub mod decide;
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -29,18 +29,27 @@
 use crate::gateway::Gateway;
 use crate::job::Job;
 
+/// A failure that a target answers, in the words of the log.
+pub const FAILURE: &str = "failure of the target";
+
+/// `WholeAnswer` is an answer that was read to its end.
+#[derive(Debug, Clone)]
+pub struct WholeAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
 /// `TargetAnswer` is an answer of a target.
 #[derive(Debug)]
 pub enum TargetAnswer {
-    /// The whole answer, of a success or a failure that the target tells of.
-    Whole {
-        /// Its status.
-        status: StatusCode,
-        /// Its headers.
-        headers: HeaderMap,
-        /// Its body.
-        body: Bytes,
-    },
+    /// A success, or what is wrong with the request.
+    Whole(WholeAnswer),
+    /// A failure, of the target or of the request itself.
+    Failure(WholeAnswer),
     /// A stream that has begun.
     Stream {
         /// Its status.
@@ -62,7 +71,7 @@
     /// What happened, in the words of the log.
     pub what: &'static str,
     /// Whether it speaks against the target.
-    pub against: bool,
+    against: bool,
 }
 
 impl AttemptError {
@@ -81,7 +90,7 @@
 }
 
 /// `send` sends a request to its target and waits until `until` for its answer, or for a stream's
-/// first part.
+/// first part. An error that speaks against the target is counted at it.
 ///
 /// # Errors
 ///
@@ -108,7 +117,7 @@
         };
         take(job, flight, sent, end).await
     };
-    tokio::select! {
+    let outcome = tokio::select! {
         biased;
         taken = exchange => taken,
         () = termination.wait() => Err(AttemptError::new(
@@ -116,7 +125,11 @@
             "target started again",
             false,
         )),
+    };
+    if outcome.as_ref().is_err_and(|error| error.against) {
+        flight.failed();
     }
+    outcome
 }
 
 /// Takes in what came of sending a request.
@@ -216,12 +229,16 @@
     let Ok(whole) = body.collect().await else {
         return Err(cut);
     };
-    flight.first();
-    Ok(TargetAnswer::Whole {
+    let whole = WholeAnswer {
         status,
         headers,
         body: whole.to_bytes(),
-    })
+    };
+    if status.is_server_error() {
+        return Ok(TargetAnswer::Failure(whole));
+    }
+    flight.first();
+    Ok(TargetAnswer::Whole(whole))
 }
 
 /// Reads a refusal's body, so that its connection is kept.
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -6,9 +6,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use peppercrank_core::events::Event;
+use peppercrank_direct::attribution::Suspect;
 use peppercrank_direct::in_flight::InFlight;
-use peppercrank_log::Field;
 use peppercrank_platform::answer::Load;
 
 use crate::gateway::Gateway;
@@ -61,17 +60,15 @@
 
     /// `failed` notes a failure that speaks against the target.
     pub fn failed(&self) {
-        let now = self.gateway.now();
-        self.gateway.metrics.target_failed(&self.instance);
-        let mut state = self.gateway.state();
-        let ejected = state
-            .board
-            .of(self.counted.choice.key)
-            .is_some_and(|s| s.failed(now));
-        drop(state);
-        if ejected {
-            let fields = [("target", Field::Text(&self.instance))];
-            self.gateway.log.write(Event::TargetEjected, &fields);
+        self.gateway.count_failure(&self.suspect());
+    }
+
+    /// `suspect` is its target, where it is not yet known what a failure speaks against.
+    #[must_use]
+    pub fn suspect(&self) -> Suspect {
+        Suspect {
+            key: self.counted.choice.key,
+            instance: Arc::clone(&self.instance),
         }
     }
 }
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -11,7 +11,9 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use peppercrank_core::events::Event;
 use peppercrank_core::time::Moment;
+use peppercrank_direct::attribution::Suspect;
 use peppercrank_direct::desired::Applied;
 use peppercrank_direct::desired::Desired;
 use peppercrank_direct::freshness::Source;
@@ -169,6 +171,19 @@
         Instant::from_std(self.clock.instant(at))
     }
 
+    /// `count_failure` counts a failure that speaks against a target.
+    pub fn count_failure(&self, target: &Suspect) {
+        let now = self.now();
+        self.metrics.target_failed(&target.instance);
+        let mut state = self.state();
+        let ejected = state.board.of(target.key).is_some_and(|s| s.failed(now));
+        drop(state);
+        if ejected {
+            let fields = [("target", Field::Text(&target.instance))];
+            self.log.write(Event::TargetEjected, &fields);
+        }
+    }
+
     /// `beliefs` are what decisions rest on, with their versions and ages.
     #[must_use]
     pub fn beliefs(&self) -> Beliefs {
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
+use crate::attempt::FAILURE;
 use crate::attempt::TargetAnswer;
 use crate::attempt::next;
 use crate::attempt::send;
@@ -217,14 +218,17 @@
                 self.silence.heard(self.run.gateway.now());
                 self.pass(first).await.is_ok()
             }
-            Ok(TargetAnswer::Whole { .. }) => {
-                run.note(&flight, "failure of the target");
+            Ok(TargetAnswer::Failure(_)) => {
+                // The target before it had served a part, so that the request is not to blame.
+                flight.failed();
+                run.note(&flight, FAILURE);
+                false
+            }
+            Ok(TargetAnswer::Whole(_)) => {
+                run.note(&flight, "no stream");
                 false
             }
             Err(error) => {
-                if error.against {
-                    flight.failed();
-                }
                 run.note(&flight, error.what);
                 false
             }
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -12,6 +12,8 @@
 use peppercrank_core::time::Moment;
 use peppercrank_direct::admission::Admission;
 use peppercrank_direct::admission::SOONEST;
+use peppercrank_direct::attribution::Attribution;
+use peppercrank_direct::attribution::End;
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::retries::After;
 use peppercrank_direct::retries::ExecutionState;
@@ -25,7 +27,9 @@
 use peppercrank_wire::edge::refuse_body;
 
 use crate::attempt::AttemptError;
+use crate::attempt::FAILURE;
 use crate::attempt::TargetAnswer;
+use crate::attempt::WholeAnswer;
 use crate::attempt::send;
 use crate::choose::begin;
 use crate::flight::Flight;
@@ -75,6 +79,7 @@
         plan: Plan::new(job.kind.repeats(), job.attempts),
         tried: Vec::new(),
         after: SOONEST,
+        attribution: Attribution::default(),
         failure: None,
         job,
     };
@@ -131,8 +136,10 @@
     pub tried: Vec<TargetKey>,
     /// When its caller may fare better, if it is refused.
     pub after: Duration,
+    /// The targets that answered it with a failure.
+    attribution: Attribution,
     /// A target's failure, to pass on if nothing better comes.
-    failure: Option<(StatusCode, HeaderMap, bytes::Bytes)>,
+    failure: Option<WholeAnswer>,
 }
 
 impl Run {
@@ -173,21 +180,18 @@
     /// Takes a target's answer: passes it on, or tries elsewhere after a failure.
     fn take(&mut self, flight: Flight, answer: TargetAnswer) -> Next {
         match answer {
-            TargetAnswer::Whole {
-                status,
-                headers,
-                body,
-            } => {
-                if status.is_server_error() {
-                    flight.failed();
-                    self.note(&flight, "failure of the target");
-                    let after = self.plan.after(ExecutionState::Failed);
-                    self.failure = Some((status, headers, body));
-                    return self.follow(after, Reason::Failed);
-                }
+            TargetAnswer::Whole(whole) => {
+                self.settle(End::Served);
                 self.gateway.metrics.answered(self.job.kind, self.held());
-                self.done(&flight, status, self.held());
-                Next::Answer(reply(status, headers, body::full(body)))
+                self.done(&flight, whole.status, self.held());
+                Next::Answer(whole_reply(whole))
+            }
+            TargetAnswer::Failure(whole) => {
+                self.attribution.suspect(flight.suspect());
+                self.note(&flight, FAILURE);
+                let after = self.plan.after(ExecutionState::Failed);
+                self.failure = Some(whole);
+                self.follow(after, Reason::Failed)
             }
             TargetAnswer::Stream {
                 status,
@@ -195,6 +199,7 @@
                 first,
                 rest,
             } => {
+                self.settle(End::Served);
                 self.gateway.metrics.answered(self.job.kind, self.held());
                 let body = relay::start(self, flight, first, rest);
                 Next::Answer(reply(status, headers, body))
@@ -202,11 +207,15 @@
         }
     }
 
+    /// Counts the failures that targets answered at those against which they speak.
+    fn settle(&mut self, end: End) {
+        for suspect in self.attribution.settle(end) {
+            self.gateway.count_failure(&suspect);
+        }
+    }
+
     /// Follows up an attempt that gave no answer.
     fn miss(&mut self, flight: &Flight, error: AttemptError) -> Next {
-        if error.against {
-            flight.failed();
-        }
         self.note(flight, error.what);
         let after = self.plan.after(error.execution);
         let reason = match error.execution {
@@ -260,9 +269,10 @@
 
     /// Ends the request with the best answer that there is.
     fn give_up(&mut self, reason: Reason) -> Reply {
-        if let Some((status, headers, body)) = self.failure.take() {
-            self.passed_on(status);
-            return reply(status, headers, body::full(body));
+        self.settle(End::Failed);
+        if let Some(whole) = self.failure.take() {
+            self.passed_on(whole.status);
+            return whole_reply(whole);
         }
         let late = self.gateway.now() >= self.job.deadline;
         let reason = match (self.plan.has_run(), late) {
@@ -360,6 +370,10 @@
     millis as u64
 }
 
+fn whole_reply(whole: WholeAnswer) -> Reply {
+    reply(whole.status, whole.headers, body::full(whole.body))
+}
+
 fn reply(status: StatusCode, headers: HeaderMap, body: Body) -> Reply {
     let mut reply = Reply::new(body);
     *reply.status_mut() = status;
