Correct the candidates in place, and name the state of the link apart from the client's openings

Reading of the change: a decision copied its candidates, some 150 bytes for each of up to 1,300 targets, to correct them; it takes them now. Two types were called Openings, the client's and the decision's; the latter is LinkState. Behaviour is the same: tests of the crates that were touched pass, and clippy. The time of a decision was not measured.

--- a/crates/peppercrank-direct/src/congestion.rs
+++ b/crates/peppercrank-direct/src/congestion.rs
@@ -18,11 +18,11 @@
 /// Time for a connection from which it is slow: a third of what it may take.
 pub const SLOW: Duration = Duration::from_millis(100);
 
-/// `Openings` is how the connections to targets fare.
+/// `LinkState` is how connections to targets fare on this router's link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Openings {
+pub struct LinkState {
     /// Connections that are being made.
-    pub count: usize,
+    pub opening: usize,
     /// The last one that was made: how long ago that was, and the time that it took.
     pub last: Option<(Duration, Duration)>,
 }
@@ -31,9 +31,9 @@
 ///
 /// Where only some targets do not answer, connections to the others are made in a few milliseconds all the while.
 #[must_use]
-pub fn is_congested(openings: &Openings) -> bool {
-    let quick = openings
+pub fn is_congested(link: &LinkState) -> bool {
+    let quick = link
         .last
         .is_some_and(|(age, took)| age < SLOW && took < SLOW);
-    openings.count >= MANY && !quick
+    link.opening >= MANY && !quick
 }
--- a/crates/peppercrank-direct/src/decide.rs
+++ b/crates/peppercrank-direct/src/decide.rs
@@ -60,7 +60,7 @@
     rates: &Rates,
     attempt: &Attempt,
     request: &PlacementRequest,
-    candidates: &[Candidate],
+    candidates: Vec<Candidate>,
     leaving: &[Leaving],
 ) -> Decision {
     let candidates = &*correct(candidates);
--- a/crates/peppercrank-direct/src/overcount.rs
+++ b/crates/peppercrank-direct/src/overcount.rs
@@ -16,13 +16,12 @@
 
 /// `correct` scales the peers' work at targets that did not tell of their load by what is left of it at those that did.
 #[must_use]
-pub fn correct(candidates: &[Candidate]) -> Vec<Candidate> {
-    let mut corrected = candidates.to_vec();
-    if let Some(share) = share_left(candidates) {
-        let silent = corrected.iter_mut().filter(|c| !c.stats.is_reported());
+pub fn correct(mut candidates: Vec<Candidate>) -> Vec<Candidate> {
+    if let Some(share) = share_left(&candidates) {
+        let silent = candidates.iter_mut().filter(|c| !c.stats.is_reported());
         silent.for_each(|c| c.stats.scale_peers(share));
     }
-    corrected
+    candidates
 }
 
 /// The part of the peers' work that is still there; none where too little is known.
--- a/crates/peppercrank-direct/tests/verify_congestion.rs
+++ b/crates/peppercrank-direct/tests/verify_congestion.rs
@@ -11,8 +11,8 @@
 
 use std::time::Duration;
 
+use peppercrank_direct::congestion::LinkState;
 use peppercrank_direct::congestion::MANY;
-use peppercrank_direct::congestion::Openings;
 use peppercrank_direct::congestion::SLOW;
 use peppercrank_direct::congestion::is_congested;
 
@@ -53,11 +53,11 @@
 fn verify_a_full_link_is_told_from_targets_that_do_not_answer() {
     for row in TABLE {
         let last = row.last.map(|(age, took)| (MS * age, MS * took));
-        let openings = Openings {
-            count: row.count,
+        let link = LinkState {
+            opening: row.count,
             last,
         };
-        assert_eq!(is_congested(&openings), row.congested, "{openings:?}");
+        assert_eq!(is_congested(&link), row.congested, "{link:?}");
     }
     assert!(
         SLOW > 10 * MS,
--- a/crates/peppercrank-direct/tests/verify_overcount.rs
+++ b/crates/peppercrank-direct/tests/verify_overcount.rs
@@ -106,7 +106,7 @@
         &rates,
         &attempt,
         &request,
-        &candidates,
+        candidates.clone(),
         &[],
     );
     let Decision::Send(choice) = decision else {
@@ -117,7 +117,7 @@
 
 #[test]
 fn verify_what_targets_tell_corrects_the_others() {
-    for candidate in &correct(&pool())[1..] {
+    for candidate in &correct(pool())[1..] {
         let load = candidate.stats.load();
         assert!(load.abs_diff(HELD) <= 2, "{load} at {candidate:?}");
     }
@@ -130,14 +130,14 @@
         candidate.stats.running = candidate.stats.peers_running;
         candidate.stats.peers_running = 0;
     }
-    assert_eq!(loads(&correct(&own)), loads(&own));
+    assert_eq!(loads(&correct(own.clone())), loads(&own));
     // One target with a few requests says nothing of 56 others.
     let mut few = pool();
     for candidate in &mut few[1..=REPORTED] {
         candidate.stats.peers_running = 0;
     }
     few[0].stats.peers_running = 7;
-    assert_eq!(loads(&correct(&few)), loads(&few));
+    assert_eq!(loads(&correct(few.clone())), loads(&few));
 }
 
 #[test]
@@ -146,7 +146,7 @@
     for candidate in &mut more[1..=REPORTED] {
         candidate.stats.reported(now(), 3 * TOLD);
     }
-    assert_eq!(loads(&correct(&more)), loads(&more));
+    assert_eq!(loads(&correct(more.clone())), loads(&more));
 }
 
 fn loads(candidates: &[Candidate]) -> Vec<u32> {
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -8,7 +8,7 @@
 
 use peppercrank_core::time::Moment;
 use peppercrank_direct::admission::SOONEST;
-use peppercrank_direct::congestion::Openings;
+use peppercrank_direct::congestion::LinkState;
 use peppercrank_direct::congestion::is_congested;
 use peppercrank_direct::decide::Attempt;
 use peppercrank_direct::decide::Decision;
@@ -71,7 +71,7 @@
     if job.organisation.is_some() && !state.freshness.is_fresh(now) {
         return Err(Rejection::now(Reason::StaleKeys));
     }
-    if is_congested(&openings(gateway)) {
+    if is_congested(&link_state(gateway)) {
         return Err(Rejection::now(Reason::Congested));
     }
     let candidates = candidates(&state, now, job, tried, &settings.zone);
@@ -96,13 +96,7 @@
     };
     let admission = state.admission.entry(Arc::clone(&job.pool)).or_default();
     let decision = decide(
-        now,
-        admission,
-        &rates,
-        &attempt,
-        &request,
-        &candidates,
-        &leaving,
+        now, admission, &rates, &attempt, &request, candidates, &leaving,
     );
     let (reason, after) = match decision {
         Decision::Send(choice) => {
@@ -115,11 +109,11 @@
     Err(Rejection { reason, after })
 }
 
-/// How the connections to targets fare.
-fn openings(gateway: &Gateway) -> Openings {
+/// How connections to targets fare on this router's link.
+fn link_state(gateway: &Gateway) -> LinkState {
     let openings = gateway.client.openings();
-    Openings {
-        count: openings.count(),
+    LinkState {
+        opening: openings.count(),
         last: openings.last().map(|made| (made.at.elapsed(), made.took)),
     }
 }
