Follow answers of changes at once wherever the store may have cut them

Cause: a guess about where a store cuts an answer. Fewer than 100 changes and 256 KiB counted as whole, the soak's store cuts at three, and so three changes were read every 0.75 s.

Change: direct::truncation. An answer that is shorter than one seen before was not cut for its length; any other may have been, and is followed at once, 32 times in a row at most. What was seen is forgotten when a call fails.

Ruled out: learning which lengths were whole from an empty answer, as one of exactly the length at which the store cuts may be whole by chance.

--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -43,3 +43,4 @@
 pub mod silence;
 pub mod starts;
 pub mod stats;
+pub mod truncation;
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -11,6 +11,9 @@
 use peppercrank_core::time::Moment;
 use peppercrank_direct::catch_up::Proof;
 use peppercrank_direct::catch_up::Reading;
+use peppercrank_direct::truncation::Length;
+use peppercrank_direct::truncation::Next;
+use peppercrank_direct::truncation::Truncation;
 use peppercrank_log::Field;
 use peppercrank_platform::store;
 use peppercrank_platform::store::Changes;
@@ -37,13 +40,6 @@
 /// Time after which a follower that leaves it to another one looks for itself.
 const SPARE: Duration = Duration::from_secs(3);
 
-/// Changes in an answer from which there may be more: a fifth of what the store puts on one page of a list. It
-/// cuts long answers of changes too, and does not say so.
-const MANY: usize = 100;
-
-/// Bytes of such an answer: a quarter of the mebibyte near which answers were seen to end.
-const LONG: usize = 256 * 1_024;
-
 /// Time for an answer of the store to begin, beyond what it was asked to wait. Its usual answers take
 /// milliseconds; a store that is slow takes some hundreds.
 const ANSWER: Duration = Duration::from_millis(1_200);
@@ -69,6 +65,8 @@
     failures: u32,
     /// Answers in a row that did not prove what is known to be the newest.
     unproven: u32,
+    /// Which answers may have been cut.
+    truncation: Truncation,
 }
 
 /// `Turn` is how one call of a follower went.
@@ -94,6 +92,7 @@
             intake: Intake::new(gateway, kind),
             failures: 0,
             unproven: 0,
+            truncation: Truncation::default(),
         }
     }
 
@@ -173,6 +172,8 @@
             }
             Turn::Failed(what) => {
                 self.lost(what);
+                // What answers next may be another start of the store, with other limits.
+                self.truncation = Truncation::default();
                 let pause = PAUSE * 2_u32.saturating_pow(self.failures.min(4));
                 self.failures += 1;
                 sleep(jittered(pause.min(LONGEST_PAUSE))).await;
@@ -245,10 +246,16 @@
             let proof = self.intake.configure(asked, reading, changes);
             return self.proven(proof);
         }
-        let cut = may_be_cut(changes.events.len(), body.len());
+        let next = self.truncation.next(Length {
+            changes: changes.events.len(),
+            bytes: body.len(),
+        });
         self.intake.revision = Some(changes.revision);
         self.intake.apply(changes.events);
-        if cut { Turn::Again } else { Turn::Fine }
+        match next {
+            Next::AtOnce => Turn::Again,
+            Next::Paced => Turn::Fine,
+        }
     }
 
     /// What follows an answer that holds the configuration, or tells that it has not changed.
@@ -339,13 +346,6 @@
     }
 }
 
-/// `may_be_cut` tells whether an answer of changes may have been cut, so that the rest is asked for without
-/// a pause.
-#[must_use]
-pub const fn may_be_cut(changes: usize, bytes: usize) -> bool {
-    changes >= MANY || bytes >= LONG
-}
-
 /// A pause of most to the whole of `most`, so that routers do not call in step.
 fn jittered(most: Duration) -> Duration {
     most.mul_f64(rand::random_range(0.8..1.0))
