Take a lone router's counts for new, and their age at the decision

Found in reading: the age of peers' counts was taken when a summary was heard and grew since, also for a router that has no peers. It would have judged by reports that fade, with a margin, though its own counts are all there is.

Change: the age is asked of the peers at each decision; none without peers.

Test: verify_counts_are_as_old_as_what_peers_told_last.

--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -297,7 +297,8 @@
         peer.is_some_and(|p| now.since(p.heard) < silent)
     }
 
-    /// `lag` is how long ago the others told of their work, on average over those who tell.
+    /// `lag` is how long ago the others told of their work, on average over those who tell; no time where there is no other
+    /// router, whose work this one would not know.
     #[must_use]
     pub fn lag(&self, now: Moment) -> Duration {
         let ages = self.latest.values().map(|p| now.since(p.heard));
--- a/crates/peppercrank-direct/src/reports.rs
+++ b/crates/peppercrank-direct/src/reports.rs
@@ -34,9 +34,9 @@
 /// rest, were late before: each of 68 routers can tell all others three new ones a second.
 const SHARE: usize = 60;
 
-/// Summaries that come round later than this are too old to count a target's load by: a second, in which half of the
-/// requests end.
-const ROUND: Duration = Duration::from_secs(1);
+/// Time of a round of summaries, in seconds, from which they are too old to count a target's load by: half of the
+/// requests end in it.
+const ROUND: usize = 1;
 
 /// `LoadReport` is what a target told of its own load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -91,12 +91,12 @@
     reports.truncate(REPORTS);
 }
 
-/// `share` is how many of so many bytes go to reports, where a summary of so many bytes goes to each peer in turn
-/// at that rate a second.
+/// `share` is how many of `bytes` go to reports, where a summary of `summary` bytes goes to each of the peers in turn, at
+/// `rate` bytes a second.
 #[must_use]
 pub fn share(bytes: usize, peers: usize, summary: usize, rate: usize) -> usize {
-    let round = peers.saturating_mul(summary).saturating_mul(1_000) / rate.max(1);
-    if round as u128 > ROUND.as_millis() {
+    let round = peers.saturating_mul(summary) / rate.max(1);
+    if round >= ROUND {
         bytes * SHARE / 100
     } else {
         0
--- a/crates/peppercrank-direct/tests/verify_reports.rs
+++ b/crates/peppercrank-direct/tests/verify_reports.rs
@@ -13,6 +13,8 @@
 use peppercrank_core::time::Moment;
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::peers::Datagram;
+use peppercrank_direct::peers::Peers;
+use peppercrank_direct::peers::Summary;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Placed;
@@ -220,3 +222,20 @@
     assert_eq!(waiting(2, OLD), 2);
     assert_eq!(waiting(2, RECENT), 2);
 }
+
+#[test]
+fn verify_counts_are_as_old_as_what_peers_told_last() {
+    let mut peers = Peers::default();
+    assert_eq!(peers.lag(now()), Duration::ZERO, "a lone router knows all");
+    for (n, heard) in [ago(3_000), ago(1_000)].into_iter().enumerate() {
+        let summary = Summary {
+            incarnation: 1,
+            sequence: 1,
+            work: Vec::new(),
+            hints: Vec::new(),
+        };
+        let from = ([10, 0, 0, u8::try_from(n).expect("a small number")], 7340).into();
+        assert!(peers.take(heard, from, &summary));
+    }
+    assert_eq!(peers.lag(now()), Duration::from_secs(2));
+}
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -190,7 +190,7 @@
     if keys.iter().any(|k| !tried.contains(k)) {
         keys.retain(|k| !tried.contains(k));
     }
-    let lag = state.lag + now.since(state.heard);
+    let lag = state.peers.lag(now);
     let hold = state
         .rates
         .get(&job.pool)
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -241,7 +241,6 @@
         }
     }
     state.heard = now;
-    state.lag = state.peers.lag(now);
     for (target, sum) in state.peers.changed() {
         if let Some(key) = state.names.get(&target).copied() {
             state.board.hear(key, sum);
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -6,7 +6,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use peppercrank_core::time::Moment;
 use peppercrank_direct::admission::Admission;
@@ -55,8 +54,6 @@
     pub listed: Option<Moment>,
     /// When peers' work was heard of last.
     pub heard: Moment,
-    /// How old peers' work was then, on average.
-    pub lag: Duration,
     /// What is known of each target.
     pub board: Board,
     /// Targets by their names on datagrams.
@@ -145,7 +142,6 @@
             away: None,
             listed: None,
             heard: now,
-            lag: Duration::ZERO,
             board: Board::default(),
             names: HashMap::new(),
             labels: SecondaryMap::new(),
