--- a/crates/peppercrank-daemon/tests/verify_path_failures.rs
+++ b/crates/peppercrank-daemon/tests/verify_path_failures.rs
@@ -36,6 +36,16 @@
     }
 }
 
+/// Engines whose answers take some 12 s: all streams of a test are at work together, though it takes long until the last has begun.
+/// With answers of 3.5 s the first had ended before the last began, once, while three builds ran beside it; until all
+/// had begun it took 0.04 s on an idle machine and 0.9 s beside twelve busy processes.
+fn slowest() -> EngineSettings {
+    EngineSettings {
+        step_us: 1_000_000,
+        ..slow()
+    }
+}
+
 /// Waits until so many chats run at a target.
 fn await_running(at: SocketAddr, count: u64) {
     let count = json!(count);
@@ -236,7 +246,7 @@
 #[test]
 fn verify_stop_under_load_cuts_nothing() {
     for router in [true, false] {
-        let mut bench = Bench::engines(vec![slow(), slow()]);
+        let mut bench = Bench::engines(vec![slowest(), slowest()]);
         let at = bench.at();
         let ask = move |n: usize| {
             let text = format!("chat {n}");
