Name a lost request by its content, so that its coming again can be seen

On call could not tell whether targets ended under one request that came again and again, under repeats of the routers, or under many requests cut by chance: lines 2009 and 2007 named the id alone, which is new each time. They now have `content`, a fingerprint of method, host, path, organisation and body that is the same on every router, and 2009 also `attempt`, how many were before it under this id. No decision reads it.

--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -4,6 +4,7 @@
 //! Decisions of a router that sends requests straight to targets, without input or output.
 //!
 //! - [`admission`]: who is admitted to a pool that cannot serve all who ask.
+//! - [`content`]: what tells that a request is the same as an earlier one.
 //! - [`decide`]: whether a request is sent, and where to.
 //! - [`desired`]: the operators' configuration, indexed for the request path.
 //! - [`directory`]: the targets there are, and which of them leave.
@@ -26,6 +27,7 @@
 pub mod catch_up;
 pub mod confirm;
 pub mod congestion;
+pub mod content;
 pub mod decide;
 pub mod desired;
 pub mod directory;
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -4,12 +4,15 @@
 //! One request with all that its attempts need.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::request::Parts;
 use peppercrank_core::hash::hash64;
 use peppercrank_core::time::Moment;
+use peppercrank_direct::content::Content;
+use peppercrank_direct::content::Fingerprint;
 use peppercrank_direct::desired::Allowed;
 use peppercrank_direct::desired::Index;
 use peppercrank_direct::desired::Route;
@@ -73,6 +76,8 @@
     pub deadline: Moment,
     /// The configuration that it was judged by.
     pub version: u64,
+    /// What stands for its content, once that was asked for.
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Job {
@@ -91,6 +96,23 @@
         hash64(ID_SEED, self.id.as_bytes())
     }
 
+    /// `fingerprint` stands for its content, which is the same when it comes again under another id.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        // Made when it is first asked for: most requests need none.
+        *self.fingerprint.get_or_init(|| {
+            let host = self.head.headers.get(http::header::HOST);
+            let path = self.head.uri.path_and_query();
+            Fingerprint::of(&Content {
+                method: self.head.method.as_str(),
+                host: host.map_or(&[], |h| h.as_bytes()),
+                path: path.map_or("", |p| p.as_str()),
+                organisation: self.organisation.as_deref(),
+                body: &self.body,
+            })
+        })
+    }
+
     /// `shared` are the parts of its prompt that other requests share: all but its own last one.
     #[must_use]
     pub fn shared(&self) -> &[Part] {
@@ -166,6 +188,7 @@
             begun,
             deadline: begun + wait,
             version: index.desired().version,
+            fingerprint: OnceLock::new(),
             id,
             head,
             body,
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -245,8 +245,10 @@
     /// connection breaks off.
     fn over(self, what: &'static str) {
         let quiet = self.silence.quiet(self.run.gateway.now());
+        let content = self.run.job.fingerprint().to_string();
         let fields = [
             ("request", Field::Text(&self.run.job.id)),
+            ("content", Field::Text(&content)),
             ("target", Field::Text(&self.flight.instance)),
             ("what", Field::Text(what)),
             ("first_ms", Field::Millis(self.began)),
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -317,8 +317,11 @@
     /// Notes an attempt that gave nothing.
     pub fn note(&self, flight: &Flight, what: &'static str) {
         self.gateway.metrics.missed(what);
+        let content = self.job.fingerprint().to_string();
         let fields = [
             ("request", Field::Text(&self.job.id)),
+            ("content", Field::Text(&content)),
+            ("attempt", Field::Number(u64::from(self.plan.sends()))),
             ("target", Field::Text(&flight.instance)),
             ("what", Field::Text(what)),
             (
