Keep a request from targets under which three have ended, at any router

What callers saw: a request that crashes the engine which runs it came again and again under new ids, was sent to engines up to 24 times after three had ended under it, and 42 ended; each took with it what it had at work, and for twenty seconds at a time a third of all questions was served in time.

Cause: what a request did to targets was forgotten with its id, and known to one router only. All bounds on attempts (targets of a route, four attempts, the fleet's budget) begin anew with each id, or count requests and not what they are. Ruled out: that the routers' own repeats carry it (33 of 45 lost attempts of the route were the first of their id), and that many innocent requests do (72 of 93 ends were under two requests, by the platform's record).

Mend: direct::quarantine knows by content (direct::content) under which requests targets ended, adds up what all routers see, and refuses from the third target on: 503 crashes_targets, with the time after which it gets another chance. A whole answer clears a request that was only beside the one at fault, on all routers. It holds because it rests on what is the same when the request comes again, and on what the whole fleet saw.

--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -90,6 +90,8 @@
     AttemptFailed = 2009 Info "attempt failed";
     /// Requests that are in progress, so that a process that is killed leaves word of them.
     InProgress = 2010 Info "requests in progress";
+    /// A request is kept from targets, as too many ended under it.
+    Quarantined = 2011 Warning "request quarantined";
     /// A member joined, or came back.
     MemberAlive = 3001 Info "member alive";
     /// A member is suspected.
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`place`]: which target a request goes to, by its predicted first token.
 //! - [`prefixes`]: which target holds which part of which prompt.
 //! - [`catch_up`]: how the configuration is read anew, and what an answer proves.
+//! - [`quarantine`]: requests under which targets end are kept from further ones.
 //! - [`ranks`]: how urgent requests are among those of their pool.
 //! - [`rates`]: what is learnt of a pool's speed.
 //! - [`registration`]: what targets tell of themselves.
@@ -38,6 +39,7 @@
 pub mod peers;
 pub mod place;
 pub mod prefixes;
+pub mod quarantine;
 pub mod ranks;
 pub mod rates;
 pub mod registration;
--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -18,6 +18,7 @@
 
 use crate::confirm::Confirmation;
 use crate::confirm::Question;
+use crate::quarantine::CrashReport;
 use crate::reports::LoadReport;
 use crate::starts::Start;
 
@@ -131,6 +132,8 @@
     Confirmation(Confirmation),
     /// What targets told of their loads. Routers that do not know it yet pass over the datagram.
     Reports(Vec<LoadReport>),
+    /// Requests under which targets ended. Routers that do not know it yet pass over the datagram.
+    Crashes(Vec<CrashReport>),
 }
 
 /// `Summary` is a router's work and news.
--- /dev/null
+++ b/crates/peppercrank-direct/src/quarantine.rs
@@ -0,0 +1,311 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Requests under which targets end are kept from further ones.
+//!
+//! A request that crashes the target which runs it (a query of death) takes with it all that the target has at work, and its
+//! caller sends it again: under a new id, to any router. Bounds on the attempts of one id do not hold it. So what
+//! targets ended under is known by its content, and routers tell each other.
+//!
+//! A router sees only that an answer broke off, so each request that was at work there is a candidate. Two things tell
+//! the one at fault from those beside it: targets end under it again and again, and none ever serves it whole.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::content::Fingerprint;
+use crate::peers::TargetId;
+
+/// Targets that may end under a request before it is quarantined. Requests beside the one at fault are cut once or twice
+/// themselves: where targets crash four a second, 23 of 118 requests that lost an attempt lost a second one.
+pub const ENDS: usize = 3;
+
+/// `KEPT` is the time for which a request is remembered after it came last. It outlasts the pause of a caller that
+/// tries every few minutes; one that stays away longer gets another chance.
+pub const KEPT: Duration = Duration::from_secs(600);
+
+/// Time for which it is remembered that a request was served, so that word of earlier ends that is still on its way does not
+/// count. Datagrams are passed on within a second.
+const SERVED_KEPT: Duration = Duration::from_secs(30);
+
+/// Requests remembered; at some 200 bytes each they stay below a megabyte. Only requests that a target had at work when it
+/// ended take room.
+const MOST: usize = 4_096;
+
+/// Datagrams in a row by which news is told, as single ones get lost.
+const TELLS: u8 = 2;
+
+/// Reports on one datagram: each has at most 42 bytes, so that they stay below [`crate::peers::MOST_BYTES`].
+const REPORTS: usize = 28;
+
+/// What ages are told in; 0.1 s is the pause between datagrams.
+const AGE_UNIT: Duration = Duration::from_millis(100);
+
+/// `End` is a start of a target that ended under a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct End {
+    target: TargetId,
+    at: Moment,
+}
+
+/// `ToldEnd` is an end on a datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct ToldEnd {
+    target: TargetId,
+    /// How long ago, in units of `AGE_UNIT`.
+    age: u16,
+}
+
+/// `CrashReport` is what one router tells another of a request under which targets ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The request.
+    content: Fingerprint,
+    /// The targets, as many as count.
+    ends: Vec<ToldEnd>,
+    /// How long ago a target served it whole, in units of `AGE_UNIT`.
+    served: Option<u16>,
+    /// How long ago it came last, in units of `AGE_UNIT`.
+    seen: u16,
+}
+
+impl CrashReport {
+    /// `content` is the request.
+    #[must_use]
+    pub const fn content(&self) -> Fingerprint {
+        self.content
+    }
+}
+
+/// `Change` is what a router learnt of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing new.
+    Known,
+    /// More than before.
+    News,
+    /// It is quarantined from now on.
+    Quarantined,
+}
+
+/// `Evidence` is what is known of one request.
+#[derive(Debug, Clone, Default)]
+struct Evidence {
+    /// Targets that ended under it since it was served last.
+    ends: Vec<End>,
+    /// When a target served it whole.
+    served: Option<Moment>,
+    /// When it came last, at any router.
+    seen: Moment,
+    /// Datagrams on which it is still to be told.
+    tells: u8,
+}
+
+impl Evidence {
+    const fn is_quarantined(&self) -> bool {
+        self.ends.len() >= ENDS
+    }
+
+    /// Counts an end, unless it is known, or a target has served the request since.
+    fn count(&mut self, end: End) -> bool {
+        let known = self.ends.iter().any(|e| e.target == end.target);
+        let refuted = self.served.is_some_and(|served| end.at <= served);
+        if known || refuted || self.is_quarantined() {
+            return false;
+        }
+        self.ends.push(end);
+        true
+    }
+
+    /// Takes in that a target served it, which refutes the ends before.
+    fn serve(&mut self, at: Moment) -> bool {
+        let before = self.ends.len();
+        self.served = self.served.max(Some(at));
+        self.ends.retain(|e| e.at > at);
+        self.ends.len() < before
+    }
+
+    fn is_over(&self, now: Moment) -> bool {
+        let kept = if self.ends.is_empty() {
+            SERVED_KEPT
+        } else {
+            KEPT
+        };
+        now.since(self.seen) >= kept
+    }
+
+    fn report(&self, content: Fingerprint, now: Moment) -> CrashReport {
+        let told = |end: &End| ToldEnd {
+            target: end.target,
+            age: age(now, end.at),
+        };
+        CrashReport {
+            content,
+            ends: self.ends.iter().map(told).collect(),
+            served: self.served.map(|at| age(now, at)),
+            seen: age(now, self.seen),
+        }
+    }
+
+    /// Whether a report lacks an end that is known here, where that matters.
+    fn knows_more(&self, report: &CrashReport) -> bool {
+        let told = |end: &End| report.ends.iter().any(|e| e.target == end.target);
+        report.ends.len() < ENDS && !self.ends.iter().all(told)
+    }
+}
+
+/// `Quarantine` knows the requests under which targets ended.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    contents: HashMap<Fingerprint, Evidence>,
+}
+
+impl Quarantine {
+    /// `is_empty` tells whether nothing is known of any request, so that none needs a fingerprint.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.contents.is_empty()
+    }
+
+    /// `ended` notes that a target's answer to a request broke off, so that it may have ended under it.
+    pub fn ended(&mut self, now: Moment, content: Fingerprint, target: TargetId) -> Change {
+        self.make_room(content);
+        let evidence = self.contents.entry(content).or_default();
+        evidence.seen = now;
+        if !evidence.count(End { target, at: now }) {
+            return Change::Known;
+        }
+        evidence.tells = TELLS;
+        if evidence.is_quarantined() {
+            Change::Quarantined
+        } else {
+            Change::News
+        }
+    }
+
+    /// `served` notes that a target served a request whole, so that what ended before did not end by it.
+    pub fn served(&mut self, now: Moment, content: Fingerprint) {
+        if let Some(evidence) = self.contents.get_mut(&content) {
+            evidence.seen = now;
+            if evidence.serve(now) {
+                evidence.tells = TELLS;
+            }
+        }
+    }
+
+    /// `refuses` tells whether a request that came is kept from targets, and for how long it is if it stays away.
+    pub fn refuses(&mut self, now: Moment, content: Fingerprint) -> Option<Duration> {
+        let evidence = self.contents.get_mut(&content)?;
+        if !evidence.is_quarantined() || evidence.is_over(now) {
+            return None;
+        }
+        evidence.seen = now;
+        Some(KEPT)
+    }
+
+    /// `quarantined` is how many requests are kept from targets.
+    #[must_use]
+    pub fn quarantined(&self) -> usize {
+        let quarantined = |e: &&Evidence| e.is_quarantined();
+        self.contents.values().filter(quarantined).count()
+    }
+
+    /// `hear` takes in a report of another router. `relay` tells whether news is passed on: in a small fleet
+    /// the other router tells all itself.
+    pub fn hear(&mut self, now: Moment, report: &CrashReport, relay: bool) -> Change {
+        if report.ends.is_empty() && !self.contents.contains_key(&report.content) {
+            return Change::Known;
+        }
+        self.make_room(report.content);
+        let evidence = self.contents.entry(report.content).or_default();
+        let before = evidence.is_quarantined();
+        evidence.seen = evidence.seen.max(ago(now, report.seen));
+        let served = report.served.map(|age| ago(now, age));
+        let mut news = served.is_some_and(|at| evidence.serve(at));
+        for told in &report.ends {
+            let at = ago(now, told.age);
+            let target = told.target;
+            news |= evidence.count(End { target, at });
+        }
+        if news && relay {
+            evidence.tells = TELLS;
+        }
+        match (news, !before && evidence.is_quarantined()) {
+            (_, true) => Change::Quarantined,
+            (true, false) => Change::News,
+            (false, false) => Change::Known,
+        }
+    }
+
+    /// `answer` is what the sender of a report does not know, as it has just started or was cut off; none where it knows all.
+    #[must_use]
+    pub fn answer(&self, now: Moment, report: &CrashReport) -> Option<CrashReport> {
+        let evidence = self.contents.get(&report.content)?;
+        let known = evidence.report(report.content, now);
+        evidence.knows_more(report).then_some(known)
+    }
+
+    /// `has_news` tells whether there is something to tell.
+    #[must_use]
+    pub fn has_news(&self) -> bool {
+        self.contents.values().any(|e| e.tells > 0)
+    }
+
+    /// `tell` is the news for the next datagram, of requests under which most targets ended first.
+    pub fn tell(&mut self, now: Moment) -> Vec<CrashReport> {
+        let pending = self.contents.iter_mut().filter(|(_, e)| e.tells > 0);
+        let mut pending = pending.collect::<Vec<_>>();
+        pending.sort_unstable_by_key(|(_, e)| (usize::MAX - e.ends.len(), now.since(e.seen)));
+        pending.truncate(REPORTS);
+        let tell = |(content, evidence): (&Fingerprint, &mut Evidence)| {
+            evidence.tells -= 1;
+            evidence.report(*content, now)
+        };
+        pending.into_iter().map(tell).collect()
+    }
+
+    /// `remind` is what is quarantined, the latest to come first, for routers that may not have heard it.
+    #[must_use]
+    pub fn remind(&self, now: Moment) -> Vec<CrashReport> {
+        let quarantined = self.contents.iter().filter(|(_, e)| e.is_quarantined());
+        let mut quarantined = quarantined.collect::<Vec<_>>();
+        quarantined.sort_unstable_by_key(|(_, e)| now.since(e.seen));
+        quarantined.truncate(REPORTS);
+        let report =
+            |(content, evidence): (&Fingerprint, &Evidence)| evidence.report(*content, now);
+        quarantined.into_iter().map(report).collect()
+    }
+
+    /// `expire` forgets requests that did not come for long.
+    pub fn expire(&mut self, now: Moment) {
+        self.contents.retain(|_, e| !e.is_over(now));
+    }
+
+    /// Forgets the request that matters least where there is no room for another.
+    fn make_room(&mut self, content: Fingerprint) {
+        if self.contents.len() < MOST || self.contents.contains_key(&content) {
+            return;
+        }
+        let least = |(_, e): &(&Fingerprint, &Evidence)| (e.ends.len(), e.seen);
+        let least = self.contents.iter().min_by_key(least).map(|(c, _)| *c);
+        if let Some(least) = least {
+            self.contents.remove(&least);
+        }
+    }
+}
+
+/// How long ago a moment was, on a datagram.
+fn age(now: Moment, at: Moment) -> u16 {
+    let age = now.since(at).as_millis() / AGE_UNIT.as_millis();
+    u16::try_from(age).unwrap_or(u16::MAX)
+}
+
+/// The moment that a datagram tells.
+fn ago(now: Moment, age: u16) -> Moment {
+    let age = AGE_UNIT * u32::from(age);
+    Moment::from_origin(now.since_origin().saturating_sub(age))
+}
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -72,6 +72,8 @@
     pub what: &'static str,
     /// Whether it speaks against the target.
     against: bool,
+    /// Whether the target may have ended under the request.
+    pub ended: bool,
 }
 
 impl AttemptError {
@@ -80,11 +82,20 @@
         Self::new(ExecutionState::Unknown, what, true)
     }
 
+    /// The target's answer broke off, as it does where the target ends.
+    const fn broken_off(what: &'static str) -> Self {
+        Self {
+            ended: true,
+            ..Self::unknown(what)
+        }
+    }
+
     const fn new(execution: ExecutionState, what: &'static str, against: bool) -> Self {
         Self {
             execution,
             what,
             against,
+            ended: false,
         }
     }
 }
@@ -120,11 +131,10 @@
     let outcome = tokio::select! {
         biased;
         taken = exchange => taken,
-        () = termination.wait() => Err(AttemptError::new(
-            ExecutionState::Unknown,
-            "target started again",
-            false,
-        )),
+        () = termination.wait() => Err(AttemptError {
+            ended: true,
+            ..AttemptError::new(ExecutionState::Unknown, "target started again", false)
+        }),
     };
     if outcome.as_ref().is_err_and(|error| error.against) {
         flight.failed();
@@ -149,7 +159,7 @@
             "not connected",
             true,
         )),
-        Err(SendError::MayHaveBeenSent(_)) => Err(AttemptError::unknown("connection lost")),
+        Err(SendError::MayHaveBeenSent(_)) => Err(AttemptError::broken_off("connection lost")),
     }
 }
 
@@ -215,7 +225,7 @@
     }
     peppercrank_wire::headers::strip(&mut headers);
     answer::pass_on(&mut headers);
-    let cut = AttemptError::unknown("answer cut");
+    let cut = AttemptError::broken_off("answer cut");
     if said.kind == Kind::Success && matches!(job.kind, RouteKind::Stream { .. }) {
         let first = next(&mut body).await.map_err(|()| cut)?;
         flight.first();
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -173,6 +173,7 @@
         counted: InFlight::begin(now, &mut state.board, *choice),
         pool: Arc::clone(&job.pool),
         instance,
+        target,
         address,
         copy_from,
     })
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -8,6 +8,7 @@
 
 use peppercrank_direct::attribution::Suspect;
 use peppercrank_direct::in_flight::InFlight;
+use peppercrank_direct::peers::TargetId;
 use peppercrank_platform::answer::Load;
 
 use crate::gateway::Gateway;
@@ -26,6 +27,8 @@
     pub pool: Arc<str>,
     /// The target's name.
     pub instance: Arc<str>,
+    /// The short name of its start.
+    pub target: TargetId,
     /// Where it listens.
     pub address: SocketAddr,
     /// The target that it should copy from.
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use peppercrank_core::events::Event;
 use peppercrank_core::time::Moment;
 use peppercrank_direct::attribution::Suspect;
+use peppercrank_direct::content::Fingerprint;
 use peppercrank_direct::desired::Applied;
 use peppercrank_direct::desired::Desired;
 use peppercrank_direct::freshness::Source;
@@ -94,6 +95,8 @@
     pub stop: Stop,
     /// Wakes the one who asked another router when its answer has come.
     pub answered: Notify,
+    /// Wakes the one who tells other routers under which requests targets ended.
+    pub crashed: Notify,
     /// Wakes the one who registers this router when its entry has gone.
     pub unregistered: Notify,
     /// The edge's limits, which follow the configuration in force.
@@ -132,6 +135,7 @@
             metrics: Metrics::default(),
             stop,
             answered: Notify::new(),
+            crashed: Notify::new(),
             unregistered: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
             peers,
@@ -184,6 +188,16 @@
         }
     }
 
+    /// `log_quarantined` tells that a request is kept from targets from now on, as learnt `here` or from a `router`.
+    pub fn log_quarantined(&self, content: Fingerprint, learnt: &'static str) {
+        let content = content.to_string();
+        let fields = [
+            ("content", Field::Text(&content)),
+            ("learnt", Field::Text(learnt)),
+        ];
+        self.log.write(Event::Quarantined, &fields);
+    }
+
     /// `beliefs` are what decisions rest on, with their versions and ages.
     #[must_use]
     pub fn beliefs(&self) -> Beliefs {
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -22,6 +22,7 @@
 use tokio::time::interval;
 
 use crate::confirm;
+use crate::crashes;
 use crate::gateway::Gateway;
 use crate::state::State;
 
@@ -33,8 +34,8 @@
 /// four kilobytes a second for control.
 const BYTES_A_SECOND: usize = 4_096;
 
-/// Bytes of the headers of a datagram, IPv4 and UDP.
-const HEADERS: usize = 28;
+/// `HEADERS` is the bytes of the headers of a datagram, IPv4 and UDP.
+pub const HEADERS: usize = 28;
 
 /// Room for a datagram, beyond the longest that is sent.
 const ROOM: usize = 2_048;
@@ -205,6 +206,9 @@
             }
             Ok(Datagram::Confirmation(told)) => confirm::take(&gateway, told),
             Ok(Datagram::Reports(reports)) => take_reports(&gateway, &reports),
+            Ok(Datagram::Crashes(reports)) => {
+                crashes::hear(&gateway, &socket, from, &reports).await;
+            }
             Err(_) => gateway.metrics.missed("malformed datagram"),
         }
     }
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`outage`] tells the followers whether the store answers.
 //! - [`termination`] tells attempts that their target has started again.
 //! - [`gossip`] exchanges loads and held prompts with other routers.
+//! - [`crashes`] tells other routers under which requests targets ended.
 //! - [`admin`] answers the balancer and serves the metrics.
 //! - [`run`] starts all of it and ends it on SIGTERM.
 
@@ -20,6 +21,7 @@
 pub mod attempt;
 pub mod choose;
 pub mod confirm;
+pub mod crashes;
 pub mod errors;
 pub mod flight;
 pub mod follow;
--- a/crates/peppercrank-gateway/src/metrics.rs
+++ b/crates/peppercrank-gateway/src/metrics.rs
@@ -99,6 +99,7 @@
     config_age: Gauge<i64, AtomicI64>,
     version: Gauge<i64, AtomicI64>,
     age: Gauge<i64, AtomicI64>,
+    quarantined: Gauge<i64, AtomicI64>,
     peers: Gauge<i64, AtomicI64>,
     targets: Gauge<i64, AtomicI64>,
 }
@@ -133,6 +134,7 @@
             config_age: Gauge::default(),
             version: Gauge::default(),
             age: Gauge::default(),
+            quarantined: Gauge::default(),
             peers: Gauge::default(),
             targets: Gauge::default(),
         };
@@ -228,6 +230,11 @@
             "Age of what is known of keys; -1 before the first answer",
             self.age.clone(),
         );
+        r.register(
+            "quarantined",
+            "Requests kept from targets, as too many ended under them",
+            self.quarantined.clone(),
+        );
         r.register("peers", "Other routers heard of late", self.peers.clone());
         r.register("targets", "Targets registered", self.targets.clone());
     }
@@ -358,6 +365,8 @@
         self.dropped.set(signed(u128::from(gateway.log.dropped())));
         let age = state.freshness.age(now).map(|a| a.as_millis());
         self.age.set(age.map_or(-1, signed));
+        let quarantined = state.quarantine.quarantined();
+        self.quarantined.set(signed(quarantined as u128));
         self.peers.set(signed(state.peers.alive(now) as u128));
         self.targets.set(signed(state.directory.len() as u128));
         drop(state);
--- a/crates/peppercrank-gateway/src/refuse.rs
+++ b/crates/peppercrank-gateway/src/refuse.rs
@@ -61,6 +61,8 @@
     Full "full" SERVICE_UNAVAILABLE;
     /// Connections to all targets are slow: this router's own link is full.
     Congested "congested" SERVICE_UNAVAILABLE;
+    /// Targets ended under it again and again.
+    CrashesTargets "crashes_targets" SERVICE_UNAVAILABLE;
     /// Targets refused it, or could not be reached, and no further attempt is allowed.
     Refused "refused" SERVICE_UNAVAILABLE;
     /// Its time passed before it was sent.
@@ -83,6 +85,7 @@
                 | Self::NoTarget
                 | Self::Full
                 | Self::Congested
+                | Self::CrashesTargets
                 | Self::Refused
                 | Self::Late
         )
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -97,12 +97,12 @@
                 }
                 Step::End if self.is_whole() => return self.finish(),
                 Step::End | Step::Cut => {
-                    if !self.go_on("stream cut").await {
+                    if !self.go_on("stream cut", true).await {
                         return self.over("stream cut");
                     }
                 }
                 Step::Ended => {
-                    if !self.go_on("target started again").await {
+                    if !self.go_on("target started again", true).await {
                         return self.over("target started again");
                     }
                 }
@@ -111,7 +111,7 @@
                     self.silence.heard(self.run.gateway.now());
                 }
                 Step::Silent => {
-                    if !self.go_on("stream silent").await {
+                    if !self.go_on("stream silent", false).await {
                         return self.over("stream silent");
                     }
                 }
@@ -144,12 +144,15 @@
         }
     }
 
-    /// Gives the run up and goes on with another.
-    async fn go_on(&mut self, what: &'static str) -> bool {
+    /// Gives the run up, under which its target may have `ended`, and goes on with another.
+    async fn go_on(&mut self, what: &'static str, ended: bool) -> bool {
         // Closing the connection ends the run, which must not go on beside the next one.
         self.rest = None;
         self.flight.failed();
         self.run.note(&self.flight, what);
+        if ended {
+            self.run.ended(&self.flight);
+        }
         self.resume().await
     }
 
@@ -194,6 +197,9 @@
 
     async fn resume_once(&mut self) -> bool {
         let run = &mut self.run;
+        if run.quarantined().is_some() {
+            return false;
+        }
         let Ok(mut flight) = begin(&run.gateway, &run.job, &run.tried) else {
             return false;
         };
@@ -230,6 +236,9 @@
             }
             Err(error) => {
                 run.note(&flight, error.what);
+                if error.ended {
+                    run.ended(&flight);
+                }
                 false
             }
         }
@@ -237,6 +246,7 @@
 
     /// Ends a stream properly.
     fn finish(self) {
+        self.run.cleared();
         self.run.done(&self.flight, StatusCode::OK, self.began);
         self.feed.finish();
     }
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -32,6 +32,7 @@
 use crate::Result;
 use crate::admin;
 use crate::confirm::Confirmer;
+use crate::crashes;
 use crate::follow::Follower;
 use crate::gateway::Gateway;
 use crate::gateway::SPARE;
@@ -171,6 +172,7 @@
     tasks.spawn(progress::tell(Arc::clone(gateway)));
     tasks.spawn(register::register(Arc::clone(gateway), store.clone()));
     tasks.spawn(gossip::tell(Arc::clone(gateway), Arc::clone(&socket)));
+    tasks.spawn(crashes::tell(Arc::clone(gateway), Arc::clone(&socket)));
     tasks.spawn(gossip::hear(Arc::clone(gateway), socket));
 }
 
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -15,6 +15,7 @@
 use peppercrank_direct::attribution::Attribution;
 use peppercrank_direct::attribution::End;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::quarantine::Change;
 use peppercrank_direct::retries::After;
 use peppercrank_direct::retries::ExecutionState;
 use peppercrank_direct::retries::Plan;
@@ -147,6 +148,10 @@
         if self.gateway.now() >= self.job.deadline {
             return Next::Answer(self.give_up(Reason::Late));
         }
+        if let Some(after) = self.quarantined() {
+            self.after = after;
+            return Next::Answer(self.give_up(Reason::CrashesTargets));
+        }
         let mut flight = match begin(&self.gateway, &self.job, &self.tried) {
             Ok(flight) => flight,
             Err(rejection) => {
@@ -163,6 +168,44 @@
         }
     }
 
+    /// `quarantined` tells whether the request is kept from targets, as too many have ended under it, and when its caller should
+    /// return.
+    #[must_use]
+    pub fn quarantined(&self) -> Option<Duration> {
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        if state.quarantine.is_empty() {
+            return None;
+        }
+        state.quarantine.refuses(now, self.job.fingerprint())
+    }
+
+    /// `ended` notes that its target may have ended under the request.
+    pub fn ended(&self, flight: &Flight) {
+        let content = self.job.fingerprint();
+        let now = self.gateway.now();
+        let change = self
+            .gateway
+            .state()
+            .quarantine
+            .ended(now, content, flight.target);
+        if change != Change::Known {
+            self.gateway.crashed.notify_one();
+        }
+        if change == Change::Quarantined {
+            self.gateway.log_quarantined(content, "here");
+        }
+    }
+
+    /// `cleared` notes that a target served the request whole.
+    pub fn cleared(&self) {
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        if !state.quarantine.is_empty() {
+            state.quarantine.served(now, self.job.fingerprint());
+        }
+    }
+
     /// `patience` is how long this attempt may take to its answer's first part.
     #[must_use]
     pub fn patience(&self, flight: &Flight) -> Moment {
@@ -182,6 +225,7 @@
         match answer {
             TargetAnswer::Whole(whole) => {
                 self.settle(End::Served);
+                self.cleared();
                 self.gateway.metrics.answered(self.job.kind, self.held());
                 self.done(&flight, whole.status, self.held());
                 Next::Answer(whole_reply(whole))
@@ -217,6 +261,9 @@
     /// Follows up an attempt that gave no answer.
     fn miss(&mut self, flight: &Flight, error: AttemptError) -> Next {
         self.note(flight, error.what);
+        if error.ended {
+            self.ended(flight);
+        }
         let after = self.plan.after(error.execution);
         let reason = match error.execution {
             ExecutionState::NotSent | ExecutionState::NotRun => Reason::Refused,
@@ -282,8 +329,13 @@
             (false, false) => reason,
         };
         self.gateway.metrics.refused(reason);
+        let content = match reason {
+            Reason::CrashesTargets => self.job.fingerprint().to_string(),
+            _ => String::new(),
+        };
         let fields = [
             ("request", Field::Text(&self.job.id)),
+            ("content", Field::Text(&content)),
             ("route", Field::Text(&self.job.route)),
             ("reason", Field::Text(reason.code())),
             ("attempts", Field::Number(u64::from(self.plan.sends()))),
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -23,6 +23,7 @@
 use peppercrank_direct::place::Choice;
 use peppercrank_direct::prefixes::Part;
 use peppercrank_direct::prefixes::Prefixes;
+use peppercrank_direct::quarantine::Quarantine;
 use peppercrank_direct::rates::Rates;
 use peppercrank_direct::retries::RetryBudget;
 use peppercrank_direct::retries::Terms;
@@ -70,6 +71,8 @@
     pub admission: HashMap<Arc<str>, Admission>,
     /// The fleet's retry budget.
     pub budget: RetryBudget,
+    /// Requests under which targets ended.
+    pub quarantine: Quarantine,
     /// What other routers told.
     pub peers: Peers,
     /// Where the other registered routers take datagrams.
@@ -150,6 +153,7 @@
             rates: HashMap::new(),
             admission: HashMap::new(),
             budget: RetryBudget::new(now, terms(settings)),
+            quarantine: Quarantine::default(),
             peers: Peers::default(),
             routers: HashMap::new(),
             open: SlotMap::with_key(),
--- a/crates/peppercrank-log/src/story.rs
+++ b/crates/peppercrank-log/src/story.rs
@@ -363,6 +363,10 @@
             number_of(fields, "targets")
         ),
         "full" => "all targets of its pool held as much as they may".to_owned(),
+        "crashes_targets" => format!(
+            "targets had ended again and again under the same request, content {}",
+            text_of(fields, "content")
+        ),
         "refused" => format!("it did not run: {met}"),
         "late" => format!("its time had passed before it could be sent: {met}"),
         "failed" => format!("it may have run, and may not run again: {met}"),
