Count a target as ended under a request only once nobody listens there

Cause: each answer that broke off counted as an end of its target. A connection that is reset, and an answer that is lost, look the same to one request.

Mend: where an answer breaks off, the router makes a connection to the target; only where nobody listens the target counts as ended, for all requests that were lost there meanwhile. The connection is kept for the next request. Where it may be the third end, the answer is waited for before the request goes elsewhere. Where the router's own link is full, nothing is concluded.

--- a/crates/peppercrank-direct/src/quarantine.rs
+++ b/crates/peppercrank-direct/src/quarantine.rs
@@ -7,8 +7,9 @@
 //! caller sends it again: under a new id, to any router. Bounds on the attempts of one id do not hold it. So what
 //! targets ended under is known by its content, and routers tell each other.
 //!
-//! A router sees only that an answer broke off, so each request that was at work there is a candidate. Two things tell
-//! the one at fault from those beside it: targets end under it again and again, and none ever serves it whole.
+//! A router sees only that an answer broke off, as it also does where a connection is reset or an answer lost. So the target counts
+//! as ended only once nobody listens there. Then each request that was at work is a candidate, and two things tell the one at fault
+//! from those beside it: targets end under it again and again, and none ever serves it whole.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -92,6 +93,17 @@
     Quarantined,
 }
 
+/// `Broken` is what follows an answer that broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Broken {
+    /// To find out whether its target has ended, before the request goes anywhere else: it may be the last one that counts.
+    AskFirst,
+    /// To find it out meanwhile.
+    Ask,
+    /// Nothing: that is being found out.
+    Asked,
+}
+
 /// `Evidence` is what is known of one request.
 #[derive(Debug, Clone, Default)]
 struct Evidence {
@@ -162,6 +174,8 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     contents: HashMap<Fingerprint, Evidence>,
+    /// Requests whose answers broke off, by the targets of which it is being found out whether they have ended.
+    broken: HashMap<TargetId, Vec<Fingerprint>>,
 }
 
 impl Quarantine {
@@ -171,8 +185,32 @@
         self.contents.is_empty()
     }
 
-    /// `ended` notes that a target's answer to a request broke off, so that it may have ended under it.
-    pub fn ended(&mut self, now: Moment, content: Fingerprint, target: TargetId) -> Change {
+    /// `broke_off` notes that a target's answer to a request broke off.
+    pub fn broke_off(&mut self, content: Fingerprint, target: TargetId) -> Broken {
+        let known = self.contents.get(&content).map_or(0, |e| e.ends.len());
+        let asked = self.broken.contains_key(&target);
+        self.broken.entry(target).or_default().push(content);
+        match (known + 1 >= ENDS, asked) {
+            (true, _) => Broken::AskFirst,
+            (false, false) => Broken::Ask,
+            (false, true) => Broken::Asked,
+        }
+    }
+
+    /// `lives` notes that a target has not ended, so that what broke off there speaks against no request.
+    pub fn lives(&mut self, target: TargetId) {
+        self.broken.remove(&target);
+    }
+
+    /// `ended` notes that a target has ended, under the requests whose answers broke off there.
+    pub fn ended(&mut self, now: Moment, target: TargetId) -> Vec<(Fingerprint, Change)> {
+        let contents = self.broken.remove(&target).unwrap_or_default();
+        let count = |content| (content, self.ended_under(now, content, target));
+        contents.into_iter().map(count).collect()
+    }
+
+    /// `ended_under` notes that a target has ended under a request.
+    pub fn ended_under(&mut self, now: Moment, content: Fingerprint, target: TargetId) -> Change {
         self.make_room(content);
         let evidence = self.contents.entry(content).or_default();
         evidence.seen = now;
--- a/crates/peppercrank-direct/tests/verify_quarantine.rs
+++ b/crates/peppercrank-direct/tests/verify_quarantine.rs
@@ -14,6 +14,7 @@
 use peppercrank_direct::peers::Datagram;
 use peppercrank_direct::peers::MOST_BYTES;
 use peppercrank_direct::peers::TargetId;
+use peppercrank_direct::quarantine::Broken;
 use peppercrank_direct::quarantine::Change;
 use peppercrank_direct::quarantine::ENDS;
 use peppercrank_direct::quarantine::KEPT;
@@ -29,7 +30,7 @@
 /// Ends so many targets under a request, one after the other.
 fn end(quarantine: &mut Quarantine, content: Fingerprint, targets: std::ops::Range<u32>) {
     for target in targets {
-        quarantine.ended(at(0), content, TargetId(target));
+        quarantine.ended_under(at(0), content, TargetId(target));
     }
 }
 
@@ -44,7 +45,7 @@
     let mut quarantine = Quarantine::default();
     assert!(quarantine.is_empty());
     assert_eq!(quarantine.refuses(at(0), DEADLY), None);
-    let told = |q: &mut Quarantine, target| q.ended(at(0), DEADLY, TargetId(target));
+    let told = |q: &mut Quarantine, target| q.ended_under(at(0), DEADLY, TargetId(target));
     assert_eq!(told(&mut quarantine, 1), Change::News);
     // The same start ends only once: two requests in one, or its connections were reset again.
     assert_eq!(told(&mut quarantine, 1), Change::Known);
@@ -75,7 +76,7 @@
         Quarantine::default(),
     ];
     for (n, router) in (0..).zip(&mut routers) {
-        router.ended(at(0), DEADLY, TargetId(n));
+        router.ended_under(at(0), DEADLY, TargetId(n));
     }
     let [first, second, third] = &mut routers;
     assert_eq!(tell(first, third, at(0), false), [Change::News]);
@@ -100,7 +101,7 @@
     for report in &late {
         assert_eq!(there.hear(at(500), report, true), Change::Known);
     }
-    there.ended(at(600), DEADLY, TargetId(9));
+    there.ended_under(at(600), DEADLY, TargetId(9));
     assert_eq!(there.refuses(at(600), DEADLY), None);
 }
 
@@ -108,7 +109,7 @@
 fn verify_a_router_that_knows_less_is_told() {
     let (mut old, mut new) = (Quarantine::default(), Quarantine::default());
     end(&mut old, DEADLY, 0..3);
-    new.ended(at(0), DEADLY, TargetId(7));
+    new.ended_under(at(0), DEADLY, TargetId(7));
     let told = new.tell(at(0));
     let answer = old.answer(at(0), &told[0]).expect("more than it knows");
     assert_eq!(new.hear(at(0), &answer, false), Change::Quarantined);
@@ -173,7 +174,7 @@
     let mut quarantine = Quarantine::default();
     end(&mut quarantine, DEADLY, 0..3);
     for content in 100..6_000 {
-        quarantine.ended(at(content), Fingerprint(content), TargetId(1));
+        quarantine.ended_under(at(content), Fingerprint(content), TargetId(1));
     }
     assert!(quarantine.refuses(at(6_000), DEADLY).is_some());
     // 4,096 are remembered, each told twice.
@@ -192,10 +193,36 @@
         end(&mut quarantine, content, u32::MAX - 3..u32::MAX);
         quarantine.served(at(1), content);
         for target in 0..u32::try_from(ENDS).expect("few") {
-            quarantine.ended(at(2), content, TargetId(u32::MAX - target));
+            quarantine.ended_under(at(2), content, TargetId(u32::MAX - target));
         }
     }
     let reports = quarantine.tell(at(10_000_000));
     let bytes = Datagram::Crashes(reports).encode().expect("a datagram");
     assert!(bytes.len() <= MOST_BYTES, "{} bytes", bytes.len());
 }
+
+#[test]
+fn verify_an_answer_that_breaks_off_counts_only_once_its_target_has_ended() {
+    let mut quarantine = Quarantine::default();
+    let beside = Fingerprint(8);
+    for target in (0..20).map(TargetId) {
+        assert_eq!(quarantine.broke_off(DEADLY, target), Broken::Ask);
+        assert_eq!(quarantine.broke_off(beside, target), Broken::Asked);
+        quarantine.lives(target);
+        assert_eq!(quarantine.ended(at(0), target), []);
+    }
+    assert!(quarantine.is_empty());
+    for target in (20..22).map(TargetId) {
+        assert_eq!(quarantine.broke_off(DEADLY, target), Broken::Ask);
+        assert_eq!(quarantine.broke_off(beside, target), Broken::Asked);
+        let news = [(DEADLY, Change::News), (beside, Change::News)];
+        assert_eq!(quarantine.ended(at(0), target), news);
+        assert_eq!(quarantine.ended(at(0), target), []);
+    }
+    // The next one may be the last that counts, so it is asked before the request goes on, also beside another question.
+    let last = TargetId(22);
+    assert_eq!(quarantine.broke_off(Fingerprint(9), last), Broken::Ask);
+    assert_eq!(quarantine.broke_off(DEADLY, last), Broken::AskFirst);
+    let changes = quarantine.ended(at(0), last);
+    assert!(changes.contains(&(DEADLY, Change::Quarantined)));
+}
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -73,7 +73,18 @@
     /// Whether it speaks against the target.
     against: bool,
     /// Whether the target may have ended under the request.
-    pub ended: bool,
+    pub loss: Loss,
+}
+
+/// `Loss` is whether a target may have ended under a request that was lost there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Loss {
+    /// It tells nothing of that.
+    Other,
+    /// Its answer broke off, as it does where the target ends.
+    BrokenOff,
+    /// The target has started again.
+    StartedAgain,
 }
 
 impl AttemptError {
@@ -85,7 +96,7 @@
     /// The target's answer broke off, as it does where the target ends.
     const fn broken_off(what: &'static str) -> Self {
         Self {
-            ended: true,
+            loss: Loss::BrokenOff,
             ..Self::unknown(what)
         }
     }
@@ -95,7 +106,7 @@
             execution,
             what,
             against,
-            ended: false,
+            loss: Loss::Other,
         }
     }
 }
@@ -132,7 +143,7 @@
         biased;
         taken = exchange => taken,
         () = termination.wait() => Err(AttemptError {
-            ended: true,
+            loss: Loss::StartedAgain,
             ..AttemptError::new(ExecutionState::Unknown, "target started again", false)
         }),
     };
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -115,8 +115,9 @@
     Err(Rejection { reason, after })
 }
 
-/// How connections to targets fare on this router's link.
-fn link_state(gateway: &Gateway) -> LinkState {
+/// `link_state` is how connections to targets fare on this router's link.
+#[must_use]
+pub fn link_state(gateway: &Gateway) -> LinkState {
     let openings = gateway.client.openings();
     LinkState {
         opening: openings.count(),
--- a/crates/peppercrank-gateway/src/crashes.rs
+++ b/crates/peppercrank-gateway/src/crashes.rs
@@ -1,23 +1,30 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! Tells other routers under which requests targets ended.
+//! Finds out under which requests targets ended, and tells other routers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use peppercrank_core::time::Moment;
+use peppercrank_direct::congestion::is_congested;
+use peppercrank_direct::content::Fingerprint;
 use peppercrank_direct::peers::Datagram;
+use peppercrank_direct::peers::TargetId;
+use peppercrank_direct::quarantine::Broken;
 use peppercrank_direct::quarantine::Change;
 use peppercrank_direct::quarantine::CrashReport;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::choose::link_state;
+use crate::flight::Flight;
 use crate::gateway::Gateway;
 use crate::gossip::HEADERS;
 use crate::gossip::send;
+use crate::job::Job;
 use crate::state::State;
 
 /// Routers that a datagram goes to. In a larger fleet each that learns something new passes it on, so that news reaches
@@ -125,6 +132,56 @@
     turned.take(count.min(peers.len())).copied().collect()
 }
 
+/// `broke_off` finds out whether a target has ended whose answer to a request broke off.
+pub async fn broke_off(gateway: &Arc<Gateway>, job: &Job, flight: &Flight) {
+    let content = job.fingerprint();
+    let target = flight.target;
+    let broken = gateway.state().quarantine.broke_off(content, target);
+    if broken == Broken::Asked {
+        return;
+    }
+    // From a task of its own, as a caller who leaves must not take the answer from the others that wait for it.
+    let asking = tokio::spawn(ask(Arc::clone(gateway), target, flight.address));
+    if broken == Broken::AskFirst {
+        // It ends early only with the process.
+        let _over = asking.await;
+    }
+}
+
+/// Finds out whether a target has ended: then nobody listens there.
+async fn ask(gateway: Arc<Gateway>, target: TargetId, address: SocketAddr) {
+    let connected = gateway.client.connect(address).await.is_ok();
+    // Where this router's own link is at fault, nothing is known of the target.
+    if connected || is_congested(&link_state(&gateway)) {
+        gateway.state().quarantine.lives(target);
+        return;
+    }
+    let changes = gateway.state().quarantine.ended(gateway.now(), target);
+    for (content, change) in changes {
+        learnt(&gateway, content, change);
+    }
+}
+
+/// `started_again` notes that a target has started again with a request at work.
+pub fn started_again(gateway: &Gateway, job: &Job, flight: &Flight) {
+    let content = job.fingerprint();
+    let now = gateway.now();
+    let mut state = gateway.state();
+    let change = state.quarantine.ended_under(now, content, flight.target);
+    drop(state);
+    learnt(gateway, content, change);
+}
+
+/// Tells the log and other routers what this one has learnt.
+fn learnt(gateway: &Gateway, content: Fingerprint, change: Change) {
+    match change {
+        Change::Known => return,
+        Change::News => {}
+        Change::Quarantined => gateway.log_quarantined(content, "here"),
+    }
+    gateway.crashed.notify_one();
+}
+
 /// `hear` takes in what another router told, and tells it what it does not know.
 pub async fn hear(
     gateway: &Gateway,
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -26,6 +26,7 @@
 use tokio::time::timeout_at;
 
 use crate::attempt::FAILURE;
+use crate::attempt::Loss;
 use crate::attempt::TargetAnswer;
 use crate::attempt::next;
 use crate::attempt::send;
@@ -97,12 +98,12 @@
                 }
                 Step::End if self.is_whole() => return self.finish(),
                 Step::End | Step::Cut => {
-                    if !self.go_on("stream cut", true).await {
+                    if !self.go_on("stream cut", Loss::BrokenOff).await {
                         return self.over("stream cut");
                     }
                 }
                 Step::Ended => {
-                    if !self.go_on("target started again", true).await {
+                    if !self.go_on("target started again", Loss::StartedAgain).await {
                         return self.over("target started again");
                     }
                 }
@@ -111,7 +112,7 @@
                     self.silence.heard(self.run.gateway.now());
                 }
                 Step::Silent => {
-                    if !self.go_on("stream silent", false).await {
+                    if !self.go_on("stream silent", Loss::Other).await {
                         return self.over("stream silent");
                     }
                 }
@@ -144,15 +145,13 @@
         }
     }
 
-    /// Gives the run up, under which its target may have `ended`, and goes on with another.
-    async fn go_on(&mut self, what: &'static str, ended: bool) -> bool {
+    /// Gives the run up and goes on with another.
+    async fn go_on(&mut self, what: &'static str, loss: Loss) -> bool {
         // Closing the connection ends the run, which must not go on beside the next one.
         self.rest = None;
         self.flight.failed();
         self.run.note(&self.flight, what);
-        if ended {
-            self.run.ended(&self.flight);
-        }
+        self.run.lost(&self.flight, loss).await;
         self.resume().await
     }
 
@@ -236,9 +235,7 @@
             }
             Err(error) => {
                 run.note(&flight, error.what);
-                if error.ended {
-                    run.ended(&flight);
-                }
+                run.lost(&flight, error.loss).await;
                 false
             }
         }
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -15,7 +15,6 @@
 use peppercrank_direct::attribution::Attribution;
 use peppercrank_direct::attribution::End;
 use peppercrank_direct::directory::TargetKey;
-use peppercrank_direct::quarantine::Change;
 use peppercrank_direct::retries::After;
 use peppercrank_direct::retries::ExecutionState;
 use peppercrank_direct::retries::Plan;
@@ -29,10 +28,12 @@
 
 use crate::attempt::AttemptError;
 use crate::attempt::FAILURE;
+use crate::attempt::Loss;
 use crate::attempt::TargetAnswer;
 use crate::attempt::WholeAnswer;
 use crate::attempt::send;
 use crate::choose::begin;
+use crate::crashes;
 use crate::flight::Flight;
 use crate::gateway::Gateway;
 use crate::job::Job;
@@ -164,7 +165,7 @@
         let sent = send(&self.gateway, &self.job, &mut flight, until, None).await;
         match sent {
             Ok(answer) => self.take(flight, answer),
-            Err(error) => self.miss(&flight, error),
+            Err(error) => self.miss(&flight, error).await,
         }
     }
 
@@ -180,20 +181,12 @@
         state.quarantine.refuses(now, self.job.fingerprint())
     }
 
-    /// `ended` notes that its target may have ended under the request.
-    pub fn ended(&self, flight: &Flight) {
-        let content = self.job.fingerprint();
-        let now = self.gateway.now();
-        let change = self
-            .gateway
-            .state()
-            .quarantine
-            .ended(now, content, flight.target);
-        if change != Change::Known {
-            self.gateway.crashed.notify_one();
-        }
-        if change == Change::Quarantined {
-            self.gateway.log_quarantined(content, "here");
+    /// `lost` notes how an attempt was lost, where its target may have ended under the request.
+    pub async fn lost(&self, flight: &Flight, loss: Loss) {
+        match loss {
+            Loss::Other => {}
+            Loss::BrokenOff => crashes::broke_off(&self.gateway, &self.job, flight).await,
+            Loss::StartedAgain => crashes::started_again(&self.gateway, &self.job, flight),
         }
     }
 
@@ -259,11 +252,9 @@
     }
 
     /// Follows up an attempt that gave no answer.
-    fn miss(&mut self, flight: &Flight, error: AttemptError) -> Next {
+    async fn miss(&mut self, flight: &Flight, error: AttemptError) -> Next {
         self.note(flight, error.what);
-        if error.ended {
-            self.ended(flight);
-        }
+        self.lost(flight, error.loss).await;
         let after = self.plan.after(error.execution);
         let reason = match error.execution {
             ExecutionState::NotSent | ExecutionState::NotRun => Reason::Refused,
--- a/crates/peppercrank-wire/src/client/mod.rs
+++ b/crates/peppercrank-wire/src/client/mod.rs
@@ -165,6 +165,26 @@
         self.pool.close(to);
     }
 
+    /// `connect` makes a connection ahead, and keeps it for the next request; it tells whether somebody listens there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no connection.
+    pub async fn connect(&self, to: SocketAddr) -> Result<(), Cause> {
+        let link = self.open(to).await?;
+        self.pool.put(to, link);
+        Ok(())
+    }
+
+    /// Makes a connection.
+    async fn open(&self, to: SocketAddr) -> Result<Link, Cause> {
+        let opening = self.openings.begin();
+        let link = Link::open(to, self.times.connect).await?;
+        opening.made();
+        self.counters.add(Count::Connected);
+        Ok(link)
+    }
+
     /// `kept` is how many open connections wait for their next request.
     #[must_use]
     pub fn kept(&self) -> usize {
@@ -211,11 +231,7 @@
                 }
             }
         }
-        let opening = self.openings.begin();
-        let opened = Link::open(to, self.times.connect).await;
-        let link = opened.map_err(SendError::NotSent)?;
-        opening.made();
-        self.counters.add(Count::Connected);
+        let link = self.open(to).await.map_err(SendError::NotSent)?;
         match self.try_on(link, to, request, self.times.connect).await {
             Tried::Answer(answer) => Ok(answer),
             Tried::Back(_, cause) => Err(SendError::NotSent(cause)),
