--- a/crates/peppercrank-direct/src/quarantine.rs
+++ b/crates/peppercrank-direct/src/quarantine.rs
@@ -15,12 +15,19 @@
 use std::time::Duration;
 
 use peppercrank_core::time::Moment;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::content::Fingerprint;
 use crate::peers::TargetId;
 
+mod report;
+pub mod spread;
+
+pub use report::CrashReport;
+
+use report::ToldEnd;
+use report::age;
+use report::ago;
+
 /// Targets that may end under a request before it is quarantined. Requests beside the one at fault are cut once or twice
 /// themselves: where targets crash four a second, 23 of 118 requests that lost an attempt lost a second one.
 pub const ENDS: usize = 3;
@@ -43,9 +50,6 @@
 /// Reports on one datagram: each has at most 42 bytes, so that they stay below [`crate::peers::MOST_BYTES`].
 const REPORTS: usize = 28;
 
-/// What ages are told in; 0.1 s is the pause between datagrams.
-const AGE_UNIT: Duration = Duration::from_millis(100);
-
 /// `End` is a start of a target that ended under a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct End {
@@ -53,35 +57,6 @@
     at: Moment,
 }
 
-/// `ToldEnd` is an end on a datagram.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct ToldEnd {
-    target: TargetId,
-    /// How long ago, in units of `AGE_UNIT`.
-    age: u16,
-}
-
-/// `CrashReport` is what one router tells another of a request under which targets ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// The request.
-    content: Fingerprint,
-    /// The targets, as many as count.
-    ends: Vec<ToldEnd>,
-    /// How long ago a target served it whole, in units of `AGE_UNIT`.
-    served: Option<u16>,
-    /// How long ago it came last, in units of `AGE_UNIT`.
-    seen: u16,
-}
-
-impl CrashReport {
-    /// `content` is the request.
-    #[must_use]
-    pub const fn content(&self) -> Fingerprint {
-        self.content
-    }
-}
-
 /// `Change` is what a router learnt of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -335,15 +310,3 @@
         }
     }
 }
-
-/// How long ago a moment was, on a datagram.
-fn age(now: Moment, at: Moment) -> u16 {
-    let age = now.since(at).as_millis() / AGE_UNIT.as_millis();
-    u16::try_from(age).unwrap_or(u16::MAX)
-}
-
-/// The moment that a datagram tells.
-fn ago(now: Moment, age: u16) -> Moment {
-    let age = AGE_UNIT * u32::from(age);
-    Moment::from_origin(now.since_origin().saturating_sub(age))
-}
--- a/crates/peppercrank-gateway/src/crashes.rs
+++ b/crates/peppercrank-gateway/src/crashes.rs
@@ -5,9 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use peppercrank_core::time::Moment;
 use peppercrank_direct::congestion::is_congested;
 use peppercrank_direct::content::Fingerprint;
 use peppercrank_direct::peers::Datagram;
@@ -15,6 +13,11 @@
 use peppercrank_direct::quarantine::Broken;
 use peppercrank_direct::quarantine::Change;
 use peppercrank_direct::quarantine::CrashReport;
+use peppercrank_direct::quarantine::spread::AGAIN;
+use peppercrank_direct::quarantine::spread::GATHER;
+use peppercrank_direct::quarantine::spread::Spread;
+use peppercrank_direct::quarantine::spread::Telling;
+use peppercrank_direct::quarantine::spread::passes_on;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -27,50 +30,13 @@
 use crate::job::Job;
 use crate::state::State;
 
-/// Routers that a datagram goes to. In a larger fleet each that learns something new passes it on, so that news reaches
-/// some hundred routers in four turns.
-const FANOUT: usize = 4;
-
-/// Routers that a reminder goes to: a router that has just started hears four of them in its first second, at any
-/// number of routers.
-const REMINDED: usize = 2;
-
-/// Pause between reminders.
-const REMINDER_EVERY: Duration = Duration::from_millis(500);
-
-/// Pause between tellings of the same news, so that one loss does not take both.
-const AGAIN: Duration = Duration::from_millis(100);
-
-/// Time in which news gathers for one datagram: all answers of a target that ends break off within a few milliseconds.
-const GATHER: Duration = Duration::from_millis(5);
-
-/// Bytes a second that crash reports may take, headers included: a quarter of what a router may send for control. Where no
-/// target crashes none are sent.
-const BYTES_A_SECOND: u128 = 1_024;
-
-/// Bytes that are saved up for the moment at which targets crash: some ten reports to each of four routers, twice.
-const SAVED: usize = 4_096;
-
-/// `Teller` sends crash reports within its allowance of bytes.
-#[derive(Debug)]
-struct Teller {
-    /// Bytes that may be sent now.
-    allowance: usize,
-    earned: Moment,
-    reminded: Moment,
-}
-
 /// `tell` tells other routers at once under which requests targets ended, and reminds them of what is quarantined.
 pub async fn tell(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
-    let mut teller = Teller {
-        allowance: SAVED,
-        earned: gateway.now(),
-        reminded: gateway.now(),
-    };
+    let mut spread = Spread::new(gateway.now());
     loop {
         wait(&gateway).await;
         sleep(GATHER).await;
-        teller.turn(&gateway, &socket).await;
+        turn(&gateway, &socket, &mut spread).await;
     }
 }
 
@@ -84,40 +50,23 @@
     let _over = timeout(AGAIN, news).await;
 }
 
-impl Teller {
-    async fn turn(&mut self, gateway: &Gateway, socket: &UdpSocket) {
-        let now = gateway.now();
-        let earned = now.since(self.earned).as_millis() * BYTES_A_SECOND / 1_000;
-        let earned = usize::try_from(earned).unwrap_or(SAVED);
-        self.allowance = self.allowance.saturating_add(earned).min(SAVED);
-        self.earned = now;
-        let (reports, peers) = self.next(now, &mut gateway.state());
-        if reports.is_empty() {
-            return;
-        }
-        let datagram = Datagram::Crashes(reports);
-        for to in peers {
-            let bytes = send(gateway, socket, to, datagram.clone()).await;
-            self.allowance = self.allowance.saturating_sub(bytes + HEADERS);
-        }
+async fn turn(gateway: &Gateway, socket: &UdpSocket, spread: &mut Spread) {
+    let Some((reports, peers)) = next(gateway, spread) else {
+        return;
+    };
+    let datagram = Datagram::Crashes(reports);
+    for to in peers {
+        let bytes = send(gateway, socket, to, datagram.clone()).await;
+        spread.sent(bytes + HEADERS);
     }
+}
 
-    /// What is told in this turn, and to whom.
-    fn next(&mut self, now: Moment, state: &mut State) -> (Vec<CrashReport>, Vec<SocketAddr>) {
-        state.quarantine.expire(now);
-        if self.allowance == 0 {
-            return Default::default();
-        }
-        let news = state.quarantine.tell(now);
-        if !news.is_empty() {
-            return (news, draw(state, FANOUT));
-        }
-        if now.since(self.reminded) < REMINDER_EVERY {
-            return Default::default();
-        }
-        self.reminded = now;
-        (state.quarantine.remind(now), draw(state, REMINDED))
-    }
+/// What is told now, and to whom.
+fn next(gateway: &Gateway, spread: &mut Spread) -> Option<(Vec<CrashReport>, Vec<SocketAddr>)> {
+    let now = gateway.now();
+    let mut state = gateway.state();
+    let Telling { reports, peers } = spread.turn(now, &mut state.quarantine)?;
+    Some((reports, draw(&state, peers)))
 }
 
 /// So many other routers, drawn anew each time.
@@ -199,7 +148,7 @@
 fn take(gateway: &Gateway, reports: &[CrashReport]) -> Vec<CrashReport> {
     let now = gateway.now();
     let mut state = gateway.state();
-    let relay = state.routers.len() > FANOUT;
+    let relay = passes_on(state.routers.len());
     let mut unknown = Vec::new();
     let mut quarantined = Vec::new();
     for report in reports {
