Give up what waits at other targets once its request is quarantined

Cause: only what came later was kept from targets. What had been sent before waited its turn at others, and ended them as it began.

Mend: attempts that wait for their first part are woken as a request is quarantined, and given up where it is theirs; closing the connection takes the request from the target's queue. A stream that has begun goes on, since its target has survived its beginning.

--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::crashes;
 use crate::flight::Flight;
 use crate::gateway::Gateway;
 use crate::job::Job;
@@ -146,6 +147,12 @@
             loss: Loss::StartedAgain,
             ..AttemptError::new(ExecutionState::Unknown, "target started again", false)
         }),
+        // It waits its turn at a target, which would end under it.
+        () = crashes::quarantined(gateway, job) => Err(AttemptError::new(
+            ExecutionState::Unknown,
+            "quarantined",
+            false,
+        )),
     };
     if outcome.as_ref().is_err_and(|error| error.against) {
         flight.failed();
--- a/crates/peppercrank-gateway/src/crashes.rs
+++ b/crates/peppercrank-gateway/src/crashes.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use peppercrank_direct::congestion::is_congested;
 use peppercrank_direct::content::Fingerprint;
@@ -133,12 +134,35 @@
     learnt(gateway, content, change);
 }
 
+/// `quarantined` returns once a request in progress is quarantined.
+pub async fn quarantined(gateway: &Gateway, job: &Job) {
+    loop {
+        let news = gateway.quarantined.notified();
+        if refuses(gateway, job).is_some() {
+            return;
+        }
+        news.await;
+    }
+}
+
+/// `refuses` tells whether a request is kept from targets, as too many have ended under it, and when its caller should
+/// return.
+#[must_use]
+pub fn refuses(gateway: &Gateway, job: &Job) -> Option<Duration> {
+    let now = gateway.now();
+    let mut state = gateway.state();
+    if state.quarantine.is_empty() {
+        return None;
+    }
+    state.quarantine.refuses(now, job.fingerprint())
+}
+
 /// Tells the log and other routers what this one has learnt.
 fn learnt(gateway: &Gateway, content: Fingerprint, change: Change) {
     match change {
         Change::Known => return,
         Change::News => {}
-        Change::Quarantined => gateway.log_quarantined(content, "here"),
+        Change::Quarantined => gateway.note_quarantined(content, "here"),
     }
     gateway.crashed.notify_one();
 }
@@ -174,7 +198,7 @@
         gateway.crashed.notify_one();
     }
     for content in quarantined {
-        gateway.log_quarantined(content, "router");
+        gateway.note_quarantined(content, "router");
     }
     unknown
 }
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -97,6 +97,8 @@
     pub answered: Notify,
     /// Wakes the one who tells other routers under which requests targets ended.
     pub crashed: Notify,
+    /// Wakes the attempts in progress, as some request was quarantined.
+    pub quarantined: Notify,
     /// Wakes the one who asks other routers, once they were listed first.
     pub routers_listed: Notify,
     /// Wakes the one who registers this router when its entry has gone.
@@ -138,6 +140,7 @@
             stop,
             answered: Notify::new(),
             crashed: Notify::new(),
+            quarantined: Notify::new(),
             routers_listed: Notify::new(),
             unregistered: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
@@ -191,8 +194,9 @@
         }
     }
 
-    /// `log_quarantined` tells that a request is kept from targets from now on, as learnt `here` or from a `router`.
-    pub fn log_quarantined(&self, content: Fingerprint, learnt: &'static str) {
+    /// `note_quarantined` tells that a request is kept from targets from now on, as learnt `here` or from a `router`.
+    pub fn note_quarantined(&self, content: Fingerprint, learnt: &'static str) {
+        self.quarantined.notify_waiters();
         let content = content.to_string();
         let fields = [
             ("content", Field::Text(&content)),
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -31,6 +31,7 @@
 use crate::attempt::next;
 use crate::attempt::send;
 use crate::choose::begin;
+use crate::crashes;
 use crate::flight::Flight;
 use crate::gateway::Gateway;
 use crate::serve::Run;
@@ -196,7 +197,7 @@
 
     async fn resume_once(&mut self) -> bool {
         let run = &mut self.run;
-        if run.quarantined().is_some() {
+        if crashes::refuses(&run.gateway, &run.job).is_some() {
             return false;
         }
         let Ok(mut flight) = begin(&run.gateway, &run.job, &run.tried) else {
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -149,7 +149,7 @@
         if self.gateway.now() >= self.job.deadline {
             return Next::Answer(self.give_up(Reason::Late));
         }
-        if let Some(after) = self.quarantined() {
+        if let Some(after) = crashes::refuses(&self.gateway, &self.job) {
             self.after = after;
             return Next::Answer(self.give_up(Reason::CrashesTargets));
         }
@@ -169,18 +169,6 @@
         }
     }
 
-    /// `quarantined` tells whether the request is kept from targets, as too many have ended under it, and when its caller should
-    /// return.
-    #[must_use]
-    pub fn quarantined(&self) -> Option<Duration> {
-        let now = self.gateway.now();
-        let mut state = self.gateway.state();
-        if state.quarantine.is_empty() {
-            return None;
-        }
-        state.quarantine.refuses(now, self.job.fingerprint())
-    }
-
     /// `lost` notes how an attempt was lost, where its target may have ended under the request.
     pub async fn lost(&self, flight: &Flight, loss: Loss) {
         match loss {
@@ -256,6 +244,11 @@
         self.note(flight, error.what);
         self.lost(flight, error.loss).await;
         let after = self.plan.after(error.execution);
+        if let Some(after) = crashes::refuses(&self.gateway, &self.job) {
+            // It takes no repeat from the fleet's budget.
+            self.after = after;
+            return Next::Answer(self.give_up(Reason::CrashesTargets));
+        }
         let reason = match error.execution {
             ExecutionState::NotSent | ExecutionState::NotRun => Reason::Refused,
             ExecutionState::Unknown | ExecutionState::Failed => Reason::Failed,
