Read all anew when the store comes back from an older copy, and keep what was acknowledged

What callers would see after such a drill: targets that came go unnoticed, as the router goes on from a revision that was given out again and hears of nothing, without any error; and a target that was told to be gone gets work again, as the copy shows it serving.

Cause: a revision was taken to mean the same for ever, and the state that the store shows to be no older than what it had told.

Mend: the store's era is decoded in the adapter and counted by direct::era. A revision counts in its era only; followers list their kinds anew in a new one; pages of two eras are no list; late answers of an older era change nothing; no entry is removed on a revision of another era. For 2 s, in which all write again, the copy proves nothing to be the newest, since a key may have been taken away by what it lacks.

--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -116,6 +116,8 @@
     Relisted = 4006 Info "entries listed anew";
     /// Changes of the configuration were read from the store.
     ChangesRead = 4007 Info "changes read from the store";
+    /// The store came back from an older copy, so that all is read anew.
+    StoreRestored = 4008 Warning "store back from an older copy";
     /// A target was marked as leaving.
     Leaving = 5001 Info "target leaving";
     /// A leaving target has no work left.
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -22,11 +22,15 @@
 
 use crate::starts::Relation;
 use crate::starts::SETTLE;
+use crate::starts::Start;
 
 /// Time after the store's return in which living targets register again; the platform's figure
 /// is about two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which it is remembered that a target is gone: longer than any copy of the store is old.
+const GONE_KEPT: Duration = Duration::from_secs(60);
+
 new_key_type! {
     /// `TargetKey` names one start of one target.
     pub struct TargetKey;
@@ -109,6 +113,12 @@
     away: bool,
     /// Until when missing entries may be back.
     grace: Option<Moment>,
+    /// The targets that went lately, with their starts.
+    gone: HashMap<Arc<str>, (Start, Moment)>,
+    /// Entries of gone targets in a store that came back from an older copy; they stand where they are still there then.
+    held: HashMap<Arc<str>, Registration>,
+    /// Until when such entries are held.
+    held_until: Option<Moment>,
 }
 
 /// `Noted` is what a change meant.
@@ -151,6 +161,14 @@
         }
     }
 
+    /// `store_restored` notes that the store has come back from an older copy. What is missing there may be written again, and what it
+    /// shows of targets that are gone may be as old as the copy.
+    pub fn store_restored(&mut self, now: Moment) {
+        self.away = false;
+        self.grace = Some(now + RETURN_GRACE);
+        self.held_until = Some(now + SETTLE);
+    }
+
     /// `is_away` tells whether the store does not answer.
     #[must_use]
     pub const fn is_away(&self) -> bool {
@@ -161,6 +179,7 @@
     pub fn replace(&mut self, now: Moment, listed: Vec<Change>) -> Vec<Noted> {
         let named = listed.iter().map(|c| Arc::clone(c.instance()));
         let named = named.collect::<HashSet<_>>();
+        self.held.retain(|instance, _| named.contains(instance));
         let known = self.instances.keys().cloned().collect::<Vec<_>>();
         let gone = known.into_iter().filter(|i| !named.contains(i));
         let gone = gone.map(Change::Removed).collect::<Vec<_>>();
@@ -181,6 +200,10 @@
 
     fn put(&mut self, now: Moment, entry: Registration) -> Noted {
         let Some(key) = self.instances.get(&entry.instance).copied() else {
+            if self.is_held(now, &entry) {
+                self.held.insert(Arc::clone(&entry.instance), entry);
+                return Noted::Nothing;
+            }
             return self.join(now, entry);
         };
         let Some(target) = self.targets.get_mut(key) else {
@@ -203,9 +226,17 @@
         }
     }
 
+    /// Whether an entry is of a start that is known to be gone, and may be as old as the store's copy.
+    fn is_held(&self, now: Moment, entry: &Registration) -> bool {
+        let held = self.held_until.is_some_and(|until| now < until);
+        let gone = self.gone.get(&entry.instance);
+        held && gone.is_some_and(|(start, _)| start.relation(entry.start) != Relation::Newer)
+    }
+
     /// Takes in that a target's entry cannot be read. A mark of leaving holds on, as the target may have been told
     /// that it was heard.
     fn mark_unreadable(&mut self, instance: &Arc<str>) -> Noted {
+        self.held.remove(instance);
         let Some(key) = self.instances.get(instance).copied() else {
             return Noted::Nothing;
         };
@@ -257,6 +288,7 @@
     }
 
     fn remove(&mut self, now: Moment, instance: &Arc<str>) -> Noted {
+        self.held.remove(instance);
         let Some(key) = self.instances.get(instance).copied() else {
             return Noted::Nothing;
         };
@@ -271,6 +303,16 @@
                 State::Leaving | State::Unreadable => {}
             }
         }
+        self.go(now, key)
+    }
+
+    /// Takes out a target that is gone, and remembers it for a while.
+    fn go(&mut self, now: Moment, key: TargetKey) -> Noted {
+        if let Some(target) = self.targets.get(key) {
+            let instance = Arc::clone(&target.registration.instance);
+            let start = target.registration.start;
+            self.gone.insert(instance, (start, now));
+        }
         self.forget(key);
         Noted::Gone(key)
     }
@@ -299,15 +341,21 @@
         }
     }
 
-    /// `expire` drops the targets that did not return in time, and lets what the store tells of other starts stand.
+    /// `expire` drops the targets that did not return in time, and lets what the store tells of other starts, and of targets that
+    /// were gone, stand.
     pub fn expire(&mut self, now: Moment) -> Vec<Noted> {
         let late = |t: &Target| matches!(t.state, State::Missing(until) if now >= until);
         let late = self.targets.iter().filter(|(_, t)| late(t));
         let late = late.map(|(k, _)| k).collect::<Vec<_>>();
         let mut noted = Vec::new();
         for key in late {
-            self.forget(key);
-            noted.push(Noted::Gone(key));
+            noted.push(self.go(now, key));
+        }
+        self.gone.retain(|_, (_, at)| now.since(*at) < GONE_KEPT);
+        if self.held_until.is_some_and(|until| now >= until) {
+            for (_, entry) in std::mem::take(&mut self.held) {
+                noted.push(self.join(now, entry));
+            }
         }
         let settled = self.targets.iter_mut().filter_map(|(key, target)| {
             let (entry, _) = target.rival.take_if(|(_, from)| now >= *from)?;
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`decide`]: whether a request is sent, and where to.
 //! - [`desired`]: the operators' configuration, indexed for the request path.
 //! - [`directory`]: the targets there are, and which of them leave.
+//! - [`era`]: which life of the store an answer tells of.
 //! - [`events`]: whole events of streams that may be resumed.
 //! - [`freshness`]: how old the knowledge of keys may be before requests are refused.
 //! - [`in_flight`]: what an attempt counts for at its target.
@@ -32,6 +33,7 @@
 pub mod decide;
 pub mod desired;
 pub mod directory;
+pub mod era;
 pub mod events;
 pub mod freshness;
 pub mod in_flight;
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -11,6 +11,8 @@
 use peppercrank_core::time::Moment;
 use peppercrank_direct::catch_up::Proof;
 use peppercrank_direct::catch_up::Reading;
+use peppercrank_direct::era::Era;
+use peppercrank_direct::era::Told;
 use peppercrank_direct::truncation::GATHER;
 use peppercrank_direct::truncation::Length;
 use peppercrank_direct::truncation::Next;
@@ -30,6 +32,7 @@
 use crate::outage::OutageListener;
 use crate::role::Role;
 use crate::store::Ended;
+use crate::store::Outcome;
 use crate::store::Store;
 
 /// Pause after a first failed call; it doubles with each further one.
@@ -62,6 +65,8 @@
     /// Tells when the store is away or back.
     outages: OutageListener,
     intake: Intake,
+    /// The store's era in which the revision counts up to which the kind is known.
+    era: Option<Era>,
     /// Failures in a row.
     failures: u32,
     /// Answers in a row that did not prove what is known to be the newest.
@@ -92,6 +97,7 @@
             outage: outage.clone(),
             outages: outage.subscribe(),
             intake: Intake::new(gateway, kind),
+            era: None,
             failures: 0,
             unproven: 0,
             truncation: Truncation::default(),
@@ -144,9 +150,10 @@
             let state = self.gateway.state();
             return state.catch_up.reading(state.freshness.age(now));
         }
-        self.intake
-            .revision
-            .map_or(Reading::Snapshot, Reading::Changes)
+        // Another follower may have been the first to hear of a new era.
+        let counts = self.gateway.state().eras.newest() == self.era;
+        let revision = self.intake.revision.filter(|_| counts);
+        revision.map_or(Reading::Snapshot, Reading::Changes)
     }
 
     /// The revision up to which the kind is known; of the configuration, to either of its followers.
@@ -196,6 +203,7 @@
 
     async fn list(&mut self) -> Turn {
         let asked = self.gateway.now();
+        let began_in = self.gateway.state().eras.newest();
         let mut entries = Vec::new();
         let mut after = None;
         let mut first = None;
@@ -213,7 +221,13 @@
             // Changes since the first page may have missed the later ones.
             let from = *first.get_or_insert(page.revision);
             after = page.next;
+            let era = self.gateway.state().eras.newest();
+            if began_in.is_some() && era != began_in {
+                // Pages of two eras are no list.
+                return Turn::Relist;
+            }
             if after.is_none() {
+                self.era = era;
                 return self.take_list(asked, from, entries);
             }
         }
@@ -280,17 +294,24 @@
     async fn call(&mut self, path: &str, wait: Duration) -> Result<Bytes, Turn> {
         let patience = if self.failures == 0 { ANSWER } else { PROBE };
         let asked = self.gateway.now();
+        let asked_in = self.gateway.state().eras.newest();
         let answer = tokio::select! {
             answer = self.store.ask(path, wait + patience) => answer,
             // Only a store that is back makes a call worth dropping that waits, and none that is being answered.
             () = self.outages.returned() => return Err(Turn::Again),
         };
-        let ended = match answer {
+        let Outcome { ended, era } = match answer {
             Ok(answer) => self.store.finish(answer).await,
-            Err(ended) => ended,
+            Err(outcome) => outcome,
         };
         self.gateway.metrics.called(self.kind.word(), ended.code());
         self.note(wait, asked, &ended);
+        match self.gateway.hear_era(era, asked_in) {
+            Told::Same => {}
+            // What it tells, it tells of revisions that mean something else now.
+            Told::Newer => return Err(Turn::Relist),
+            Told::Older => return Err(Turn::Fine),
+        }
         match ended {
             Ended::Done(body) => {
                 self.failures = 0;
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -17,6 +17,8 @@
 use peppercrank_direct::content::Fingerprint;
 use peppercrank_direct::desired::Applied;
 use peppercrank_direct::desired::Desired;
+use peppercrank_direct::era::Era;
+use peppercrank_direct::era::Told;
 use peppercrank_direct::freshness::Source;
 use peppercrank_log::Field;
 use peppercrank_log::Log;
@@ -194,6 +196,28 @@
         }
     }
 
+    /// `hear_era` takes in the era that an answer of the store tells, to a question that was `asked` in another one or the same.
+    #[must_use]
+    pub fn hear_era(&self, era: Option<Era>, asked: Option<Era>) -> Told {
+        let Some(era) = era else {
+            return Told::Same;
+        };
+        let now = self.now();
+        let mut state = self.state();
+        let told = state.eras.hear(now, era);
+        if told == Told::Newer {
+            state.store_restored(now);
+            drop(state);
+            let fields = [("era", Field::Number(era.0))];
+            self.log.write(Event::StoreRestored, &fields);
+        }
+        match told {
+            // Another call was the first to hear of it.
+            Told::Same if asked.is_some_and(|asked| asked < era) => Told::Newer,
+            told => told,
+        }
+    }
+
     /// `note_quarantined` tells that a request is kept from targets from now on, as learnt `here` or from a `router`.
     pub fn note_quarantined(&self, content: Fingerprint, learnt: &'static str) {
         self.quarantined.notify_waiters();
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -134,7 +134,8 @@
         let mut state = self.gateway.state();
         let revision = changes.revision;
         let proof = state.catch_up.read(reading, revision, versions, newer);
-        if proof == Proof::Newest && state.config.index().is_some() {
+        let vouches = state.eras.vouches(asked);
+        if proof == Proof::Newest && vouches && state.config.index().is_some() {
             state.freshness.confirm(asked, Source::Store);
         }
         proof
--- a/crates/peppercrank-gateway/src/register.rs
+++ b/crates/peppercrank-gateway/src/register.rs
@@ -60,11 +60,11 @@
     };
     let path = store::list(Kind::Routers, None);
     let made = store.post(&path, body.clone()).await;
-    gateway.metrics.called("register", made.code());
-    let written = match made {
+    gateway.metrics.called("register", made.ended.code());
+    let written = match made.ended {
         Ended::Conflict => {
             let path = store::entry(Kind::Routers, &entry.name);
-            store.put(&path, body).await
+            store.put(&path, body).await.ended
         }
         other => other,
     };
@@ -76,7 +76,7 @@
     let name = gateway.settings().name.clone();
     let path = store::entry(Kind::Routers, &name);
     let left = timeout(LEAVE, store.delete(&path)).await;
-    let code = left.map_or("late", |left| left.code());
+    let code = left.map_or("late", |left| left.ended.code());
     gateway.metrics.called("leave", code);
 }
 
@@ -85,13 +85,18 @@
 pub async fn prune(gateway: Arc<Gateway>, store: Store, confirmer: Confirmer) {
     loop {
         sleep(LOOK).await;
+        let era = gateway.state().eras.newest();
         let gone = gone(&gateway, GONE);
         if !confirmer.asks_store() {
             continue;
         }
         for (name, registered) in gone {
+            // The revision names another entry in another era of the store.
+            if gateway.state().eras.newest() != era {
+                break;
+            }
             let path = store::entry_at(Kind::Routers, &name, registered.revision);
-            let removed = store.delete(&path).await;
+            let removed = store.delete(&path).await.ended;
             gateway.metrics.called("prune", removed.code());
             let silent = gateway.now().since(registered.heard);
             let fields = [
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -15,6 +15,7 @@
 use peppercrank_direct::directory::Directory;
 use peppercrank_direct::directory::Registration;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::era::Eras;
 use peppercrank_direct::freshness::Freshness;
 use peppercrank_direct::peers::Hint;
 use peppercrank_direct::peers::Outbox;
@@ -47,6 +48,8 @@
     pub asked: Option<Asked>,
     /// How far the configuration was read.
     pub catch_up: CatchUp,
+    /// The store's eras.
+    pub eras: Eras,
     /// The targets there are.
     pub directory: Directory,
     /// Since when the store does not answer this router.
@@ -141,6 +144,7 @@
             freshness: Freshness::new(settings.keys.map(|k| k.revoke)),
             asked: None,
             catch_up: CatchUp::default(),
+            eras: Eras::default(),
             directory: Directory::default(),
             away: None,
             listed: None,
@@ -161,6 +165,16 @@
         }
     }
 
+    /// `store_restored` notes that the store has come back from an older copy, so that no revision counts any more.
+    pub fn store_restored(&mut self, now: Moment) {
+        self.directory.store_restored(now);
+        self.catch_up.forget();
+        for router in self.routers.values_mut() {
+            // Its entry's revision names another state of it; until it is read anew none is removed by it.
+            router.heard = now;
+        }
+    }
+
     /// `forget` drops all that is known of a target's start that is gone.
     pub fn forget(&mut self, key: TargetKey) {
         self.board.forget(key);
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -14,6 +14,8 @@
 use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
+use peppercrank_direct::era::Era;
+use peppercrank_platform::store;
 use peppercrank_wire::body;
 use peppercrank_wire::client::Answer;
 use peppercrank_wire::client::AnswerBody;
@@ -71,6 +73,26 @@
     Cut,
 }
 
+/// `Outcome` is how a call ended, and of which era of the store its answer tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outcome {
+    /// How it ended.
+    pub ended: Ended,
+    /// The era; none without an answer, or of a store that tells none.
+    pub era: Option<Era>,
+}
+
+impl Outcome {
+    /// `lost` is that of a call without an answer.
+    #[must_use]
+    pub const fn lost() -> Self {
+        Self {
+            ended: Ended::Lost,
+            era: None,
+        }
+    }
+}
+
 impl Ended {
     /// `code` is the outcome's stable name in metrics.
     #[must_use]
@@ -110,30 +132,30 @@
     ///
     /// # Errors
     ///
-    /// Returns how the call ended without an answer.
-    pub async fn ask(&self, path: &str, within: Duration) -> Result<Answer, Ended> {
+    /// Returns the outcome of a call without an answer.
+    pub async fn ask(&self, path: &str, within: Duration) -> Result<Answer, Outcome> {
         self.open(Method::GET, path, Bytes::new(), within).await
     }
 
     /// `post` creates an entry.
-    pub async fn post(&self, path: &str, body: Bytes) -> Ended {
+    pub async fn post(&self, path: &str, body: Bytes) -> Outcome {
         self.call(Method::POST, path, body).await
     }
 
     /// `put` replaces an entry.
-    pub async fn put(&self, path: &str, body: Bytes) -> Ended {
+    pub async fn put(&self, path: &str, body: Bytes) -> Outcome {
         self.call(Method::PUT, path, body).await
     }
 
     /// `delete` removes an entry.
-    pub async fn delete(&self, path: &str) -> Ended {
+    pub async fn delete(&self, path: &str) -> Outcome {
         self.call(Method::DELETE, path, Bytes::new()).await
     }
 
-    async fn call(&self, method: Method, path: &str, body: Bytes) -> Ended {
+    async fn call(&self, method: Method, path: &str, body: Bytes) -> Outcome {
         match self.open(method, path, body, WRITE).await {
             Ok(answer) => self.finish(answer).await,
-            Err(ended) => ended,
+            Err(outcome) => outcome,
         }
     }
 
@@ -143,12 +165,12 @@
         path: &str,
         body: Bytes,
         within: Duration,
-    ) -> Result<Answer, Ended> {
+    ) -> Result<Answer, Outcome> {
         let mut request = Request::new(body::full(body));
         *request.method_mut() = method;
         let Ok(uri) = path.parse() else {
             // Names of entries come from the store itself, which spells them as paths.
-            return Err(Ended::Lost);
+            return Err(Outcome::lost());
         };
         *request.uri_mut() = uri;
         let json = HeaderValue::from_static("application/json");
@@ -156,7 +178,7 @@
         let sent = self.client.send(self.address, request, Reuse::Allowed);
         match timeout(within, sent).await {
             Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(_)) | Err(_) => Err(Ended::Lost),
+            Ok(Err(_)) | Err(_) => Err(Outcome::lost()),
         }
     }
 
@@ -164,19 +186,15 @@
     ///
     /// A bound on the time of the whole call made routers on slow links give up answers half read, and
     /// begin again at the first byte, for 8 s.
-    pub async fn finish(&self, answer: Answer) -> Ended {
+    pub async fn finish(&self, answer: Answer) -> Outcome {
         let (head, body) = answer.into_parts();
+        let era = store::era(&head.headers);
         let whole = timeout(WHOLE, self.whole(body)).await;
-        let Some(whole) = whole.unwrap_or(None) else {
-            return Ended::Cut;
+        let ended = match whole.unwrap_or(None) {
+            None => Ended::Cut,
+            Some(whole) => ended(head.status, whole),
         };
-        match head.status {
-            status if status.is_success() => Ended::Done(whole),
-            StatusCode::GONE => Ended::HistoryGone,
-            StatusCode::CONFLICT => Ended::Conflict,
-            StatusCode::NOT_FOUND => Ended::Missing,
-            status => Ended::Refused(status),
-        }
+        Outcome { ended, era }
     }
 
     /// The whole body of an answer; none where it broke off.
@@ -192,3 +210,14 @@
         Some(whole.freeze())
     }
 }
+
+/// What an answer of this status and body is.
+fn ended(status: StatusCode, whole: Bytes) -> Ended {
+    match status {
+        status if status.is_success() => Ended::Done(whole),
+        StatusCode::GONE => Ended::HistoryGone,
+        StatusCode::CONFLICT => Ended::Conflict,
+        StatusCode::NOT_FOUND => Ended::Missing,
+        status => Ended::Refused(status),
+    }
+}
