Count the time for which the machine is suspended, and wake what waits after it

What callers would see: a router whose machine was suspended serves by keys, targets and deadlines that became too old meanwhile, as the steady clock, by which all ages went, does not count that time.

Mend: the one clock of the wire goes by CLOCK_BOOTTIME (rustix, which was there). Waits for a moment ask it, and are woken once the two clocks are seen to have parted by 100 ms: kept connections are closed, and the store counts as away until it answers.

--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -70,6 +70,8 @@
     SettingsInvalid = 1007 Error "invalid settings held back";
     /// Log lines found no room, or could not be written.
     LogDropped = 1008 Warning "log lines dropped";
+    /// The machine was suspended.
+    Suspended = 1009 Warning "machine was suspended";
     /// A request was refused.
     Refused = 2001 Info "request refused";
     /// A request is tried at another target.
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`retries`]: the fleet's retry budget, and what follows a failed attempt.
 //! - [`starts`]: which start of a target is meant.
 //! - [`stats`]: what a router knows of each target.
+//! - [`suspension`]: whether the machine was suspended.
 //! - [`peers`]: what routers tell each other.
 
 pub mod admission;
@@ -50,4 +51,5 @@
 pub mod silence;
 pub mod starts;
 pub mod stats;
+pub mod suspension;
 pub mod truncation;
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -22,8 +22,6 @@
 use peppercrank_wire::client::AnswerBody;
 use peppercrank_wire::client::Reuse;
 use peppercrank_wire::client::SendError;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
 
 use crate::crashes;
 use crate::flight::Flight;
@@ -131,14 +129,13 @@
     } else {
         Reuse::Never
     };
-    let end = gateway.instant(until);
     let mut termination = flight.termination.clone();
     let exchange = async {
         let sending = gateway.client.send(flight.address, request, reuse);
-        let Ok(sent) = timeout_at(end, sending).await else {
+        let Some(sent) = gateway.in_time(until, sending).await else {
             return Err(AttemptError::unknown("no answer in time"));
         };
-        take(job, flight, sent, end).await
+        take(gateway, job, flight, sent, until).await
     };
     let outcome = tokio::select! {
         biased;
@@ -162,15 +159,16 @@
 
 /// Takes in what came of sending a request.
 async fn take(
+    gateway: &Gateway,
     job: &Job,
     flight: &mut Flight,
     sent: Result<Answer, SendError>,
-    end: Instant,
+    until: Moment,
 ) -> Result<TargetAnswer, AttemptError> {
     match sent {
-        Ok(answer) => match timeout_at(end, judge(job, flight, answer)).await {
-            Ok(judged) => judged,
-            Err(_) => Err(AttemptError::unknown("no whole answer in time")),
+        Ok(answer) => match gateway.in_time(until, judge(job, flight, answer)).await {
+            Some(judged) => judged,
+            None => Err(AttemptError::unknown("no whole answer in time")),
         },
         Err(SendError::NotSent(_)) => Err(AttemptError::new(
             ExecutionState::NotSent,
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -30,7 +30,7 @@
 use peppercrank_wire::stop::Stop;
 use tokio::sync::Notify;
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::timeout;
 
 use crate::limits::FIRST_BOUNDS;
 use crate::limits::edge_limits;
@@ -101,6 +101,8 @@
     pub crashed: Notify,
     /// Wakes the attempts in progress, as some request was quarantined.
     pub quarantined: Notify,
+    /// Wakes what waits for a moment, as the machine was suspended and timers stood still.
+    pub resumed: Notify,
     /// Wakes the one who asks other routers, once they were listed first.
     pub routers_listed: Notify,
     /// Wakes the one who registers this router when its entry has gone.
@@ -118,12 +120,12 @@
     /// `new` makes what the tasks share, of a router that takes datagrams at `peers`.
     #[must_use]
     pub fn new(
+        clock: Clock,
         settings: watch::Receiver<Arc<GatewaySettings>>,
         log: Log,
         stop: Stop,
         peers: SocketAddr,
     ) -> Self {
-        let clock = Clock::start();
         let state = State::new(clock.now(), &settings.borrow());
         let limits = edge_limits(&settings.borrow(), FIRST_BOUNDS);
         let times = Times {
@@ -143,6 +145,7 @@
             answered: Notify::new(),
             crashed: Notify::new(),
             quarantined: Notify::new(),
+            resumed: Notify::new(),
             routers_listed: Notify::new(),
             unregistered: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
@@ -177,10 +180,26 @@
         self.clock.now()
     }
 
-    /// `instant` is a moment on the runtime's clock.
-    #[must_use]
-    pub fn instant(&self, at: Moment) -> Instant {
-        Instant::from_std(self.clock.instant(at))
+    /// `until` returns at a moment, also where the machine was suspended before it.
+    pub async fn until(&self, at: Moment) {
+        loop {
+            let resumed = self.resumed.notified();
+            let left = at.since(self.now());
+            if left.is_zero() {
+                return;
+            }
+            // Over by the timer or by a suspension: the clock tells whether the moment has come.
+            let _over = timeout(left, resumed).await;
+        }
+    }
+
+    /// `in_time` is what a future gives by a moment; none where it takes longer.
+    pub async fn in_time<F: Future>(&self, at: Moment, future: F) -> Option<F::Output> {
+        tokio::select! {
+            biased;
+            output = future => Some(output),
+            () = self.until(at) => None,
+        }
     }
 
     /// `count_failure` counts a failure that speaks against a target.
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`confirm`] has other routers confirm what is known of keys, where they may.
 //! - [`intake`] takes in what the store tells, and [`targets`] what that means for each target.
 //! - [`outage`] tells the followers whether the store answers.
+//! - [`suspension`] notices that the machine was suspended.
 //! - [`termination`] tells attempts that their target has started again.
 //! - [`gossip`] exchanges loads and held prompts with other routers.
 //! - [`crashes`] tells other routers under which requests targets ended.
@@ -42,6 +43,7 @@
 pub mod serve;
 pub mod state;
 pub mod store;
+pub mod suspension;
 pub mod targets;
 pub mod termination;
 
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -5,6 +5,7 @@
 
 use std::pin::Pin;
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,9 +22,6 @@
 use peppercrank_wire::body::Body;
 use peppercrank_wire::body::Feed;
 use peppercrank_wire::client::AnswerBody;
-use tokio::time::Sleep;
-use tokio::time::sleep_until;
-use tokio::time::timeout_at;
 
 use crate::attempt::FAILURE;
 use crate::attempt::Loss;
@@ -84,17 +82,18 @@
 
 impl Relay {
     async fn go(mut self, first: Bytes) {
-        let end = self.run.gateway.instant(self.run.job.deadline);
-        let mut late = pin!(sleep_until(end));
+        let gateway = Arc::clone(&self.run.gateway);
+        let end = self.run.job.deadline;
+        let mut late = pin!(gateway.until(end));
         let mut step = Step::Part(first);
         loop {
             match step {
                 Step::Part(part) => {
                     // A caller that reads slowly must not hold its target past the deadline.
-                    match timeout_at(end, self.pass(part)).await {
-                        Ok(Ok(())) => self.passed(),
-                        Ok(Err(_)) => return self.over("caller gone"),
-                        Err(_) => return self.over("deadline passed"),
+                    match gateway.in_time(end, self.pass(part)).await {
+                        Some(Ok(())) => self.passed(),
+                        Some(Err(_)) => return self.over("caller gone"),
+                        None => return self.over("deadline passed"),
                     }
                 }
                 Step::End if self.is_whole() => return self.finish(),
@@ -125,7 +124,7 @@
     }
 
     /// Waits for what happens next.
-    async fn step(&mut self, late: Pin<&mut Sleep>) -> Step {
+    async fn step(&mut self, late: Pin<&mut impl Future<Output = ()>>) -> Step {
         let Some(rest) = &mut self.rest else {
             return Step::Cut;
         };
@@ -271,6 +270,6 @@
 /// Returns once a stream is silent.
 async fn quiet(gateway: &Gateway, silence: Silence) {
     while let Heard::Until(at) = silence.at(gateway.now()) {
-        sleep_until(gateway.instant(at)).await;
+        gateway.until(at).await;
     }
 }
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -13,6 +13,7 @@
 use peppercrank_log::Field;
 use peppercrank_log::Log;
 use peppercrank_settings::GatewaySettings;
+use peppercrank_wire::clock::Clock;
 use peppercrank_wire::edge::Edge;
 use peppercrank_wire::edge::Finished;
 use peppercrank_wire::edge::Limits;
@@ -44,6 +45,7 @@
 use crate::role::Role;
 use crate::serve;
 use crate::store::Store;
+use crate::suspension;
 use crate::targets;
 
 /// Pause between looks at how many connections are kept.
@@ -93,6 +95,20 @@
     ///
     /// Returns an error when a socket cannot be bound.
     pub async fn start(path: &Path, settings: GatewaySettings, log: Log) -> Result<Self> {
+        Self::start_by(Clock::start(), path, settings, log).await
+    }
+
+    /// `start_by` does the same by this clock.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::start`].
+    pub async fn start_by(
+        clock: Clock,
+        path: &Path,
+        settings: GatewaySettings,
+        log: Log,
+    ) -> Result<Self> {
         let (stopper, told) = stop();
         let (ending, end) = stop();
         let edge = Edge::bind(settings.listen).await.map_err(Error::Bind)?;
@@ -103,7 +119,7 @@
         let peers = socket.local_addr().map_err(Error::Start)?;
         let hangup = signal(SignalKind::hangup()).map_err(Error::Start)?;
         let (dial, settings) = watch::channel(Arc::new(settings));
-        let gateway = Arc::new(Gateway::new(settings, log, told.clone(), peers));
+        let gateway = Arc::new(Gateway::new(clock, settings, log, told.clone(), peers));
         let (callers, asked) = (edge.local_addr(), ready.local_addr());
         let address = callers.to_string();
         let fields = [("listen", Field::Text(&address))];
@@ -168,6 +184,11 @@
     ] {
         tasks.spawn(Follower::new(gateway, store, role, &outage).run());
     }
+    tasks.spawn(suspension::watch(
+        Arc::clone(gateway),
+        store.clone(),
+        outage,
+    ));
     tasks.spawn(targets::expire(Arc::clone(gateway)));
     tasks.spawn(progress::tell(Arc::clone(gateway)));
     tasks.spawn(register::register(Arc::clone(gateway), store.clone()));
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// `close` closes the unused connections.
+    pub fn close(&self) {
+        self.client.close_all();
+    }
+
     /// `ask` reads; its answer has to begin within a time.
     ///
     /// # Errors
--- a/crates/peppercrank-wire/src/client/mod.rs
+++ b/crates/peppercrank-wire/src/client/mod.rs
@@ -165,6 +165,11 @@
         self.pool.close(to);
     }
 
+    /// `close_all` closes all unused connections.
+    pub fn close_all(&self) {
+        self.pool.close_all();
+    }
+
     /// `connect` makes a connection ahead, and keeps it for the next request; it tells whether somebody listens there.
     ///
     /// # Errors
--- a/crates/peppercrank-wire/src/client/pool.rs
+++ b/crates/peppercrank-wire/src/client/pool.rs
@@ -79,6 +79,11 @@
         drop(self.kept().links.remove(&to));
     }
 
+    /// Closes all connections.
+    pub(super) fn close_all(&self) {
+        self.kept().links.clear();
+    }
+
     /// How many of the kept connections are open.
     pub(super) fn open(&self) -> usize {
         let kept = self.kept();
--- a/crates/peppercrank-wire/src/clock.rs
+++ b/crates/peppercrank-wire/src/clock.rs
@@ -1,16 +1,30 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! The process's monotonic clock, read at the edge and passed into the sans-I/O parts.
+//! The process's clock, read at the edge and passed into the sans-I/O parts.
+//!
+//! It counts the time for which the machine is suspended. The clock of the standard library, by which the runtime's timers go, does not: what
+//! was known before would look as young after a suspension as before it, and a key that was taken away meanwhile would be
+//! served. Timers fire late by that time, so that what depends on a moment asks this clock when it is woken.
 
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use peppercrank_core::time::Moment;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 
-/// `Clock` reads monotonic time as [`Moment`]s since its start.
+/// `Clock` reads the time since its start as [`Moment`]s.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Instant,
+    /// The time since the machine's boot at the start.
+    origin: Duration,
+    /// The start on the clock of timers.
+    steady: Instant,
+    /// Milliseconds of suspensions that are played.
+    played: Option<&'static AtomicU64>,
 }
 
 impl Clock {
@@ -18,19 +32,48 @@
     #[must_use]
     pub fn start() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: since_boot(),
+            steady: Instant::now(),
+            played: None,
+        }
+    }
+
+    /// `start_played` starts a clock that also counts these milliseconds, as if the machine had been suspended for them: to be
+    /// raised while it runs, where a machine cannot be suspended to see what follows.
+    #[must_use]
+    pub fn start_played(played: &'static AtomicU64) -> Self {
+        Self {
+            played: Some(played),
+            ..Self::start()
         }
     }
 
     /// `now` is the present moment.
     #[must_use]
     pub fn now(&self) -> Moment {
-        Moment::from_origin(self.origin.elapsed())
+        let counted = since_boot().saturating_sub(self.origin);
+        let played = self.played.map_or(0, |p| p.load(Ordering::Relaxed));
+        Moment::from_origin(counted + Duration::from_millis(played))
     }
 
-    /// `instant` is the same point on the standard library's clock.
+    /// `instant` is when a timer has to fire for a moment, unless the machine is suspended before it.
     #[must_use]
     pub fn instant(&self, at: Moment) -> Instant {
-        self.origin + at.since_origin()
+        Instant::now() + at.since(self.now())
     }
+
+    /// `suspended` is how long the machine was suspended since the start.
+    #[must_use]
+    pub fn suspended(&self) -> Duration {
+        let counted = self.now().since_origin();
+        counted.saturating_sub(self.steady.elapsed())
+    }
+}
+
+/// The time since the machine's boot, suspensions included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
 }
