Hold what a copy of the store shows of gone targets until a dead one's entry has lapsed and that was read

What callers would see: after the store came back from an older copy, a target that is gone may get requests for a moment, four seconds later. Order of events: the target ends and its entry is removed, which the router reads; the store comes back with the entry; four seconds later the entry lapses, and at the same moment the router lets it stand, before it reads so.

Cause: the hold was as long as the lapse, without the router's pause between calls. Mend: 6 s in place of 4.

--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -31,6 +31,11 @@
 /// Time for which it is remembered that a target is gone: longer than any copy of the store is old.
 const GONE_KEPT: Duration = Duration::from_secs(60);
 
+/// `HELD` is the time for which entries of gone targets are held in a store that has come back from an older copy: until a dead
+/// one's entry has lapsed, after three heartbeats of 1.2 s, and that was read, up to 0.9 s later. At 4 s they stood while a
+/// dead one's had lapsed and was not yet read.
+pub const HELD: Duration = Duration::from_secs(6);
+
 new_key_type! {
     /// `TargetKey` names one start of one target.
     pub struct TargetKey;
@@ -166,7 +171,7 @@
     pub fn store_restored(&mut self, now: Moment) {
         self.away = false;
         self.grace = Some(now + RETURN_GRACE);
-        self.held_until = Some(now + SETTLE);
+        self.held_until = Some(now + HELD);
     }
 
     /// `is_away` tells whether the store does not answer.
--- a/crates/peppercrank-direct/tests/verify_era.rs
+++ b/crates/peppercrank-direct/tests/verify_era.rs
@@ -9,13 +9,13 @@
 use peppercrank_core::time::Moment;
 use peppercrank_direct::directory::Change;
 use peppercrank_direct::directory::Directory;
+use peppercrank_direct::directory::HELD;
 use peppercrank_direct::directory::Noted;
 use peppercrank_direct::directory::RETURN_GRACE;
 use peppercrank_direct::directory::Registration;
 use peppercrank_direct::era::Era;
 use peppercrank_direct::era::Eras;
 use peppercrank_direct::era::Told;
-use peppercrank_direct::starts::SETTLE;
 use peppercrank_direct::starts::Start;
 
 /// The one millisecond that is there before and after.
@@ -89,7 +89,7 @@
     directory.replace(at(3), list());
     assert!(takes_work(&directory, at(3), "one"));
     assert_eq!(directory.find("two"), None);
-    let until = at(2) + SETTLE;
+    let until = at(2) + HELD;
     assert!(directory.expire(at(3)).is_empty());
     let noted = directory.expire(until);
     assert!(matches!(noted[..], [Noted::Joined(_)]), "{noted:?}");
@@ -107,7 +107,7 @@
     directory.replace(at(2), listed.to_vec());
     directory.apply(at(4), Change::Removed(Arc::from("two")));
     directory.replace(at(5), vec![Change::Put(entry("one", 1))]);
-    assert!(directory.expire(at(2) + SETTLE).is_empty());
+    assert!(directory.expire(at(2) + HELD).is_empty());
     assert_eq!(directory.len(), 1);
 }
 
@@ -128,7 +128,7 @@
     assert!(matches!(noted, Noted::Joined(_)), "{noted:?}");
     directory.apply(at(3), Change::Removed(Arc::from("one")));
     directory.store_restored(at(4));
-    let noted = directory.apply(at(4) + SETTLE, Change::Put(entry("one", 1)));
+    let noted = directory.apply(at(4) + HELD, Change::Put(entry("one", 1)));
     assert!(matches!(noted, Noted::Joined(_)), "{noted:?}");
 }
 
@@ -154,6 +154,6 @@
     directory.store_restored(at(2));
     let listed = ["one", "two"].map(|n| Change::Put(entry(n, 1)));
     directory.replace(at(2), listed.to_vec());
-    directory.expire(at(2) + SETTLE);
-    assert!(!takes_work(&directory, at(2) + SETTLE, "two"));
+    directory.expire(at(2) + HELD);
+    assert!(!takes_work(&directory, at(2) + HELD, "two"));
 }
--- a/crates/peppercrank-spec/src/lib.rs
+++ b/crates/peppercrank-spec/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod configuration;
 pub mod drain;
+pub mod eras;
 pub mod once;
 pub mod orders;
 pub mod search;
