--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -322,9 +322,11 @@
             ("held_ms", Field::Millis(self.held())),
         ];
         let mut fields = [&fields[..], &self.gateway.beliefs().fields()[..]].concat();
-        let content = self.job.fingerprint().to_string();
-        if reason == Reason::CrashesTargets {
-            fields.push(("content", Field::Text(&content)));
+        // Made for these alone: a flood is refused by the thousand.
+        let quarantined = reason == Reason::CrashesTargets;
+        let content = quarantined.then(|| self.job.fingerprint().to_string());
+        if let Some(content) = &content {
+            fields.push(("content", Field::Text(content)));
         }
         self.gateway.log.write(Event::Refused, &fields);
         refuse(reason, self.after)
