--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -144,4 +144,8 @@
     TargetInDoubt = 5011 Warning "target's start in doubt";
     /// A target's entry cannot be read any more, so it gets no new work.
     TargetUnreadable = 5012 Warning "target's entry unreadable";
+    /// An availability zone was evacuated: its targets get no new work.
+    ZoneEvacuated = 5013 Warning "zone evacuated";
+    /// An evacuated availability zone takes work again.
+    ZoneRestored = 5014 Info "zone restored";
 }
--- a/crates/peppercrank-direct/src/confirm.rs
+++ b/crates/peppercrank-direct/src/confirm.rs
@@ -40,17 +40,31 @@
     pub version: u64,
     /// The age of the knowledge there, in milliseconds, rounded up.
     pub age: u32,
+    /// The digest of the zones that are evacuated by what is known there. Routers that do not know it yet pass over it.
+    pub evacuations: u64,
+}
+
+/// `Known` is what a router confirms to others.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Known {
+    /// The version in force.
+    pub version: Option<u64>,
+    /// The age of the knowledge of keys.
+    pub age: Option<Duration>,
+    /// The digest of the evacuated zones.
+    pub evacuations: u64,
 }
 
 impl Confirmation {
     /// `new` answers a question by what is known at this moment; none where nothing is.
     #[must_use]
-    pub fn new(question: Question, version: Option<u64>, age: Option<Duration>) -> Option<Self> {
-        let age = u32::try_from(age?.as_millis()).ok()?;
+    pub fn new(question: Question, known: Known) -> Option<Self> {
+        let age = u32::try_from(known.age?.as_millis()).ok()?;
         Some(Self {
             nonce: question.nonce,
-            version: version?,
+            version: known.version?,
             age: age.saturating_add(1),
+            evacuations: known.evacuations,
         })
     }
 }
--- a/crates/peppercrank-direct/src/decide.rs
+++ b/crates/peppercrank-direct/src/decide.rs
@@ -11,7 +11,7 @@
 use crate::admission::Pool;
 use crate::place::Candidate;
 use crate::place::Choice;
-use crate::place::Leaving;
+use crate::place::Holder;
 use crate::place::Placed;
 use crate::place::PlacementRequest;
 use crate::place::least_wait;
@@ -60,7 +60,7 @@
     attempt: &Attempt,
     request: &PlacementRequest,
     candidates: &[Candidate],
-    leaving: &[Leaving],
+    holders: &[Holder],
 ) -> Decision {
     let slots = candidates.iter().map(|c| c.slots).min().unwrap_or(1);
     let pool = Pool {
@@ -75,7 +75,7 @@
         Rank::default()
     };
     let limit = admission.limit(now, &pool, rank);
-    let placed = place(now, rates, request, limit, candidates, leaving);
+    let placed = place(now, rates, request, limit, candidates, holders);
     if attempt.first && placed != Placed::NoTarget {
         let admitted = matches!(placed, Placed::At(_));
         admission.count(now, attempt.rank, admitted);
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -15,13 +15,16 @@
 
 use peppercrank_core::time::Moment;
 use slotmap::SlotMap;
-use slotmap::new_key_type;
 
 pub use crate::registration::Change;
 pub use crate::registration::Registration;
+pub use crate::target::State;
+pub use crate::target::Target;
+pub use crate::target::TargetKey;
+pub use crate::target::Withheld;
 
+use crate::evacuations::Evacuations;
 use crate::starts::Relation;
-use crate::starts::SETTLE;
 use crate::starts::Start;
 
 /// Time after the store's return in which living targets register again; the platform's figure
@@ -36,78 +39,6 @@
 /// dead one's had lapsed and was not yet read.
 pub const HELD: Duration = Duration::from_secs(6);
 
-new_key_type! {
-    /// `TargetKey` names one start of one target.
-    pub struct TargetKey;
-}
-
-/// `State` is whether a target may get work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum State {
-    /// It takes work.
-    Ready,
-    /// It finishes what it has.
-    Leaving,
-    /// Its entry was missing after an outage; it is gone unless it returns by then.
-    Missing(Moment),
-    /// Its entry cannot be read, so that it names no target to use.
-    Unreadable,
-}
-
-/// `Target` is one registered target.
-#[derive(Debug, Clone)]
-pub struct Target {
-    /// What it told of itself last.
-    pub registration: Registration,
-    /// Whether it may get work.
-    pub state: State,
-    /// When it came to be known.
-    pub since: Moment,
-    /// What the store tells of another start, and from when on that stands.
-    rival: Option<(Registration, Moment)>,
-}
-
-impl Target {
-    /// Takes in word of the start that is known.
-    fn renew(&mut self, key: TargetKey, entry: Registration) -> Noted {
-        let left = self.state == State::Leaving;
-        let leaving = left || entry.leaving;
-        self.registration = entry;
-        self.rival = None;
-        self.state = if leaving {
-            State::Leaving
-        } else {
-            State::Ready
-        };
-        if leaving && !left {
-            return Noted::Left(key);
-        }
-        Noted::Nothing
-    }
-
-    /// Takes in word of another start, which stands when it was the store's last word for long enough.
-    fn doubt(&mut self, now: Moment, key: TargetKey, entry: Registration) -> Noted {
-        let same = |r: &Registration| r.start == entry.start;
-        let from = match &self.rival {
-            Some((rival, from)) if same(rival) => *from,
-            Some(_) | None => now + SETTLE,
-        };
-        self.rival = Some((entry, from));
-        Noted::InDoubt(key)
-    }
-
-    /// `rival` is what the store tells of another start, and from when on that stands.
-    #[must_use]
-    pub fn rival(&self) -> Option<(&Registration, Moment)> {
-        self.rival.as_ref().map(|(entry, from)| (entry, *from))
-    }
-
-    /// Whether it takes work, and nothing speaks against its start.
-    const fn is_sure(&self) -> bool {
-        matches!(self.state, State::Ready) && self.rival.is_none()
-    }
-}
-
 /// `Directory` holds the targets.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
@@ -124,6 +55,8 @@
     held: HashMap<Arc<str>, Registration>,
     /// Until when such entries are held.
     held_until: Option<Moment>,
+    /// The availability zones whose targets get no new work.
+    pub evacuations: Evacuations,
 }
 
 /// `Noted` is what a change meant.
@@ -172,6 +105,7 @@
         self.away = false;
         self.grace = Some(now + RETURN_GRACE);
         self.held_until = Some(now + HELD);
+        self.evacuations.store_restored(now);
     }
 
     /// `is_away` tells whether the store does not answer.
@@ -384,36 +318,49 @@
         self.instances.get(instance).copied()
     }
 
+    /// `withheld` is why the target gets no new work at this moment; none where it may get some, or is gone.
+    #[must_use]
+    pub fn withheld(&self, now: Moment, key: TargetKey) -> Option<Withheld> {
+        let target = self.targets.get(key)?;
+        let evacuated = self.evacuations.contains(&target.registration.zone);
+        let evacuated = evacuated.then_some(Withheld::Evacuated);
+        target.withheld(now).or(evacuated)
+    }
+
     /// `usable` tells whether the target may be sent work at this moment.
     #[must_use]
     pub fn usable(&self, now: Moment, key: TargetKey) -> bool {
-        match self.targets.get(key).map(|t| t.state) {
-            Some(State::Ready) => true,
-            Some(State::Missing(until)) => now < until,
-            Some(State::Leaving | State::Unreadable) | None => false,
-        }
+        self.targets.contains_key(key) && self.withheld(now, key).is_none()
     }
 
     /// `pool` lists the targets of a pool that take work; those whose entries are missing or whose start is
     /// in doubt only if there are no others.
     #[must_use]
     pub fn pool(&self, now: Moment, name: &str) -> Vec<TargetKey> {
-        let Some(list) = self.pools.get(name) else {
-            return Vec::new();
-        };
+        let usable = self.members(name).filter(|k| self.usable(now, *k));
+        let usable = usable.collect::<Vec<_>>();
         let sure = |k: &&TargetKey| self.targets[**k].is_sure();
-        let found = list.iter().filter(sure).copied().collect::<Vec<_>>();
-        if !found.is_empty() {
-            return found;
-        }
-        let usable = |k: &&TargetKey| self.usable(now, **k);
-        list.iter().filter(usable).copied().collect()
+        let found = usable.iter().filter(sure).copied().collect::<Vec<_>>();
+        if found.is_empty() { usable } else { found }
+    }
+
+    /// `draining` lists the targets of a pool that get no new work and finish what they have, with the reason.
+    pub fn draining(
+        &self,
+        now: Moment,
+        name: &str,
+    ) -> impl Iterator<Item = (TargetKey, Withheld)> + use<'_> {
+        let withheld = self.members(name);
+        let withheld = withheld.filter_map(move |k| Some((k, self.withheld(now, k)?)));
+        withheld.filter(|(_, why)| match why {
+            Withheld::Leaving | Withheld::Evacuated => true,
+            Withheld::Unreadable | Withheld::Missing => false,
+        })
     }
 
-    /// `leaving` lists the targets of a pool that finish what they have.
-    pub fn leaving(&self, name: &str) -> impl Iterator<Item = TargetKey> {
-        let list = self.pools.get(name).into_iter().flatten().copied();
-        list.filter(|k| self.targets[*k].state == State::Leaving)
+    /// `members` lists all targets of a pool.
+    fn members(&self, name: &str) -> impl Iterator<Item = TargetKey> + use<'_> {
+        self.pools.get(name).into_iter().flatten().copied()
     }
 
     /// `len` is how many targets there are.
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`desired`]: the operators' configuration, indexed for the request path.
 //! - [`directory`]: the targets there are, and which of them leave.
 //! - [`era`]: which life of the store an answer tells of.
+//! - [`evacuations`]: the availability zones whose targets get no new work.
 //! - [`events`]: whole events of streams that may be resumed.
 //! - [`freshness`]: how old the knowledge of keys may be before requests are refused.
 //! - [`in_flight`]: what an attempt counts for at its target.
@@ -23,6 +24,7 @@
 //! - [`starts`]: which start of a target is meant.
 //! - [`stats`]: what a router knows of each target.
 //! - [`suspension`]: whether the machine was suspended.
+//! - [`target`]: whether one target takes new work, and why not.
 //! - [`peers`]: what routers tell each other.
 
 pub mod admission;
@@ -35,6 +37,7 @@
 pub mod desired;
 pub mod directory;
 pub mod era;
+pub mod evacuations;
 pub mod events;
 pub mod freshness;
 pub mod in_flight;
@@ -52,4 +55,5 @@
 pub mod starts;
 pub mod stats;
 pub mod suspension;
+pub mod target;
 pub mod truncation;
--- a/crates/peppercrank-direct/src/overcount.rs
+++ b/crates/peppercrank-direct/src/overcount.rs
@@ -9,7 +9,6 @@
 //! targets that held over twice the mean and three. Corrected, none of eight runs had over 3 in 100 such requests; four of
 //! eight had without it.
 
-use crate::place::Candidate;
 use crate::rates::as_f64;
 use crate::stats::Stats;
 
@@ -22,10 +21,14 @@
 /// Only the mean is corrected. A target that is dark tells nothing, and looked empty where its own load was scaled: on days with half
 /// of the targets dark 0.4 in 100 fewer requests were served (mean of nine runs).
 #[must_use]
-pub fn mean(candidates: &[Candidate]) -> f64 {
-    let share = share_left(candidates).unwrap_or(1.0);
-    let loads = candidates.iter().map(|c| load(&c.stats, share));
-    loads.sum::<f64>() / as_f64(candidates.len().max(1) as u64)
+pub fn mean<'a>(pool: impl Iterator<Item = &'a Stats> + Clone) -> f64 {
+    let share = share_left(pool.clone()).unwrap_or(1.0);
+    let (mut sum, mut count) = (0.0, 0);
+    for stats in pool {
+        sum += load(stats, share);
+        count += 1;
+    }
+    sum / as_f64(count.max(1))
 }
 
 fn load(stats: &Stats, share: f64) -> f64 {
@@ -36,13 +39,11 @@
 }
 
 /// The part of the peers' work that is still there; none where too little is known.
-fn share_left(candidates: &[Candidate]) -> Option<f64> {
+fn share_left<'a>(pool: impl Iterator<Item = &'a Stats>) -> Option<f64> {
     let (mut left, mut told) = (0.0, 0.0);
-    for stats in candidates.iter().map(|c| &c.stats) {
-        if stats.is_reported() {
-            left += f64::from(stats.load().saturating_sub(stats.running));
-            told += f64::from(stats.peers_running);
-        }
+    for stats in pool.filter(|s| s.is_reported()) {
+        left += f64::from(stats.load().saturating_sub(stats.running));
+        told += f64::from(stats.peers_running);
     }
     (told >= ENOUGH).then(|| (left / told).min(1.0))
 }
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -96,15 +96,17 @@
     pub stats: Stats,
 }
 
-/// `Leaving` is a target that takes no more work and may hold a prompt.
+/// `Holder` is a target of the pool that does not get the request and may hold its prompt.
 #[derive(Debug, Clone, Copy)]
-pub struct Leaving {
+pub struct Holder {
     /// The target.
     pub key: TargetKey,
     /// Its short name, for the rendezvous hash.
     pub name: u32,
     /// Leading tokens of the prompt that it is known to hold.
     pub held: u64,
+    /// What is known of it where it counts in the pool's mean load: it serves on, and only new work is kept from it.
+    pub counted: Option<Stats>,
 }
 
 /// `Policy` is how a target is chosen; all but the first are baselines to measure it against.
@@ -181,14 +183,16 @@
     request: &PlacementRequest,
     limit: Option<Duration>,
     candidates: &[Candidate],
-    leaving: &[Leaving],
+    holders: &[Holder],
 ) -> Placed {
     if candidates.is_empty() {
         return Placed::NoTarget;
     }
     let sum = candidates.iter().map(|c| u64::from(c.stats.load()));
     let mean = as_f64(sum.sum::<u64>()) / as_f64(candidates.len() as u64);
-    let most = (overcount::mean(candidates) * request.cap * CAP_USED + CAP_EXTRA).max(1.0);
+    let pool = candidates.iter().map(|c| &c.stats);
+    let pool = pool.chain(holders.iter().filter_map(|h| h.counted.as_ref()));
+    let most = (overcount::mean(pool) * request.cap * CAP_USED + CAP_EXTRA).max(1.0);
     let fits = |c: &&Candidate| f64::from(c.stats.load()) + MARGIN * c.stats.unseen() < most;
     let sound = |c: &&Candidate| !c.stats.is_ejected(now);
     let limit = limit.map(|l| l.as_secs_f64() * 1_000.0);
@@ -199,7 +203,7 @@
     let view = View {
         rates,
         request,
-        source: source(request, candidates, leaving),
+        source: source(request, candidates, holders),
         home: home(request, candidates),
         mean,
     };
@@ -240,14 +244,14 @@
     },
 }
 
-fn source(request: &PlacementRequest, candidates: &[Candidate], leaving: &[Leaving]) -> Source {
+fn source(request: &PlacementRequest, candidates: &[Candidate], holders: &[Holder]) -> Source {
     let known = candidates.iter().map(|c| (c.held, c.key));
-    let known = known.chain(leaving.iter().map(|l| (l.held, l.key)));
+    let known = known.chain(holders.iter().map(|h| (h.held, h.key)));
     let most = known.max_by_key(|(held, _)| *held);
     match most {
         Some((held, key)) if held >= request.shared => Source::Known(key),
         _ => Source::Home {
-            before: home_before(request, candidates, leaving),
+            before: home_before(request, candidates, holders),
             part: most.filter(|(held, _)| *held > 0).map(|(h, key)| (key, h)),
         },
     }
@@ -257,11 +261,11 @@
 fn home_before(
     request: &PlacementRequest,
     candidates: &[Candidate],
-    leaving: &[Leaving],
+    holders: &[Holder],
 ) -> Option<TargetKey> {
     let settled = candidates.iter().filter(|c| !c.fresh);
     let settled = settled.map(|c| (c.name, c.key));
-    let gone = leaving.iter().map(|l| (l.name, l.key));
+    let gone = holders.iter().map(|h| (h.name, h.key));
     let before = settled
         .chain(gone)
         .max_by_key(|(n, _)| rank(request.home, *n));
--- /dev/null
+++ b/crates/peppercrank-direct/src/warm_up.rs
@@ -0,0 +1,235 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Targets that are cold: for a while they bear only so many requests a second from all routers together, and end under more.
+//!
+//! No router knows what the others send at this moment, so the rate is shared out without a word. Of the registered routers a few
+//! are drawn for each cold target, by rendezvous hash, and each of them may send it so many requests in a window; the others send
+//! it none. All draw from the same list, and lists that differ by a few routers draw the same but for as many. Half of
+//! what a target bears is shared out, and the other half is for lists that differ.
+//!
+//! A target counts as cold by its own word, and where it may have become cold unheard:
+//!
+//! | what is known | cold until |
+//! | --- | --- |
+//! | its entry tells how long it stays cold | then |
+//! | it registered after the first list | the pool's time after that |
+//! | its availability zone was restored after an evacuation | the pool's time after that |
+//! | a connection to it was refused or not answered | the pool's time after the last one |
+//! | nothing new, as the store has not answered for a while | the store answers |
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use peppercrank_core::hash::hash64;
+use peppercrank_core::time::Moment;
+use slotmap::SecondaryMap;
+
+use crate::target::TargetKey;
+
+/// Seed of the hash that draws a cold target's routers.
+const SEED: u64 = 0x7761_726d;
+
+/// Time in which what a target bears is counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Part of what a target bears that is shared out.
+const SHARED_OUT: f64 = 0.5;
+
+/// Time for a target to count as cold beyond what is known: its entry is read late.
+pub const MARGIN: Duration = Duration::from_millis(500);
+
+/// Time without an answer of the store after which targets may have become cold unheard: beyond a watch that waits in vain, the
+/// pause after it and its answer.
+const UNHEARD: Duration = Duration::from_millis(7_500);
+
+/// The same where the store is known not to answer.
+const AWAY: Duration = Duration::from_secs(3);
+
+/// `WarmUp` is how targets of a pool warm up.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmUp {
+    /// Time for which a target is cold.
+    pub lasts: Duration,
+    /// Requests a second that a cold target bears.
+    pub rate: f64,
+}
+
+/// `Allowance` is how far a cold target may be driven over its rate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// Multiple of the rate.
+    pub overage: f64,
+    /// Requests besides.
+    pub slack: f64,
+}
+
+impl Default for Allowance {
+    fn default() -> Self {
+        Self {
+            overage: 1.0,
+            slack: 0.0,
+        }
+    }
+}
+
+/// `shared_out` is how many requests all routers together may send a cold target in a window.
+#[must_use]
+pub fn shared_out(warm_up: &WarmUp, allowance: &Allowance) -> usize {
+    let bound = warm_up.rate * allowance.overage + allowance.slack;
+    let shared = (bound * SHARED_OUT).min(warm_up.rate).max(1.0);
+    // Saturates at the ends of its range.
+    shared as usize
+}
+
+/// `Members` are the routers that share a cold target's rate.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    /// Hashes of the names of the registered ones, this one among them.
+    names: Vec<u64>,
+    /// This router's.
+    own: u64,
+    /// Whether they were listed at all.
+    listed: bool,
+    /// Grows with each change.
+    version: u64,
+}
+
+impl Members {
+    /// `set` notes who is registered, and which of them this router is.
+    pub fn set<'a>(&mut self, own: &str, others: impl Iterator<Item = &'a str>) {
+        let hash = |name: &str| hash64(SEED, name.as_bytes());
+        self.own = hash(own);
+        self.names = others.map(hash).collect();
+        self.names.push(self.own);
+        self.names.sort_unstable();
+        self.names.dedup();
+        self.listed = true;
+        self.version += 1;
+    }
+
+    /// `share` is how many of `requests` in a window this router may send a target of this short name, in a fleet in which so
+    /// many routers are `heard` or registered.
+    #[must_use]
+    pub fn share(&self, target: u32, requests: usize, heard: usize) -> usize {
+        if !self.listed {
+            return 0;
+        }
+        let known = self.names.len();
+        // Where the list lacks some that are heard, they draw too.
+        let requests = match heard.max(known) {
+            all if all > known => requests * known / all,
+            _ => requests,
+        };
+        if known <= requests {
+            return requests / known;
+        }
+        let rank = |name: u64| hash64(name, &target.to_le_bytes());
+        let own = rank(self.own);
+        let before = self.names.iter().filter(|n| rank(**n) > own).count();
+        usize::from(before < requests)
+    }
+}
+
+/// `Opens` is when a cold target may be sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Opens {
+    /// Now.
+    Now,
+    /// After this time.
+    After(Duration),
+    /// Not by this router while the target is cold.
+    Never,
+}
+
+/// What this router knows of one cold target.
+#[derive(Debug, Clone, Default)]
+struct Sent {
+    /// The version of the members by which its share was found, and that share.
+    share: Option<(u64, usize)>,
+    /// When it was sent requests within the last window.
+    at: VecDeque<Moment>,
+}
+
+/// `Gate` keeps requests from cold targets.
+#[derive(Debug, Clone, Default)]
+pub struct Gate {
+    /// The routers that share the targets' rates.
+    pub members: Members,
+    sent: SecondaryMap<TargetKey, Sent>,
+    unreachable: SecondaryMap<TargetKey, Moment>,
+    /// When the store answered a question for targets last.
+    heard: Option<Moment>,
+}
+
+impl Gate {
+    /// `heard` notes that the store told what changed of the targets.
+    pub const fn heard(&mut self, now: Moment) {
+        self.heard = Some(now);
+    }
+
+    /// `is_blind` tells whether targets may have become cold unheard by a router that has not reached the store since `away`.
+    #[must_use]
+    pub fn is_blind(&self, now: Moment, away: Option<Moment>) -> bool {
+        let Some(heard) = self.heard else {
+            return true;
+        };
+        let long_away = away.is_some_and(|since| now.since(since) >= AWAY);
+        long_away || now.since(heard) >= UNHEARD
+    }
+
+    /// `unreachable` notes that a connection to a target was refused or not answered.
+    pub fn unreachable(&mut self, now: Moment, key: TargetKey) {
+        self.unreachable.insert(key, now);
+    }
+
+    /// `was_unreachable` is when that happened last.
+    #[must_use]
+    pub fn was_unreachable(&self, key: TargetKey) -> Option<Moment> {
+        self.unreachable.get(key).copied()
+    }
+
+    /// `opens` is when a cold target of this short name may be sent a request, of so many that all routers together may send it in
+    /// a window, in a fleet in which so many routers are `heard` or registered.
+    pub fn opens(
+        &mut self,
+        now: Moment,
+        (key, name): (TargetKey, u32),
+        requests: usize,
+        heard: usize,
+    ) -> Opens {
+        let Some(entry) = self.sent.entry(key) else {
+            return Opens::Never;
+        };
+        let sent = entry.or_default();
+        let version = self.members.version;
+        let share = match sent.share {
+            Some((of, share)) if of == version => share,
+            _ => self.members.share(name, requests, heard),
+        };
+        sent.share = Some((version, share));
+        while sent.at.front().is_some_and(|at| now.since(*at) >= WINDOW) {
+            sent.at.pop_front();
+        }
+        match (share, sent.at.front()) {
+            (0, _) => Opens::Never,
+            (share, Some(first)) if sent.at.len() >= share => {
+                Opens::After((*first + WINDOW).since(now))
+            }
+            _ => Opens::Now,
+        }
+    }
+
+    /// `sent` notes that a cold target was sent a request.
+    pub fn sent(&mut self, now: Moment, key: TargetKey) {
+        if let Some(sent) = self.sent.get_mut(key) {
+            sent.at.push_back(now);
+        }
+    }
+
+    /// `forget` drops what is known of a target that is gone.
+    pub fn forget(&mut self, key: TargetKey) {
+        self.sent.remove(key);
+        self.unreachable.remove(key);
+    }
+}
--- a/crates/peppercrank-direct/tests/verify_confirm.rs
+++ b/crates/peppercrank-direct/tests/verify_confirm.rs
@@ -8,6 +8,7 @@
 use peppercrank_core::time::Moment;
 use peppercrank_direct::confirm::Asked;
 use peppercrank_direct::confirm::Confirmation;
+use peppercrank_direct::confirm::Known;
 use peppercrank_direct::confirm::Question;
 use peppercrank_direct::confirm::Verdict;
 use peppercrank_direct::confirm::askers;
@@ -22,7 +23,15 @@
 
 fn told(version: u64, age: u64) -> Confirmation {
     let age = Some(Duration::from_millis(age));
-    Confirmation::new(QUESTION, Some(version), age).expect("knowledge")
+    Confirmation::new(QUESTION, known(Some(version), age)).expect("knowledge")
+}
+
+fn known(version: Option<u64>, age: Option<Duration>) -> Known {
+    Known {
+        version,
+        age,
+        evacuations: 3,
+    }
 }
 
 #[test]
@@ -65,22 +74,22 @@
 #[test]
 fn verify_nothing_is_told_where_nothing_is_known() {
     let age = Some(Duration::ZERO);
-    assert_eq!(Confirmation::new(QUESTION, None, age), None);
-    assert_eq!(Confirmation::new(QUESTION, Some(1), None), None);
+    assert_eq!(Confirmation::new(QUESTION, known(None, age)), None);
+    assert_eq!(Confirmation::new(QUESTION, known(Some(1), None)), None);
 }
 
 #[test]
 fn verify_a_chain_of_routers_is_never_younger_than_the_store_was_asked() {
     // The clocks of the three differ; the store was asked at 0 of the common time.
     let offsets = [5_000, 90_000, 40_000];
-    let mut known = Freshness::new(None);
-    known.confirm(at(offsets[0]), Source::Store);
+    let mut freshness = Freshness::new(None);
+    freshness.confirm(at(offsets[0]), Source::Store);
     let mut common = 0;
     for hop in 1..offsets.len() {
         // A question takes 60 ms, the one who answers stands still for 200, the answer takes 90.
         let (sent, answered) = (common + 60, common + 120);
-        let age = known.age(at(offsets[hop - 1] + answered));
-        let told = Confirmation::new(QUESTION, Some(1), age).expect("knowledge");
+        let age = freshness.age(at(offsets[hop - 1] + answered));
+        let told = Confirmation::new(QUESTION, known(Some(1), age)).expect("knowledge");
         let asked = Asked {
             question: QUESTION,
             at: at(offsets[hop] + sent),
@@ -89,8 +98,8 @@
             panic!("{told:?}");
         };
         assert!(moment <= at(offsets[hop]), "hop {hop}");
-        known = Freshness::new(None);
-        known.confirm(moment, Source::Store);
+        freshness = Freshness::new(None);
+        freshness.confirm(moment, Source::Store);
         common += 60 + 200 + 90;
     }
 }
--- a/crates/peppercrank-direct/tests/verify_directory.rs
+++ b/crates/peppercrank-direct/tests/verify_directory.rs
@@ -252,7 +252,7 @@
     directory.apply(ZERO, elsewhere(false));
     directory.apply(ZERO, put("one", false));
     assert_eq!(ready(&directory, ZERO), ["two"]);
-    assert_eq!(directory.leaving("pool").count(), 1);
+    assert_eq!(directory.draining(ZERO, "pool").count(), 1);
 }
 
 #[test]
--- /dev/null
+++ b/crates/peppercrank-direct/tests/verify_evacuations.rs
@@ -0,0 +1,123 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Evacuated availability zones: what ends an evacuation, and what does not.
+
+use std::sync::Arc;
+
+use peppercrank_core::time::Moment;
+use peppercrank_direct::directory::Change as TargetChange;
+use peppercrank_direct::directory::Directory;
+use peppercrank_direct::directory::HELD;
+use peppercrank_direct::directory::Registration;
+use peppercrank_direct::directory::Withheld;
+use peppercrank_direct::evacuations::Change;
+use peppercrank_direct::evacuations::Evacuations;
+use peppercrank_direct::starts::Start;
+
+const ZERO: Moment = Moment::ZERO;
+
+fn zones(names: &[&str]) -> Vec<Arc<str>> {
+    names.iter().map(|n| Arc::from(*n)).collect()
+}
+
+fn begun(zone: &str) -> Change {
+    Change::Evacuated(zone.into())
+}
+
+fn ended(zone: &str) -> Change {
+    Change::Restored(zone.into())
+}
+
+fn put(instance: &str, zone: &str, leaving: bool) -> TargetChange {
+    TargetChange::Put(Registration {
+        instance: instance.into(),
+        start: Start::default(),
+        pool: "pool".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: zone.into(),
+        slots: 4,
+        leaving,
+    })
+}
+
+#[test]
+fn verify_only_news_is_told() {
+    let mut known = Evacuations::default();
+    assert!(!known.is_listed());
+    assert_eq!(known.replace(ZERO, &zones(&["a"])), [begun("a")]);
+    assert!(known.is_listed());
+    assert_eq!(known.apply(begun("a")), None);
+    assert_eq!(known.apply(ended("b")), None);
+    let changes = known.replace(ZERO, &zones(&["b"]));
+    assert_eq!(changes, [ended("a"), begun("b")]);
+    assert_eq!(known.apply(ended("b")), Some(ended("b")));
+    assert!(known.is_empty());
+}
+
+#[test]
+fn verify_a_copy_of_the_store_ends_no_evacuation_at_once() {
+    let mut known = Evacuations::default();
+    known.replace(ZERO, &zones(&["a", "b", "c"]));
+    known.store_restored(ZERO);
+    let early = ZERO + HELD / 2;
+    assert!(known.replace(early, &[]).is_empty());
+    // One is written again, and one is ended by the operator's own word.
+    assert_eq!(known.apply(begun("a")), None);
+    assert_eq!(known.apply(ended("b")), Some(ended("b")));
+    assert!(known.settle(early).is_empty());
+    assert!(known.contains("c"));
+    assert_eq!(known.settle(ZERO + HELD), [ended("c")]);
+    assert!(known.contains("a"));
+    // From then on the list is the operator's word again.
+    assert_eq!(known.replace(ZERO + HELD, &[]), [ended("a")]);
+}
+
+#[test]
+fn verify_the_digest_tells_sets_apart_and_not_their_order() {
+    let digest = |names: &[&str]| {
+        let mut known = Evacuations::default();
+        known.replace(ZERO, &zones(names));
+        known.digest()
+    };
+    assert_eq!(digest(&[]), 0);
+    assert_eq!(digest(&["a", "b"]), digest(&["b", "a"]));
+    assert_ne!(digest(&["a"]), digest(&["b"]));
+    assert_ne!(digest(&["a"]), 0);
+}
+
+#[test]
+fn verify_one_notion_of_targets_that_get_no_new_work() {
+    let mut directory = Directory::default();
+    for change in [put("one", "a", false), put("two", "b", false)] {
+        directory.apply(ZERO, change);
+    }
+    directory.evacuations.replace(ZERO, &zones(&["a"]));
+    // Also one that registers in the zone later, and one whose entry is missing after an outage.
+    directory.apply(ZERO, put("three", "a", false));
+    directory.apply(ZERO, put("four", "b", true));
+    let two = directory.find("two").expect("a target");
+    assert_eq!(directory.pool(ZERO, "pool"), [two]);
+    let mut draining = directory.draining(ZERO, "pool").collect::<Vec<_>>();
+    draining.sort_unstable_by_key(|(_, why)| *why == Withheld::Leaving);
+    let reasons = draining.iter().map(|(_, why)| *why).collect::<Vec<_>>();
+    assert_eq!(
+        reasons,
+        [Withheld::Evacuated, Withheld::Evacuated, Withheld::Leaving]
+    );
+    directory.evacuations.replace(ZERO, &[]);
+    assert_eq!(directory.pool(ZERO, "pool").len(), 3);
+}
+
+#[test]
+fn verify_an_evacuated_zone_is_no_last_resort() {
+    let mut directory = Directory::default();
+    directory.apply(ZERO, put("one", "a", false));
+    directory.evacuations.replace(ZERO, &zones(&["a"]));
+    directory.store_lost();
+    directory.store_back(ZERO);
+    directory.replace(ZERO, Vec::new());
+    assert!(directory.pool(ZERO, "pool").is_empty());
+    let one = directory.find("one").expect("a target");
+    assert!(!directory.usable(ZERO, one));
+}
--- a/crates/peppercrank-direct/tests/verify_overcount.rs
+++ b/crates/peppercrank-direct/tests/verify_overcount.rs
@@ -18,7 +18,7 @@
 use peppercrank_direct::decide::Decision;
 use peppercrank_direct::decide::decide;
 use peppercrank_direct::directory::TargetKey;
-use peppercrank_direct::overcount::mean;
+use peppercrank_direct::overcount;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::PlacementRequest;
 use peppercrank_direct::place::Policy;
@@ -118,7 +118,8 @@
 #[test]
 fn verify_what_targets_tell_corrects_the_mean() {
     let held = (f64::from(HELD) * (count(ALL) - 1.0) + f64::from(HOT)) / count(ALL);
-    assert!((mean(&pool()) - held).abs() < 2.0, "{}", mean(&pool()));
+    let mean = mean(&pool());
+    assert!((mean - held).abs() < 2.0, "{mean}");
 }
 
 #[test]
@@ -147,6 +148,10 @@
     assert_same(&more);
 }
 
+fn mean(candidates: &[Candidate]) -> f64 {
+    overcount::mean(candidates.iter().map(|c| &c.stats))
+}
+
 /// The mean is that of the loads as they are counted.
 fn assert_same(candidates: &[Candidate]) {
     let loads = candidates.iter().map(|c| f64::from(c.stats.load()));
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -12,7 +12,7 @@
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Choice;
-use peppercrank_direct::place::Leaving;
+use peppercrank_direct::place::Holder;
 use peppercrank_direct::place::Placed;
 use peppercrank_direct::place::PlacementRequest;
 use peppercrank_direct::place::Policy;
@@ -157,10 +157,11 @@
     let mut candidates = ranked(4);
     let leaving = candidates.remove(0);
     for held in [0, 10_000] {
-        let leaving = Leaving {
+        let leaving = Holder {
             key: leaving.key,
             name: leaving.name,
             held,
+            counted: None,
         };
         let placed = place(
             NOW,
@@ -179,6 +180,41 @@
     }
 }
 
+#[test]
+fn verify_what_an_evacuated_target_holds_is_copied_and_its_load_counts() {
+    let mut candidates = ranked(4);
+    let mut evacuated = candidates.remove(0);
+    evacuated.held = 10_000;
+    let holder = Holder {
+        key: evacuated.key,
+        name: evacuated.name,
+        held: evacuated.held,
+        counted: Some(evacuated.stats),
+    };
+    // With the idle one the mean is 8.25 where the home holds 17, which is too much; without it, it would be 11.
+    for candidate in &mut candidates {
+        candidate.stats.running = 8;
+    }
+    let home = candidates[0].key;
+    for (running, placed_at_home) in [(14, true), (17, false)] {
+        candidates[0].stats.running = running;
+        let holders = [holder];
+        let placed = place(
+            NOW,
+            &Rates::default(),
+            &copying(),
+            None,
+            &candidates,
+            &holders,
+        );
+        let Placed::At(choice) = placed else {
+            panic!("{placed:?}");
+        };
+        assert_eq!(choice.copy, Some((evacuated.key, 10_000)));
+        assert_eq!(choice.key == home, placed_at_home, "{running}");
+    }
+}
+
 #[test]
 fn verify_a_fresh_home_copies_from_the_one_before() {
     let mut candidates = ranked(4);
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -14,10 +14,11 @@
 use peppercrank_direct::decide::Decision;
 use peppercrank_direct::decide::decide;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::directory::Withheld;
 use peppercrank_direct::in_flight::InFlight;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Choice;
-use peppercrank_direct::place::Leaving;
+use peppercrank_direct::place::Holder;
 use peppercrank_direct::place::PlacementRequest;
 use peppercrank_direct::place::Policy;
 use peppercrank_settings::gateway::Placement;
@@ -75,8 +76,16 @@
         return Err(Rejection::now(Reason::Congested));
     }
     let rates = state.rates.get(&job.pool).copied().unwrap_or_default();
-    let candidates = candidates(&state, now, job, tried, &settings.zone, rates.hold());
-    let leaving = leaving(&state, job);
+    let survey = Survey {
+        state: &state,
+        now,
+        job,
+        zone: &settings.zone,
+        hold: rates.hold(),
+    };
+    let usable = survey.usable()?;
+    let candidates = survey.candidates(&usable, tried);
+    let holders = survey.holders();
     let request = PlacementRequest {
         policy: policy(settings.placement),
         id: job.own(),
@@ -102,7 +111,7 @@
         &attempt,
         &request,
         &candidates,
-        &leaving,
+        &holders,
     );
     let (reason, after) = match decision {
         Decision::Send(choice) => {
@@ -136,22 +145,6 @@
     }
 }
 
-/// The targets that take no work any more and may hold the prompt.
-fn leaving(state: &State, job: &Job) -> Vec<Leaving> {
-    if job.copying.is_none() {
-        return Vec::new();
-    }
-    let see = |key: TargetKey| {
-        let registration = &state.directory.get(key)?.registration;
-        Some(Leaving {
-            key,
-            name: registration.draw(),
-            held: state.prefixes.held(key, job.shared()),
-        })
-    };
-    state.directory.leaving(&job.pool).filter_map(see).collect()
-}
-
 /// Counts the request at its target; none if that is gone.
 fn take(gateway: &Arc<Gateway>, state: &mut State, job: &Job, choice: &Choice) -> Option<Flight> {
     let key = choice.key;
@@ -180,33 +173,79 @@
     })
 }
 
-/// The targets that may get the request, as it sees them.
-fn candidates(
-    state: &State,
+/// `Survey` is how one request sees the targets of its pool.
+struct Survey<'a> {
+    state: &'a State,
     now: Moment,
-    job: &Job,
-    tried: &[TargetKey],
-    zone: &str,
+    job: &'a Job,
+    /// The router's availability zone.
+    zone: &'a str,
+    /// What is learnt of the time that a request holds a place.
     hold: f64,
-) -> Vec<Candidate> {
-    let mut keys = state.directory.pool(now, &job.pool);
-    if keys.iter().any(|k| !tried.contains(k)) {
-        keys.retain(|k| !tried.contains(k));
+}
+
+impl Survey<'_> {
+    /// The targets that take new work.
+    fn usable(&self) -> Result<Vec<TargetKey>, Rejection> {
+        let directory = &self.state.directory;
+        if !directory.evacuations.is_listed() {
+            return Err(Rejection::now(Reason::Evacuated));
+        }
+        let usable = directory.pool(self.now, &self.job.pool);
+        let mut draining = directory.draining(self.now, &self.job.pool);
+        if usable.is_empty() && draining.any(|(_, why)| why == Withheld::Evacuated) {
+            return Err(Rejection::now(Reason::Evacuated));
+        }
+        Ok(usable)
+    }
+
+    /// The targets that may get the request: of those that take work the ones that were not tried, unless all were.
+    fn candidates(&self, usable: &[TargetKey], tried: &[TargetKey]) -> Vec<Candidate> {
+        let untried = usable.iter().filter(|k| !tried.contains(k)).copied();
+        let untried = untried.collect::<Vec<_>>();
+        let keys = if untried.is_empty() { usable } else { &untried };
+        let lag = self.state.peers.lag(self.now);
+        keys.iter().filter_map(|k| self.see(*k, lag)).collect()
     }
-    let lag = state.peers.lag(now);
-    let see = |key: TargetKey| {
+
+    fn see(&self, key: TargetKey, lag: Duration) -> Option<Candidate> {
+        let Self { state, now, .. } = self;
         let target = state.directory.get(key)?;
         let registration = &target.registration;
         Some(Candidate {
             key,
             name: registration.draw(),
             slots: registration.slots,
-            near: &*registration.zone == zone,
-            held: state.prefixes.held(key, &job.parts),
-            fresh: is_fresh(state, now, target.since),
+            near: &*registration.zone == self.zone,
+            held: state.prefixes.held(key, &self.job.parts),
+            fresh: is_fresh(state, *now, target.since),
             lag: now.since(state.heard),
-            stats: state.board.get(key).at(now, lag, hold),
+            stats: state.board.get(key).at(*now, lag, self.hold),
         })
-    };
-    keys.into_iter().filter_map(see).collect()
+    }
+
+    /// The targets that get no new work and may hold the prompt, or count in the pool's mean load.
+    fn holders(&self) -> Vec<Holder> {
+        let Self {
+            state, now, job, ..
+        } = self;
+        let lag = state.peers.lag(*now);
+        let see = |(key, why)| {
+            let registration = &state.directory.get(key)?.registration;
+            let counted = (why == Withheld::Evacuated).then(|| state.board.get(key));
+            let holds = job.copying.is_some();
+            (holds || counted.is_some()).then(|| Holder {
+                key,
+                name: registration.draw(),
+                held: if holds {
+                    state.prefixes.held(key, job.shared())
+                } else {
+                    0
+                },
+                counted: counted.map(|stats| stats.at(*now, lag, self.hold)),
+            })
+        };
+        let draining = state.directory.draining(*now, &job.pool);
+        draining.filter_map(see).collect()
+    }
 }
--- a/crates/peppercrank-gateway/src/confirm.rs
+++ b/crates/peppercrank-gateway/src/confirm.rs
@@ -9,6 +9,7 @@
 
 use peppercrank_direct::confirm::Asked;
 use peppercrank_direct::confirm::Confirmation;
+use peppercrank_direct::confirm::Known;
 use peppercrank_direct::confirm::Question;
 use peppercrank_direct::confirm::Verdict;
 use peppercrank_direct::confirm::askers;
@@ -17,6 +18,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
+use crate::evacuations;
 use crate::gateway::Gateway;
 use crate::gossip;
 
@@ -95,8 +97,12 @@
 pub fn answer(gateway: &Gateway, question: Question) -> Option<Confirmation> {
     let now = gateway.now();
     let state = gateway.state();
-    let version = state.config.index().map(|i| i.desired().version);
-    Confirmation::new(question, version, state.freshness.age(now))
+    let known = Known {
+        version: state.config.index().map(|i| i.desired().version),
+        age: state.freshness.age(now),
+        evacuations: state.directory.evacuations.digest(),
+    };
+    Confirmation::new(question, known)
 }
 
 /// `take` takes an answer in, if it is one to the question on its way.
@@ -114,5 +120,6 @@
         Some(Verdict::Nothing) | None => return,
     }
     drop(state);
+    evacuations::compare(gateway, told.evacuations);
     gateway.answered.notify_waiters();
 }
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -135,7 +135,11 @@
             }
             // One that asks the store anyway hears of changes by that.
             Role::Watches(confirmer) if confirmer.asks_store() => return Turn::Fine,
-            Role::Confirms(_) | Role::Watches(_) | Role::Targets | Role::Routers => {}
+            Role::Confirms(_)
+            | Role::Watches(_)
+            | Role::Targets
+            | Role::Routers
+            | Role::Evacuations(_) => {}
         }
         match self.reading() {
             Reading::Snapshot => self.list().await,
@@ -160,7 +164,7 @@
     fn known(&self) -> Option<u64> {
         match self.kind {
             Kind::Configuration => self.gateway.state().catch_up.known(),
-            Kind::Targets | Kind::Routers => self.intake.revision,
+            Kind::Targets | Kind::Routers | Kind::Evacuations => self.intake.revision,
         }
     }
 
@@ -242,7 +246,7 @@
             let proof = self.intake.configure(asked, Reading::Snapshot, changes);
             return self.proven(proof);
         }
-        self.intake.replace(entries);
+        self.intake.replace(asked, entries);
         self.intake.revision = Some(revision);
         Turn::Fine
     }
@@ -269,7 +273,7 @@
             bytes: body.len(),
         });
         self.intake.revision = Some(changes.revision);
-        self.intake.apply(changes.events);
+        self.intake.apply(asked, changes.events);
         match next {
             Next::Soon => Turn::More,
             Next::Paced => Turn::Fine,
@@ -299,6 +303,7 @@
             answer = self.store.ask(path, wait + patience) => answer,
             // Only a store that is back makes a call worth dropping that waits, and none that is being answered.
             () = self.outages.returned() => return Err(Turn::Again),
+            () = doubted(&self.gateway, self.kind) => return Err(Turn::Relist),
         };
         let Outcome { ended, era } = match answer {
             Ok(answer) => self.store.finish(answer).await,
@@ -371,6 +376,14 @@
     }
 }
 
+/// Returns when another router knows of other evacuations than this one.
+async fn doubted(gateway: &Gateway, kind: Kind) {
+    match kind {
+        Kind::Evacuations => gateway.evacuations_doubted.notified().await,
+        Kind::Configuration | Kind::Targets | Kind::Routers => std::future::pending().await,
+    }
+}
+
 /// A pause of most to the whole of `most`, so that routers do not call in step.
 fn jittered(most: Duration) -> Duration {
     most.mul_f64(rand::random_range(0.8..1.0))
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -105,6 +105,8 @@
     pub resumed: Notify,
     /// Wakes the one who asks other routers, once they were listed first.
     pub routers_listed: Notify,
+    /// Wakes the one who follows evacuations, as another router knows of others.
+    pub evacuations_doubted: Notify,
     /// Wakes the one who registers this router when its entry has gone.
     pub unregistered: Notify,
     /// The edge's limits, which follow the configuration in force.
@@ -147,6 +149,7 @@
             quarantined: Notify::new(),
             resumed: Notify::new(),
             routers_listed: Notify::new(),
+            evacuations_doubted: Notify::new(),
             unregistered: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
             peers,
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -11,7 +11,8 @@
 use peppercrank_direct::catch_up::Reading;
 use peppercrank_direct::desired::Applied;
 use peppercrank_direct::desired::Desired;
-use peppercrank_direct::directory::Change;
+use peppercrank_direct::directory::Change as TargetChange;
+use peppercrank_direct::evacuations::Change;
 use peppercrank_direct::freshness::Source;
 use peppercrank_log::Field;
 use peppercrank_platform::router::RouterEntry;
@@ -20,6 +21,7 @@
 use peppercrank_platform::store::Event;
 use peppercrank_platform::store::Kind;
 
+use crate::evacuations;
 use crate::gateway::Gateway;
 use crate::state::Registered;
 use crate::targets;
@@ -54,8 +56,8 @@
         }
     }
 
-    /// `replace` takes in the whole list of targets or routers.
-    pub fn replace(&mut self, entries: Vec<Entry>) {
+    /// `replace` takes in the whole list of targets, routers or evacuations, of which the store was `asked` at a moment.
+    pub fn replace(&mut self, asked: Moment, entries: Vec<Entry>) {
         self.lines = 0;
         match self.kind {
             Kind::Configuration => {}
@@ -85,11 +87,19 @@
                     self.gateway.routers_listed.notify_one();
                 }
             }
+            Kind::Evacuations => {
+                let zones = entries.into_iter().filter_map(|e| self.zone(e));
+                let zones = zones.collect::<Vec<_>>();
+                let mut state = self.gateway.state();
+                let changes = state.directory.evacuations.replace(asked, &zones);
+                drop(state);
+                evacuations::note(&self.gateway, changes);
+            }
         }
     }
 
-    /// `apply` takes in changes of targets or routers.
-    pub fn apply(&mut self, events: Vec<Event>) {
+    /// `apply` takes in changes of targets, routers or evacuations, for which the store was `asked` at a moment.
+    pub fn apply(&mut self, asked: Moment, events: Vec<Event>) {
         self.lines = 0;
         match self.kind {
             Kind::Configuration => {}
@@ -111,6 +121,20 @@
                     }
                 }
             }
+            Kind::Evacuations => {
+                for event in events {
+                    let change = match event {
+                        Event::Put(entry) => self.zone(entry).map(Change::Evacuated),
+                        Event::Removed(zone) => Some(Change::Restored(zone)),
+                    };
+                    let mut state = self.gateway.state();
+                    let news = change.and_then(|c| state.directory.evacuations.apply(c));
+                    drop(state);
+                    evacuations::note(&self.gateway, news);
+                }
+                let settled = self.gateway.state().directory.evacuations.settle(asked);
+                evacuations::note(&self.gateway, settled);
+            }
         }
     }
 
@@ -152,22 +176,36 @@
         applied
     }
 
+    /// The zone that an entry evacuates.
+    fn zone(&mut self, entry: Entry) -> Option<Arc<str>> {
+        match entry {
+            Entry::Evacuation(zone) => Some(zone),
+            Entry::Malformed(name, e) => {
+                self.malformed(&name, &e);
+                None
+            }
+            Entry::Configuration(_) | Entry::Target(_) | Entry::Router(_) | Entry::Other => None,
+        }
+    }
+
     /// What an entry says of the targets.
-    fn target(&mut self, entry: Entry) -> Option<Change> {
+    fn target(&mut self, entry: Entry) -> Option<TargetChange> {
         match entry {
-            Entry::Target(registration) => Some(Change::Put(registration)),
+            Entry::Target(registration) => Some(TargetChange::Put(registration)),
             Entry::Malformed(name, e) => {
                 self.malformed(&name, &e);
-                Some(Change::Unreadable(name))
+                Some(TargetChange::Unreadable(name))
+            }
+            Entry::Configuration(_) | Entry::Router(_) | Entry::Evacuation(_) | Entry::Other => {
+                None
             }
-            Entry::Configuration(_) | Entry::Router(_) | Entry::Other => None,
         }
     }
 
     fn change(&mut self, event: Event) {
         let change = match event {
             Event::Put(entry) => self.target(entry),
-            Event::Removed(instance) => Some(Change::Removed(instance)),
+            Event::Removed(instance) => Some(TargetChange::Removed(instance)),
         };
         let Some(change) = change else {
             return;
@@ -204,7 +242,7 @@
                 }
                 self.gateway.state().routers.remove(&name);
             }
-            Entry::Configuration(_) | Entry::Target(_) | Entry::Other => {}
+            Entry::Configuration(_) | Entry::Target(_) | Entry::Evacuation(_) | Entry::Other => {}
         }
     }
 
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`follow`] keeps the configuration and the targets up to date from the store.
 //! - [`confirm`] has other routers confirm what is known of keys, where they may.
 //! - [`intake`] takes in what the store tells, and [`targets`] what that means for each target.
+//! - [`evacuations`] tells what the evacuation of an availability zone means.
 //! - [`outage`] tells the followers whether the store answers.
 //! - [`suspension`] notices that the machine was suspended.
 //! - [`termination`] tells attempts that their target has started again.
@@ -24,6 +25,7 @@
 pub mod confirm;
 pub mod crashes;
 pub mod errors;
+pub mod evacuations;
 pub mod flight;
 pub mod follow;
 pub mod gateway;
--- a/crates/peppercrank-gateway/src/refuse.rs
+++ b/crates/peppercrank-gateway/src/refuse.rs
@@ -57,6 +57,8 @@
     Denied "denied" UNAUTHORIZED;
     /// The pool has no target.
     NoTarget "no_target" SERVICE_UNAVAILABLE;
+    /// All targets of the pool are in evacuated availability zones, or it is not known yet which zones are evacuated.
+    Evacuated "evacuated" SERVICE_UNAVAILABLE;
     /// All targets of the pool are full.
     Full "full" SERVICE_UNAVAILABLE;
     /// Connections to all targets are slow: this router's own link is full.
@@ -83,6 +85,7 @@
                 | Self::StaleKeys
                 | Self::StaleRoutes
                 | Self::NoTarget
+                | Self::Evacuated
                 | Self::Full
                 | Self::Congested
                 | Self::CrashesTargets
--- a/crates/peppercrank-gateway/src/role.rs
+++ b/crates/peppercrank-gateway/src/role.rs
@@ -26,6 +26,13 @@
 /// Time that the watch of routers waits: they change rarely, and datagrams tell who lives.
 const ROUTERS_WAIT: Duration = Duration::from_secs(20);
 
+/// Time that the watch of evacuations waits at a router that asks the store for others: a connection that went
+/// silent is noticed after it, within half of the usual bound on evacuations.
+const EVACUATIONS_WAIT: Duration = Duration::from_millis(2_500);
+
+/// The same at a router that is told by others when it knows something else than they do.
+const EVACUATIONS_WAIT_TOLD: Duration = Duration::from_secs(10);
+
 /// Pause between calls for targets: each change ends a watch, and many come at once when a pool is
 /// replaced. A leaving target gets work for this much longer, a fifth of the usual bound.
 const TARGETS_PACE: Duration = Duration::from_millis(400);
@@ -45,6 +52,9 @@
 /// force at once, the next within a third of the usual bound.
 const CONFIG_PACE: Duration = Duration::from_millis(700);
 
+/// Pause between calls for evacuations, which are rare: a few that come together gather.
+const EVACUATIONS_PACE: Duration = Duration::from_millis(300);
+
 /// Pause between calls for routers, which are all registered within the first second of a fleet.
 const ROUTERS_PACE: Duration = Duration::from_secs(2);
 
@@ -55,6 +65,8 @@
     Targets,
     /// Takes changes of the routers in as soon as they come.
     Routers,
+    /// Takes changes of the evacuated zones in as soon as they come.
+    Evacuations(Confirmer),
     /// Takes changes of the configuration in as soon as they come, where others confirm it.
     Watches(Confirmer),
     /// Confirms again and again that the configuration is the newest, and finds out when the store is
@@ -69,16 +81,19 @@
         match self {
             Self::Targets => Kind::Targets,
             Self::Routers => Kind::Routers,
+            Self::Evacuations(_) => Kind::Evacuations,
             Self::Watches(_) | Self::Confirms(_) => Kind::Configuration,
         }
     }
 
     /// `wait` is how long the store is asked to wait for a change.
     #[must_use]
-    pub const fn wait(&self) -> Duration {
+    pub fn wait(&self) -> Duration {
         match self {
             Self::Targets => TARGETS_WAIT,
             Self::Routers => ROUTERS_WAIT,
+            Self::Evacuations(confirmer) if confirmer.asks_store() => EVACUATIONS_WAIT,
+            Self::Evacuations(_) => EVACUATIONS_WAIT_TOLD,
             Self::Watches(_) => CONFIG_WAIT,
             Self::Confirms(_) => CONFIRM_WAIT,
         }
@@ -90,6 +105,7 @@
         match self {
             Self::Targets => targets_pace(routers),
             Self::Routers => ROUTERS_PACE,
+            Self::Evacuations(_) => EVACUATIONS_PACE,
             Self::Watches(_) => CONFIG_PACE,
             Self::Confirms(_) => CONFIRM_PACE,
         }
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -178,6 +178,7 @@
     tasks.spawn(pruning);
     for role in [
         Role::Confirms(confirmer.clone()),
+        Role::Evacuations(confirmer.clone()),
         Role::Watches(confirmer),
         Role::Targets,
         Role::Routers,
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -32,7 +32,7 @@
 const KEEP: Duration = Duration::from_secs(30);
 
 /// Connections kept: one for each kind of entries that is followed, and one for writes.
-const SPARE: usize = 4;
+const SPARE: usize = 5;
 
 /// Time between two parts of an answer. A link that is shared with streams may be slow, but one that brings
 /// nothing for so long is cut: a round trip, and a packet that was lost and sent again.
--- a/crates/peppercrank-spec/src/eras.rs
+++ b/crates/peppercrank-spec/src/eras.rs
@@ -180,7 +180,7 @@
         }
         self.shape.position = Some((era, revision));
         self.shape.told_gone |= held && self.directory.find("one").is_none();
-        self.shape.told_leaving |= self.directory.leaving("pool").next().is_some();
+        self.shape.told_leaving |= self.directory.draining(now, "pool").next().is_some();
     }
 
     /// Lets time pass: what is owed by then is written.
--- a/crates/peppercrank-spec/src/lib.rs
+++ b/crates/peppercrank-spec/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod configuration;
 pub mod drain;
 pub mod eras;
+pub mod evacuations;
 pub mod once;
 pub mod orders;
 pub mod search;
