Keep what a cold target does not bear from it, over all routers together

Cause: neither the time for which a target tells to stay cold nor the pool's rate was read, and no router knows what the others send at this moment. The load cap does not help, as it counts requests at work and not their rate.

Mend: of the registered routers ten are drawn for each cold target by rendezvous hash, one request a second each; half of what it bears is kept back for lists that differ. Cold is what tells so, what registered after the first list, what was restored or could not be reached, and all where the store was not heard. The model checks it with lists that differ and a router that starts again; without the share, or with silence taken for being alone, it finds the rush.

--- a/crates/peppercrank-bench/src/surge/fleet.rs
+++ b/crates/peppercrank-bench/src/surge/fleet.rs
@@ -457,6 +457,7 @@
             zone: "zone".into(),
             slots: scene.speed.slots,
             leaving: false,
+            cold: Duration::ZERO,
         };
         directory.apply(Moment::ZERO, Change::Put(entry));
     }
--- a/crates/peppercrank-cli/tests/verify_promises.rs
+++ b/crates/peppercrank-cli/tests/verify_promises.rs
@@ -106,7 +106,10 @@
     }
     models.sort_unstable();
     models.dedup();
-    assert_eq!(models, ["configuration", "drain", "evacuations", "once"]);
+    assert_eq!(
+        models,
+        ["cold", "configuration", "drain", "evacuations", "once"]
+    );
 }
 
 #[test]
@@ -116,7 +119,7 @@
         .split("\n## ")
         .filter(|p| p.starts_with(|c: char| c.is_ascii_digit()));
     let promises = promises.collect::<Vec<_>>();
-    assert_eq!(promises.len(), 9);
+    assert_eq!(promises.len(), 10);
     for promise in promises {
         for part in ["| part | mechanism |", "| crate | tests |", "\nLimits:\n"] {
             assert!(promise.contains(part), "{part} is not in {promise}");
--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -11,6 +11,7 @@
 use peppercrank_core::time::Moment;
 
 use crate::ranks::Ranks;
+use crate::warm_up::WarmUp;
 
 /// Seed of the hash that draws one of a route's pools.
 const POOL_SEED: u64 = 0x706f_6f6c;
@@ -114,6 +115,8 @@
     pub connections: u32,
     /// The memory of its engines; none for plain services.
     pub memory: Option<Memory>,
+    /// How its targets warm up, where they do.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// `Memory` is what one engine of a pool keeps of prompts.
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -26,6 +26,7 @@
 use crate::evacuations::Evacuations;
 use crate::starts::Relation;
 use crate::starts::Start;
+use crate::warm_up::MARGIN;
 
 /// Time after the store's return in which living targets register again; the platform's figure
 /// is about two seconds.
@@ -57,6 +58,8 @@
     held_until: Option<Moment>,
     /// The availability zones whose targets get no new work.
     pub evacuations: Evacuations,
+    /// When the whole list was first taken in.
+    listed: Option<Moment>,
 }
 
 /// `Noted` is what a change meant.
@@ -116,6 +119,7 @@
 
     /// `replace` takes in the whole list: what is there, readable or not.
     pub fn replace(&mut self, now: Moment, listed: Vec<Change>) -> Vec<Noted> {
+        self.listed.get_or_insert(now);
         let named = listed.iter().map(|c| Arc::clone(c.instance()));
         let named = named.collect::<HashSet<_>>();
         self.held.retain(|instance, _| named.contains(instance));
@@ -152,7 +156,7 @@
             Relation::Same => {
                 let pool = Arc::clone(&entry.pool);
                 let before = Arc::clone(&target.registration.pool);
-                let noted = target.renew(key, entry);
+                let noted = target.renew(now, key, entry);
                 if pool != before {
                     self.unlist(&before, key);
                     self.pools.entry(pool).or_default().push(key);
@@ -211,11 +215,13 @@
         } else {
             State::Ready
         };
+        let cold_until = now + entry.cold;
         let registration = entry;
         let key = self.targets.insert(Target {
             registration,
             state,
             since: now,
+            cold_until,
             rival: None,
         });
         self.instances.insert(instance, key);
@@ -306,6 +312,25 @@
         noted
     }
 
+    /// `listed` is when the whole list was first taken in.
+    #[must_use]
+    pub const fn listed(&self) -> Option<Moment> {
+        self.listed
+    }
+
+    /// `cold_until` is until when a target counts as cold by what the store told, in a pool whose targets warm up for so long.
+    #[must_use]
+    pub fn cold_until(&self, key: TargetKey, lasts: Duration) -> Moment {
+        let Some(target) = self.targets.get(key) else {
+            return Moment::ZERO;
+        };
+        let came_later = self.listed.is_some_and(|listed| target.since > listed);
+        let came = came_later.then_some(target.since);
+        let restored = self.evacuations.restored(&target.registration.zone);
+        let unheard = came.max(restored).map(|since| since + lasts + MARGIN);
+        unheard.map_or(target.cold_until, |until| until.max(target.cold_until))
+    }
+
     /// `get` is the target with this key, until it is gone.
     #[must_use]
     pub fn get(&self, key: TargetKey) -> Option<&Target> {
--- a/crates/peppercrank-direct/src/evacuations.rs
+++ b/crates/peppercrank-direct/src/evacuations.rs
@@ -10,6 +10,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use peppercrank_core::hash::hash64;
 use peppercrank_core::time::Moment;
@@ -19,6 +20,9 @@
 /// Seed of the digest of evacuated zones.
 const DIGEST_SEED: u64 = 0x6576_6163;
 
+/// Time for which it is remembered when a zone was restored: longer than targets stay cold.
+const RESTORED_KEPT: Duration = Duration::from_secs(300);
+
 /// `Change` is one change of the evacuated zones.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -41,6 +45,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Evacuations {
     zones: HashMap<Arc<str>, Evidence>,
+    /// When zones were restored lately.
+    restored: HashMap<Arc<str>, Moment>,
     /// Whether the list was read once.
     listed: bool,
     /// Until when a copy of the store may lack what was acknowledged.
@@ -48,39 +54,45 @@
 }
 
 impl Evacuations {
-    /// `replace` takes in the whole list, of which the store was asked at a moment, and returns what that changes.
-    pub fn replace(&mut self, asked: Moment, listed: &[Arc<str>]) -> Vec<Change> {
+    /// `replace` takes in the whole list, of which the store was `asked` at a moment, and returns what that changes.
+    pub fn replace(&mut self, now: Moment, asked: Moment, listed: &[Arc<str>]) -> Vec<Change> {
         self.listed = true;
         let missing = self.zones.keys().filter(|z| !listed.contains(z));
         let missing = missing.cloned().collect::<Vec<_>>();
-        let ended = missing.into_iter().filter_map(|z| self.miss(asked, z));
+        let ended = missing.into_iter().filter_map(|z| self.miss(now, asked, z));
         let mut changes = ended.collect::<Vec<_>>();
         for zone in listed {
-            changes.extend(self.apply(Change::Evacuated(Arc::clone(zone))));
+            changes.extend(self.apply(now, Change::Evacuated(Arc::clone(zone))));
         }
         changes
     }
 
     /// `apply` takes in one change, and returns it if it is news.
-    pub fn apply(&mut self, change: Change) -> Option<Change> {
+    pub fn apply(&mut self, now: Moment, change: Change) -> Option<Change> {
         let news = match &change {
             Change::Evacuated(zone) => {
                 let known = self.zones.insert(Arc::clone(zone), Evidence::Store);
                 known.is_none()
             }
-            Change::Restored(zone) => self.zones.remove(zone).is_some(),
+            Change::Restored(zone) => {
+                let known = self.zones.remove(zone).is_some();
+                if known {
+                    self.restore(now, zone);
+                }
+                known
+            }
         };
         news.then_some(change)
     }
 
     /// Takes in that a zone is not in the list.
-    fn miss(&mut self, asked: Moment, zone: Arc<str>) -> Option<Change> {
+    fn miss(&mut self, now: Moment, asked: Moment, zone: Arc<str>) -> Option<Change> {
         match (self.zones.get_mut(&zone), self.restored_until) {
             (Some(evidence), Some(until)) if asked < until => {
                 *evidence = Evidence::Missing(until);
                 None
             }
-            _ => self.apply(Change::Restored(zone)),
+            _ => self.apply(now, Change::Restored(zone)),
         }
     }
 
@@ -90,10 +102,24 @@
     }
 
     /// `settle` ends what was still missing when the store answered a question of this moment.
-    pub fn settle(&mut self, asked: Moment) -> Vec<Change> {
+    pub fn settle(&mut self, now: Moment, asked: Moment) -> Vec<Change> {
         let late = |e: &Evidence| matches!(e, Evidence::Missing(until) if asked >= *until);
-        let late = self.zones.extract_if(|_, evidence| late(evidence));
-        late.map(|(zone, _)| Change::Restored(zone)).collect()
+        let late = self.zones.iter().filter(|(_, evidence)| late(evidence));
+        let late = late.map(|(zone, _)| Arc::clone(zone)).collect::<Vec<_>>();
+        let ended = late.into_iter().map(Change::Restored);
+        ended.filter_map(|c| self.apply(now, c)).collect()
+    }
+
+    /// Notes when a zone was restored, and forgets what was long ago.
+    fn restore(&mut self, now: Moment, zone: &Arc<str>) {
+        self.restored.retain(|_, at| now.since(*at) < RESTORED_KEPT);
+        self.restored.insert(Arc::clone(zone), now);
+    }
+
+    /// `restored` is when a zone was restored, if that was lately: its targets may have become cold meanwhile.
+    #[must_use]
+    pub fn restored(&self, zone: &str) -> Option<Moment> {
+        self.restored.get(zone).copied()
     }
 
     /// `contains` tells whether a zone is evacuated.
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -26,6 +26,7 @@
 //! - [`suspension`]: whether the machine was suspended.
 //! - [`target`]: whether one target takes new work, and why not.
 //! - [`peers`]: what routers tell each other.
+//! - [`warm_up`]: how little a cold target gets from all routers together.
 
 pub mod admission;
 pub mod attribution;
@@ -57,3 +58,4 @@
 pub mod suspension;
 pub mod target;
 pub mod truncation;
+pub mod warm_up;
--- a/crates/peppercrank-direct/src/registration.rs
+++ b/crates/peppercrank-direct/src/registration.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::peers::TargetId;
 use crate::starts::Start;
@@ -26,6 +27,8 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Time for which it stays cold after it told.
+    pub cold: Duration,
 }
 
 impl Registration {
--- a/crates/peppercrank-direct/src/target.rs
+++ b/crates/peppercrank-direct/src/target.rs
@@ -50,15 +50,18 @@
     pub state: State,
     /// When it came to be known.
     pub since: Moment,
+    /// Until when it is cold by its own word.
+    pub cold_until: Moment,
     /// What the store tells of another start, and from when on that stands.
     pub(crate) rival: Option<(Registration, Moment)>,
 }
 
 impl Target {
     /// Takes in word of the start that is known.
-    pub(crate) fn renew(&mut self, key: TargetKey, entry: Registration) -> Noted {
+    pub(crate) fn renew(&mut self, now: Moment, key: TargetKey, entry: Registration) -> Noted {
         let left = self.state == State::Leaving;
         let leaving = left || entry.leaving;
+        self.cold_until = now + entry.cold;
         self.registration = entry;
         self.rival = None;
         self.state = if leaving {
--- a/crates/peppercrank-direct/src/warm_up.rs
+++ b/crates/peppercrank-direct/src/warm_up.rs
@@ -64,22 +64,16 @@
     pub slack: f64,
 }
 
-impl Default for Allowance {
-    fn default() -> Self {
-        Self {
-            overage: 1.0,
-            slack: 0.0,
-        }
-    }
-}
-
 /// `shared_out` is how many requests all routers together may send a cold target in a window.
 #[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "it is one at least, and saturates at the upper end"
+)]
 pub fn shared_out(warm_up: &WarmUp, allowance: &Allowance) -> usize {
     let bound = warm_up.rate * allowance.overage + allowance.slack;
-    let shared = (bound * SHARED_OUT).min(warm_up.rate).max(1.0);
-    // Saturates at the ends of its range.
-    shared as usize
+    (bound * SHARED_OUT).min(warm_up.rate).max(1.0) as usize
 }
 
 /// `Members` are the routers that share a cold target's rate.
@@ -98,7 +92,6 @@
 impl Members {
     /// `set` notes who is registered, and which of them this router is.
     pub fn set<'a>(&mut self, own: &str, others: impl Iterator<Item = &'a str>) {
-        let hash = |name: &str| hash64(SEED, name.as_bytes());
         self.own = hash(own);
         self.names = others.map(hash).collect();
         self.names.push(self.own);
@@ -116,21 +109,31 @@
             return 0;
         }
         let known = self.names.len();
-        // Where the list lacks some that are heard, they draw too.
-        let requests = match heard.max(known) {
-            all if all > known => requests * known / all,
-            _ => requests,
-        };
+        let own = rank(self.own, target);
+        if known * 4 < heard * 3 {
+            // Those that the list lacks draw as well, each by itself, so that fewer are let draw.
+            let each = u64::MAX / heard as u64;
+            let most = each.saturating_mul(requests.div_ceil(2) as u64);
+            return usize::from(own < most);
+        }
         if known <= requests {
             return requests / known;
         }
-        let rank = |name: u64| hash64(name, &target.to_le_bytes());
-        let own = rank(self.own);
-        let before = self.names.iter().filter(|n| rank(**n) > own).count();
-        usize::from(before < requests)
+        let ranks = self.names.iter().map(|name| rank(*name, target));
+        usize::from(ranks.filter(|r| *r > own).count() < requests)
     }
 }
 
+/// The hash of a router's name.
+fn hash(name: &str) -> u64 {
+    hash64(SEED, name.as_bytes())
+}
+
+/// A router's rank for a target.
+fn rank(name: u64, target: u32) -> u64 {
+    hash64(name, &target.to_le_bytes())
+}
+
 /// `Opens` is when a cold target may be sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Opens {
@@ -145,12 +148,21 @@
 /// What this router knows of one cold target.
 #[derive(Debug, Clone, Default)]
 struct Sent {
-    /// The version of the members by which its share was found, and that share.
-    share: Option<(u64, usize)>,
+    /// The version of the members and the number of routers heard by which its share was found, and that share.
+    share: Option<(u64, usize, usize)>,
     /// When it was sent requests within the last window.
     at: VecDeque<Moment>,
 }
 
+impl Sent {
+    /// Forgets what was sent before the last window.
+    fn expire(&mut self, now: Moment) {
+        while self.at.front().is_some_and(|at| now.since(*at) >= WINDOW) {
+            self.at.pop_front();
+        }
+    }
+}
+
 /// `Gate` keeps requests from cold targets.
 #[derive(Debug, Clone, Default)]
 pub struct Gate {
@@ -204,13 +216,11 @@
         let sent = entry.or_default();
         let version = self.members.version;
         let share = match sent.share {
-            Some((of, share)) if of == version => share,
+            Some((of, among, share)) if (of, among) == (version, heard) => share,
             _ => self.members.share(name, requests, heard),
         };
-        sent.share = Some((version, share));
-        while sent.at.front().is_some_and(|at| now.since(*at) >= WINDOW) {
-            sent.at.pop_front();
-        }
+        sent.share = Some((version, heard, share));
+        sent.expire(now);
         match (share, sent.at.front()) {
             (0, _) => Opens::Never,
             (share, Some(first)) if sent.at.len() >= share => {
@@ -223,6 +233,7 @@
     /// `sent` notes that a cold target was sent a request.
     pub fn sent(&mut self, now: Moment, key: TargetKey) {
         if let Some(sent) = self.sent.get_mut(key) {
+            sent.expire(now);
             sent.at.push_back(now);
         }
     }
--- a/crates/peppercrank-direct/tests/verify_directory.rs
+++ b/crates/peppercrank-direct/tests/verify_directory.rs
@@ -25,6 +25,7 @@
         zone: "a".into(),
         slots: 4,
         leaving,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/peppercrank-direct/tests/verify_era.rs
+++ b/crates/peppercrank-direct/tests/verify_era.rs
@@ -36,6 +36,7 @@
         zone: Arc::from("a"),
         slots: 8,
         leaving: false,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/peppercrank-direct/tests/verify_evacuations.rs
+++ b/crates/peppercrank-direct/tests/verify_evacuations.rs
@@ -4,6 +4,7 @@
 //! Evacuated availability zones: what ends an evacuation, and what does not.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use peppercrank_core::time::Moment;
 use peppercrank_direct::directory::Change as TargetChange;
@@ -38,6 +39,7 @@
         zone: zone.into(),
         slots: 4,
         leaving,
+        cold: Duration::ZERO,
     })
 }
 
@@ -45,39 +47,39 @@
 fn verify_only_news_is_told() {
     let mut known = Evacuations::default();
     assert!(!known.is_listed());
-    assert_eq!(known.replace(ZERO, &zones(&["a"])), [begun("a")]);
+    assert_eq!(known.replace(ZERO, ZERO, &zones(&["a"])), [begun("a")]);
     assert!(known.is_listed());
-    assert_eq!(known.apply(begun("a")), None);
-    assert_eq!(known.apply(ended("b")), None);
-    let changes = known.replace(ZERO, &zones(&["b"]));
+    assert_eq!(known.apply(ZERO, begun("a")), None);
+    assert_eq!(known.apply(ZERO, ended("b")), None);
+    let changes = known.replace(ZERO, ZERO, &zones(&["b"]));
     assert_eq!(changes, [ended("a"), begun("b")]);
-    assert_eq!(known.apply(ended("b")), Some(ended("b")));
+    assert_eq!(known.apply(ZERO, ended("b")), Some(ended("b")));
     assert!(known.is_empty());
 }
 
 #[test]
 fn verify_a_copy_of_the_store_ends_no_evacuation_at_once() {
     let mut known = Evacuations::default();
-    known.replace(ZERO, &zones(&["a", "b", "c"]));
+    known.replace(ZERO, ZERO, &zones(&["a", "b", "c"]));
     known.store_restored(ZERO);
     let early = ZERO + HELD / 2;
-    assert!(known.replace(early, &[]).is_empty());
+    assert!(known.replace(early, early, &[]).is_empty());
     // One is written again, and one is ended by the operator's own word.
-    assert_eq!(known.apply(begun("a")), None);
-    assert_eq!(known.apply(ended("b")), Some(ended("b")));
-    assert!(known.settle(early).is_empty());
+    assert_eq!(known.apply(ZERO, begun("a")), None);
+    assert_eq!(known.apply(ZERO, ended("b")), Some(ended("b")));
+    assert!(known.settle(early, early).is_empty());
     assert!(known.contains("c"));
-    assert_eq!(known.settle(ZERO + HELD), [ended("c")]);
+    assert_eq!(known.settle(ZERO + HELD, ZERO + HELD), [ended("c")]);
     assert!(known.contains("a"));
     // From then on the list is the operator's word again.
-    assert_eq!(known.replace(ZERO + HELD, &[]), [ended("a")]);
+    assert_eq!(known.replace(ZERO + HELD, ZERO + HELD, &[]), [ended("a")]);
 }
 
 #[test]
 fn verify_the_digest_tells_sets_apart_and_not_their_order() {
     let digest = |names: &[&str]| {
         let mut known = Evacuations::default();
-        known.replace(ZERO, &zones(names));
+        known.replace(ZERO, ZERO, &zones(names));
         known.digest()
     };
     assert_eq!(digest(&[]), 0);
@@ -92,7 +94,7 @@
     for change in [put("one", "a", false), put("two", "b", false)] {
         directory.apply(ZERO, change);
     }
-    directory.evacuations.replace(ZERO, &zones(&["a"]));
+    directory.evacuations.replace(ZERO, ZERO, &zones(&["a"]));
     // Also one that registers in the zone later, and one whose entry is missing after an outage.
     directory.apply(ZERO, put("three", "a", false));
     directory.apply(ZERO, put("four", "b", true));
@@ -105,7 +107,7 @@
         reasons,
         [Withheld::Evacuated, Withheld::Evacuated, Withheld::Leaving]
     );
-    directory.evacuations.replace(ZERO, &[]);
+    directory.evacuations.replace(ZERO, ZERO, &[]);
     assert_eq!(directory.pool(ZERO, "pool").len(), 3);
 }
 
@@ -113,7 +115,7 @@
 fn verify_an_evacuated_zone_is_no_last_resort() {
     let mut directory = Directory::default();
     directory.apply(ZERO, put("one", "a", false));
-    directory.evacuations.replace(ZERO, &zones(&["a"]));
+    directory.evacuations.replace(ZERO, ZERO, &zones(&["a"]));
     directory.store_lost();
     directory.store_back(ZERO);
     directory.replace(ZERO, Vec::new());
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -196,6 +196,7 @@
             zone: "a".into(),
             slots: 4,
             leaving: false,
+            cold: Duration::ZERO,
         };
         directory.apply(at(0), Change::Put(entry));
     }
@@ -462,6 +463,7 @@
         name: "pool".into(),
         connections,
         memory: None,
+        warm_up: None,
     };
     let pools = [pool(490), pool(230)];
     assert_eq!(spare(&pools, 4, 8), 8);
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -39,6 +39,7 @@
             zone: "a".into(),
             slots: 64,
             leaving: false,
+            cold: Duration::ZERO,
         };
         directory.apply(NOW, Change::Put(entry));
     }
--- /dev/null
+++ b/crates/peppercrank-direct/tests/verify_warm_up.rs
@@ -0,0 +1,255 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Cold targets get no more than they bear, from all routers together.
+//!
+//! What operators saw: targets that had just come back got 22 requests in a second where 20 were allowed, and under more they crash. Order of
+//! events: a zone is evacuated and restored, or its targets end and start again; its prompts' homes return to it at once, at all
+//! routers, in the middle of a surge. Cause: routers did not know that a target was cold, and none knows what the others send it at this moment.
+//! Evidence: a day with two returns of a zone into a surge on one subject, and three of nine plays of the standard days.
+
+use std::time::Duration;
+
+use peppercrank_core::time::Moment;
+use peppercrank_direct::directory::Change;
+use peppercrank_direct::directory::Directory;
+use peppercrank_direct::directory::Registration;
+use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::evacuations;
+use peppercrank_direct::starts::Start;
+use peppercrank_direct::warm_up::Allowance;
+use peppercrank_direct::warm_up::Gate;
+use peppercrank_direct::warm_up::MARGIN;
+use peppercrank_direct::warm_up::Members;
+use peppercrank_direct::warm_up::Opens;
+use peppercrank_direct::warm_up::WarmUp;
+use peppercrank_direct::warm_up::shared_out;
+use slotmap::SlotMap;
+
+const ZERO: Moment = Moment::ZERO;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+const WARM_UP: WarmUp = WarmUp {
+    lasts: Duration::from_secs(3),
+    rate: 10.0,
+};
+
+const ALLOWANCE: Allowance = Allowance {
+    overage: 1.5,
+    slack: 5.0,
+};
+
+/// Requests that a target may get in any second: its rate by the allowance.
+const BOUND: usize = 20;
+
+/// Fleets of so many routers.
+const FLEETS: [usize; 7] = [1, 2, 4, 10, 30, 68, 370];
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("router-{n}")).collect()
+}
+
+/// What the router of this place knows of the others.
+fn members(names: &[String], own: usize) -> Members {
+    let mut members = Members::default();
+    let others = names.iter().enumerate().filter(|(n, _)| *n != own);
+    members.set(&names[own], others.map(|(_, name)| name.as_str()));
+    members
+}
+
+/// The gate of the router of this place.
+fn gate(names: &[String], own: usize) -> Gate {
+    let mut gate = Gate::default();
+    gate.members = members(names, own);
+    gate
+}
+
+fn shares(names: &[String], target: u32) -> Vec<usize> {
+    let requests = shared_out(&WARM_UP, &ALLOWANCE);
+    let share = |own| members(names, own).share(target, requests, names.len());
+    (0..names.len()).map(share).collect()
+}
+
+#[test]
+fn verify_all_parts_together_are_what_is_shared_out() {
+    assert_eq!(shared_out(&WARM_UP, &ALLOWANCE), BOUND / 2);
+    for routers in FLEETS {
+        for target in 0..20 {
+            let sum = shares(&names(routers), target).iter().sum::<usize>();
+            assert!(sum <= BOUND / 2, "{routers} routers: {sum}");
+            assert!(sum * 10 >= BOUND / 2 * 8, "{routers} routers: {sum}");
+        }
+    }
+}
+
+#[test]
+fn verify_each_router_may_use_its_part_of_the_targets() {
+    // Half again as many as the mean of 18.5 at the most, so that no router has nowhere to go while all targets are cold.
+    let routers = names(30);
+    let open = |own: usize| {
+        let targets = 0..55;
+        targets.filter(|t| shares(&routers, *t)[own] > 0).count()
+    };
+    for own in 0..routers.len() {
+        assert!((8..=30).contains(&open(own)), "{own}: {}", open(own));
+    }
+}
+
+#[test]
+fn verify_lists_that_differ_stay_within_the_bound() {
+    let all = names(34);
+    for target in 0..50 {
+        // A third of the routers has not heard of the last four, and knows one that has gone.
+        let mut older = all[..30].to_vec();
+        older.push("router-gone".to_owned());
+        let requests = shared_out(&WARM_UP, &ALLOWANCE);
+        let newer = (10..34).map(|own| members(&all, own).share(target, requests, 34));
+        let behind = (0..10).map(|own| members(&older, own).share(target, requests, 31));
+        let sum = newer.chain(behind).sum::<usize>();
+        assert!(sum <= BOUND, "target {target}: {sum}");
+    }
+}
+
+#[test]
+fn verify_a_router_that_was_told_of_no_others_sends_nothing() {
+    assert_eq!(Members::default().share(1, 10, 1), 0);
+}
+
+#[test]
+fn verify_a_list_of_an_older_copy_of_the_store_does_not_multiply_the_rate() {
+    // The copy knows four of thirty routers, each of which has heard of all the others.
+    let all = names(30);
+    let requests = shared_out(&WARM_UP, &ALLOWANCE);
+    for target in 0..50 {
+        let share = |own: usize| {
+            let mut listed = all[..4].to_vec();
+            if own >= 4 {
+                listed.push(all[own].clone());
+            }
+            let place = own.min(4);
+            members(&listed, place).share(target, requests, all.len())
+        };
+        let sum = (0..all.len()).map(share).sum::<usize>();
+        assert!(sum <= BOUND, "target {target}: {sum}");
+    }
+}
+
+/// What each of the routers of a fleet does at a cold target that all want to send to: the most that it gets in any second, and all
+/// that it gets in `seconds`.
+fn rush(routers: usize, seconds: u64) -> (usize, usize) {
+    let names = names(routers);
+    let requests = shared_out(&WARM_UP, &ALLOWANCE);
+    let mut keys = SlotMap::<TargetKey, ()>::with_key();
+    let key = keys.insert(());
+    let mut gates = (0..routers)
+        .map(|own| gate(&names, own))
+        .collect::<Vec<_>>();
+    let mut sent = Vec::new();
+    for step in 0..seconds * 100 {
+        let now = ZERO + Duration::from_millis(step * 10);
+        for gate in &mut gates {
+            while gate.opens(now, (key, 7), requests, routers) == Opens::Now {
+                gate.sent(now, key);
+                sent.push(now);
+            }
+        }
+    }
+    let within = |from: Moment, at: Moment| at >= from && at.since(from) < SECOND;
+    let count = |from: Moment| sent.iter().filter(|at| within(from, **at)).count();
+    let most = sent.iter().map(|from| count(*from)).max();
+    (most.unwrap_or(0), sent.len())
+}
+
+#[test]
+fn verify_a_rush_of_all_routers_stays_within_the_bound_and_uses_the_rate() {
+    for routers in FLEETS {
+        let (most, all) = rush(routers, 5);
+        assert!(most <= BOUND, "{routers} routers: {most} in a second");
+        assert!(all >= 5 * 8, "{routers} routers: {all} in five seconds");
+    }
+}
+
+#[test]
+fn verify_when_a_cold_target_opens_again() {
+    let mut keys = SlotMap::<TargetKey, ()>::with_key();
+    let key = keys.insert(());
+    let mut gate = gate(&names(5), 0);
+    let mut opens = |now| {
+        let opens = gate.opens(now, (key, 7), 10, 5);
+        if opens == Opens::Now {
+            gate.sent(now, key);
+        }
+        opens
+    };
+    let later = ZERO + SECOND / 4;
+    assert_eq!([opens(ZERO), opens(later)], [Opens::Now, Opens::Now]);
+    assert_eq!(opens(later), Opens::After(SECOND * 3 / 4));
+    assert_eq!(opens(ZERO + SECOND), Opens::Now);
+    assert_eq!(opens(ZERO + SECOND), Opens::After(SECOND / 4));
+}
+
+fn entry(instance: &str, born: u64, cold: Duration) -> Change {
+    Change::Put(Registration {
+        instance: instance.into(),
+        start: Start(Some(born)),
+        pool: "pool".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "a".into(),
+        slots: 4,
+        leaving: false,
+        cold,
+    })
+}
+
+fn cold_until(directory: &Directory) -> Moment {
+    let key = directory.find("one").expect("a target");
+    directory.cold_until(key, WARM_UP.lasts)
+}
+
+#[test]
+fn verify_what_makes_a_target_cold() {
+    let later = ZERO + SECOND * 10;
+    let warm = || {
+        let mut directory = Directory::default();
+        directory.replace(ZERO, vec![entry("one", 1, Duration::ZERO)]);
+        directory
+    };
+    assert_eq!(cold_until(&warm()), ZERO);
+    // By its own word, also at the first list.
+    let mut told = Directory::default();
+    told.replace(ZERO, vec![entry("one", 1, SECOND)]);
+    assert_eq!(cold_until(&told), ZERO + SECOND);
+    let mut told = warm();
+    told.apply(later, entry("one", 1, SECOND * 2));
+    assert_eq!(cold_until(&told), later + SECOND * 2);
+    // By another start under its name, and by a registration after the first list, whatever it says.
+    let unheard = later + WARM_UP.lasts + MARGIN;
+    let mut restarted = warm();
+    restarted.apply(later, entry("one", 2, Duration::ZERO));
+    assert_eq!(cold_until(&restarted), unheard);
+    let mut back = warm();
+    back.apply(ZERO, Change::Removed("one".into()));
+    back.apply(later, entry("one", 1, Duration::ZERO));
+    assert_eq!(cold_until(&back), unheard);
+    // By the end of its zone's evacuation.
+    let mut restored = warm();
+    let zone = evacuations::Change::Evacuated("a".into());
+    restored.evacuations.apply(ZERO, zone);
+    assert_eq!(cold_until(&restored), ZERO);
+    let zone = evacuations::Change::Restored("a".into());
+    restored.evacuations.apply(later, zone);
+    assert_eq!(cold_until(&restored), unheard);
+}
+
+#[test]
+fn verify_not_heard_is_not_warm() {
+    let mut gate = Gate::default();
+    assert!(gate.is_blind(ZERO, None));
+    gate.heard(ZERO);
+    assert!(!gate.is_blind(ZERO + SECOND * 7, None));
+    assert!(gate.is_blind(ZERO + SECOND * 8, None));
+    // Where the store is known not to answer, sooner.
+    assert!(!gate.is_blind(ZERO + SECOND * 2, Some(ZERO)));
+    assert!(gate.is_blind(ZERO + SECOND * 3, Some(ZERO)));
+}
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use peppercrank_core::time::Moment;
+use peppercrank_direct::congestion::is_congested;
 use peppercrank_direct::desired::RouteKind;
 use peppercrank_direct::retries::ExecutionState;
 use peppercrank_platform::answer;
@@ -23,6 +24,7 @@
 use peppercrank_wire::client::Reuse;
 use peppercrank_wire::client::SendError;
 
+use crate::choose::link_state;
 use crate::crashes;
 use crate::flight::Flight;
 use crate::gateway::Gateway;
@@ -151,8 +153,14 @@
             false,
         )),
     };
-    if outcome.as_ref().is_err_and(|error| error.against) {
-        flight.failed();
+    if let Err(error) = &outcome {
+        // Where this router's own link is full, nothing is known of the target.
+        if error.execution == ExecutionState::NotSent && !is_congested(&link_state(gateway)) {
+            flight.unreachable();
+        }
+        if error.against {
+            flight.failed();
+        }
     }
     outcome
 }
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -21,6 +21,10 @@
 use peppercrank_direct::place::Holder;
 use peppercrank_direct::place::PlacementRequest;
 use peppercrank_direct::place::Policy;
+use peppercrank_direct::warm_up::Allowance;
+use peppercrank_direct::warm_up::Opens;
+use peppercrank_direct::warm_up::shared_out;
+use peppercrank_settings::GatewaySettings;
 use peppercrank_settings::gateway::Placement;
 
 use crate::flight::Flight;
@@ -38,7 +42,7 @@
 
 /// Whether a target came lately to a fleet that was there before.
 fn is_fresh(state: &State, now: Moment, since: Moment) -> bool {
-    let first = state.listed.unwrap_or(now);
+    let first = state.directory.listed().unwrap_or(now);
     since > first + FIRST && now.since(since) < FRESH
 }
 
@@ -65,9 +69,27 @@
 ///
 /// Returns the reason for which the request goes nowhere.
 pub fn begin(gateway: &Arc<Gateway>, job: &Job, tried: &[TargetKey]) -> Result<Flight, Rejection> {
+    let mut state = gateway.state();
+    let choice = choose(gateway, &mut state, job, tried)?;
+    let flight = take(gateway, &mut state, job, &choice);
+    flight.ok_or(Rejection::now(Reason::NoTarget))
+}
+
+/// `could_begin` tells whether some target would be sent a further attempt of a request now.
+#[must_use]
+pub fn could_begin(gateway: &Gateway, job: &Job, tried: &[TargetKey]) -> bool {
+    choose(gateway, &mut gateway.state(), job, tried).is_ok()
+}
+
+/// Chooses the target of an attempt.
+fn choose(
+    gateway: &Gateway,
+    state: &mut State,
+    job: &Job,
+    tried: &[TargetKey],
+) -> Result<Choice, Rejection> {
     let now = gateway.now();
     let settings = gateway.settings();
-    let mut state = gateway.state();
     // The process may have stood still since the request was judged.
     if job.organisation.is_some() && !state.freshness.is_fresh(now) {
         return Err(Rejection::now(Reason::StaleKeys));
@@ -76,16 +98,17 @@
         return Err(Rejection::now(Reason::Congested));
     }
     let rates = state.rates.get(&job.pool).copied().unwrap_or_default();
+    let usable = usable(state, now, job)?;
+    let warm = keep_from_cold(state, now, job, &settings, usable)?;
     let survey = Survey {
-        state: &state,
+        state,
         now,
         job,
         zone: &settings.zone,
         hold: rates.hold(),
     };
-    let usable = survey.usable()?;
-    let candidates = survey.candidates(&usable, tried);
-    let holders = survey.holders();
+    let candidates = survey.candidates(&warm.open, tried);
+    let holders = survey.holders(&warm.cold);
     let request = PlacementRequest {
         policy: policy(settings.placement),
         id: job.own(),
@@ -114,10 +137,7 @@
         &holders,
     );
     let (reason, after) = match decision {
-        Decision::Send(choice) => {
-            let flight = take(gateway, &mut state, job, &choice);
-            return flight.ok_or(Rejection::now(Reason::NoTarget));
-        }
+        Decision::Send(choice) => return Ok(choice),
         Decision::Full { after } => (Reason::Full, after),
         Decision::NoTarget { after } => (Reason::NoTarget, after),
     };
@@ -157,6 +177,7 @@
     let (instance, address) = (Arc::clone(&registration.instance), registration.address);
     let target = registration.id();
     state.sent(now, choice, target, job.shared());
+    state.gate.sent(now, key);
     if let Some(own) = job.parts.last() {
         // Peers gain nothing from the last part, which is the request's own.
         state.prefixes.note(now, key, own.chain);
@@ -173,6 +194,76 @@
     })
 }
 
+/// The targets of the request's pool that take new work.
+fn usable(state: &State, now: Moment, job: &Job) -> Result<Vec<TargetKey>, Rejection> {
+    let directory = &state.directory;
+    if !directory.evacuations.is_listed() {
+        return Err(Rejection::now(Reason::Evacuated));
+    }
+    let usable = directory.pool(now, &job.pool);
+    let mut draining = directory.draining(now, &job.pool);
+    if usable.is_empty() && draining.any(|(_, why)| why == Withheld::Evacuated) {
+        return Err(Rejection::now(Reason::Evacuated));
+    }
+    Ok(usable)
+}
+
+/// `Warm` is which targets may be sent a request by this router at this moment.
+struct Warm {
+    /// These may.
+    open: Vec<TargetKey>,
+    /// These are cold and get what they bear.
+    cold: Vec<TargetKey>,
+}
+
+/// Keeps a request from cold targets that get what they bear.
+fn keep_from_cold(
+    state: &mut State,
+    now: Moment,
+    job: &Job,
+    settings: &GatewaySettings,
+    usable: Vec<TargetKey>,
+) -> Result<Warm, Rejection> {
+    let Some(warm_up) = job.warm_up else {
+        let cold = Vec::new();
+        return Ok(Warm { open: usable, cold });
+    };
+    let allowance = Allowance {
+        overage: settings.warm_up.overage,
+        slack: settings.warm_up.slack,
+    };
+    let requests = shared_out(&warm_up, &allowance);
+    let blind = state.gate.is_blind(now, state.away);
+    let routers = state.sharers(now);
+    let (mut open, mut cold) = (Vec::new(), Vec::new());
+    let mut soonest = warm_up.lasts;
+    for key in usable {
+        let Some(target) = state.directory.get(key) else {
+            continue;
+        };
+        let name = target.registration.draw();
+        if !blind && now >= state.cold_until(key, warm_up.lasts) {
+            open.push(key);
+            continue;
+        }
+        match state.gate.opens(now, (key, name), requests, routers) {
+            Opens::Now => open.push(key),
+            Opens::After(time) => {
+                soonest = soonest.min(time);
+                cold.push(key);
+            }
+            Opens::Never => cold.push(key),
+        }
+    }
+    if open.is_empty() && !cold.is_empty() {
+        return Err(Rejection {
+            reason: Reason::WarmingUp,
+            after: soonest,
+        });
+    }
+    Ok(Warm { open, cold })
+}
+
 /// `Survey` is how one request sees the targets of its pool.
 struct Survey<'a> {
     state: &'a State,
@@ -185,20 +276,6 @@
 }
 
 impl Survey<'_> {
-    /// The targets that take new work.
-    fn usable(&self) -> Result<Vec<TargetKey>, Rejection> {
-        let directory = &self.state.directory;
-        if !directory.evacuations.is_listed() {
-            return Err(Rejection::now(Reason::Evacuated));
-        }
-        let usable = directory.pool(self.now, &self.job.pool);
-        let mut draining = directory.draining(self.now, &self.job.pool);
-        if usable.is_empty() && draining.any(|(_, why)| why == Withheld::Evacuated) {
-            return Err(Rejection::now(Reason::Evacuated));
-        }
-        Ok(usable)
-    }
-
     /// The targets that may get the request: of those that take work the ones that were not tried, unless all were.
     fn candidates(&self, usable: &[TargetKey], tried: &[TargetKey]) -> Vec<Candidate> {
         let untried = usable.iter().filter(|k| !tried.contains(k)).copied();
@@ -224,28 +301,32 @@
         })
     }
 
-    /// The targets that get no new work and may hold the prompt, or count in the pool's mean load.
-    fn holders(&self) -> Vec<Holder> {
+    /// The targets that do not get the request and may hold its prompt, or count in the pool's mean load.
+    fn holders(&self, cold: &[TargetKey]) -> Vec<Holder> {
+        let draining = self.state.directory.draining(self.now, &self.job.pool);
+        let draining = draining.map(|(key, why)| (key, why == Withheld::Evacuated));
+        let all = draining.chain(cold.iter().map(|key| (*key, true)));
+        all.filter_map(|(key, counts)| self.hold(key, counts))
+            .collect()
+    }
+
+    /// A target that does not get the request; none where it matters for nothing.
+    fn hold(&self, key: TargetKey, counts: bool) -> Option<Holder> {
         let Self {
             state, now, job, ..
         } = self;
+        let registration = &state.directory.get(key)?.registration;
         let lag = state.peers.lag(*now);
-        let see = |(key, why)| {
-            let registration = &state.directory.get(key)?.registration;
-            let counted = (why == Withheld::Evacuated).then(|| state.board.get(key));
-            let holds = job.copying.is_some();
-            (holds || counted.is_some()).then(|| Holder {
-                key,
-                name: registration.draw(),
-                held: if holds {
-                    state.prefixes.held(key, job.shared())
-                } else {
-                    0
-                },
-                counted: counted.map(|stats| stats.at(*now, lag, self.hold)),
-            })
+        let counted = counts.then(|| state.board.get(key).at(*now, lag, self.hold));
+        let held = match job.copying {
+            Some(_) => state.prefixes.held(key, job.shared()),
+            None => 0,
         };
-        let draining = state.directory.draining(*now, &job.pool);
-        draining.filter_map(see).collect()
+        (counts || job.copying.is_some()).then(|| Holder {
+            key,
+            name: registration.draw(),
+            held,
+            counted,
+        })
     }
 }
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -66,6 +66,15 @@
         self.gateway.count_failure(&self.suspect());
     }
 
+    /// `unreachable` notes that no connection to the target could be made, so that it may have become cold when it is back.
+    pub fn unreachable(&self) {
+        let now = self.gateway.now();
+        let key = self.counted.choice.key;
+        if self.gateway.state().directory.get(key).is_some() {
+            self.gateway.state().gate.unreachable(now, key);
+        }
+    }
+
     /// `suspect` is its target, where it is not yet known what a failure speaks against.
     #[must_use]
     pub fn suspect(&self) -> Suspect {
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -66,8 +66,8 @@
                 let listed = listed.collect();
                 let now = self.gateway.now();
                 let mut state = self.gateway.state();
+                state.gate.heard(now);
                 let noted = state.directory.replace(now, listed);
-                state.listed.get_or_insert(now);
                 drop(state);
                 targets::note(&self.gateway, noted, self.revision);
             }
@@ -83,6 +83,7 @@
                 for entry in entries {
                     self.router(entry);
                 }
+                self.gateway.state().routers_changed(&own);
                 if !again {
                     self.gateway.routers_listed.notify_one();
                 }
@@ -90,8 +91,9 @@
             Kind::Evacuations => {
                 let zones = entries.into_iter().filter_map(|e| self.zone(e));
                 let zones = zones.collect::<Vec<_>>();
+                let now = self.gateway.now();
                 let mut state = self.gateway.state();
-                let changes = state.directory.evacuations.replace(asked, &zones);
+                let changes = state.directory.evacuations.replace(now, asked, &zones);
                 drop(state);
                 evacuations::note(&self.gateway, changes);
             }
@@ -104,6 +106,8 @@
         match self.kind {
             Kind::Configuration => {}
             Kind::Targets => {
+                let now = self.gateway.now();
+                self.gateway.state().gate.heard(now);
                 for event in events {
                     self.change(event);
                 }
@@ -120,19 +124,25 @@
                         }
                     }
                 }
+                let own = self.gateway.settings().name.clone();
+                self.gateway.state().routers_changed(&own);
             }
             Kind::Evacuations => {
+                let now = self.gateway.now();
                 for event in events {
                     let change = match event {
                         Event::Put(entry) => self.zone(entry).map(Change::Evacuated),
                         Event::Removed(zone) => Some(Change::Restored(zone)),
                     };
                     let mut state = self.gateway.state();
-                    let news = change.and_then(|c| state.directory.evacuations.apply(c));
+                    let evacuations = &mut state.directory.evacuations;
+                    let news = change.and_then(|c| evacuations.apply(now, c));
                     drop(state);
                     evacuations::note(&self.gateway, news);
                 }
-                let settled = self.gateway.state().directory.evacuations.settle(asked);
+                let mut state = self.gateway.state();
+                let settled = state.directory.evacuations.settle(now, asked);
+                drop(state);
                 evacuations::note(&self.gateway, settled);
             }
         }
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -19,6 +19,7 @@
 use peppercrank_direct::desired::RouteKind;
 use peppercrank_direct::prefixes::Part;
 use peppercrank_direct::ranks::Rank;
+use peppercrank_direct::warm_up::WarmUp;
 use peppercrank_platform::call;
 use peppercrank_platform::call::CallHead;
 
@@ -68,6 +69,8 @@
     pub output: u64,
     /// How fast its pool's engines copy from each other, in tokens a millisecond.
     pub copying: Option<f64>,
+    /// How its pool's targets warm up, where they do.
+    pub warm_up: Option<WarmUp>,
     /// Parts of its prompt.
     pub parts: Vec<Part>,
     /// When it came.
@@ -170,7 +173,8 @@
         let wait = said.wait.unwrap_or(route.timeout).min(route.timeout);
         let CallHead { id, prompt, .. } = said;
         let prompt = prompt.unwrap_or_default();
-        let memory = index.pool(pool).and_then(|p| p.memory);
+        let settings = index.pool(pool);
+        let memory = settings.and_then(|p| p.memory);
         Ok(Self {
             pool: Arc::clone(pool),
             kind: route.kind,
@@ -184,6 +188,7 @@
             tokens: prompt.tokens,
             output: prompt.output,
             copying: memory.and_then(|m| m.copying()),
+            warm_up: settings.and_then(|p| p.warm_up),
             parts: prompt.parts,
             begun,
             deadline: begun + wait,
--- a/crates/peppercrank-gateway/src/refuse.rs
+++ b/crates/peppercrank-gateway/src/refuse.rs
@@ -59,6 +59,8 @@
     NoTarget "no_target" SERVICE_UNAVAILABLE;
     /// All targets of the pool are in evacuated availability zones, or it is not known yet which zones are evacuated.
     Evacuated "evacuated" SERVICE_UNAVAILABLE;
+    /// All targets of the pool are cold and get what they bear.
+    WarmingUp "warming_up" SERVICE_UNAVAILABLE;
     /// All targets of the pool are full.
     Full "full" SERVICE_UNAVAILABLE;
     /// Connections to all targets are slow: this router's own link is full.
@@ -86,6 +88,7 @@
                 | Self::StaleRoutes
                 | Self::NoTarget
                 | Self::Evacuated
+                | Self::WarmingUp
                 | Self::Full
                 | Self::Congested
                 | Self::CrashesTargets
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use peppercrank_core::time::Moment;
 use peppercrank_direct::admission::Admission;
@@ -30,6 +31,8 @@
 use peppercrank_direct::retries::Terms;
 use peppercrank_direct::starts::Start;
 use peppercrank_direct::stats::Board;
+use peppercrank_direct::warm_up::Gate;
+use peppercrank_direct::warm_up::MARGIN;
 use peppercrank_settings::GatewaySettings;
 use slotmap::SecondaryMap;
 use slotmap::SlotMap;
@@ -54,8 +57,6 @@
     pub directory: Directory,
     /// Since when the store does not answer this router.
     pub away: Option<Moment>,
-    /// When the targets were first listed.
-    pub listed: Option<Moment>,
     /// When peers' work was heard of last.
     pub heard: Moment,
     /// What is known of each target.
@@ -76,6 +77,8 @@
     pub budget: RetryBudget,
     /// Requests under which targets ended.
     pub quarantine: Quarantine,
+    /// Keeps requests from cold targets.
+    pub gate: Gate,
     /// What other routers told.
     pub peers: Peers,
     /// Where the other registered routers take datagrams.
@@ -147,7 +150,6 @@
             eras: Eras::default(),
             directory: Directory::default(),
             away: None,
-            listed: None,
             heard: now,
             board: Board::default(),
             names: HashMap::new(),
@@ -158,6 +160,7 @@
             admission: HashMap::new(),
             budget: RetryBudget::new(now, terms(settings)),
             quarantine: Quarantine::default(),
+            gate: Gate::default(),
             peers: Peers::default(),
             routers: HashMap::new(),
             open: SlotMap::with_key(),
@@ -181,6 +184,7 @@
         self.prefixes.forget(key);
         self.names.retain(|_, k| *k != key);
         self.terminations.forget(key);
+        self.gate.forget(key);
         self.labels.remove(key);
     }
 
@@ -195,6 +199,20 @@
         }
     }
 
+    /// `routers_changed` notes that other routers registered or went.
+    pub fn routers_changed(&mut self, own: &str) {
+        let others = self.routers.keys().map(|name| &**name);
+        self.gate.members.set(own, others);
+    }
+
+    /// `cold_until` is until when a target counts as cold, in a pool whose targets warm up for so long.
+    #[must_use]
+    pub fn cold_until(&self, key: TargetKey, lasts: Duration) -> Moment {
+        let told = self.directory.cold_until(key, lasts);
+        let unreachable = self.gate.was_unreachable(key);
+        unreachable.map_or(told, |at| told.max(at + lasts + MARGIN))
+    }
+
     /// `sharers` is how many routers share the retry budget: those registered, those heard of,
     /// and this one.
     #[must_use]
--- a/crates/peppercrank-settings/src/checked.rs
+++ b/crates/peppercrank-settings/src/checked.rs
@@ -90,12 +90,25 @@
 ///
 /// Fails for anything but a number, and outside the range.
 pub fn seconds<'de, D, const LEAST: u32, const MOST: u32>(from: D) -> Result<Duration, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let number = number::<D, LEAST, MOST>(from)?;
+    Ok(Duration::from_secs_f64(number))
+}
+
+/// `number` reads a number of `LEAST` to `MOST`, with fractions.
+///
+/// # Errors
+///
+/// Fails for anything but a number, and outside the range.
+pub fn number<'de, D, const LEAST: u32, const MOST: u32>(from: D) -> Result<f64, D::Error>
 where
     D: Deserializer<'de>,
 {
     let number = f64::deserialize(from)?;
     if (f64::from(LEAST)..=f64::from(MOST)).contains(&number) {
-        return Ok(Duration::from_secs_f64(number));
+        return Ok(number);
     }
     let (least, most) = (LEAST.to_string(), MOST.to_string());
     Err(D::Error::custom(errors::range(
--- a/crates/peppercrank-settings/src/gateway.rs
+++ b/crates/peppercrank-settings/src/gateway.rs
@@ -65,6 +65,9 @@
     /// Multiple of a pool's mean load that a target may hold; [`DEFAULT_CAP`] unless set.
     #[serde(default = "default_cap")]
     pub cap: f64,
+    /// How far cold targets may be driven over their rate; not at all unless set.
+    #[serde(default)]
+    pub warm_up: WarmUpBounds,
     /// The least level that is logged.
     #[serde(default)]
     pub log: LogLevel,
@@ -119,6 +122,27 @@
     }
 }
 
+/// `WarmUpBounds` bound what a cold target gets in a second, from all routers together.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WarmUpBounds {
+    /// Multiple of the rate that the configuration tells; 1 to 100.
+    #[serde(deserialize_with = "checked::number::<_, 1, 100>")]
+    pub overage: f64,
+    /// Requests besides; 0 to 1,000,000.
+    #[serde(deserialize_with = "checked::number::<_, 0, 1_000_000>")]
+    pub slack: f64,
+}
+
+impl Default for WarmUpBounds {
+    fn default() -> Self {
+        Self {
+            overage: 1.0,
+            slack: 0.0,
+        }
+    }
+}
+
 impl GatewaySettings {
     /// `parse` reads a settings text.
     ///
--- a/crates/peppercrank-spec/src/eras.rs
+++ b/crates/peppercrank-spec/src/eras.rs
@@ -219,6 +219,7 @@
             zone: "a".into(),
             slots: 1,
             leaving,
+            cold: Duration::ZERO,
         }),
     }
 }
--- a/crates/peppercrank-spec/src/evacuations.rs
+++ b/crates/peppercrank-spec/src/evacuations.rs
@@ -163,13 +163,13 @@
         let position = self.shape.position.filter(|(of, _)| *of == era);
         if let Some((_, from)) = position {
             for evacuated in &self.shape.stored[from..] {
-                let _news = self.known.apply(change(*evacuated));
+                let _news = self.known.apply(now, change(*evacuated));
             }
-            let _settled = self.known.settle(now);
+            let _settled = self.known.settle(now, now);
         } else {
             let listed = is_evacuated(&self.shape.stored).then(|| Arc::from(ZONE));
             let listed = listed.into_iter().collect::<Vec<_>>();
-            let _changes = self.known.replace(now, &listed);
+            let _changes = self.known.replace(now, now, &listed);
         }
         self.shape.position = Some((era, revision));
         self.shape.told |= self.shape.wanted && is_evacuated(&self.shape.stored);
@@ -181,7 +181,7 @@
         self.shape.write();
         if flaw == Flaw::EndsByTime {
             let now = self.now();
-            let _ended = self.known.settle(now);
+            let _ended = self.known.settle(now, now);
         }
     }
 
--- a/crates/peppercrank-spec/src/lib.rs
+++ b/crates/peppercrank-spec/src/lib.rs
@@ -8,6 +8,7 @@
 //! time pass, each fault within a stated bound. A `Flaw` takes one rule away, so that a test can
 //! show that the check finds the fault which the rule is there against.
 
+pub mod cold;
 pub mod configuration;
 pub mod drain;
 pub mod eras;
--- a/crates/peppercrank-spec/src/starts.rs
+++ b/crates/peppercrank-spec/src/starts.rs
@@ -211,6 +211,7 @@
         zone: "a".into(),
         slots: start.into(),
         leaving: false,
+        cold: Duration::ZERO,
     }
 }
 
--- /dev/null
+++ b/crates/peppercrank-spec/tests/verify_cold.rs
@@ -0,0 +1,34 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! A cold target that all routers want to send to, over every reachable state.
+
+use peppercrank_spec::cold::Flaw;
+use peppercrank_spec::cold::RUSH;
+use peppercrank_spec::cold::Rush;
+use peppercrank_spec::search::check;
+use peppercrank_spec::search::find;
+
+/// One router that starts again, over two seconds.
+const ONE: Rush = Rush {
+    flaw: Flaw::None,
+    starts: 1,
+    strides: 4,
+};
+
+#[test]
+fn verify_a_cold_target_gets_no_more_than_it_bears() {
+    match check(&ONE) {
+        Ok(seen) => println!("one start: {seen}"),
+        Err(e) => panic!("{e}"),
+    }
+}
+
+#[test]
+fn verify_each_rule_is_needed() {
+    for flaw in [Flaw::TakesAll, Flaw::TakesSilence] {
+        let model = Rush { flaw, ..ONE };
+        let found = find(&model, RUSH);
+        assert!(found.is_some(), "{flaw:?} violates nothing");
+    }
+}
