Give a silent stream up only where another target would take it now

Cause: whether another run could go on was asked of the plan and the budget, and of the targets only after the first run had been given up. Ruled out: the target (its run ended as the router closed the connection).

Mend: the same decision that would place the next attempt is asked before; it takes nothing. The test evacuates the only zone while a stream pauses; it failed before. Where all others are cold, full or evacuated the stream is waited for.

--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -33,6 +33,7 @@
 use crate::attempt::WholeAnswer;
 use crate::attempt::send;
 use crate::choose::begin;
+use crate::choose::could_begin;
 use crate::crashes;
 use crate::flight::Flight;
 use crate::gateway::Gateway;
@@ -288,7 +289,7 @@
     pub fn could_go_on(&self) -> bool {
         let mut plan = self.plan;
         let may = plan.after(ExecutionState::Unknown) == After::AgainIfAllowed;
-        may && self.could_repeat()
+        may && self.could_repeat() && could_begin(&self.gateway, &self.job, &self.tried)
     }
 
     /// `may_repeat` takes a repeat from the fleet's budget, if it has one.
