Let watches that other routers confirm wait 18 s in place of 10

What these watches would miss where a connection goes silent, a digest or a version that another router tells brings within a second or two.

Longer is past the 20 s of history that the store keeps.

--- a/crates/peppercrank-gateway/src/role.rs
+++ b/crates/peppercrank-gateway/src/role.rs
@@ -17,7 +17,7 @@
 /// Time that the watch of the configuration waits, below the history that the store keeps. Changes end
 /// it at once, and one that went silent does no harm: a version that another router tells of twice is
 /// fetched.
-const CONFIG_WAIT: Duration = Duration::from_secs(10);
+const CONFIG_WAIT: Duration = Duration::from_secs(18);
 
 /// Time that the watch of targets waits; a change ends it at once, and a connection that went
 /// silent is noticed after it.
@@ -30,8 +30,8 @@
 /// silent is noticed after it, within half of the usual bound on evacuations.
 const EVACUATIONS_WAIT: Duration = Duration::from_millis(2_500);
 
-/// The same at a router that is told by others when it knows something else than they do.
-const EVACUATIONS_WAIT_TOLD: Duration = Duration::from_secs(10);
+/// The same at a router that is told by others when it knows something else than they do; below the history that the store keeps.
+const EVACUATIONS_WAIT_TOLD: Duration = Duration::from_secs(18);
 
 /// Pause between calls for targets: each change ends a watch, and many come at once when a pool is
 /// replaced. A leaving target gets work for this much longer, a fifth of the usual bound.
