--- a/crates/peppercrank-log/src/story.rs
+++ b/crates/peppercrank-log/src/story.rs
@@ -362,6 +362,12 @@
             "its pool had no target that takes work ({} targets registered in all)",
             number_of(fields, "targets")
         ),
+        "evacuated" => "all targets of its pool stand in evacuated availability zones (events 5013, 5014), or the process had not yet read which zones are".to_owned(),
+        "no_region" => "no target in a region that its route and its organisation allow takes work".to_owned(),
+        "warming_up" if away => {
+            "the store was out of reach, so that all targets of its pool counted as cold, and had got what they bear".to_owned()
+        }
+        "warming_up" => "all targets of its pool were cold, and had got what they bear".to_owned(),
         "full" => "all targets of its pool held as much as they may".to_owned(),
         "crashes_targets" => format!(
             "targets had ended again and again under the same request, content {}",
--- a/crates/peppercrank-log/tests/verify_story.rs
+++ b/crates/peppercrank-log/tests/verify_story.rs
@@ -80,6 +80,18 @@
             "\"reason\":\"stale_routes\",\"version\":4,\"keys_age_ms\":4100",
             "may have been added since",
         ),
+        (
+            "2001",
+            "\"reason\":\"evacuated\"",
+            "evacuated availability zones",
+        ),
+        ("2001", "\"reason\":\"no_region\"", "region"),
+        ("2001", "\"reason\":\"warming_up\"", "were cold"),
+        (
+            "2001",
+            "\"reason\":\"warming_up\",\"store_away\":1",
+            "store was out of reach",
+        ),
         ("2001", "\"reason\":\"failed\"", "connection lost at i-1"),
         ("2001", "\"reason\":\"timed_out\"", "connection lost at i-1"),
         (
