--- a/crates/peppercrank-direct/src/admission.rs
+++ b/crates/peppercrank-direct/src/admission.rs
@@ -18,12 +18,11 @@
 use crate::ranks::Rank;
 
 /// Wait at which the most urgent rank is refused, as a part of the pool's shortest goal. Its answers
-/// still come in time though predictions are off by a third and more: with 0.8, callers of one
-/// deployment earned 8,090 in place of 10,556 in a surge of twenty-four times the usual load.
+/// still come in time though predictions are off by a third and more.
 const MOST_URGENT: f64 = 0.3;
 
 /// The same for the least urgent rank: a wait of that length at all targets is a queue, not the
-/// scatter of arrivals. On quiet days of three deployments it refused nothing.
+/// scatter of arrivals.
 const LEAST_URGENT: f64 = 0.05;
 
 /// Part of the pool's share of admitted requests that each rank is granted: a rank below it is
@@ -44,10 +43,8 @@
 /// `SOONEST` is the soonest return of a refused request: several times the lag of peers' loads.
 pub const SOONEST: Duration = Duration::from_millis(300);
 
-/// Part of the time for which an overload has lasted that a refused request is told to wait. The
-/// whole time cost 11 in 100 of what callers earned at twenty-four times the usual load, since they
-/// came back too late to be answered in time; with a fixed 0.3 s they earned the same, and up to
-/// 15 in 100 more of it was refused again.
+/// Part of the time for which an overload has lasted that a refused request is told to wait: late enough not to be refused again,
+/// and soon enough to be answered in time.
 const LASTED_PART: u32 = 2;
 
 /// Part of its time left that a refused request is told to wait at most; callers follow no longer
--- a/crates/peppercrank-direct/src/attribution.rs
+++ b/crates/peppercrank-direct/src/attribution.rs
@@ -3,9 +3,8 @@
 
 //! Whom a failure that a target answers speaks against: the target, or the request itself.
 //!
-//! Some requests fail wherever they run. Counted against their targets they ejected sound ones: 16 ejections in place
-//! of 1 on a day on which no target failed and 7 lookups in 100 did, and 25 in place of 20 of the largest requests
-//! failed. So the next target's answer is heard first.
+//! Some requests fail wherever they run. Counted against their targets they would eject sound ones, so
+//! the next target's answer is heard first.
 
 use std::sync::Arc;
 
--- a/crates/peppercrank-direct/src/congestion.rs
+++ b/crates/peppercrank-direct/src/congestion.rs
@@ -4,10 +4,8 @@
 //! Whether this router's own link is the bottleneck.
 //!
 //! On a link whose queue is longer than the time for a connection, requests wait for connections that do not come, count as
-//! work at their targets meanwhile and make sound targets look broken; what they add to the queue keeps it long. In a
-//! flood of 16 times the usual requests, 10,000 connections in 2 s were given up by 25 routers on links of 10 Mbit/s.
-//! Refused at once, and with the mean that the cap counts from corrected, 26.5 in place of 23.9 requests in 100 are served and 18.3
-//! in place of 21.1 fail (mean of eight runs each).
+//! work at their targets meanwhile and make sound targets look broken; what they add to the queue keeps it long. So
+//! they are refused at once.
 
 use std::time::Duration;
 
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -36,8 +36,7 @@
 const GONE_KEPT: Duration = Duration::from_secs(60);
 
 /// `HELD` is the time for which entries of gone targets are held in a store that has come back from an older copy: until a dead
-/// one's entry has lapsed, after three heartbeats of 1.2 s, and that was read, up to 0.9 s later. At 4 s they stood while a
-/// dead one's had lapsed and was not yet read.
+/// one's entry has lapsed, after three heartbeats of 1.2 s, and that was read, up to 0.9 s later.
 pub const HELD: Duration = Duration::from_secs(6);
 
 /// `Directory` holds the targets.
--- a/crates/peppercrank-direct/src/overcount.rs
+++ b/crates/peppercrank-direct/src/overcount.rs
@@ -5,9 +5,7 @@
 //!
 //! Peers on full links tell late, and count requests that have not reached their targets or whose answers wait on
 //! the link. What a target tells of its load corrects this for itself only, so the mean of the pool, and with it what
-//! a target may hold, was too high: 40 to 76 requests were believed where targets held 26, and 172 of 3,511 requests reached
-//! targets that held over twice the mean and three. Corrected, none of eight runs had over 3 in 100 such requests; four of
-//! eight had without it.
+//! a target may hold, would be too high.
 
 use crate::rates::as_f64;
 use crate::stats::Stats;
@@ -18,8 +16,7 @@
 /// `mean` is the mean load of a pool, the peers' work at targets that did not tell of their load scaled by what is left of it
 /// at those that did.
 ///
-/// Only the mean is corrected. A target that is dark tells nothing, and looked empty where its own load was scaled: on days with half
-/// of the targets dark 0.4 in 100 fewer requests were served (mean of nine runs).
+/// Only the mean is corrected: a target that is dark tells nothing, and would look empty where its own load was scaled.
 #[must_use]
 pub fn mean<'a>(pool: impl Iterator<Item = &'a Stats> + Clone) -> f64 {
     let share = share_left(pool.clone()).unwrap_or(1.0);
--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -80,9 +80,7 @@
     pub chain: u64,
 }
 
-/// Hints on one datagram, so that they and the work of a large fleet's pool fit. With 8 of them 31
-/// routers earned more at eight times the usual load (70,550 of 72,661 in place of 67,635), but after
-/// sixteen times the load targets held more than their multiple of the mean in three runs of three.
+/// Hints on one datagram, so that they and the work of a large fleet's pool fit.
 const HINTS: usize = 40;
 
 /// Hints that wait to be told; more would be stale before they are.
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -26,9 +26,7 @@
 /// Seed of the rendezvous hash.
 const HOME_SEED: u64 = 0x686f_6d65;
 
-/// Tokens that reading one token again costs: it takes engine time from all that run there.
-///
-/// The users' prices set one such token to the worth of 2.3 tokens of a request's size.
+/// Tokens of a request's size that reading one token again costs: it takes engine time from all that run there.
 const READ_COST: f64 = 2.3;
 
 /// Tokens that copying one token from another engine costs, by the users' prices for memory moved.
@@ -39,7 +37,7 @@
 const ASSUMED: f64 = 0.5;
 
 /// Part of the wanted time from which an answer counts as endangered, and by how much more of it
-/// it counts as lost: predictions are off by about a third.
+/// it counts as lost: predictions are off by as much.
 const LATE: (f64, f64) = (0.4, 0.7);
 
 /// Part of a request's size that the whole wanted time costs while it is not endangered.
@@ -51,17 +49,14 @@
 /// Part of a request's size that the pool's mean load costs; it keeps loads even.
 const LOAD_COST: f64 = 0.03;
 
-/// Part of a request's size that a target other than its home costs. Prompts that keep to their
-/// homes are found by routers that were told nothing: without it the mean worth of days with faults
-/// fell by 0.006, 0.005 and 0.016 on three deployments (two runs a day).
+/// Part of a request's size that a target other than its home costs: prompts that keep to their homes are found by routers
+/// that were told nothing.
 const AWAY_COST: f64 = 0.3;
 
 /// The same for a request without a prompt, where it only breaks ties.
 const TIE_COST: f64 = 0.005;
 
-/// Requests over the multiple of the mean that a target may hold; the users' bound allows three. With
-/// two in place of one, 6.6 in place of 8.5 GB of prompts were copied on a calm day with a hot prompt
-/// (mean of three runs).
+/// Requests over the multiple of the mean that a target may hold, so that a hot prompt of a pool at rest is not copied.
 const CAP_EXTRA: f64 = 2.0;
 
 /// Part of the allowed multiple of the mean that is used: peers' loads are known with a lag.
@@ -71,9 +66,7 @@
 /// gains it little.
 const CAP_USED_FULL: f64 = 0.6;
 
-/// Multiple of what is usually unseen of a target's load that its cap leaves free. Without it 3.7 in 100 requests reached a target
-/// above the users' bound at the usual load of 68 routers (73 of 1,975), with it at no time more than three; with 0.5, 194 in place of 150 GB
-/// were copied between engines on a calm day.
+/// Multiple of what is usually unseen of a target's load that its cap leaves free.
 const MARGIN: f64 = 0.25;
 
 /// Part of a request's size that a sure failure costs: it is lost, or runs twice.
@@ -370,9 +363,7 @@
                 cost: 0.0,
             },
             Source::Home { part, .. } if candidate.key == self.home => {
-                // Prompts begin alike, so that another home may hold the first part: with copies in
-                // place of reading it there again, 72 in place of 116 thousand tokens were read
-                // twice on a calm day of 1,800 requests (mean of three runs).
+                // Prompts begin alike, so that another home may hold the first part.
                 let more = part.filter(|(_, held)| copies && *held > candidate.held);
                 let copy = more.map(|(from, held)| (from, held - candidate.held));
                 MissingPrefix {
--- a/crates/peppercrank-direct/src/quarantine.rs
+++ b/crates/peppercrank-direct/src/quarantine.rs
@@ -29,7 +29,7 @@
 use report::ago;
 
 /// Targets that may end under a request before it is quarantined. Requests beside the one at fault are cut once or twice
-/// themselves: where targets crash four a second, 23 of 118 requests that lost an attempt lost a second one.
+/// themselves.
 pub const ENDS: usize = 3;
 
 /// `KEPT` is the time for which a request is remembered after it came last. It outlasts the pause of a caller that
--- a/crates/peppercrank-direct/src/reports.rs
+++ b/crates/peppercrank-direct/src/reports.rs
@@ -19,8 +19,6 @@
 use crate::stats::Stats;
 
 /// Reports on one datagram. The busiest targets' go first: a cap needs to know these, and a short datagram goes out often.
-/// With 20, 0.1 to 0.4 in 100 requests reached a target above its cap, with 100 it was 0.2 to 0.8 (1.7 times the usual load,
-/// 68 routers, one run each).
 const REPORTS: usize = 20;
 
 /// `MOST_BYTES` is the longest datagram of reports: a name of four bytes, a load of at most three and an age for each.
@@ -32,8 +30,7 @@
 /// What the age of a report is told in: a fifth of the shortest requests' time, and 5 s at the most.
 const AGE_UNIT: Duration = Duration::from_millis(20);
 
-/// Part of a router's bytes for datagrams, in percent, that reports take in a large fleet. Hints, which take most of the
-/// rest, were late before: each of 68 routers can tell all others three new ones a second.
+/// Part of a router's bytes for datagrams, in percent, that reports take in a large fleet; hints take most of the rest.
 const SHARE: usize = 60;
 
 /// Time of a round of summaries, in seconds, from which they are too old to count a target's load by: half of the
--- a/crates/peppercrank-direct/src/silence.rs
+++ b/crates/peppercrank-direct/src/silence.rs
@@ -4,17 +4,14 @@
 //! When a stream that has begun counts as silent, so that it goes on elsewhere if it may.
 //!
 //! Guards against targets and connections that fall silent without a reset, which hold a caller until
-//! it leaves. With three engines in ten dark for twelve seconds of a day, the worth of all answers
-//! rose from 0.749 to 0.784 of what was owed on one site and from 0.833 to 0.842 on another; at five
-//! times the usual load, 52 of 4,428 streams were given up that were only slow.
+//! it leaves.
 
 use std::time::Duration;
 
 use peppercrank_core::time::Moment;
 
 /// Part of the longest pause that is on time after which a stream counts as silent: the rest is for
-/// the next target to read the prompt. With the whole pause the gain above was 0.000 and 0.005, with
-/// half of it 0.019 and 0.008.
+/// the next target to read the prompt.
 const PART: f64 = 0.75;
 
 /// The least time: steps of a busy engine that reads several long prompts take some hundred
--- a/crates/peppercrank-direct/src/stats.rs
+++ b/crates/peppercrank-direct/src/stats.rs
@@ -118,9 +118,8 @@
     /// `load` is the work on the target: what routers count, or less if the target told of less.
     ///
     /// A request whose answer was lost counts here until its time is over, though the target has
-    /// long ended it. Without the target's own word such requests raised the pool's mean, and with
-    /// it what one target may hold: with three answers in ten lost, 23 of 424 requests reached a
-    /// target that held more than twice the mean.
+    /// long ended it. Without the target's own word such requests raise the pool's mean, and with
+    /// it what one target may hold.
     ///
     /// Where peers' counts are old it is what the target told, which fades to those counts as its requests end: they are its
     /// load of the last seconds, while reports come from targets that just got a request, so that their mean is too high.
@@ -147,8 +146,7 @@
 
     /// `waiting` is the work that a request may have to wait for: what routers count, or less if the target told of less.
     ///
-    /// Reports that fade make the waits of many targets swing by the second, and prompts leave their homes for it. With waits
-    /// by them three times the usual load of 68 routers earned 0.606 in place of 0.697, and 1,444 in place of 645 GB were copied.
+    /// Reports that fade make the waits of many targets swing by the second, and prompts leave their homes for it.
     #[must_use]
     pub fn waiting(&self) -> u32 {
         let told = self.told().unwrap_or(u32::MAX);
--- a/crates/peppercrank-direct/src/truncation.rs
+++ b/crates/peppercrank-direct/src/truncation.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// `GATHER` is the pause before what may have been cut off an answer is asked for. Entries that are written in a row gather in
-/// it: without it 68 routers made 4,452 in place of 2,401 calls on a day without changes, while all started.
+/// it, as all routers of a fleet start.
 pub const GATHER: Duration = Duration::from_millis(20);
 
 /// Questions in a row that are asked without the usual pause. It bounds the calls to a store that cuts short while
--- a/crates/peppercrank-gateway/src/role.rs
+++ b/crates/peppercrank-gateway/src/role.rs
@@ -37,8 +37,7 @@
 /// replaced. A leaving target gets work for this much longer, a fifth of the usual bound.
 const TARGETS_PACE: Duration = Duration::from_millis(400);
 
-/// The same for each router of a large fleet, as all of them call after each change. With 31 routers
-/// they made 2,017 in place of 2,375 calls on a calm day of 54 s.
+/// The same for each router of a large fleet, as all of them call after each change.
 const TARGETS_PACE_EACH: Duration = Duration::from_millis(25);
 
 /// The longest pause between calls for targets: below half of the usual bound for a leaving target.
