Run gateways that send straight to targets as the local fleet

A newcomer's first command showed the path with an agent beside each target, which no deployment runs.

--- a/crates/peppercrank-cli/src/errors.rs
+++ b/crates/peppercrank-cli/src/errors.rs
@@ -68,6 +68,8 @@
     NoParameter,
     /// `order` wants one order.
     OrderCommand,
+    /// `--platform-port` has no meaning without `--agents`.
+    PlatformPort,
 }
 
 /// `Error` is why a verb was not carried out.
@@ -262,6 +264,7 @@
             Self::Value { key, value } => write!(f, "`{value}` is no value of `{key}`"),
             Self::NoTemplate => f.write_str("the organisation is new: template=NAME is wanted"),
             Self::NoParameter => f.write_str("at least one key=value is wanted"),
+            Self::PlatformPort => write!(f, "--platform-port wants --agents"),
             Self::OrderCommand => {
                 f.write_str("one of --load-model, --load-adapter and --set-role is wanted")
             }
--- a/crates/peppercrank-cli/src/flags.rs
+++ b/crates/peppercrank-cli/src/flags.rs
@@ -259,17 +259,19 @@
             required file: PathBuf
         }
 
-        /// Serves a whole small fleet with stand-ins in one process, on loopback.
+        /// Serves a whole small fleet with stand-ins in one process, on loopback: routers that send straight to targets.
         cmd local {
             /// Port of the first router, the next ones follow; 8080 unless set, 0 for free ones.
             optional --port port: u16
             /// Routers; 2 unless set.
             optional --routers count: u16
-            /// Engines, each with its agent; 3 unless set.
+            /// Engines; 3 unless set.
             optional --engines count: u16
-            /// Replicas of the plain service, each with its agent; 2 unless set.
+            /// Replicas of the plain service; 2 unless set.
             optional --services count: u16
-            /// Port of the platform stand-in; a free one unless set.
+            /// The fleet with an agent beside each target, which the operators' verbs speak to.
+            optional --agents
+            /// Port of the platform stand-in, with --agents; a free one unless set.
             optional --platform-port port: u16
             /// Time after which it ends with exit code 0; for ever unless set.
             optional --run-time duration: Span
--- a/crates/peppercrank-cli/src/verbs/local.rs
+++ b/crates/peppercrank-cli/src/verbs/local.rs
@@ -1,8 +1,9 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! A whole small fleet in one process: platform, engines and services stand-ins, agents, routers.
+//! A whole small fleet in one process: routers that send straight to targets, or with an agent beside each target.
 
+mod direct;
 mod objects;
 mod show;
 
@@ -54,12 +55,6 @@
 use crate::report::Report;
 use crate::verbs::daemon;
 
-/// Port of the first router, unless set.
-const DEFAULT_PORT: u16 = 8_080;
-
-/// The most of each part, so that a slip of the finger does not fill the machine.
-const MOST: u16 = 64;
-
 /// Time for the fleet to come together.
 const TOGETHER: Duration = Duration::from_secs(20);
 
@@ -89,12 +84,17 @@
 
 impl Plan {
     fn of(flags: &flags::Local) -> Self {
-        let some = |count: Option<u16>, default: u16| count.unwrap_or(default).min(MOST);
+        let direct::Plan {
+            port,
+            routers,
+            engines,
+            services,
+        } = direct::plan(flags);
         Self {
-            port: flags.port.unwrap_or(DEFAULT_PORT),
-            routers: some(flags.routers, 2).max(1),
-            engines: some(flags.engines, 3),
-            services: some(flags.services, 2),
+            port,
+            routers,
+            engines,
+            services,
             platform: flags.platform_port.unwrap_or(0),
         }
     }
@@ -102,6 +102,9 @@
 
 /// Serves a local fleet until SIGTERM, SIGINT or the end of its run time.
 pub(super) fn local(access: &Access, flags: &flags::Local, out: &mut dyn Write) -> Result<Report> {
+    if !flags.agents {
+        return direct::local(access, flags, out);
+    }
     let runtime = Runtime::new().map_err(Error::Process)?;
     let (signal, mut signalled) = stop::stop();
     daemon::on_signal(signal)?;
--- /dev/null
+++ b/crates/peppercrank-cli/src/verbs/local/direct.rs
@@ -0,0 +1,88 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! A local fleet of routers that send straight to targets.
+
+use std::io::Write;
+
+use peppercrank_local::Local;
+use peppercrank_wire::stop;
+use serde_json::json;
+use tokio::runtime::Runtime;
+use tokio::time::timeout;
+
+use crate::access::Access;
+use crate::errors::Error;
+use crate::errors::Misuse;
+use crate::errors::Result;
+use crate::flags;
+use crate::report::Report;
+use crate::verbs::daemon;
+use crate::words::Form;
+
+pub(super) use peppercrank_local::Plan;
+
+/// Port of the first router, unless set.
+const DEFAULT_PORT: u16 = 8_080;
+
+/// The most of each part, so that a slip of the finger does not fill the machine.
+const MOST: u16 = 64;
+
+/// How many of each part the flags ask for, and where.
+pub(super) fn plan(flags: &flags::Local) -> Plan {
+    let some = |count: Option<u16>, default: u16| count.unwrap_or(default).min(MOST);
+    Plan {
+        port: flags.port.unwrap_or(DEFAULT_PORT),
+        routers: some(flags.routers, 2).max(1),
+        engines: some(flags.engines, 3),
+        services: some(flags.services, 2),
+    }
+}
+
+/// Serves the fleet until SIGTERM, SIGINT or the end of its run time.
+pub(super) fn local(access: &Access, flags: &flags::Local, out: &mut dyn Write) -> Result<Report> {
+    if flags.platform_port.is_some() {
+        return Err(Error::Misuse(Misuse::PlatformPort));
+    }
+    let runtime = Runtime::new().map_err(Error::Process)?;
+    let (signal, mut signalled) = stop::stop();
+    daemon::on_signal(signal)?;
+    let started = runtime.block_on(Local::start(&plan(flags)));
+    let local = started.map_err(|e| Error::Daemon(e.into()))?;
+    let told = writeln!(out, "{}", show(&local, access.form)).and_then(|()| out.flush());
+    told.map_err(Error::Output)?;
+    let ended = runtime.block_on(async {
+        match &flags.run_time {
+            // Both ends of the wait are the end of the run.
+            Some(span) => drop(timeout(span.0, signalled.wait()).await),
+            None => signalled.wait().await,
+        }
+        local.end().await
+    });
+    ended.map_err(|e| Error::Daemon(e.into()))?;
+    Ok(Report::done(
+        "local fleet stopped".to_owned(),
+        json!({ "local": "stopped" }),
+    ))
+}
+
+/// Tells where each part is.
+fn show(local: &Local, form: Form) -> String {
+    let (store, routers) = (local.store(), local.routers());
+    match form {
+        Form::Json => {
+            let targets = local.targets().iter();
+            let targets = targets.map(|t| json!({ "name": t.name, "address": t.address }));
+            let targets = targets.collect::<Vec<_>>();
+            json!({ "routers": routers, "targets": targets, "store": store }).to_string()
+        }
+        Form::Text => {
+            let mut lines = vec![format!("store     http://{store}")];
+            let targets = local.targets().iter();
+            lines.extend(targets.map(|t| format!("target    http://{}  {}", t.address, t.name)));
+            lines.extend(routers.iter().map(|r| format!("router    http://{r}")));
+            lines.push("ready".to_owned());
+            lines.join("\n")
+        }
+    }
+}
--- a/crates/peppercrank-cli/tests/verify_local.rs
+++ b/crates/peppercrank-cli/tests/verify_local.rs
@@ -37,10 +37,9 @@
 }
 
 /// Starts a local fleet, which ends with the test's process, and returns what it prints.
-fn local() -> String {
+fn local(words: &'static str) -> String {
     let (out, told) = mpsc::channel();
     thread::spawn(move || {
-        let words = "local --port 0 --engines 2 --services 1 --run-time 600s";
         let args = words.split(' ').map(OsString::from).collect();
         let mut spy = Spy {
             text: Vec::new(),
@@ -72,7 +71,8 @@
 
 #[test]
 fn verify_other_verbs_reach_a_local_fleet_by_the_line_it_prints() {
-    let environment = environment(&local());
+    let words = "local --agents --port 0 --engines 2 --services 1 --run-time 600s";
+    let environment = environment(&local(words));
     let verb = |line: &str| {
         let mut words = line.split(' ').collect::<Vec<_>>();
         words.extend(["--output", "json"]);
@@ -93,6 +93,23 @@
     assert_eq!(marked["drained"], true, "{marked}");
 }
 
+#[test]
+fn verify_a_local_fleet_sends_straight_to_targets_and_tells_where_it_is() {
+    let text = local("local --port 0 --engines 2 --services 1 --run-time 600s");
+    let of = |part: &str| text.lines().filter(|l| l.starts_with(part)).count();
+    assert_eq!((of("router "), of("target "), of("store ")), (2, 3, 1));
+    assert_eq!(text.lines().last(), Some("ready"), "{text}");
+    assert!(!text.contains("agent"), "{text}");
+}
+
+#[test]
+fn verify_flags_of_the_other_fleet_are_refused() {
+    let environment = Environment::default();
+    let ended = run(&environment, &["local", "--platform-port", "1"]);
+    assert_eq!(ended.exit, Exit::Usage, "{ended:?}");
+    assert!(ended.err.contains("--agents"), "{ended:?}");
+}
+
 #[test]
 fn verify_daemons_of_the_environment_are_addresses() {
     for text in [
