--- a/crates/peppercrank-direct/tests/verify_confirm.rs
+++ b/crates/peppercrank-direct/tests/verify_confirm.rs
@@ -14,6 +14,8 @@
 use peppercrank_direct::confirm::askers;
 use peppercrank_direct::freshness::Freshness;
 use peppercrank_direct::freshness::Source;
+use peppercrank_direct::peers::Datagram;
+use serde::Deserialize;
 
 const QUESTION: Question = Question { nonce: 7 };
 
@@ -115,3 +117,27 @@
         assert_eq!(askers(turned), sorted[..ask]);
     }
 }
+
+/// What a router of an earlier version reads of a confirmation.
+#[derive(Debug, Deserialize, PartialEq, Eq)]
+struct Earlier {
+    nonce: u64,
+    version: u64,
+    age: u32,
+}
+
+#[test]
+fn verify_routers_of_two_versions_confirm_to_each_other_or_ask_the_store() {
+    let mut datagram = Datagram::Confirmation(told(5, 700));
+    let bytes = datagram.encode().expect("a datagram");
+    // The first byte tells which kind of datagram it is.
+    let earlier = postcard::from_bytes::<Earlier>(&bytes[1..]);
+    let expected = Earlier {
+        nonce: QUESTION.nonce,
+        version: 5,
+        age: 701,
+    };
+    assert_eq!(earlier, Ok(expected));
+    // One of an earlier router is no datagram here, so that the store is asked.
+    assert!(Datagram::decode(&bytes[..bytes.len() - 1]).is_err());
+}
