Ask how long ago peers told of their work once for each request

Cause: each target that does not get a request asked it anew, which walks all peers: on an evacuation or with cold targets, holders times peers on the path of a request. Change: it stands in the survey, like the time that a request holds its place; the same value at the same moment.

--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -86,6 +86,7 @@
         now,
         job,
         settings: &settings,
+        lag: state.peers.lag(now),
         hold: rates.hold(),
     };
     let candidates = survey.candidates(&eligible.open, tried);
@@ -181,6 +182,8 @@
     now: Moment,
     job: &'a Job,
     settings: &'a GatewaySettings,
+    /// How long ago peers told of their work.
+    lag: Duration,
     /// What is learnt of the time that a request holds a place.
     hold: f64,
 }
@@ -191,11 +194,10 @@
         let untried = usable.iter().filter(|k| !tried.contains(k)).copied();
         let untried = untried.collect::<Vec<_>>();
         let keys = if untried.is_empty() { usable } else { &untried };
-        let lag = self.state.peers.lag(self.now);
-        keys.iter().filter_map(|k| self.see(*k, lag)).collect()
+        keys.iter().filter_map(|k| self.see(*k)).collect()
     }
 
-    fn see(&self, key: TargetKey, lag: Duration) -> Option<Candidate> {
+    fn see(&self, key: TargetKey) -> Option<Candidate> {
         let Self { state, now, .. } = self;
         let target = state.directory.get(key)?;
         let registration = &target.registration;
@@ -207,7 +209,7 @@
             held: state.prefixes.held(key, &self.job.parts),
             fresh: is_fresh(state, *now, state.directory.came(key)?),
             lag: now.since(state.heard),
-            stats: state.board.get(key).at(*now, lag, self.hold),
+            stats: state.board.get(key).at(*now, self.lag, self.hold),
         })
     }
 
@@ -226,8 +228,7 @@
             state, now, job, ..
         } = self;
         let registration = &state.directory.get(key)?.registration;
-        let lag = state.peers.lag(*now);
-        let counted = counts.then(|| state.board.get(key).at(*now, lag, self.hold));
+        let counted = counts.then(|| state.board.get(key).at(*now, self.lag, self.hold));
         let copies = job.copying.is_some() && eligible::is_allowed(state, job, self.settings, key);
         let held = if copies {
             state.prefixes.held(key, job.shared())
