--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`events`]: whole events of streams that may be resumed.
 //! - [`freshness`]: how old the knowledge of keys may be before requests are refused.
 //! - [`in_flight`]: what an attempt counts for at its target.
+//! - [`notice`]: what a target says of new work in its answers.
 //! - [`place`]: which target a request goes to, by its predicted first token.
 //! - [`prefixes`]: which target holds which part of which prompt.
 //! - [`catch_up`]: how the configuration is read anew, and what an answer proves.
@@ -43,6 +44,7 @@
 pub mod events;
 pub mod freshness;
 pub mod in_flight;
+pub mod notice;
 pub mod overcount;
 pub mod peers;
 pub mod place;
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -224,6 +224,7 @@
     if let Some(load) = said.load.filter(|_| said.kind != Kind::Foreign) {
         flight.told(load);
     }
+    flight.noticed(said.notice);
     match said.kind {
         Kind::NotRun => {
             drain(body).await;
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -15,6 +15,7 @@
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::directory::Withheld;
 use peppercrank_direct::in_flight::InFlight;
+use peppercrank_direct::notice::Notice;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Choice;
 use peppercrank_direct::place::Holder;
@@ -173,6 +174,7 @@
         target,
         address,
         copy_from,
+        notice: Notice::default(),
     })
 }
 
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -8,6 +8,7 @@
 
 use peppercrank_direct::attribution::Suspect;
 use peppercrank_direct::in_flight::InFlight;
+use peppercrank_direct::notice::Notice;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_platform::answer::Load;
 
@@ -33,6 +34,8 @@
     pub address: SocketAddr,
     /// The target that it should copy from.
     pub copy_from: Option<SocketAddr>,
+    /// What its answer said of new work for the target.
+    pub notice: Notice,
 }
 
 impl Flight {
@@ -56,6 +59,11 @@
         }
     }
 
+    /// `noticed` notes what the answer says of new work for its target.
+    pub const fn noticed(&mut self, notice: Notice) {
+        self.notice = notice;
+    }
+
     /// `lost` notes that another instance answers at the target's address.
     pub fn lost(&self) {
         self.gateway.state().directory.lost(self.counted.choice.key);
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -366,6 +366,11 @@
             ("attempt", Field::Number(u64::from(self.plan.sends()))),
             ("target", Field::Text(&flight.instance)),
             ("what", Field::Text(what)),
+            ("leaving", Field::Number(u64::from(flight.notice.leaving))),
+            (
+                "pause_ms",
+                Field::Millis(flight.notice.pause.unwrap_or_default()),
+            ),
             (
                 "predicted_ms",
                 Field::Number(whole(flight.counted.choice.first)),
@@ -398,6 +403,7 @@
                 "predicted_ms",
                 Field::Number(whole(flight.counted.choice.first)),
             ),
+            ("leaving", Field::Number(u64::from(flight.notice.leaving))),
             ("first_ms", Field::Millis(first)),
             ("held_ms", Field::Millis(self.held())),
         ];
