Withhold a target from new work once an answer says that it leaves

What callers saw: requests reached a target up to 10.5 s after an answer had told their router that it leaves. Where it ended meanwhile they were cut.

Cause: routers learnt that a target leaves from its entry in the store alone.

Ruled out: that routers knew and forgot it when the entry came back (the entry was missing and the target gone for good at 21 to 22 s), and that the requests had been under way (they reached the target 4 ms after they were sent).

Why this holds: an answer marks the start that it came from in the directory, as the store's word does, so that there is one notion of withheld targets. The mark stays whatever the store tells of that start, and for a minute after its entry has lapsed, in which the entry may be written again. The same holds for a target at whose address another instance answered, which was forgotten with the entry. A target whose entry was missing and that says it leaves is gone at once: nothing would tell later. Another start takes work.

The model of a store that comes back from a copy has the answer as a step, and finds the planted mistake of a router that drops it.

--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -3,7 +3,7 @@
 
 //! The targets there are, as they register themselves in the platform's store.
 //!
-//! A target that is marked as leaving, or whose entry is removed, takes no more work at once.
+//! A target that is marked as leaving, that says so in an answer ([`crate::notice`]), or whose entry is removed, takes no more work at once.
 //! Entries expire while the store is away although their targets live, so an entry that is
 //! missing right after an outage is used for a grace period if its pool has no other. A target that
 //! started again is another one ([`crate::starts`]); one whose entry cannot be read takes no work until it can.
@@ -24,6 +24,7 @@
 pub use crate::target::Withheld;
 
 use crate::evacuations::Evacuations;
+use crate::notice::Notice;
 use crate::starts::Relation;
 use crate::starts::Start;
 use crate::warm_up::MARGIN;
@@ -32,7 +33,8 @@
 /// is about two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
-/// Time for which it is remembered that a target is gone: longer than any copy of the store is old.
+/// Time for which it is remembered that a target is gone, and that it was leaving: longer than any copy of the store is old,
+/// and than a leaving target goes on.
 const GONE_KEPT: Duration = Duration::from_secs(60);
 
 /// `HELD` is the time for which entries of gone targets are held in a store that has come back from an older copy: until a dead
@@ -49,8 +51,8 @@
     away: bool,
     /// Until when missing entries may be back.
     grace: Option<Moment>,
-    /// The targets that went lately, with their starts.
-    gone: HashMap<Arc<str>, (Start, Moment)>,
+    /// The targets that went lately.
+    gone: HashMap<Arc<str>, Departed>,
     /// Entries of gone targets in a store that came back from an older copy; they stand where they are still there then.
     held: HashMap<Arc<str>, Registration>,
     /// Until when such entries are held.
@@ -61,6 +63,15 @@
     listed: Option<Moment>,
 }
 
+/// `Departed` is what stays known of a target that went, as its entry may be written again while it lives.
+#[derive(Debug, Clone, Copy)]
+struct Departed {
+    start: Start,
+    at: Moment,
+    /// Whether it was leaving.
+    leaving: bool,
+}
+
 /// `Noted` is what a change meant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Noted {
@@ -172,7 +183,13 @@
     fn is_held(&self, now: Moment, entry: &Registration) -> bool {
         let held = self.held_until.is_some_and(|until| now < until);
         let gone = self.gone.get(&entry.instance);
-        held && gone.is_some_and(|(start, _)| start.relation(entry.start) != Relation::Newer)
+        held && gone.is_some_and(|d| d.start.relation(entry.start) != Relation::Newer)
+    }
+
+    /// Whether an entry is of a start that was leaving when it went.
+    fn was_leaving(&self, entry: &Registration) -> bool {
+        let gone = self.gone.get(&entry.instance);
+        gone.is_some_and(|d| d.leaving && d.start.relation(entry.start) == Relation::Same)
     }
 
     /// Takes in that a target's entry cannot be read. A mark of leaving holds on, as the target may have been told
@@ -208,7 +225,7 @@
     fn join(&mut self, now: Moment, entry: Registration) -> Noted {
         let instance = Arc::clone(&entry.instance);
         let pool = Arc::clone(&entry.pool);
-        let leaving = entry.leaving;
+        let leaving = entry.leaving || self.was_leaving(&entry);
         let state = if leaving {
             State::Leaving
         } else {
@@ -254,8 +271,12 @@
     fn go(&mut self, now: Moment, key: TargetKey) -> Noted {
         if let Some(target) = self.targets.get(key) {
             let instance = Arc::clone(&target.registration.instance);
-            let start = target.registration.start;
-            self.gone.insert(instance, (start, now));
+            let departed = Departed {
+                start: target.registration.start,
+                at: now,
+                leaving: target.state == State::Leaving,
+            };
+            self.gone.insert(instance, departed);
         }
         self.forget(key);
         Noted::Gone(key)
@@ -279,9 +300,27 @@
     }
 
     /// `lost` notes that another instance answers at a target's address: it takes no more work.
-    pub fn lost(&mut self, key: TargetKey) {
-        if let Some(target) = self.targets.get_mut(key) {
-            target.state = State::Leaving;
+    pub fn lost(&mut self, now: Moment, key: TargetKey) -> Noted {
+        self.leave(now, key)
+    }
+
+    /// `noticed` takes in what a target said of new work in an answer.
+    pub fn noticed(&mut self, now: Moment, key: TargetKey, notice: Notice) -> Noted {
+        if notice.leaving {
+            return self.leave(now, key);
+        }
+        Noted::Nothing
+    }
+
+    fn leave(&mut self, now: Moment, key: TargetKey) -> Noted {
+        let Some(target) = self.targets.get_mut(key) else {
+            return Noted::Nothing;
+        };
+        match std::mem::replace(&mut target.state, State::Leaving) {
+            State::Leaving => Noted::Nothing,
+            State::Ready | State::Unreadable => Noted::Left(key),
+            // Nothing would tell later that it is gone.
+            State::Missing(_) => self.go(now, key),
         }
     }
 
@@ -295,7 +334,7 @@
         for key in late {
             noted.push(self.go(now, key));
         }
-        self.gone.retain(|_, (_, at)| now.since(*at) < GONE_KEPT);
+        self.gone.retain(|_, d| now.since(d.at) < GONE_KEPT);
         if self.held_until.is_some_and(|until| now >= until) {
             for (_, entry) in std::mem::take(&mut self.held) {
                 noted.push(self.join(now, entry));
--- a/crates/peppercrank-direct/tests/verify_directory.rs
+++ b/crates/peppercrank-direct/tests/verify_directory.rs
@@ -12,6 +12,7 @@
 use peppercrank_direct::directory::Noted;
 use peppercrank_direct::directory::RETURN_GRACE;
 use peppercrank_direct::directory::Registration;
+use peppercrank_direct::notice::Notice;
 use peppercrank_direct::starts::Relation;
 use peppercrank_direct::starts::SETTLE;
 use peppercrank_direct::starts::Start;
@@ -68,6 +69,63 @@
     assert_eq!(ready(&directory, ZERO), ["two"]);
 }
 
+/// Lets a target say that it leaves.
+fn say_leaving(directory: &mut Directory, instance: &str) -> Noted {
+    let key = directory.find(instance).expect("a key");
+    let notice = Notice {
+        leaving: true,
+        ..Notice::default()
+    };
+    directory.noticed(ZERO, key, notice)
+}
+
+#[test]
+fn verify_a_target_that_said_it_leaves_takes_no_more_work_whatever_the_store_tells() {
+    let mut directory = Directory::default();
+    for name in ["one", "two"] {
+        directory.apply(ZERO, put(name, false));
+    }
+    assert!(matches!(say_leaving(&mut directory, "one"), Noted::Left(_)));
+    assert_eq!(say_leaving(&mut directory, "one"), Noted::Nothing);
+    assert_eq!(ready(&directory, ZERO), ["two"]);
+    directory.apply(ZERO, put("one", false));
+    assert_eq!(ready(&directory, ZERO), ["two"]);
+    // Its entry lapses while the store is away, and is written again.
+    directory.store_lost();
+    directory.store_back(ZERO);
+    directory.replace(ZERO, vec![put("two", false)]);
+    assert!(directory.find("one").is_none());
+    directory.apply(ZERO, put("one", false));
+    assert_eq!(ready(&directory, ZERO), ["two"]);
+}
+
+#[test]
+fn verify_a_target_that_said_it_leaves_while_its_entry_is_missing_is_gone() {
+    let mut directory = Directory::default();
+    directory.apply(ZERO, put("one", false));
+    directory.store_lost();
+    directory.store_back(ZERO);
+    directory.replace(ZERO, Vec::new());
+    assert_eq!(ready(&directory, ZERO), ["one"]);
+    assert!(matches!(say_leaving(&mut directory, "one"), Noted::Gone(_)));
+    assert!(directory.is_empty());
+    directory.apply(ZERO, put("one", false));
+    assert!(ready(&directory, ZERO).is_empty());
+}
+
+#[test]
+fn verify_a_target_that_said_it_leaves_takes_work_after_it_started_again() {
+    let mut directory = Directory::default();
+    directory.apply(ZERO, born(Some(1)));
+    say_leaving(&mut directory, "one");
+    directory.apply(ZERO, born(Some(2)));
+    assert_eq!(ready(&directory, ZERO), ["one"]);
+    say_leaving(&mut directory, "one");
+    directory.apply(ZERO, removed("one"));
+    directory.apply(ZERO, born(Some(3)));
+    assert_eq!(ready(&directory, ZERO), ["one"]);
+}
+
 #[test]
 fn verify_a_removed_entry_takes_no_more_work_at_once() {
     let mut directory = Directory::default();
@@ -165,7 +223,7 @@
     let old = directory.find("one").expect("a key");
     directory.apply(ZERO, put("two", false));
     // A mark of leaving belongs to the start that it was told of.
-    directory.lost(old);
+    directory.lost(ZERO, old);
     assert_eq!(ready(&directory, ZERO), ["two"]);
     let noted = directory.apply(ZERO, born(Some(6)));
     let new = directory.find("one").expect("a key");
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -14,6 +14,7 @@
 
 use crate::gateway::Gateway;
 use crate::state::State;
+use crate::targets;
 use crate::termination::Termination;
 
 /// `Flight` counts a request as a target's work until it is dropped.
@@ -60,13 +61,20 @@
     }
 
     /// `noticed` notes what the answer says of new work for its target.
-    pub const fn noticed(&mut self, notice: Notice) {
+    pub fn noticed(&mut self, notice: Notice) {
         self.notice = notice;
+        let now = self.gateway.now();
+        let key = self.counted.choice.key;
+        let noted = self.gateway.state().directory.noticed(now, key, notice);
+        targets::note(&self.gateway, vec![noted], None);
     }
 
     /// `lost` notes that another instance answers at the target's address.
     pub fn lost(&self) {
-        self.gateway.state().directory.lost(self.counted.choice.key);
+        let now = self.gateway.now();
+        let key = self.counted.choice.key;
+        let noted = self.gateway.state().directory.lost(now, key);
+        targets::note(&self.gateway, vec![noted], None);
     }
 
     /// `failed` notes a failure that speaks against the target.
--- a/crates/peppercrank-spec/src/eras.rs
+++ b/crates/peppercrank-spec/src/eras.rs
@@ -3,7 +3,7 @@
 
 //! A store that comes back from an older copy, as a router learns of one target from it.
 //!
-//! The target registers, leaves and ends; a copy of the store is taken at any moment, and the store comes back from it in a new
+//! The target registers, leaves, says so in an answer, and ends; a copy of the store is taken at any moment, and the store comes back from it in a new
 //! era: its revisions go back and are given out again. A target that lives writes its entry again within a stride, that of a dead one lapses within
 //! two. The router reads now and then, and decides with the real [`peppercrank_direct::era::Eras`] and
 //! [`peppercrank_direct::directory::Directory`].
@@ -19,6 +19,7 @@
 use peppercrank_direct::era::Era;
 use peppercrank_direct::era::Eras;
 use peppercrank_direct::era::Told;
+use peppercrank_direct::notice::Notice;
 use peppercrank_direct::starts::Start;
 
 use crate::search::Model;
@@ -32,6 +33,9 @@
 /// The property that a target which is known to leave gets no work by the word of a copy.
 pub const UNMARKED: &str = "a target that was told to leave gets work again";
 
+/// The property that a target which said that it leaves gets no work, in touch or not.
+pub const UNHEEDED: &str = "a target that said in an answer that it leaves gets work again";
+
 /// What one step of time lasts: the time in which all write again what the copy lacks.
 const STRIDE: Duration = Duration::from_secs(2);
 
@@ -50,6 +54,8 @@
     KeepsRevision,
     /// What a copy shows stands at once.
     TrustsCopy,
+    /// What a target says in its answers counts for nothing.
+    DropsNotices,
 }
 
 /// `Restores` is the model with its bounds.
@@ -72,6 +78,8 @@
     Register,
     /// The target is marked as leaving.
     Leave,
+    /// The target answers the router and says that it leaves.
+    Answer,
     /// The target ends, and its entry is removed.
     End,
     /// A copy of the store is taken.
@@ -114,6 +122,17 @@
     shape: Shape,
 }
 
+/// What the router heard of the target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+struct Heard {
+    /// By the store, that it leaves.
+    leaving: bool,
+    /// By the store, that it is gone.
+    gone: bool,
+    /// By the target, that it leaves.
+    said: bool,
+}
+
 /// All that tells states apart.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Shape {
@@ -132,9 +151,7 @@
     touch: bool,
     /// The era and the revision that the router goes on from.
     position: Option<(u64, usize)>,
-    /// Whether the router was told that the target leaves, or is gone.
-    told_leaving: bool,
-    told_gone: bool,
+    heard: Heard,
     /// What the router knows, as text.
     known: String,
 }
@@ -179,8 +196,8 @@
             let _noted = self.directory.replace(now, listed);
         }
         self.shape.position = Some((era, revision));
-        self.shape.told_gone |= held && self.directory.find("one").is_none();
-        self.shape.told_leaving |= self.directory.draining(now, "pool").next().is_some();
+        self.shape.heard.gone |= held && self.directory.find("one").is_none();
+        self.shape.heard.leaving |= self.directory.draining(now, "pool").next().is_some();
     }
 
     /// Lets time pass: what is owed by then is written.
@@ -203,6 +220,20 @@
         let _noted = self.directory.expire(now);
     }
 
+    /// Takes in an answer of the target, which the router has sent work.
+    fn answer(&mut self, flaw: Flaw) {
+        self.shape.heard.said = true;
+        let now = self.now();
+        let notice = Notice {
+            leaving: true,
+            ..Notice::default()
+        };
+        let known = self.directory.find("one");
+        if let Some(key) = known.filter(|_| flaw != Flaw::DropsNotices) {
+            let _noted = self.directory.noticed(now, key, notice);
+        }
+    }
+
     fn works(&self) -> bool {
         !self.directory.pool(self.now(), "pool").is_empty()
     }
@@ -226,8 +257,12 @@
 
 impl Restores {
     /// The steps that can be taken.
-    fn possible(self, shape: &Shape) -> Vec<Step> {
+    fn possible(self, state: &State) -> Vec<Step> {
+        let shape = &state.shape;
         let mut steps = vec![Step::Read];
+        if shape.live == Some(true) && !shape.heard.said && state.directory.find("one").is_some() {
+            steps.push(Step::Answer);
+        }
         if shape.changes < self.changes {
             match shape.live {
                 None if shape.changes == 0 => steps.push(Step::Register),
@@ -253,12 +288,13 @@
         let shape = &mut next.shape;
         shape.calm = match step {
             Step::Calm => shape.calm + 1,
-            Step::Read | Step::Copy => shape.calm,
+            Step::Read | Step::Copy | Step::Answer => shape.calm,
             _ => 0,
         };
         match step {
             Step::Register => shape.turn(Some(false)),
             Step::Leave => shape.turn(Some(true)),
+            Step::Answer => next.answer(self.flaw),
             Step::End => shape.turn(None),
             Step::Copy => shape.copy = Some(shape.stored.clone()),
             Step::Restore => {
@@ -310,15 +346,14 @@
                 calm: 0,
                 touch: true,
                 position: None,
-                told_leaving: false,
-                told_gone: false,
+                heard: Heard::default(),
                 known: String::new(),
             },
         }
     }
 
     fn steps(&self, state: &State) -> Vec<(Step, State)> {
-        let steps = self.possible(&state.shape).into_iter();
+        let steps = self.possible(state).into_iter();
         steps.map(|s| (s, self.take(state, s))).collect()
     }
 
@@ -327,9 +362,15 @@
         let shown = shape.stored.entry.is_some();
         let hidden = shape.calm >= CALM && state.directory.find("one").is_some() != shown;
         let works = shape.touch && state.works();
-        let revived = works && shape.told_gone && shape.live.is_none();
-        let unmarked = works && shape.told_leaving;
-        let rows = [(hidden, HIDDEN), (revived, REVIVED), (unmarked, UNMARKED)];
+        let revived = works && shape.heard.gone && shape.live.is_none();
+        let unmarked = works && shape.heard.leaving;
+        let unheeded = shape.heard.said && state.works();
+        let rows = [
+            (hidden, HIDDEN),
+            (revived, REVIVED),
+            (unmarked, UNMARKED),
+            (unheeded, UNHEEDED),
+        ];
         let violated = rows.into_iter().filter(|(holds, _)| *holds);
         violated.map(|(_, property)| property).collect()
     }
--- a/crates/peppercrank-spec/tests/verify_eras.rs
+++ b/crates/peppercrank-spec/tests/verify_eras.rs
@@ -7,6 +7,7 @@
 use peppercrank_spec::eras::HIDDEN;
 use peppercrank_spec::eras::REVIVED;
 use peppercrank_spec::eras::Restores;
+use peppercrank_spec::eras::UNHEEDED;
 use peppercrank_spec::search::check;
 use peppercrank_spec::search::find;
 
@@ -37,7 +38,11 @@
 
 #[test]
 fn verify_each_rule_is_needed() {
-    let rows = [(Flaw::KeepsRevision, HIDDEN), (Flaw::TrustsCopy, REVIVED)];
+    let rows = [
+        (Flaw::KeepsRevision, HIDDEN),
+        (Flaw::TrustsCopy, REVIVED),
+        (Flaw::DropsNotices, UNHEEDED),
+    ];
     for (flaw, property) in rows {
         let model = Restores { flaw, ..ONCE };
         let found = find(&model, property);
