Withhold a target from new work for the pause that it asked for

What callers saw: an engine that had asked a router for 3 s without requests got 5 and 6 from it, which it refused. Each of these went on to another engine 3 to 300 ms later, or was refused after its fourth.

Cause: routers did not read for how long a refusing target wants nothing. A refusal changed nothing in what they believed of it, so that the next request with the same prompt went there again.

Ruled out: requests that had been under way (refusals went on evenly through the pause, from 6.16 to 8.87 s at one router), and repeats (85 of the 118 refusals in the logs are of first attempts, and no request came to the same target twice).

Why this holds: the end of the pause is kept with the target in the directory, whose one notion of withheld targets first attempts, repeats and resumed streams ask at the moment of sending. The longest pause counts; it outlasts the target's entry and ends with its start. A paused target counts in its pool's load and is copied from, as it serves on. Where all targets of a pool are paused, callers are told at once when the first pause ends.

--- a/crates/peppercrank-cli/tests/verify_promises.rs
+++ b/crates/peppercrank-cli/tests/verify_promises.rs
@@ -108,7 +108,14 @@
     models.dedup();
     assert_eq!(
         models,
-        ["cold", "configuration", "drain", "evacuations", "once"]
+        [
+            "cold",
+            "configuration",
+            "drain",
+            "eras",
+            "evacuations",
+            "once"
+        ]
     );
 }
 
@@ -119,7 +126,7 @@
         .split("\n## ")
         .filter(|p| p.starts_with(|c: char| c.is_ascii_digit()));
     let promises = promises.collect::<Vec<_>>();
-    assert_eq!(promises.len(), 11);
+    assert_eq!(promises.len(), 12);
     for promise in promises {
         for part in ["| part | mechanism |", "| crate | tests |", "\nLimits:\n"] {
             assert!(promise.contains(part), "{part} is not in {promise}");
--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -148,4 +148,6 @@
     ZoneEvacuated = 5013 Warning "zone evacuated";
     /// An evacuated availability zone takes work again.
     ZoneRestored = 5014 Info "zone restored";
+    /// A target wants no requests from this router for a while.
+    TargetPaused = 5015 Info "target paused";
 }
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -4,6 +4,7 @@
 //! The targets there are, as they register themselves in the platform's store.
 //!
 //! A target that is marked as leaving, that says so in an answer ([`crate::notice`]), or whose entry is removed, takes no more work at once.
+//! One that asked for a pause takes none until its end.
 //! Entries expire while the store is away although their targets live, so an entry that is
 //! missing right after an outage is used for a grace period if its pool has no other. A target that
 //! started again is another one ([`crate::starts`]); one whose entry cannot be read takes no work until it can.
@@ -70,6 +71,8 @@
     at: Moment,
     /// Whether it was leaving.
     leaving: bool,
+    /// Until when it wants no work from this router.
+    paused: Option<Moment>,
 }
 
 /// `Noted` is what a change meant.
@@ -94,6 +97,8 @@
     Unreadable(TargetKey),
     /// A target's entry is missing after an outage.
     Missing(TargetKey),
+    /// A target asked for a pause.
+    Paused(TargetKey),
     /// Nothing that matters here.
     Nothing,
 }
@@ -186,10 +191,10 @@
         held && gone.is_some_and(|d| d.start.relation(entry.start) != Relation::Newer)
     }
 
-    /// Whether an entry is of a start that was leaving when it went.
-    fn was_leaving(&self, entry: &Registration) -> bool {
+    /// What is known of an entry's start, if it went lately.
+    fn departed(&self, entry: &Registration) -> Option<&Departed> {
         let gone = self.gone.get(&entry.instance);
-        gone.is_some_and(|d| d.leaving && d.start.relation(entry.start) == Relation::Same)
+        gone.filter(|d| d.start.relation(entry.start) == Relation::Same)
     }
 
     /// Takes in that a target's entry cannot be read. A mark of leaving holds on, as the target may have been told
@@ -225,7 +230,9 @@
     fn join(&mut self, now: Moment, entry: Registration) -> Noted {
         let instance = Arc::clone(&entry.instance);
         let pool = Arc::clone(&entry.pool);
-        let leaving = entry.leaving || self.was_leaving(&entry);
+        let departed = self.departed(&entry);
+        let leaving = entry.leaving || departed.is_some_and(|d| d.leaving);
+        let paused = departed.and_then(|d| d.paused);
         let state = if leaving {
             State::Leaving
         } else {
@@ -238,6 +245,7 @@
             state,
             since: now,
             cold_until,
+            paused,
             rival: None,
         });
         self.instances.insert(instance, key);
@@ -275,6 +283,7 @@
                 start: target.registration.start,
                 at: now,
                 leaving: target.state == State::Leaving,
+                paused: target.paused,
             };
             self.gone.insert(instance, departed);
         }
@@ -309,7 +318,15 @@
         if notice.leaving {
             return self.leave(now, key);
         }
-        Noted::Nothing
+        let Some(target) = self.targets.get_mut(key) else {
+            return Noted::Nothing;
+        };
+        let before = target.pause(now);
+        target.paused = before.max(notice.pause.map(|pause| now + pause));
+        match (before, target.pause(now)) {
+            (None, Some(_)) => Noted::Paused(key),
+            (Some(_), _) | (None, None) => Noted::Nothing,
+        }
     }
 
     fn leave(&mut self, now: Moment, key: TargetKey) -> Noted {
@@ -395,7 +412,8 @@
         let target = self.targets.get(key)?;
         let evacuated = self.evacuations.contains(&target.registration.zone);
         let evacuated = evacuated.then_some(Withheld::Evacuated);
-        target.withheld(now).or(evacuated)
+        let paused = target.pause(now).map(Withheld::Paused);
+        target.withheld(now).or(evacuated).or(paused)
     }
 
     /// `usable` tells whether the target may be sent work at this moment.
@@ -415,8 +433,8 @@
         if found.is_empty() { usable } else { found }
     }
 
-    /// `draining` lists the targets of a pool that get no new work and finish what they have, with the reason.
-    pub fn draining(
+    /// `finishing` lists the targets of a pool that get no new work and finish what they have, with the reason.
+    pub fn finishing(
         &self,
         now: Moment,
         name: &str,
@@ -424,7 +442,7 @@
         let withheld = self.members(name);
         let withheld = withheld.filter_map(move |k| Some((k, self.withheld(now, k)?)));
         withheld.filter(|(_, why)| match why {
-            Withheld::Leaving | Withheld::Evacuated => true,
+            Withheld::Leaving | Withheld::Evacuated | Withheld::Paused(_) => true,
             Withheld::Unreadable | Withheld::Missing => false,
         })
     }
--- a/crates/peppercrank-direct/src/target.rs
+++ b/crates/peppercrank-direct/src/target.rs
@@ -39,6 +39,16 @@
     Missing,
     /// Its availability zone is evacuated.
     Evacuated,
+    /// It wants none from this router until then.
+    Paused(Moment),
+}
+
+impl Withheld {
+    /// `serves_on` tells whether it goes on with what it has, so that it counts in its pool's load.
+    #[must_use]
+    pub const fn serves_on(self) -> bool {
+        matches!(self, Self::Evacuated | Self::Paused(_))
+    }
 }
 
 /// `Target` is one registered target.
@@ -52,6 +62,8 @@
     pub since: Moment,
     /// Until when it is cold by its own word.
     pub cold_until: Moment,
+    /// Until when it wants no work from this router.
+    pub(crate) paused: Option<Moment>,
     /// What the store tells of another start, and from when on that stands.
     pub(crate) rival: Option<(Registration, Moment)>,
 }
@@ -103,6 +115,12 @@
         }
     }
 
+    /// `pause` is until when it wants no work from this router; none where it wants some.
+    #[must_use]
+    pub fn pause(&self, now: Moment) -> Option<Moment> {
+        self.paused.filter(|until| now < *until)
+    }
+
     /// Whether it takes work, and nothing speaks against its start.
     pub(crate) const fn is_sure(&self) -> bool {
         matches!(self.state, State::Ready) && self.rival.is_none()
--- a/crates/peppercrank-direct/tests/verify_directory.rs
+++ b/crates/peppercrank-direct/tests/verify_directory.rs
@@ -12,6 +12,7 @@
 use peppercrank_direct::directory::Noted;
 use peppercrank_direct::directory::RETURN_GRACE;
 use peppercrank_direct::directory::Registration;
+use peppercrank_direct::directory::Withheld;
 use peppercrank_direct::notice::Notice;
 use peppercrank_direct::starts::Relation;
 use peppercrank_direct::starts::SETTLE;
@@ -126,6 +127,61 @@
     assert_eq!(ready(&directory, ZERO), ["one"]);
 }
 
+/// Lets a target ask for a pause of so many seconds.
+fn ask_pause(directory: &mut Directory, now: Moment, seconds: u64) -> Noted {
+    let key = directory.find("one").expect("a key");
+    let notice = Notice {
+        pause: Some(Duration::from_secs(seconds)),
+        ..Notice::default()
+    };
+    directory.noticed(now, key, notice)
+}
+
+#[test]
+fn verify_the_longest_pause_that_a_target_asked_for_counts() {
+    let mut directory = Directory::default();
+    directory.apply(ZERO, put("one", false));
+    assert!(matches!(
+        ask_pause(&mut directory, ZERO, 5),
+        Noted::Paused(_)
+    ));
+    assert_eq!(ask_pause(&mut directory, ZERO, 3), Noted::Nothing);
+    let before = Moment::from_millis(4_999);
+    let end = Moment::from_millis(5_000);
+    assert!(ready(&directory, before).is_empty());
+    assert_eq!(ready(&directory, end), ["one"]);
+    assert!(matches!(
+        ask_pause(&mut directory, end, 1),
+        Noted::Paused(_)
+    ));
+    assert_eq!(ask_pause(&mut directory, end, 0), Noted::Nothing);
+    assert!(ready(&directory, end).is_empty());
+}
+
+#[test]
+fn verify_a_pause_outlasts_the_targets_entry_and_ends_with_its_start() {
+    let mut directory = Directory::default();
+    directory.apply(ZERO, born(Some(1)));
+    ask_pause(&mut directory, ZERO, 5);
+    directory.apply(ZERO, removed("one"));
+    directory.apply(ZERO, born(Some(1)));
+    assert!(ready(&directory, ZERO).is_empty());
+    directory.apply(ZERO, born(Some(2)));
+    assert_eq!(ready(&directory, ZERO), ["one"]);
+}
+
+#[test]
+fn verify_a_paused_target_counts_in_its_pools_load_and_a_leaving_one_does_not() {
+    let mut directory = Directory::default();
+    directory.apply(ZERO, put("one", false));
+    ask_pause(&mut directory, ZERO, 5);
+    let why = |d: &Directory| d.finishing(ZERO, "pool").map(|(_, why)| why).next();
+    assert!(why(&directory).is_some_and(Withheld::serves_on));
+    say_leaving(&mut directory, "one");
+    assert_eq!(why(&directory), Some(Withheld::Leaving));
+    assert!(!Withheld::Leaving.serves_on());
+}
+
 #[test]
 fn verify_a_removed_entry_takes_no_more_work_at_once() {
     let mut directory = Directory::default();
@@ -311,7 +367,7 @@
     directory.apply(ZERO, elsewhere(false));
     directory.apply(ZERO, put("one", false));
     assert_eq!(ready(&directory, ZERO), ["two"]);
-    assert_eq!(directory.draining(ZERO, "pool").count(), 1);
+    assert_eq!(directory.finishing(ZERO, "pool").count(), 1);
 }
 
 #[test]
--- a/crates/peppercrank-direct/tests/verify_evacuations.rs
+++ b/crates/peppercrank-direct/tests/verify_evacuations.rs
@@ -100,9 +100,9 @@
     directory.apply(ZERO, put("four", "b", true));
     let two = directory.find("two").expect("a target");
     assert_eq!(directory.pool(ZERO, "pool"), [two]);
-    let mut draining = directory.draining(ZERO, "pool").collect::<Vec<_>>();
-    draining.sort_unstable_by_key(|(_, why)| *why == Withheld::Leaving);
-    let reasons = draining.iter().map(|(_, why)| *why).collect::<Vec<_>>();
+    let mut finishing = directory.finishing(ZERO, "pool").collect::<Vec<_>>();
+    finishing.sort_unstable_by_key(|(_, why)| *why == Withheld::Leaving);
+    let reasons = finishing.iter().map(|(_, why)| *why).collect::<Vec<_>>();
     assert_eq!(
         reasons,
         [Withheld::Evacuated, Withheld::Evacuated, Withheld::Leaving]
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -13,7 +13,6 @@
 use peppercrank_direct::decide::Decision;
 use peppercrank_direct::decide::decide;
 use peppercrank_direct::directory::TargetKey;
-use peppercrank_direct::directory::Withheld;
 use peppercrank_direct::in_flight::InFlight;
 use peppercrank_direct::notice::Notice;
 use peppercrank_direct::place::Candidate;
@@ -217,9 +216,9 @@
 
     /// The targets that do not get the request and may hold its prompt, or count in the pool's mean load.
     fn holders(&self, eligible: &Eligible) -> Vec<Holder> {
-        let draining = self.state.directory.draining(self.now, &self.job.pool);
-        let draining = draining.map(|(key, why)| (key, why == Withheld::Evacuated));
-        let all = draining.chain(eligible.withheld.iter().map(|key| (*key, true)));
+        let finishing = self.state.directory.finishing(self.now, &self.job.pool);
+        let finishing = finishing.map(|(key, why)| (key, why.serves_on()));
+        let all = finishing.chain(eligible.withheld.iter().map(|key| (*key, true)));
         all.filter_map(|(key, counts)| self.hold(key, counts))
             .collect()
     }
--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -55,14 +55,17 @@
     job: &Job,
     settings: &GatewaySettings,
 ) -> Result<Eligible, Rejection> {
-    let usable = usable(state, now, job)?;
-    if usable.is_empty() {
-        return Ok(Eligible::default());
+    if !state.directory.evacuations.is_listed() {
+        return Err(Rejection::now(Reason::Evacuated));
     }
+    let usable = state.directory.pool(now, &job.pool);
     let allowed = |key: &TargetKey| is_allowed(state, job, settings, *key);
     let (allowed, withheld) = usable.into_iter().partition::<Vec<_>, _>(allowed);
     if allowed.is_empty() {
-        return Err(Rejection::now(Reason::NoRegion));
+        return match none(state, now, job, settings, !withheld.is_empty()) {
+            Some(rejection) => Err(rejection),
+            None => Ok(Eligible::default()),
+        };
     }
     let mut eligible = Eligible {
         open: Vec::with_capacity(allowed.len()),
@@ -72,18 +75,33 @@
     Ok(eligible)
 }
 
-/// The targets of the request's pool that take new work.
-fn usable(state: &State, now: Moment, job: &Job) -> Result<Vec<TargetKey>, Rejection> {
-    let directory = &state.directory;
-    if !directory.evacuations.is_listed() {
-        return Err(Rejection::now(Reason::Evacuated));
+/// Why no target of the pool may be sent a request, though there are some; `others` tells whether some take work in regions in which it
+/// must not run.
+fn none(
+    state: &State,
+    now: Moment,
+    job: &Job,
+    settings: &GatewaySettings,
+    others: bool,
+) -> Option<Rejection> {
+    let finishing = state.directory.finishing(now, &job.pool);
+    let finishing = finishing.collect::<Vec<_>>();
+    let allowed = finishing
+        .iter()
+        .filter(|(key, _)| is_allowed(state, job, settings, *key));
+    let pauses = allowed.filter_map(|(_, why)| match why {
+        Withheld::Paused(until) => Some(until.since(now)),
+        _ => None,
+    });
+    if let Some(after) = pauses.min() {
+        let reason = Reason::Paused;
+        return Some(Rejection { reason, after });
     }
-    let usable = directory.pool(now, &job.pool);
-    let mut draining = directory.draining(now, &job.pool);
-    if usable.is_empty() && draining.any(|(_, why)| why == Withheld::Evacuated) {
-        return Err(Rejection::now(Reason::Evacuated));
+    if others {
+        return Some(Rejection::now(Reason::NoRegion));
     }
-    Ok(usable)
+    let evacuated = finishing.iter().any(|(_, why)| *why == Withheld::Evacuated);
+    evacuated.then(|| Rejection::now(Reason::Evacuated))
 }
 
 /// `is_allowed` tells whether a request may run in a target's region.
--- a/crates/peppercrank-gateway/src/refuse.rs
+++ b/crates/peppercrank-gateway/src/refuse.rs
@@ -59,6 +59,8 @@
     NoTarget "no_target" SERVICE_UNAVAILABLE;
     /// All targets of the pool are in evacuated availability zones, or it is not known yet which zones are evacuated.
     Evacuated "evacuated" SERVICE_UNAVAILABLE;
+    /// All targets of the pool that it may run on want no requests for a while.
+    Paused "paused" SERVICE_UNAVAILABLE;
     /// No target in a region in which it may run takes work.
     NoRegion "no_region" SERVICE_UNAVAILABLE;
     /// All targets of the pool are cold and get what they bear.
@@ -90,6 +92,7 @@
                 | Self::StaleRoutes
                 | Self::NoTarget
                 | Self::Evacuated
+                | Self::Paused
                 | Self::NoRegion
                 | Self::WarmingUp
                 | Self::Full
--- a/crates/peppercrank-gateway/src/targets.rs
+++ b/crates/peppercrank-gateway/src/targets.rs
@@ -46,6 +46,7 @@
                 // Its end is told by the same name, also of one that was leaving when it came.
                 gateway.state().labels.insert(key, label);
             }
+            Noted::Paused(key) => paused(gateway, key),
             Noted::Missing(key) => told(LogEvent::TargetMissing, key),
             Noted::InDoubt(key) => told(LogEvent::TargetInDoubt, key),
             Noted::Unreadable(key) => told(LogEvent::TargetUnreadable, key),
@@ -70,6 +71,24 @@
     state.terminations.track(key);
 }
 
+/// Tells that a target wants no requests for a while.
+fn paused(gateway: &Gateway, key: TargetKey) {
+    let now = gateway.now();
+    let until = gateway
+        .state()
+        .directory
+        .get(key)
+        .and_then(|t| t.pause(now));
+    let pause = until.map(|until| until.since(now)).unwrap_or_default();
+    let label = label(gateway, key);
+    let fields = [
+        ("target", Field::Text(&label.instance)),
+        ("born", Field::Number(label.start.millis())),
+        ("pause_ms", Field::Millis(pause)),
+    ];
+    gateway.log.write(LogEvent::TargetPaused, &fields);
+}
+
 /// Drops all that is known of a start that takes no part any more.
 fn gone(gateway: &Gateway, key: TargetKey, label: &Label) {
     gateway.state().forget(key);
--- a/crates/peppercrank-log/src/story.rs
+++ b/crates/peppercrank-log/src/story.rs
@@ -363,6 +363,7 @@
             number_of(fields, "targets")
         ),
         "evacuated" => "all targets of its pool stand in evacuated availability zones (events 5013, 5014), or the process had not yet read which zones are".to_owned(),
+        "paused" => "all targets of its pool had asked this router for a pause (event 5015)".to_owned(),
         "no_region" => "no target in a region that its route and its organisation allow takes work".to_owned(),
         "warming_up" if away => {
             "the store was out of reach, so that all targets of its pool counted as cold, and had got what they bear".to_owned()
--- a/crates/peppercrank-spec/src/eras.rs
+++ b/crates/peppercrank-spec/src/eras.rs
@@ -197,7 +197,7 @@
         }
         self.shape.position = Some((era, revision));
         self.shape.heard.gone |= held && self.directory.find("one").is_none();
-        self.shape.heard.leaving |= self.directory.draining(now, "pool").next().is_some();
+        self.shape.heard.leaving |= self.directory.finishing(now, "pool").next().is_some();
     }
 
     /// Lets time pass: what is owed by then is written.
