--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -62,7 +62,7 @@
     let allowed = |key: &TargetKey| is_allowed(state, job, settings, *key);
     let (allowed, withheld) = usable.into_iter().partition::<Vec<_>, _>(allowed);
     if allowed.is_empty() {
-        return match none(state, now, job, settings, !withheld.is_empty()) {
+        return match why_none(state, now, job, settings, !withheld.is_empty()) {
             Some(rejection) => Err(rejection),
             None => Ok(Eligible::default()),
         };
@@ -77,7 +77,7 @@
 
 /// Why no target of the pool may be sent a request, though there are some; `others` tells whether some take work in regions in which it
 /// must not run.
-fn none(
+fn why_none(
     state: &State,
     now: Moment,
     job: &Job,
