Take counts that are up to 300 ms old for the present

Cause: with four routers counts are 50 ms old, and in a flood a report is often younger still. Then each routers' load followed the report, which is of before a burst of sends, in place of counts that were right.

Why this holds: the word counts where counts come round late, over 300 ms, as they do from some fifteen routers on (4 kB a second).

--- a/crates/peppercrank-direct/src/stats.rs
+++ b/crates/peppercrank-direct/src/stats.rs
@@ -19,6 +19,9 @@
 /// The same where peers' counts are older than that.
 const REPORTED_LONGEST: Duration = Duration::from_secs(2);
 
+/// Age up to which peers' counts are taken for the present: in a small fleet each router tells all others several times a second.
+const PRESENT: Duration = Duration::from_millis(300);
+
 /// Failures in a row that eject a target.
 const EJECT_AFTER: u32 = 3;
 
@@ -121,7 +124,7 @@
     /// long ended it. Without the target's own word such requests raise the pool's mean, and with
     /// it what one target may hold.
     ///
-    /// Where peers' counts are older than what the target told, it is that, which fades to those counts as its requests end: many
+    /// Where peers' counts are old, and older than what the target told, it is that, which fades to those counts as its requests end: many
     /// routers that each count what they knew a moment ago fill the same target at once.
     #[must_use]
     pub fn load(&self) -> u32 {
@@ -199,8 +202,9 @@
     pub fn at(mut self, now: Moment, lag: Duration, hold: f64) -> Self {
         let counts = REPORTED.max(lag.min(REPORTED_LONGEST));
         self.reported = self.reported.filter(|(at, _)| now.since(*at) < counts);
+        let fresher = |at: Moment| lag > PRESENT && now.since(at) < lag;
         self.basis = match self.reported {
-            Some((at, _)) if lag > REPORTED || now.since(at) < lag => {
+            Some((at, _)) if lag > REPORTED || fresher(at) => {
                 Basis::Report(changed(now.since(at), hold))
             }
             Some(_) | None if lag <= REPORTED => Basis::Counts,
--- a/crates/peppercrank-direct/tests/verify_reports.rs
+++ b/crates/peppercrank-direct/tests/verify_reports.rs
@@ -152,6 +152,8 @@
     // Counts that are younger are right, but for requests whose answers were lost.
     assert_eq!(load(800, 750, 20), 12);
     assert_eq!(load(800, 750, 5), 5);
+    // Those of a small fleet are of the present.
+    assert_eq!(load(20, 60, 20), 12);
 }
 
 #[test]
