Log how a target's answer ended: its framing, and whether inside an event

The logs of the incident of truncated streams could not tell whether the router loses the error of a truncated body or takes the end of a connection for the end of a stream. No decision changes.

--- a/crates/peppercrank-direct/src/events.rs
+++ b/crates/peppercrank-direct/src/events.rs
@@ -1,12 +1,47 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! Events of resumable streams. Only complete events are passed on, and the id of the last one is
-//! known.
+//! Events of streams: where they end, and which of a resumable stream are complete.
 
 /// Longest buffered event, in bytes. A longer one is passed on in parts.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Number of bytes that the longest end of an event takes: a line feed and an empty line.
+const MAX_END_BYTES: usize = 3;
+
+/// `EventBoundary` tracks whether a stream is between two events.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EventBoundary {
+    last_bytes: [u8; MAX_END_BYTES],
+    inside_event: bool,
+}
+
+impl EventBoundary {
+    /// Records further bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        let start = bytes.len().saturating_sub(MAX_END_BYTES);
+        for byte in &bytes[start..] {
+            self.last_bytes.rotate_left(1);
+            self.last_bytes[MAX_END_BYTES - 1] = *byte;
+        }
+        self.inside_event = !ends_event(&self.last_bytes);
+    }
+
+    /// Returns whether the bytes so far end with a complete event, or there are none.
+    #[must_use]
+    pub const fn is_between_events(&self) -> bool {
+        !self.inside_event
+    }
+}
+
+/// Returns whether an event ends at the end of these bytes.
+fn ends_event(bytes: &[u8]) -> bool {
+    bytes.ends_with(b"\n\n") || bytes.ends_with(b"\n\r\n") || bytes.ends_with(b"\r\r")
+}
+
 /// `EventBuffer` splits the bytes of a stream into complete events.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -227,6 +227,7 @@
     answer: ClientResponse,
 ) -> Result<TargetAnswer, AttemptError> {
     let (head, mut body) = answer.into_parts();
+    flight.framing = Some(body.framing());
     let mut headers = head.headers;
     let status = head.status;
     let answer_head = answer::parse(status, &headers, &job.id);
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -13,6 +13,7 @@
 use peppercrank_direct::decide::Decision;
 use peppercrank_direct::decide::decide;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::events::EventBoundary;
 use peppercrank_direct::in_flight::InFlight;
 use peppercrank_direct::notice::Notice;
 use peppercrank_direct::place::Candidate;
@@ -189,6 +190,8 @@
         address,
         copy_from,
         notice: Notice::default(),
+        framing: None,
+        boundary: EventBoundary::default(),
     })
 }
 
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 
 use peppercrank_direct::attribution::Suspect;
+use peppercrank_direct::events::EventBoundary;
 use peppercrank_direct::in_flight::InFlight;
 use peppercrank_direct::notice::Notice;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_platform::answer::Load;
+use peppercrank_wire::client::Framing;
 
 use crate::gateway::Gateway;
 use crate::state::State;
@@ -37,6 +39,10 @@
     pub copy_from: Option<SocketAddr>,
     /// The answer's notice about new work, such as that the target is leaving.
     pub notice: Notice,
+    /// How the answer's end is determined; `None` until its head was received.
+    pub framing: Option<Framing>,
+    /// Whether the bytes that the target streamed so far end between two events.
+    pub boundary: EventBoundary,
 }
 
 impl Flight {
@@ -75,6 +81,12 @@
         targets::apply_changes(&self.gateway, vec![change], None);
     }
 
+    /// Returns the log text for how the answer's end is determined.
+    #[must_use]
+    pub fn framing_name(&self) -> &'static str {
+        self.framing.map_or("", Framing::as_str)
+    }
+
     /// Records that another instance answers at the target's address.
     pub fn record_other_instance(&self) {
         let now = self.gateway.now();
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -168,6 +168,7 @@
     /// Forwards a part. For a stream that may be resumed, forwards the events that the part
     /// completes.
     async fn forward(&mut self, part: Bytes) -> Result<(), peppercrank_wire::Error> {
+        self.flight.boundary.push(&part);
         let part = match &mut self.events {
             Some(events) => Bytes::from(events.push(&part)),
             None => part,
@@ -277,6 +278,7 @@
             ("content", Field::Text(&content)),
             ("target", Field::Text(&self.flight.instance)),
             ("what", Field::Text(cause)),
+            ("framing", Field::Text(self.flight.framing_name())),
             ("first_ms", Field::Millis(self.first_part_after)),
             ("quiet_ms", Field::Millis(gap)),
             ("held_ms", Field::Millis(self.request.elapsed())),
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -388,6 +388,7 @@
             ("attempt", Field::Number(u64::from(self.plan.sends()))),
             ("target", Field::Text(&flight.instance)),
             ("what", Field::Text(cause)),
+            ("framing", Field::Text(flight.framing_name())),
             ("leaving", Field::Number(u64::from(flight.notice.leaving))),
             (
                 "pause_ms",
@@ -433,6 +434,11 @@
                 Field::Number(whole_millis(flight.in_flight.choice.predicted_first_ms)),
             ),
             ("leaving", Field::Number(u64::from(flight.notice.leaving))),
+            ("framing", Field::Text(flight.framing_name())),
+            (
+                "inside_event",
+                Field::Number(u64::from(!flight.boundary.is_between_events())),
+            ),
             ("first_ms", Field::Millis(first_part_after)),
             ("held_ms", Field::Millis(self.elapsed())),
         ];
--- a/crates/peppercrank-wire/src/client/answer.rs
+++ b/crates/peppercrank-wire/src/client/answer.rs
@@ -42,6 +42,16 @@
 }
 
 impl Framing {
+    /// Returns the name that logs use.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Close => "close",
+        }
+    }
+
     pub(super) fn of_response(response: &Response<Incoming>) -> Self {
         let headers = response.headers();
         if headers.contains_key(header::TRANSFER_ENCODING) {
