Fix streams that broke off inside an event and were ended as complete

Callers saw: 200, the target's stamp, and half of an answer that was framed as complete.

Cause: an answer with neither a length nor chunks ends with its connection, and a target that crashes closes its connection as regularly as one that has finished. Whether a stream ended inside an event was asked only of streams that may be resumed, whose events are buffered. All others counted as at an event's end at any moment, so that the end of the connection was taken for the end of the stream.

Why this holds: the position in the target's bytes is tracked for each run of each stream, whatever its route allows, and is the only sign by which a stream counts as complete. A stream that ends elsewhere breaks the caller's connection, counts against its target, and is checked for a crash.

--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -96,7 +96,9 @@
                         None => return self.abort("deadline passed"),
                     }
                 }
-                StreamEvent::End if self.is_at_event_boundary() => return self.finish(),
+                StreamEvent::End if self.flight.boundary.is_between_events() => {
+                    return self.finish();
+                }
                 StreamEvent::End | StreamEvent::Truncated => {
                     if !self
                         .fail_over("stream cut", CrashEvidence::ConnectionLost)
@@ -188,10 +190,6 @@
         self.stall_timer.record_part(now);
     }
 
-    fn is_at_event_boundary(&self) -> bool {
-        self.events.as_ref().is_none_or(EventBuffer::is_at_boundary)
-    }
-
     /// Resumes at another target after the last complete event. Returns whether that succeeded.
     async fn try_resume(&mut self) -> bool {
         while self.events.is_some() {
