Fix streams that broke off before their first event and were ended as complete

Callers saw: 200 with the target's stamp and an empty body.

A body that ended before its first part was passed on as an empty stream, also where only the end of the connection ended it.

Evidence: verify_a_stream_that_ends_before_its_first_event_is_not_complete (200 with an empty body before, 502 now) and verify_a_resumable_stream_that_ended_early_is_completed_elsewhere (an empty body before, the whole stream from another target now).

Why this holds: without a length or chunks, an answer without events counts as broken off before it is passed on, so that it is sent to another target where the route allows that.

--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 use peppercrank_platform::call::RouterHeaders;
 use peppercrank_wire::body;
 use peppercrank_wire::client::ClientResponse;
+use peppercrank_wire::client::Framing;
 use peppercrank_wire::client::ResponseBody;
 use peppercrank_wire::client::Reuse;
 use peppercrank_wire::client::SendError;
@@ -266,6 +267,10 @@
     let truncated = AttemptError::connection_lost("answer cut");
     if answer_head.kind == AnswerKind::Success && matches!(job.kind, RouteKind::Stream { .. }) {
         let first = next_part(&mut body).await.map_err(|()| truncated)?;
+        // Only a length or a last chunk can show that a stream without events is complete.
+        if first.is_none() && body.framing() == Framing::Close {
+            return Err(truncated);
+        }
         flight.record_first_part();
         return Ok(TargetAnswer::Stream {
             status,
