Know the ends of events in streams with carriage returns as line ends

Callers saw: on routes whose streams may be resumed, such a stream was held back, and then sent to another target, since none of its events counted as complete.

Evidence: verify_a_stream_that_ends_after_an_event_is_complete failed before on the third stream of the resumable route, and passes now.

--- a/crates/peppercrank-direct/src/events.rs
+++ b/crates/peppercrank-direct/src/events.rs
@@ -87,8 +87,7 @@
 fn complete_len(bytes: &[u8]) -> usize {
     let mut end = bytes.len();
     while end > 0 {
-        let head = &bytes[..end];
-        if head.ends_with(b"\n\n") || head.ends_with(b"\n\r\n") {
+        if ends_event(&bytes[..end]) {
             return end;
         }
         end -= 1;
@@ -98,7 +97,7 @@
 
 /// Returns the id of the last event that has one.
 fn find_last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|b| *b == b'\n').rev();
+    let lines = events.split(|b| matches!(b, b'\n' | b'\r')).rev();
     let id = lines
         .map(<[u8]>::trim_ascii)
         .find_map(|l| l.strip_prefix(b"id:"))?;
