Do not resume a stream after a part of an event was passed on

Callers would see: a truncated event as the end of a complete stream, or the event from its beginning again in the middle of itself.

An event of over 1 MiB is passed on in parts; the buffer is empty after such a part, and an empty buffer counted as the end of an event.

Evidence: verify_a_stream_does_not_resume_after_a_part_of_an_event_was_passed_on. On the code before, the same assertion on is_at_boundary failed: it was the emptiness of the buffer. Why this holds: the position of what the caller has received is tracked, and a stream is resumed only between two events; a slow one that can not be resumed is waited for. The id of such an event is read from all its parts, so that a later resume follows it.

--- a/crates/peppercrank-direct/src/events.rs
+++ b/crates/peppercrank-direct/src/events.rs
@@ -47,28 +47,38 @@
 pub struct EventBuffer {
     partial: Vec<u8>,
     last_event_id: Option<String>,
+    /// Whether the bytes passed on so far end between two events.
+    passed: EventBoundary,
 }
 
 impl EventBuffer {
     /// Appends bytes and returns the events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.partial.extend_from_slice(bytes);
-        let end = complete_len(&self.partial);
+        let mut end = complete_len(&self.partial);
         if end == 0 && self.partial.len() > MAX_EVENT_BYTES {
-            return std::mem::take(&mut self.partial);
+            end = self.partial.len();
         }
         let rest = self.partial.split_off(end);
         let events = std::mem::replace(&mut self.partial, rest);
         if let Some(id) = find_last_id(&events) {
             self.last_event_id = Some(id);
         }
+        self.passed.push(&events);
         events
     }
 
-    /// Returns whether no partial event is buffered.
+    /// Returns whether the stream is between two events.
     #[must_use]
     pub const fn is_at_boundary(&self) -> bool {
-        self.partial.is_empty()
+        self.partial.is_empty() && self.passed.is_between_events()
+    }
+
+    /// Returns whether another run can continue the stream, which needs a reader that has received
+    /// complete events only.
+    #[must_use]
+    pub const fn can_resume(&self) -> bool {
+        self.passed.is_between_events()
     }
 
     /// Returns the id of the last complete event.
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -310,6 +310,19 @@
     assert_eq!(events.push(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n");
 }
 
+#[test]
+fn verify_a_stream_does_not_resume_after_a_part_of_an_event_was_passed_on() {
+    let mut events = EventBuffer::default();
+    let long = format!("id: 7\ndata: {}", "x".repeat(2 << 20));
+    assert_eq!(events.push(long.as_bytes()), long.as_bytes());
+    assert!(!events.is_at_boundary());
+    assert!(!events.can_resume());
+    assert_eq!(events.push(b"y\n\n"), b"y\n\n");
+    assert!(events.is_at_boundary());
+    assert!(events.can_resume());
+    assert_eq!(events.last_event_id(), Some("7"));
+}
+
 fn summary(incarnation: u64, sequence: u64, running: u32) -> Summary {
     Summary {
         incarnation,
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -136,11 +136,11 @@
         &mut self,
         deadline_timer: Pin<&mut impl Future<Output = ()>>,
     ) -> StreamEvent {
+        let can_resume = self.can_resume();
         let Some(upstream) = &mut self.upstream else {
             return StreamEvent::Truncated;
         };
         let gateway = &self.request.gateway;
-        let resumable = self.events.is_some();
         let termination = &mut self.flight.termination;
         tokio::select! {
             biased;
@@ -152,7 +152,7 @@
             () = self.downstream.closed() => StreamEvent::CallerGone,
             () = deadline_timer => StreamEvent::DeadlinePassed,
             () = termination.wait() => StreamEvent::TargetRestarted,
-            () = wait_for_stall(gateway, self.stall_timer), if resumable => StreamEvent::Stalled,
+            () = wait_for_stall(gateway, self.stall_timer), if can_resume => StreamEvent::Stalled,
         }
     }
 
@@ -190,9 +190,15 @@
         self.stall_timer.record_part(now);
     }
 
+    /// Returns whether the route allows another target to continue the stream, and the caller has
+    /// received complete events only.
+    fn can_resume(&self) -> bool {
+        self.events.as_ref().is_some_and(EventBuffer::can_resume)
+    }
+
     /// Resumes at another target after the last complete event. Returns whether that succeeded.
     async fn try_resume(&mut self) -> bool {
-        while self.events.is_some() {
+        while self.can_resume() {
             let after = self.request.plan.record_attempt(ExecutionState::Unknown);
             if after != NextStep::RetryWithinBudget || !self.request.spend_retry() {
                 return false;
