--- a/crates/peppercrank-bench/src/surge/fleet.rs
+++ b/crates/peppercrank-bench/src/surge/fleet.rs
@@ -473,6 +473,7 @@
             pool: "pool".into(),
             address: ([127, 0, 0, 1], 1).into(),
             zone: "zone".into(),
+            version: "v1".into(),
             slots: scenario.speed.slots,
             leaving: false,
             cold_for: Duration::ZERO,
--- a/crates/peppercrank-direct/src/registration.rs
+++ b/crates/peppercrank-direct/src/registration.rs
@@ -23,6 +23,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: Arc<str>,
+    /// Version of its software.
+    pub version: Arc<str>,
     /// Number of requests that it runs at once.
     pub slots: u32,
     /// Whether it takes no new work.
--- a/crates/peppercrank-direct/tests/verify_directory.rs
+++ b/crates/peppercrank-direct/tests/verify_directory.rs
@@ -25,6 +25,7 @@
         pool: "pool".into(),
         address: "10.0.0.1:80".parse().expect("an address"),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 4,
         leaving,
         cold_for: Duration::ZERO,
--- a/crates/peppercrank-direct/tests/verify_era.rs
+++ b/crates/peppercrank-direct/tests/verify_era.rs
@@ -35,6 +35,7 @@
         pool: Arc::from("pool"),
         address: ([127, 0, 0, 1], 1).into(),
         zone: Arc::from("a"),
+        version: "v1".into(),
         slots: 8,
         leaving: false,
         cold_for: Duration::ZERO,
--- a/crates/peppercrank-direct/tests/verify_evacuations.rs
+++ b/crates/peppercrank-direct/tests/verify_evacuations.rs
@@ -37,6 +37,7 @@
         pool: "pool".into(),
         address: "10.0.0.1:80".parse().expect("an address"),
         zone: zone.into(),
+        version: "v1".into(),
         slots: 4,
         leaving,
         cold_for: Duration::ZERO,
--- a/crates/peppercrank-direct/tests/verify_knowledge.rs
+++ b/crates/peppercrank-direct/tests/verify_knowledge.rs
@@ -203,6 +203,7 @@
             pool: "pool".into(),
             address: "10.0.0.1:80".parse().expect("an address"),
             zone: "a".into(),
+            version: "v1".into(),
             slots: 4,
             leaving: false,
             cold_for: Duration::ZERO,
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -37,6 +37,7 @@
             pool: "pool".into(),
             address: "10.0.0.1:80".parse().expect("an address"),
             zone: "a".into(),
+            version: "v1".into(),
             slots: 64,
             leaving: false,
             cold_for: Duration::ZERO,
--- a/crates/peppercrank-direct/tests/verify_warm_up.rs
+++ b/crates/peppercrank-direct/tests/verify_warm_up.rs
@@ -199,6 +199,7 @@
         pool: "pool".into(),
         address: "10.0.0.1:80".parse().expect("an address"),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 4,
         leaving: false,
         cold_for,
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -173,6 +173,7 @@
     let copy_from = copy_source.map(|t| t.registration.address);
     let registration = &state.directory.get(key)?.registration;
     let (instance, address) = (Arc::clone(&registration.instance), registration.address);
+    let version = Arc::clone(&registration.version);
     let target_id = registration.id();
     state.record_sent_parts(now, choice, target_id, job.shared_parts());
     state.warm_up_gate.record_sent(now, key);
@@ -186,6 +187,7 @@
         in_flight: InFlight::begin(now, &mut state.board, *choice),
         pool: Arc::clone(&job.pool),
         instance,
+        version,
         target_id,
         address,
         copy_from,
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -31,6 +31,8 @@
     pub pool: Arc<str>,
     /// The target's name.
     pub instance: Arc<str>,
+    /// The version of the target's software.
+    pub version: Arc<str>,
     /// The compact id of the target's incarnation, as used in datagrams between routers.
     pub target_id: TargetId,
     /// The address at which the target listens.
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -23,6 +23,7 @@
 use peppercrank_direct::warm_up::WarmUp;
 use peppercrank_platform::call;
 use peppercrank_platform::call::RequestHead;
+use peppercrank_platform::call::Resumption;
 
 use crate::gateway::Gateway;
 use crate::refuse::Reason;
@@ -77,6 +78,8 @@
     pub regions: Regions,
     /// The parts of its prompt, for matching cached prefixes.
     pub prompt_parts: Vec<PromptPart>,
+    /// Where its caller resumes a stream; `None` if it begins anew or its route does not allow that.
+    pub resumption: Option<Resumption>,
     /// When it was received.
     pub received_at: Instant,
     /// When its answer must be complete.
@@ -122,6 +125,14 @@
         })
     }
 
+    /// Returns the id of the request that brought the first event of the stream that the caller
+    /// resumes; empty if it resumes none or does not name it.
+    #[must_use]
+    pub fn origin_id(&self) -> &str {
+        let resumption = self.resumption.as_ref();
+        resumption.and_then(|r| r.origin.as_deref()).unwrap_or("")
+    }
+
     /// Returns the parts of the prompt that other requests may share: all but the last one.
     #[must_use]
     pub fn shared_parts(&self) -> &[PromptPart] {
@@ -182,7 +193,13 @@
             .timeout
             .unwrap_or(route.timeout)
             .min(route.timeout);
-        let RequestHead { id, prompt, .. } = call_head;
+        let RequestHead {
+            id,
+            prompt,
+            resumption,
+            ..
+        } = call_head;
+        let resumable = matches!(route.kind, RouteKind::Stream { resumable: true });
         let prompt = prompt.unwrap_or_default();
         let settings = index.pool(pool);
         let engine_memory = settings.and_then(|p| p.prompt_cache);
@@ -205,6 +222,7 @@
                 None => route.regions.clone(),
             },
             prompt_parts: prompt.parts,
+            resumption: resumption.filter(|_| resumable),
             received_at,
             deadline: received_at + timeout,
             config_version: index.desired().version,
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -238,6 +238,8 @@
                 let fields = [
                     ("request", Field::Text(&request.job.id)),
                     ("target", Field::Text(&flight.instance)),
+                    ("software", Field::Text(&flight.version)),
+                    ("began_at", Field::Text(&self.flight.version)),
                     ("after", Field::Text(last.as_deref().unwrap_or(""))),
                 ];
                 request.gateway.log.write(Event::Resumed, &fields);
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -97,6 +97,8 @@
     pub instance: Arc<str>,
     /// The start time that identifies the incarnation.
     pub start: Start,
+    /// The version of its software.
+    pub version: Arc<str>,
     /// The address at which it listens, if known.
     pub address: Option<SocketAddr>,
 }
@@ -108,6 +110,7 @@
         Self {
             instance: Arc::clone(&registration.instance),
             start: registration.start,
+            version: Arc::clone(&registration.version),
             address: Some(registration.address),
         }
     }
--- a/crates/peppercrank-gateway/src/targets.rs
+++ b/crates/peppercrank-gateway/src/targets.rs
@@ -109,6 +109,7 @@
     let fields = [
         ("target", Field::Text(&info.instance)),
         ("born", Field::Number(info.start.unix_millis())),
+        ("software", Field::Text(&info.version)),
         ("revision", Field::Number(revision.unwrap_or(0))),
     ];
     gateway.log.write(event, &fields);
--- a/crates/peppercrank-spec/src/eras.rs
+++ b/crates/peppercrank-spec/src/eras.rs
@@ -254,6 +254,7 @@
             pool: "pool".into(),
             address: ([127, 0, 0, 1], 80).into(),
             zone: "a".into(),
+            version: "v1".into(),
             slots: 1,
             leaving,
             cold_for: Duration::ZERO,
--- a/crates/peppercrank-spec/src/starts.rs
+++ b/crates/peppercrank-spec/src/starts.rs
@@ -215,6 +215,7 @@
         pool: "pool".into(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: "a".into(),
+        version: "v1".into(),
         slots: start.into(),
         leaving: false,
         cold_for: Duration::ZERO,
