Let streams go on only at targets of the software version that began them

Cause: the version in a target's entry was checked and dropped, so that a target was chosen for a stream that goes on as for any other request: after a broken or silent answer, and where a caller resumed its stream at another router, which cannot know where it began.

Why this holds: the version is a filter where the targets that a request may be sent to are selected, so that it covers all ways to a second target. An answer is bound to the version of its first target once its head has arrived. A caller's return is bound to the version that routers recorded for the request it names: three routers by rendezvous hashing get each origin, and a router that lacks one asks these. What is unknown is refused at once where several versions serve or did in the last minute, or where the list of targets may be outdated; what is bound to a version without targets is refused, too. A stream that goes on was admitted when it began: only the load cap bounds it. A target whose version changes under its name counts as a new start.

--- a/crates/peppercrank-bench/src/surge/router.rs
+++ b/crates/peppercrank-bench/src/surge/router.rs
@@ -78,6 +78,7 @@
             pool_goal: goals.min().unwrap_or(of.first_token_goal),
             time_left: left,
             is_first: true,
+            is_bound: false,
         };
         let request = PlacementRequest {
             policy: Policy::Cost,
--- a/crates/peppercrank-direct/src/decide.rs
+++ b/crates/peppercrank-direct/src/decide.rs
@@ -30,6 +30,9 @@
     pub time_left: Duration,
     /// Whether it is the first attempt of the request.
     pub is_first: bool,
+    /// Whether it may go only to targets of one software version, whose waits say nothing about the
+    /// whole pool.
+    pub is_bound: bool,
 }
 
 /// `Decision` is the result of admitting and placing an attempt.
@@ -52,7 +55,8 @@
 /// Admits an attempt and chooses its target, or refuses it.
 ///
 /// A request is admitted only once. Its later attempts count as most urgent, since work has already
-/// been spent on it.
+/// been spent on it. A stream that goes on was admitted when it began, also where its caller
+/// returns, so only the targets' load caps bound it.
 pub fn decide(
     now: Instant,
     admission: &mut Admission,
@@ -62,6 +66,10 @@
     candidates: &[Candidate],
     holders: &[Holder],
 ) -> Decision {
+    if attempt.is_bound {
+        let placed = place(now, rates, request, None, candidates, holders);
+        return decision(placed, admission.retry_after(now, attempt.time_left));
+    }
     let slots = candidates.iter().map(|c| c.slots).min().unwrap_or(1);
     let pool = PoolLoad {
         goal: attempt.pool_goal,
@@ -80,7 +88,10 @@
         let admitted = matches!(placed, PlacementOutcome::Target(_));
         admission.record(now, attempt.rank, admitted);
     }
-    let retry_after = admission.retry_after(now, attempt.time_left);
+    decision(placed, admission.retry_after(now, attempt.time_left))
+}
+
+const fn decision(placed: PlacementOutcome, retry_after: Duration) -> Decision {
     match placed {
         PlacementOutcome::Target(choice) => Decision::Send(choice),
         PlacementOutcome::Full => Decision::Full { retry_after },
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -67,6 +67,8 @@
     pub evacuations: Evacuations,
     /// Time at which the first whole list was read.
     first_listed: Option<Instant>,
+    /// Software versions of targets that are gone, by pool, and when they left.
+    gone_versions: Vec<(Arc<str>, Arc<str>, Instant)>,
 }
 
 /// `Departed` is what is remembered of a departed target, since its entry may be written again
@@ -175,6 +177,10 @@
             return TargetEvent::NoChange;
         };
         match target.registration.start.relation(entry.start) {
+            // A process does not change its software.
+            Relation::Same if target.registration.version != entry.version => {
+                self.restart(now, key, entry)
+            }
             Relation::Same => {
                 let pool = Arc::clone(&entry.pool);
                 let previous = Arc::clone(&target.registration.pool);
@@ -228,7 +234,7 @@
 
     /// Replaces a start that has ended by a new one.
     fn restart(&mut self, now: Instant, old: TargetKey, entry: Registration) -> TargetEvent {
-        self.forget(old);
+        self.forget(now, old);
         match self.join(now, entry) {
             TargetEvent::Joined(new) | TargetEvent::MarkedLeaving(new) => {
                 TargetEvent::Restarted { old, new }
@@ -297,17 +303,40 @@
             };
             self.departed.insert(instance, departed);
         }
-        self.forget(key);
+        self.forget(now, key);
         TargetEvent::Gone(key)
     }
 
-    fn forget(&mut self, key: TargetKey) {
+    fn forget(&mut self, now: Instant, key: TargetKey) {
         if let Some(target) = self.targets.remove(key) {
-            self.instances.remove(&target.registration.instance);
-            self.remove_from_pool(&target.registration.pool, key);
+            let Registration {
+                instance,
+                pool,
+                version,
+                ..
+            } = target.registration;
+            self.instances.remove(&instance);
+            self.remove_from_pool(&pool, key);
+            self.gone_versions
+                .retain(|(p, v, _)| *p != pool || *v != version);
+            self.gone_versions.push((pool, version, now));
         }
     }
 
+    /// Returns whether the targets of a pool run several software versions, or did until recently.
+    #[must_use]
+    pub fn runs_several_versions(&self, now: Instant, pool: &str) -> bool {
+        let present = self.members(pool).filter_map(|key| self.targets.get(key));
+        let present = present.map(|target| &target.registration.version);
+        let gone = self.gone_versions.iter().filter(|(p, _, at)| {
+            let recent = now.since(*at) < DEPARTED_RETENTION;
+            recent && **p == *pool
+        });
+        let mut versions = present.chain(gone.map(|(_, version, _)| version));
+        let first = versions.next();
+        versions.any(|version| Some(version) != first)
+    }
+
     /// Removes a target from the list of a pool, and the list itself once it is empty, as other
     /// writers can name any pool.
     fn remove_from_pool(&mut self, pool: &Arc<str>, key: TargetKey) {
@@ -365,6 +394,8 @@
         }
         self.departed
             .retain(|_, d| now.since(d.removed_at) < DEPARTED_RETENTION);
+        self.gone_versions
+            .retain(|(_, _, at)| now.since(*at) < DEPARTED_RETENTION);
         if self.held_until.is_some_and(|until| now >= until) {
             for (_, entry) in std::mem::take(&mut self.held_entries) {
                 events.push(self.join(now, entry));
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -14,10 +14,11 @@
 //! - [`directory`]: the known targets, and which of them are leaving.
 //! - [`era`]: which generation of the store an answer belongs to.
 //! - [`evacuations`]: the availability zones whose targets get no new work.
-//! - [`events`]: whole events of streams that may be resumed.
+//! - [`events`]: where the events of streams end.
 //! - [`freshness`]: how old the knowledge of API keys may be before requests are refused.
 //! - [`in_flight`]: accounting of one attempt at its target.
 //! - [`notice`]: what a target's answers say about new work.
+//! - [`origins`]: the software versions at which streams began.
 //! - [`overcount`]: correction of a pool's mean load for work that peers overcount.
 //! - [`peers`]: datagrams between routers, and the work of the other routers.
 //! - [`place`]: choice of a request's target by the predicted time to the first token.
@@ -52,6 +53,7 @@
 pub mod freshness;
 pub mod in_flight;
 pub mod notice;
+pub mod origins;
 pub mod overcount;
 pub mod peers;
 pub mod place;
--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -18,6 +18,8 @@
 
 use crate::confirm::Confirmation;
 use crate::confirm::ConfirmationRequest;
+use crate::origins::OriginReport;
+use crate::origins::StreamId;
 use crate::quarantine::CrashReport;
 use crate::reports::LoadReport;
 use crate::starts::Start;
@@ -137,6 +139,14 @@
     /// Requests during which targets crashed. Routers of versions without this variant ignore the
     /// datagram.
     CrashReports(Vec<CrashReport>),
+    /// Software versions at which streams began. Routers of versions without this variant ignore
+    /// the datagram.
+    Origins(Vec<OriginReport>),
+    /// Request for the origin of a stream. Routers of versions without this variant ignore the
+    /// datagram.
+    OriginQuery(StreamId),
+    /// Answer to a request for an origin that the sender does not know.
+    OriginUnknown(StreamId),
 }
 
 /// Work and hints of one router.
--- a/crates/peppercrank-direct/tests/verify_decide.rs
+++ b/crates/peppercrank-direct/tests/verify_decide.rs
@@ -43,6 +43,7 @@
         pool_goal: Duration::from_secs(1),
         time_left: Duration::from_secs(30),
         is_first,
+        is_bound: false,
     }
 }
 
--- a/crates/peppercrank-direct/tests/verify_directory.rs
+++ b/crates/peppercrank-direct/tests/verify_directory.rs
@@ -411,3 +411,39 @@
     assert!(directory.expire(ZERO + OLDER_START_DELAY).is_empty());
     assert!(ready(&directory, ZERO + OLDER_START_DELAY).is_empty());
 }
+
+fn put_version(instance: &str, version: &str) -> Change {
+    Change::Put(Registration {
+        version: version.into(),
+        ..entry(instance, false)
+    })
+}
+
+#[test]
+fn verify_a_pool_runs_several_versions_until_the_last_of_the_others_is_long_gone() {
+    let mut directory = Directory::default();
+    assert!(!directory.runs_several_versions(ZERO, "pool"));
+    directory.apply(ZERO, put_version("one", "v1"));
+    directory.apply(ZERO, put_version("two", "v1"));
+    assert!(!directory.runs_several_versions(ZERO, "pool"));
+    directory.apply(ZERO, put_version("three", "v2"));
+    assert!(directory.runs_several_versions(ZERO, "pool"));
+    assert!(!directory.runs_several_versions(ZERO, "other"));
+    directory.apply(ZERO, removed("one"));
+    directory.apply(ZERO, removed("two"));
+    let later = |seconds| ZERO + Duration::from_secs(seconds);
+    assert!(directory.runs_several_versions(later(59), "pool"));
+    assert!(!directory.runs_several_versions(later(60), "pool"));
+}
+
+#[test]
+fn verify_a_target_with_another_version_under_its_name_is_a_new_start() {
+    let mut directory = Directory::default();
+    directory.apply(ZERO, put_version("one", "v1"));
+    let old = directory.find("one").expect("a target");
+    let event = directory.apply(ZERO, put_version("one", "v2"));
+    let new = directory.find("one").expect("a target");
+    assert_eq!(event, TargetEvent::Restarted { old, new });
+    assert!(directory.get(old).is_none());
+    assert!(directory.runs_several_versions(ZERO, "pool"));
+}
--- a/crates/peppercrank-direct/tests/verify_overcount.rs
+++ b/crates/peppercrank-direct/tests/verify_overcount.rs
@@ -98,6 +98,7 @@
         pool_goal: Duration::from_secs(1),
         time_left: Duration::from_secs(6),
         is_first: false,
+        is_bound: false,
     };
     let mut admission = Admission::default();
     let rates = Rates::default();
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -16,6 +16,7 @@
 use peppercrank_direct::events::EventBoundary;
 use peppercrank_direct::in_flight::InFlight;
 use peppercrank_direct::notice::Notice;
+use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Choice;
 use peppercrank_direct::place::Holder;
@@ -47,7 +48,7 @@
     joined_at > first_listed + FLEET_START_WINDOW && now.since(joined_at) < RECENT_JOIN_WINDOW
 }
 
-/// Chooses a target and counts the request toward its load.
+/// Chooses a target, of the given software version if any, and counts the request toward its load.
 ///
 /// # Errors
 ///
@@ -56,17 +57,23 @@
     gateway: &Arc<Gateway>,
     job: &Job,
     tried: &[TargetKey],
+    version: Option<SoftwareVersion>,
 ) -> Result<Flight, Rejection> {
     let mut state = gateway.state();
-    let choice = choose(gateway, &mut state, job, tried)?;
+    let choice = choose(gateway, &mut state, job, tried, version)?;
     let flight = reserve(gateway, &mut state, job, &choice);
     flight.ok_or(Rejection::with_default_delay(Reason::NoTarget))
 }
 
 /// Returns whether some target would currently get a further attempt of a request.
 #[must_use]
-pub fn can_reserve_target(gateway: &Gateway, job: &Job, tried: &[TargetKey]) -> bool {
-    choose(gateway, &mut gateway.state(), job, tried).is_ok()
+pub fn can_reserve_target(
+    gateway: &Gateway,
+    job: &Job,
+    tried: &[TargetKey],
+    version: Option<SoftwareVersion>,
+) -> bool {
+    choose(gateway, &mut gateway.state(), job, tried, version).is_ok()
 }
 
 fn choose(
@@ -74,6 +81,7 @@
     state: &mut State,
     job: &Job,
     tried: &[TargetKey],
+    version: Option<SoftwareVersion>,
 ) -> Result<Choice, Rejection> {
     let now = gateway.now();
     let settings = gateway.settings();
@@ -85,11 +93,12 @@
         return Err(Rejection::with_default_delay(Reason::Congested));
     }
     let rates = state.rates.get(&job.pool).copied().unwrap_or_default();
-    let eligible = eligible::find(state, now, job, &settings)?;
+    let eligible = eligible::find(state, now, job, &settings, version)?;
     let view = PoolView {
         state,
         now,
         job,
+        version,
         settings: &settings,
         peer_lag: state.peers.mean_age(now),
         slot_hold_ms: rates.hold_ms(),
@@ -112,6 +121,7 @@
         pool_goal: job.pool_goal,
         time_left: job.deadline.since(now),
         is_first: tried.is_empty(),
+        is_bound: version.is_some(),
     };
     let admission = state.admission.entry(Arc::clone(&job.pool)).or_default();
     let decision = decide(
@@ -202,6 +212,8 @@
     state: &'a State,
     now: Instant,
     job: &'a Job,
+    /// The software version to which the request is bound, if any.
+    version: Option<SoftwareVersion>,
     settings: &'a GatewaySettings,
     /// Mean age of the loads that peers reported.
     peer_lag: Duration,
@@ -259,8 +271,9 @@
                 .get(key)
                 .as_of(*now, self.peer_lag, self.slot_hold_ms)
         });
-        let copies =
-            job.copy_rate.is_some() && eligible::is_allowed(state, job, self.settings, key);
+        let copies = job.copy_rate.is_some()
+            && eligible::is_allowed(state, job, self.settings, key)
+            && eligible::runs_version(state, key, self.version);
         let held = if copies {
             state.prefixes.held_tokens(key, job.shared_parts())
         } else {
--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -9,6 +9,7 @@
 use peppercrank_direct::admission::MIN_RETRY_AFTER;
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::directory::WithheldReason;
+use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::warm_up::Allowance;
 use peppercrank_direct::warm_up::Opens;
 use peppercrank_direct::warm_up::fleet_budget;
@@ -43,12 +44,13 @@
 pub struct Eligible {
     /// Targets that the request may be sent to.
     pub candidates: Vec<TargetKey>,
-    /// Targets that it may not be sent to: they are in a region in which it must not run, or are
-    /// cold and already get as many requests as they can take.
+    /// Targets that it may not be sent to: they are in a region in which it must not run, run
+    /// another software version than the one that began its stream, or are cold and already get as
+    /// many requests as they can take.
     pub withheld: Vec<TargetKey>,
 }
 
-/// Returns the targets that a request may be sent to.
+/// Returns the targets that a request may be sent to, of the given software version if any.
 ///
 /// # Errors
 ///
@@ -58,6 +60,7 @@
     now: Instant,
     job: &Job,
     settings: &GatewaySettings,
+    version: Option<SoftwareVersion>,
 ) -> Result<Eligible, Rejection> {
     if !state.directory.evacuations.is_listed() {
         return Err(Rejection::with_default_delay(Reason::Evacuated));
@@ -71,9 +74,14 @@
             None => Ok(Eligible::default()),
         };
     }
+    let same_version = |key: &TargetKey| runs_version(state, *key, version);
+    let (allowed, other_versions) = allowed.into_iter().partition::<Vec<_>, _>(same_version);
+    if allowed.is_empty() {
+        return Err(Rejection::with_default_delay(Reason::VersionGone));
+    }
     let mut eligible = Eligible {
         candidates: Vec::with_capacity(allowed.len()),
-        withheld,
+        withheld: [withheld, other_versions].concat(),
     };
     apply_warm_up(state, now, job, settings, allowed, &mut eligible)?;
     Ok(eligible)
@@ -123,6 +131,15 @@
     job.regions.allows(region.map(String::as_str))
 }
 
+/// Returns whether a target runs the given software version; always true if none is given.
+#[must_use]
+pub fn runs_version(state: &State, key: TargetKey, version: Option<SoftwareVersion>) -> bool {
+    let target = state.directory.get(key);
+    version.is_none_or(|version| {
+        target.is_some_and(|t| SoftwareVersion::of(&t.registration.version) == version)
+    })
+}
+
 /// Excludes cold targets that already get as many requests as they can take. When the router may
 /// have missed restarts, it treats all targets as cold.
 fn apply_warm_up(
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use peppercrank_wire::clock::Clock;
 use peppercrank_wire::edge::Limits;
 use peppercrank_wire::stop::Stop;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -97,6 +98,8 @@
     pub stop_signal: Stop,
     /// Wakes the task that asked another router once its answer has arrived.
     pub confirmation_received: Notify,
+    /// Wakes requests that asked other routers for the origin of a stream.
+    pub origin_answered: Notify,
     /// Wakes the task that sends crash reports to other routers.
     pub crash_news: Notify,
     /// Wakes attempts in progress when a request was quarantined.
@@ -112,6 +115,8 @@
     pub entry_missing: Notify,
     /// The limits for callers, which follow the configuration in force.
     pub limits: watch::Sender<Arc<Limits>>,
+    /// The socket for datagrams between routers.
+    pub peer_socket: Arc<UdpSocket>,
     /// The address at which this router receives datagrams.
     pub peer_address: SocketAddr,
     /// Whether the load balancer was last told that the router is ready.
@@ -120,13 +125,15 @@
 }
 
 impl Gateway {
-    /// Creates the shared state of a router that receives datagrams at `peer_address`.
+    /// Creates the shared state of a router that receives datagrams at `peer_address`, the address
+    /// of `peer_socket`.
     #[must_use]
     pub fn new(
         clock: Clock,
         settings: watch::Receiver<Arc<GatewaySettings>>,
         log: Log,
         stop_signal: Stop,
+        peer_socket: Arc<UdpSocket>,
         peer_address: SocketAddr,
     ) -> Self {
         let state = State::new(clock.now(), &settings.borrow());
@@ -146,6 +153,7 @@
             metrics: Metrics::default(),
             stop_signal,
             confirmation_received: Notify::new(),
+            origin_answered: Notify::new(),
             crash_news: Notify::new(),
             quarantine_changed: Notify::new(),
             machine_resumed: Notify::new(),
@@ -153,6 +161,7 @@
             evacuations_outdated: Notify::new(),
             entry_missing: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
+            peer_socket,
             peer_address,
             reported_ready: AtomicBool::new(false),
             state: Mutex::new(state),
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -24,6 +24,7 @@
 use crate::confirm;
 use crate::crashes;
 use crate::gateway::Gateway;
+use crate::origins;
 use crate::state::State;
 
 /// Interval between summaries. In a small fleet, peers know of this router's work with up to this
@@ -137,6 +138,8 @@
             gateway.metrics.count_datagram(sent.is_ok());
         }
         schedule.record_sent(bytes.len(), to.len());
+        let report_bytes = origins::send_reports(&gateway, &socket).await;
+        schedule.summary_allowance = schedule.summary_allowance.saturating_sub(report_bytes);
         relay_reports(&gateway, &socket, &mut schedule).await;
     }
 }
@@ -248,6 +251,11 @@
             Ok(Datagram::CrashReports(reports)) => {
                 crashes::receive_reports(&gateway, &socket, from, &reports).await;
             }
+            Ok(Datagram::Origins(reports)) => origins::receive_reports(&gateway, &reports),
+            Ok(Datagram::OriginQuery(stream)) => {
+                origins::answer_query(&gateway, &socket, from, stream).await;
+            }
+            Ok(Datagram::OriginUnknown(stream)) => origins::receive_unknown(&gateway, stream),
             Err(_) => gateway.metrics.count_failed_attempt("malformed datagram"),
         }
     }
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`suspension`] detects that the machine was suspended.
 //! - [`termination`] notifies attempts that their target has restarted.
 //! - [`gossip`] exchanges loads and cached prompts with other routers.
+//! - [`origins`] shares with other routers at which software version streams began.
 //! - [`crashes`] shares with other routers which requests crash targets.
 //! - [`admin`] answers health checks and serves the metrics.
 //! - [`run`] starts all tasks and shuts them down on SIGTERM.
@@ -38,6 +39,7 @@
 pub mod job;
 pub mod limits;
 pub mod metrics;
+pub mod origins;
 pub mod outage;
 pub mod progress;
 pub mod refuse;
--- a/crates/peppercrank-gateway/src/refuse.rs
+++ b/crates/peppercrank-gateway/src/refuse.rs
@@ -70,6 +70,11 @@
     Full "full" SERVICE_UNAVAILABLE;
     /// Connections to all targets are slow because this router's own link is congested.
     Congested "congested" SERVICE_UNAVAILABLE;
+    /// The caller resumes a stream, and no target runs the software version that began it.
+    VersionGone "version_gone" SERVICE_UNAVAILABLE;
+    /// The caller resumes a stream, and it is not known which of several software versions began
+    /// it.
+    OriginUnknown "origin_unknown" SERVICE_UNAVAILABLE;
     /// Targets repeatedly crashed while running the request.
     CrashesTargets "crashes_targets" SERVICE_UNAVAILABLE;
     /// Targets refused the request or could not be reached, and no further attempt is allowed.
@@ -83,7 +88,8 @@
 }
 
 impl Reason {
-    /// Returns whether the same request may succeed a little later.
+    /// Returns whether the caller may succeed a little later, with the same request or, where the
+    /// origin of a stream is missing, with one that begins anew.
     #[must_use]
     pub const fn is_transient(self) -> bool {
         matches!(
@@ -98,6 +104,8 @@
                 | Self::WarmingUp
                 | Self::Full
                 | Self::Congested
+                | Self::VersionGone
+                | Self::OriginUnknown
                 | Self::CrashesTargets
                 | Self::Refused
                 | Self::Late
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -32,6 +32,7 @@
 use crate::crashes;
 use crate::flight::Flight;
 use crate::gateway::Gateway;
+use crate::origins;
 use crate::serve::ActiveRequest;
 
 /// Maximum number of parts buffered for a caller that reads slowly.
@@ -67,6 +68,9 @@
 pub fn start(request: &ActiveRequest, flight: Flight, first: Bytes, rest: ResponseBody) -> Body {
     let (downstream, body) = body::channel(BUFFERED_PARTS);
     let resumable = matches!(request.job.kind, RouteKind::Stream { resumable: true });
+    if resumable {
+        origins::record_stream(&request.gateway, &request.job, &flight);
+    }
     let relay = Relay {
         request: request.clone(),
         flight,
@@ -215,7 +219,12 @@
         if crashes::quarantine_delay(&request.gateway, &request.job).is_some() {
             return false;
         }
-        let Ok(mut flight) = reserve_target(&request.gateway, &request.job, &request.tried) else {
+        let Ok(mut flight) = reserve_target(
+            &request.gateway,
+            &request.job,
+            &request.tried,
+            request.version,
+        ) else {
             return false;
         };
         request.tried.push(flight.in_flight.choice.key);
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -117,6 +117,7 @@
         let socket = UdpSocket::bind(settings.peers)
             .await
             .map_err(Error::Start)?;
+        let socket = Arc::new(socket);
         let peer_address = socket.local_addr().map_err(Error::Start)?;
         let hangup = signal(SignalKind::hangup()).map_err(Error::Start)?;
         let (settings_sender, settings) = watch::channel(Arc::new(settings));
@@ -125,6 +126,7 @@
             settings,
             log,
             serve_stop.clone(),
+            Arc::clone(&socket),
             peer_address,
         ));
         let (caller_address, health_address) = (edge.local_addr(), ready.local_addr());
@@ -137,7 +139,7 @@
             gateway.metrics.store_byte_counter(),
         );
         let mut tasks = JoinSet::new();
-        start_tasks(&mut tasks, &gateway, &store, Arc::new(socket));
+        start_tasks(&mut tasks, &gateway, &store, socket);
         let reloading = reload::keep_settings_current(
             Arc::clone(&gateway),
             path.to_owned(),
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -15,6 +15,8 @@
 use peppercrank_direct::attribution::Attribution;
 use peppercrank_direct::attribution::RequestEnd;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::origins::Resumption;
+use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::retries::ExecutionState;
 use peppercrank_direct::retries::NextStep;
 use peppercrank_direct::retries::RetryPlan;
@@ -38,6 +40,7 @@
 use crate::flight::Flight;
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::origins;
 use crate::refuse::Reason;
 use crate::refuse::refuse;
 use crate::relay;
@@ -85,8 +88,14 @@
         retry_after: MIN_RETRY_AFTER,
         attribution: Attribution::default(),
         failure: None,
+        version: None,
         job,
     };
+    match origins::find_resumption(gateway, &request.job).await {
+        Resumption::At(version) => request.version = Some(version),
+        Resumption::Anywhere => {}
+        Resumption::Refused => return request.give_up(Reason::OriginUnknown),
+    }
     loop {
         if let RequestStep::Answer(reply) = request.attempt().await {
             return reply;
@@ -140,6 +149,8 @@
     pub tried: Vec<TargetKey>,
     /// When its caller should retry if it is refused.
     pub retry_after: Duration,
+    /// The software version at which the answer must go on; `None` while none has begun it.
+    pub version: Option<SoftwareVersion>,
     /// The targets that answered with a failure, until it is known what caused it.
     attribution: Attribution,
     /// A target's failure, forwarded if no attempt succeeds.
@@ -154,7 +165,7 @@
         if let Some(next) = self.refuse_if_quarantined() {
             return next;
         }
-        let mut flight = match reserve_target(&self.gateway, &self.job, &self.tried) {
+        let mut flight = match reserve_target(&self.gateway, &self.job, &self.tried, self.version) {
             Ok(flight) => flight,
             Err(rejection) => {
                 self.retry_after = rejection.retry_after;
@@ -250,6 +261,7 @@
                 self.gateway
                     .metrics
                     .observe_answer(self.job.kind, self.elapsed());
+                self.version = Some(SoftwareVersion::of(&flight.version));
                 let body = relay::start(self, flight, first, rest);
                 RequestStep::Answer(reply(status, headers, body))
             }
@@ -310,7 +322,7 @@
             plan.record_attempt(ExecutionState::Unknown) == NextStep::RetryWithinBudget;
         retry_allowed
             && self.can_retry()
-            && can_reserve_target(&self.gateway, &self.job, &self.tried)
+            && can_reserve_target(&self.gateway, &self.job, &self.tried, self.version)
     }
 
     /// Takes a retry from the fleet's budget, and returns whether there was one.
@@ -345,6 +357,7 @@
             ("reason", Field::Text(reason.code())),
             ("attempts", Field::Number(u64::from(self.plan.sends()))),
             ("judged_by", Field::Number(self.job.config_version)),
+            ("resumes", Field::Text(self.job.origin_id())),
             ("held_ms", Field::Millis(self.elapsed())),
         ];
         let mut fields = [&fields[..], &self.gateway.state_summary().log_fields()[..]].concat();
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -18,6 +18,8 @@
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::era::EraTracker;
 use peppercrank_direct::freshness::Freshness;
+use peppercrank_direct::origins::OriginQueue;
+use peppercrank_direct::origins::Origins;
 use peppercrank_direct::peers::HintQueue;
 use peppercrank_direct::peers::Peers;
 use peppercrank_direct::peers::PrefixHint;
@@ -78,6 +80,10 @@
     pub retry_budget: RetryBudget,
     /// Requests suspected of crashing targets.
     pub quarantine: Quarantine,
+    /// The software versions at which streams began.
+    pub origins: Origins,
+    /// Streams whose origins are not reported to other routers yet, with their pools.
+    pub origin_queue: OriginQueue<Arc<str>>,
     /// Limits requests to cold targets.
     pub warm_up_gate: Gate,
     /// The load reported by other routers.
@@ -164,6 +170,8 @@
             admission: HashMap::new(),
             retry_budget: RetryBudget::new(now, retry_limits(settings)),
             quarantine: Quarantine::default(),
+            origins: Origins::default(),
+            origin_queue: OriginQueue::default(),
             warm_up_gate: Gate::default(),
             peers: Peers::default(),
             routers: HashMap::new(),
