Copy cached prompts only between targets of one software version

What two versions of the engines' software write does not fit together, and engines check neither. A new request at a target of one version could copy its prompt from a target of another, and pay for a copy that it cannot use.

The version is part of a candidate and of a holder, and a prompt that another version holds is prefilled again, at the cost of prefilling. For a pool with one version nothing changes.

--- a/crates/peppercrank-bench/src/surge/router.rs
+++ b/crates/peppercrank-bench/src/surge/router.rs
@@ -12,6 +12,7 @@
 use peppercrank_direct::decide::decide;
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::in_flight::InFlight;
+use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::peers::PeerWork;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::place::Candidate;
@@ -108,6 +109,7 @@
         let see = |(n, (key, _)): (usize, &(TargetKey, bool))| Candidate {
             key: *key,
             placement_id: u32::try_from(n).unwrap_or(u32::MAX),
+            version: SoftwareVersion(1),
             slots: view.scenario.speed.slots,
             same_zone: true,
             held_tokens: self.prefixes.held_tokens(*key, parts),
--- a/crates/peppercrank-direct/src/place.rs
+++ b/crates/peppercrank-direct/src/place.rs
@@ -20,6 +20,7 @@
 use peppercrank_core::time::Instant;
 
 use crate::directory::TargetKey;
+use crate::origins::SoftwareVersion;
 use crate::overcount;
 use crate::rates::Rates;
 use crate::rates::as_f64;
@@ -88,6 +89,8 @@
     pub key: TargetKey,
     /// Identifier for rendezvous hashing, derived from the target's name.
     pub placement_id: u32,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Number of requests that it runs at once.
     pub slots: u32,
     /// Whether it is in the router's availability zone.
@@ -109,6 +112,8 @@
     pub key: TargetKey,
     /// Identifier for rendezvous hashing, derived from the target's name.
     pub placement_id: u32,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Leading tokens of the prompt that it is known to hold.
     pub held_tokens: u64,
     /// Whether other targets may copy the prompt from its cache.
@@ -218,7 +223,7 @@
         rates,
         request,
         source: prefix_source(request, candidates, holders),
-        home: home(request, candidates),
+        home: home(request, candidates).map(Source::of),
         mean_load,
     };
     let fitting = candidates.iter().filter(fits).filter(healthy);
@@ -251,25 +256,47 @@
     hash64(HOME_SEED ^ home_hash, &placement_id.to_le_bytes())
 }
 
-fn home(request: &PlacementRequest, candidates: &[Candidate]) -> TargetKey {
-    let home = candidates
+fn home<'a>(request: &PlacementRequest, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
+    candidates
         .iter()
-        .max_by_key(|c| rendezvous_rank(request.home_hash, c.placement_id));
-    home.map_or_else(TargetKey::default, |c| c.key)
+        .max_by_key(|c| rendezvous_rank(request.home_hash, c.placement_id))
+}
+
+/// A target from which a cached prompt may be copied to others of its software version.
+#[derive(Debug, Clone, Copy)]
+struct Source {
+    key: TargetKey,
+    version: SoftwareVersion,
+}
+
+impl Source {
+    const fn of(candidate: &Candidate) -> Self {
+        Self {
+            key: candidate.key,
+            version: candidate.version,
+        }
+    }
+
+    const fn of_holder(holder: &Holder) -> Self {
+        Self {
+            key: holder.key,
+            version: holder.version,
+        }
+    }
 }
 
 /// Where the shared part of the prompt is held.
 #[derive(Debug, Clone, Copy)]
 enum PrefixSource {
     /// This target is known to hold all of it.
-    Known(TargetKey),
+    Known(Source),
     /// No target is known to hold all of it, so the home is assumed to hold it, or to copy it from
     /// the previous home.
     Home {
         /// The target that was the home before; `None` if the home has not changed.
-        previous: Option<TargetKey>,
+        previous: Option<Source>,
         /// The target that is known to hold most of the leading tokens, and how many.
-        partial: Option<(TargetKey, u64)>,
+        partial: Option<(Source, u64)>,
     },
 }
 
@@ -278,15 +305,17 @@
     candidates: &[Candidate],
     holders: &[Holder],
 ) -> PrefixSource {
-    let known = candidates.iter().map(|c| (c.held_tokens, c.key));
+    let known = candidates.iter().map(|c| (c.held_tokens, Source::of(c)));
     let sources = holders.iter().filter(|h| h.copyable);
-    let known = known.chain(sources.map(|h| (h.held_tokens, h.key)));
+    let known = known.chain(sources.map(|h| (h.held_tokens, Source::of_holder(h))));
     let most = known.max_by_key(|(held, _)| *held);
     match most {
-        Some((held, key)) if held >= request.shared_tokens => PrefixSource::Known(key),
+        Some((held, source)) if held >= request.shared_tokens => PrefixSource::Known(source),
         _ => PrefixSource::Home {
             previous: previous_home(request, candidates, holders),
-            partial: most.filter(|(held, _)| *held > 0).map(|(h, key)| (key, h)),
+            partial: most
+                .filter(|(held, _)| *held > 0)
+                .map(|(held, source)| (source, held)),
         },
     }
 }
@@ -297,16 +326,16 @@
     request: &PlacementRequest,
     candidates: &[Candidate],
     holders: &[Holder],
-) -> Option<TargetKey> {
+) -> Option<Source> {
     let settled = candidates.iter().filter(|c| !c.recently_joined);
-    let settled = settled.map(|c| (c.placement_id, c.key));
+    let settled = settled.map(|c| (c.placement_id, Source::of(c)));
     let departing = holders.iter().filter(|h| h.copyable);
-    let departing = departing.map(|h| (h.placement_id, h.key));
+    let departing = departing.map(|h| (h.placement_id, Source::of_holder(h)));
     let previous = settled
         .chain(departing)
         .max_by_key(|(n, _)| rendezvous_rank(request.home_hash, *n));
-    let previous = previous.map(|(_, key)| key);
-    previous.filter(|key| *key != home(request, candidates))
+    let previous = previous.map(|(_, source)| source);
+    previous.filter(|source| home(request, candidates).is_none_or(|home| source.key != home.key))
 }
 
 /// Part of the prompt's shared prefix that a candidate does not hold.
@@ -324,8 +353,8 @@
     rates: &'a Rates,
     request: &'a PlacementRequest,
     source: PrefixSource,
-    /// Home of the request.
-    home: TargetKey,
+    /// Home of the request; `None` without candidates.
+    home: Option<Source>,
     /// Mean load of the candidates.
     mean_load: f64,
 }
@@ -362,37 +391,57 @@
             prefill_tokens,
             copy: missing.copy,
             holder_unknown: matches!(self.source, PrefixSource::Home { .. }),
-            is_home: candidate.key == self.home,
+            is_home: self.is_home(candidate),
         };
         (cost, choice)
     }
 
+    fn is_home(&self, candidate: &Candidate) -> bool {
+        self.home.is_some_and(|home| home.key == candidate.key)
+    }
+
+    /// Returns whether a candidate can copy cached prompts from a source: software versions may
+    /// store them differently.
+    fn can_copy(&self, from: Source, candidate: &Candidate) -> bool {
+        self.request.copy_rate.is_some() && from.version == candidate.version
+    }
+
     /// Returns what a candidate lacks of the prompt's shared part.
     fn missing(&self, candidate: &Candidate) -> MissingPrefix {
         let request = self.request;
         let gap = request.shared_tokens.saturating_sub(candidate.held_tokens);
-        let copies = request.copy_rate.is_some() && gap > 0;
-        let copy = |from: TargetKey| copies.then_some((from, gap));
+        let copy =
+            |from: Source| (gap > 0 && self.can_copy(from, candidate)).then_some((from.key, gap));
         match self.source {
-            PrefixSource::Known(from) => MissingPrefix {
-                held_tokens: candidate.held_tokens + if copies { gap } else { 0 },
-                copy: copy(from),
-                cost: as_f64(gap) * if copies { COPY_COST } else { PREFILL_COST },
-            },
+            PrefixSource::Known(from) => {
+                let copy = copy(from);
+                MissingPrefix {
+                    held_tokens: candidate.held_tokens + copy.map_or(0, |(_, tokens)| tokens),
+                    copy,
+                    cost: as_f64(gap)
+                        * if copy.is_some() {
+                            COPY_COST
+                        } else {
+                            PREFILL_COST
+                        },
+                }
+            }
             // A copy that is only assumed to exist does not reduce the predicted prefill.
             PrefixSource::Home {
                 previous: Some(previous),
                 ..
-            } if candidate.key == self.home => MissingPrefix {
+            } if self.is_home(candidate) => MissingPrefix {
                 held_tokens: candidate.held_tokens,
                 copy: copy(previous),
                 cost: 0.0,
             },
-            PrefixSource::Home { partial, .. } if candidate.key == self.home => {
+            PrefixSource::Home { partial, .. } if self.is_home(candidate) => {
                 // Prompts often begin alike, so the home of another prompt may hold the leading
                 // tokens.
-                let more = partial.filter(|(_, held)| copies && *held > candidate.held_tokens);
-                let copy = more.map(|(from, held)| (from, held - candidate.held_tokens));
+                let more = partial.filter(|(from, held)| {
+                    gap > 0 && self.can_copy(*from, candidate) && *held > candidate.held_tokens
+                });
+                let copy = more.map(|(from, held)| (from.key, held - candidate.held_tokens));
                 MissingPrefix {
                     held_tokens: candidate.held_tokens + copy.map_or(0, |(_, tokens)| tokens),
                     copy,
@@ -401,7 +450,7 @@
             }
             PrefixSource::Home { .. } => MissingPrefix {
                 held_tokens: candidate.held_tokens,
-                copy: copy(self.home),
+                copy: self.home.and_then(copy),
                 cost: as_f64(gap) * PREFILL_COST * HOME_HIT_PROBABILITY,
             },
         }
@@ -418,7 +467,7 @@
         } else {
             CROSS_ZONE_COST
         };
-        let non_home = match (candidate.key == self.home, self.request.shared_tokens) {
+        let non_home = match (self.is_home(candidate), self.request.shared_tokens) {
             (true, _) => 0.0,
             (false, 0) => NON_HOME_TIE_COST,
             (false, _) => NON_HOME_COST,
--- a/crates/peppercrank-direct/tests/verify_decide.rs
+++ b/crates/peppercrank-direct/tests/verify_decide.rs
@@ -11,6 +11,7 @@
 use peppercrank_direct::decide::Decision;
 use peppercrank_direct::decide::decide;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::PlacementRequest;
 use peppercrank_direct::place::Policy;
@@ -55,6 +56,7 @@
     Candidate {
         key: TargetKey::default(),
         placement_id: 1,
+        version: SoftwareVersion(1),
         slots: 64,
         same_zone: true,
         held_tokens: 0,
@@ -126,6 +128,31 @@
     ));
 }
 
+#[test]
+fn verify_a_stream_goes_on_at_the_busy_targets_of_its_version() {
+    // The two targets of its version have a long queue, and those of other versions none.
+    let mut admission = Admission::default();
+    let rates = Rates::default();
+    let bound = Attempt {
+        is_bound: true,
+        ..attempt(true)
+    };
+    let of_version = [target(50_000), target(50_000)];
+    let now = Instant::ZERO;
+    let decision = decide(
+        now,
+        &mut admission,
+        &rates,
+        &bound,
+        &request(),
+        &of_version,
+        &[],
+    );
+    assert!(matches!(decision, Decision::Send(_)), "{decision:?}");
+    // Their queue does not make the pool count as overloaded.
+    assert!(!admission.is_overloaded());
+}
+
 #[test]
 fn verify_retry_delay_grows_while_there_is_no_target() {
     let mut admission = Admission::default();
--- a/crates/peppercrank-direct/tests/verify_hot_prompts.rs
+++ b/crates/peppercrank-direct/tests/verify_hot_prompts.rs
@@ -9,6 +9,7 @@
 
 use peppercrank_core::time::Instant;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::PlacementOutcome;
 use peppercrank_direct::place::PlacementRequest;
@@ -155,6 +156,7 @@
         let candidate = |target: usize| Candidate {
             key: self.keys[target],
             placement_id: name(target),
+            version: SoftwareVersion(1),
             slots: 128,
             same_zone: true,
             held_tokens: if home == Some(target) { 10_000 } else { 0 },
--- a/crates/peppercrank-direct/tests/verify_overcount.rs
+++ b/crates/peppercrank-direct/tests/verify_overcount.rs
@@ -19,6 +19,7 @@
 use peppercrank_direct::decide::Decision;
 use peppercrank_direct::decide::decide;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::overcount;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::PlacementRequest;
@@ -54,6 +55,7 @@
     Candidate {
         key,
         placement_id: u32::try_from(n).expect("a small number"),
+        version: SoftwareVersion(1),
         slots: 64,
         same_zone: true,
         held_tokens: 0,
--- a/crates/peppercrank-direct/tests/verify_place.rs
+++ b/crates/peppercrank-direct/tests/verify_place.rs
@@ -10,6 +10,7 @@
 use peppercrank_direct::directory::Directory;
 use peppercrank_direct::directory::Registration;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::place::Candidate;
 use peppercrank_direct::place::Choice;
 use peppercrank_direct::place::Holder;
@@ -51,6 +52,7 @@
     let of = |(n, key): (usize, TargetKey)| Candidate {
         key,
         placement_id: u32::try_from(n).expect("a small number"),
+        version: SoftwareVersion(1),
         slots: 64,
         same_zone: true,
         held_tokens: 0,
@@ -163,6 +165,47 @@
     assert!(!choice.holder_unknown);
 }
 
+#[test]
+fn verify_a_prompt_is_not_copied_from_another_software_version() {
+    // The target that holds the prompt is busy, was the home until another joined, or is leaving.
+    for case in ["known", "previous home", "leaving"] {
+        let mut candidates = ranked(4);
+        let mut holders = Vec::new();
+        match case {
+            "known" => {
+                candidates[0].held_tokens = 10_000;
+                candidates[0].stats.prefill_tokens = 60_000;
+                candidates[0].version = SoftwareVersion(2);
+            }
+            "previous home" => {
+                candidates[0].recently_joined = true;
+                candidates[1].version = SoftwareVersion(2);
+            }
+            _ => {
+                let leaving = candidates.remove(0);
+                holders.push(Holder {
+                    key: leaving.key,
+                    placement_id: leaving.placement_id,
+                    version: SoftwareVersion(2),
+                    held_tokens: 10_000,
+                    copyable: true,
+                    counted_stats: None,
+                });
+            }
+        }
+        let rates = Rates::default();
+        let placed = place(NOW, &rates, &copying(), None, &candidates, &holders);
+        let PlacementOutcome::Target(choice) = placed else {
+            panic!("{case}: {placed:?}");
+        };
+        let chosen = candidates.iter().find(|c| c.key == choice.key);
+        let chosen = chosen.expect("a candidate");
+        assert_eq!(choice.copy, None, "{case}");
+        let missing = 11_000 - chosen.held_tokens;
+        assert_eq!(choice.prefill_tokens, missing, "{case}");
+    }
+}
+
 #[test]
 fn verify_the_next_home_copies_from_a_leaving_home() {
     let mut candidates = ranked(4);
@@ -171,6 +214,7 @@
         let leaving = Holder {
             key: leaving.key,
             placement_id: leaving.placement_id,
+            version: SoftwareVersion(1),
             held_tokens,
             copyable: true,
             counted_stats: None,
@@ -200,6 +244,7 @@
     let holder = Holder {
         key: evacuated.key,
         placement_id: evacuated.placement_id,
+        version: SoftwareVersion(1),
         held_tokens: evacuated.held_tokens,
         copyable: true,
         counted_stats: Some(evacuated.stats),
--- a/crates/peppercrank-direct/tests/verify_reports.rs
+++ b/crates/peppercrank-direct/tests/verify_reports.rs
@@ -14,6 +14,7 @@
 
 use peppercrank_core::time::Instant;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::peers::Datagram;
 use peppercrank_direct::peers::Peers;
 use peppercrank_direct::peers::Summary;
@@ -75,6 +76,7 @@
         Candidate {
             key: keys.insert(()),
             placement_id: u32::try_from(n).expect("a small number"),
+            version: SoftwareVersion(1),
             slots: 16,
             same_zone: true,
             held_tokens: if n == 0 { 10_000 } else { 0 },
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -237,6 +237,7 @@
         Some(Candidate {
             key,
             placement_id: registration.placement_id(),
+            version: registration.software(),
             slots: registration.slots,
             same_zone: *registration.zone == *self.settings.zone,
             held_tokens: state.prefixes.held_tokens(key, &self.job.prompt_parts),
@@ -282,6 +283,7 @@
         (counts_in_load || copies).then(|| Holder {
             key,
             placement_id: registration.placement_id(),
+            version: registration.software(),
             held_tokens: held,
             copyable: copies,
             counted_stats: counted,
