--- a/crates/peppercrank-gateway/src/metrics.rs
+++ b/crates/peppercrank-gateway/src/metrics.rs
@@ -89,6 +89,7 @@
     invalid_entries: Family<KindLabel, Counter>,
     datagrams: Family<ReasonLabel, Counter>,
     confirmations: Family<ReasonLabel, Counter>,
+    origin_queries: Family<ReasonLabel, Counter>,
     /// Seconds to the first part of an answer, by kind of route.
     first_seconds: Family<KindLabel, Histogram, fn() -> Histogram>,
     /// Seconds between two parts of a stream, by kind of route.
@@ -128,6 +129,7 @@
             invalid_entries: Family::default(),
             datagrams: Family::default(),
             confirmations: Family::default(),
+            origin_queries: Family::default(),
             first_seconds: Family::new_with_constructor(kind_histogram),
             gap_seconds: Family::new_with_constructor(kind_histogram),
             target_first_seconds: Family::new_with_constructor(target_histogram),
@@ -187,6 +189,11 @@
             "Confirmations of what is known of keys, by who was asked last",
             self.confirmations.clone(),
         );
+        r.register(
+            "origin_queries",
+            "Queries to other routers for the origin of a stream, by whether one knew it",
+            self.origin_queries.clone(),
+        );
         r.register("datagrams", "Datagrams to routers", self.datagrams.clone());
         r.register(
             "first_seconds",
@@ -286,6 +293,14 @@
             .inc();
     }
 
+    /// Counts a query to other routers for the origin of a stream, by whether one of them knew it.
+    pub fn count_origin_query(&self, found: bool) {
+        let reason = if found { "found" } else { "unknown" };
+        self.origin_queries
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Counts a confirmation of what is known about keys, by whether a router or the store was
     /// asked.
     pub fn count_confirmation(&self, by_router: bool) {
--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -77,7 +77,9 @@
         .await;
     }
     let until = gateway.now() + ANSWER_TIMEOUT;
-    gateway.timeout_at(until, query.wait()).await.flatten()
+    let origin = gateway.timeout_at(until, query.wait()).await.flatten();
+    gateway.metrics.count_origin_query(origin.is_some());
+    origin
 }
 
 fn known_version(gateway: &Gateway, stream: StreamId) -> Option<SoftwareVersion> {
