--- a/crates/peppercrank-direct/tests/verify_origins.rs
+++ b/crates/peppercrank-direct/tests/verify_origins.rs
@@ -179,3 +179,93 @@
     origins.end_query(stream);
     assert!(!origins.is_awaited(stream));
 }
+
+/// Result of a simulation.
+struct Outcome {
+    /// Datagram bytes that each router sent per second, with headers.
+    bytes_per_second: usize,
+    /// Most origins that a router held.
+    most_held: usize,
+    /// Streams that the lost router began in its last two seconds.
+    lost: usize,
+    /// Those of them whose origin one of its other keepers knows.
+    found: usize,
+}
+
+/// Simulates routers that report their streams ten times a second, for 20 seconds. Each datagram is
+/// lost with a probability of 3 %, and at the end one router is lost.
+fn simulate(routers: usize, streams_per_second: usize) -> Outcome {
+    const SECONDS: usize = 20;
+    const TICKS: u32 = 200;
+    const TICK: Duration = Duration::from_millis(100);
+    const HEADER_BYTES: usize = 28;
+    let names = (0..routers).map(|n| format!("router-{n}"));
+    let names = names.collect::<Vec<_>>();
+    let index = |name: &str| names.iter().position(|n| n == name).expect("a router");
+    let mut known = (0..routers).map(|_| Origins::default()).collect::<Vec<_>>();
+    let mut queues = (0..routers)
+        .map(|_| OriginQueue::default())
+        .collect::<Vec<_>>();
+    let mut rng = 1_u64;
+    let mut draw = move |below: u64| {
+        rng = rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (rng >> 33) % below
+    };
+    let (mut bytes, mut most_held, mut of_lost) = (0, 0, Vec::new());
+    let mut number = 0;
+    for tick in 0..TICKS {
+        let now = START + TICK * tick;
+        for _ in 0..streams_per_second.div_ceil(10) {
+            number += 1;
+            let router = usize::try_from(draw(routers as u64)).expect("a small number");
+            let stream = report(number).stream;
+            let until = now + Duration::from_secs(12);
+            known[router].record(now, stream, version("v1"), until);
+            queues[router].push(stream, ());
+            if router == 0 && tick + 20 > TICKS {
+                of_lost.push(stream);
+            }
+        }
+        for router in 0..routers {
+            let reports = queues[router].take_reports(now, &known[router], |()| true);
+            let others = names.iter().enumerate().filter(|(n, _)| *n != router);
+            let others = others.map(|(_, name)| name.as_str()).collect::<Vec<_>>();
+            for (to, part) in address_reports(&reports, &names[router], &others) {
+                let datagram = Datagram::Origins(part.clone()).encode();
+                bytes += datagram.expect("a datagram").len() + HEADER_BYTES;
+                for report in part.iter().filter(|_| draw(100) >= 3) {
+                    known[index(to)].record_report(now, *report);
+                }
+            }
+            most_held = most_held.max(known[router].len());
+        }
+    }
+    let end = START + TICK * TICKS;
+    let found = of_lost.iter().filter(|stream| {
+        let keepers = keepers(**stream, names.iter().map(String::as_str)).into_iter();
+        let mut others = keepers.map(&index).filter(|router| *router != 0);
+        others.any(|router| known[router].version(end, **stream).is_some())
+    });
+    Outcome {
+        bytes_per_second: bytes / SECONDS / routers,
+        most_held,
+        lost: of_lost.len(),
+        found: found.count(),
+    }
+}
+
+#[test]
+fn verify_origins_fit_the_allowance_of_a_large_fleet_and_outlast_a_router() {
+    // Streams in proportion to the routers, as at the size that the fleet is built for.
+    for (routers, streams) in [(4, 20), (30, 105), (100, 350), (370, 1_300)] {
+        let Outcome {
+            bytes_per_second,
+            most_held,
+            lost,
+            found,
+        } = simulate(routers, streams);
+        assert!(bytes_per_second < 600, "{routers}: {bytes_per_second} B/s");
+        assert!(most_held < 1_000, "{routers}: {most_held}");
+        assert!(lost > 0 && found * 100 >= lost * 95, "{found} of {lost}");
+    }
+}
