Check a pool's versions once a tick, and bind only where other versions serve

Origins that wait for a second version were checked one by one against all targets ten times a second: by count, at 370 routers some 105 streams times 1,300 targets, 1.4 million comparisons a second on each router. They are kept by pool now, and each pool is checked once a tick, 13 thousand comparisons. Not measured; found in review.

A stream that goes on in a pool with one version keeps the admission that it had before: only where targets of other versions are withheld does the load cap alone bound it.

--- a/crates/peppercrank-direct/src/decide.rs
+++ b/crates/peppercrank-direct/src/decide.rs
@@ -30,8 +30,8 @@
     pub time_left: Duration,
     /// Whether it is the first attempt of the request.
     pub is_first: bool,
-    /// Whether it may go only to targets of one software version, whose waits say nothing about the
-    /// whole pool.
+    /// Whether it continues a stream and may go only to the targets of one of the pool's software
+    /// versions, whose waits say nothing about the whole pool.
     pub is_bound: bool,
 }
 
--- a/crates/peppercrank-direct/src/origins.rs
+++ b/crates/peppercrank-direct/src/origins.rs
@@ -12,6 +12,7 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use peppercrank_core::hash::hash64;
@@ -241,26 +242,19 @@
 ///
 /// They are reported once their pool runs several software versions, so that the streams that began
 /// shortly before a second version joined are reported too.
-#[derive(Debug)]
-pub struct OriginQueue<P> {
-    streams: VecDeque<(StreamId, P)>,
-}
-
-impl<P> Default for OriginQueue<P> {
-    fn default() -> Self {
-        Self {
-            streams: VecDeque::new(),
-        }
-    }
+#[derive(Debug, Default)]
+pub struct OriginQueue {
+    by_pool: HashMap<Arc<str>, VecDeque<StreamId>>,
 }
 
-impl<P> OriginQueue<P> {
+impl OriginQueue {
     /// Adds a stream of a pool.
-    pub fn push(&mut self, stream: StreamId, pool: P) {
-        if self.streams.len() >= MAX_ORIGINS {
-            self.streams.pop_front();
+    pub fn push(&mut self, stream: StreamId, pool: &Arc<str>) {
+        let streams = self.by_pool.entry(Arc::clone(pool)).or_default();
+        if streams.len() >= MAX_ORIGINS {
+            streams.pop_front();
         }
-        self.streams.push_back((stream, pool));
+        streams.push_back(stream);
     }
 
     /// Takes the reports of streams whose pools are `mixed`, and drops streams whose origins are no
@@ -269,18 +263,20 @@
         &mut self,
         now: Instant,
         origins: &Origins,
-        mixed: impl Fn(&P) -> bool,
+        mixed: impl Fn(&str) -> bool,
     ) -> Vec<OriginReport> {
         let mut reports = Vec::new();
-        self.streams.retain(|(stream, pool)| {
-            let Some(report) = origins.report(now, *stream) else {
-                return false;
-            };
+        self.by_pool.retain(|pool, streams| {
             if mixed(pool) {
-                reports.push(report);
-                return false;
+                let known = streams.drain(..).filter_map(|s| origins.report(now, s));
+                reports.extend(known);
+            }
+            while let Some(oldest) = streams.front()
+                && origins.version(now, *oldest).is_none()
+            {
+                streams.pop_front();
             }
-            true
+            !streams.is_empty()
         });
         reports
     }
@@ -288,7 +284,7 @@
     /// Returns whether there is nothing to report.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.streams.is_empty()
+        self.by_pool.is_empty()
     }
 }
 
--- a/crates/peppercrank-direct/tests/verify_origins.rs
+++ b/crates/peppercrank-direct/tests/verify_origins.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use peppercrank_core::time::Instant;
@@ -100,17 +101,18 @@
     for number in 0..3_u64 {
         let stream = report(number).stream;
         origins.record(START, stream, version("v1"), after(10));
-        queue.push(stream, if number == 2 { "other" } else { "pool" });
+        let pool = if number == 2 { "other" } else { "pool" };
+        queue.push(stream, &pool.into());
     }
     let none = queue.take_reports(after(1), &origins, |_| false);
     assert!(none.is_empty());
-    let reports = queue.take_reports(after(2), &origins, |pool| *pool == "pool");
+    let reports = queue.take_reports(after(2), &origins, |pool| pool == "pool");
     let streams = reports.iter().map(|r| r.stream).collect::<Vec<_>>();
     assert_eq!(streams, [report(0).stream, report(1).stream]);
     assert!(reports.iter().all(|r| r.kept_ms == 28_000));
     assert!(
         queue
-            .take_reports(after(3), &origins, |pool| *pool == "pool")
+            .take_reports(after(3), &origins, |pool| pool == "pool")
             .is_empty()
     );
     // The other pool's stream is dropped once its origin is no longer kept.
@@ -206,6 +208,7 @@
     let mut queues = (0..routers)
         .map(|_| OriginQueue::default())
         .collect::<Vec<_>>();
+    let pool = Arc::from("pool");
     let mut rng = 1_u64;
     let mut draw = move |below: u64| {
         rng = rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
@@ -221,13 +224,13 @@
             let stream = report(number).stream;
             let until = now + Duration::from_secs(12);
             known[router].record(now, stream, version("v1"), until);
-            queues[router].push(stream, ());
+            queues[router].push(stream, &pool);
             if router == 0 && tick + 20 > TICKS {
                 of_lost.push(stream);
             }
         }
         for router in 0..routers {
-            let reports = queues[router].take_reports(now, &known[router], |()| true);
+            let reports = queues[router].take_reports(now, &known[router], |_| true);
             let others = names.iter().enumerate().filter(|(n, _)| *n != router);
             let others = others.map(|(_, name)| name.as_str()).collect::<Vec<_>>();
             for (to, part) in address_reports(&reports, &names[router], &others) {
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -121,7 +121,7 @@
         pool_goal: job.pool_goal,
         time_left: job.deadline.since(now),
         is_first: tried.is_empty(),
-        is_bound: version.is_some(),
+        is_bound: eligible.is_bound,
     };
     let admission = state.admission.entry(Arc::clone(&job.pool)).or_default();
     let decision = decide(
--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -48,6 +48,8 @@
     /// another software version than the one that began its stream, or are cold and already get as
     /// many requests as they can take.
     pub withheld: Vec<TargetKey>,
+    /// Whether some of the withheld targets run another software version.
+    pub is_bound: bool,
 }
 
 /// Returns the targets that a request may be sent to, of the given software version if any.
@@ -80,6 +82,7 @@
         return Err(Rejection::with_default_delay(Reason::VersionGone));
     }
     let mut eligible = Eligible {
+        is_bound: !other_versions.is_empty(),
         candidates: Vec::with_capacity(allowed.len()),
         withheld: [withheld, other_versions].concat(),
     };
--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -4,7 +4,6 @@
 //! Shares with other routers at which software version each stream began.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use peppercrank_direct::origins::OriginReport;
@@ -36,7 +35,7 @@
     let mut state = gateway.state();
     let version = SoftwareVersion::of(&flight.version);
     state.origins.record(now, stream, version, job.deadline);
-    state.origin_queue.push(stream, Arc::clone(&job.pool));
+    state.origin_queue.push(stream, &job.pool);
 }
 
 /// Finds where a stream that the caller resumes may go on; other requests may go anywhere.
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -83,7 +83,7 @@
     /// The software versions at which streams began.
     pub origins: Origins,
     /// Streams whose origins are not reported to other routers yet, with their pools.
-    pub origin_queue: OriginQueue<Arc<str>>,
+    pub origin_queue: OriginQueue,
     /// Limits requests to cold targets.
     pub warm_up_gate: Gate,
     /// The load reported by other routers.
