--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -27,6 +27,7 @@
 pub use crate::target::TargetKey;
 pub use crate::target::WithheldReason;
 
+use crate::departed_versions::DepartedVersions;
 use crate::evacuations::Evacuations;
 use crate::notice::Notice;
 use crate::starts::Relation;
@@ -67,8 +68,8 @@
     pub evacuations: Evacuations,
     /// Time at which the first whole list was read.
     first_listed: Option<Instant>,
-    /// Software versions of targets that are gone, by pool, and when they left.
-    gone_versions: Vec<(Arc<str>, Arc<str>, Instant)>,
+    /// Software versions of targets that left recently.
+    departed_versions: DepartedVersions,
 }
 
 /// `Departed` is what is remembered of a departed target, since its entry may be written again
@@ -317,9 +318,7 @@
             } = target.registration;
             self.instances.remove(&instance);
             self.remove_from_pool(&pool, key);
-            self.gone_versions
-                .retain(|(p, v, _)| *p != pool || *v != version);
-            self.gone_versions.push((pool, version, now));
+            self.departed_versions.record(now, pool, version);
         }
     }
 
@@ -328,11 +327,7 @@
     pub fn runs_several_versions(&self, now: Instant, pool: &str) -> bool {
         let present = self.members(pool).filter_map(|key| self.targets.get(key));
         let present = present.map(|target| &target.registration.version);
-        let gone = self.gone_versions.iter().filter(|(p, _, at)| {
-            let recent = now.since(*at) < DEPARTED_RETENTION;
-            recent && **p == *pool
-        });
-        let mut versions = present.chain(gone.map(|(_, version, _)| version));
+        let mut versions = present.chain(self.departed_versions.of_pool(now, pool));
         let first = versions.next();
         versions.any(|version| Some(version) != first)
     }
@@ -394,8 +389,7 @@
         }
         self.departed
             .retain(|_, d| now.since(d.removed_at) < DEPARTED_RETENTION);
-        self.gone_versions
-            .retain(|(_, _, at)| now.since(*at) < DEPARTED_RETENTION);
+        self.departed_versions.expire(now);
         if self.held_until.is_some_and(|until| now >= until) {
             for (_, entry) in std::mem::take(&mut self.held_entries) {
                 events.push(self.join(now, entry));
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`congestion`]: whether the router's own link is congested.
 //! - [`content`]: fingerprints that identify requests by their content.
 //! - [`decide`]: whether a request is sent, and where to.
+//! - [`departed_versions`]: software versions of targets that left recently.
 //! - [`desired`]: the operators' configuration, indexed for the request path.
 //! - [`directory`]: the known targets, and which of them are leaving.
 //! - [`era`]: which generation of the store an answer belongs to.
@@ -45,6 +46,7 @@
 pub mod congestion;
 pub mod content;
 pub mod decide;
+pub mod departed_versions;
 pub mod desired;
 pub mod directory;
 pub mod era;
