Compute the hash of a target's software version once a start

Each request compared the versions of all targets of its pool by hashing their names anew, some 3,000 at 300 VMs.

--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -30,6 +30,7 @@
 use crate::departed_versions::DepartedVersions;
 use crate::evacuations::Evacuations;
 use crate::notice::Notice;
+use crate::origins::SoftwareVersion;
 use crate::starts::Relation;
 use crate::starts::Start;
 use crate::warm_up::COLD_MARGIN;
@@ -258,6 +259,7 @@
         let cold_until = now + entry.cold_for;
         let registration = entry;
         let key = self.targets.insert(Target {
+            software: SoftwareVersion::of(&registration.version),
             registration,
             state,
             first_seen: now,
--- a/crates/peppercrank-direct/src/registration.rs
+++ b/crates/peppercrank-direct/src/registration.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::origins::SoftwareVersion;
 use crate::peers::TargetId;
 use crate::starts::Start;
 
@@ -41,12 +40,6 @@
         TargetId::of(&self.instance, self.start)
     }
 
-    /// Returns the software version in the form in which routers compare it.
-    #[must_use]
-    pub fn software(&self) -> SoftwareVersion {
-        SoftwareVersion::of(&self.version)
-    }
-
     /// Returns the identifier by which homes are chosen. It depends on the name alone, so that
     /// prompts keep their home when a target starts again, also at routers that do not know yet.
     #[must_use]
--- a/crates/peppercrank-direct/src/target.rs
+++ b/crates/peppercrank-direct/src/target.rs
@@ -7,6 +7,7 @@
 use slotmap::new_key_type;
 
 use crate::directory::TargetEvent;
+use crate::origins::SoftwareVersion;
 use crate::registration::Registration;
 use crate::starts::OLDER_START_DELAY;
 
@@ -57,6 +58,9 @@
 pub struct Target {
     /// The latest entry of this start.
     pub registration: Registration,
+    /// Version of its software in the form in which routers compare it, which each request does for
+    /// each target.
+    pub software: SoftwareVersion,
     /// Whether it takes new work.
     pub state: State,
     /// Time at which the router first learnt of this start.
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -237,7 +237,7 @@
         Some(Candidate {
             key,
             placement_id: registration.placement_id(),
-            version: registration.software(),
+            version: target.software,
             slots: registration.slots,
             same_zone: *registration.zone == *self.settings.zone,
             held_tokens: state.prefixes.held_tokens(key, &self.job.prompt_parts),
@@ -265,7 +265,8 @@
         let Self {
             state, now, job, ..
         } = self;
-        let registration = &state.directory.get(key)?.registration;
+        let target = state.directory.get(key)?;
+        let registration = &target.registration;
         let counted = counts_in_load.then(|| {
             state
                 .board
@@ -283,7 +284,7 @@
         (counts_in_load || copies).then(|| Holder {
             key,
             placement_id: registration.placement_id(),
-            version: registration.software(),
+            version: target.software,
             held_tokens: held,
             copyable: copies,
             counted_stats: counted,
--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -138,7 +138,7 @@
 #[must_use]
 pub fn runs_version(state: &State, key: TargetKey, version: Option<SoftwareVersion>) -> bool {
     let target = state.directory.get(key);
-    version.is_none_or(|version| target.is_some_and(|t| t.registration.software() == version))
+    version.is_none_or(|version| target.is_some_and(|t| t.software == version))
 }
 
 /// Excludes cold targets that already get as many requests as they can take. When the router may
