Count the software versions of pools as targets join and leave

Cause: each request looked up each target of its pool once more, also where no version bound it, and ten times a second each router compared the names of the versions of all targets, 3,000 at 300 VMs.

Now versions are counted by pool as targets join and leave, and targets are looked up for their version only for a stream that goes on.

--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -27,10 +27,10 @@
 pub use crate::target::TargetKey;
 pub use crate::target::WithheldReason;
 
-use crate::departed_versions::DepartedVersions;
 use crate::evacuations::Evacuations;
 use crate::notice::Notice;
 use crate::origins::SoftwareVersion;
+use crate::pool_versions::PoolVersions;
 use crate::starts::Relation;
 use crate::starts::Start;
 use crate::warm_up::COLD_MARGIN;
@@ -69,8 +69,8 @@
     pub evacuations: Evacuations,
     /// Time at which the first whole list was read.
     first_listed: Option<Instant>,
-    /// Software versions of targets that left recently.
-    departed_versions: DepartedVersions,
+    /// Software versions of each pool.
+    versions: PoolVersions,
 }
 
 /// `Departed` is what is remembered of a departed target, since its entry may be written again
@@ -186,8 +186,11 @@
             Relation::Same => {
                 let pool = Arc::clone(&entry.pool);
                 let previous = Arc::clone(&target.registration.pool);
+                let software = target.software;
                 let event = target.refresh(now, key, entry);
                 if pool != previous {
+                    self.versions.left(now, &previous, software);
+                    self.versions.joined(now, &pool, software);
                     self.remove_from_pool(&previous, key);
                     self.pools.entry(pool).or_default().push(key);
                 }
@@ -258,8 +261,10 @@
         };
         let cold_until = now + entry.cold_for;
         let registration = entry;
+        let software = SoftwareVersion::of(&registration.version);
+        self.versions.joined(now, &pool, software);
         let key = self.targets.insert(Target {
-            software: SoftwareVersion::of(&registration.version),
+            software,
             registration,
             state,
             first_seen: now,
@@ -312,26 +317,17 @@
 
     fn forget(&mut self, now: Instant, key: TargetKey) {
         if let Some(target) = self.targets.remove(key) {
-            let Registration {
-                instance,
-                pool,
-                version,
-                ..
-            } = target.registration;
+            let Registration { instance, pool, .. } = target.registration;
             self.instances.remove(&instance);
             self.remove_from_pool(&pool, key);
-            self.departed_versions.record(now, pool, version);
+            self.versions.left(now, &pool, target.software);
         }
     }
 
     /// Returns whether the targets of a pool run several software versions, or did until recently.
     #[must_use]
     pub fn runs_several_versions(&self, now: Instant, pool: &str) -> bool {
-        let present = self.members(pool).filter_map(|key| self.targets.get(key));
-        let present = present.map(|target| &target.registration.version);
-        let mut versions = present.chain(self.departed_versions.of_pool(now, pool));
-        let first = versions.next();
-        versions.any(|version| Some(version) != first)
+        self.versions.is_mixed(now, pool)
     }
 
     /// Removes a target from the list of a pool, and the list itself once it is empty, as other
@@ -391,7 +387,7 @@
         }
         self.departed
             .retain(|_, d| now.since(d.removed_at) < DEPARTED_RETENTION);
-        self.departed_versions.expire(now);
+        self.versions.expire(now);
         if self.held_until.is_some_and(|until| now >= until) {
             for (_, entry) in std::mem::take(&mut self.held_entries) {
                 events.push(self.join(now, entry));
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -10,7 +10,6 @@
 //! - [`congestion`]: whether the router's own link is congested.
 //! - [`content`]: fingerprints that identify requests by their content.
 //! - [`decide`]: whether a request is sent, and where to.
-//! - [`departed_versions`]: software versions of targets that left recently.
 //! - [`desired`]: the operators' configuration, indexed for the request path.
 //! - [`directory`]: the known targets, and which of them are leaving.
 //! - [`era`]: which generation of the store an answer belongs to.
@@ -23,6 +22,7 @@
 //! - [`overcount`]: correction of a pool's mean load for work that peers overcount.
 //! - [`peers`]: datagrams between routers, and the work of the other routers.
 //! - [`place`]: choice of a request's target by the predicted time to the first token.
+//! - [`pool_versions`]: software versions that the targets of each pool run.
 //! - [`prefixes`]: index of the prompt prefixes that targets hold.
 //! - [`quarantine`]: quarantine of requests that crash targets.
 //! - [`ranks`]: order of requests by priority within a pool.
@@ -46,7 +46,6 @@
 pub mod congestion;
 pub mod content;
 pub mod decide;
-pub mod departed_versions;
 pub mod desired;
 pub mod directory;
 pub mod era;
@@ -59,6 +58,7 @@
 pub mod overcount;
 pub mod peers;
 pub mod place;
+pub mod pool_versions;
 pub mod prefixes;
 pub mod quarantine;
 pub mod ranks;
--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -76,16 +76,16 @@
             None => Ok(Eligible::default()),
         };
     }
-    let same_version = |key: &TargetKey| runs_version(state, *key, version);
-    let (allowed, other_versions) = allowed.into_iter().partition::<Vec<_>, _>(same_version);
-    if allowed.is_empty() {
-        return Err(Rejection::with_default_delay(Reason::VersionGone));
-    }
     let mut eligible = Eligible {
-        is_bound: !other_versions.is_empty(),
-        candidates: Vec::with_capacity(allowed.len()),
-        withheld: [withheld, other_versions].concat(),
+        candidates: Vec::new(),
+        withheld,
+        is_bound: false,
+    };
+    let allowed = match version {
+        Some(version) => withhold_other_versions(state, version, allowed, &mut eligible)?,
+        None => allowed,
     };
+    eligible.candidates.reserve(allowed.len());
     apply_warm_up(state, now, job, settings, allowed, &mut eligible)?;
     Ok(eligible)
 }
@@ -134,11 +134,31 @@
     job.regions.allows(region.map(String::as_str))
 }
 
+/// Returns the targets that run a software version, and withholds the others.
+fn withhold_other_versions(
+    state: &State,
+    version: SoftwareVersion,
+    allowed: Vec<TargetKey>,
+    eligible: &mut Eligible,
+) -> Result<Vec<TargetKey>, Rejection> {
+    let same = |key: &TargetKey| runs_version(state, *key, Some(version));
+    let (same, others) = allowed.into_iter().partition::<Vec<_>, _>(same);
+    if same.is_empty() {
+        return Err(Rejection::with_default_delay(Reason::VersionGone));
+    }
+    eligible.is_bound = !others.is_empty();
+    eligible.withheld.extend(others);
+    Ok(same)
+}
+
 /// Returns whether a target runs the given software version; always true if none is given.
 #[must_use]
 pub fn runs_version(state: &State, key: TargetKey, version: Option<SoftwareVersion>) -> bool {
-    let target = state.directory.get(key);
-    version.is_none_or(|version| target.is_some_and(|t| t.software == version))
+    let runs = |version| {
+        let target = state.directory.get(key);
+        target.is_some_and(|t| t.software == version)
+    };
+    version.is_none_or(runs)
 }
 
 /// Excludes cold targets that already get as many requests as they can take. When the router may
