--- a/crates/peppercrank-direct/src/retries.rs
+++ b/crates/peppercrank-direct/src/retries.rs
@@ -110,6 +110,14 @@
         allowed - as_f64(history.retries.len() as u64)
     }
 
+    /// Returns the number of retries that this router made for a pool within the window.
+    pub fn spent(&mut self, now: Instant, pool: &Arc<str>) -> usize {
+        let window = self.limits.window;
+        let history = self.history(pool);
+        prune(&mut history.retries, now, window);
+        history.retries.len()
+    }
+
     /// Returns the pools for which requests or retries were recorded.
     pub fn pools(&self) -> impl Iterator<Item = &Arc<str>> {
         self.pools.keys()
