Limit a router's retries in its first window to what its predecessor left

Cause: a bound of the fleet kept in the memory of a process. A router that ended had spent its part of the window; the one in its place counted from nothing and spent it again. The ramp of the extra with the process's age did not help: in its first window the successor earned the whole share, and the ramped extra, on top of what had been spent.

Change: in its first window a router may use only what the usual parts leave of the limits (0.15 of the share of its requests; 0.3 of its part of the extra, growing with its age). The process before it used at most the usual parts; the sum of all processes after it in the same window stays within the rest, however many there are.

--- a/crates/peppercrank-direct/src/retries.rs
+++ b/crates/peppercrank-direct/src/retries.rs
@@ -16,12 +16,12 @@
 
 use crate::rates::as_f64;
 
-/// Fraction of the allowed share that is used; the remainder covers retries that fall into a later
-/// window than their requests.
+/// Fraction of the allowed share that is used. The remainder covers retries that fall into a later
+/// window than their requests, and is what a router may use in its first window.
 const USABLE_SHARE: f64 = 0.85;
 
-/// Fraction of the allowed extra that is used; the remainder covers routers that do not know of
-/// each other.
+/// Fraction of the allowed extra that is used. The remainder covers routers that do not know of each
+/// other, and is what a router may use in its first window.
 const USABLE_EXTRA: f64 = 0.7;
 
 /// Limits on retries in the whole fleet.
@@ -35,6 +35,13 @@
     pub window: Duration,
 }
 
+/// Fractions of the limits that a router may use.
+#[derive(Debug, Clone, Copy)]
+struct Usable {
+    share: f64,
+    extra: f64,
+}
+
 /// Times of the requests for a pool and of their retries within the window.
 #[derive(Debug, Default)]
 struct PoolHistory {
@@ -99,17 +106,34 @@
             extra,
             window,
         } = self.limits;
-        let window_share =
-            now.since(self.started_at).as_secs_f64() / window.as_secs_f64().max(0.001);
-        let extra_share = USABLE_EXTRA * window_share.min(1.0) / as_f64(routers.max(1) as u64);
+        let usable = self.usable(now);
         let history = self.history(pool);
         prune(&mut history.requests, now, window);
         prune(&mut history.retries, now, window);
-        let allowed =
-            as_f64(history.requests.len() as u64) * share * USABLE_SHARE + extra * extra_share;
+        let extra = extra / as_f64(routers.max(1) as u64);
+        let requests = as_f64(history.requests.len() as u64);
+        let allowed = requests * share * usable.share + extra * usable.extra;
         allowed - as_f64(history.retries.len() as u64)
     }
 
+    /// Returns the parts of the limits that this router may use now. In its first window the router
+    /// that it replaced may have used the usual parts just before it ended. Together with what all
+    /// its successors use, that stays within the limits, however often they restart.
+    fn usable(&self, now: Instant) -> Usable {
+        let age = now.since(self.started_at).as_secs_f64();
+        let windows = age / self.limits.window.as_secs_f64().max(0.001);
+        if windows >= 1.0 {
+            return Usable {
+                share: USABLE_SHARE,
+                extra: USABLE_EXTRA,
+            };
+        }
+        Usable {
+            share: 1.0 - USABLE_SHARE,
+            extra: (1.0 - USABLE_EXTRA) * windows,
+        }
+    }
+
     /// Returns the number of retries that this router made for a pool within the window.
     pub fn spent(&mut self, now: Instant, pool: &Arc<str>) -> usize {
         let window = self.limits.window;
