Take no extra retries before the list of routers was read

What callers would see: arrivals beyond the budget where routers start while the store does not answer.

Cause: the extra is divided by the routers that are known. One that has not read the list knows none, and takes the extra of the whole fleet; five such routers spend it five times.

Change: until the list was read the number counts as unbounded, so that the share of own requests is all that is left. Spending moved into State, where three places looked up the divisor.

--- a/crates/peppercrank-direct/tests/verify_retry_restarts.rs
+++ b/crates/peppercrank-direct/tests/verify_retry_restarts.rs
@@ -150,7 +150,8 @@
     fn worst_excess(&self) -> f64 {
         let window = u64::try_from(WINDOW.as_millis()).expect("short");
         let count = |times: &[u64], from: u64, to: u64| {
-            times.partition_point(|t| *t <= to) - times.partition_point(|t| *t < from)
+            let within = times.partition_point(|t| *t <= to) - times.partition_point(|t| *t < from);
+            f64::from(u32::try_from(within).expect("few"))
         };
         let excess = |from: &u64| {
             let spans = [
@@ -159,9 +160,9 @@
                 (from.saturating_sub(window / 2), from + window / 2),
             ];
             let requests = spans.map(|(from, to)| count(&self.requests, from, to));
-            let most = requests.into_iter().max().unwrap_or(0);
-            let allowed = LIMITS.share * most as f64 + LIMITS.extra;
-            count(&self.retries, *from, from + window) as f64 - allowed
+            let most = requests.into_iter().fold(0.0, f64::max);
+            let allowed = LIMITS.share * most + LIMITS.extra;
+            count(&self.retries, *from, from + window) - allowed
         };
         self.retries.iter().map(excess).fold(f64::MIN, f64::max)
     }
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -85,7 +85,10 @@
                 for entry in entries {
                     self.apply_router(entry);
                 }
-                self.gateway.state().routers_changed(&own);
+                let mut state = self.gateway.state();
+                state.routers_read = true;
+                state.routers_changed(&own);
+                drop(state);
                 if !listed_before {
                     self.gateway.routers_listed.notify_one();
                 }
--- a/crates/peppercrank-gateway/src/metrics.rs
+++ b/crates/peppercrank-gateway/src/metrics.rs
@@ -345,10 +345,9 @@
     }
 
     fn update_retries_left(&self, state: &mut State, now: Instant) {
-        let routers = state.router_count(now);
         let pools = state.retry_budget.pools().cloned().collect::<Vec<_>>();
         for pool in pools {
-            let left = state.retry_budget.remaining(now, &pool, routers);
+            let left = state.retries_left(now, &pool);
             let pool = pool.to_string();
             self.retries_left
                 .get_or_create(&PoolLabel { pool })
--- a/crates/peppercrank-gateway/src/request_log.rs
+++ b/crates/peppercrank-gateway/src/request_log.rs
@@ -30,7 +30,8 @@
     pub fn log_failed_attempt(&self, flight: &Flight, cause: &'static str) {
         self.gateway.metrics.count_failed_attempt(cause);
         let content = self.job.fingerprint().to_string();
-        let (spent, routers) = self.retry_counts();
+        let now = self.gateway.now();
+        let (retries, routers) = self.gateway.state().retry_counts(now, &self.job.pool);
         let fields = [
             ("request", Field::Text(&self.job.id)),
             ("content", Field::Text(&content)),
@@ -48,23 +49,13 @@
                 "predicted_ms",
                 Field::Number(whole_millis(flight.in_flight.choice.predicted_first_ms)),
             ),
-            ("retries", Field::Number(spent)),
-            ("routers", Field::Number(routers)),
+            ("retries", Field::Number(retries as u64)),
+            ("routers", Field::Number(routers as u64)),
             ("held_ms", Field::Millis(self.elapsed())),
         ];
         self.gateway.log.write(Event::AttemptFailed, &fields);
     }
 
-    /// Returns how many retries for the pool this router counts within the window, and the number of
-    /// routers among which the extra ones are divided.
-    fn retry_counts(&self) -> (u64, u64) {
-        let now = self.gateway.now();
-        let mut state = self.gateway.state();
-        let routers = state.router_count(now);
-        let spent = state.retry_budget.spent(now, &self.job.pool);
-        (spent as u64, routers as u64)
-    }
-
     /// Logs an answer that was forwarded completely. `first_part_after` is the time to its first
     /// part.
     pub fn log_answered(&self, flight: &Flight, status: StatusCode, first_part_after: Duration) {
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -349,8 +349,7 @@
         if admission.is_some_and(Admission::is_overloaded) {
             return false;
         }
-        let routers = state.router_count(now);
-        state.retry_budget.can_spend(now, &self.job.pool, routers)
+        state.can_retry(now, &self.job.pool)
     }
 
     /// Returns whether another target could take over if the current attempt were abandoned.
@@ -367,10 +366,7 @@
     /// Takes a retry from the fleet's budget, and returns whether there was one.
     pub fn spend_retry(&self) -> bool {
         let now = self.gateway.now();
-        let mut state = self.gateway.state();
-        let routers = state.router_count(now);
-        let allowed = state.retry_budget.try_spend(now, &self.job.pool, routers);
-        drop(state);
+        let allowed = self.gateway.state().spend_retry(now, &self.job.pool);
         self.gateway.metrics.count_retry(allowed);
         allowed
     }
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -103,6 +103,8 @@
     pub peers: Peers,
     /// The other registered routers by name.
     pub routers: HashMap<Arc<str>, RegisteredRouter>,
+    /// Whether the list of routers was ever read.
+    pub routers_read: bool,
     /// The ids of the requests in progress.
     pub in_progress: SlotMap<InProgressKey, String>,
     /// Cache hints to be sent to other routers.
@@ -192,6 +194,7 @@
             warm_up_gate: Gate::default(),
             peers: Peers::default(),
             routers: HashMap::new(),
+            routers_read: false,
             in_progress: SlotMap::with_key(),
             outbox: HintQueue::default(),
         }
@@ -263,4 +266,43 @@
     pub fn router_count(&self, now: Instant) -> usize {
         self.routers.len().max(self.peers.alive_count(now)) + 1
     }
+
+    /// Returns the number of routers that share the extra retries. Before the list of routers was
+    /// read it is unbounded, so that this router takes none of them.
+    fn retry_sharers(&self, now: Instant) -> usize {
+        if self.routers_read {
+            self.router_count(now)
+        } else {
+            usize::MAX
+        }
+    }
+
+    /// Returns whether the fleet's budget allows this router another retry for a pool.
+    pub fn can_retry(&mut self, now: Instant, pool: &Arc<str>) -> bool {
+        let routers = self.retry_sharers(now);
+        self.retry_budget.can_spend(now, pool, routers)
+    }
+
+    /// Takes a retry for a pool from the fleet's budget; returns false if none is left.
+    pub fn spend_retry(&mut self, now: Instant, pool: &Arc<str>) -> bool {
+        let routers = self.retry_sharers(now);
+        self.retry_budget.try_spend(now, pool, routers)
+    }
+
+    /// Returns the number of retries for a pool that are left to this router.
+    pub fn retries_left(&mut self, now: Instant, pool: &Arc<str>) -> f64 {
+        let routers = self.retry_sharers(now);
+        self.retry_budget.remaining(now, pool, routers)
+    }
+
+    /// Returns how many retries for a pool this router counts within the window, and the number of
+    /// routers among which the extra ones are divided; 0 while that is unknown.
+    pub fn retry_counts(&mut self, now: Instant, pool: &Arc<str>) -> (usize, usize) {
+        let routers = if self.routers_read {
+            self.router_count(now)
+        } else {
+            0
+        };
+        (self.retry_budget.spent(now, pool), routers)
+    }
 }
