--- a/crates/peppercrank-direct/src/content.rs
+++ b/crates/peppercrank-direct/src/content.rs
@@ -1,10 +1,12 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! Fingerprints that identify a request by its content, since a repeated request has a new id.
+//! Fingerprints that identify a request by its content, since a repeated request has a new id, and
+//! a part of a prompt, which many requests may hold.
 
 use std::fmt;
 
+use peppercrank_core::hash::hash64;
 use serde::Deserialize;
 use serde::Serialize;
 use sha2::Digest;
@@ -25,10 +27,14 @@
     pub body: &'a [u8],
 }
 
-/// Fingerprint of a request's content, which is the same on all routers.
+/// Seed of the hash of a prompt part.
+const PART_SEED: u64 = 0x7061_7274;
+
+/// Fingerprint of a request's content or of a part of a prompt, which is the same on all routers.
 ///
-/// It is the first eight bytes of a SHA-256, so that no caller can craft a request that collides
-/// with one of another organisation.
+/// That of a request is the first eight bytes of a SHA-256, so that no caller can craft a request
+/// that collides with one of another organisation. Callers choose the ids of parts themselves, so
+/// that a fast hash does for these.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fingerprint(pub u64);
 
@@ -56,6 +62,13 @@
         };
         Self(u64::from_le_bytes(*first))
     }
+
+    /// Returns the fingerprint of a part of a prompt for a model, wherever in the prompt it stands.
+    #[must_use]
+    pub fn of_part(model: &str, id: &str) -> Self {
+        let model = hash64(PART_SEED, model.as_bytes());
+        Self(hash64(model, id.as_bytes()))
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -80,6 +80,8 @@
     pub regions: Regions,
     /// The parts of its prompt, for matching cached prefixes.
     pub prompt_parts: Vec<PromptPart>,
+    /// The fingerprints of the parts of its prompt that other requests may share.
+    pub part_fingerprints: Vec<Fingerprint>,
     /// Where its caller resumes a stream; `None` if it begins anew or its route does not allow that.
     pub resumption: Option<Resumption>,
     /// When it was received.
@@ -133,6 +135,13 @@
         })
     }
 
+    /// Returns the fingerprints of the shared parts of the prompt, as written to the log.
+    #[must_use]
+    pub fn part_names(&self) -> String {
+        let names = self.part_fingerprints.iter().map(ToString::to_string);
+        names.collect::<Vec<_>>().join(" ")
+    }
+
     /// Returns the id of the request that brought the first event of the stream that the caller
     /// resumes; empty if it resumes none or does not name it.
     #[must_use]
@@ -233,6 +242,7 @@
                 None => route.regions.clone(),
             },
             prompt_parts: prompt.parts,
+            part_fingerprints: prompt.shared,
             resumption: resumption.filter(|_| resumable),
             received_at,
             deadline: received_at + timeout,
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -346,9 +346,11 @@
     fn abort(self, cause: &'static str) {
         let gap = self.stall_timer.idle_time(self.request.gateway.now());
         let content = self.request.job.fingerprint().to_string();
+        let parts = self.request.job.part_names();
         let fields = [
             ("request", Field::Text(&self.request.job.id)),
             ("content", Field::Text(&content)),
+            ("parts", Field::Text(&parts)),
             ("target", Field::Text(&self.flight.instance)),
             ("what", Field::Text(cause)),
             ("framing", Field::Text(self.flight.framing_name())),
--- a/crates/peppercrank-gateway/src/request_log.rs
+++ b/crates/peppercrank-gateway/src/request_log.rs
@@ -30,11 +30,13 @@
     pub fn log_failed_attempt(&self, flight: &Flight, cause: &'static str) {
         self.gateway.metrics.count_failed_attempt(cause);
         let content = self.job.fingerprint().to_string();
+        let parts = self.job.part_names();
         let now = self.gateway.now();
         let (retries, routers) = self.gateway.state().retry_counts(now, &self.job.pool);
         let fields = [
             ("request", Field::Text(&self.job.id)),
             ("content", Field::Text(&content)),
+            ("parts", Field::Text(&parts)),
             ("attempt", Field::Number(u64::from(self.plan.sends()))),
             ("target", Field::Text(&flight.instance)),
             ("software", Field::Text(&flight.version)),
