Quarantine parts of prompts that crash targets

Cause: the evidence was kept by a name that does not come again. Crashes were counted by the content of whole requests; where one part is at fault, each content crashes one target only. The class: a cause judged by an identity that its next occurrence does not have.

Change: crashes are also counted by each shared part of a prompt, at all routers, by reports of their own kind. A part is cleared by an answer that began on it and went on for 0.5 s or ended; one that was ever sound has 2 s from the first crash for that; crashes that a quarantined part explains are no evidence against the parts beside it.

Evidence: verify_crashing_parts sent 23 times where 8 are allowed, on the code before, and passes now, at one router and at three. In virtual time (1 to 68 routers) no more than 2 requests with the part reach a target later than 3 s after the fifth crash, and no sound one is refused later than 6 s after it.

With it: the allowance of reports forgot what a broadcast had used beyond it, and answers to reports did not count.

--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -173,6 +173,9 @@
     /// Answers and failures of targets. Routers of versions without this variant ignore the
     /// datagram.
     Failures(FailureSummary),
+    /// Parts of prompts during which targets crashed. Routers of versions without this variant
+    /// ignore the datagram.
+    PartReports(Vec<CrashReport>),
 }
 
 /// Work and hints of one router.
--- a/crates/peppercrank-direct/src/quarantine.rs
+++ b/crates/peppercrank-direct/src/quarantine.rs
@@ -1,7 +1,7 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! Quarantine of requests that crash targets.
+//! Quarantine of requests, and of parts of prompts, that crash targets.
 //!
 //! A request that crashes the target which runs it (a query of death) also fails all other requests
 //! in flight there, and its caller sends it again, under a new id and to any router. Limits on the
@@ -12,6 +12,11 @@
 //! answer is lost. A target therefore counts as crashed only if it no longer accepts connections.
 //! Every request in flight at the time is then a candidate, and two facts separate the culprit from
 //! the others: targets crash under it repeatedly, and no target ever completes it.
+//!
+//! Where one part of a prompt crashes targets, no two requests need be alike. The same is therefore
+//! counted by each part that requests share. Many sound requests hold a popular part, so that some
+//! of them are lost in every crash, whatever its cause; but others begin at sound targets all the
+//! while, and crashes that a quarantined part explains are no evidence against other parts.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,17 +26,18 @@
 use crate::content::Fingerprint;
 use crate::peers::TargetId;
 
+mod evidence;
 mod report;
 pub mod spread;
 
 pub use report::CrashReport;
 
-use report::ReportedCrash;
-use report::age_units;
+use evidence::Crash;
+use evidence::Evidence;
 use report::moment_before;
 
-/// Number of target crashes after which a request is quarantined. Innocent requests that happen to
-/// run beside a crashing one are hit once or twice.
+/// Number of target crashes after which a request or a part is quarantined. Innocent requests that
+/// happen to run beside a crashing one are hit once or twice.
 pub const CRASH_LIMIT: usize = 3;
 
 /// Time for which a request is remembered after it was last seen. It is longer than the interval of
@@ -42,6 +48,16 @@
 /// not counted. Datagrams are relayed within a second.
 const SUCCESS_TTL: Duration = Duration::from_secs(30);
 
+/// Time for which a target goes on with an answer after it began, from which no part of the prompt is
+/// suspected: a part at fault crashes its target as that begins to write.
+pub const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+
+/// Age of a router from which it knows which parts are sound. Until then each may be.
+const LEARNING_TIME: Duration = Duration::from_secs(10);
+
+/// Maximum number of parts of prompts that are remembered as sound, 16 bytes each.
+const MAX_SOUND_PARTS: usize = 4_096;
+
 /// Maximum number of remembered requests; at about 200 bytes each they take less than a megabyte.
 /// Only requests that were in flight at a target that crashed take an entry.
 const MAX_ENTRIES: usize = 4_096;
@@ -53,11 +69,14 @@
 /// [`crate::peers::MAX_DATAGRAM_BYTES`].
 const MAX_REPORTS_PER_DATAGRAM: usize = 28;
 
-/// Crash of one start of a target while it ran a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Crash {
-    target: TargetId,
-    at: Instant,
+/// What the fingerprints of a quarantine identify.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Subject {
+    /// Whole requests.
+    #[default]
+    Request,
+    /// Parts of prompts that requests share.
+    Part,
 }
 
 /// Change in what a router knows of a request.
@@ -83,87 +102,31 @@
     AlreadyProbing,
 }
 
-/// Crashes and completions by which it is decided whether a request crashes targets.
-#[derive(Debug, Clone, Default)]
-struct Evidence {
-    /// Target crashes under the request since it was last completed.
-    crashes: Vec<Crash>,
-    /// When a target last completed the request.
-    last_success: Option<Instant>,
-    /// When the request last arrived at any router.
-    last_seen: Instant,
-    /// Number of datagrams on which the evidence is still to be sent.
-    transmissions_left: u8,
-}
-
-impl Evidence {
-    const fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= CRASH_LIMIT
-    }
-
-    /// Adds a crash and returns true, unless it is already known, the request has been completed
-    /// since, or the request is already quarantined.
-    fn add_crash(&mut self, crash: Crash) -> bool {
-        let is_known = self.crashes.iter().any(|e| e.target == crash.target);
-        let is_cleared = self.last_success.is_some_and(|success| crash.at <= success);
-        if is_known || is_cleared || self.is_quarantined() {
-            return false;
-        }
-        self.crashes.push(crash);
-        true
-    }
-
-    /// Records that a target completed the request at `at`, which clears the crashes before that.
-    /// Crashes in `later` are kept in any case, since the router that reported the completion knows
-    /// that they happened after it. Returns whether any crash was cleared.
-    fn record_success(&mut self, at: Instant, later: &[ReportedCrash]) -> bool {
-        let before = self.crashes.len();
-        let is_later = |crash: &Crash| later.iter().any(|t| t.target == crash.target);
-        self.last_success = self.last_success.max(Some(at));
-        self.crashes.retain(|e| e.at > at || is_later(e));
-        self.crashes.len() < before
-    }
-
-    fn is_expired(&self, now: Instant) -> bool {
-        let ttl = if self.crashes.is_empty() {
-            SUCCESS_TTL
-        } else {
-            EVIDENCE_TTL
-        };
-        now.since(self.last_seen) >= ttl
-    }
-
-    fn report(&self, fingerprint: Fingerprint, now: Instant) -> CrashReport {
-        let reported = |crash: &Crash| ReportedCrash {
-            target: crash.target,
-            age: age_units(now, crash.at),
-        };
-        CrashReport {
-            fingerprint,
-            crashes: self.crashes.iter().map(reported).collect(),
-            last_success: self.last_success.map(|at| age_units(now, at)),
-            last_seen: age_units(now, self.last_seen),
-        }
-    }
-
-    /// Returns whether this router knows of a crash that the report lacks; false if the report
-    /// already reaches the crash limit, above which further crashes make no difference.
-    fn knows_more_than(&self, report: &CrashReport) -> bool {
-        let is_reported = |crash: &Crash| report.crashes.iter().any(|e| e.target == crash.target);
-        report.crashes.len() < CRASH_LIMIT && !self.crashes.iter().all(is_reported)
-    }
-}
-
-/// Evidence on the requests under which targets have crashed.
+/// Evidence on the requests, or the parts of prompts, under which targets have crashed.
 #[derive(Debug, Default)]
 pub struct Quarantine {
+    subject: Subject,
+    started_at: Instant,
     evidence: HashMap<Fingerprint, Evidence>,
-    /// Requests whose answers broke off, by target, while a probe of the target is under way.
-    awaiting_probe: HashMap<TargetId, Vec<Fingerprint>>,
+    /// Parts on which targets began answers, and when they last did.
+    sound: HashMap<Fingerprint, Instant>,
+    /// Requests whose answers broke off, by target, while a probe of the target is under way. Each
+    /// is given by its fingerprint or by those of its parts.
+    awaiting_probe: HashMap<TargetId, Vec<Vec<Fingerprint>>>,
 }
 
 impl Quarantine {
-    /// Returns whether there is no evidence on any request, so that no fingerprints are needed.
+    /// Creates a quarantine of parts of prompts at a router that starts at `now`.
+    #[must_use]
+    pub fn of_parts(now: Instant) -> Self {
+        Self {
+            subject: Subject::Part,
+            started_at: now,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether there is no evidence on anything, so that no fingerprints are needed.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.evidence.is_empty()
@@ -175,15 +138,22 @@
         fingerprint: Fingerprint,
         target: TargetId,
     ) -> ProbeAction {
-        let known = self
-            .evidence
-            .get(&fingerprint)
-            .map_or(0, |e| e.crashes.len());
+        self.record_broken_parts(&[fingerprint], target)
+    }
+
+    /// Records that a target's answer to a request with these parts broke off.
+    pub fn record_broken_parts(&mut self, parts: &[Fingerprint], target: TargetId) -> ProbeAction {
+        let crashes = |f| {
+            self.evidence
+                .get(f)
+                .map_or(0, |e: &Evidence| e.crashes.len())
+        };
+        let known = parts.iter().map(crashes).max().unwrap_or(0);
         let is_probing = self.awaiting_probe.contains_key(&target);
         self.awaiting_probe
             .entry(target)
             .or_default()
-            .push(fingerprint);
+            .push(parts.to_vec());
         match (known + 1 >= CRASH_LIMIT, is_probing) {
             (true, _) => ProbeAction::ProbeFirst,
             (false, false) => ProbeAction::Probe,
@@ -200,9 +170,13 @@
     /// Records that a target has crashed, and counts this against the requests whose answers broke
     /// off there.
     pub fn record_crash(&mut self, now: Instant, target: TargetId) -> Vec<(Fingerprint, Update)> {
-        let fingerprints = self.awaiting_probe.remove(&target).unwrap_or_default();
-        let count = |fingerprint| (fingerprint, self.record_crash_of(now, fingerprint, target));
-        fingerprints.into_iter().map(count).collect()
+        let requests = self.awaiting_probe.remove(&target).unwrap_or_default();
+        let counted = requests
+            .iter()
+            .flat_map(|parts| self.count_crash(now, parts, target));
+        let mut changes = counted.collect::<Vec<_>>();
+        self.quarantine_due(now, &mut changes);
+        changes
     }
 
     /// Records that a target has crashed while it ran a request.
@@ -212,35 +186,162 @@
         fingerprint: Fingerprint,
         target: TargetId,
     ) -> Update {
-        self.make_room(fingerprint);
-        let evidence = self.evidence.entry(fingerprint).or_default();
+        let changes = self.record_crash_of_parts(now, &[fingerprint], target);
+        changes.first().map_or(Update::Unchanged, |(_, u)| *u)
+    }
+
+    /// Records that a target has crashed while it ran a request with these parts.
+    pub fn record_crash_of_parts(
+        &mut self,
+        now: Instant,
+        parts: &[Fingerprint],
+        target: TargetId,
+    ) -> Vec<(Fingerprint, Update)> {
+        let mut changes = self.count_crash(now, parts, target);
+        self.quarantine_due(now, &mut changes);
+        changes
+    }
+
+    /// Counts a crash against each part of a request, or against the one that is quarantined.
+    fn count_crash(
+        &mut self,
+        now: Instant,
+        parts: &[Fingerprint],
+        target: TargetId,
+    ) -> Vec<(Fingerprint, Update)> {
+        let quarantined = parts.iter().find(|f| self.is_quarantined(**f));
+        let crash = Crash { target, at: now };
+        let mut changes = Vec::new();
+        for (place, fingerprint) in parts.iter().enumerate() {
+            if quarantined.is_some_and(|f| f != fingerprint) {
+                continue;
+            }
+            let place = u8::try_from(place).unwrap_or(u8::MAX);
+            let update = self.count_crash_of(now, *fingerprint, place, crash);
+            changes.push((*fingerprint, update));
+        }
+        changes
+    }
+
+    fn count_crash_of(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        place: u8,
+        crash: Crash,
+    ) -> Update {
+        let subject = self.subject;
+        let is_explained = self.is_explained(fingerprint, crash);
+        let evidence = self.evidence_on(now, fingerprint);
         evidence.last_seen = now;
-        if !evidence.add_crash(Crash { target, at: now }) {
+        evidence.place = evidence.place.max(place);
+        if is_explained || !evidence.add_crash(subject, crash) {
             return Update::Unchanged;
         }
         evidence.transmissions_left = TRANSMISSIONS;
-        if evidence.is_quarantined() {
-            Update::Quarantined
-        } else {
-            Update::NewEvidence
+        Update::NewEvidence
+    }
+
+    /// Returns the evidence on a request or a part, which is created if there is none.
+    fn evidence_on(&mut self, now: Instant, fingerprint: Fingerprint) -> &mut Evidence {
+        self.make_room(fingerprint);
+        let last_success = self.sound.get(&fingerprint).copied();
+        let may_be_sound = now.since(self.started_at) < LEARNING_TIME;
+        self.evidence
+            .entry(fingerprint)
+            .or_insert_with(|| Evidence {
+                last_success,
+                may_be_sound,
+                ..Evidence::default()
+            })
+    }
+
+    /// Returns whether a crash is due to a quarantined part other than this one.
+    fn is_explained(&self, fingerprint: Fingerprint, crash: Crash) -> bool {
+        if self.subject == Subject::Request {
+            return false;
         }
+        let mut others = self.evidence.iter().filter(|(f, _)| **f != fingerprint);
+        others.any(|(_, e)| e.explains(crash))
     }
 
-    /// Records that a target completed a request, which clears the earlier crashes.
-    pub fn record_success(&mut self, now: Instant, fingerprint: Fingerprint) {
+    /// Returns whether a request or a part is quarantined.
+    #[must_use]
+    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        self.evidence
+            .get(&fingerprint)
+            .is_some_and(|e| e.quarantined)
+    }
+
+    /// Quarantines all requests or parts on which the evidence suffices, and returns them. Of parts
+    /// that took part in the same crashes only the one that is most likely at fault is quarantined.
+    pub fn settle(&mut self, now: Instant) -> Vec<Fingerprint> {
+        let subject = self.subject;
+        let is_due = |e: &Evidence| !e.quarantined && e.suffices(subject, now);
+        let due = self.evidence.iter().filter(|(_, e)| is_due(e));
+        let mut due = due.map(|(f, e)| e.rank(*f)).collect::<Vec<_>>();
+        due.sort_unstable();
+        let mut quarantined = Vec::new();
+        for (.., fingerprint) in due {
+            let Some(evidence) = self.evidence.get_mut(&fingerprint) else {
+                continue;
+            };
+            // Another part may have explained its crashes meanwhile.
+            if !is_due(evidence) {
+                continue;
+            }
+            evidence.quarantined = true;
+            quarantined.push(fingerprint);
+            if subject == Subject::Part {
+                let explained = evidence.crashes.clone();
+                let others = self.evidence.values_mut().filter(|e| !e.quarantined);
+                others.for_each(|e| e.remove_explained(&explained));
+            }
+        }
+        quarantined
+    }
+
+    /// Quarantines what is due, and notes it in the changes.
+    fn quarantine_due(&mut self, now: Instant, changes: &mut Vec<(Fingerprint, Update)>) {
+        for quarantined in self.settle(now) {
+            match changes.iter_mut().find(|(f, _)| *f == quarantined) {
+                Some((_, update)) => *update = Update::Quarantined,
+                None => changes.push((quarantined, Update::Quarantined)),
+            }
+        }
+    }
+
+    /// Records that a target completed a request, or began an answer on a part, at `at`. That clears
+    /// the crashes before.
+    pub fn record_success(&mut self, at: Instant, fingerprint: Fingerprint) {
+        if self.subject == Subject::Part {
+            self.record_sound(at, fingerprint);
+        }
         if let Some(evidence) = self.evidence.get_mut(&fingerprint) {
-            evidence.last_seen = now;
-            if evidence.record_success(now, &[]) {
+            evidence.last_seen = evidence.last_seen.max(at);
+            if evidence.record_success(at, &[]) {
                 evidence.transmissions_left = TRANSMISSIONS;
             }
         }
     }
 
+    fn record_sound(&mut self, at: Instant, fingerprint: Fingerprint) {
+        if self.sound.len() >= MAX_SOUND_PARTS && !self.sound.contains_key(&fingerprint) {
+            let mut times = self.sound.values().copied().collect::<Vec<_>>();
+            let middle = times.len() / 2;
+            let (_, middle, _) = times.select_nth_unstable(middle);
+            let middle = *middle;
+            self.sound.retain(|_, last| *last > middle);
+        }
+        let last = self.sound.entry(fingerprint).or_insert(at);
+        *last = at.max(*last);
+    }
+
     /// Returns how long an arriving request stays quarantined if it does not arrive again; `None`
     /// if it is not quarantined. Extends the quarantine.
     pub fn refuse(&mut self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
         let evidence = self.evidence.get_mut(&fingerprint)?;
-        if !evidence.is_quarantined() || evidence.is_expired(now) {
+        if !evidence.quarantined || evidence.is_expired(now) {
             return None;
         }
         evidence.last_seen = now;
@@ -250,38 +351,52 @@
     /// Returns the number of quarantined requests.
     #[must_use]
     pub fn quarantined_count(&self) -> usize {
-        let quarantined = |e: &&Evidence| e.is_quarantined();
+        let quarantined = |e: &&Evidence| e.quarantined;
         self.evidence.values().filter(quarantined).count()
     }
 
     /// Merges a report of another router. `relay` is whether new evidence is passed on; in a small
-    /// fleet the other router sends it to every peer itself.
+    /// fleet the other router sends it to every peer itself. Parts are quarantined by
+    /// [`Self::settle`] only, once all reports of a datagram are merged.
     pub fn merge_report(&mut self, now: Instant, report: &CrashReport, relay: bool) -> Update {
         if report.crashes.is_empty() && !self.evidence.contains_key(&report.fingerprint) {
             return Update::Unchanged;
         }
-        self.make_room(report.fingerprint);
-        let evidence = self.evidence.entry(report.fingerprint).or_default();
-        let was_quarantined = evidence.is_quarantined();
-        evidence.last_seen = evidence.last_seen.max(moment_before(now, report.last_seen));
-        let mut changed = false;
+        let changed = self.merge_evidence(now, report, relay);
+        if self.subject == Subject::Request && !self.settle(now).is_empty() {
+            return Update::Quarantined;
+        }
+        if changed {
+            Update::NewEvidence
+        } else {
+            Update::Unchanged
+        }
+    }
+
+    /// Merges the evidence of a report, and returns whether any of it was new.
+    fn merge_evidence(&mut self, now: Instant, report: &CrashReport, relay: bool) -> bool {
+        let subject = self.subject;
         // Times before the origin of this process's clock all map to the origin, so the order given
         // by the report itself decides.
-        for reported in &report.crashes {
-            let at = moment_before(now, reported.age);
-            let target = reported.target;
-            changed |= evidence.add_crash(Crash { target, at });
+        let crashes = report.crashes.iter().map(|reported| Crash {
+            target: reported.target,
+            at: moment_before(now, reported.age),
+        });
+        let crashes = crashes
+            .filter(|crash| !self.is_explained(report.fingerprint, *crash))
+            .collect::<Vec<_>>();
+        let evidence = self.evidence_on(now, report.fingerprint);
+        evidence.last_seen = evidence.last_seen.max(moment_before(now, report.last_seen));
+        let mut changed = false;
+        for crash in crashes {
+            changed |= evidence.add_crash(subject, crash);
         }
         let success = report.last_success.map(|age| moment_before(now, age));
         changed |= success.is_some_and(|at| evidence.record_success(at, &report.crashes));
         if changed && relay {
             evidence.transmissions_left = TRANSMISSIONS;
         }
-        match (changed, !was_quarantined && evidence.is_quarantined()) {
-            (_, true) => Update::Quarantined,
-            (true, false) => Update::NewEvidence,
-            (false, false) => Update::Unchanged,
-        }
+        changed
     }
 
     /// Returns the evidence that the sender of a report lacks, for example after a restart or a
@@ -289,7 +404,9 @@
     fn missing_report(&self, now: Instant, report: &CrashReport) -> Option<CrashReport> {
         let evidence = self.evidence.get(&report.fingerprint)?;
         let known = evidence.report(report.fingerprint, now);
-        evidence.knows_more_than(report).then_some(known)
+        evidence
+            .knows_more_than(self.subject, now, report)
+            .then_some(known)
     }
 
     /// Returns whether any evidence is still to be sent.
@@ -319,7 +436,7 @@
     /// routers that may have missed them.
     #[must_use]
     pub fn quarantined_reports(&self, now: Instant) -> Vec<CrashReport> {
-        let quarantined = self.evidence.iter().filter(|(_, e)| e.is_quarantined());
+        let quarantined = self.evidence.iter().filter(|(_, e)| e.quarantined);
         let mut quarantined = quarantined.collect::<Vec<_>>();
         quarantined.sort_unstable_by_key(|(_, e)| now.since(e.last_seen));
         quarantined.truncate(MAX_REPORTS_PER_DATAGRAM);
@@ -333,13 +450,14 @@
         self.evidence.retain(|_, e| !e.is_expired(now));
     }
 
-    /// Evicts the request with the fewest crashes, and of these the one seen longest ago, if there
-    /// is no room for a new one.
+    /// Evicts what has the fewest crashes, and of these the one seen longest ago, if there is no room
+    /// for a new one. What is quarantined goes last.
     fn make_room(&mut self, fingerprint: Fingerprint) {
         if self.evidence.len() < MAX_ENTRIES || self.evidence.contains_key(&fingerprint) {
             return;
         }
-        let least = |(_, e): &(&Fingerprint, &Evidence)| (e.crashes.len(), e.last_seen);
+        let least =
+            |(_, e): &(&Fingerprint, &Evidence)| (e.quarantined, e.crashes.len(), e.last_seen);
         let least = self.evidence.iter().min_by_key(least).map(|(c, _)| *c);
         if let Some(least) = least {
             self.evidence.remove(&least);
--- a/crates/peppercrank-direct/src/quarantine/spread.rs
+++ b/crates/peppercrank-direct/src/quarantine/spread.rs
@@ -32,11 +32,11 @@
 
 /// Bandwidth limit of crash reports in bytes per second, headers included: a quarter of a router's
 /// limit for control traffic. While no target crashes, none are sent.
-const BYTES_PER_SECOND: u128 = 1_024;
+const BYTES_PER_SECOND: i64 = 1_024;
 
 /// Size of the burst that the limit allows when targets crash, in bytes: about ten reports to each
 /// of four routers, twice.
-const BURST_BYTES: usize = 4_096;
+const BURST_BYTES: i64 = 4_096;
 
 /// Reports to send now.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,8 +50,8 @@
 /// Sender of crash reports, limited by a token bucket of bytes.
 #[derive(Debug)]
 pub struct Gossip {
-    /// Bytes that may be sent now.
-    allowance: usize,
+    /// Bytes that may be sent now; negative after a broadcast that was larger than the allowance.
+    allowance: i64,
     refilled_at: Instant,
     reminded_at: Instant,
 }
@@ -76,7 +76,7 @@
     ) -> Option<Broadcast> {
         self.refill(now);
         quarantine.expire(now);
-        if self.allowance == 0 {
+        if self.allowance <= 0 {
             return None;
         }
         let pending = quarantine.take_pending_reports(now);
@@ -92,14 +92,34 @@
         (!reports.is_empty()).then_some(Broadcast { reports, fanout })
     }
 
+    /// Returns the reports that the sender of `reports` lacks, as [`missing_reports`] does; none if
+    /// the bandwidth limit is used up. Reminders make up for what is left out.
+    pub fn reply(
+        &mut self,
+        now: Instant,
+        quarantine: &Quarantine,
+        reports: &[CrashReport],
+    ) -> Vec<CrashReport> {
+        self.refill(now);
+        if self.allowance <= 0 {
+            return Vec::new();
+        }
+        missing_reports(now, quarantine, reports)
+    }
+
     /// Records that `bytes` were sent, headers included.
     pub fn record_sent(&mut self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
         self.allowance = self.allowance.saturating_sub(bytes);
     }
 
     fn refill(&mut self, now: Instant) {
-        let earned = now.since(self.refilled_at).as_millis() * BYTES_PER_SECOND / 1_000;
-        let earned = usize::try_from(earned).unwrap_or(BURST_BYTES);
+        let millis = now.since(self.refilled_at).as_millis();
+        let millis = i64::try_from(millis).unwrap_or(i64::MAX / BYTES_PER_SECOND);
+        let earned = millis * BYTES_PER_SECOND / 1_000;
+        if earned == 0 {
+            return;
+        }
         self.allowance = self.allowance.saturating_add(earned).min(BURST_BYTES);
         self.refilled_at = now;
     }
--- a/crates/peppercrank-gateway/src/choose.rs
+++ b/crates/peppercrank-gateway/src/choose.rs
@@ -381,6 +381,8 @@
         notice: Notice::default(),
         framing: None,
         boundary: EventBoundary::default(),
+        began_at: None,
+        has_survived: false,
     })
 }
 
--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use peppercrank_core::time::Instant;
 use peppercrank_direct::attribution::Suspect;
 use peppercrank_direct::events::EventBoundary;
 use peppercrank_direct::failures::AnswerOutcome;
@@ -55,6 +56,10 @@
     pub framing: Option<Framing>,
     /// Whether the bytes that the target streamed so far end between two events.
     pub boundary: EventBoundary,
+    /// When the target's answer began; `None` until its first part was received.
+    pub began_at: Option<Instant>,
+    /// Whether the target went on with its answer for long enough to clear the parts of the prompt.
+    pub has_survived: bool,
 }
 
 impl Flight {
@@ -62,6 +67,7 @@
     pub fn record_first_part(&mut self) {
         let now = self.gateway.now();
         let took = now.since(self.in_flight.sent_at);
+        self.began_at = Some(now);
         self.gateway
             .metrics
             .by_target
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use peppercrank_direct::era::EraOrder;
 use peppercrank_direct::features::Features;
 use peppercrank_direct::freshness::Source;
+use peppercrank_direct::quarantine::Subject;
 use peppercrank_log::Field;
 use peppercrank_log::Log;
 use peppercrank_platform::features;
@@ -36,6 +37,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::crashes;
 use crate::limits::DEFAULT_BOUNDS;
 use crate::limits::answer_limits;
 use crate::limits::edge_limits;
@@ -264,11 +266,16 @@
 
     /// Wakes attempts and logs that a request is quarantined from now on. `learnt_from` is `here`
     /// or `router`.
-    pub fn record_quarantined(&self, content: Fingerprint, learnt_from: &'static str) {
+    pub fn record_quarantined(
+        &self,
+        subject: Subject,
+        fingerprint: Fingerprint,
+        learnt_from: &'static str,
+    ) {
         self.quarantine_changed.notify_waiters();
-        let content = content.to_string();
+        let fingerprint = fingerprint.to_string();
         let fields = [
-            ("content", Field::Text(&content)),
+            (crashes::log_key(subject), Field::Text(&fingerprint)),
             ("learnt", Field::Text(learnt_from)),
         ];
         self.log.write(Event::Quarantined, &fields);
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -15,6 +15,7 @@
 use peppercrank_direct::peers::Summary;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::peers::Work;
+use peppercrank_direct::quarantine::Subject;
 use peppercrank_direct::reports;
 use peppercrank_direct::reports::LoadReport;
 use tokio::net::UdpSocket;
@@ -272,7 +273,11 @@
             }
             Ok(Datagram::LoadReports(reports)) => apply_reports(&gateway, &reports),
             Ok(Datagram::CrashReports(reports)) => {
-                crashes::receive_reports(&gateway, &socket, from, &reports).await;
+                let subject = Subject::Request;
+                crashes::receive_reports(&gateway, &socket, from, subject, &reports).await;
+            }
+            Ok(Datagram::PartReports(reports)) => {
+                crashes::receive_reports(&gateway, &socket, from, Subject::Part, &reports).await;
             }
             Ok(Datagram::Origins(reports)) => origins::receive_reports(&gateway, &reports),
             Ok(Datagram::OriginQuery(stream)) => {
--- a/crates/peppercrank-gateway/src/metrics.rs
+++ b/crates/peppercrank-gateway/src/metrics.rs
@@ -378,7 +378,8 @@
         self.held_bytes.set(saturating_i64(held.bytes as u128));
         self.waiting_streams
             .set(saturating_i64(held.waiting as u128));
-        let quarantined = state.quarantine.quarantined_count();
+        let quarantined =
+            state.quarantine.quarantined_count() + state.part_quarantine.quarantined_count();
         self.quarantined.set(saturating_i64(quarantined as u128));
         self.peers
             .set(saturating_i64(state.peers.alive_count(now) as u128));
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -212,6 +212,7 @@
         let gap = self.stall_timer.idle_time(now);
         gateway.metrics.observe_gap(self.request.job.kind, gap);
         self.stall_timer.record_part(now);
+        crashes::record_survival(gateway, &self.request.job, &mut self.flight);
     }
 
     /// Returns whether the route allows another target to continue the stream, and the caller has
@@ -307,7 +308,7 @@
 
     /// Ends a complete stream, and waits until the caller has read it.
     async fn finish(self) {
-        self.request.record_served();
+        self.request.record_served(&self.flight);
         self.request
             .log_answered(&self.flight, StatusCode::OK, self.first_part_after);
         let Some(unread) = self.downstream.finish() else {
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -238,13 +238,11 @@
         }
     }
 
-    /// Records that a target served the complete request, which clears it of suspected crashes.
-    pub fn record_served(&self) {
-        let now = self.gateway.now();
-        let mut state = self.gateway.state();
-        if !state.quarantine.is_empty() {
-            state.quarantine.record_success(now, self.job.fingerprint());
-        }
+    /// Records that a target served the complete request, which clears it and the parts of its prompt
+    /// of suspected crashes.
+    pub fn record_served(&self, flight: &Flight) {
+        let began_at = flight.began_at.unwrap_or(flight.in_flight.sent_at);
+        crashes::record_served(&self.gateway, &self.job, began_at);
     }
 
     /// Returns until when this attempt may take to produce the first part of its answer.
@@ -268,7 +266,7 @@
         match answer {
             TargetAnswer::Whole(whole) => {
                 self.settle_failures(RequestEnd::Served);
-                self.record_served();
+                self.record_served(&flight);
                 self.gateway
                     .metrics
                     .observe_answer(self.job.kind, self.elapsed());
@@ -405,9 +403,9 @@
         // The fingerprint hashes the whole body. It is computed only for quarantined requests, as
         // hashing every refused one would cost too much in a flood of requests.
         let quarantined = reason == Reason::CrashesTargets;
-        let content = quarantined.then(|| self.job.fingerprint().to_string());
-        if let Some(content) = &content {
-            fields.push(("content", Field::Text(content)));
+        let cause = quarantined.then(|| crashes::quarantine_cause(&self.gateway, &self.job));
+        if let Some((subject, fingerprint)) = &cause {
+            fields.push((crashes::log_key(*subject), Field::Text(fingerprint)));
         }
         self.gateway.log.write(Event::Refused, &fields);
         refuse(reason, self.retry_after)
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -32,6 +32,8 @@
 use peppercrank_direct::prefixes::PrefixIndex;
 use peppercrank_direct::prefixes::PromptPart;
 use peppercrank_direct::quarantine::Quarantine;
+use peppercrank_direct::quarantine::Subject;
+use peppercrank_direct::quarantine::spread::Gossip;
 use peppercrank_direct::rates::Rates;
 use peppercrank_direct::retries::RetryBudget;
 use peppercrank_direct::retries::RetryLimits;
@@ -93,6 +95,12 @@
     pub retry_budget: RetryBudget,
     /// Requests suspected of crashing targets.
     pub quarantine: Quarantine,
+    /// Parts of prompts suspected of crashing targets.
+    pub part_quarantine: Quarantine,
+    /// Limits the reports on requests that crash targets.
+    pub request_gossip: Gossip,
+    /// Limits the reports on parts of prompts that crash targets.
+    pub part_gossip: Gossip,
     /// The software versions at which streams began.
     pub origins: Origins,
     /// Streams whose origins are not reported to other routers yet, with their pools.
@@ -189,6 +197,9 @@
             shares: HashMap::new(),
             retry_budget: RetryBudget::new(now, retry_limits(settings)),
             quarantine: Quarantine::default(),
+            part_quarantine: Quarantine::of_parts(now),
+            request_gossip: Gossip::new(now),
+            part_gossip: Gossip::new(now),
             origins: Origins::default(),
             origin_queue: OriginQueue::default(),
             warm_up_gate: Gate::default(),
@@ -305,4 +316,12 @@
         };
         (self.retry_budget.spent(now, pool), routers)
     }
+
+    /// Returns the quarantine of whole requests or of parts of prompts, and what limits its reports.
+    pub const fn quarantine_of(&mut self, subject: Subject) -> (&mut Quarantine, &mut Gossip) {
+        match subject {
+            Subject::Request => (&mut self.quarantine, &mut self.request_gossip),
+            Subject::Part => (&mut self.part_quarantine, &mut self.part_gossip),
+        }
+    }
 }
--- a/crates/peppercrank-log/src/story.rs
+++ b/crates/peppercrank-log/src/story.rs
@@ -390,6 +390,10 @@
             number_field(fields, "capacity")
         ),
         "no_memory" => "no target of the pool had enough free memory for the request".to_owned(),
+        "crashes_targets" if fields.contains_key("part") => format!(
+            "targets crashed repeatedly while running requests with the same part of a prompt, {}",
+            text_field(fields, "part")
+        ),
         "crashes_targets" => format!(
             "targets crashed repeatedly while running the same request, content {}",
             text_field(fields, "content")
