Do not take an unframed answer that ends at once for a sound one

What callers would see: a part that crashes targets after one whole event stays in use.

Cause: an answer without length or chunks ends with its connection, and a crash closes that as its end does. The answer then counted as completed, which clears the request and the parts of its prompt.

Change: such an answer clears only if it went on for as long as shows that no part of its prompt crashed the target.

--- a/crates/peppercrank-gateway/src/crashes.rs
+++ b/crates/peppercrank-gateway/src/crashes.rs
@@ -24,6 +24,7 @@
 use peppercrank_direct::quarantine::spread::STARTUP_FANOUT;
 use peppercrank_direct::quarantine::spread::should_relay;
 use peppercrank_wire::client::Cause;
+use peppercrank_wire::client::Framing;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -205,9 +206,16 @@
     report_changes(gateway, Subject::Part, &parts);
 }
 
-/// Records that a target completed an answer that it had begun at `began_at`.
-pub fn record_served(gateway: &Gateway, job: &Job, began_at: Instant) {
+/// Records that a target completed an answer, which clears the request and the parts of its prompt.
+///
+/// Where only the connection's end tells the answer's, a crash may have ended it.
+pub fn record_served(gateway: &Gateway, job: &Job, flight: &Flight) {
     let now = gateway.now();
+    let began_at = flight.began_at.unwrap_or(now);
+    let has_survived = now.since(began_at) >= SURVIVAL_TIME;
+    if flight.framing == Some(Framing::Close) && !has_survived {
+        return;
+    }
     let mut state = gateway.state();
     if !state.quarantine.is_empty() {
         state.quarantine.record_success(now, job.fingerprint());
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -308,7 +308,7 @@
 
     /// Ends a complete stream, and waits until the caller has read it.
     async fn finish(self) {
-        self.request.record_served(&self.flight);
+        crashes::record_served(&self.request.gateway, &self.request.job, &self.flight);
         self.request
             .log_answered(&self.flight, StatusCode::OK, self.first_part_after);
         let Some(unread) = self.downstream.finish() else {
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -238,13 +238,6 @@
         }
     }
 
-    /// Records that a target served the complete request, which clears it and the parts of its prompt
-    /// of suspected crashes.
-    pub fn record_served(&self, flight: &Flight) {
-        let began_at = flight.began_at.unwrap_or(flight.in_flight.sent_at);
-        crashes::record_served(&self.gateway, &self.job, began_at);
-    }
-
     /// Returns until when this attempt may take to produce the first part of its answer.
     #[must_use]
     pub fn first_part_deadline(&self, flight: &Flight) -> Instant {
@@ -266,7 +259,7 @@
         match answer {
             TargetAnswer::Whole(whole) => {
                 self.settle_failures(RequestEnd::Served);
-                self.record_served(&flight);
+                crashes::record_served(&self.gateway, &self.job, &flight);
                 self.gateway
                     .metrics
                     .observe_answer(self.job.kind, self.elapsed());
