Tell a request that crashes targets from the parts of its prompt

What callers would see: sound requests refused with crashes_targets since they share a part with one request that crashes targets.

Cause: three crashes under one request that comes again counted three times against each of its parts, too.

Change: crashes under the same content count once against a part; reports on parts carry a tag of two bytes for each crash, so that this holds over all routers. A datagram holds 22 of them (a test fills it).

Looking at it again, a stream's survival is asked for only until it is known.

--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -23,6 +23,7 @@
 use crate::origins::OriginReport;
 use crate::origins::StreamId;
 use crate::quarantine::CrashReport;
+use crate::quarantine::PartReport;
 use crate::reports::LoadReport;
 use crate::shares::report::DemandReport;
 use crate::starts::Start;
@@ -175,7 +176,7 @@
     Failures(FailureSummary),
     /// Parts of prompts during which targets crashed. Routers of versions without this variant
     /// ignore the datagram.
-    PartReports(Vec<CrashReport>),
+    PartReports(Vec<PartReport>),
 }
 
 /// Work and hints of one router.
--- a/crates/peppercrank-direct/src/quarantine.rs
+++ b/crates/peppercrank-direct/src/quarantine.rs
@@ -19,6 +19,7 @@
 //! while, and crashes that a quarantined part explains are no evidence against other parts.
 
 use std::collections::HashMap;
+use std::iter;
 use std::time::Duration;
 
 use peppercrank_core::time::Instant;
@@ -31,9 +32,11 @@
 pub mod spread;
 
 pub use report::CrashReport;
+pub use report::PartReport;
 
 use evidence::Crash;
 use evidence::Evidence;
+use report::ContentTag;
 use report::moment_before;
 
 /// Number of target crashes after which a request or a part is quarantined. Innocent requests that
@@ -69,6 +72,9 @@
 /// [`crate::peers::MAX_DATAGRAM_BYTES`].
 const MAX_REPORTS_PER_DATAGRAM: usize = 28;
 
+/// Reports on parts per datagram, each of which takes at most 52 bytes.
+const MAX_PART_REPORTS: usize = 22;
+
 /// What the fingerprints of a quarantine identify.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Subject {
@@ -79,6 +85,16 @@
     Part,
 }
 
+impl Subject {
+    /// Returns the number of reports per datagram.
+    const fn max_reports(self) -> usize {
+        match self {
+            Self::Request => MAX_REPORTS_PER_DATAGRAM,
+            Self::Part => MAX_PART_REPORTS,
+        }
+    }
+}
+
 /// Change in what a router knows of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Update {
@@ -102,6 +118,14 @@
     AlreadyProbing,
 }
 
+/// Request that was lost with its target.
+#[derive(Debug, Clone)]
+struct Lost {
+    content: Fingerprint,
+    /// What may be at fault: the request itself, or the parts of its prompt.
+    suspects: Vec<Fingerprint>,
+}
+
 /// Evidence on the requests, or the parts of prompts, under which targets have crashed.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -110,9 +134,8 @@
     evidence: HashMap<Fingerprint, Evidence>,
     /// Parts on which targets began answers, and when they last did.
     sound: HashMap<Fingerprint, Instant>,
-    /// Requests whose answers broke off, by target, while a probe of the target is under way. Each
-    /// is given by its fingerprint or by those of its parts.
-    awaiting_probe: HashMap<TargetId, Vec<Vec<Fingerprint>>>,
+    /// Requests whose answers broke off, by target, while a probe of the target is under way.
+    awaiting_probe: HashMap<TargetId, Vec<Lost>>,
 }
 
 impl Quarantine {
@@ -138,11 +161,16 @@
         fingerprint: Fingerprint,
         target: TargetId,
     ) -> ProbeAction {
-        self.record_broken_parts(&[fingerprint], target)
+        self.record_broken_parts(fingerprint, &[fingerprint], target)
     }
 
-    /// Records that a target's answer to a request with these parts broke off.
-    pub fn record_broken_parts(&mut self, parts: &[Fingerprint], target: TargetId) -> ProbeAction {
+    /// Records that a target's answer to a request with this content and these parts broke off.
+    pub fn record_broken_parts(
+        &mut self,
+        content: Fingerprint,
+        parts: &[Fingerprint],
+        target: TargetId,
+    ) -> ProbeAction {
         let crashes = |f| {
             self.evidence
                 .get(f)
@@ -150,10 +178,10 @@
         };
         let known = parts.iter().map(crashes).max().unwrap_or(0);
         let is_probing = self.awaiting_probe.contains_key(&target);
-        self.awaiting_probe
-            .entry(target)
-            .or_default()
-            .push(parts.to_vec());
+        self.awaiting_probe.entry(target).or_default().push(Lost {
+            content,
+            suspects: parts.to_vec(),
+        });
         match (known + 1 >= CRASH_LIMIT, is_probing) {
             (true, _) => ProbeAction::ProbeFirst,
             (false, false) => ProbeAction::Probe,
@@ -173,7 +201,7 @@
         let requests = self.awaiting_probe.remove(&target).unwrap_or_default();
         let counted = requests
             .iter()
-            .flat_map(|parts| self.count_crash(now, parts, target));
+            .flat_map(|lost| self.count_crash(now, lost, target));
         let mut changes = counted.collect::<Vec<_>>();
         self.quarantine_due(now, &mut changes);
         changes
@@ -186,18 +214,20 @@
         fingerprint: Fingerprint,
         target: TargetId,
     ) -> Update {
-        let changes = self.record_crash_of_parts(now, &[fingerprint], target);
+        let changes = self.record_crash_of_parts(now, fingerprint, &[fingerprint], target);
         changes.first().map_or(Update::Unchanged, |(_, u)| *u)
     }
 
-    /// Records that a target has crashed while it ran a request with these parts.
+    /// Records that a target has crashed while it ran a request with this content and these parts.
     pub fn record_crash_of_parts(
         &mut self,
         now: Instant,
+        content: Fingerprint,
         parts: &[Fingerprint],
         target: TargetId,
     ) -> Vec<(Fingerprint, Update)> {
-        let mut changes = self.count_crash(now, parts, target);
+        let suspects = parts.to_vec();
+        let mut changes = self.count_crash(now, &Lost { content, suspects }, target);
         self.quarantine_due(now, &mut changes);
         changes
     }
@@ -206,11 +236,16 @@
     fn count_crash(
         &mut self,
         now: Instant,
-        parts: &[Fingerprint],
+        lost: &Lost,
         target: TargetId,
     ) -> Vec<(Fingerprint, Update)> {
+        let parts = &lost.suspects;
         let quarantined = parts.iter().find(|f| self.is_quarantined(**f));
-        let crash = Crash { target, at: now };
+        let crash = Crash {
+            target,
+            at: now,
+            content: ContentTag::of(lost.content),
+        };
         let mut changes = Vec::new();
         for (place, fingerprint) in parts.iter().enumerate() {
             if quarantined.is_some_and(|f| f != fingerprint) {
@@ -378,9 +413,13 @@
         let subject = self.subject;
         // Times before the origin of this process's clock all map to the origin, so the order given
         // by the report itself decides.
-        let crashes = report.crashes.iter().map(|reported| Crash {
+        let contents = report.contents.iter().copied();
+        let contents = contents.chain(iter::repeat(ContentTag::default()));
+        let crashes = report.crashes.iter().zip(contents);
+        let crashes = crashes.map(|(reported, content)| Crash {
             target: reported.target,
             at: moment_before(now, reported.age),
+            content,
         });
         let crashes = crashes
             .filter(|crash| !self.is_explained(report.fingerprint, *crash))
@@ -417,6 +456,7 @@
 
     /// Returns the evidence for the next datagram; requests with the most crashes come first.
     pub fn take_pending_reports(&mut self, now: Instant) -> Vec<CrashReport> {
+        let most = self.subject.max_reports();
         let pending = self
             .evidence
             .iter_mut()
@@ -424,7 +464,7 @@
         let mut pending = pending.collect::<Vec<_>>();
         pending
             .sort_unstable_by_key(|(_, e)| (usize::MAX - e.crashes.len(), now.since(e.last_seen)));
-        pending.truncate(MAX_REPORTS_PER_DATAGRAM);
+        pending.truncate(most);
         let tell = |(fingerprint, evidence): (&Fingerprint, &mut Evidence)| {
             evidence.transmissions_left -= 1;
             evidence.report(*fingerprint, now)
@@ -439,7 +479,7 @@
         let quarantined = self.evidence.iter().filter(|(_, e)| e.quarantined);
         let mut quarantined = quarantined.collect::<Vec<_>>();
         quarantined.sort_unstable_by_key(|(_, e)| now.since(e.last_seen));
-        quarantined.truncate(MAX_REPORTS_PER_DATAGRAM);
+        quarantined.truncate(self.subject.max_reports());
         let report =
             |(fingerprint, evidence): (&Fingerprint, &Evidence)| evidence.report(*fingerprint, now);
         quarantined.into_iter().map(report).collect()
--- a/crates/peppercrank-direct/src/quarantine/evidence.rs
+++ b/crates/peppercrank-direct/src/quarantine/evidence.rs
@@ -12,6 +12,7 @@
 use super::EVIDENCE_TTL;
 use super::SUCCESS_TTL;
 use super::Subject;
+use super::report::ContentTag;
 use super::report::CrashReport;
 use super::report::ReportedCrash;
 use super::report::age_units;
@@ -38,9 +39,17 @@
 pub(super) struct Crash {
     pub(super) target: TargetId,
     pub(super) at: Instant,
+    /// Request that the target ran.
+    pub(super) content: ContentTag,
 }
 
 impl Crash {
+    /// Returns whether both say the same of a part of prompts: they come from one request, which may
+    /// itself be at fault, or from one event.
+    fn is_same_for_parts(self, other: Self) -> bool {
+        self.content == other.content || self.is_same_event(other)
+    }
+
     /// Returns whether both have the same cause, if one of them is due to a part of prompts.
     fn is_same_event(self, other: Self) -> bool {
         let apart = self.at.since(other.at).max(other.at.since(self.at));
@@ -74,7 +83,7 @@
     pub(super) fn add_crash(&mut self, subject: Subject, crash: Crash) -> bool {
         let is_known = self.crashes.iter().any(|e| match subject {
             Subject::Request => e.target == crash.target,
-            Subject::Part => e.is_same_event(crash),
+            Subject::Part => e.is_same_for_parts(crash),
         });
         let is_cleared = self.last_success.is_some_and(|success| crash.at <= success);
         let most = match subject {
@@ -147,9 +156,10 @@
         let crashes = self.crashes.iter().take(CRASH_LIMIT);
         CrashReport {
             fingerprint,
-            crashes: crashes.map(reported).collect(),
+            crashes: crashes.clone().map(reported).collect(),
             last_success: self.last_success.map(|at| age_units(now, at)),
             last_seen: age_units(now, self.last_seen),
+            contents: crashes.map(|c| c.content).collect(),
         }
     }
 
--- a/crates/peppercrank-direct/src/quarantine/report.rs
+++ b/crates/peppercrank-direct/src/quarantine/report.rs
@@ -23,6 +23,19 @@
     pub(super) age: u16,
 }
 
+/// Short hash of a request's content, by which crashes under one request are told from those under
+/// many.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct ContentTag(u16);
+
+impl ContentTag {
+    /// Returns the tag of a request.
+    pub(super) const fn of(content: Fingerprint) -> Self {
+        let [low, high, ..] = content.0.to_le_bytes();
+        Self(u16::from_le_bytes([low, high]))
+    }
+}
+
 /// Evidence on a request under which targets have crashed, as sent to another router.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -34,6 +47,33 @@
     pub(super) last_success: Option<u16>,
     /// Time since the request last arrived, in units of `AGE_UNIT`.
     pub(super) last_seen: u16,
+    /// Requests under which these targets crashed, which only reports on parts hold.
+    #[serde(skip)]
+    pub(super) contents: Vec<ContentTag>,
+}
+
+/// Evidence on a part of prompts under which targets have crashed, as sent to another router.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReport {
+    report: CrashReport,
+    contents: Vec<ContentTag>,
+}
+
+impl From<CrashReport> for PartReport {
+    fn from(mut report: CrashReport) -> Self {
+        let contents = std::mem::take(&mut report.contents);
+        Self { report, contents }
+    }
+}
+
+impl From<PartReport> for CrashReport {
+    fn from(part: PartReport) -> Self {
+        let contents = part.contents;
+        Self {
+            contents,
+            ..part.report
+        }
+    }
 }
 
 impl CrashReport {
--- a/crates/peppercrank-direct/tests/verify_part_spread.rs
+++ b/crates/peppercrank-direct/tests/verify_part_spread.rs
@@ -334,13 +334,13 @@
             self.fifth_crash = Some(self.now);
         }
         let mut lost = vec![Vec::new(); self.routers.len()];
-        for request in crashed.in_flight.into_values() {
+        for (id, request) in crashed.in_flight {
             let is_suspect = request
                 .began_at
                 .is_none_or(|at| self.now.since(at) < SURVIVAL_TIME);
             let parts: &[Fingerprint] = if is_suspect { &request.parts } else { &[] };
             let quarantine = &mut self.routers[request.router].quarantine;
-            quarantine.record_broken_parts(parts, crashed.start);
+            quarantine.record_broken_parts(Fingerprint(id), parts, crashed.start);
             lost[request.router].push(request);
         }
         for (router, requests) in lost.into_iter().enumerate() {
@@ -384,7 +384,8 @@
     }
 
     fn send_datagram(&mut self, from: usize, to: usize, reports: Vec<CrashReport>) {
-        let bytes = Datagram::PartReports(reports.clone()).encode();
+        let bytes =
+            Datagram::PartReports(reports.iter().cloned().map(Into::into).collect()).encode();
         let bytes = bytes.expect("a datagram").len() + 28;
         self.routers[from].gossip.record_sent(bytes);
         self.routers[from].bytes_sent += bytes as u64;
--- a/crates/peppercrank-direct/tests/verify_quarantine.rs
+++ b/crates/peppercrank-direct/tests/verify_quarantine.rs
@@ -257,6 +257,25 @@
     assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
 }
 
+#[test]
+fn verify_a_datagram_of_part_reports_fits_the_limit() {
+    let mut quarantine = Quarantine::of_parts(at(0));
+    for part in 0..100 {
+        let (part, begins) = (Fingerprint(u64::MAX - part), 10_000 * part);
+        quarantine.record_success(at(begins), part);
+        for crash in 1..=u32::try_from(CRASH_LIMIT).expect("few") {
+            let content = Fingerprint(u64::MAX - u64::from(crash));
+            let (now, target) = (begins + 1_000 * u64::from(crash), u32::MAX - crash);
+            quarantine.record_crash_of_parts(at(now), content, &[part], TargetId(target));
+        }
+    }
+    let reports = quarantine.take_pending_reports(at(10_000_000));
+    assert!(reports.len() > 20, "{}", reports.len());
+    let reports = reports.into_iter().map(Into::into).collect();
+    let bytes = Datagram::PartReports(reports).encode().expect("a datagram");
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+}
+
 #[test]
 fn verify_a_broken_answer_counts_only_after_its_target_has_crashed() {
     let mut quarantine = Quarantine::default();
--- a/crates/peppercrank-gateway/src/crashes.rs
+++ b/crates/peppercrank-gateway/src/crashes.rs
@@ -96,7 +96,7 @@
 ) {
     let datagram = match subject {
         Subject::Request => Datagram::CrashReports(reports),
-        Subject::Part => Datagram::PartReports(reports),
+        Subject::Part => Datagram::PartReports(reports.into_iter().map(Into::into).collect()),
     };
     let bytes = send(gateway, socket, to, datagram).await;
     let mut state = gateway.state();
@@ -141,7 +141,10 @@
     let parts = suspect_parts(gateway, job, flight);
     let mut state = gateway.state();
     let action = state.quarantine.record_broken_answer(content, target);
-    match state.part_quarantine.record_broken_parts(parts, target) {
+    match state
+        .part_quarantine
+        .record_broken_parts(content, parts, target)
+    {
         ProbeAction::ProbeFirst => ProbeAction::ProbeFirst,
         ProbeAction::Probe | ProbeAction::AlreadyProbing => action,
     }
@@ -200,7 +203,7 @@
     let change = state.quarantine.record_crash_of(now, content, target);
     let parts = state
         .part_quarantine
-        .record_crash_of_parts(now, parts, target);
+        .record_crash_of_parts(now, content, parts, target);
     drop(state);
     report_changes(gateway, Subject::Request, &[(content, change)]);
     report_changes(gateway, Subject::Part, &parts);
@@ -226,12 +229,10 @@
 /// Records that a target goes on with an answer, once that shows that no part of the prompt crashed
 /// it.
 pub fn record_survival(gateway: &Gateway, job: &Job, flight: &mut Flight) {
-    let now = gateway.now();
-    let survived = |at: &Instant| now.since(*at) >= SURVIVAL_TIME;
-    let Some(began_at) = flight.began_at.filter(survived) else {
+    let Some(began_at) = flight.began_at.filter(|_| !flight.has_survived) else {
         return;
     };
-    if !flight.has_survived {
+    if gateway.now().since(began_at) >= SURVIVAL_TIME {
         flight.has_survived = true;
         record_sound_parts(&mut gateway.state(), job, began_at);
     }
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -277,6 +277,7 @@
                 crashes::receive_reports(&gateway, &socket, from, subject, &reports).await;
             }
             Ok(Datagram::PartReports(reports)) => {
+                let reports = reports.into_iter().map(Into::into).collect::<Vec<_>>();
                 crashes::receive_reports(&gateway, &socket, from, Subject::Part, &reports).await;
             }
             Ok(Datagram::Origins(reports)) => origins::receive_reports(&gateway, &reports),
