--- a/crates/peppercrank-direct/tests/verify_quarantine.rs
+++ b/crates/peppercrank-direct/tests/verify_quarantine.rs
@@ -260,13 +260,15 @@
 #[test]
 fn verify_a_datagram_of_part_reports_fits_the_limit() {
     let mut quarantine = Quarantine::of_parts(at(0));
-    for part in 0..100 {
-        let (part, begins) = (Fingerprint(u64::MAX - part), 10_000 * part);
+    for n in 0..100_u32 {
+        let part = Fingerprint(u64::MAX - u64::from(n));
+        let begins = 10_000 * u64::from(n);
         quarantine.record_success(at(begins), part);
         for crash in 1..=u32::try_from(CRASH_LIMIT).expect("few") {
+            let now = at(begins + 1_000 * u64::from(crash));
+            let target = TargetId(u32::MAX - 10 * n - crash);
             let content = Fingerprint(u64::MAX - u64::from(crash));
-            let (now, target) = (begins + 1_000 * u64::from(crash), u32::MAX - crash);
-            quarantine.record_crash_of_parts(at(now), content, &[part], TargetId(target));
+            quarantine.record_crash_of_parts(now, content, &[part], target);
         }
     }
     let reports = quarantine.take_pending_reports(at(10_000_000));
