Do not take a rejected request for a sound one

What callers would see: a part that crashes targets stays in use, as another request with it was answered 400 by a target that never wrote an answer on it. Only an answer with success clears parts.

--- a/crates/peppercrank-direct/src/quarantine.rs
+++ b/crates/peppercrank-direct/src/quarantine.rs
@@ -462,8 +462,9 @@
             .iter_mut()
             .filter(|(_, e)| e.transmissions_left > 0);
         let mut pending = pending.collect::<Vec<_>>();
-        pending
-            .sort_unstable_by_key(|(_, e)| (usize::MAX - e.crashes.len(), now.since(e.last_seen)));
+        pending.sort_unstable_by_key(|(f, e)| {
+            (usize::MAX - e.crashes.len(), now.since(e.last_seen), **f)
+        });
         pending.truncate(most);
         let tell = |(fingerprint, evidence): (&Fingerprint, &mut Evidence)| {
             evidence.transmissions_left -= 1;
@@ -478,7 +479,7 @@
     pub fn quarantined_reports(&self, now: Instant) -> Vec<CrashReport> {
         let quarantined = self.evidence.iter().filter(|(_, e)| e.quarantined);
         let mut quarantined = quarantined.collect::<Vec<_>>();
-        quarantined.sort_unstable_by_key(|(_, e)| now.since(e.last_seen));
+        quarantined.sort_unstable_by_key(|(f, e)| (now.since(e.last_seen), **f));
         quarantined.truncate(self.subject.max_reports());
         let report =
             |(fingerprint, evidence): (&Fingerprint, &Evidence)| evidence.report(*fingerprint, now);
@@ -497,7 +498,7 @@
             return;
         }
         let least =
-            |(_, e): &(&Fingerprint, &Evidence)| (e.quarantined, e.crashes.len(), e.last_seen);
+            |(f, e): &(&Fingerprint, &Evidence)| (e.quarantined, e.crashes.len(), e.last_seen, **f);
         let least = self.evidence.iter().min_by_key(least).map(|(c, _)| *c);
         if let Some(least) = least {
             self.evidence.remove(&least);
--- a/crates/peppercrank-direct/tests/verify_part_spread.rs
+++ b/crates/peppercrank-direct/tests/verify_part_spread.rs
@@ -60,6 +60,8 @@
     PartBelowOne,
     /// The part at fault stands below any first part.
     PartBelowAny,
+    /// The part at fault is itself the first one.
+    FirstPart,
     /// Half of all targets end three times in a row, whatever they run.
     Failures,
 }
@@ -167,7 +169,7 @@
         simulation.schedule(0, Event::Arrival { is_faulty: false });
         let learning = scenario.learning_ms;
         match scenario.cause {
-            Cause::PartBelowOne | Cause::PartBelowAny => {
+            Cause::PartBelowOne | Cause::PartBelowAny | Cause::FirstPart => {
                 simulation.schedule(learning, Event::Arrival { is_faulty: true });
             }
             Cause::Failures => {
@@ -259,7 +261,10 @@
         } else {
             Fingerprint(second)
         };
-        let parts = vec![Fingerprint(FIRST_PARTS + first), second];
+        let mut parts = vec![Fingerprint(FIRST_PARTS + first), second];
+        if is_faulty && self.scenario.cause == Cause::FirstPart {
+            parts.reverse();
+        }
         let router = self.draw_index(self.scenario.routers);
         let is_judged = self
             .fifth_crash
@@ -481,6 +486,11 @@
     check_all(Cause::PartBelowOne, 12_000);
 }
 
+#[test]
+fn verify_a_first_part_at_fault_is_found_among_the_parts_below_it() {
+    check_all(Cause::FirstPart, 12_000);
+}
+
 /// No router knows which parts are sound.
 #[test]
 fn verify_routers_that_have_just_started_find_the_part_at_fault() {
--- a/crates/peppercrank-gateway/src/crashes.rs
+++ b/crates/peppercrank-gateway/src/crashes.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use peppercrank_core::time::Instant;
 use peppercrank_direct::congestion::is_congested;
 use peppercrank_direct::content::Fingerprint;
@@ -209,10 +210,11 @@
     report_changes(gateway, Subject::Part, &parts);
 }
 
-/// Records that a target completed an answer, which clears the request and the parts of its prompt.
+/// Records that a target completed an answer, which clears the request, and the parts of its prompt
+/// if the target went on from them.
 ///
 /// Where only the connection's end tells the answer's, a crash may have ended it.
-pub fn record_served(gateway: &Gateway, job: &Job, flight: &Flight) {
+pub fn record_served(gateway: &Gateway, job: &Job, flight: &Flight, status: StatusCode) {
     let now = gateway.now();
     let began_at = flight.began_at.unwrap_or(now);
     let has_survived = now.since(began_at) >= SURVIVAL_TIME;
@@ -223,7 +225,9 @@
     if !state.quarantine.is_empty() {
         state.quarantine.record_success(now, job.fingerprint());
     }
-    record_sound_parts(&mut state, job, began_at);
+    if status.is_success() {
+        record_sound_parts(&mut state, job, began_at);
+    }
 }
 
 /// Records that a target goes on with an answer, once that shows that no part of the prompt crashed
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -308,7 +308,8 @@
 
     /// Ends a complete stream, and waits until the caller has read it.
     async fn finish(self) {
-        crashes::record_served(&self.request.gateway, &self.request.job, &self.flight);
+        let request = &self.request;
+        crashes::record_served(&request.gateway, &request.job, &self.flight, StatusCode::OK);
         self.request
             .log_answered(&self.flight, StatusCode::OK, self.first_part_after);
         let Some(unread) = self.downstream.finish() else {
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -259,7 +259,7 @@
         match answer {
             TargetAnswer::Whole(whole) => {
                 self.settle_failures(RequestEnd::Served);
-                crashes::record_served(&self.gateway, &self.job, &flight);
+                crashes::record_served(&self.gateway, &self.job, &flight, whole.status);
                 self.gateway
                     .metrics
                     .observe_answer(self.job.kind, self.elapsed());
