Let a router that started later quarantine the parts that its peers have

What callers would see: after a router restarts it sends requests with a part that is quarantined elsewhere to targets, for some seconds.

Cause: all times before a process's start are one to it, so that three crashes in a report looked like one event; and a router younger than 10 s waits for 2 s with any part, as it may be sound.

Evidence: the new test failed before and passes. Change: crashes in one report were told apart by their sender and are compared with what was known before only; a report names whether its sender has quarantined the part, and then the young router does not wait.

--- a/crates/peppercrank-direct/src/quarantine.rs
+++ b/crates/peppercrank-direct/src/quarantine.rs
@@ -72,7 +72,7 @@
 /// [`crate::peers::MAX_DATAGRAM_BYTES`].
 const MAX_REPORTS_PER_DATAGRAM: usize = 28;
 
-/// Reports on parts per datagram, each of which takes at most 52 bytes.
+/// Reports on parts per datagram, each of which takes at most 53 bytes.
 const MAX_PART_REPORTS: usize = 22;
 
 /// What the fingerprints of a quarantine identify.
@@ -270,7 +270,7 @@
         let evidence = self.evidence_on(now, fingerprint);
         evidence.last_seen = now;
         evidence.place = evidence.place.max(place);
-        if is_explained || !evidence.add_crash(subject, crash) {
+        if is_explained || !evidence.add_crashes(subject, &[crash]) {
             return Update::Unchanged;
         }
         evidence.transmissions_left = TRANSMISSIONS;
@@ -411,8 +411,6 @@
     /// Merges the evidence of a report, and returns whether any of it was new.
     fn merge_evidence(&mut self, now: Instant, report: &CrashReport, relay: bool) -> bool {
         let subject = self.subject;
-        // Times before the origin of this process's clock all map to the origin, so the order given
-        // by the report itself decides.
         let contents = report.contents.iter().copied();
         let contents = contents.chain(iter::repeat(ContentTag::default()));
         let crashes = report.crashes.iter().zip(contents);
@@ -426,10 +424,10 @@
             .collect::<Vec<_>>();
         let evidence = self.evidence_on(now, report.fingerprint);
         evidence.last_seen = evidence.last_seen.max(moment_before(now, report.last_seen));
-        let mut changed = false;
-        for crash in crashes {
-            changed |= evidence.add_crash(subject, crash);
-        }
+        evidence.may_be_sound &= !report.quarantined;
+        // Times before the origin of this process's clock all map to the origin, so the order given
+        // by the report itself decides.
+        let mut changed = evidence.add_crashes(subject, &crashes);
         let success = report.last_success.map(|age| moment_before(now, age));
         changed |= success.is_some_and(|at| evidence.record_success(at, &report.crashes));
         if changed && relay {
--- a/crates/peppercrank-direct/src/quarantine/evidence.rs
+++ b/crates/peppercrank-direct/src/quarantine/evidence.rs
@@ -66,7 +66,8 @@
     pub(super) quarantined: bool,
     /// When a target last completed the request, or began an answer on the part.
     pub(super) last_success: Option<Instant>,
-    /// Whether it may have had successes that this router does not know.
+    /// Whether it may have had successes that neither this router nor one that told it of the
+    /// quarantine knows.
     pub(super) may_be_sound: bool,
     /// Place of the part in its prompt, from 0; the largest one that was seen. Parts at later places
     /// are shared by fewer requests.
@@ -78,23 +79,25 @@
 }
 
 impl Evidence {
-    /// Adds a crash and returns true, unless it is already known, there was a success since, or
-    /// further crashes make no difference.
-    pub(super) fn add_crash(&mut self, subject: Subject, crash: Crash) -> bool {
-        let is_known = self.crashes.iter().any(|e| match subject {
-            Subject::Request => e.target == crash.target,
-            Subject::Part => e.is_same_for_parts(crash),
-        });
-        let is_cleared = self.last_success.is_some_and(|success| crash.at <= success);
+    /// Adds crashes that one router told apart, and returns whether any of them was added. Left out
+    /// are those that are already known or cleared, and those that make no difference.
+    pub(super) fn add_crashes(&mut self, subject: Subject, crashes: &[Crash]) -> bool {
+        let known = self.crashes.clone();
         let most = match subject {
             Subject::Request => CRASH_LIMIT,
             Subject::Part => MAX_CRASHES,
         };
-        if is_known || is_cleared || self.crashes.len() >= most {
-            return false;
+        for crash in crashes {
+            let is_known = known.iter().any(|e| match subject {
+                Subject::Request => e.target == crash.target,
+                Subject::Part => e.is_same_for_parts(*crash),
+            });
+            let is_cleared = self.last_success.is_some_and(|success| crash.at <= success);
+            if !is_known && !is_cleared && self.crashes.len() < most {
+                self.crashes.push(*crash);
+            }
         }
-        self.crashes.push(crash);
-        true
+        self.crashes.len() > known.len()
     }
 
     /// Records a success at `at`, which clears the crashes before that. Crashes in `later` are kept
@@ -160,6 +163,7 @@
             last_success: self.last_success.map(|at| age_units(now, at)),
             last_seen: age_units(now, self.last_seen),
             contents: crashes.map(|c| c.content).collect(),
+            quarantined: self.quarantined,
         }
     }
 
--- a/crates/peppercrank-direct/src/quarantine/report.rs
+++ b/crates/peppercrank-direct/src/quarantine/report.rs
@@ -50,6 +50,9 @@
     /// Requests under which these targets crashed, which only reports on parts hold.
     #[serde(skip)]
     pub(super) contents: Vec<ContentTag>,
+    /// Whether the sender has quarantined the part, which only reports on parts hold.
+    #[serde(skip)]
+    pub(super) quarantined: bool,
 }
 
 /// Evidence on a part of prompts under which targets have crashed, as sent to another router.
@@ -57,20 +60,26 @@
 pub struct PartReport {
     report: CrashReport,
     contents: Vec<ContentTag>,
+    quarantined: bool,
 }
 
 impl From<CrashReport> for PartReport {
     fn from(mut report: CrashReport) -> Self {
         let contents = std::mem::take(&mut report.contents);
-        Self { report, contents }
+        let quarantined = report.quarantined;
+        Self {
+            report,
+            contents,
+            quarantined,
+        }
     }
 }
 
 impl From<PartReport> for CrashReport {
     fn from(part: PartReport) -> Self {
-        let contents = part.contents;
         Self {
-            contents,
+            contents: part.contents,
+            quarantined: part.quarantined,
             ..part.report
         }
     }
--- a/crates/peppercrank-direct/tests/verify_quarantine.rs
+++ b/crates/peppercrank-direct/tests/verify_quarantine.rs
@@ -16,6 +16,7 @@
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::quarantine::CRASH_LIMIT;
 use peppercrank_direct::quarantine::EVIDENCE_TTL;
+use peppercrank_direct::quarantine::PartReport;
 use peppercrank_direct::quarantine::ProbeAction;
 use peppercrank_direct::quarantine::Quarantine;
 use peppercrank_direct::quarantine::Update;
@@ -94,6 +95,27 @@
     assert!(new.refuse(now, CRASHING).is_some());
 }
 
+/// All times before its start are one to it, so that three crashes look like one event; and what it
+/// has not seen itself may be sound.
+#[test]
+fn verify_a_router_that_started_later_quarantines_the_same_parts() {
+    let mut old = Quarantine::of_parts(at(0));
+    for n in 1..=3 {
+        let now = at(20_000 + 1_000 * u64::from(n));
+        let content = Fingerprint(u64::from(n));
+        old.record_crash_of_parts(now, content, &[CRASHING], TargetId(n));
+    }
+    assert!(old.is_quarantined(CRASHING));
+    let started_at = Instant::from_millis(100);
+    let mut new = Quarantine::of_parts(started_at);
+    for report in old.quarantined_reports(at(25_000)) {
+        let report = PartReport::from(report).into();
+        new.merge_report(started_at, &report, true);
+    }
+    assert_eq!(new.settle(started_at), [CRASHING]);
+    assert!(new.refuse(started_at, CRASHING).is_some());
+}
+
 #[test]
 fn verify_routers_combine_their_evidence() {
     let mut routers = [
