--- a/crates/peppercrank-direct/src/quarantine.rs
+++ b/crates/peppercrank-direct/src/quarantine.rs
@@ -29,6 +29,7 @@
 
 mod evidence;
 mod report;
+mod sound;
 pub mod spread;
 
 pub use report::CrashReport;
@@ -38,6 +39,7 @@
 use evidence::Evidence;
 use report::ContentTag;
 use report::moment_before;
+use sound::SoundParts;
 
 /// Number of target crashes after which a request or a part is quarantined. Innocent requests that
 /// happen to run beside a crashing one are hit once or twice.
@@ -58,9 +60,6 @@
 /// Age of a router from which it knows which parts are sound. Until then each may be.
 const LEARNING_TIME: Duration = Duration::from_secs(10);
 
-/// Maximum number of parts of prompts that are remembered as sound, 16 bytes each.
-const MAX_SOUND_PARTS: usize = 4_096;
-
 /// Maximum number of remembered requests; at about 200 bytes each they take less than a megabyte.
 /// Only requests that were in flight at a target that crashed take an entry.
 const MAX_ENTRIES: usize = 4_096;
@@ -132,8 +131,7 @@
     subject: Subject,
     started_at: Instant,
     evidence: HashMap<Fingerprint, Evidence>,
-    /// Parts on which targets began answers, and when they last did.
-    sound: HashMap<Fingerprint, Instant>,
+    sound: SoundParts,
     /// Requests whose answers broke off, by target, while a probe of the target is under way.
     awaiting_probe: HashMap<TargetId, Vec<Lost>>,
 }
@@ -280,7 +278,7 @@
     /// Returns the evidence on a request or a part, which is created if there is none.
     fn evidence_on(&mut self, now: Instant, fingerprint: Fingerprint) -> &mut Evidence {
         self.make_room(fingerprint);
-        let last_success = self.sound.get(&fingerprint).copied();
+        let last_success = self.sound.last(fingerprint);
         let may_be_sound = now.since(self.started_at) < LEARNING_TIME;
         self.evidence
             .entry(fingerprint)
@@ -350,7 +348,7 @@
     /// the crashes before.
     pub fn record_success(&mut self, at: Instant, fingerprint: Fingerprint) {
         if self.subject == Subject::Part {
-            self.record_sound(at, fingerprint);
+            self.sound.record(at, fingerprint);
         }
         if let Some(evidence) = self.evidence.get_mut(&fingerprint) {
             evidence.last_seen = evidence.last_seen.max(at);
@@ -360,18 +358,6 @@
         }
     }
 
-    fn record_sound(&mut self, at: Instant, fingerprint: Fingerprint) {
-        if self.sound.len() >= MAX_SOUND_PARTS && !self.sound.contains_key(&fingerprint) {
-            let mut times = self.sound.values().copied().collect::<Vec<_>>();
-            let middle = times.len() / 2;
-            let (_, middle, _) = times.select_nth_unstable(middle);
-            let middle = *middle;
-            self.sound.retain(|_, last| *last > middle);
-        }
-        let last = self.sound.entry(fingerprint).or_insert(at);
-        *last = at.max(*last);
-    }
-
     /// Returns how long an arriving request stays quarantined if it does not arrive again; `None`
     /// if it is not quarantined. Extends the quarantine.
     pub fn refuse(&mut self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
@@ -413,15 +399,17 @@
         let subject = self.subject;
         let contents = report.contents.iter().copied();
         let contents = contents.chain(iter::repeat(ContentTag::default()));
-        let crashes = report.crashes.iter().zip(contents);
-        let crashes = crashes.map(|(reported, content)| Crash {
-            target: reported.target,
-            at: moment_before(now, reported.age),
-            content,
-        });
-        let crashes = crashes
-            .filter(|crash| !self.is_explained(report.fingerprint, *crash))
-            .collect::<Vec<_>>();
+        let mut crashes = Vec::new();
+        for (reported, content) in report.crashes.iter().zip(contents) {
+            let crash = Crash {
+                target: reported.target,
+                at: moment_before(now, reported.age),
+                content,
+            };
+            if !self.is_explained(report.fingerprint, crash) {
+                crashes.push(crash);
+            }
+        }
         let evidence = self.evidence_on(now, report.fingerprint);
         evidence.last_seen = evidence.last_seen.max(moment_before(now, report.last_seen));
         evidence.may_be_sound &= !report.quarantined;
--- a/crates/peppercrank-direct/tests/verify_part_spread.rs
+++ b/crates/peppercrank-direct/tests/verify_part_spread.rs
@@ -122,6 +122,7 @@
     /// those of them that were refused.
     sound: usize,
     sound_refused: usize,
+    /// Most sound parts that a router has quarantined at the end.
     quarantined_sound: usize,
     max_bytes: u64,
 }
--- a/crates/peppercrank-direct/tests/verify_quarantine.rs
+++ b/crates/peppercrank-direct/tests/verify_quarantine.rs
@@ -261,6 +261,30 @@
     assert_eq!(sent, 2 * 4_096);
 }
 
+/// Callers choose the ids of parts, and can invent any number of them.
+#[test]
+fn verify_invented_parts_displace_no_quarantined_one() {
+    let mut quarantine = Quarantine::of_parts(at(0));
+    for n in 1..=3 {
+        let now = at(20_000 + 1_000 * u64::from(n));
+        let content = Fingerprint(u64::from(n));
+        quarantine.record_crash_of_parts(now, content, &[CRASHING], TargetId(n));
+    }
+    for n in 100..10_000 {
+        let (now, part) = (at(30_000 + 1_000 * n), Fingerprint(n));
+        quarantine.record_success(now, Fingerprint(100_000 + n));
+        let target = TargetId(u32::try_from(n).expect("small"));
+        quarantine.record_crash_of_parts(now, part, &[part], target);
+    }
+    assert!(quarantine.is_quarantined(CRASHING));
+    assert_eq!(quarantine.quarantined_count(), 1);
+    let mut reports = 0;
+    while quarantine.has_pending_reports() {
+        reports += quarantine.take_pending_reports(at(20_000_000)).len();
+    }
+    assert!(reports <= 2 * 4_096, "{reports}");
+}
+
 #[test]
 fn verify_a_datagram_of_reports_fits_the_limit() {
     let mut quarantine = Quarantine::default();
