--- a/crates/peppercrank-direct/src/quarantine/sound.rs
+++ b/crates/peppercrank-direct/src/quarantine/sound.rs
@@ -9,7 +9,7 @@
 
 use crate::content::Fingerprint;
 
-/// Maximum number of parts that are remembered as sound, 16 bytes each.
+/// Maximum number of parts that are remembered as sound, 24 bytes each.
 const MAX_SOUND_PARTS: usize = 4_096;
 
 /// When targets last began answers on parts of prompts.
