--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -24,6 +25,21 @@
     pub reason: String,
 }
 
+/// Longest TCP segment, as on Ethernet. The loopback device's hold 64 KB, by which the kernel sizes its
+/// send buffers, so that it takes some megabytes of an answer at once.
+const SEGMENT_BYTES: u32 = 1_448;
+
+/// Receive buffer of a consumer: links have small windows (DEPLOY.md, "Network").
+const WINDOW_BYTES: u32 = 32 * 1_024;
+
+/// Opens a channel with segments as long as on Ethernet and a small window.
+pub async fn open(to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket2::SockRef::from(&socket).set_tcp_mss(SEGMENT_BYTES)?;
+    socket.set_recv_buffer_size(WINDOW_BYTES)?;
+    socket.connect(to).await
+}
+
 async fn exchange(to: SocketAddr, request: &str) -> Option<Message> {
     let mut io = TcpStream::connect(to).await.ok()?;
     io.write_all(request.as_bytes()).await.ok()?;
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -50,6 +50,7 @@
         service: &str,
         zone: &str,
         work: Duration,
+        answer_bytes: usize,
         store: &Store,
         runs: &Runs,
     ) -> std::io::Result<Self> {
@@ -61,6 +62,7 @@
             gone: gone.subscribe(),
             id: id.to_owned(),
             work,
+            answer_bytes,
             runs: Arc::clone(runs),
             draining: Arc::clone(&draining),
         };
@@ -115,6 +117,8 @@
 struct Server {
     id: String,
     work: Duration,
+    /// Length to which answers are filled up.
+    answer_bytes: usize,
     runs: Runs,
     draining: Arc<AtomicBool>,
     gone: watch::Receiver<bool>,
@@ -162,7 +166,10 @@
             tenant: request.header("peppercrank-tenant").unwrap_or("").to_owned(),
         });
         sleep(self.work).await;
-        let body = format!("done {id}");
+        let mut body = format!("done {id}\n");
+        while body.len() < self.answer_bytes {
+            body.push_str(&format!("line {} of the answer to {id}\n", body.len()));
+        }
         let close = if self.draining.load(Ordering::Relaxed) {
             "Connection: close\r\n"
         } else {
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -87,6 +87,31 @@
         }
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) -> io::Result<()> {
+        let Some(child) = &self.process else {
+            return Err(io::ErrorKind::NotFound.into());
+        };
+        Command::new("kill").arg("-TERM").arg(child.id().to_string()).status()?;
+        Ok(())
+    }
+
+    /// Waits until the process has ended by itself; returns whether it did, and kills it otherwise.
+    pub async fn wait_exit(&mut self, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Some(child) = &mut self.process
+                && matches!(child.try_wait(), Ok(Some(_)))
+            {
+                self.process = None;
+                return true;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        self.kill();
+        false
+    }
+
     /// Waits until the machine reports that it is ready; returns whether it did.
     pub async fn wait_ready(&self, within: Duration) -> bool {
         let until = Instant::now() + within;
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -1,7 +1,10 @@
 //! Just enough HTTP/1.1 for stand-ins: heads, bodies with a length, and chunked answers.
 
+use std::time::Duration;
+
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
+use tokio::time::sleep;
 
 /// The head of a message and its body.
 #[derive(Debug, Clone, Default)]
@@ -31,21 +34,33 @@
 pub struct Reader<R> {
     io: R,
     buf: Vec<u8>,
+    /// Bytes received since the last whole message.
+    received: usize,
+    pause: Duration,
 }
 
 impl<R: AsyncRead + Unpin> Reader<R> {
     pub fn new(io: R) -> Self {
-        Self { io, buf: Vec::new() }
+        Self { io, buf: Vec::new(), received: 0, pause: Duration::ZERO }
+    }
+
+    /// Reads 16 KB at most at a time, with a pause after each, as over a link of limited bandwidth.
+    pub fn paced(io: R, pause: Duration) -> Self {
+        Self { pause, ..Self::new(io) }
     }
 
     /// Reads more bytes; `None` at the end of the connection.
     pub async fn fill(&mut self) -> Option<()> {
-        let mut space = [0; 8_192];
+        let mut space = [0; 16_384];
         let n = self.io.read(&mut space).await.ok()?;
         if n == 0 {
             return None;
         }
         self.buf.extend_from_slice(&space[..n]);
+        self.received += n;
+        if !self.pause.is_zero() {
+            sleep(self.pause).await;
+        }
         Some(())
     }
 
@@ -94,8 +109,14 @@
         Some(chunk)
     }
 
+    /// Bytes received since the last whole message.
+    pub fn received(&self) -> usize {
+        self.received
+    }
+
     /// Reads a whole message; `None` if it broke off.
     pub async fn message(&mut self) -> Option<Message> {
+        self.received = 0;
         let mut message = self.head().await?;
         if message.header("transfer-encoding").is_some() {
             loop {
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -13,6 +13,7 @@
 mod restore;
 mod silent;
 mod store;
+mod terminate;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -50,6 +51,7 @@
             match case.as_str() {
                 "silent" => silent::play(stage).await,
                 "restore" => restore::play(stage).await,
+                "terminate" => terminate::play(stage).await,
                 _ => Err(std::io::Error::other("no such case")),
             }
         })
--- a/review/standins/src/restore.rs
+++ b/review/standins/src/restore.rs
@@ -63,7 +63,7 @@
     let mut engines = Vec::new();
     for zone in ZONES {
         let id = format!("i-{zone}-0");
-        engines.push(Engine::start(&id, SERVICE, zone, work, &store, &runs).await?);
+        engines.push(Engine::start(&id, SERVICE, zone, work, 800, &store, &runs).await?);
     }
     let (one, two) = (
         json!({ "name": "t-one", "apiKeys": ["key-one"] }),
--- a/review/standins/src/silent.rs
+++ b/review/standins/src/silent.rs
@@ -59,7 +59,7 @@
     let mut engines = Vec::new();
     for zone in ZONES {
         let id = format!("i-{zone}-0");
-        engines.push(Engine::start(&id, SERVICE, zone, work, &store, &runs).await?);
+        engines.push(Engine::start(&id, SERVICE, zone, work, 800, &store, &runs).await?);
     }
     store.put("config", "main", &json!({
         "version": 7,
@@ -121,7 +121,7 @@
         let accepted = leaving.drain(&store);
         stage.record.line(&format!("the store accepts that {} is draining", leaving.id));
         let id = format!("i-{}-{}", leaving.zone, episode + 1);
-        engines.push(Engine::start(&id, SERVICE, &leaving.zone, work, &store, &runs).await?);
+        engines.push(Engine::start(&id, SERVICE, &leaving.zone, work, 800, &store, &runs).await?);
         drained.push(Drained { id: leaving.id.clone(), silenced, accepted });
         sleep_until(accepted + DRAIN + LONGER).await;
         leaving.exit(&store);
--- /dev/null
+++ b/review/standins/src/terminate.rs
@@ -0,0 +1,232 @@
+//! Gateways are stopped with SIGTERM and started again in turn, while servers send long answers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::Stage;
+use crate::Verdict;
+use crate::client;
+use crate::client::Call;
+use crate::engine::Engine;
+use crate::engine::Runs;
+use crate::fleet::Gateway;
+use crate::http::Reader;
+use crate::store::Store;
+
+const ZONES: [&str; 4] = ["ulemiste", "muuga", "lasnamae", "rae"];
+const SERVICE: &str = "packfloor-app";
+
+/// `graceS`: time from SIGTERM to SIGKILL.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// The route's `timeoutMs`, which is the consumers' time budget too.
+const BUDGET: Duration = Duration::from_millis(1_500);
+
+/// Time that a server works on a request, and length of its answer.
+const WORK: Duration = Duration::from_millis(60);
+const ANSWER_BYTES: usize = 1_200_000;
+
+/// Pause of a consumer after each 16 KB: some 12 Mbit/s.
+const READ_PAUSE: Duration = Duration::from_millis(10);
+
+const CONSUMERS_PER_GATEWAY: usize = 60;
+
+/// Time for which a consumer's channel rests before its request.
+const REST: Duration = Duration::from_millis(4_000);
+
+/// The balancer: which machines get new channels.
+#[derive(Clone)]
+struct Balancer(Arc<Mutex<Vec<u32>>>);
+
+impl Balancer {
+    /// Checks all machines once per second. Two misses in a row take a machine out.
+    fn start(ready: Vec<SocketAddr>) -> Self {
+        let balancer = Self(Arc::new(Mutex::new(vec![0; ready.len()])));
+        let checked = balancer.clone();
+        tokio::spawn(async move {
+            loop {
+                for (g, address) in ready.iter().enumerate() {
+                    let is_ready = client::is_ready(*address).await;
+                    let misses = &mut checked.0.lock().unwrap()[g];
+                    *misses = if is_ready { 0 } else { *misses + 1 };
+                }
+                sleep(Duration::from_secs(1)).await;
+            }
+        });
+        balancer
+    }
+
+    /// The machine for a new channel of a consumer.
+    fn choose(&self, home: usize) -> usize {
+        let misses = self.0.lock().unwrap();
+        let in_turn = (0..misses.len()).map(|n| (home + n) % misses.len());
+        in_turn.into_iter().find(|g| misses[*g] < 2).unwrap_or(home)
+    }
+}
+
+/// Opens a channel, rests, sends a request on it, and does so again.
+async fn consume(
+    name: String,
+    home: usize,
+    frontends: Vec<SocketAddr>,
+    balancer: Balancer,
+    calls: Arc<Mutex<Vec<Call>>>,
+) {
+    let mut number = 0_u64;
+    loop {
+        let gateway = balancer.choose(home);
+        let Ok(io) = client::open(frontends[gateway]).await else {
+            sleep(Duration::from_millis(100)).await;
+            continue;
+        };
+        let _set = io.set_nodelay(true);
+        let (read, mut write) = io.into_split();
+        let mut reader = Reader::paced(read, READ_PAUSE);
+        if timeout(REST, reader.fill()).await.is_ok() {
+            // The channel ended while it rested.
+            continue;
+        }
+        number += 1;
+        let id = format!("{name}-{number}");
+        let request = format!(
+            "POST /confirm/x HTTP/1.1\r\nHost: site.example\r\nPeppercrank-Request-Id: {id}\r\n\
+             Peppercrank-Deadline-Ms: {}\r\nPeppercrank-Key: key-one\r\n\
+             Content-Length: 4\r\n\r\nbody",
+            BUDGET.as_millis(),
+        );
+        let sent = Instant::now();
+        if write.write_all(request.as_bytes()).await.is_err() {
+            continue;
+        }
+        let answer = timeout(BUDGET, reader.message()).await;
+        let was_late = answer.is_err();
+        let answer = answer.ok().flatten();
+        let status = answer.as_ref().map_or(0, |a| a.status());
+        let reason = match &answer {
+            Some(answer) => format!("{} bytes", answer.body.len()),
+            None if was_late => "time budget over".to_owned(),
+            None => format!("channel ended, {} bytes of an answer", reader.received()),
+        };
+        let ended = Instant::now();
+        let path = "/confirm/x".to_owned();
+        calls.lock().unwrap().push(Call { id, gateway, path, sent, ended, status, reason });
+    }
+}
+
+pub async fn play(mut stage: Stage<'_>) -> io::Result<Verdict> {
+    let store = Store::start().await?;
+    let runs = Runs::default();
+    let mut engines = Vec::new();
+    for zone in ZONES {
+        let id = format!("i-{zone}-0");
+        let engine = Engine::start(&id, SERVICE, zone, WORK, ANSWER_BYTES, &store, &runs);
+        engines.push(engine.await?);
+    }
+    store.put("config", "main", &json!({
+        "version": 7,
+        "routes": [{ "name": "r-confirm", "hostname": "site.example", "pathPrefix": "/confirm/",
+            "routeKind": "unsafe", "timeoutMs": BUDGET.as_millis() as u64, "latencyGoalMs": 300,
+            "priority": 1, "service": SERVICE, "maxAttempts": 1, "public": false }],
+        "services": [{ "name": SERVICE, "healthPath": "/healthz", "maxConnections": 110,
+            "protocol": "h1", "tls": false }],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": "t-one", "apiKeys": ["key-one"] }],
+    }));
+    let mut gateways = Vec::new();
+    for (i, zone) in ZONES.iter().enumerate() {
+        let name = format!("edge-{zone}-{}", i + 1);
+        gateways.push(Gateway::new(&name, zone, store.address, stage.place)?);
+    }
+    for gateway in &mut gateways {
+        gateway.start()?;
+    }
+    for gateway in &gateways {
+        if !gateway.wait_ready(Duration::from_secs(10)).await {
+            return Err(io::Error::other("a gateway didn't get ready"));
+        }
+        stage.record.line(&format!("{} in {} is ready", gateway.name, gateway.zone));
+    }
+    sleep(Duration::from_secs(4)).await;
+
+    let calls = Arc::new(Mutex::new(Vec::<Call>::new()));
+    let balancer = Balancer::start(gateways.iter().map(|g| g.ready).collect());
+    let frontends = gateways.iter().map(|g| g.listen).collect::<Vec<_>>();
+    let mut consumers = Vec::new();
+    for home in 0..gateways.len() {
+        for n in 0..CONSUMERS_PER_GATEWAY {
+            let consumer = consume(
+                format!("q-{home}-{n}"),
+                home,
+                frontends.clone(),
+                balancer.clone(),
+                Arc::clone(&calls),
+            );
+            // They begin one after the other, so that requests are spread over the time.
+            let begins = REST * n as u32 / CONSUMERS_PER_GATEWAY as u32;
+            consumers.push(tokio::spawn(async move {
+                sleep(begins).await;
+                consumer.await;
+            }));
+        }
+    }
+    sleep(Duration::from_secs(5)).await;
+
+    let mut stops = Vec::new();
+    for g in 0..gateways.len() {
+        let stopped = Instant::now();
+        if stage.trouble {
+            gateways[g].terminate()?;
+            stage.record.line(&format!("SIGTERM to gateway {g}, {}", gateways[g].name));
+            let by_itself = gateways[g].wait_exit(GRACE).await;
+            let took = stopped.elapsed().as_secs_f64();
+            stage.record.line(&format!("it ended after {took:.3} s; by itself: {by_itself}"));
+            gateways[g].start()?;
+            gateways[g].wait_ready(Duration::from_secs(5)).await;
+        }
+        stops.push(stopped);
+        sleep(Duration::from_secs(5)).await;
+    }
+    for consumer in &consumers {
+        consumer.abort();
+    }
+    sleep(Duration::from_secs(1)).await;
+
+    let (calls, runs) = (calls.lock().unwrap().clone(), runs.lock().unwrap().clone());
+    let mut lost = 0;
+    for (g, stopped) in stops.iter().enumerate() {
+        let window = *stopped..*stopped + GRACE + Duration::from_secs(1);
+        let cut = calls.iter().filter(|c| {
+            let ran = runs.iter().any(|r| r.request == c.id);
+            let in_time = c.ended < c.sent + BUDGET;
+            // The servers were done well before the last sixth of `graceS`.
+            let worked = c.ended < *stopped + GRACE * 5 / 6;
+            c.gateway == g && c.status == 0 && window.contains(&c.ended) && ran && in_time && worked
+        });
+        for call in cut {
+            stage.record.line(&format!(
+                "gateway {g}: {} was sent {:.3} s and its channel ended {:.3} s after the SIGTERM: {}",
+                call.id,
+                (call.sent - *stopped).as_secs_f64(),
+                (call.ended - *stopped).as_secs_f64(),
+                call.reason,
+            ));
+            lost += 1;
+        }
+    }
+    let whole = calls.iter().filter(|c| c.status == 200).count();
+    stage.record.line(&format!("{} requests sent, {whole} answered whole with 200", calls.len()));
+    let verdict = if lost == 0 { "held" } else { "broken" };
+    stage.record.line(&format!("LOST {verdict}: {lost} answers cut"));
+    stage.record.calls(&calls, &runs);
+    Ok(if lost == 0 { Verdict::Held } else { Verdict::Broken })
+}
