--- a/review/standins/src/restore.rs
+++ b/review/standins/src/restore.rs
@@ -29,9 +29,9 @@
 
 /// Times after the ack of the desired state that takes the key away: the store goes away, it is
 /// back from its copy, and the operator has written again what it lacks.
-const AWAY: Duration = Duration::from_millis(3_500);
-const BACK: Duration = Duration::from_millis(4_000);
-const WRITTEN_AGAIN: Duration = Duration::from_millis(6_000);
+const AWAY: Duration = Duration::from_millis(4_400);
+const BACK: Duration = Duration::from_millis(4_900);
+const WRITTEN_AGAIN: Duration = Duration::from_millis(5_900);
 
 /// The gateway that is killed as the store goes away, and started as it is back.
 const KILLED: usize = 3;
