Count every limit of a shutdown from the moment of its signal

On the code before: 9 of 596 requests, sent 3.07 to 4.21 s after SIGTERM, cut at 7.6 s.

Cause: the signal said only that it was sent. Each task counted the 3 s in which requests are accepted from when it first saw the signal, which for a connection that is opened after it is the start of the connection: requests were accepted for up to 6 s of a shutdown of 7.6 s.

Ruled out: a late signal (processes ended at 7.60 to 7.65 s), and requests after an answer on the same connection (the case uses each connection once; it is a fault of the same kind all the same, and has its own test).

Evidence: two new tests with a stopped clock failed on the code before. A connection opened 2 s into a stop answered a request at 4 s, and a connection whose stream ended at 4 s answered the next request.

The fix: the signal carries its moment, and the accept loop, connections, drain and the acceptance of requests count from it. What arrives later gets 503 "stopping", which has not run, also if it arrived behind a long answer. The gateway accepts for 2.5 s in place of 3 s: the balancer drops a router after two checks a second apart, and an answer of 5 s that starts at the last moment still ends within 8 s.

--- a/crates/peppercrank-gateway/src/limits.rs
+++ b/crates/peppercrank-gateway/src/limits.rs
@@ -10,9 +10,9 @@
 use peppercrank_wire::buffer::BufferLimits;
 use peppercrank_wire::edge::Limits;
 
-/// Time for which new callers are still accepted after SIGTERM. The load balancer checks each
-/// second and drops a router after two failed checks.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_secs(3);
+/// Time for which requests are still accepted after SIGTERM. The load balancer checks each second
+/// and drops a router after two failed checks. An answer of 5 s still ends within 8 s.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_500);
 
 /// Time reserved for the process itself at the end of the shutdown.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
--- a/crates/peppercrank-wire/src/edge/connection.rs
+++ b/crates/peppercrank-wire/src/edge/connection.rs
@@ -42,9 +42,11 @@
 use super::call::CallBody;
 use super::call::Reply;
 use super::call::raw_response;
+use super::call::refuse;
 use super::flow::ConnectionState;
 use super::flow::Expired;
 use super::flow::Phase;
+use super::flow::deadline_after;
 use super::gate::CheckedStream;
 use super::limits::Limits;
 use super::refusal::Counters;
@@ -157,7 +159,7 @@
         .header_read_timeout(None)
         .max_buf_size(limits.head.saturating_mul(2).max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let end = drive(&mut conn, &state, &limits, stop).await;
+    let end = drive(&mut conn, &state, &limits, &stop).await;
     let busy = state.phase() == Phase::Busy;
     // This drops the response in progress, which cancels the work for it.
     let io = conn.into_parts().io.into_inner().into_inner();
@@ -206,8 +208,14 @@
     let (head, body) = received.request.into_parts();
     // The checked stream cannot detect the end of a chunked body, so no request may follow it.
     let closes_after = head.headers.contains_key(header::TRANSFER_ENCODING);
-    let body = CallBody::new(body, received.limits, Arc::clone(&in_progress.memory));
-    let mut reply = (shared.handler)(Call { head, body, peer }).await;
+    let limits = received.limits;
+    let body = CallBody::new(body, Arc::clone(&limits), Arc::clone(&in_progress.memory));
+    let mut reply = if accepts_requests(&stop, &limits) {
+        (shared.handler)(Call { head, body, peer }).await
+    } else {
+        shared.counters.refuse(Refused::Stopping);
+        refuse(Refused::Stopping)
+    };
     if closes_after || stop.is_stopping() {
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(header::CONNECTION, close);
@@ -218,6 +226,13 @@
     }))
 }
 
+/// Returns whether a request that arrives now may start. One that arrives too late in a shutdown
+/// might be aborted at its end.
+fn accepts_requests(stop: &Stop, limits: &Limits) -> bool {
+    let stopping = stop.sent_at();
+    stopping.is_none_or(|at| Instant::now() < deadline_after(at, limits.stop_idle))
+}
+
 /// How a connection ended.
 enum ConnectionEnd {
     /// Regularly, or because the handler aborted its response.
@@ -240,22 +255,22 @@
     conn: &mut C,
     state: &ConnectionState,
     limits: &Limits,
-    mut stop: Stop,
+    stop: &Stop,
 ) -> ConnectionEnd
 where
     C: Future<Output = hyper::Result<()>> + Unpin,
 {
-    let mut stopping = None;
-    let mut signal = pin!(async move { stop.wait().await });
-    let mut sleep = pin!(sleep_until(state.deadline(limits, stopping).0));
+    let mut signal = stop.clone();
+    let mut signal = pin!(async move { signal.wait().await });
+    let mut signalled = false;
+    let mut sleep = pin!(sleep_until(state.deadline(limits, stop.sent_at()).0));
     poll_fn(|cx| {
         if let Poll::Ready(done) = Pin::new(&mut *conn).poll(cx) {
             return Poll::Ready(connection_end(&done));
         }
-        if stopping.is_none() && signal.as_mut().poll(cx).is_ready() {
-            stopping = Some(Instant::now());
-        }
-        let (at, expired) = state.deadline(limits, stopping);
+        // The signal wakes this task, so that its deadline is shortened.
+        signalled = signalled || signal.as_mut().poll(cx).is_ready();
+        let (at, expired) = state.deadline(limits, stop.sent_at());
         if sleep.deadline() != at {
             sleep.as_mut().reset(at);
         }
--- a/crates/peppercrank-wire/src/edge/flow.rs
+++ b/crates/peppercrank-wire/src/edge/flow.rs
@@ -37,12 +37,20 @@
     Refused(Refused),
 }
 
+/// A stream that holds back what arrives before the end of the response.
+#[derive(Debug, Default)]
+struct Held {
+    waker: Option<Waker>,
+    /// Whether bytes of the next request have arrived.
+    has_bytes: bool,
+}
+
 #[derive(Debug)]
 struct Inner {
     phase: Phase,
     phase_since: Instant,
     write_blocked_since: Option<Instant>,
-    held_waker: Option<Waker>,
+    held: Held,
     refused: Option<Refused>,
     response_started: bool,
 }
@@ -57,7 +65,7 @@
             phase: Phase::Idle,
             phase_since: Instant::now(),
             write_blocked_since: None,
-            held_waker: None,
+            held: Held::default(),
             refused: None,
             response_started: false,
         }))
@@ -76,9 +84,15 @@
 
     /// Records that the response was handed over completely, or dropped.
     pub(super) fn response_ended(&self) {
-        self.enter(Phase::Idle);
-        let waker = self.lock().held_waker.take();
-        if let Some(waker) = waker {
+        let held = std::mem::take(&mut self.lock().held);
+        // A connection that has received a part of the next request is not idle, so the request is
+        // answered even if idle connections are closed now.
+        self.enter(if held.has_bytes {
+            Phase::Head
+        } else {
+            Phase::Idle
+        });
+        if let Some(waker) = held.waker {
             waker.wake();
         }
     }
@@ -88,8 +102,11 @@
     }
 
     /// Stores the waker of a stream that holds back data until the end of the response.
-    pub(super) fn set_held_waker(&self, waker: &Waker) {
-        self.lock().held_waker = Some(waker.clone());
+    pub(super) fn hold(&self, waker: &Waker, has_bytes: bool) {
+        self.lock().held = Held {
+            waker: Some(waker.clone()),
+            has_bytes,
+        };
     }
 
     pub(super) fn refuse(&self, reason: Refused) {
--- a/crates/peppercrank-wire/src/edge/gate.rs
+++ b/crates/peppercrank-wire/src/edge/gate.rs
@@ -105,13 +105,15 @@
 
     /// Holds back data that arrives before the end of the response, and detects disconnects.
     fn poll_while_busy(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
-        self.state.set_held_waker(cx.waker());
-        while self.buf.len() < self.limits.head {
+        loop {
+            self.state.hold(cx.waker(), !self.buf.is_empty());
+            if self.buf.len() >= self.limits.head {
+                return Poll::Pending;
+            }
             if ready!(self.poll_fill(cx))? == 0 {
                 return Poll::Ready(Ok(true));
             }
         }
-        Poll::Pending
     }
 
     /// Searches the buffer for a head, which is parsed only once a blank line has arrived.
--- a/crates/peppercrank-wire/src/edge/limits.rs
+++ b/crates/peppercrank-wire/src/edge/limits.rs
@@ -28,9 +28,10 @@
     pub total: Duration,
     /// Time that a refused caller may continue to send, so that it can read the refusal.
     pub linger: Duration,
-    /// During shutdown, the time that idle connections stay open and new ones are accepted.
+    /// During shutdown, the time from its signal for which requests and new connections are
+    /// accepted and idle connections stay open.
     pub stop_idle: Duration,
-    /// During shutdown, the time that calls in progress get to complete.
+    /// During shutdown, the time from its signal that calls in progress get to complete.
     pub drain: Duration,
 }
 
--- a/crates/peppercrank-wire/src/edge/mod.rs
+++ b/crates/peppercrank-wire/src/edge/mod.rs
@@ -144,12 +144,13 @@
             () = self.accept(&mut tasks, &shared, &stop) => {}
         }
         let limits = shared.limits();
-        let end = deadline_after(Instant::now(), limits.drain);
+        let stopped_at = stop.sent_at().unwrap_or_else(Instant::now);
+        let end = deadline_after(stopped_at, limits.drain);
         // Callers learn of the shutdown gradually. The system resets connections that are
         // established while the listener closes, so it stays open until few new ones arrive.
         let late = self.accept(&mut tasks, &shared, &stop);
-        let time = limits.stop_idle.min(limits.drain);
-        let _over = timeout(time, late).await;
+        let accept_until = deadline_after(stopped_at, limits.stop_idle).min(end);
+        let _over = timeout_at(accept_until, late).await;
         while let Some(Ok((io, peer))) = self.listener.accept().now_or_never() {
             admit(&mut tasks, io, peer, &shared, &stop);
         }
--- a/crates/peppercrank-wire/src/edge/refusal.rs
+++ b/crates/peppercrank-wire/src/edge/refusal.rs
@@ -50,6 +50,8 @@
 refused! {
     /// The maximum number of connections was reached.
     Connections "connections" SERVICE_UNAVAILABLE "too many connections",
+    /// The server is shutting down and starts no more calls.
+    Stopping "stopping" SERVICE_UNAVAILABLE "shutting down",
     /// The head could not be parsed.
     BadHead "bad_head" BAD_REQUEST "malformed request head",
     /// The head specifies the end of the body in an ambiguous or unsupported way.
--- a/crates/peppercrank-wire/tests/verify_stop.rs
+++ b/crates/peppercrank-wire/tests/verify_stop.rs
@@ -15,12 +15,16 @@
 use bytes::Bytes;
 use peppercrank_wire::body;
 use peppercrank_wire::edge::Limits;
+use peppercrank_wire::edge::Refused;
 use peppercrank_wire::edge::Reply;
 use peppercrank_wire::edge::ServeSummary;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::task::yield_now;
+use tokio::time::advance;
+use tokio::time::pause;
 
 use edges::Running;
 use edges::echo;
@@ -121,6 +125,69 @@
     assert_eq!(running.stop().await, ServeSummary { calls: 2, cut: 0 });
 }
 
+/// Limits of a server that accepts requests for 3 s of a shutdown of 20 s.
+fn slow_stop() -> Limits {
+    Limits {
+        stop_idle: Duration::from_secs(3),
+        drain: Duration::from_secs(20),
+        ..Limits::default()
+    }
+}
+
+/// Stops the clock, which then only [`advance`] moves: a paused clock jumps to the next timer while
+/// all tasks wait for sockets, so one task never waits.
+fn stop_clock() {
+    pause();
+    tokio::spawn(async {
+        loop {
+            yield_now().await;
+        }
+    });
+}
+
+/// Guards against answers that a shutdown cuts, since requests are accepted too late in it: a
+/// connection that was opened after the stop counted the time for idle connections from its own
+/// start.
+#[tokio::test]
+async fn verify_connections_opened_after_a_stop_accept_no_later_requests() {
+    let running = start(slow_stop(), echo).await;
+    stop_clock();
+    running.stopper.stop();
+    advance(Duration::from_secs(2)).await;
+    let mut io = TcpStream::connect(running.address)
+        .await
+        .expect("a connection");
+    while running.counters.open() == 0 {
+        yield_now().await;
+    }
+    advance(Duration::from_secs(2)).await;
+    // The connection may be closed already.
+    let _sent = io.write_all(GET).await;
+    let mut answer = Vec::new();
+    let _end = io.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(!answer.contains("200 OK"), "{answer}");
+}
+
+/// Guards against answers that a shutdown cuts, since requests are accepted too late in it: the
+/// next request on a connection whose answer had begun before the stop.
+#[tokio::test]
+async fn verify_requests_after_a_long_answer_are_refused_late_in_a_stop() {
+    let (running, gate) = halting(slow_stop()).await;
+    let mut io = begin(&running).await;
+    stop_clock();
+    running.stopper.stop();
+    io.write_all(GET).await.expect("sent");
+    advance(Duration::from_secs(4)).await;
+    gate.add_permits(2);
+    let answer = read_all(&mut io).await;
+    let (first, second) = answer.split_once("0\r\n\r\n").expect("a whole answer");
+    assert_eq!(first, "4\r\npart\r\n");
+    assert!(second.contains("503 Service Unavailable"), "{second}");
+    assert!(second.contains("x-peppercrank-run: not_run"), "{second}");
+    assert_eq!(running.counters.refused(Refused::Stopping), 1);
+}
+
 #[tokio::test]
 async fn verify_kept_connections() {
     let running = start(Limits::default(), echo).await;
