Treat a connection as busy until its answer was written

Cause: a connection counted as idle once the last part of its answer was handed to the HTTP library, which may hold megabytes that the caller has not read. Idle connections are closed early in a stop.

Evidence: the new test, with a stopped clock and an answer of 32 MB, failed on the code before with 3,919,872 bytes read; it passes now.

The fix: the connection becomes idle when the library flushes its stream, which it does only after it has written everything. Until then the limits of a busy connection apply, and the next request is held back as before.

--- a/crates/peppercrank-wire/src/edge/flow.rs
+++ b/crates/peppercrank-wire/src/edge/flow.rs
@@ -24,7 +24,7 @@
     Idle,
     /// The rest of a head.
     Head,
-    /// The end of the response.
+    /// The end of the response, and that all of it was written.
     Busy,
 }
 
@@ -51,6 +51,8 @@
     phase_since: Instant,
     write_blocked_since: Option<Instant>,
     held: Held,
+    /// Whether the response has ended, but may not have been written completely.
+    flushing: bool,
     refused: Option<Refused>,
     response_started: bool,
 }
@@ -66,6 +68,7 @@
             phase_since: Instant::now(),
             write_blocked_since: None,
             held: Held::default(),
+            flushing: false,
             refused: None,
             response_started: false,
         }))
@@ -82,8 +85,17 @@
         self.lock().response_started = false;
     }
 
-    /// Records that the response was handed over completely, or dropped.
+    /// Records that the response was handed over completely, or dropped. The connection stays busy
+    /// until the caller's side has accepted it.
     pub(super) fn response_ended(&self) {
+        self.lock().flushing = true;
+    }
+
+    /// Records that all bytes handed over were written.
+    pub(super) fn flushed(&self) {
+        if !std::mem::take(&mut self.lock().flushing) {
+            return;
+        }
         let held = std::mem::take(&mut self.lock().held);
         // A connection that has received a part of the next request is not idle, so the request is
         // answered even if idle connections are closed now.
--- a/crates/peppercrank-wire/src/edge/gate.rs
+++ b/crates/peppercrank-wire/src/edge/gate.rs
@@ -251,7 +251,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+        ready!(Pin::new(&mut self.io).poll_flush(cx))?;
+        // hyper flushes a stream only once it has written everything.
+        self.state.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/peppercrank-wire/tests/verify_stop.rs
+++ b/crates/peppercrank-wire/tests/verify_stop.rs
@@ -188,6 +188,33 @@
     assert_eq!(running.counters.refused(Refused::Stopping), 1);
 }
 
+/// Guards against long answers that a shutdown cuts: a connection counted as idle once the last
+/// part of its answer was ready, though its caller had not read it.
+#[tokio::test]
+async fn verify_stop_finishes_answers_that_callers_read_slowly() {
+    /// More than the buffers of the system hold.
+    const SIZE: usize = 32 * 1_024 * 1_024;
+    let running = start(slow_stop(), |_call| {
+        std::future::ready(Reply::new(body::full(vec![b'a'; SIZE])))
+    })
+    .await;
+    let mut io = TcpStream::connect(running.address)
+        .await
+        .expect("a connection");
+    io.write_all(GET).await.expect("sent");
+    // The answer has begun, so the server has written all that fits.
+    io.readable().await.expect("an answer");
+    stop_clock();
+    running.stopper.stop();
+    // The connection's task sees the signal before the time for idle connections is over.
+    for _ in 0..100 {
+        yield_now().await;
+    }
+    advance(Duration::from_secs(4)).await;
+    let answer = read_all(&mut io).await;
+    assert!(answer.len() > SIZE, "{} bytes", answer.len());
+}
+
 #[tokio::test]
 async fn verify_kept_connections() {
     let running = start(Limits::default(), echo).await;
