Ask the store again when other routers know of a change that a watch missed

Cause: a connection to the store that goes silent without a reset is noticed only at the end of a call on it. A router that confirms its keys with others makes no short calls, so its watch of targets waited for up to 6.2 s. Routers that do make short calls notice early, but the next call could wait on another silent connection that was unused.

The fix: routers announce the targets that leave, in a new datagram that older versions ignore. A router that still uses such a target 250 ms later abandons its watch, unless the answer has begun, and asks again on a new connection. The watch of the configuration does the same for a newer version that a confirmation reports, and a call without an answer closes the unused connections. No calls are added while nothing is missed.

Not covered: the watches of all routers silent while short calls are not.

--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -124,6 +124,8 @@
     ChangesRead = 4007 Info "changes read from the store";
     /// The store was restored from an older copy, so everything is read again.
     StoreRestored = 4008 Warning "store back from an older copy";
+    /// A watch missed a change that another router has read, so it is repeated on a new connection.
+    WatchOvertaken = 4009 Warning "watch overtaken by another router";
     /// A target was marked as leaving.
     TargetLeaving = 5001 Info "target leaving";
     /// A leaving target has no running requests left.
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod features;
 pub mod freshness;
 pub mod in_flight;
+pub mod leaving;
 pub mod memory;
 pub mod notice;
 pub mod occupancy;
--- a/crates/peppercrank-direct/src/peers.rs
+++ b/crates/peppercrank-direct/src/peers.rs
@@ -177,6 +177,8 @@
     /// Parts of prompts during which targets crashed. Routers of versions without this variant
     /// ignore the datagram.
     PartReports(Vec<PartReport>),
+    /// Targets that leave. Routers of versions without this variant ignore the datagram.
+    Leaving(Vec<TargetId>),
 }
 
 /// Work and hints of one router.
--- a/crates/peppercrank-gateway/src/confirm.rs
+++ b/crates/peppercrank-gateway/src/confirm.rs
@@ -126,7 +126,10 @@
         }
         // The request stays pending, by which the waiting task sees that the answer confirmed
         // nothing.
-        Some(Verdict::Outdated) => {}
+        Some(Verdict::Outdated) => {
+            state.heard_version = state.heard_version.max(Some(confirmation.version));
+            gateway.newer_version_heard.notify_one();
+        }
         Some(Verdict::Unusable) | None => return,
     }
     drop(state);
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -28,6 +28,7 @@
 
 use crate::gateway::Gateway;
 use crate::intake::Intake;
+use crate::missed;
 use crate::outage::Outage;
 use crate::outage::OutageListener;
 use crate::role::FollowerRole;
@@ -328,7 +329,13 @@
             // A call is abandoned once the store has recovered, as its connection may be dead, but
             // never after its answer has begun.
             () = self.outage_listener.wait_for_recovery() => return Err(PollOutcome::PollAgain),
-            () = evacuations_outdated(&self.gateway, self.kind) => return Err(PollOutcome::Relist),
+            () = evacuations_outdated(&self.gateway, self.kind) => {
+                self.store.close();
+                return Err(PollOutcome::Relist);
+            }
+            () = missed::missed_change(&self.gateway, &self.role) => {
+                return Err(self.replace_silent_connection());
+            }
         };
         let CallOutcome { result, era } = match answer {
             Ok(answer) => self.store.read_answer(answer).await,
@@ -351,7 +358,11 @@
             }
             CallResult::HistoryGone => Err(PollOutcome::Relist),
             CallResult::Rejected(_) => Err(PollOutcome::Failed("refused")),
-            CallResult::NoAnswer => Err(PollOutcome::Failed("no answer")),
+            CallResult::NoAnswer => {
+                // If this connection went silent, the unused ones may have too.
+                self.store.close();
+                Err(PollOutcome::Failed("no answer"))
+            }
             CallResult::Truncated => Err(PollOutcome::Failed("answer broke off")),
             CallResult::Conflict | CallResult::Missing => {
                 Err(PollOutcome::Failed("unexpected answer"))
@@ -359,6 +370,17 @@
         }
     }
 
+    /// Abandons a watch whose connection seems to be silent. The next call uses a new connection, as
+    /// the unused ones may be silent too.
+    fn replace_silent_connection(&self) -> PollOutcome {
+        self.store.close();
+        let kind = self.kind.as_str();
+        self.gateway.metrics.count_store_call(kind, "overtaken");
+        let fields = [("kind", Field::Text(kind))];
+        self.gateway.log.write(LogEvent::WatchOvertaken, &fields);
+        PollOutcome::PollAgain
+    }
+
     /// Logs calls for the configuration that returned one or failed.
     fn log_configuration_call(&self, wait: Duration, asked_at: Instant, result: &CallResult) {
         let bytes = match result {
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -119,6 +119,10 @@
     pub routers_listed: Notify,
     /// Wakes the follower of evacuations when another router knows of different ones.
     pub evacuations_outdated: Notify,
+    /// Wakes the follower of targets when another router announced that some leave.
+    pub leaving_heard: Notify,
+    /// Wakes the watch of the configuration when another router has a newer one.
+    pub newer_version_heard: Notify,
     /// Wakes the task that registers this router when its entry has disappeared.
     pub entry_missing: Notify,
     /// The limits for callers, which follow the configuration in force.
@@ -169,6 +173,8 @@
             machine_resumed: Notify::new(),
             routers_listed: Notify::new(),
             evacuations_outdated: Notify::new(),
+            leaving_heard: Notify::new(),
+            newer_version_heard: Notify::new(),
             entry_missing: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
             peer_socket,
--- a/crates/peppercrank-gateway/src/gossip.rs
+++ b/crates/peppercrank-gateway/src/gossip.rs
@@ -26,6 +26,7 @@
 use crate::crashes;
 use crate::failures;
 use crate::gateway::Gateway;
+use crate::missed;
 use crate::origins;
 use crate::shares;
 use crate::shares::ReportSchedule;
@@ -161,7 +162,8 @@
             .tick(&gateway, &socket, FAILURE_BYTES)
             .await;
         schedule.summary_allowance = schedule.summary_allowance.saturating_sub(report_bytes);
-        let spent = demand_bytes + failure_bytes;
+        let leaving_bytes = missed::announce_leaving(&gateway, &socket).await;
+        let spent = demand_bytes + failure_bytes + leaving_bytes;
         // Capped so that summaries go on after a burst.
         schedule.owed = (schedule.owed + spent).min(2 * BYTES_PER_INTERVAL);
         relay_reports(&gateway, &socket, &mut schedule).await;
@@ -287,6 +289,7 @@
             Ok(Datagram::OriginUnknown(stream)) => origins::receive_unknown(&gateway, stream),
             Ok(Datagram::Demand(report)) => shares::receive(&gateway, from, &report),
             Ok(Datagram::Failures(summary)) => failures::receive_summary(&gateway, from, &summary),
+            Ok(Datagram::Leaving(targets)) => missed::receive_leaving(&gateway, &targets),
             Err(_) => gateway.metrics.count_failed_attempt("malformed datagram"),
         }
     }
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod job;
 pub mod limits;
 pub mod metrics;
+pub mod missed;
 pub mod origins;
 pub mod outage;
 pub mod progress;
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -19,6 +19,7 @@
 use peppercrank_direct::era::EraTracker;
 use peppercrank_direct::failures::Failures;
 use peppercrank_direct::freshness::Freshness;
+use peppercrank_direct::leaving::LeavingTargets;
 use peppercrank_direct::memory::TargetMemory;
 use peppercrank_direct::occupancy::Occupancy;
 use peppercrank_direct::origins::OriginQueue;
@@ -63,8 +64,13 @@
     pub catch_up: CatchUp,
     /// The eras of the store, which change when it is restored from an older copy.
     pub eras: EraTracker,
+    /// The newest configuration version that another router reported, if it was newer than the one
+    /// in force here; `None` once that was acted on.
+    pub heard_version: Option<u64>,
     /// The registered targets.
     pub directory: Directory,
+    /// Targets that leave, announced by this router and by others.
+    pub leaving: LeavingTargets,
     /// Since when the store has not answered this router; `None` while it does.
     pub store_down_since: Option<Instant>,
     /// When a peer last reported its load.
@@ -181,7 +187,9 @@
             pending_confirmation: None,
             catch_up: CatchUp::default(),
             eras: EraTracker::default(),
+            heard_version: None,
             directory: Directory::default(),
+            leaving: LeavingTargets::default(),
             store_down_since: None,
             peers_heard_at: now,
             board: StatsMap::default(),
--- a/crates/peppercrank-gateway/src/targets.rs
+++ b/crates/peppercrank-gateway/src/targets.rs
@@ -9,6 +9,7 @@
 use peppercrank_core::events::Event as LogEvent;
 use peppercrank_direct::directory::TargetEvent;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::peers::TargetId;
 use peppercrank_log::Field;
 use tokio::time::sleep;
 
@@ -27,6 +28,7 @@
             TargetEvent::Gone(key) => {
                 let info = target_info(gateway, key);
                 forget_target(gateway, key, &info);
+                announce_leaving(gateway, &info, revision);
                 log_event(gateway, LogEvent::TargetGone, &info, revision);
             }
             TargetEvent::Restarted { old, new } => {
@@ -42,6 +44,7 @@
             }
             TargetEvent::MarkedLeaving(key) => {
                 let info = target_info(gateway, key);
+                announce_leaving(gateway, &info, revision);
                 log_event(gateway, LogEvent::TargetLeaving, &info, revision);
                 // Keep the details for logging its removal, also for a target that was leaving when
                 // it joined.
@@ -56,6 +59,16 @@
     }
 }
 
+/// Announces to other routers that a target leaves, if a change of its entry shows it: they find
+/// the same in the store.
+fn announce_leaving(gateway: &Gateway, info: &TargetInfo, revision: Option<u64>) {
+    if revision.is_some() {
+        let now = gateway.now();
+        let target = TargetId::of(&info.instance, info.start);
+        gateway.state().leaving.announce(now, target);
+    }
+}
+
 /// Records that an incarnation of a target has joined.
 fn record_joined(gateway: &Gateway, key: TargetKey) {
     let mut state = gateway.state();
