Bound what a target may send without any data, and what is held of its answer

Callers would see: requests that wait for their whole time, at other targets too, and routers that run out of memory, while a target sends bytes without end.

Cause: the framing of a response (interim responses, chunk sizes, extensions, trailers) was bounded by time alone, and is decoded byte by byte, which keeps the process from everything else. An answer was held until it was whole.

The fix: a connection fails once 256 KB arrived without data for the reader, more than buffers and parts in transit hold, and the attempt fails as "answer without end" at once; it counts against the target, but not as a crash. 512 KB of an answer are held, a longer one is passed on as it arrives. Bodies of refusals are dropped as they are read, and answers of the store end at 4 MiB.

Not measured: memory and lateness beside many such targets at once.

--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -11,7 +11,6 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Collected;
 use peppercrank_core::time::Instant;
 use peppercrank_direct::congestion::is_congested;
 use peppercrank_direct::desired::RouteKind;
@@ -20,8 +19,10 @@
 use peppercrank_platform::answer::AnswerKind;
 use peppercrank_platform::call;
 use peppercrank_platform::call::RouterHeaders;
+use peppercrank_wire::Error as WireError;
 use peppercrank_wire::body;
 use peppercrank_wire::buffer::counted;
+use peppercrank_wire::client::Cause;
 use peppercrank_wire::client::ClientResponse;
 use peppercrank_wire::client::Framing;
 use peppercrank_wire::client::ResponseBody;
@@ -44,6 +45,13 @@
 /// still answer in time.
 const NO_SIGN: &str = "no sign of an answer";
 
+/// Log text and metrics label of an answer whose framing has no end.
+pub const ENDLESS: &str = "answer without end";
+
+/// Bytes of an answer that are held until all of it has arrived, so that another target can take
+/// over if it breaks off. A longer one is passed on as it arrives.
+const MAX_HELD_BYTES: usize = 512 * 1_024;
+
 /// An answer that was read completely.
 #[derive(Debug, Clone)]
 pub struct WholeAnswer {
@@ -62,19 +70,30 @@
     Whole(WholeAnswer),
     /// A server error, which either the target or the request may have caused.
     Failure(WholeAnswer),
-    /// A stream whose first part has arrived.
+    /// An answer that is passed on as it arrives, and whose first part has arrived.
     Stream {
+        /// What shows that it is complete.
+        content: Content,
         /// The HTTP status code.
         status: StatusCode,
         /// The headers, without hop-by-hop ones.
         headers: HeaderMap,
-        /// The first part of the stream's body.
+        /// The first part of the body.
         first: Bytes,
         /// The remaining body.
         rest: ResponseBody,
     },
 }
 
+/// What an answer that is passed on consists of, which shows whether it is complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Content {
+    /// A stream of events: complete only between two of them.
+    Events,
+    /// The bytes of an answer that is too long to be held: complete at its end.
+    Bytes,
+}
+
 /// Why an attempt produced no answer to forward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptError {
@@ -133,6 +152,16 @@
         }
     }
 
+    /// A body that ended with an error of its connection.
+    const fn broken_body(error: WireError) -> Self {
+        match error {
+            WireError::ResponseEndless => {
+                Self::new(ExecutionState::Unknown, ENDLESS, Blame::Target)
+            }
+            _ => Self::connection_lost("answer cut"),
+        }
+    }
+
     const fn new(execution: ExecutionState, cause: &'static str, blame: Blame) -> Self {
         Self {
             execution,
@@ -223,6 +252,11 @@
             "not connected",
             Blame::Reachability,
         )),
+        Err(SendError::MayHaveBeenSent(Cause::Endless)) => Err(AttemptError::new(
+            ExecutionState::Unknown,
+            ENDLESS,
+            Blame::Target,
+        )),
         Err(SendError::MayHaveBeenSent(_)) => Err(AttemptError::connection_lost("connection lost")),
     }
 }
@@ -303,74 +337,96 @@
     }
     peppercrank_wire::headers::strip_hop_by_hop(&mut headers);
     answer::strip_router_headers(&mut headers);
-    let truncated = AttemptError::connection_lost("answer cut");
     if answer_head.kind == AnswerKind::Success && matches!(job.kind, RouteKind::Stream { .. }) {
-        let first = next_part(&mut body).await.map_err(|()| truncated)?;
+        let first = next_part(&mut body).await;
+        let first = first.map_err(AttemptError::broken_body)?;
         // Only a length or a last chunk can show that a stream without events is complete.
         if first.is_none() && body.framing() == Framing::Close {
-            return Err(truncated);
+            return Err(AttemptError::connection_lost("answer cut"));
         }
         flight.record_first_part();
         return Ok(TargetAnswer::Stream {
+            content: Content::Events,
             status,
             headers,
             first: first.unwrap_or_default(),
             rest: body,
         });
     }
+    let (held, is_whole) = read_held(&flight.gateway, &mut body).await?;
+    if status.is_server_error() && !is_whole {
+        // Another target may still answer, so a failure cannot be passed on as it arrives.
+        return Err(AttemptError::new(
+            ExecutionState::Unknown,
+            "failure too long",
+            Blame::Target,
+        ));
+    }
     let whole = WholeAnswer {
         status,
         headers,
-        body: read_whole(&flight.gateway, body).await?,
+        body: held,
     };
     if status.is_server_error() {
         return Ok(TargetAnswer::Failure(whole));
     }
     flight.record_first_part();
-    Ok(TargetAnswer::Whole(whole))
+    if is_whole {
+        return Ok(TargetAnswer::Whole(whole));
+    }
+    Ok(TargetAnswer::Stream {
+        content: Content::Bytes,
+        status,
+        headers: whole.headers,
+        first: whole.body,
+        rest: body,
+    })
 }
 
-/// Reads a whole body. Where memory is limited, it counts toward the process's budget until the
-/// caller was sent it.
-async fn read_whole(gateway: &Gateway, mut body: ResponseBody) -> Result<Bytes, AttemptError> {
-    let truncated = AttemptError::connection_lost("answer cut");
-    if !gateway.features().memory_limits {
-        let whole = body.collect().await;
-        return whole.map(Collected::to_bytes).map_err(|_error| truncated);
-    }
-    let mut held = gateway.answers.hold();
-    let mut whole = BytesMut::new();
-    while let Some(part) = next_part(&mut body).await.map_err(|()| truncated)? {
-        if !held.add(part.len()) {
+/// Reads a body as far as it is held, and returns whether that is all of it. What is held counts
+/// toward the process's budget until the caller was sent it.
+async fn read_held(
+    gateway: &Gateway,
+    body: &mut ResponseBody,
+) -> Result<(Bytes, bool), AttemptError> {
+    let mut counter = gateway.answers.hold();
+    let mut held = BytesMut::new();
+    while let Some(part) = next_part(body).await.map_err(AttemptError::broken_body)? {
+        let fits = counter.add(part.len());
+        if !fits && gateway.features().memory_limits {
             return Err(AttemptError::new(
                 ExecutionState::Unknown,
                 "answer exceeds memory",
                 Blame::None,
             ));
         }
-        whole.extend_from_slice(&part);
+        held.extend_from_slice(&part);
+        if !fits || held.len() > MAX_HELD_BYTES {
+            return Ok((counted(held.freeze(), counter), false));
+        }
     }
-    Ok(counted(whole.freeze(), held))
+    Ok((counted(held.freeze(), counter), true))
 }
 
 /// Reads a refusal's body so that its connection can be reused.
-async fn drain(body: ResponseBody) {
+async fn drain(mut body: ResponseBody) {
     /// Time limit for a refusal's body, which normally arrives together with its head.
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
+    let read = async { while let Ok(Some(_part)) = next_part(&mut body).await {} };
     // If the body fails or does not arrive in time, only the connection is lost.
-    let _result = tokio::time::timeout(DRAIN_TIMEOUT, body.collect()).await;
+    let _result = tokio::time::timeout(DRAIN_TIMEOUT, read).await;
 }
 
 /// Returns the next non-empty part of a body, or `None` at its end.
 ///
 /// # Errors
 ///
-/// Fails when the body breaks off.
-pub async fn next_part(body: &mut ResponseBody) -> Result<Option<Bytes>, ()> {
+/// Fails when the body breaks off, or its framing has no end.
+pub async fn next_part(body: &mut ResponseBody) -> Result<Option<Bytes>, WireError> {
     loop {
         match body.frame().await {
             None => return Ok(None),
-            Some(Err(_)) => return Err(()),
+            Some(Err(e)) => return Err(e),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data()
                     && !data.is_empty()
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -18,12 +18,15 @@
 use peppercrank_direct::silence::SilenceDetector;
 use peppercrank_direct::silence::StreamState;
 use peppercrank_log::Field;
+use peppercrank_wire::Error as WireError;
 use peppercrank_wire::body::Body;
 use peppercrank_wire::buffer::Unread;
 use peppercrank_wire::client::ResponseBody;
 
 use crate::attempt::AttemptError;
+use crate::attempt::Content;
 use crate::attempt::CrashEvidence;
+use crate::attempt::ENDLESS;
 use crate::attempt::TARGET_FAILURE;
 use crate::attempt::TargetAnswer;
 use crate::attempt::next_part;
@@ -51,6 +54,7 @@
     downstream: Downstream,
     /// Time from the request's arrival to the first part.
     first_part_after: Duration,
+    content: Content,
     /// Splits the stream into complete events; only for streams that may be resumed.
     events: Option<EventBuffer>,
     stall_timer: SilenceDetector,
@@ -61,6 +65,7 @@
     Part(Bytes),
     End,
     Truncated,
+    Endless,
     TargetRestarted,
     Stalled,
     Unread(Unread),
@@ -79,9 +84,16 @@
 
 /// Starts a task that forwards a stream, and returns the body for the caller.
 #[must_use]
-pub fn start(request: &ActiveRequest, flight: Flight, first: Bytes, rest: ResponseBody) -> Body {
+pub fn start(
+    request: &ActiveRequest,
+    flight: Flight,
+    content: Content,
+    first: Bytes,
+    rest: ResponseBody,
+) -> Body {
     let (downstream, body) = Downstream::open(&request.gateway);
-    let resumable = matches!(request.job.kind, RouteKind::Stream { resumable: true });
+    let resumable = content == Content::Events
+        && matches!(request.job.kind, RouteKind::Stream { resumable: true });
     if resumable {
         origins::record_stream(&request.gateway, &request.job, &flight);
     }
@@ -91,6 +103,7 @@
         upstream: Some(rest),
         downstream,
         first_part_after: request.elapsed(),
+        content,
         events: resumable.then(EventBuffer::default),
         stall_timer: SilenceDetector::new(request.gateway.now(), request.job.max_gap),
     };
@@ -114,7 +127,7 @@
                         None => return self.pass_deadline(),
                     }
                 }
-                StreamEvent::End if self.flight.boundary.is_between_events() => {
+                StreamEvent::End if self.is_complete() => {
                     return self.finish().await;
                 }
                 StreamEvent::End | StreamEvent::Truncated => {
@@ -125,6 +138,11 @@
                         return self.abort("stream cut");
                     }
                 }
+                StreamEvent::Endless => {
+                    if !self.fail_over(ENDLESS, CrashEvidence::None).await {
+                        return self.abort(ENDLESS);
+                    }
+                }
                 StreamEvent::TargetRestarted => {
                     if !self
                         .fail_over("target started again", CrashEvidence::TargetRestarted)
@@ -162,13 +180,15 @@
         let termination = &mut self.flight.termination;
         tokio::select! {
             biased;
+            // First, since parts without end may always be ready.
+            () = deadline_timer => StreamEvent::DeadlinePassed,
             part = next_part(upstream) => match part {
                 Ok(Some(part)) => StreamEvent::Part(part),
                 Ok(None) => StreamEvent::End,
-                Err(()) => StreamEvent::Truncated,
+                Err(WireError::ResponseEndless) => StreamEvent::Endless,
+                Err(_) => StreamEvent::Truncated,
             },
             unread = self.downstream.closed() => StreamEvent::Unread(unread),
-            () = deadline_timer => StreamEvent::DeadlinePassed,
             () = termination.wait() => StreamEvent::TargetRestarted,
             () = wait_for_stall(gateway, self.stall_timer), if can_resume => StreamEvent::Stalled,
         }
@@ -215,6 +235,14 @@
         crashes::record_survival(gateway, &self.request.job, &mut self.flight);
     }
 
+    /// Returns whether what has arrived is the whole answer, if its body has ended.
+    const fn is_complete(&self) -> bool {
+        match self.content {
+            Content::Events => self.flight.boundary.is_between_events(),
+            Content::Bytes => true,
+        }
+    }
+
     /// Returns whether the route allows another target to continue the stream, and the caller has
     /// received complete events only.
     fn can_resume(&self) -> bool {
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -274,6 +274,7 @@
                 self.retry_or_give_up(after, Reason::Failed)
             }
             TargetAnswer::Stream {
+                content,
                 status,
                 headers,
                 first,
@@ -284,7 +285,7 @@
                     .metrics
                     .observe_answer(self.job.kind, self.elapsed());
                 self.version = Some(flight.software);
-                let body = relay::start(self, flight, first, rest);
+                let body = relay::start(self, flight, content, first, rest);
                 RequestStep::Answer(reply(status, headers, body))
             }
         }
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -42,6 +42,9 @@
 /// MiB, which takes this long over a tenth of the slowest link.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum size of an answer's body. The store's answers end near 1 MiB.
+const MAX_BODY_BYTES: usize = 4 * 1_024 * 1_024;
+
 /// Time from sending a write until its answer must begin.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -210,6 +213,9 @@
                 continue;
             };
             self.bytes_read.inc_by(part.len() as u64);
+            if whole.len() + part.len() > MAX_BODY_BYTES {
+                return None;
+            }
             whole.extend_from_slice(&part);
         }
         Some(whole.freeze())
--- a/crates/peppercrank-wire/src/client/answer.rs
+++ b/crates/peppercrank-wire/src/client/answer.rs
@@ -28,6 +28,7 @@
 use crate::Result;
 
 use super::link::Connection;
+use super::metered::Meter;
 use super::pool::Pool;
 
 /// How the end of a response body is determined.
@@ -139,6 +140,12 @@
         sleep.as_mut().poll(cx)
     }
 
+    /// Returns whether the connection failed because the server sent too much without any data.
+    fn is_endless(&self) -> bool {
+        let meter = self.connection.as_ref().map(|c| &c.meter);
+        meter.is_some_and(Meter::is_exceeded)
+    }
+
     /// Ends the body with an error and closes the connection.
     fn fail(&mut self, error: Error) -> Poll<Option<Result<Frame<Bytes>>>> {
         self.connection = None;
@@ -166,8 +173,12 @@
                 body.release_connection();
                 Poll::Ready(None)
             }
+            Some(Err(_)) if body.is_endless() => body.fail(Error::ResponseEndless),
             Some(Err(_)) => body.fail(Error::ResponseCut),
             Some(Ok(frame)) => {
+                if let Some(connection) = &body.connection {
+                    connection.meter.reset();
+                }
                 if body.inner.is_end_stream() {
                     body.release_connection();
                 }
--- a/crates/peppercrank-wire/src/client/link.rs
+++ b/crates/peppercrank-wire/src/client/link.rs
@@ -16,9 +16,11 @@
 use crate::body::Body;
 
 use super::Cause;
+use super::metered::Meter;
+use super::metered::MeteredStream;
 
 /// Maximum size of the read buffer of a connection, and thus of a response head, in bytes.
-const MAX_BUFFER_BYTES: usize = 64 * 1_024;
+pub(super) const MAX_BUFFER_BYTES: usize = 64 * 1_024;
 
 /// Task that runs a connection; dropping it closes the connection immediately.
 #[derive(Debug)]
@@ -34,6 +36,7 @@
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Body>,
+    pub(super) meter: Meter,
     _driver: Driver,
 }
 
@@ -48,7 +51,9 @@
         let _set = io.set_nodelay(true);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
-        let Ok((sender, conn)) = builder.handshake(TokioIo::new(io)).await else {
+        let meter = Meter::default();
+        let io = TokioIo::new(MeteredStream::new(io, meter.clone()));
+        let Ok((sender, conn)) = builder.handshake(io).await else {
             return Err(Cause::Closed);
         };
         // Errors are reported to the request that runs on the connection.
@@ -57,6 +62,7 @@
         }));
         Ok(Self {
             sender,
+            meter,
             _driver: driver,
         })
     }
--- a/crates/peppercrank-wire/src/client/mod.rs
+++ b/crates/peppercrank-wire/src/client/mod.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod counters;
 mod link;
+mod metered;
 mod openings;
 mod pool;
 
@@ -100,6 +101,9 @@
     FirstByte,
     /// The response head is not valid HTTP/1.1.
     Malformed,
+    /// The server sent more than any response has before its data, such as interim responses
+    /// without end.
+    Endless,
     /// The body of the request was aborted.
     Aborted,
 }
@@ -265,6 +269,7 @@
         let Ok(Ok(())) = timeout(ready, connection.sender.ready()).await else {
             return SendOutcome::Unsent(request, Cause::Closed);
         };
+        connection.meter.reset();
         let sending = connection.sender.try_send_request(request);
         let Ok(sent) = timeout(self.config.first_byte, sending).await else {
             return SendOutcome::Failed(Cause::FirstByte);
@@ -273,6 +278,7 @@
             Ok(response) => SendOutcome::Response(self.wrap_response(response, connection, to)),
             Err(mut e) => match e.take_message() {
                 Some(request) => SendOutcome::Unsent(request, Cause::Closed),
+                None if connection.meter.is_exceeded() => SendOutcome::Failed(Cause::Endless),
                 None => SendOutcome::Failed(cause_of(e.error())),
             },
         }
--- a/crates/peppercrank-wire/src/errors.rs
+++ b/crates/peppercrank-wire/src/errors.rs
@@ -51,6 +51,8 @@
     ResponseIdle,
     /// A response was truncated.
     ResponseCut,
+    /// A server sent chunk sizes, extensions or trailers without end.
+    ResponseEndless,
     /// A message does not fit into a datagram.
     MessageTooBig {
         /// The length of the message, in bytes.
@@ -86,6 +88,7 @@
                 write!(f, "the message has {len} bytes, the maximum is {max}")
             }
             Self::Encode => f.write_str("the message could not be encoded"),
+            Self::ResponseEndless => f.write_str("the response has framing without end"),
             Self::ResponseCut => f.write_str("the response was truncated"),
         }
     }
