Refuse a chunked request whose framing has no end

Callers could keep a router busy with the chunk size, extension or trailers of one body for as long as a body may take, as these were bounded by time alone.

Evidence: the new test failed on the code before: after 64 MB of zeros the request was still being read, and was only refused for its time of 60 s.

The fix: the connection counts the bytes of a chunked body since data last reached the handler, and the body fails as malformed after 256 KB without any.

--- a/crates/peppercrank-wire/src/edge/call.rs
+++ b/crates/peppercrank-wire/src/edge/call.rs
@@ -29,6 +29,7 @@
 use crate::body;
 use crate::body::Body;
 
+use super::flow::ConnectionState;
 use super::flow::deadline_after;
 use super::limits::Limits;
 use super::refusal::Counters;
@@ -63,6 +64,7 @@
     started_at: Instant,
     sleep: Option<Pin<Box<Sleep>>>,
     memory: Arc<BodyMemory>,
+    connection: Arc<ConnectionState>,
 }
 
 /// Counts the bytes of the body of a call as held until the call ends.
@@ -97,7 +99,12 @@
 }
 
 impl CallBody {
-    pub(super) fn new(inner: Incoming, limits: Arc<Limits>, memory: Arc<BodyMemory>) -> Self {
+    pub(super) fn new(
+        inner: Incoming,
+        limits: Arc<Limits>,
+        memory: Arc<BodyMemory>,
+        connection: Arc<ConnectionState>,
+    ) -> Self {
         Self {
             inner,
             limits,
@@ -105,6 +112,7 @@
             started_at: Instant::now(),
             sleep: None,
             memory,
+            connection,
         }
     }
 
@@ -150,6 +158,7 @@
             Some(Err(_)) => return self.fail(Refused::BadBody, Error::BodyBroken),
             Some(Ok(frame)) => frame,
         };
+        self.connection.data_read();
         let len = frame.data_ref().map_or(0, |d| d.len() as u64);
         self.len += len;
         if self.len > self.limits.body {
--- a/crates/peppercrank-wire/src/edge/connection.rs
+++ b/crates/peppercrank-wire/src/edge/connection.rs
@@ -209,7 +209,12 @@
     // The checked stream cannot detect the end of a chunked body, so no request may follow it.
     let closes_after = head.headers.contains_key(header::TRANSFER_ENCODING);
     let limits = received.limits;
-    let body = CallBody::new(body, Arc::clone(&limits), Arc::clone(&in_progress.memory));
+    let body = CallBody::new(
+        body,
+        Arc::clone(&limits),
+        Arc::clone(&in_progress.memory),
+        Arc::clone(&in_progress.state),
+    );
     let mut reply = if accepts_requests(&stop, &limits) {
         (shared.handler)(Call { head, body, peer }).await
     } else {
--- a/crates/peppercrank-wire/src/edge/flow.rs
+++ b/crates/peppercrank-wire/src/edge/flow.rs
@@ -17,6 +17,10 @@
 /// Upper bound of timeouts, which prevents overflows in clock arithmetic.
 const MAX_TIMEOUT: Duration = Duration::from_secs(60 * 60 * 24 * 365);
 
+/// Maximum number of bytes of a chunked body that are received without any data of it: chunk sizes,
+/// extensions and trailers, besides what hyper buffers.
+const MAX_BYTES_WITHOUT_DATA: usize = 256 * 1_024;
+
 /// What a connection waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -53,6 +57,8 @@
     held: Held,
     /// Whether the response has ended, but may not have been written completely.
     flushing: bool,
+    /// Number of bytes of a chunked body received since data last reached its reader.
+    bytes_without_data: usize,
     refused: Option<Refused>,
     response_started: bool,
 }
@@ -69,6 +75,7 @@
             write_blocked_since: None,
             held: Held::default(),
             flushing: false,
+            bytes_without_data: 0,
             refused: None,
             response_started: false,
         }))
@@ -121,6 +128,19 @@
         };
     }
 
+    /// Records received bytes of a chunked body, and returns whether its framing is still in
+    /// proportion to its data.
+    pub(super) fn chunked_received(&self, bytes: usize) -> bool {
+        let mut state = self.lock();
+        state.bytes_without_data += bytes;
+        state.bytes_without_data <= MAX_BYTES_WITHOUT_DATA
+    }
+
+    /// Records that data of a body reached its reader.
+    pub(super) fn data_read(&self) {
+        self.lock().bytes_without_data = 0;
+    }
+
     pub(super) fn refuse(&self, reason: Refused) {
         self.lock().refused = Some(reason);
     }
--- a/crates/peppercrank-wire/src/edge/gate.rs
+++ b/crates/peppercrank-wire/src/edge/gate.rs
@@ -208,8 +208,12 @@
             Forward::Head | Forward::Rest => usize::MAX,
         };
         let n = ready!(this.poll_forward(cx, buf, left))?;
-        if let Forward::Bytes(left) = &mut this.forward {
-            *left -= n as u64;
+        match &mut this.forward {
+            Forward::Bytes(left) => *left -= n as u64,
+            Forward::Rest if !this.state.chunked_received(n) => {
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
+            Forward::Rest | Forward::Head => {}
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/peppercrank-wire/tests/verify_limits.rs
+++ b/crates/peppercrank-wire/tests/verify_limits.rs
@@ -127,6 +127,32 @@
     assert_eq!(running.counters.calls(), 0);
 }
 
+/// Guards against callers that keep the server busy with the framing of a chunked body without end.
+#[tokio::test]
+async fn verify_framing_without_end_is_refused() {
+    for framing in ["0", "5;a", "0\r\na: "] {
+        let running = start(Limits::default(), echo).await;
+        let mut io = TcpStream::connect(running.address)
+            .await
+            .expect("a connection");
+        let head = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+        io.write_all(head.as_bytes()).await.expect("sent");
+        io.write_all(framing.as_bytes()).await.expect("sent");
+        let block = [b'0'; 16_384];
+        // The server closes the connection long before the end of this.
+        for _ in 0..4_096 {
+            if io.write_all(&block).await.is_err() {
+                break;
+            }
+        }
+        while running.counters.busy() > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(running.counters.refused(Refused::BadBody), 1, "{framing:?}");
+        assert_eq!(running.counters.refused(Refused::BodyTimeout), 0);
+    }
+}
+
 #[tokio::test]
 async fn verify_an_unread_response_is_aborted() {
     let limits = Limits {
