Ask other routers before the store is trusted after a start

Cause: after a restore the store is trusted once all writers have had time to write again, counted from when the router saw the era change. A router that starts then sees its first era, and took it for one that was always there.

And no answer of the store proves anything while a router has reported a newer version.

--- a/crates/peppercrank-direct/src/confirm.rs
+++ b/crates/peppercrank-direct/src/confirm.rs
@@ -93,11 +93,17 @@
 }
 
 impl PendingRequest {
+    /// Returns whether a confirmation answers this request.
+    #[must_use]
+    pub const fn is_answered_by(&self, confirmation: Confirmation) -> bool {
+        confirmation.nonce == self.request.nonce
+    }
+
     /// Returns what a confirmation proves to a router that has this version in force.
     #[must_use]
     pub fn evaluate(&self, confirmation: Confirmation, version: Option<u64>) -> Verdict {
         let age = Duration::from_millis(u64::from(confirmation.age_ms));
-        if confirmation.nonce != self.request.nonce || age > MAX_AGE {
+        if !self.is_answered_by(confirmation) || age > MAX_AGE {
             return Verdict::Unusable;
         }
         // A time before the origin of this process's clock cannot be represented, and a later one
--- a/crates/peppercrank-direct/src/era.rs
+++ b/crates/peppercrank-direct/src/era.rs
@@ -24,7 +24,7 @@
 use crate::directory::RETURN_GRACE;
 
 /// Time after a restore of the store in which operators and targets write again what it lacks.
-const REWRITE_PERIOD: Duration = RETURN_GRACE;
+pub const REWRITE_PERIOD: Duration = RETURN_GRACE;
 
 /// `Era` is the number of an era; later ones are greater.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod shares;
 pub mod silence;
 pub mod slowdown;
+pub mod start_check;
 pub mod starts;
 pub mod stats;
 pub mod suspension;
--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -353,7 +353,7 @@
             rest: body,
         });
     }
-    let (held, is_whole) = read_held(&flight.gateway, &mut body).await?;
+    let (bytes, is_whole) = read_held(&flight.gateway, &mut body).await?;
     if status.is_server_error() && !is_whole {
         // Another target may still answer, so a failure cannot be passed on as it arrives.
         return Err(AttemptError::new(
@@ -365,7 +365,7 @@
     let whole = WholeAnswer {
         status,
         headers,
-        body: held,
+        body: bytes,
     };
     if status.is_server_error() {
         return Ok(TargetAnswer::Failure(whole));
--- a/crates/peppercrank-gateway/src/confirm.rs
+++ b/crates/peppercrank-gateway/src/confirm.rs
@@ -15,6 +15,7 @@
 use peppercrank_direct::confirm::store_readers;
 use peppercrank_direct::freshness::Source;
 use peppercrank_direct::peers::Datagram;
+use peppercrank_direct::start_check::MAX_UNANSWERED_ROUNDS;
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
@@ -26,6 +27,9 @@
 /// between availability zones, plus the delay of a busy router.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// Number of routers that are asked together after the start, since some may be out of touch.
+const START_CHECK_ROUTERS: usize = 4;
+
 /// Confirms the configuration and keys with other routers.
 #[derive(Debug, Clone)]
 pub struct Confirmer {
@@ -61,6 +65,29 @@
         let Some(to) = self.choose_router() else {
             return false;
         };
+        let (answered, confirmed) = self.ask(&[to]).await;
+        let outdated = answered && !confirmed;
+        let already_outdated = std::mem::replace(&mut self.heard_of_newer_version, outdated);
+        confirmed || (outdated && !already_outdated)
+    }
+
+    /// Asks other routers, in some rounds, whether what was read since the start is the newest
+    /// state. Returns whether one has confirmed it.
+    pub async fn check_start(&self) -> bool {
+        for _ in 0..MAX_UNANSWERED_ROUNDS {
+            let to = gossip::random_peers(&self.gateway.state(), START_CHECK_ROUTERS);
+            let (answered, confirmed) = self.ask(&to).await;
+            if answered {
+                return confirmed;
+            }
+            self.gateway.state().start_check.record_round();
+        }
+        false
+    }
+
+    /// Asks these routers for a confirmation. Returns whether one has answered with a usable age,
+    /// and whether it confirmed the configuration.
+    async fn ask(&self, to: &[SocketAddr]) -> (bool, bool) {
         let nonce = rand::random();
         let question = ConfirmationRequest { nonce };
         let at = self.gateway.now();
@@ -70,12 +97,12 @@
         });
         let answered = self.gateway.confirmation_received.notified();
         let datagram = Datagram::ConfirmationRequest(question);
-        gossip::send(&self.gateway, &self.socket, to, datagram).await;
+        for address in to {
+            gossip::send(&self.gateway, &self.socket, *address, datagram.clone()).await;
+        }
         let answered = timeout(ANSWER_TIMEOUT, answered).await.is_ok();
         let confirmed = self.gateway.state().pending_confirmation.take().is_none();
-        let outdated = answered && !confirmed;
-        let already_outdated = std::mem::replace(&mut self.heard_of_newer_version, outdated);
-        confirmed || (outdated && !already_outdated)
+        (answered, confirmed)
     }
 
     /// Chooses one of the routers that confirm with the store; `None` if this router is one of
@@ -116,21 +143,26 @@
 pub fn apply_confirmation(gateway: &Gateway, confirmation: Confirmation) {
     let mut state = gateway.state();
     let version = state.config.index().map(|i| i.desired().version);
-    let verdict = state
-        .pending_confirmation
-        .map(|asked| asked.evaluate(confirmation, version));
+    let Some(asked) = state.pending_confirmation else {
+        return;
+    };
+    if asked.is_answered_by(confirmation) {
+        state.start_check.record_answer();
+        state.heard_version = state.heard_version.max(Some(confirmation.version));
+    }
+    let verdict = asked.evaluate(confirmation, version);
     match verdict {
-        Some(Verdict::CurrentAsOf(at)) => {
+        Verdict::CurrentAsOf(at) => {
+            state.start_check.pass();
             state.freshness.confirm(at, Source::Router);
             state.pending_confirmation = None;
         }
         // The request stays pending, by which the waiting task sees that the answer confirmed
         // nothing.
-        Some(Verdict::Outdated) => {
-            state.heard_version = state.heard_version.max(Some(confirmation.version));
+        Verdict::Outdated => {
             gateway.newer_version_heard.notify_one();
         }
-        Some(Verdict::Unusable) | None => return,
+        Verdict::Unusable => return,
     }
     drop(state);
     evacuations::compare_digest(gateway, confirmation.evacuations_digest);
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -54,6 +54,10 @@
 /// lost in an outage does not delay the detection of the store's recovery.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Pause between calls that confirm the configuration while a router that has just started must
+/// not trust it.
+const START_CHECK_PACE: Duration = Duration::from_millis(200);
+
 /// Answers below this size hold no configuration, whose caller limits alone are larger.
 const MIN_CONFIGURATION_BYTES: usize = 128;
 
@@ -133,6 +137,13 @@
     async fn poll(&mut self) -> PollOutcome {
         let known_revision = self.known_revision();
         match &mut self.role {
+            FollowerRole::ConfirmConfiguration(confirmer)
+                if known_revision.is_some() && self.gateway.state().must_check_start() =>
+            {
+                if confirmer.check_start().await {
+                    return PollOutcome::Done;
+                }
+            }
             FollowerRole::ConfirmConfiguration(confirmer) if known_revision.is_some() => {
                 let by_router = confirmer.confirm_by_router().await;
                 self.gateway.metrics.count_confirmation(by_router);
@@ -209,6 +220,12 @@
 
     /// Waits before the next call, so that one call reads several changes. Each call has a cost.
     async fn pace(&self) {
+        // A router that has just started is not ready until other routers have answered.
+        if self.gateway.state().start_check.is_pending()
+            && matches!(self.role, FollowerRole::ConfirmConfiguration(_))
+        {
+            return sleep(START_CHECK_PACE).await;
+        }
         // The first list is requested without a wait. The follower that watches the configuration
         // waits nevertheless, since the one that confirms it requests that list.
         if self.known_revision().is_none()
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -87,6 +87,9 @@
                 }
                 let mut state = self.gateway.state();
                 state.routers_read = true;
+                if state.routers.is_empty() {
+                    state.start_check.pass();
+                }
                 state.routers_changed(&own);
                 drop(state);
                 if !listed_before {
@@ -183,8 +186,12 @@
         let proof = state
             .catch_up
             .record_read(reading, revision, versions, newer);
-        let era_settled = state.eras.can_prove_newest(asked_at);
-        if proof == Proof::Newest && era_settled && state.config.index().is_some() {
+        state.start_check.record_read(self.gateway.now());
+        // A store that was restored from an older copy may lack a version that others have.
+        let store_complete = state.eras.can_prove_newest(asked_at)
+            && state.start_check.can_prove_newest(asked_at)
+            && !state.is_behind_on_configuration();
+        if proof == Proof::Newest && store_complete && state.config.index().is_some() {
             state.freshness.confirm(asked_at, Source::Store);
         }
         proof
--- a/crates/peppercrank-gateway/src/missed.rs
+++ b/crates/peppercrank-gateway/src/missed.rs
@@ -62,12 +62,9 @@
     heard.iter().any(in_use)
 }
 
-/// Returns whether another router has a newer configuration. Each report counts once.
+/// Returns whether another router has a newer configuration.
 fn is_behind_on_configuration(gateway: &Gateway) -> bool {
-    let mut state = gateway.state();
-    let known = state.config.index().map(|i| i.desired().version);
-    let heard = state.heard_version.take();
-    heard > known
+    gateway.state().is_behind_on_configuration()
 }
 
 /// Records the targets that another router announced.
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -39,6 +39,7 @@
 use peppercrank_direct::retries::RetryBudget;
 use peppercrank_direct::retries::RetryLimits;
 use peppercrank_direct::shares::Shares;
+use peppercrank_direct::start_check::StartCheck;
 use peppercrank_direct::starts::Start;
 use peppercrank_direct::stats::StatsMap;
 use peppercrank_direct::warm_up::COLD_MARGIN;
@@ -64,9 +65,10 @@
     pub catch_up: CatchUp,
     /// The eras of the store, which change when it is restored from an older copy.
     pub eras: EraTracker,
-    /// The newest configuration version that another router reported, if it was newer than the one
-    /// in force here; `None` once that was acted on.
+    /// The newest configuration version that another router reported.
     pub heard_version: Option<u64>,
+    /// Whether the store may be trusted after this router's start.
+    pub start_check: StartCheck,
     /// The registered targets.
     pub directory: Directory,
     /// Targets that leave, announced by this router and by others.
@@ -188,6 +190,7 @@
             catch_up: CatchUp::default(),
             eras: EraTracker::default(),
             heard_version: None,
+            start_check: StartCheck::new(settings.keys.is_some()),
             directory: Directory::default(),
             leaving: LeavingTargets::default(),
             store_down_since: None,
@@ -231,6 +234,18 @@
         }
     }
 
+    /// Returns whether other routers are to be asked whether the store may be trusted.
+    #[must_use]
+    pub fn must_check_start(&self) -> bool {
+        self.start_check.is_pending() && self.routers_read
+    }
+
+    /// Returns whether another router has a newer configuration.
+    #[must_use]
+    pub fn is_behind_on_configuration(&self) -> bool {
+        self.heard_version > self.config.index().map(|i| i.desired().version)
+    }
+
     /// Drops everything known about an incarnation of a target that is gone.
     pub fn forget(&mut self, key: TargetKey) {
         self.board.remove(key);
