--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -188,9 +188,8 @@
             .record_read(reading, revision, versions, newer);
         state.start_check.record_read(self.gateway.now());
         // A store that was restored from an older copy may lack a version that others have.
-        let store_complete = state.eras.can_prove_newest(asked_at)
-            && state.start_check.can_prove_newest(asked_at)
-            && !state.is_behind_on_configuration();
+        let store_complete =
+            state.eras.can_prove_newest(asked_at) && state.can_trust_store_after_start(asked_at);
         if proof == Proof::Newest && store_complete && state.config.index().is_some() {
             state.freshness.confirm(asked_at, Source::Store);
         }
--- a/crates/peppercrank-gateway/src/missed.rs
+++ b/crates/peppercrank-gateway/src/missed.rs
@@ -57,7 +57,8 @@
     let in_use = |target: &TargetId| {
         let key = state.keys_by_id.get(target);
         let target = key.and_then(|key| state.directory.get(*key));
-        target.is_some_and(|t| matches!(t.state, TargetState::Ready | TargetState::Missing(_)))
+        // A missing target is one whose removal was read.
+        target.is_some_and(|t| t.state == TargetState::Ready)
     };
     heard.iter().any(in_use)
 }
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -240,6 +240,14 @@
         self.start_check.is_pending() && self.routers_read
     }
 
+    /// Returns whether the store's answer to a query sent at `asked` can prove that nothing is newer,
+    /// as far as this router's start matters.
+    #[must_use]
+    pub fn can_trust_store_after_start(&self, asked: Instant) -> bool {
+        let is_behind = self.start_check.is_pending() && self.is_behind_on_configuration();
+        self.start_check.can_prove_newest(asked) && !is_behind
+    }
+
     /// Returns whether another router has a newer configuration.
     #[must_use]
     pub fn is_behind_on_configuration(&self) -> bool {
