--- a/crates/peppercrank-gateway/src/metrics.rs
+++ b/crates/peppercrank-gateway/src/metrics.rs
@@ -3,6 +3,8 @@
 
 //! Metrics of the gateway in Prometheus text format.
 
+use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicI64;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -11,6 +13,8 @@
 use peppercrank_direct::desired::RouteKind;
 use peppercrank_platform::answer::Figure;
 use peppercrank_platform::answer::Load;
+use peppercrank_wire::edge::Counters as EdgeCounters;
+use peppercrank_wire::edge::Refused;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -62,6 +66,9 @@
 pub struct Metrics {
     registry: Registry,
     refused: Family<ReasonLabel, Counter>,
+    edge_refusals: Family<ReasonLabel, Counter>,
+    /// The counters of the server for callers, once it listens.
+    edge: OnceLock<Arc<EdgeCounters>>,
     attempts_failed: Family<ReasonLabel, Counter>,
     repeats: Family<ReasonLabel, Counter>,
     store_calls: Family<CallLabel, Counter>,
@@ -104,6 +111,8 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("peppercrank_gateway"),
             refused: Family::default(),
+            edge_refusals: Family::default(),
+            edge: OnceLock::new(),
             attempts_failed: Family::default(),
             repeats: Family::default(),
             store_calls: Family::default(),
@@ -148,6 +157,11 @@
             "Attempts and streams without a whole answer, by cause",
             self.attempts_failed.clone(),
         );
+        r.register(
+            "edge_refusals",
+            "Requests and connections that the server for callers refused itself, by reason",
+            self.edge_refusals.clone(),
+        );
         r.register(
             "repeats",
             "Repeats asked of the retry budget, by its answer",
@@ -355,10 +369,29 @@
         }
     }
 
+    /// Exports the counters of the server for callers from now on.
+    pub fn set_edge(&self, counters: Arc<EdgeCounters>) {
+        // There is one such server, so a second call has no effect.
+        let _set = self.edge.set(counters);
+    }
+
+    fn update_edge_refusals(&self) {
+        let Some(edge) = self.edge.get() else {
+            return;
+        };
+        for refused in Refused::ALL {
+            let reason = refused.code();
+            let counter = self.edge_refusals.get_or_create(&ReasonLabel { reason });
+            let total = edge.refused(*refused);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
+    }
+
     /// Renders all metrics as text.
     #[must_use]
     pub fn render(&self, gateway: &Gateway) -> String {
         let now = gateway.now();
+        self.update_edge_refusals();
         let mut state = gateway.state();
         self.update_retries_left(&mut state, now);
         let limits_memory = gateway.features().memory_limits;
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -129,6 +129,7 @@
             Arc::clone(&socket),
             peer_address,
         ));
+        gateway.metrics.set_edge(edge.counters());
         let (caller_address, health_address) = (edge.local_addr(), ready.local_addr());
         let address = caller_address.to_string();
         let fields = [("listen", Field::Text(&address))];
