Name in routers' entries the era that they knew to be complete

Cause: the check waits for routers that cannot answer, as it cannot tell a store that was restored from one that was not.

The fix: a router writes its entry once its check is over, with the store's era if it is known to be complete. An entry that names the present era was written since the last restore, so that a router that lists it trusts the store at once; so does one whose store reports no eras. What the store proved while the check lasted holds as soon as it ends, without another call.

--- a/crates/peppercrank-direct/src/start_check.rs
+++ b/crates/peppercrank-direct/src/start_check.rs
@@ -23,6 +23,9 @@
     Pending {
         /// Time at which the store answered first; `None` before.
         first_read: Option<Instant>,
+        /// Time at which the store was asked that answered with the newest state, unless it is an
+        /// older copy; `None` before.
+        proof: Option<Instant>,
         /// Rounds of questions without an answer; `None` once a router has answered.
         unanswered: Option<u32>,
     },
@@ -38,6 +41,7 @@
         if keys_confirmed {
             Self::Pending {
                 first_read: None,
+                proof: None,
                 unanswered: Some(0),
             }
         } else {
@@ -58,9 +62,23 @@
         }
     }
 
-    /// Records that another router confirmed the state, or that there is none.
-    pub const fn pass(&mut self) {
+    /// Records that an answer of the store, asked at this time, proves the newest state unless the
+    /// store is an older copy.
+    pub const fn record_proof(&mut self, asked: Instant) {
+        if let Self::Pending { proof, .. } = self {
+            *proof = Some(asked);
+        }
+    }
+
+    /// Ends the check. Returns when the store was asked for what it proved so far, if it has not
+    /// been restored.
+    pub const fn pass(&mut self) -> Option<Instant> {
+        let proof = match self {
+            Self::Pending { proof, .. } => *proof,
+            Self::Passed => None,
+        };
         *self = Self::Passed;
+        proof
     }
 
     /// Records that another router is there, whatever it answered.
@@ -70,18 +88,19 @@
         }
     }
 
-    /// Records that a round of questions ended without a confirmation.
-    pub const fn record_round(&mut self) {
+    /// Records that a round of questions ended without a confirmation. Returns whether no router is
+    /// taken to be there.
+    #[must_use]
+    pub const fn record_round(&mut self) -> bool {
         if let Self::Pending {
             unanswered: Some(rounds),
             ..
         } = self
         {
             *rounds += 1;
-            if *rounds >= MAX_UNANSWERED_ROUNDS {
-                self.pass();
-            }
+            return *rounds >= MAX_UNANSWERED_ROUNDS;
         }
+        false
     }
 
     /// Returns whether the store's answer to a query sent at `asked` can prove that nothing is
--- a/crates/peppercrank-direct/tests/verify_start_check.rs
+++ b/crates/peppercrank-direct/tests/verify_start_check.rs
@@ -21,7 +21,7 @@
     check.record_read(at(100));
     check.record_answer();
     for _ in 0..10 * MAX_UNANSWERED_ROUNDS {
-        check.record_round();
+        assert!(!check.record_round());
     }
     assert!(check.is_pending() && !check.can_prove_newest(at(1_000)));
     // By then all writers have written again what the copy lacks.
@@ -34,10 +34,13 @@
 fn verify_the_store_is_trusted_if_no_router_answers() {
     let mut check = StartCheck::new(true);
     check.record_read(at(100));
-    for round in 0..MAX_UNANSWERED_ROUNDS {
+    check.record_proof(at(90));
+    for round in 1..=MAX_UNANSWERED_ROUNDS {
         assert!(!check.can_prove_newest(at(200)), "{round}");
-        check.record_round();
+        assert_eq!(check.record_round(), round == MAX_UNANSWERED_ROUNDS);
     }
+    // What the store proved meanwhile holds.
+    assert_eq!(check.pass(), Some(at(90)));
     assert!(check.can_prove_newest(at(200)));
 }
 
@@ -45,7 +48,7 @@
 fn verify_a_confirmation_ends_the_check() {
     let mut check = StartCheck::new(true);
     assert!(!check.can_prove_newest(at(0)));
-    check.pass();
+    assert_eq!(check.pass(), None);
     assert!(check.can_prove_newest(at(0)));
     // Where keys need no confirmation, there is nothing to check.
     assert!(StartCheck::new(false).can_prove_newest(at(0)));
--- a/crates/peppercrank-gateway/src/confirm.rs
+++ b/crates/peppercrank-gateway/src/confirm.rs
@@ -80,7 +80,10 @@
             if answered {
                 return confirmed;
             }
-            self.gateway.state().start_check.record_round();
+            let mut state = self.gateway.state();
+            if state.start_check.record_round() {
+                state.trust_store();
+            }
         }
         false
     }
@@ -153,7 +156,8 @@
     let verdict = asked.evaluate(confirmation, version);
     match verdict {
         Verdict::CurrentAsOf(at) => {
-            state.start_check.pass();
+            // What the store proved may be of an older copy, unlike this answer.
+            let _proof = state.start_check.pass();
             state.freshness.confirm(at, Source::Router);
             state.pending_confirmation = None;
         }
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -12,6 +12,7 @@
 use peppercrank_direct::desired::ApplyOutcome;
 use peppercrank_direct::desired::Desired;
 use peppercrank_direct::directory::Change as TargetChange;
+use peppercrank_direct::era::Era;
 use peppercrank_direct::evacuations::Change;
 use peppercrank_direct::freshness::Source;
 use peppercrank_log::Field;
@@ -81,14 +82,16 @@
                 if listed_before && !entries.iter().any(is_own) {
                     self.gateway.entry_missing.notify_one();
                 }
+                let era = self.gateway.state().eras.newest();
+                let was_not_restored = was_not_restored(era, &entries);
                 self.gateway.state().routers.clear();
                 for entry in entries {
                     self.apply_router(entry);
                 }
                 let mut state = self.gateway.state();
                 state.routers_read = true;
-                if state.routers.is_empty() {
-                    state.start_check.pass();
+                if was_not_restored || state.routers.is_empty() {
+                    state.trust_store();
                 }
                 state.routers_changed(&own);
                 drop(state);
@@ -188,10 +191,13 @@
             .record_read(reading, revision, versions, newer);
         state.start_check.record_read(self.gateway.now());
         // A store that was restored from an older copy may lack a version that others have.
-        let store_complete =
-            state.eras.can_prove_newest(asked_at) && state.can_trust_store_after_start(asked_at);
-        if proof == Proof::Newest && store_complete && state.config.index().is_some() {
-            state.freshness.confirm(asked_at, Source::Store);
+        let can_prove = state.eras.can_prove_newest(asked_at) && state.config.index().is_some();
+        if proof == Proof::Newest && can_prove {
+            if state.can_trust_store_after_start(asked_at) {
+                state.freshness.confirm(asked_at, Source::Store);
+            } else {
+                state.start_check.record_proof(asked_at);
+            }
         }
         proof
     }
@@ -260,6 +266,7 @@
                 name,
                 revision,
                 address,
+                ..
             }) => {
                 let registered = RegisteredRouter {
                     address,
@@ -296,6 +303,19 @@
     }
 }
 
+/// Returns whether the store is known not to have been restored from an older copy since one of
+/// these routers wrote its entry. A store that reports no era is never restored.
+fn was_not_restored(era: Option<Era>, routers: &[Entry]) -> bool {
+    let Some(Era(era)) = era else {
+        return true;
+    };
+    let mut eras = routers.iter().map(|entry| match entry {
+        Entry::Router(router) => router.era,
+        _ => None,
+    });
+    eras.any(|written_in| written_in == Some(era))
+}
+
 /// Returns the beginning of a text of arbitrary length from another writer.
 fn shorten(text: &str) -> String {
     /// Maximum characters in a log line.
--- a/crates/peppercrank-gateway/src/register.rs
+++ b/crates/peppercrank-gateway/src/register.rs
@@ -31,6 +31,12 @@
 /// costs datagrams and a share of the retry budget.
 const GONE_AFTER: Duration = Duration::from_secs(60);
 
+/// Interval at which the end of the check after this router's start is looked for.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Longest time for which this router's entry is not written while that check lasts.
+const MAX_START_CHECK: Duration = Duration::from_secs(1);
+
 /// Interval between checks for entries of dead routers.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -40,6 +46,7 @@
 
 /// Writes this router's entry, and writes it again whenever it disappears.
 pub async fn keep_registered(gateway: Arc<Gateway>, store: Store) {
+    wait_for_start_check(&gateway).await;
     loop {
         while !write_entry(&gateway, &store).await {
             sleep(RETRY_PAUSE).await;
@@ -48,13 +55,26 @@
     }
 }
 
+/// Waits until this router may state in its entry that the store holds everything, as its entry from
+/// before the start may do. Others need the entry too, so that the wait is limited.
+async fn wait_for_start_check(gateway: &Gateway) {
+    let ended = async {
+        while gateway.state().start_check.is_pending() {
+            sleep(START_CHECK_INTERVAL).await;
+        }
+    };
+    let _ended = timeout(MAX_START_CHECK, ended).await;
+}
+
 /// Writes the entry once and returns whether that succeeded.
 async fn write_entry(gateway: &Gateway, store: &Store) -> bool {
     let settings = gateway.settings();
+    let now = gateway.now();
     let entry = RouterEntry {
         name: settings.name.as_str().into(),
         revision: 0,
         address: gateway.peer_address,
+        era: gateway.state().known_era(now).map(|era| era.0),
     };
     let Ok(body) = store::router_body(&entry) else {
         return false;
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -16,9 +16,11 @@
 use peppercrank_direct::directory::Directory;
 use peppercrank_direct::directory::Registration;
 use peppercrank_direct::directory::TargetKey;
+use peppercrank_direct::era::Era;
 use peppercrank_direct::era::EraTracker;
 use peppercrank_direct::failures::Failures;
 use peppercrank_direct::freshness::Freshness;
+use peppercrank_direct::freshness::Source;
 use peppercrank_direct::leaving::LeavingTargets;
 use peppercrank_direct::memory::TargetMemory;
 use peppercrank_direct::occupancy::Occupancy;
@@ -240,6 +242,22 @@
         self.start_check.is_pending() && self.routers_read
     }
 
+    /// Ends the check after this router's start, since the store has not been restored or nobody
+    /// knows more than it.
+    pub fn trust_store(&mut self) {
+        if let Some(asked) = self.start_check.pass() {
+            self.freshness.confirm(asked, Source::Store);
+        }
+    }
+
+    /// Returns the store's era if the store is known to hold everything; `None` while it may be an
+    /// older copy.
+    #[must_use]
+    pub fn known_era(&self, now: Instant) -> Option<Era> {
+        let is_complete = !self.start_check.is_pending() && self.eras.can_prove_newest(now);
+        self.eras.newest().filter(|_| is_complete)
+    }
+
     /// Returns whether the store's answer to a query sent at `asked` can prove that nothing is newer,
     /// as far as this router's start matters.
     #[must_use]
