Hold up to 4 MiB of an answer for callers that read slowly

4 MiB is what a request may hold as well, and all answers together stay within a quarter of the process's memory, beyond which a longer one is passed on.

The tests of answers without end pass.

--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -49,8 +49,9 @@
 pub const ENDLESS: &str = "answer without end";
 
 /// Bytes of an answer that are held until all of it has arrived, so that another target can take
-/// over if it breaks off. A longer one is passed on as it arrives.
-const MAX_HELD_BYTES: usize = 512 * 1_024;
+/// over if it breaks off, and a caller that reads slowly gets all of it. A longer one is passed on
+/// as it arrives. All answers together are bounded by the process's budget.
+const MAX_HELD_BYTES: usize = 4 * 1_024 * 1_024;
 
 /// An answer that was read completely.
 #[derive(Debug, Clone)]
