Draw peers for announcements only when there are some

Read again: each tick of the summaries, ten a second, listed the peers and drew ten of them, though nothing was to be announced. What is sent, when and to how many is as before; clippy and the tests of silent connections pass.

--- a/crates/peppercrank-gateway/src/missed.rs
+++ b/crates/peppercrank-gateway/src/missed.rs
@@ -92,6 +92,6 @@
     let now = gateway.now();
     let mut state = gateway.state();
     let targets = state.leaving.take_due(now);
-    let to = gossip::random_peers(&state, ANNOUNCE_PEERS);
-    (!targets.is_empty()).then_some((targets, to))
+    // Peers are drawn only if there is something to announce, which is rare.
+    (!targets.is_empty()).then(|| (targets, gossip::random_peers(&state, ANNOUNCE_PEERS)))
 }
