Bound what all answers hold while they are collected

What callers saw: with targets that send data without end, a gateway holds up to 48 MiB of answers that never become whole, and with memory limits on it cuts streams of other callers to make room for them.

Hypotheses: the goal of 16 MB above the calm value with 32 such targets is missed by (1) the 4 MiB that one answer may hold, (2) the parts that wait for a caller that is behind, (3) hyper's buffers.

Cause: (1) and (2). Answers in collection shared the budget of whole answers and streams; their buffer doubled as it grew; a part that waits for its caller kept the read buffer of up to 64 KB that it is a slice of.

Now incomplete answers hold 1/64 of the memory together, and 32 KB each in any case; beyond that they are passed on, and no stream is cut for them. The bound of one answer (4 MiB) is gone, as this one covers it. Parts are collected singly and joined once; parts for a caller are copies of up to 8 KB; a writer that waits keeps no copy.

What is lost: an answer of 3 to 4 MiB is now passed on, and while answers without end fill the room, one of over 32 KB.

--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
@@ -21,6 +20,7 @@
 use peppercrank_platform::call::RouterHeaders;
 use peppercrank_wire::Error as WireError;
 use peppercrank_wire::body;
+use peppercrank_wire::buffer::Room;
 use peppercrank_wire::buffer::counted;
 use peppercrank_wire::client::Cause;
 use peppercrank_wire::client::ClientResponse;
@@ -48,11 +48,6 @@
 /// Log text and metrics label of an answer whose framing has no end.
 pub const ENDLESS: &str = "answer without end";
 
-/// Bytes of an answer that are held until all of it has arrived, so that another target can take
-/// over if it breaks off, and a caller that reads slowly gets all of it. A longer one is passed on
-/// as it arrives. All answers together are bounded by the process's budget.
-const MAX_HELD_BYTES: usize = 4 * 1_024 * 1_024;
-
 /// An answer that was read completely.
 #[derive(Debug, Clone)]
 pub struct WholeAnswer {
@@ -384,29 +379,41 @@
     })
 }
 
-/// Reads a body as far as it is held, and returns whether that is all of it. What is held counts
-/// toward the process's budget until the caller was sent it.
+/// Reads a body as far as there is room, and returns whether that is all of it. An answer is held
+/// until it is complete, so that another target can take over if it breaks off, and a caller that
+/// reads slowly gets all of it. What is held counts toward the process's budget until the caller was
+/// sent it.
 async fn read_held(
     gateway: &Gateway,
     body: &mut ResponseBody,
 ) -> Result<(Bytes, bool), AttemptError> {
     let mut counter = gateway.answers.hold();
-    let mut held = BytesMut::new();
+    let mut parts = Vec::new();
     while let Some(part) = next_part(body).await.map_err(AttemptError::broken_body)? {
-        let fits = counter.add(part.len());
-        if !fits && gateway.features().memory_limits {
+        let room = counter.add(part.len());
+        if room == Room::Exceeded && gateway.features().memory_limits {
             return Err(AttemptError::new(
                 ExecutionState::Unknown,
                 "answer exceeds memory",
                 Blame::None,
             ));
         }
-        held.extend_from_slice(&part);
-        if !fits || held.len() > MAX_HELD_BYTES {
-            return Ok((counted(held.freeze(), counter), false));
+        // A part may be a slice of a read buffer, all of which it would keep.
+        parts.push(Bytes::copy_from_slice(&part));
+        if room != Room::Enough {
+            return Ok((counted(joined(parts), counter), false));
         }
     }
-    Ok((counted(held.freeze(), counter), true))
+    counter.complete();
+    Ok((counted(joined(parts), counter), true))
+}
+
+/// Joins the parts of a body.
+fn joined(mut parts: Vec<Bytes>) -> Bytes {
+    match parts.len() {
+        1 => parts.remove(0),
+        _ => parts.concat().into(),
+    }
 }
 
 /// Reads a refusal's body so that its connection can be reused.
--- a/crates/peppercrank-gateway/src/downstream.rs
+++ b/crates/peppercrank-gateway/src/downstream.rs
@@ -15,10 +15,13 @@
 /// Maximum number of parts that are held for a caller, where bytes are not counted.
 const BUFFERED_PARTS: usize = 8;
 
+/// Maximum number of bytes of such a part. Longer ones are split.
+const MAX_PART_BYTES: usize = 8 * 1_024;
+
 /// Writes a stream to its caller.
 #[derive(Debug)]
 pub enum Downstream {
-    /// Holds a few parts of any size.
+    /// Holds a few parts of limited length.
     Parts(BodySender),
     /// Holds bytes within the process's budget.
     Budget(BufferWriter),
@@ -43,10 +46,14 @@
     /// Returns why the stream is no longer read.
     pub async fn send(&self, part: Bytes) -> Result<(), Unread> {
         match self {
-            Self::Parts(sender) => match sender.send(part).await {
-                Ok(()) => Ok(()),
-                Err(_) => Err(Unread::ReaderGone),
-            },
+            Self::Parts(sender) => {
+                for piece in part.chunks(MAX_PART_BYTES) {
+                    // A part may be a slice of a read buffer, all of which it would keep.
+                    let sent = sender.send(Bytes::copy_from_slice(piece)).await;
+                    sent.map_err(|_unsent| Unread::ReaderGone)?;
+                }
+                Ok(())
+            }
             Self::Budget(writer) => writer.send(part).await,
         }
     }
--- a/crates/peppercrank-gateway/src/limits.rs
+++ b/crates/peppercrank-gateway/src/limits.rs
@@ -59,12 +59,16 @@
 /// Divisor of the share for answers that bounds a stream's, so that a few streams do not fill it.
 const STREAM_DIVISOR: usize = 16;
 
+/// Divisor of the share for answers that bounds those being collected, which may have no end.
+const COLLECTED_DIVISOR: usize = 16;
+
 /// Returns how many bytes of answers are held for callers.
 #[must_use]
 pub fn answer_limits(settings: &GatewaySettings) -> BufferLimits {
     let total = settings.memory / ANSWER_MEMORY_DIVISOR;
     BufferLimits {
         stream: MAX_STREAM_BYTES.min(total / STREAM_DIVISOR),
+        collected: total / COLLECTED_DIVISOR,
         total,
     }
 }
--- a/crates/peppercrank-wire/src/buffer.rs
+++ b/crates/peppercrank-wire/src/buffer.rs
@@ -6,6 +6,8 @@
 //! A stream may be ahead of its caller by its own limit; beyond it the writer waits, which holds
 //! back the sender. When all streams and answers together exceed the budget, the stream whose caller
 //! has not read for the longest time is cut: its bytes are dropped, and its body ends with an error.
+//! Answers that are still being collected have a limit of their own, as they may have no end; they
+//! cut no stream beyond it.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -34,6 +36,10 @@
 /// Bytes that count for each part in addition to its length, for its place in the queue.
 const PART_OVERHEAD: usize = 64;
 
+/// Bytes of an answer that are collected even while others have reached the limit, so that usual
+/// answers need not be passed on before they are complete.
+const MIN_COLLECTED_BYTES: usize = 32 * 1_024;
+
 new_key_type! {
     /// Identifies a stream of a budget.
     struct StreamKey;
@@ -44,10 +50,23 @@
 pub struct BufferLimits {
     /// Bytes that one stream holds before its writer waits.
     pub stream: usize,
+    /// Bytes that all answers hold together while they are being collected.
+    pub collected: usize,
     /// Bytes that all streams and answers hold together.
     pub total: usize,
 }
 
+/// Whether an answer may be collected further.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// There is room for more.
+    Enough,
+    /// The answers being collected have reached their limit.
+    Collected,
+    /// The budget is exceeded, even where no stream holds anything.
+    Exceeded,
+}
+
 /// What a budget's streams hold.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct BufferUse {
@@ -109,6 +128,8 @@
     limits: BufferLimits,
     /// Bytes of all streams and answers.
     bytes: usize,
+    /// Those of answers that are being collected.
+    collected: usize,
     cut: u64,
     streams: SlotMap<StreamKey, Stream>,
 }
@@ -181,6 +202,7 @@
         Self(Arc::new(Mutex::new(Inner {
             limits,
             bytes: 0,
+            collected: 0,
             cut: 0,
             streams: SlotMap::with_key(),
         })))
@@ -234,6 +256,7 @@
         HeldBytes {
             budget: self.clone(),
             bytes: 0,
+            is_complete: false,
         }
     }
 
@@ -247,29 +270,47 @@
 pub struct HeldBytes {
     budget: BufferBudget,
     bytes: usize,
+    is_complete: bool,
 }
 
 impl HeldBytes {
-    /// Counts further bytes. Streams are cut if that exceeds the budget.
-    ///
-    /// Returns whether the budget is kept, which it may not be even where no stream holds anything.
+    /// Counts further bytes, and returns whether more may follow. Streams are cut if the budget is
+    /// exceeded.
     #[must_use]
-    pub fn add(&mut self, bytes: usize) -> bool {
+    pub fn add(&mut self, bytes: usize) -> Room {
         let mut inner = self.budget.lock();
         inner.bytes += bytes;
+        inner.collected += bytes;
         self.bytes += bytes;
         // More than fits alone is given up before any stream is cut for it.
         if self.bytes > inner.limits.total {
-            return false;
+            return Room::Exceeded;
+        }
+        if self.bytes > MIN_COLLECTED_BYTES && inner.collected > inner.limits.collected {
+            return Room::Collected;
         }
         inner.enforce();
-        inner.bytes <= inner.limits.total
+        if inner.bytes > inner.limits.total {
+            Room::Exceeded
+        } else {
+            Room::Enough
+        }
+    }
+
+    /// Records that the answer is complete, so that it only waits for its caller.
+    pub fn complete(&mut self) {
+        self.budget.lock().collected -= self.bytes;
+        self.is_complete = true;
     }
 }
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        self.budget.lock().bytes -= self.bytes;
+        let mut inner = self.budget.lock();
+        inner.bytes -= self.bytes;
+        if !self.is_complete {
+            inner.collected -= self.bytes;
+        }
     }
 }
 
--- a/crates/peppercrank-wire/src/buffer/stream.rs
+++ b/crates/peppercrank-wire/src/buffer/stream.rs
@@ -40,6 +40,8 @@
     /// Returns why the stream is no longer read.
     pub async fn send(&self, part: Bytes) -> std::result::Result<(), Unread> {
         self.push(&part)?;
+        // What is copied needs no memory while the writer waits.
+        drop(part);
         poll_fn(|cx| self.poll_room(cx)).await
     }
 
--- a/crates/peppercrank-wire/tests/verify_buffer.rs
+++ b/crates/peppercrank-wire/tests/verify_buffer.rs
@@ -12,6 +12,7 @@
 use peppercrank_wire::Error;
 use peppercrank_wire::buffer::BufferBudget;
 use peppercrank_wire::buffer::BufferLimits;
+use peppercrank_wire::buffer::Room;
 use peppercrank_wire::buffer::Unread;
 use peppercrank_wire::buffer::counted;
 use tokio::time::Duration;
@@ -19,6 +20,7 @@
 
 const LIMITS: BufferLimits = BufferLimits {
     stream: 4_000,
+    collected: 10_000,
     total: 10_000,
 };
 
@@ -118,11 +120,12 @@
     let (writer, _body) = budget.stream();
     writer.send(part()).await.expect("room");
     let mut held = budget.hold();
-    assert!(held.add(LIMITS.total), "the stream is cut first");
+    let room = held.add(LIMITS.total);
+    assert_eq!(room, Room::Enough, "the stream is cut first");
     assert_eq!(budget.usage().cut, 1);
     let answer = counted(part(), held);
     let mut refused = budget.hold();
-    assert!(!refused.add(1));
+    assert_eq!(refused.add(1), Room::Exceeded);
     drop(refused);
     let copy = answer.slice(..10);
     drop(answer);
@@ -151,11 +154,35 @@
     let (writer, mut unread) = budget.stream();
     writer.send(part()).await.expect("room");
     let mut held = budget.hold();
-    assert!(!held.add(LIMITS.total + 1));
+    assert_eq!(held.add(LIMITS.total + 1), Room::Exceeded);
     drop(held);
     assert!(matches!(unread.frame().await, Some(Ok(_))));
 }
 
+/// Guards against streams that are cut because answers without end fill the budget.
+#[tokio::test]
+async fn verify_answers_that_are_being_collected_cut_no_stream() {
+    let budget = BufferBudget::new(BufferLimits {
+        stream: 4_000,
+        collected: 40_000,
+        total: 60_000,
+    });
+    let (writer, mut unread) = budget.stream();
+    writer.send(part()).await.expect("room");
+    let mut first = budget.hold();
+    assert_eq!(first.add(40_000), Room::Enough);
+    let mut second = budget.hold();
+    assert_eq!(second.add(35_000), Room::Collected);
+    drop(second);
+    first.complete();
+    let mut third = budget.hold();
+    assert_eq!(third.add(15_000), Room::Enough, "the first is collected");
+    assert_eq!(budget.usage().cut, 0);
+    assert!(matches!(unread.frame().await, Some(Ok(_))));
+    drop((first, third));
+    assert_eq!(budget.usage().bytes, 0);
+}
+
 struct SharedBuffer(Arc<Vec<u8>>);
 
 impl AsRef<[u8]> for SharedBuffer {
