An answer is chunked only if its last transfer coding is

What callers could see: for a target that sends a body in another coding without a length and crashes, the loss is not taken as evidence of a crash, and an empty stream ends regularly.

Cause: the framing was read from the presence of the header alone.

--- a/crates/peppercrank-wire/src/client/answer.rs
+++ b/crates/peppercrank-wire/src/client/answer.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use http::Version;
@@ -54,16 +55,28 @@
     }
 
     pub(super) fn of_response(response: &Response<Incoming>) -> Self {
-        let headers = response.headers();
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            return Self::Chunked;
-        }
         let bare = matches!(
             response.status(),
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            StatusCode::SWITCHING_PROTOCOLS | StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
         );
+        if bare {
+            return Self::Length;
+        }
+        let headers = response.headers();
+        if let Some(codings) = headers
+            .get_all(header::TRANSFER_ENCODING)
+            .iter()
+            .next_back()
+        {
+            // A body in another coding than chunks ends with the connection.
+            return if last_coding(codings).eq_ignore_ascii_case(b"chunked") {
+                Self::Chunked
+            } else {
+                Self::Close
+            };
+        }
         let sized = response.body().size_hint().exact().is_some();
-        if bare || sized || headers.contains_key(header::CONTENT_LENGTH) {
+        if sized || headers.contains_key(header::CONTENT_LENGTH) {
             return Self::Length;
         }
         Self::Close
@@ -81,6 +94,12 @@
     }
 }
 
+/// Returns the coding that was applied last.
+fn last_coding(codings: &HeaderValue) -> &[u8] {
+    let last = codings.as_bytes().rsplit(|b| *b == b',').next();
+    last.unwrap_or_default().trim_ascii()
+}
+
 /// Reads the body of a response; dropping it before its end closes the connection.
 #[derive(Debug)]
 pub struct ResponseBody {
--- a/crates/peppercrank-wire/tests/verify_client.rs
+++ b/crates/peppercrank-wire/tests/verify_client.rs
@@ -214,6 +214,16 @@
             Ok("good"),
             Framing::Close,
         ),
+        (
+            Script::Answer("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, gzip\r\n\r\ngood"),
+            Ok("good"),
+            Framing::Close,
+        ),
+        (
+            Script::Keep("HTTP/1.1 204 No Content\r\ntransfer-encoding: chunked\r\n\r\n"),
+            Ok(""),
+            Framing::Length,
+        ),
         (
             Script::Keep("HTTP/1.1 204 No Content\r\n\r\n"),
             Ok(""),
