A call to a slow store is not replaced by each announcement

What callers saw: nothing yet; a new model of the watch with silences (`spec::silence`) finds it. (1) While targets leave one after the other, announcements arrive every 300 ms; each one replaced the call to the store whose answer had not begun. A router whose store answers more slowly than that never hears it, and sends requests to targets that left. (2) With two silences within 1.5 s and no loss, the third announcement abandons a call that is about to be answered, so that the change is known after the 2 s.

Cause: the word of another router says that this one is behind, not that its connection is silent; a call that was just sent may only be slow.

Now a call that replaced another is left alone for 300 ms, the next one twice as long, until the store answers; what is announced meanwhile is kept. After a slow answer the first 300 ms stay, so that calls are not doubled.

Evidence: both properties are violated with the flaw `NoPatience`, which is the code before, and hold now for answers of one to four steps of 300 ms, and for (silences, lost announcements) of (1, 2), (2, 0) and (2, 1). Each further rule (three announcements, closing unused connections, the wait before an announcement counts) is needed. Ruled out: patience for the first replacement too, which costs each silence 300 ms.

--- a/crates/peppercrank-direct/src/leaving.rs
+++ b/crates/peppercrank-direct/src/leaving.rs
@@ -29,14 +29,14 @@
 const MAX_TARGETS: usize = 128;
 
 /// Targets that leave, to be announced to other routers, and those that they announced.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct LeavingTargets {
     queued: VecDeque<Queued>,
     heard: VecDeque<TargetId>,
 }
 
 /// A target that is still to be announced.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Queued {
     target: TargetId,
     due: Instant,
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod occupancy;
 pub mod origins;
 pub mod overcount;
+pub mod patience;
 pub mod peers;
 pub mod place;
 pub mod pool_versions;
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -13,6 +13,7 @@
 use peppercrank_direct::catch_up::ReadMode;
 use peppercrank_direct::era::Era;
 use peppercrank_direct::era::EraOrder;
+use peppercrank_direct::patience::Patience;
 use peppercrank_direct::truncation::AnswerSize;
 use peppercrank_direct::truncation::GATHER_PAUSE;
 use peppercrank_direct::truncation::Next;
@@ -80,6 +81,8 @@
     unproven_answers: u32,
     /// Detects answers that the store may have truncated.
     truncation: Truncation,
+    /// How long a call is left alone although other routers know more.
+    patience: Patience,
 }
 
 /// The outcome of one poll, which determines when the next one follows.
@@ -108,6 +111,7 @@
             failures: 0,
             unproven_answers: 0,
             truncation: Truncation::default(),
+            patience: Patience::default(),
         }
     }
 
@@ -350,7 +354,7 @@
                 self.store.close();
                 return Err(PollOutcome::Relist);
             }
-            () = missed::missed_change(&self.gateway, &self.role) => {
+            () = missed::missed_change(&self.gateway, &self.role, self.patience) => {
                 return Err(self.replace_silent_connection());
             }
         };
@@ -371,6 +375,8 @@
         match result {
             CallResult::Done(body) => {
                 self.failures = 0;
+                let took = self.gateway.now().since(asked_at);
+                self.patience.record_answered(took);
                 Ok(body)
             }
             CallResult::HistoryGone => Err(PollOutcome::Relist),
@@ -389,7 +395,8 @@
 
     /// Abandons a watch whose connection seems to be silent. The next call uses a new connection, as
     /// the unused ones may be silent too.
-    fn replace_silent_connection(&self) -> PollOutcome {
+    fn replace_silent_connection(&mut self) -> PollOutcome {
+        self.patience.record_replaced();
         self.store.close();
         let kind = self.kind.as_str();
         self.gateway.metrics.count_store_call(kind, "overtaken");
--- a/crates/peppercrank-gateway/src/missed.rs
+++ b/crates/peppercrank-gateway/src/missed.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use peppercrank_direct::directory::State as TargetState;
+use peppercrank_direct::patience::Patience;
 use peppercrank_direct::peers::Datagram;
 use peppercrank_direct::peers::TargetId;
 use tokio::net::UdpSocket;
@@ -28,9 +29,9 @@
 /// so in a large fleet each one hears of it about this often.
 const ANNOUNCE_PEERS: usize = 10;
 
-/// Returns once a watch of this role has missed a change that other routers have read. Waits
-/// forever for roles whose changes are not announced.
-pub async fn missed_change(gateway: &Gateway, role: &FollowerRole) {
+/// Returns once a watch of this role has missed a change that other routers have read, but not
+/// within its patience. Waits forever for roles whose changes are not announced.
+pub async fn missed_change(gateway: &Gateway, role: &FollowerRole, patience: Patience) {
     let (reported, is_behind): (_, fn(&Gateway) -> bool) = match role {
         FollowerRole::Targets => (&gateway.leaving_heard, is_behind_on_targets),
         FollowerRole::WatchConfiguration(_) => {
@@ -40,6 +41,8 @@
         | FollowerRole::Evacuations(_)
         | FollowerRole::ConfirmConfiguration(_) => return std::future::pending().await,
     };
+    // What is announced meanwhile is kept.
+    sleep(patience.time()).await;
     loop {
         reported.notified().await;
         sleep(TRANSIT_TIME).await;
--- a/crates/peppercrank-spec/src/lib.rs
+++ b/crates/peppercrank-spec/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod once;
 pub mod orders;
 pub mod search;
+pub mod silence;
 pub mod starts;
