--- a/crates/peppercrank-direct/src/patience.rs
+++ b/crates/peppercrank-direct/src/call_backoff.rs
@@ -9,25 +9,25 @@
 use std::time::Duration;
 
 /// Time for which the first replacement is left alone. It doubles with each further one.
-const FIRST_PATIENCE: Duration = Duration::from_millis(300);
+const FIRST_DELAY: Duration = Duration::from_millis(300);
 
 /// Maximum of the doublings, so that a call lives longer than the store takes for any answer.
 const MAX_DOUBLINGS: u32 = 4;
 
 /// Time for which the next call is left alone.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-pub struct Patience {
+pub struct CallBackoff {
     /// Calls that were replaced since the last answer.
     replaced: u32,
 }
 
-impl Patience {
+impl CallBackoff {
     /// Returns the time for which a call is left alone. A call that replaces none is not.
     #[must_use]
-    pub fn time(self) -> Duration {
+    pub fn delay(self) -> Duration {
         match self.replaced.checked_sub(1) {
             None => Duration::ZERO,
-            Some(further) => FIRST_PATIENCE * 2_u32.pow(further.min(MAX_DOUBLINGS)),
+            Some(further) => FIRST_DELAY * 2_u32.pow(further.min(MAX_DOUBLINGS)),
         }
     }
 
@@ -39,7 +39,7 @@
     /// Records that the store has answered a call that took this long. If that was long, the store
     /// may be slow, and the next call is left alone for a while too.
     pub fn record_answered(&mut self, took: Duration) {
-        let kept = u32::from(took >= FIRST_PATIENCE);
+        let kept = u32::from(took >= FIRST_DELAY);
         self.replaced = self.replaced.min(kept);
     }
 }
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`admission`]: admission control for overloaded pools.
 //! - [`attribution`]: whether a failure counts against its target or the request.
+//! - [`call_backoff`]: how long a call to the store is not replaced by another.
 //! - [`catch_up`]: how the configuration is read anew, and what an answer proves.
 //! - [`confirm`]: confirmations between routers that their API keys are current.
 //! - [`congestion`]: whether the router's own link is congested.
@@ -19,6 +20,7 @@
 //! - [`features`]: optional behaviour that a deployment's settings call for.
 //! - [`freshness`]: how old the knowledge of API keys may be before requests are refused.
 //! - [`in_flight`]: accounting of one attempt at its target.
+//! - [`leaving`]: announcements between routers that targets leave.
 //! - [`memory`]: memory that the requests in flight take at each target.
 //! - [`notice`]: what a target's answers say about new work.
 //! - [`origins`]: the software versions at which streams began.
@@ -37,6 +39,7 @@
 //! - [`shares`]: division of an overloaded pool's room between organisations.
 //! - [`silence`]: detection of streams that have stalled.
 //! - [`slowdown`]: how much slower than usual targets work at the moment.
+//! - [`start_check`]: whether a router that has started may trust the store.
 //! - [`starts`]: which start of a target is meant.
 //! - [`stats`]: load, latency and failures of each target.
 //! - [`suspension`]: whether the machine was suspended.
@@ -46,6 +49,7 @@
 
 pub mod admission;
 pub mod attribution;
+pub mod call_backoff;
 pub mod catch_up;
 pub mod confirm;
 pub mod congestion;
@@ -66,7 +70,7 @@
 pub mod occupancy;
 pub mod origins;
 pub mod overcount;
-pub mod patience;
+
 pub mod peers;
 pub mod place;
 pub mod pool_versions;
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -9,11 +9,11 @@
 use bytes::Bytes;
 use peppercrank_core::events::Event as LogEvent;
 use peppercrank_core::time::Instant;
+use peppercrank_direct::call_backoff::CallBackoff;
 use peppercrank_direct::catch_up::Proof;
 use peppercrank_direct::catch_up::ReadMode;
 use peppercrank_direct::era::Era;
 use peppercrank_direct::era::EraOrder;
-use peppercrank_direct::patience::Patience;
 use peppercrank_direct::truncation::AnswerSize;
 use peppercrank_direct::truncation::GATHER_PAUSE;
 use peppercrank_direct::truncation::Next;
@@ -82,7 +82,7 @@
     /// Detects answers that the store may have truncated.
     truncation: Truncation,
     /// How long a call is left alone although other routers know more.
-    patience: Patience,
+    backoff: CallBackoff,
 }
 
 /// The outcome of one poll, which determines when the next one follows.
@@ -111,7 +111,7 @@
             failures: 0,
             unproven_answers: 0,
             truncation: Truncation::default(),
-            patience: Patience::default(),
+            backoff: CallBackoff::default(),
         }
     }
 
@@ -354,7 +354,7 @@
                 self.store.close();
                 return Err(PollOutcome::Relist);
             }
-            () = missed::missed_change(&self.gateway, &self.role, self.patience) => {
+            () = missed::missed_change(&self.gateway, &self.role, self.backoff) => {
                 return Err(self.replace_silent_connection());
             }
         };
@@ -376,7 +376,7 @@
             CallResult::Done(body) => {
                 self.failures = 0;
                 let took = self.gateway.now().since(asked_at);
-                self.patience.record_answered(took);
+                self.backoff.record_answered(took);
                 Ok(body)
             }
             CallResult::HistoryGone => Err(PollOutcome::Relist),
@@ -396,7 +396,7 @@
     /// Abandons a watch whose connection seems to be silent. The next call uses a new connection, as
     /// the unused ones may be silent too.
     fn replace_silent_connection(&mut self) -> PollOutcome {
-        self.patience.record_replaced();
+        self.backoff.record_replaced();
         self.store.close();
         let kind = self.kind.as_str();
         self.gateway.metrics.count_store_call(kind, "overtaken");
--- a/crates/peppercrank-gateway/src/missed.rs
+++ b/crates/peppercrank-gateway/src/missed.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use peppercrank_direct::call_backoff::CallBackoff;
 use peppercrank_direct::directory::State as TargetState;
-use peppercrank_direct::patience::Patience;
 use peppercrank_direct::peers::Datagram;
 use peppercrank_direct::peers::TargetId;
 use tokio::net::UdpSocket;
@@ -30,8 +30,8 @@
 const ANNOUNCE_PEERS: usize = 10;
 
 /// Returns once a watch of this role has missed a change that other routers have read, but not
-/// within its patience. Waits forever for roles whose changes are not announced.
-pub async fn missed_change(gateway: &Gateway, role: &FollowerRole, patience: Patience) {
+/// before the backoff of its call is over. Waits forever for roles whose changes are not announced.
+pub async fn missed_change(gateway: &Gateway, role: &FollowerRole, backoff: CallBackoff) {
     let (reported, is_behind): (_, fn(&Gateway) -> bool) = match role {
         FollowerRole::Targets => (&gateway.leaving_heard, is_behind_on_targets),
         FollowerRole::WatchConfiguration(_) => {
@@ -42,7 +42,7 @@
         | FollowerRole::ConfirmConfiguration(_) => return std::future::pending().await,
     };
     // What is announced meanwhile is kept.
-    sleep(patience.time()).await;
+    sleep(backoff.delay()).await;
     loop {
         reported.notified().await;
         sleep(TRANSIT_TIME).await;
--- a/crates/peppercrank-spec/src/silence.rs
+++ b/crates/peppercrank-spec/src/silence.rs
@@ -6,15 +6,15 @@
 //!
 //! Two routers follow the store. The connections of one may go silent, again and again; the other
 //! one announces what it read, in datagrams that may be lost. Both use the real
-//! [`peppercrank_direct::leaving::LeavingTargets`] and [`peppercrank_direct::patience::Patience`].
+//! [`peppercrank_direct::leaving::LeavingTargets`] and [`peppercrank_direct::call_backoff::CallBackoff`].
 
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::time::Duration;
 
 use peppercrank_core::time::Instant;
+use peppercrank_direct::call_backoff::CallBackoff;
 use peppercrank_direct::leaving::LeavingTargets;
-use peppercrank_direct::patience::Patience;
 use peppercrank_direct::peers::TargetId;
 use peppercrank_direct::starts::Start;
 
@@ -48,7 +48,7 @@
     /// After a connection went silent, the unused ones are kept.
     KeepsUnused,
     /// Each announcement replaces the call in progress.
-    NoPatience,
+    NoBackoff,
     /// An announcement is examined before the same change can arrive from the store.
     ExaminesAtOnce,
 }
@@ -115,7 +115,7 @@
     connection: Connection,
     /// Time steps since the call in progress was sent, or the change took place if that is later.
     call_age: u8,
-    patience: Patience,
+    backoff: CallBackoff,
     /// Unused connections that are silent.
     silent_unused: u8,
     knows: bool,
@@ -183,12 +183,12 @@
         }
     }
 
-    /// The listening router compares what it heard with what it knows, once its patience with the
+    /// The listening router compares what it heard with what it knows, once the backoff of the
     /// call in progress is over.
     fn examine_heard(&mut self, flaw: Flaw) {
         let vars = &mut self.vars;
         let age = STRIDE * u32::from(vars.call_age);
-        if flaw != Flaw::NoPatience && age <= vars.patience.time() {
+        if flaw != Flaw::NoBackoff && age <= vars.backoff.delay() {
             return;
         }
         vars.has_heard = false;
@@ -196,7 +196,7 @@
             return;
         }
         vars.needless |= vars.connection == Connection::Sound && flaw == Flaw::ExaminesAtOnce;
-        vars.patience.record_replaced();
+        vars.backoff.record_replaced();
         self.ask_again(flaw);
     }
 
@@ -270,7 +270,7 @@
                 has_heard: false,
                 connection: Connection::Sound,
                 call_age: 0,
-                patience: Patience::default(),
+                backoff: CallBackoff::default(),
                 silent_unused: 0,
                 knows: false,
                 needless: false,
--- a/crates/peppercrank-spec/tests/verify_silence.rs
+++ b/crates/peppercrank-spec/tests/verify_silence.rs
@@ -58,7 +58,7 @@
         }
     }
     let impatient = Silence {
-        flaw: Flaw::NoPatience,
+        flaw: Flaw::NoBackoff,
         ..SLOW
     };
     assert!(find_counterexample(&impatient, STARVED).is_some());
@@ -69,7 +69,7 @@
 #[test]
 fn verify_replacing_each_call_is_late_after_a_second_silence() {
     let impatient = Silence {
-        flaw: Flaw::NoPatience,
+        flaw: Flaw::NoBackoff,
         silences: 2,
         losses: 0,
         ..BOUNDS
