--- a/review/stand-ins-2/src/cases/raised_limit.rs
+++ b/review/stand-ins-2/src/cases/raised_limit.rs
@@ -6,7 +6,11 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::fleet::{next_id, request, Desired, Fleet, KEY};
+use crate::fleet::next_id;
+use crate::fleet::request;
+use crate::fleet::Desired;
+use crate::fleet::Fleet;
+use crate::fleet::KEY;
 use crate::http::Connection;
 
 const CONSUMERS: usize = 40;
--- a/review/stand-ins-2/src/cases/restored_store.rs
+++ b/review/stand-ins-2/src/cases/restored_store.rs
@@ -6,7 +6,12 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::fleet::{next_id, request, Desired, Fleet, KEY, OTHER_KEY};
+use crate::fleet::next_id;
+use crate::fleet::request;
+use crate::fleet::Desired;
+use crate::fleet::Fleet;
+use crate::fleet::KEY;
+use crate::fleet::OTHER_KEY;
 use crate::http::Connection;
 
 /// `revokeMs` of the sheet.
--- a/review/stand-ins-2/src/cases/silent_watch.rs
+++ b/review/stand-ins-2/src/cases/silent_watch.rs
@@ -6,7 +6,12 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::fleet::{next_id, request, Desired, Fleet, KEY, PLAIN};
+use crate::fleet::next_id;
+use crate::fleet::request;
+use crate::fleet::Desired;
+use crate::fleet::Fleet;
+use crate::fleet::KEY;
+use crate::fleet::PLAIN;
 use crate::http::Connection;
 
 /// `contactMs` of the sheet, with a margin.
--- a/review/stand-ins-2/src/cases/tiny_chunks.rs
+++ b/review/stand-ins-2/src/cases/tiny_chunks.rs
@@ -3,13 +3,20 @@
 
 use std::io;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use crate::engine::Behaviour;
-use crate::fleet::{next_id, request, stream_request, Desired, Fleet, KEY};
+use crate::fleet::next_id;
+use crate::fleet::request;
+use crate::fleet::stream_request;
+use crate::fleet::Desired;
+use crate::fleet::Fleet;
+use crate::fleet::KEY;
 use crate::http::Connection;
 
 /// Consumers of the engine in trouble.
--- a/review/stand-ins-2/src/engine.rs
+++ b/review/stand-ins-2/src/engine.rs
@@ -1,8 +1,12 @@
 //! Stand-in of a server: a plain service or a model engine that streams events.
 
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -1,10 +1,13 @@
 //! A small deployment: a store, servers, gateways and the operator's configuration.
 
-use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use crate::engine::{Behaviour, Engine};
+use crate::engine::Behaviour;
+use crate::engine::Engine;
 use crate::gateway::Gateway;
 use crate::record::Record;
 use crate::store::Store;
--- a/review/stand-ins-2/src/gateway.rs
+++ b/review/stand-ins-2/src/gateway.rs
@@ -1,10 +1,17 @@
 //! Gateway processes, started as the deploy file does, with settings of a small deployment.
 
-use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::fs;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::http::Connection;
 
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -1,7 +1,12 @@
 //! Minimal HTTP/1.1 over blocking sockets, for clients, servers and the store.
 
-use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::time::Duration;
 
 /// A request or a response: its first line, headers and whole body.
--- a/review/stand-ins-2/src/record.rs
+++ b/review/stand-ins-2/src/record.rs
@@ -3,7 +3,8 @@
 use std::fs::File;
 use std::io::Write;
 use std::path::Path;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Instant;
 
 #[derive(Clone)]
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -1,11 +1,17 @@
 //! Stand-in of the platform's store: objects by kind with lists, watches and conditional writes.
 
 use std::collections::BTreeMap;
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::http;
 
