--- a/review/stand-ins-2/src/cases/restored_store.rs
+++ b/review/stand-ins-2/src/cases/restored_store.rs
@@ -18,13 +18,13 @@
 const REVOKE_MS: u64 = 5_000;
 
 /// Time from the ack until the store is away and all processes are killed.
-const AWAY_AFTER_MS: u64 = 3_500;
+const AWAY_AFTER_MS: u64 = 4_200;
 
 /// Time for which the store is away.
 const AWAY_MS: u64 = 400;
 
 /// Time from the store's return until the operator has written again.
-const REWRITE_MS: u64 = 2_000;
+const REWRITE_MS: u64 = 1_500;
 
 pub fn play(out: &Path, trouble: bool) -> io::Result<bool> {
     let mut fleet = Fleet::start(out, 2, 1, 2, &Desired::default())?;
