--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -55,7 +55,7 @@
                  \"maxAttempts\":2,\"public\":false,{more}}}"
             )
         };
-        let stream = "\"timeoutMs\":12000,\"latencyGoalMs\":600,\"sticky\":true,\
+        let stream = "\"timeoutMs\":15000,\"latencyGoalMs\":2000,\"sticky\":true,\
                       \"resumable\":true,\"gapTargetMs\":800";
         let plain = "\"timeoutMs\":800,\"latencyGoalMs\":300";
         let routes = [
