Versions that served and origins of streams are kept in the store

What callers saw: after all routers had been killed at once, streams that they took up were answered with 200 and ran to the end, with text of two software versions (the old one had just left), or were refused although targets of their version serve (both serve).

Cause: the versions that served a pool, and where streams began, were held in the memory of routers alone. A process that has just started saw one version and took it for the only one there had been. The class: absence of knowledge is read as knowledge of absence.

What is changed: - A pool's record in the store names the versions that its targets ran. A version is put on it before streams that may be resumed begin at it; a router reads the records before it is ready. A version is retired and then removed, each after no target ran it for a minute, by conditional writes. - While several versions may have begun streams, each router writes the origins of its own to one object, at most ten times a second and 200 times over the fleet, and reads those of all routers at its start. With one version ever, nothing is written per stream.

--- a/crates/peppercrank-core/src/events.rs
+++ b/crates/peppercrank-core/src/events.rs
@@ -126,6 +126,10 @@
     StoreRestored = 4008 Warning "store back from an older copy";
     /// A watch missed a change that another router has read, so it is repeated on a new connection.
     WatchOvertaken = 4009 Warning "watch overtaken by another router";
+    /// The software versions of a pool's targets were written to the store.
+    VersionsRecorded = 4010 Info "software versions recorded";
+    /// What outlives all routers was read from the store.
+    RecordsRead = 4011 Info "records read from the store";
     /// A target was marked as leaving.
     TargetLeaving = 5001 Info "target leaving";
     /// A leaving target has no running requests left.
--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -197,6 +197,22 @@
     pub organisations: Vec<Organisation>,
 }
 
+impl Desired {
+    /// Returns the pools to which streams are sent that another run may continue.
+    #[must_use]
+    pub fn resumable_pools(&self) -> Vec<Arc<str>> {
+        let streams = RouteKind::Stream { resumable: true };
+        let routes = self.routes.iter().filter(|r| r.kind == streams);
+        let mut pools = routes
+            .flat_map(|r| &r.pools)
+            .map(|share| Arc::clone(&share.pool))
+            .collect::<Vec<_>>();
+        pools.sort_unstable();
+        pools.dedup();
+        pools
+    }
+}
+
 /// `Index` looks up the routes, pools and organisations of one configuration.
 #[derive(Debug)]
 pub struct Index {
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -169,10 +169,11 @@
                 let pool = Arc::clone(&entry.pool);
                 let previous = Arc::clone(&target.registration.pool);
                 let software = target.software;
+                let version = Arc::clone(&entry.version);
                 let event = target.refresh(now, key, entry);
                 if pool != previous {
                     self.versions.left(now, &previous, software);
-                    self.versions.joined(now, &pool, software);
+                    self.versions.joined(now, &pool, &version);
                     self.remove_from_pool(&previous, key);
                     self.pools.entry(pool).or_default().push(key);
                 }
@@ -231,7 +232,7 @@
         let cold_until = now + entry.cold_for;
         let registration = entry;
         let software = SoftwareVersion::of(&registration.version);
-        self.versions.joined(now, &pool, software);
+        self.versions.joined(now, &pool, &registration.version);
         let key = self.targets.insert(Target {
             software,
             registration,
@@ -292,6 +293,19 @@
         self.versions.is_mixed(now, pool)
     }
 
+    /// Returns the software versions that the targets of a pool run, or did until recently, with
+    /// their names.
+    #[must_use]
+    pub fn software_versions(&self, now: Instant, pool: &str) -> Vec<(SoftwareVersion, Arc<str>)> {
+        let recent = self.versions.recent(now, pool);
+        recent.map(|(v, name)| (v, Arc::clone(name))).collect()
+    }
+
+    /// Records that the store holds a software version as one that served a pool.
+    pub fn record_served_version(&mut self, now: Instant, pool: &Arc<str>, name: &Arc<str>) {
+        self.versions.served(now, pool, name);
+    }
+
     /// Removes a target from the list of a pool, and the list itself once it is empty, as other
     /// writers can name any pool.
     fn remove_from_pool(&mut self, pool: &Arc<str>, key: TargetKey) {
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -42,9 +42,11 @@
 //! - [`start_check`]: whether a router that has started may trust the store.
 //! - [`starts`]: which start of a target is meant.
 //! - [`stats`]: load, latency and failures of each target.
+//! - [`stored_origins`]: origins of a router's own streams, kept in the store.
 //! - [`suspension`]: whether the machine was suspended.
 //! - [`target`]: whether a target takes new work, and why not.
 //! - [`truncation`]: whether an answer of the store may have been truncated.
+//! - [`version_records`]: records in the store of the versions that served each pool.
 //! - [`warm_up`]: limits on the work of a cold target, summed over all routers.
 
 pub mod admission;
@@ -88,7 +90,9 @@
 pub mod start_check;
 pub mod starts;
 pub mod stats;
+pub mod stored_origins;
 pub mod suspension;
 pub mod target;
 pub mod truncation;
+pub mod version_records;
 pub mod warm_up;
--- a/crates/peppercrank-direct/src/pool_versions.rs
+++ b/crates/peppercrank-direct/src/pool_versions.rs
@@ -15,15 +15,16 @@
 
 /// Time for which a version is remembered after its last target left. Callers resume broken streams
 /// sooner.
-const RETENTION: Duration = Duration::from_secs(60);
+pub const RETENTION: Duration = Duration::from_secs(60);
 
 /// A version of a pool.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Presence {
     version: SoftwareVersion,
+    name: Arc<str>,
     /// Number of targets that run it.
     targets: usize,
-    /// Time at which a target of it last left.
+    /// Time at which a target of it last left, or at which the process read that it had served.
     left_at: Instant,
 }
 
@@ -41,16 +42,30 @@
 
 impl PoolVersions {
     /// Records that a target joined a pool.
-    pub fn joined(&mut self, now: Instant, pool: &Arc<str>, version: SoftwareVersion) {
+    pub fn joined(&mut self, now: Instant, pool: &Arc<str>, name: &Arc<str>) {
+        self.presence(now, pool, name).targets += 1;
+    }
+
+    /// Records that a version served a pool until this process learnt of it, at the latest. The
+    /// time is not that of its end, which may have come while no process was there to see it.
+    pub fn served(&mut self, now: Instant, pool: &Arc<str>, name: &Arc<str>) {
+        self.presence(now, pool, name).left_at = now;
+    }
+
+    fn presence(&mut self, now: Instant, pool: &Arc<str>, name: &Arc<str>) -> &mut Presence {
+        let version = SoftwareVersion::of(name);
         let versions = self.by_pool.entry(Arc::clone(pool)).or_default();
-        match versions.iter_mut().find(|p| p.version == version) {
-            Some(presence) => presence.targets += 1,
-            None => versions.push(Presence {
+        let found = versions.iter().position(|p| p.version == version);
+        let index = found.unwrap_or(versions.len());
+        if found.is_none() {
+            versions.push(Presence {
                 version,
-                targets: 1,
+                name: Arc::clone(name),
+                targets: 0,
                 left_at: now,
-            }),
+            });
         }
+        &mut versions[index]
     }
 
     /// Records that a target left a pool.
@@ -62,11 +77,21 @@
         }
     }
 
+    /// Returns the versions that the targets of a pool run, or did until recently.
+    pub fn recent<'a>(
+        &'a self,
+        now: Instant,
+        pool: &str,
+    ) -> impl Iterator<Item = (SoftwareVersion, &'a Arc<str>)> + use<'a> {
+        let versions = self.by_pool.get(pool).into_iter().flatten();
+        let recent = versions.filter(move |p| p.is_recent(now));
+        recent.map(|p| (p.version, &p.name))
+    }
+
     /// Returns whether the targets of a pool run several versions, or did until recently.
     #[must_use]
     pub fn is_mixed(&self, now: Instant, pool: &str) -> bool {
-        let versions = self.by_pool.get(pool).into_iter().flatten();
-        versions.filter(|p| p.is_recent(now)).count() > 1
+        self.recent(now, pool).count() > 1
     }
 
     /// Drops versions whose last targets left long ago.
--- /dev/null
+++ b/crates/peppercrank-direct/tests/verify_stored_origins.rs
@@ -0,0 +1,96 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Origins of streams that a router keeps in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use peppercrank_core::time::Instant;
+use peppercrank_direct::origins::Origins;
+use peppercrank_direct::origins::SoftwareVersion;
+use peppercrank_direct::origins::StreamId;
+use peppercrank_direct::stored_origins::StoredOrigins;
+use peppercrank_direct::stored_origins::write_interval;
+
+const START: Instant = Instant::ZERO;
+
+struct Router {
+    origins: Origins,
+    stored: StoredOrigins,
+}
+
+impl Router {
+    fn new() -> Self {
+        Self {
+            origins: Origins::default(),
+            stored: StoredOrigins::default(),
+        }
+    }
+
+    fn begin(&mut self, stream: u64, until: Instant) {
+        let pool: Arc<str> = "pool".into();
+        let version = SoftwareVersion::of("v1");
+        self.origins.record(START, StreamId(stream), version, until);
+        self.stored.push(StreamId(stream), &pool, until);
+    }
+
+    /// Returns the streams to be written now; `None` if nothing is.
+    fn take(&mut self, now: Instant, mixed: bool) -> Option<Vec<u64>> {
+        let batch = self.stored.take_batch(now, &self.origins, |_| mixed)?;
+        let streams = batch.into_iter().flat_map(|(_, streams)| streams);
+        let mut streams = streams.map(|s| s.0).collect::<Vec<_>>();
+        streams.sort_unstable();
+        Some(streams)
+    }
+}
+
+#[test]
+fn verify_nothing_is_written_while_one_version_serves() {
+    let mut router = Router::new();
+    let until = START + Duration::from_secs(10);
+    router.begin(1, until);
+    assert_eq!(router.take(START, false), None);
+    // A second version joins, and streams that began before it are written, too.
+    router.begin(2, until);
+    assert_eq!(router.take(START, true), Some(vec![1, 2]));
+    assert_eq!(router.take(START, true), None);
+}
+
+#[test]
+fn verify_a_write_that_failed_is_repeated() {
+    let mut router = Router::new();
+    router.begin(1, START + Duration::from_secs(10));
+    assert_eq!(router.take(START, true), Some(vec![1]));
+    router.stored.invalidate();
+    assert_eq!(router.take(START, true), Some(vec![1]));
+}
+
+#[test]
+fn verify_streams_of_an_earlier_process_stay_in_the_object() {
+    let mut router = Router::new();
+    let version = SoftwareVersion::of("v1");
+    let until = START + Duration::from_secs(10);
+    router.origins.record(START, StreamId(7), version, until);
+    router.stored.push_earlier(START, StreamId(7));
+    assert_eq!(router.take(START, true), None);
+    router.begin(8, until);
+    assert_eq!(router.take(START, true), Some(vec![7, 8]));
+}
+
+#[test]
+fn verify_streams_are_kept_until_their_callers_give_up() {
+    let mut router = Router::new();
+    let until = START + Duration::from_secs(10);
+    router.begin(1, until);
+    router.begin(2, until + Duration::from_secs(1));
+    assert_eq!(router.take(until, true), Some(vec![2]));
+}
+
+#[test]
+fn verify_a_large_fleet_writes_within_the_rate_of_the_store() {
+    let writes = |routers: u32| f64::from(routers) / write_interval(routers as usize).as_secs_f64();
+    for routers in [1, 4, 30, 68, 370] {
+        assert!(writes(routers) <= 200.0, "{routers} routers");
+    }
+}
--- a/crates/peppercrank-gateway/src/admin.rs
+++ b/crates/peppercrank-gateway/src/admin.rs
@@ -44,7 +44,7 @@
         .is_none_or(|since| now.since(since) < MAX_STORE_OUTAGE);
     let listed =
         state.directory.first_listed_at().is_some() && state.directory.evacuations.is_listed();
-    keys_fresh && in_touch && listed && !gateway.stop_signal.is_stopping()
+    keys_fresh && in_touch && listed && state.records_read && !gateway.stop_signal.is_stopping()
 }
 
 /// Answers the load balancer's health check, and logs when the router's readiness changes.
--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -7,6 +7,7 @@
 
 use peppercrank_core::time::Instant;
 use peppercrank_direct::admission::MIN_RETRY_AFTER;
+use peppercrank_direct::desired::RouteKind;
 use peppercrank_direct::directory::TargetKey;
 use peppercrank_direct::directory::WithheldReason;
 use peppercrank_direct::origins::SoftwareVersion;
@@ -83,7 +84,7 @@
     };
     let allowed = match version {
         Some(version) => withhold_other_versions(state, version, allowed, &mut eligible)?,
-        None => allowed,
+        None => withhold_unrecorded_versions(state, now, job, allowed, &mut eligible)?,
     };
     eligible.candidates.reserve(allowed.len());
     apply_warm_up(state, now, job, settings, allowed, &mut eligible)?;
@@ -151,6 +152,35 @@
     Ok(same)
 }
 
+/// Withholds the targets whose software version is not on record yet, in a pool with several
+/// versions. Streams that may be resumed must not begin there: once the routers end, nobody would
+/// know that the version served. While the store is down, what is known of the pool decides.
+fn withhold_unrecorded_versions(
+    state: &State,
+    now: Instant,
+    job: &Job,
+    allowed: Vec<TargetKey>,
+    eligible: &mut Eligible,
+) -> Result<Vec<TargetKey>, Rejection> {
+    let must_be_recorded = matches!(job.kind, RouteKind::Stream { resumable: true })
+        && state.directory.runs_several_versions(now, &job.pool)
+        && !state.directory.is_store_down();
+    if !must_be_recorded {
+        return Ok(allowed);
+    }
+    let is_recorded = |key: &TargetKey| {
+        let target = state.directory.get(*key);
+        let records = &state.version_records;
+        target.is_some_and(|t| records.is_confirmed(&job.pool, t.software))
+    };
+    let (recorded, others) = allowed.into_iter().partition::<Vec<_>, _>(is_recorded);
+    eligible.withheld.extend(others);
+    if recorded.is_empty() {
+        return Err(Rejection::with_default_delay(Reason::VersionUnrecorded));
+    }
+    Ok(recorded)
+}
+
 /// Returns whether a target runs the given software version; always true if none is given.
 #[must_use]
 pub fn runs_version(state: &State, key: TargetKey, version: Option<SoftwareVersion>) -> bool {
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -460,6 +460,6 @@
 }
 
 /// Returns a random pause of 80% to 100% of `max`, so that routers do not call in lockstep.
-fn jittered(max: Duration) -> Duration {
+pub(crate) fn jittered(max: Duration) -> Duration {
     max.mul_f64(rand::random_range(0.8..1.0))
 }
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -125,6 +125,10 @@
     pub newer_version_heard: Notify,
     /// Wakes the task that registers this router when its entry has disappeared.
     pub entry_missing: Notify,
+    /// Wakes the task that keeps the software versions of targets on record.
+    pub versions_changed: Notify,
+    /// Wakes requests that wait until a software version is on record.
+    pub versions_recorded: Notify,
     /// The limits for callers, which follow the configuration in force.
     pub limits: watch::Sender<Arc<Limits>>,
     /// The socket for datagrams between routers.
@@ -176,6 +180,8 @@
             leaving_heard: Notify::new(),
             newer_version_heard: Notify::new(),
             entry_missing: Notify::new(),
+            versions_changed: Notify::new(),
+            versions_recorded: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
             peer_socket,
             peer_address,
@@ -199,6 +205,7 @@
         if applied == ApplyOutcome::Activated {
             let limits = edge_limits(&self.settings(), bounds);
             self.limits.send_replace(Arc::new(limits));
+            self.versions_changed.notify_one();
         }
         applied
     }
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -72,6 +72,7 @@
                 let changes = state.directory.replace(now, listed);
                 drop(state);
                 targets::apply_changes(&self.gateway, changes, self.revision);
+                self.gateway.versions_changed.notify_one();
             }
             Kind::Routers => {
                 let own = self.gateway.settings().name.clone();
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod origins;
 pub mod outage;
 pub mod progress;
+pub mod records;
 pub mod refusal;
 pub mod refuse;
 pub mod register;
--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -36,6 +36,7 @@
         .origins
         .record(now, stream, flight.software, job.deadline);
     state.origin_queue.push(stream, &job.pool);
+    state.stored_origins.push(stream, &job.pool, job.deadline);
 }
 
 /// Finds where a stream that the caller resumes may go on; other requests may go anywhere.
@@ -50,9 +51,11 @@
     let now = gateway.now();
     let state = gateway.state();
     let several = state.directory.runs_several_versions(now, &job.pool);
-    // Targets of a second version may have joined while the store did not answer. A caller that
-    // names no origin belongs to a fleet that runs one version at a time.
-    let outdated = resumption.origin.is_some() && state.directory.is_store_down();
+    // Targets of a second version may have joined while the store did not answer, or served before
+    // this process started. A caller that names no origin belongs to a fleet that runs one version
+    // at a time.
+    let is_known = state.records_read && !state.directory.is_store_down();
+    let outdated = resumption.origin.is_some() && !is_known;
     Resumption::decide(origin, !several && !outdated)
 }
 
--- /dev/null
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -0,0 +1,386 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Keeps in the store what must outlive all routers: the software versions that served each pool,
+//! and where streams began.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use peppercrank_core::events::Event;
+use peppercrank_core::hash::hash64;
+use peppercrank_core::time::Instant;
+use peppercrank_direct::era::EraOrder;
+use peppercrank_direct::origins::OriginReport;
+use peppercrank_direct::pool_versions::RETENTION;
+use peppercrank_direct::stored_origins::write_interval;
+use peppercrank_direct::version_records::RecordStep;
+use peppercrank_direct::version_records::VersionRecord;
+use peppercrank_log::Field;
+use peppercrank_platform::records;
+use peppercrank_platform::records::OriginsObject;
+use peppercrank_platform::records::RecordKind;
+use peppercrank_platform::records::RecordPage;
+use tokio::time::sleep;
+
+use crate::follow::jittered;
+use crate::gateway::Gateway;
+use crate::state::State;
+use crate::store::CallResult;
+use crate::store::Store;
+
+/// Time within which the store's answer to a read must begin.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Pause after which a router looks again although nothing has changed.
+const IDLE_PAUSE: Duration = Duration::from_secs(1);
+
+/// How much later each further router writes a record than the one before, so that mostly one
+/// writes.
+const RANK_DELAY: Duration = Duration::from_millis(30);
+
+/// Longest such delay.
+const MAX_DELAY: Duration = Duration::from_secs(1);
+
+/// Time per router over which routers that start together spread their reads of origins.
+const READ_SPREAD: Duration = Duration::from_millis(1);
+
+/// Seed of the hash that orders routers for a pool.
+const RANK_SEED: u64 = 0x7265_636f_7264;
+
+/// What the task does next.
+enum Action {
+    WaitUntil(Instant),
+    ReadVersions,
+    WriteVersions(Arc<str>, VersionRecord),
+    ReadOrigins,
+}
+
+/// Keeps the versions of all pools with resumable streams on record, and reads the origins of
+/// streams at the start if several versions may have begun them.
+pub async fn keep_versions(gateway: Arc<Gateway>, store: Store) {
+    loop {
+        let is_done = match next_action(&gateway) {
+            Action::WaitUntil(at) => {
+                let changed = gateway.versions_changed.notified();
+                let _changed = gateway.timeout_at(at, changed).await;
+                continue;
+            }
+            Action::ReadVersions => read_versions(&gateway, &store).await,
+            Action::WriteVersions(pool, record) => {
+                write_versions(&gateway, &store, &pool, record).await
+            }
+            Action::ReadOrigins => read_origins(&gateway, &store).await,
+        };
+        if is_done.is_none() {
+            sleep(jittered(RETRY_PAUSE)).await;
+        }
+    }
+}
+
+fn next_action(gateway: &Gateway) -> Action {
+    let now = gateway.now();
+    let own = gateway.settings().name.clone();
+    let mut state = gateway.state();
+    let mut wake = now + IDLE_PAUSE;
+    let is_listed = state.directory.first_listed_at().is_some();
+    let Some(pools) = resumable_pools(&state).filter(|_| is_listed) else {
+        return Action::WaitUntil(wake);
+    };
+    if state.directory.is_store_down() {
+        return Action::WaitUntil(wake);
+    }
+    if pools.is_empty() {
+        state.records_read = true;
+    }
+    let is_mixed = pools
+        .iter()
+        .any(|pool| state.directory.runs_several_versions(now, pool));
+    if state.version_records.are_known() && !state.records_read {
+        if is_mixed {
+            return Action::ReadOrigins;
+        }
+        state.records_read = true;
+    }
+    for pool in pools {
+        let needed = state.directory.software_versions(now, &pool);
+        let delay = write_delay(&state, &own, &pool);
+        let step = state.version_records.next_step(now, &pool, &needed, delay);
+        match step {
+            RecordStep::Done => {}
+            RecordStep::WaitUntil(at) => wake = wake.min(at),
+            RecordStep::Read => return Action::ReadVersions,
+            RecordStep::Write(record) => return Action::WriteVersions(pool, record),
+        }
+    }
+    Action::WaitUntil(wake)
+}
+
+/// Returns the pools to which resumable streams are sent; `None` before a configuration was read.
+fn resumable_pools(state: &State) -> Option<Vec<Arc<str>>> {
+    let index = state.config.index()?;
+    Some(index.desired().resumable_pools())
+}
+
+/// Returns after which time this router writes a pool's record, by its rank among all routers.
+fn write_delay(state: &State, own: &str, pool: &str) -> Duration {
+    if !state.routers_read {
+        return MAX_DELAY;
+    }
+    let seed = hash64(RANK_SEED, pool.as_bytes());
+    let rank = |name: &str| hash64(seed, name.as_bytes());
+    let own_rank = rank(own);
+    let before = state.routers.keys().filter(|name| rank(name) < own_rank);
+    let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
+    RANK_DELAY.saturating_mul(before).min(MAX_DELAY)
+}
+
+async fn read_versions(gateway: &Gateway, store: &Store) -> Option<()> {
+    let asked_at = gateway.now();
+    let kind = RecordKind::Versions;
+    let listed = list(gateway, store, kind, records::parse_versions).await?;
+    log_read(gateway, kind, listed.len());
+    let now = gateway.now();
+    let mut state = gateway.state();
+    for (pool, name) in state.version_records.apply_list(asked_at, listed) {
+        state.directory.record_served_version(now, &pool, &name);
+    }
+    drop(state);
+    gateway.versions_recorded.notify_waiters();
+    Some(())
+}
+
+async fn write_versions(
+    gateway: &Gateway,
+    store: &Store,
+    pool: &Arc<str>,
+    record: VersionRecord,
+) -> Option<()> {
+    let body = records::versions_body(pool, &record).ok()?;
+    let kind = RecordKind::Versions;
+    let path = record.revision.map_or_else(
+        || kind.list_path(None),
+        |revision| kind.path_at_revision(pool, revision),
+    );
+    let outcome = if record.revision.is_some() {
+        store.put(&path, body).await
+    } else {
+        store.post(&path, body).await
+    };
+    count_call(gateway, kind, &outcome.result);
+    log_versions(gateway, pool, &record, &outcome.result);
+    let CallResult::Done(written) = outcome.result else {
+        // Another router may have written the record, or this write may have had its effect.
+        gateway.state().version_records.invalidate();
+        return None;
+    };
+    let is_single = apply_written(gateway, pool, record, records::parse_revision(&written));
+    gateway.versions_recorded.notify_waiters();
+    if is_single {
+        delete_orphans(gateway, store).await;
+    }
+    Some(())
+}
+
+/// Applies a record that was written, and returns whether that ended the time in which streams may
+/// have begun at several versions.
+fn apply_written(
+    gateway: &Gateway,
+    pool: &Arc<str>,
+    record: VersionRecord,
+    revision: Option<u64>,
+) -> bool {
+    let now = gateway.now();
+    let mut state = gateway.state();
+    let removed = record.versions.len() < state.version_records.version_count(pool);
+    if revision.is_some() {
+        let record = VersionRecord { revision, ..record };
+        state.version_records.apply_written(now, pool, record);
+    } else {
+        state.version_records.invalidate();
+    }
+    let pools = resumable_pools(&state).unwrap_or_default();
+    let mixed = |pool: &Arc<str>| state.directory.runs_several_versions(now, pool);
+    removed && !pools.iter().any(mixed)
+}
+
+/// Reads the origins that all routers wrote, and keeps those of this router's own object in it.
+async fn read_origins(gateway: &Gateway, store: &Store) -> Option<()> {
+    let routers = u32::try_from(gateway.state().routers.len()).unwrap_or(u32::MAX);
+    let spread = READ_SPREAD.saturating_mul(routers);
+    sleep(spread.mul_f64(rand::random_range(0.0..1.0))).await;
+    let kind = RecordKind::Origins;
+    let listed = list(gateway, store, kind, records::parse_origins).await?;
+    log_read(gateway, kind, listed.len());
+    let own = gateway.settings().name.clone();
+    let now = gateway.now();
+    let mut state = gateway.state();
+    let kept_ms = u32::try_from(RETENTION.as_millis()).unwrap_or(u32::MAX);
+    for (name, object) in listed {
+        for (version, streams) in object.streams {
+            for stream in streams {
+                let report = OriginReport {
+                    stream,
+                    version,
+                    kept_ms,
+                };
+                state.origins.record_report(now, report);
+                if *name == *own {
+                    state.stored_origins.push_earlier(now, stream);
+                }
+            }
+        }
+    }
+    state.records_read = true;
+    Some(())
+}
+
+/// Writes the origins of this router's streams as they begin.
+pub async fn keep_origins(gateway: Arc<Gateway>, store: Store) {
+    loop {
+        let routers = gateway.state().routers.len() + 1;
+        sleep(jittered(write_interval(routers))).await;
+        write_origins(&gateway, &store).await;
+    }
+}
+
+/// Writes the origins of this router's streams if there are new ones that several versions may have
+/// begun.
+pub async fn write_origins(gateway: &Gateway, store: &Store) {
+    let now = gateway.now();
+    let batch = {
+        let mut state = gateway.state();
+        if state.directory.is_store_down() || !state.records_read {
+            return;
+        }
+        let State {
+            stored_origins,
+            origins,
+            directory,
+            ..
+        } = &mut *state;
+        let is_mixed = |pool: &str| directory.runs_several_versions(now, pool);
+        stored_origins.take_batch(now, origins, is_mixed)
+    };
+    let Some(batch) = batch else {
+        return;
+    };
+    let name = gateway.settings().name.clone();
+    let Ok(body) = records::origins_body(&name, &batch) else {
+        return;
+    };
+    let kind = RecordKind::Origins;
+    let replaced = store.put(&kind.path(&name), body.clone()).await.result;
+    count_call(gateway, kind, &replaced);
+    let result = match replaced {
+        CallResult::Missing => {
+            let created = store.post(&kind.list_path(None), body).await.result;
+            count_call(gateway, kind, &created);
+            created
+        }
+        other => other,
+    };
+    if !matches!(result, CallResult::Done(_)) {
+        gateway.state().stored_origins.invalidate();
+    }
+}
+
+/// Deletes the origins that a router wrote which is gone.
+pub async fn delete_origins(gateway: &Gateway, store: &Store, router: &str) {
+    let kind = RecordKind::Origins;
+    let deleted = store.delete(&kind.path(router)).await.result;
+    count_call(gateway, kind, &deleted);
+}
+
+/// Deletes the origins of routers that have left, once no stream can go on at an earlier version.
+async fn delete_orphans(gateway: &Gateway, store: &Store) {
+    let kind = RecordKind::Origins;
+    let Some(listed) = list(gateway, store, kind, records::parse_origins).await else {
+        return;
+    };
+    let own = gateway.settings().name.clone();
+    let orphans = {
+        let state = gateway.state();
+        let gone = |name: &Arc<str>| **name != *own && !state.routers.contains_key(name);
+        let orphans = listed.into_iter().filter(|(name, _)| gone(name));
+        orphans.collect::<Vec<(_, OriginsObject)>>()
+    };
+    for (name, object) in orphans {
+        let path = kind.path_at_revision(&name, object.revision);
+        let deleted = store.delete(&path).await.result;
+        count_call(gateway, kind, &deleted);
+    }
+}
+
+/// Reads all objects of a kind; `None` if the store does not answer, or is restored meanwhile.
+async fn list<T>(
+    gateway: &Gateway,
+    store: &Store,
+    kind: RecordKind,
+    parse: impl Fn(&[u8]) -> peppercrank_platform::Result<RecordPage<T>>,
+) -> Option<Vec<(Arc<str>, T)>> {
+    let mut objects = Vec::new();
+    let mut after = None;
+    loop {
+        let body = read(gateway, store, kind, &kind.list_path(after.as_deref())).await?;
+        let page = parse(&body).ok()?;
+        objects.extend(page.objects);
+        after = page.next;
+        if after.is_none() {
+            return Some(objects);
+        }
+    }
+}
+
+async fn read(gateway: &Gateway, store: &Store, kind: RecordKind, path: &str) -> Option<Bytes> {
+    let asked_era = gateway.state().eras.newest();
+    let outcome = match store.get(path, ANSWER_TIMEOUT).await {
+        Ok(answer) => store.read_answer(answer).await,
+        Err(outcome) => outcome,
+    };
+    count_call(gateway, kind, &outcome.result);
+    if gateway.observe_era(outcome.era, asked_era) != EraOrder::Same {
+        return None;
+    }
+    match outcome.result {
+        CallResult::Done(body) => Some(body),
+        CallResult::NoAnswer => {
+            // If this connection went silent, the unused ones may have too.
+            store.close();
+            None
+        }
+        _ => None,
+    }
+}
+
+fn count_call(gateway: &Gateway, kind: RecordKind, result: &CallResult) {
+    let outcome = result.code();
+    gateway.metrics.count_store_call(kind.as_str(), outcome);
+}
+
+fn log_read(gateway: &Gateway, kind: RecordKind, objects: usize) {
+    let fields = [
+        ("kind", Field::Text(kind.as_str())),
+        ("objects", Field::Number(objects as u64)),
+    ];
+    gateway.log.write(Event::RecordsRead, &fields);
+}
+
+fn log_versions(gateway: &Gateway, pool: &str, record: &VersionRecord, result: &CallResult) {
+    let names = |retired| {
+        let versions = record.versions.iter().filter(|v| v.retired == retired);
+        versions.map(|v| &*v.name).collect::<Vec<_>>().join(" ")
+    };
+    let (versions, retired) = (names(false), names(true));
+    let fields = [
+        ("pool", Field::Text(pool)),
+        ("versions", Field::Text(&versions)),
+        ("retired", Field::Text(&retired)),
+        ("outcome", Field::Text(result.code())),
+    ];
+    gateway.log.write(Event::VersionsRecorded, &fields);
+}
--- a/crates/peppercrank-gateway/src/refuse.rs
+++ b/crates/peppercrank-gateway/src/refuse.rs
@@ -81,6 +81,9 @@
     /// The caller resumes a stream, and it is not known which of several software versions began
     /// it.
     OriginUnknown "origin_unknown" SERVICE_UNAVAILABLE;
+    /// The software versions of all targets joined just now and are not on record yet, which they
+    /// must be before streams begin that may be resumed.
+    VersionUnrecorded "version_unrecorded" SERVICE_UNAVAILABLE;
     /// Targets repeatedly crashed while running the request.
     CrashesTargets "crashes_targets" SERVICE_UNAVAILABLE;
     /// Targets refused the request or could not be reached, and no further attempt is allowed.
@@ -114,6 +117,7 @@
                 | Self::Congested
                 | Self::VersionGone
                 | Self::OriginUnknown
+                | Self::VersionUnrecorded
                 | Self::CrashesTargets
                 | Self::Refused
                 | Self::Late
--- a/crates/peppercrank-gateway/src/register.rs
+++ b/crates/peppercrank-gateway/src/register.rs
@@ -17,6 +17,7 @@
 
 use crate::confirm::Confirmer;
 use crate::gateway::Gateway;
+use crate::records;
 use crate::state::RegisteredRouter;
 use crate::state::State;
 use crate::store::CallResult;
@@ -127,6 +128,7 @@
                 ("outcome", Field::Text(removed.code())),
             ];
             gateway.log.write(Event::MemberDead, &fields);
+            records::delete_origins(&gateway, &store, &name).await;
         }
     }
 }
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -28,6 +28,7 @@
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::Error;
 use crate::Result;
@@ -40,6 +41,7 @@
 use crate::gossip;
 use crate::outage::Outage;
 use crate::progress;
+use crate::records;
 use crate::register;
 use crate::reload;
 use crate::role::FollowerRole;
@@ -51,6 +53,9 @@
 /// Interval between updates of the number of idle connections kept.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time limit for writing the origins of the last streams on shutdown.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Serves until SIGTERM, then finishes the requests in progress.
 ///
 /// # Errors
@@ -175,6 +180,9 @@
         self.serve_stopper.stop();
         let finished = self.serve_task.await.map_err(|e| Error::Start(e.into()))?;
         self.tasks.shutdown().await;
+        let writing = records::write_origins(&self.gateway, &self.store);
+        // The next router may be told of these streams by others.
+        let _in_time = timeout(LAST_WRITE_TIMEOUT, writing).await;
         register::deregister(&self.gateway, &self.store).await;
         self.admin_stopper.stop();
         let fields = [("cut", Field::Number(finished.cut))];
@@ -214,6 +222,8 @@
         Arc::clone(gateway),
         store.clone(),
     ));
+    tasks.spawn(records::keep_versions(Arc::clone(gateway), store.clone()));
+    tasks.spawn(records::keep_origins(Arc::clone(gateway), store.clone()));
     tasks.spawn(gossip::send_summaries(
         Arc::clone(gateway),
         Arc::clone(&socket),
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -56,6 +56,10 @@
 /// predicted time to the first part of its answer.
 const PREDICTION_FACTOR: f64 = 4.0;
 
+/// Time for which a request waits at most until a software version that has just joined is on
+/// record: a few calls to the store.
+const RECORD_WAIT: Duration = Duration::from_millis(200);
+
 /// Answers a caller's request: reads its body, finds its route, checks its key and forwards it.
 pub async fn answer_call(gateway: Arc<Gateway>, call: Call) -> Reply {
     let received_at = gateway.now();
@@ -171,8 +175,18 @@
         if let Some(next) = self.refuse_if_quarantined() {
             return next;
         }
+        let gateway = Arc::clone(&self.gateway);
+        let recorded = gateway.versions_recorded.notified();
         let mut flight = match reserve_target(&self.gateway, &self.job, &self.tried, self.version) {
             Ok(flight) => flight,
+            Err(refusal)
+                if refusal.rejection.reason == Reason::VersionUnrecorded
+                    && self.elapsed() < RECORD_WAIT =>
+            {
+                let until = self.job.received_at + RECORD_WAIT;
+                let _in_time = gateway.timeout_at(until, recorded).await;
+                return RequestStep::Retry;
+            }
             Err(refusal) => {
                 self.retry_after = refusal.rejection.retry_after;
                 self.basis = refusal.basis;
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -44,6 +44,8 @@
 use peppercrank_direct::start_check::StartCheck;
 use peppercrank_direct::starts::Start;
 use peppercrank_direct::stats::StatsMap;
+use peppercrank_direct::stored_origins::StoredOrigins;
+use peppercrank_direct::version_records::VersionRecords;
 use peppercrank_direct::warm_up::COLD_MARGIN;
 use peppercrank_direct::warm_up::Gate;
 use peppercrank_settings::GatewaySettings;
@@ -115,6 +117,13 @@
     pub origins: Origins,
     /// Streams whose origins are not reported to other routers yet, with their pools.
     pub origin_queue: OriginQueue,
+    /// This router's own streams, whose origins it keeps in the store.
+    pub stored_origins: StoredOrigins,
+    /// The software versions that the store has on record for each pool.
+    pub version_records: VersionRecords,
+    /// Whether it was read from the store which versions served, and where streams began if that
+    /// matters.
+    pub records_read: bool,
     /// Limits requests to cold targets.
     pub warm_up_gate: Gate,
     /// The load reported by other routers.
@@ -215,6 +224,9 @@
             part_gossip: Gossip::new(now),
             origins: Origins::default(),
             origin_queue: OriginQueue::default(),
+            stored_origins: StoredOrigins::default(),
+            version_records: VersionRecords::default(),
+            records_read: false,
             warm_up_gate: Gate::default(),
             peers: Peers::default(),
             routers: HashMap::new(),
@@ -229,6 +241,8 @@
     pub fn store_restored(&mut self, now: Instant) {
         self.directory.store_restored(now);
         self.catch_up.reset();
+        self.version_records.invalidate();
+        self.stored_origins.invalidate();
         for router in self.routers.values_mut() {
             // The known revision no longer identifies the router's entry, which therefore must not
             // be removed: the router counts as alive until its entry is read again.
--- a/crates/peppercrank-gateway/src/targets.rs
+++ b/crates/peppercrank-gateway/src/targets.rs
@@ -19,6 +19,9 @@
 /// Applies changes of the targets, as reported by a revision of the store, and logs them.
 pub fn apply_changes(gateway: &Gateway, changes: Vec<TargetEvent>, revision: Option<u64>) {
     let log_change = |event, key| log_event(gateway, event, &target_info(gateway, key), revision);
+    if !changes.is_empty() {
+        gateway.versions_changed.notify_one();
+    }
     for change in changes {
         match change {
             TargetEvent::Joined(key) => {
