Resumed streams are not bounded by the length of their first answer

What callers saw: a stream whose first target declared a length and broke off inside an event, and that went on at a target whose events are longer, ended after the declared length with status 200 and looked complete: of six events 60 bytes, cut in the fourth. With a greater length the whole stream looked truncated.

Cause: the length of the first target's answer was passed on to the caller, whose connection was framed by it, while the rest of the body came from another target.

Evidence: verify_a_resumed_stream_is_not_bounded_by_the_length_of_its_first_answer failed before ("id: 4\ndata: " as the end of a complete answer of 60 bytes) and passes now, with lengths of 60, 80 and 500.

Why it works: a stream that may be resumed is sent in chunks, so that its end is the end of its last run. Streams that may not be resumed keep their length, which shows where they were truncated.

--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt;
 use peppercrank_core::time::Instant;
 use peppercrank_direct::congestion::is_congested;
@@ -333,7 +334,13 @@
     }
     peppercrank_wire::headers::strip_hop_by_hop(&mut headers);
     answer::strip_router_headers(&mut headers);
-    if answer_head.kind == AnswerKind::Success && matches!(job.kind, RouteKind::Stream { .. }) {
+    if answer_head.kind == AnswerKind::Success
+        && let RouteKind::Stream { resumable } = job.kind
+    {
+        if resumable {
+            // The rest may come from another target, whose answer has another length.
+            headers.remove(header::CONTENT_LENGTH);
+        }
         let first = next_part(&mut body).await;
         let first = first.map_err(AttemptError::broken_body)?;
         // Only a length or a last chunk can show that a stream without events is complete.
