Streams do not go on after an event without an id that a request can name

What callers saw: a stream with an event that has no id, after which its target broke off, held that event and the ones after the last id twice, or the new run's text in their place, with status 200 and a complete end: events 1 and 2, one without an id, then 3 to 6.

Cause: another run continues after the last id found anywhere in what was passed on, not after the last event. An id that is no text, or that a header cannot carry, was left out of the request, which then began anew.

Evidence: verify_a_stream_does_not_go_on_after_an_event_without_a_usable_id failed before (with no id) and passes now, with no id, an empty one, one with a control character and one beyond ASCII. Events without data (comments, retry) do not keep a stream from going on: verify_a_stream_goes_on_after_events_without_data, which held before too.

Why it works: the fields of each event that is passed on are read, and a stream can be resumed only if its last event with data has an id that the next request can name. Otherwise it breaks off, and its caller knows it.

--- a/crates/peppercrank-direct/src/events.rs
+++ b/crates/peppercrank-direct/src/events.rs
@@ -6,6 +6,9 @@
 /// Longest buffered event, in bytes. A longer one is passed on in parts.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Number of bytes of a line that are kept. Longer lines hold no id that a request can name.
+const MAX_LINE_BYTES: usize = 256;
+
 /// Number of bytes that the longest end of an event takes: a line feed and an empty line.
 const MAX_END_BYTES: usize = 3;
 
@@ -42,11 +45,89 @@
     bytes.ends_with(b"\n\n") || bytes.ends_with(b"\n\r\n") || bytes.ends_with(b"\r\r")
 }
 
+/// `Position` is where another run can continue a stream.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+enum Position {
+    /// At the beginning.
+    #[default]
+    Start,
+    /// After the event with this id.
+    After(String),
+    /// Nowhere: after the last event that has an id came others.
+    Unnamed,
+}
+
+/// `EventScanner` reads the fields of events to find where another run can continue.
+#[derive(Debug, Default)]
+struct EventScanner {
+    /// Beginning of the current line, and one byte more if it is longer than [`MAX_LINE_BYTES`].
+    line: Vec<u8>,
+    /// Whether a line feed would belong to the end of the previous line.
+    after_return: bool,
+    /// Fields of the current event.
+    event: EventFields,
+    position: Position,
+}
+
+/// The fields of an event that matter for its order.
+#[derive(Debug, Default)]
+struct EventFields {
+    has_data: bool,
+    /// Its id; `None` if it has none that a request can name.
+    id: Option<String>,
+}
+
+impl EventScanner {
+    fn push(&mut self, byte: u8) {
+        let after_return = std::mem::replace(&mut self.after_return, byte == b'\r');
+        match byte {
+            b'\n' if after_return => {}
+            b'\n' | b'\r' => self.end_line(),
+            _ if self.line.len() > MAX_LINE_BYTES => {}
+            _ => self.line.push(byte),
+        }
+    }
+
+    fn end_line(&mut self) {
+        if self.line.is_empty() {
+            return self.end_event();
+        }
+        let mut fields = self.line.splitn(2, |b| *b == b':');
+        match (fields.next(), fields.next()) {
+            (Some(b"data"), _) => self.event.has_data = true,
+            (Some(b"id"), value) => {
+                let is_long = self.line.len() > MAX_LINE_BYTES;
+                let id = usable_id(value.unwrap_or_default());
+                self.event.id = id.filter(|_| !is_long);
+            }
+            _ => {}
+        }
+        self.line.clear();
+    }
+
+    fn end_event(&mut self) {
+        let event = std::mem::take(&mut self.event);
+        match event.id {
+            Some(id) => self.position = Position::After(id),
+            None if event.has_data => self.position = Position::Unnamed,
+            None => {}
+        }
+    }
+}
+
+/// Returns an id as the header of a request can carry it; `None` if it cannot.
+fn usable_id(value: &[u8]) -> Option<String> {
+    let id = value.trim_ascii();
+    let is_printable = id.iter().all(|b| matches!(b, b' '..=b'~'));
+    let id = String::from_utf8(id.to_vec()).ok()?;
+    (is_printable && !id.is_empty()).then_some(id)
+}
+
 /// `EventBuffer` splits the bytes of a stream into complete events.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     partial: Vec<u8>,
-    last_event_id: Option<String>,
+    scanner: EventScanner,
     /// Whether the bytes passed on so far end between two events.
     passed: EventBoundary,
 }
@@ -61,24 +142,27 @@
         }
         let rest = self.partial.split_off(end);
         let events = std::mem::replace(&mut self.partial, rest);
-        if let Some(id) = find_last_id(&events) {
-            self.last_event_id = Some(id);
+        for byte in &events {
+            self.scanner.push(*byte);
         }
         self.passed.push(&events);
         events
     }
 
-    /// Returns whether another run can continue the stream, which needs a reader that has received
-    /// complete events only.
+    /// Returns whether another run can continue the stream. This needs a reader that has received
+    /// complete events only, and the id of the last one.
     #[must_use]
-    pub const fn can_resume(&self) -> bool {
-        self.passed.is_between_events()
+    pub fn can_resume(&self) -> bool {
+        self.passed.is_between_events() && self.scanner.position != Position::Unnamed
     }
 
-    /// Returns the id of the last complete event.
+    /// Returns the id of the last complete event; `None` if there is none, or it has no id.
     #[must_use]
     pub fn last_event_id(&self) -> Option<&str> {
-        self.last_event_id.as_deref()
+        match &self.scanner.position {
+            Position::After(id) => Some(id),
+            Position::Start | Position::Unnamed => None,
+        }
     }
 
     /// Discards a partial event, before another run continues after the last complete one.
@@ -98,12 +182,3 @@
     }
     0
 }
-
-/// Returns the id of the last event that has one.
-fn find_last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|b| matches!(b, b'\n' | b'\r')).rev();
-    let id = lines
-        .map(<[u8]>::trim_ascii)
-        .find_map(|l| l.strip_prefix(b"id:"))?;
-    String::from_utf8(id.trim_ascii().to_vec()).ok()
-}
