A run that repeats events is not joined to the stream before it

What callers saw: where a target that was to go on with a stream began at its first event, or with the last one that had been passed on, the caller got these events twice, with status 200 and a complete end (1, 2, 1, 2, 3 to 6). The same where it came back itself with Last-Event-Id, and where the ids of one run went back.

Cause: the ids of events were read only for the next request; nothing compared them with those of the events before.

Why it works: on routes whose streams may be resumed, an event with a number that is not greater than the last one, that of the caller's Last-Event-Id included, ends the run before it is passed on. Another target goes on after the last event that was, or the stream breaks off. Ids that are not numbers have no order and are not compared.

--- a/crates/peppercrank-direct/src/events.rs
+++ b/crates/peppercrank-direct/src/events.rs
@@ -57,6 +57,28 @@
     Unnamed,
 }
 
+impl Position {
+    /// Returns whether an event with this id may come next. Ids that are not numbers have no order.
+    fn precedes(&self, id: &str) -> bool {
+        let Self::After(last) = self else {
+            return true;
+        };
+        match (last.parse::<u64>(), id.parse::<u64>()) {
+            (Ok(last), Ok(id)) => last < id,
+            _ => true,
+        }
+    }
+}
+
+/// Whether an event comes where it belongs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Order {
+    /// It may follow the one before.
+    Kept,
+    /// It has the id of an earlier event, or one before that.
+    Broken,
+}
+
 /// `EventScanner` reads the fields of events to find where another run can continue.
 #[derive(Debug, Default)]
 struct EventScanner {
@@ -78,20 +100,31 @@
 }
 
 impl EventScanner {
-    fn push(&mut self, byte: u8) {
-        let after_return = std::mem::replace(&mut self.after_return, byte == b'\r');
-        match byte {
-            b'\n' if after_return => {}
-            b'\n' | b'\r' => self.end_line(),
-            _ if self.line.len() > MAX_LINE_BYTES => {}
-            _ => self.line.push(byte),
+    /// Reads further bytes, and returns the length of those before an event out of order; `None` if
+    /// there is no such event.
+    fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut event_start = 0;
+        for (n, byte) in bytes.iter().enumerate() {
+            let after_return = std::mem::replace(&mut self.after_return, *byte == b'\r');
+            match byte {
+                // The line end of the event before may end here.
+                b'\n' if after_return && event_start == n => event_start = n + 1,
+                b'\n' if after_return => {}
+                b'\n' | b'\r' if self.line.is_empty() => {
+                    if self.end_event() == Order::Broken {
+                        return Some(event_start);
+                    }
+                    event_start = n + 1;
+                }
+                b'\n' | b'\r' => self.end_line(),
+                _ if self.line.len() > MAX_LINE_BYTES => {}
+                _ => self.line.push(*byte),
+            }
         }
+        None
     }
 
     fn end_line(&mut self) {
-        if self.line.is_empty() {
-            return self.end_event();
-        }
         let mut fields = self.line.splitn(2, |b| *b == b':');
         match (fields.next(), fields.next()) {
             (Some(b"data"), _) => self.event.has_data = true,
@@ -105,13 +138,15 @@
         self.line.clear();
     }
 
-    fn end_event(&mut self) {
+    fn end_event(&mut self) -> Order {
         let event = std::mem::take(&mut self.event);
         match event.id {
+            Some(id) if !self.position.precedes(&id) => return Order::Broken,
             Some(id) => self.position = Position::After(id),
             None if event.has_data => self.position = Position::Unnamed,
             None => {}
         }
+        Order::Kept
     }
 }
 
@@ -128,22 +163,40 @@
 pub struct EventBuffer {
     partial: Vec<u8>,
     scanner: EventScanner,
+    /// Whether the run brought an event out of order.
+    is_disordered: bool,
     /// Whether the bytes passed on so far end between two events.
     passed: EventBoundary,
 }
 
 impl EventBuffer {
-    /// Appends bytes and returns the events that they complete.
+    /// Creates the buffer of a stream whose reader already has the event with this id and those
+    /// before it; `None` for a stream from its beginning.
+    #[must_use]
+    pub fn after(last_event_id: Option<&str>) -> Self {
+        let mut events = Self::default();
+        if let Some(id) = last_event_id {
+            events.scanner.position = Position::After(id.to_owned());
+        }
+        events
+    }
+
+    /// Appends bytes and returns the events that they complete, up to one out of order. After it
+    /// there are none until [`EventBuffer::discard_partial`].
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        if self.is_disordered {
+            return Vec::new();
+        }
         self.partial.extend_from_slice(bytes);
         let mut end = complete_len(&self.partial);
         if end == 0 && self.partial.len() > MAX_EVENT_BYTES {
             end = self.partial.len();
         }
         let rest = self.partial.split_off(end);
-        let events = std::mem::replace(&mut self.partial, rest);
-        for byte in &events {
-            self.scanner.push(*byte);
+        let mut events = std::mem::replace(&mut self.partial, rest);
+        if let Some(ordered) = self.scanner.scan(&events) {
+            self.is_disordered = true;
+            events.truncate(ordered);
         }
         self.passed.push(&events);
         events
@@ -156,6 +209,13 @@
         self.passed.is_between_events() && self.scanner.position != Position::Unnamed
     }
 
+    /// Returns whether the present run brought an event that its reader has already, or one before
+    /// it, as a target does that ignores where a stream goes on.
+    #[must_use]
+    pub const fn is_disordered(&self) -> bool {
+        self.is_disordered
+    }
+
     /// Returns the id of the last complete event; `None` if there is none, or it has no id.
     #[must_use]
     pub fn last_event_id(&self) -> Option<&str> {
@@ -168,6 +228,7 @@
     /// Discards a partial event, before another run continues after the last complete one.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.is_disordered = false;
     }
 }
 
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -18,6 +18,7 @@
 use peppercrank_direct::silence::SilenceDetector;
 use peppercrank_direct::silence::StreamState;
 use peppercrank_log::Field;
+use peppercrank_platform::call;
 use peppercrank_wire::Error as WireError;
 use peppercrank_wire::body::Body;
 use peppercrank_wire::buffer::Unread;
@@ -42,6 +43,9 @@
 /// Log text and metrics label of a stream that was cut since its caller was behind.
 const CUT_FOR_MEMORY: &str = "cut for memory";
 
+/// Log text and metrics label of a run whose events do not follow those before.
+const OUT_OF_ORDER: &str = "events out of order";
+
 /// Log text and metrics label of a stream that was not complete, or not read, at its deadline.
 const DEADLINE_PASSED: &str = "deadline passed";
 
@@ -72,6 +76,14 @@
     DeadlinePassed,
 }
 
+/// Why a part was not forwarded as it came.
+enum ForwardError {
+    /// The stream is no longer read.
+    Unread(Unread),
+    /// An event of the run does not follow those before.
+    OutOfOrder,
+}
+
 /// Outcome of an attempt to resume a stream.
 enum Resumption {
     /// Another target continues the stream.
@@ -97,6 +109,7 @@
     if resumable {
         origins::record_stream(&request.gateway, &request.job, &flight);
     }
+    let last_event_id = call::last_event_id(&request.job.head.headers);
     let relay = Relay {
         request: request.clone(),
         flight,
@@ -104,7 +117,7 @@
         downstream,
         first_part_after: request.elapsed(),
         content,
-        events: resumable.then(EventBuffer::default),
+        events: resumable.then(|| EventBuffer::after(last_event_id)),
         stall_timer: SilenceDetector::new(request.gateway.now(), request.job.max_gap),
     };
     tokio::spawn(relay.run(first));
@@ -123,7 +136,14 @@
                     // A slow reader must not occupy the target past the deadline.
                     match gateway.timeout_at(deadline, self.forward(part)).await {
                         Some(Ok(())) => self.record_forwarded(),
-                        Some(Err(unread)) => return self.abort(unread_cause(unread)),
+                        Some(Err(ForwardError::Unread(unread))) => {
+                            return self.abort(unread_cause(unread));
+                        }
+                        Some(Err(ForwardError::OutOfOrder)) => {
+                            if !self.fail_over(OUT_OF_ORDER, CrashEvidence::None).await {
+                                return self.abort(OUT_OF_ORDER);
+                            }
+                        }
                         None => return self.pass_deadline(),
                     }
                 }
@@ -213,16 +233,20 @@
 
     /// Forwards a part. For a stream that may be resumed, forwards the events that the part
     /// completes.
-    async fn forward(&mut self, part: Bytes) -> Result<(), Unread> {
+    async fn forward(&mut self, part: Bytes) -> Result<(), ForwardError> {
         self.flight.boundary.push(&part);
         let part = match &mut self.events {
             Some(events) => Bytes::from(events.push(&part)),
             None => part,
         };
-        if part.is_empty() {
-            return Ok(());
+        if !part.is_empty() {
+            let sent = self.downstream.send(part).await;
+            sent.map_err(ForwardError::Unread)?;
+        }
+        if self.events.as_ref().is_some_and(EventBuffer::is_disordered) {
+            return Err(ForwardError::OutOfOrder);
         }
-        self.downstream.send(part).await
+        Ok(())
     }
 
     /// Records that a part was forwarded.
@@ -313,7 +337,13 @@
                 self.stall_timer.record_part(self.request.gateway.now());
                 match self.forward(first).await {
                     Ok(()) => Resumption::Resumed,
-                    Err(_) => Resumption::Impossible,
+                    Err(ForwardError::Unread(_)) => Resumption::Impossible,
+                    Err(ForwardError::OutOfOrder) => {
+                        self.upstream = None;
+                        self.flight.record_failure();
+                        self.request.log_failed_attempt(&self.flight, OUT_OF_ORDER);
+                        Resumption::Lost(ExecutionState::Unknown)
+                    }
                 }
             }
             Ok(TargetAnswer::Failure(_)) => {
