A caller's return goes to the service that began its stream

What callers saw: on a route whose streams may be resumed and that is split between services, a stream that began at one service could go on at another: the first part by one service's engines, the rest by the other's, with status 200.

Cause: the service is drawn by the request's id, and each return has a new one.

Evidence: verify_a_caller_resumes_at_the_service_that_began_its_stream (an even split, 16 streams) failed before at a return to the other service and passes now.

Why it works: where the caller names the request that brought its first event, that id draws the service, and it draws the same one as long as the split is the same. A return that names none is drawn by its own id as before.

--- a/crates/peppercrank-gateway/src/job.rs
+++ b/crates/peppercrank-gateway/src/job.rs
@@ -202,21 +202,18 @@
             Access::Member(organisation) => Some(organisation),
             Access::Denied => return Err(Reason::Denied),
         };
-        let pool = route
-            .pool(call_head.id.as_bytes())
-            .ok_or(Reason::NoTarget)?;
+        let resumable = matches!(route.kind, RouteKind::Stream { resumable: true });
+        let resumption = call_head.resumption.filter(|_| resumable);
+        let origin = resumption.as_ref().and_then(|r| r.origin.as_deref());
+        // A stream goes on at the pool that the request drew which began it.
+        let drawn_by = origin.unwrap_or(&call_head.id);
+        let pool = route.pool(drawn_by.as_bytes()).ok_or(Reason::NoTarget)?;
         peppercrank_wire::headers::strip_hop_by_hop(&mut head.headers);
         let timeout = call_head
             .timeout
             .unwrap_or(route.timeout)
             .min(route.timeout);
-        let RequestHead {
-            id,
-            prompt,
-            resumption,
-            ..
-        } = call_head;
-        let resumable = matches!(route.kind, RouteKind::Stream { resumable: true });
+        let RequestHead { id, prompt, .. } = call_head;
         let prompt = prompt.unwrap_or_default();
         let settings = index.pool(pool);
         let engine_memory = settings.and_then(|p| p.prompt_cache);
@@ -243,7 +240,7 @@
             },
             prompt_parts: prompt.parts,
             part_fingerprints: prompt.shared,
-            resumption: resumption.filter(|_| resumable),
+            resumption,
             received_at,
             deadline: received_at + timeout,
             config_version: index.desired().version,
