Earn retries by the requests that every window of users holds

What callers saw: in one report, repeats at a pool beyond a fifth of its requests and the extra, over all routers.

Cause: each router used 0.85 of the share of the requests of its own last window. Windows of routers end at different times, so that the requests which earned the retries of one window of the users were up to two windows of traffic: a router spends what it earned, its callers move, and the router that gets them earns and spends the same within the next 10 s. At a single router, two bursts of requests over half a window apart did the same.

Why it works: a router uses the share of the fewest requests that any window which its next retry may belong to is certain to allow: 0.85 of those of the window before and 0.15 of its own so far. Each router's part is then below the same mean of the same two windows, so that the sum over routers is below the greater of them, however requests move and whichever processes start or end. In steady traffic this is 0.85 of the share as before, in a first window 0.15 as before; it grows to 0.85 over the second window instead of at once.

verify_retry_restarts counts by the shared ledger, with the same limit.

--- a/crates/peppercrank-direct/src/retries.rs
+++ b/crates/peppercrank-direct/src/retries.rs
@@ -6,6 +6,11 @@
 //! In any window, the retries that all routers together send to a pool are limited to a share of
 //! the requests for it plus a fixed extra. Each router may use that share of the requests that it
 //! has received itself, and an equal part of the extra.
+//!
+//! The requests of a window may also be those of the window before it. Routers retry at different
+//! times, so each one limits itself for every window that its next retry may fall into, and not
+//! only for the one that ends with it: the sum over all routers then keeps to each window's limit,
+//! however requests move between routers, and whichever of them start or end.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -16,9 +21,9 @@
 
 use crate::rates::as_f64;
 
-/// Fraction of the allowed share that is used. The remainder covers retries that fall into a later
-/// window than their requests, and is what a router may use in its first window.
-const USABLE_SHARE: f64 = 0.85;
+/// Fraction of the allowed share that the requests of the window before earn; those of the same
+/// window earn the remainder. Only the latter are known to a router in its first window.
+const EARLIER_FRACTION: f64 = 0.85;
 
 /// Fraction of the allowed extra that is used. The remainder covers routers that do not know of each
 /// other, and is what a router may use in its first window.
@@ -35,17 +40,94 @@
     pub window: Duration,
 }
 
-/// Fractions of the limits that a router may use.
-#[derive(Debug, Clone, Copy)]
-struct Usable {
-    share: f64,
-    extra: f64,
+/// Number of buckets into which a window is divided for counting requests. A bucket that lies only in
+/// part within a window is left out, so that the count is never too high.
+const BUCKETS: usize = 100;
+
+/// Numbers of the requests for a pool in the last two windows.
+#[derive(Debug, Default)]
+struct RequestCounts {
+    /// Length of a bucket.
+    width: Duration,
+    /// Number of the newest bucket since the origin of the clock.
+    newest: u128,
+    /// Requests of each bucket, oldest first.
+    buckets: VecDeque<u32>,
+    /// Requests that count for windows that begin in an older bucket than the newest; `None` after a
+    /// bucket was appended.
+    counted: Option<f64>,
+}
+
+impl RequestCounts {
+    fn record(&mut self, now: Instant, window: Duration) {
+        self.advance(now, window);
+        if let Some(newest) = self.buckets.back_mut() {
+            *newest = newest.saturating_add(1);
+        }
+        // The request is in all windows that began in an older bucket.
+        self.counted = self.counted.map(|n| n + 1.0 - EARLIER_FRACTION);
+    }
+
+    /// Appends buckets up to the present.
+    fn advance(&mut self, now: Instant, window: Duration) {
+        let width = window / u32::try_from(BUCKETS).unwrap_or(u32::MAX);
+        let bucket = now.since_origin().as_nanos() / width.as_nanos().max(1);
+        if width != self.width || self.buckets.is_empty() {
+            self.buckets = VecDeque::from([0; 2 * BUCKETS]);
+            (self.width, self.newest, self.counted) = (width, bucket, None);
+        }
+        if bucket <= self.newest {
+            return;
+        }
+        let passed = usize::try_from(bucket - self.newest).unwrap_or(usize::MAX);
+        for _ in 0..passed.min(2 * BUCKETS) {
+            self.buckets.pop_front();
+            self.buckets.push_back(0);
+        }
+        (self.newest, self.counted) = (bucket, None);
+    }
+
+    /// Returns the number of requests whose share may be used in every window that includes `now`.
+    ///
+    /// A window allows [`EARLIER_FRACTION`] of the requests of the window before it, and the
+    /// remaining fraction of its own that were received by `now`. Of all windows that have begun in
+    /// the last one and include `now`, the one that allows the fewest counts.
+    fn earning(&mut self, now: Instant, window: Duration) -> f64 {
+        self.advance(now, window);
+        let buckets = &*self.buckets.make_contiguous();
+        let counted = self.counted.unwrap_or_else(|| fewest_earned(buckets));
+        self.counted = Some(counted);
+        let earlier = sum(buckets.iter().skip(BUCKETS).take(BUCKETS - 1));
+        counted.min(as_f64(earlier) * EARLIER_FRACTION)
+    }
 }
 
-/// Times of the requests for a pool and of their retries within the window.
+fn sum<'a>(buckets: impl Iterator<Item = &'a u32>) -> u64 {
+    buckets.map(|n| u64::from(*n)).sum()
+}
+
+/// Returns the fewest requests that count for any window which begins in an older bucket than the
+/// newest and includes it.
+fn fewest_earned(buckets: &[u32]) -> f64 {
+    let mut earlier = sum(buckets.iter().take(BUCKETS - 1));
+    let mut own = sum(buckets.iter().skip(BUCKETS));
+    let mut fewest = f64::MAX;
+    // The window begins within the bucket `start`, which is therefore left out.
+    let starts = buckets.iter().skip(BUCKETS - 1);
+    let next = buckets.iter().skip(BUCKETS);
+    for ((left, start), next) in buckets.iter().zip(starts).zip(next) {
+        let earned = as_f64(earlier) * EARLIER_FRACTION + as_f64(own) * (1.0 - EARLIER_FRACTION);
+        fewest = fewest.min(earned);
+        earlier = earlier + u64::from(*start) - u64::from(*left);
+        own -= u64::from(*next);
+    }
+    fewest
+}
+
+/// The requests for a pool, and the times of their retries within the window.
 #[derive(Debug, Default)]
 struct PoolHistory {
-    requests: VecDeque<Instant>,
+    requests: RequestCounts,
     retries: VecDeque<Instant>,
 }
 
@@ -78,8 +160,7 @@
     pub fn record_request(&mut self, now: Instant, pool: &Arc<str>) {
         let window = self.limits.window;
         let history = self.history(pool);
-        prune(&mut history.requests, now, window);
-        history.requests.push_back(now);
+        history.requests.record(now, window);
     }
 
     /// Takes one retry from the budget; returns false if none is left.
@@ -106,32 +187,24 @@
             extra,
             window,
         } = self.limits;
-        let usable = self.usable(now);
+        let extra = extra * self.usable_extra(now) / as_f64(routers.max(1) as u64);
         let history = self.history(pool);
-        prune(&mut history.requests, now, window);
         prune(&mut history.retries, now, window);
-        let extra = extra / as_f64(routers.max(1) as u64);
-        let requests = as_f64(history.requests.len() as u64);
-        let allowed = requests * share * usable.share + extra * usable.extra;
+        let allowed = history.requests.earning(now, window) * share + extra;
         allowed - as_f64(history.retries.len() as u64)
     }
 
-    /// Returns the parts of the limits that this router may use now. In its first window the router
-    /// that it replaced may have used the usual parts just before it ended. Together with what all
-    /// its successors use, that stays within the limits, however often they restart.
-    fn usable(&self, now: Instant) -> Usable {
+    /// Returns the fraction of its part of the extra that this router may use now. In its first
+    /// window the router that it replaced may have used the usual fraction just before it ended.
+    /// Together with what all its successors use, that stays within the limit, however often they
+    /// restart.
+    fn usable_extra(&self, now: Instant) -> f64 {
         let age = now.since(self.started_at).as_secs_f64();
         let windows = age / self.limits.window.as_secs_f64().max(0.001);
         if windows >= 1.0 {
-            return Usable {
-                share: USABLE_SHARE,
-                extra: USABLE_EXTRA,
-            };
-        }
-        Usable {
-            share: 1.0 - USABLE_SHARE,
-            extra: (1.0 - USABLE_EXTRA) * windows,
+            return USABLE_EXTRA;
         }
+        (1.0 - USABLE_EXTRA) * windows
     }
 
     /// Returns the number of retries that this router made for a pool within the window.
--- a/crates/peppercrank-direct/tests/verify_retry_restarts.rs
+++ b/crates/peppercrank-direct/tests/verify_retry_restarts.rs
@@ -4,28 +4,19 @@
 //! The fleet's retry budget while routers restart.
 //!
 //! Guards against a budget that a process takes with it when it ends: the router that starts in its
-//! place spends its part once more within the same window. The limit is the one that users state:
-//! in any window, the retries for a pool are at most a share of its requests plus an extra. The
-//! requests are those of that window, the one before, or the one half a window before, whichever
-//! has most.
+//! place spends its part once more within the same window.
+
+mod retry_ledger;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use peppercrank_core::time::Instant;
 use peppercrank_direct::retries::RetryBudget;
-use peppercrank_direct::retries::RetryLimits;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::Rng;
 use rand_chacha::rand_core::SeedableRng;
-
-const WINDOW: Duration = Duration::from_secs(10);
-
-const LIMITS: RetryLimits = RetryLimits {
-    share: 0.2,
-    extra: 50.0,
-    window: WINDOW,
-};
+use retry_ledger::LIMITS;
+use retry_ledger::Ledger;
 
 /// Simulated time, in milliseconds.
 const SIMULATED_MS: u64 = 60_000;
@@ -55,9 +46,7 @@
     pool: Arc<str>,
     restarts: Restarts,
     budgets: Vec<RetryBudget>,
-    /// Times of requests and of retries, in milliseconds.
-    requests: Vec<u64>,
-    retries: Vec<u64>,
+    ledger: Ledger,
 }
 
 impl Simulation {
@@ -68,8 +57,7 @@
             pool: "pool".into(),
             restarts,
             budgets: (0..routers).map(budget).collect(),
-            requests: Vec::new(),
-            retries: Vec::new(),
+            ledger: Ledger::default(),
         }
     }
 
@@ -107,7 +95,7 @@
         let router = usize::try_from(router).expect("small");
         let now = Instant::from_millis(millis);
         self.budgets[router].record_request(now, &self.pool);
-        self.requests.push(millis);
+        self.ledger.requests.push(millis);
         if fails {
             self.retry(millis, router);
         }
@@ -125,7 +113,7 @@
         let routers = self.budgets.len();
         let now = Instant::from_millis(millis);
         if self.budgets[router].try_spend(now, &self.pool, routers) {
-            self.retries.push(millis);
+            self.ledger.retries.push(millis);
         }
     }
 
@@ -144,35 +132,13 @@
             }
         }
     }
-
-    /// Returns the most retries of a window beyond those that the users allow for it; negative
-    /// if all windows keep to the limit.
-    fn worst_excess(&self) -> f64 {
-        let window = u64::try_from(WINDOW.as_millis()).expect("short");
-        let count = |times: &[u64], from: u64, to: u64| {
-            let within = times.partition_point(|t| *t <= to) - times.partition_point(|t| *t < from);
-            f64::from(u32::try_from(within).expect("few"))
-        };
-        let excess = |from: &u64| {
-            let spans = [
-                (*from, from + window),
-                (from.saturating_sub(window), *from),
-                (from.saturating_sub(window / 2), from + window / 2),
-            ];
-            let requests = spans.map(|(from, to)| count(&self.requests, from, to));
-            let most = requests.into_iter().fold(0.0, f64::max);
-            let allowed = LIMITS.share * most + LIMITS.extra;
-            count(&self.retries, *from, from + window) - allowed
-        };
-        self.retries.iter().map(excess).fold(f64::MIN, f64::max)
-    }
 }
 
 fn check(restarts: Restarts) {
     for routers in [1, 5, 29] {
         for seed in 0..60 {
-            let run = Simulation::new(seed, routers, restarts).run();
-            let excess = run.worst_excess();
+            let mut run = Simulation::new(seed, routers, restarts).run();
+            let excess = run.ledger.worst_excess();
             assert!(
                 excess <= 0.0,
                 "{excess} retries over the limit: {routers} routers, {restarts:?}, seed {seed}"
