Count routers that left until their retries have left the window

What callers saw: in one report, repeats at a pool beyond a fifth of its requests and the extra, over all routers.

Cause: the extra is divided by the routers that are registered now. One that stops takes its entry away, and the others divide by fewer at once, while what it spent is still in the window.

Why it works: the extra is divided by the highest number within the last window. A number counts as in force until the next one is seen, so that a change between two looks is not missed. Each router that made retries in a window divides by at least the number of those that were there at its start.

--- a/crates/peppercrank-direct/src/retries.rs
+++ b/crates/peppercrank-direct/src/retries.rs
@@ -131,6 +131,37 @@
     retries: VecDeque<Instant>,
 }
 
+/// Number of routers that share the extra. One that left counts until the retries that it may have
+/// made have left the window.
+#[derive(Debug, Default)]
+pub struct RetrySharers {
+    /// Number of routers when last counted.
+    last: usize,
+    /// Numbers with the times at which they were last in force, in decreasing order.
+    earlier: VecDeque<(Instant, usize)>,
+}
+
+impl RetrySharers {
+    /// Returns the highest number of routers within the window before `now`, given the present
+    /// number.
+    pub fn count(&mut self, now: Instant, routers: usize, window: Duration) -> usize {
+        // The number may have changed at any time since it was last counted.
+        let last = std::mem::replace(&mut self.last, routers).max(routers);
+        while self.earlier.back().is_some_and(|(_, n)| *n <= last) {
+            self.earlier.pop_back();
+        }
+        self.earlier.push_back((now, last));
+        while self
+            .earlier
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > window)
+        {
+            self.earlier.pop_front();
+        }
+        self.earlier.front().map_or(routers, |(_, n)| *n)
+    }
+}
+
 /// Retry budget of a router, which keeps to its part of the fleet's limits.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -156,6 +187,12 @@
         self.limits = limits;
     }
 
+    /// Returns the period in which requests and retries are counted.
+    #[must_use]
+    pub const fn window(&self) -> Duration {
+        self.limits.window
+    }
+
     /// Records a request for a pool.
     pub fn record_request(&mut self, now: Instant, pool: &Arc<str>) {
         let window = self.limits.window;
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -40,6 +40,7 @@
 use peppercrank_direct::rates::Rates;
 use peppercrank_direct::retries::RetryBudget;
 use peppercrank_direct::retries::RetryLimits;
+use peppercrank_direct::retries::RetrySharers;
 use peppercrank_direct::shares::Shares;
 use peppercrank_direct::start_check::StartCheck;
 use peppercrank_direct::starts::Start;
@@ -103,6 +104,8 @@
     pub shares: HashMap<PoolId, Shares>,
     /// This router's view of the fleet's retry budget.
     pub retry_budget: RetryBudget,
+    /// The routers among which the fleet's extra retries are divided.
+    retry_sharers: RetrySharers,
     /// Requests suspected of crashing targets.
     pub quarantine: Quarantine,
     /// Parts of prompts suspected of crashing targets.
@@ -209,6 +212,7 @@
             admission: HashMap::new(),
             shares: HashMap::new(),
             retry_budget: RetryBudget::new(now, retry_limits(settings)),
+            retry_sharers: RetrySharers::default(),
             quarantine: Quarantine::default(),
             part_quarantine: Quarantine::of_parts(now),
             request_gossip: Gossip::new(now),
@@ -329,9 +333,11 @@
 
     /// Returns the number of routers that share the extra retries. Before the list of routers was
     /// read it is unbounded, so that this router takes none of them.
-    fn retry_sharers(&self, now: Instant) -> usize {
+    fn retry_sharers(&mut self, now: Instant) -> usize {
         if self.routers_read {
-            self.router_count(now)
+            let routers = self.router_count(now);
+            let window = self.retry_budget.window();
+            self.retry_sharers.count(now, routers, window)
         } else {
             usize::MAX
         }
@@ -359,7 +365,7 @@
     /// routers among which the extra ones are divided; 0 while that is unknown.
     pub fn retry_counts(&mut self, now: Instant, pool: &Arc<str>) -> (usize, usize) {
         let routers = if self.routers_read {
-            self.router_count(now)
+            self.retry_sharers(now)
         } else {
             0
         };
