gateway: notice a silent watch of targets by the store's revision

Cause: a router knew that a watch lives only when its wait of 5 s was over. Announcements need one router whose watch is alive, and a short call that succeeds says nothing of the watch's connection.

Fix: the answers of the short calls for the configuration tell the store's revision. Each change has a revision of its own, so growth by more than the changes in the answer is of another kind. A watch of targets that was sent before and tells nothing within 250 ms, or within the time of the short call if that was longer, is repeated on a new connection; what it missed is then announced to the other routers. New targets and configurations cost no further call; a change of a router's entry or of an evacuation repeats one watch at each router that asks the store.

--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`events`]: where the events of streams end.
 //! - [`failures`]: targets that fail part of their requests, known from all routers.
 //! - [`features`]: optional behaviour that a deployment's settings call for.
+//! - [`foreign_changes`]: what an answer of the store reveals about other kinds of entries.
 //! - [`freshness`]: how old the knowledge of API keys may be before requests are refused.
 //! - [`in_flight`]: accounting of one attempt at its target.
 //! - [`leaving`]: announcements between routers that targets leave.
@@ -62,6 +63,7 @@
 pub mod events;
 pub mod failures;
 pub mod features;
+pub mod foreign_changes;
 pub mod freshness;
 pub mod in_flight;
 pub mod leaving;
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -14,6 +14,7 @@
 use peppercrank_direct::catch_up::ReadMode;
 use peppercrank_direct::era::Era;
 use peppercrank_direct::era::EraOrder;
+use peppercrank_direct::foreign_changes::ForeignChanges;
 use peppercrank_direct::truncation::AnswerSize;
 use peppercrank_direct::truncation::GATHER_PAUSE;
 use peppercrank_direct::truncation::Next;
@@ -30,6 +31,7 @@
 use crate::gateway::Gateway;
 use crate::intake::Intake;
 use crate::missed;
+use crate::missed::MissedChange;
 use crate::outage::Outage;
 use crate::outage::OutageListener;
 use crate::role::FollowerRole;
@@ -276,15 +278,19 @@
 
     /// Applies the complete list, which reflects at least this revision.
     fn apply_list(&mut self, asked_at: Instant, revision: u64, entries: Vec<Entry>) -> PollOutcome {
-        self.record_store_back();
         if self.kind == Kind::Configuration {
             let events = entries.into_iter().map(Event::Put).collect();
             let changes = Changes { events, revision };
+            // The calls that follow the store's recovery are made after this, and need not be
+            // repeated.
+            self.report_foreign_changes(asked_at, ReadMode::Snapshot, &changes);
+            self.record_store_back();
             let proof = self
                 .intake
                 .apply_configurations(asked_at, ReadMode::Snapshot, changes);
             return self.follow_up(proof);
         }
+        self.record_store_back();
         self.intake.replace(asked_at, entries);
         self.intake.revision = Some(revision);
         PollOutcome::Done
@@ -301,9 +307,10 @@
         let Ok(changes) = store::parse_changes(self.kind, &body) else {
             return PollOutcome::Failed("malformed changes");
         };
+        let reading = ReadMode::Changes(revision);
+        self.report_foreign_changes(asked_at, reading, &changes);
         self.record_store_back();
         if self.kind == Kind::Configuration {
-            let reading = ReadMode::Changes(revision);
             let proof = self.intake.apply_configurations(asked_at, reading, changes);
             return self.follow_up(proof);
         }
@@ -354,9 +361,12 @@
                 self.store.close();
                 return Err(PollOutcome::Relist);
             }
-            () = missed::missed_change(&self.gateway, &self.role, self.backoff) => {
-                return Err(self.replace_silent_connection());
-            }
+            missed = missed::missed_change(
+                &self.gateway,
+                &self.role,
+                self.backoff,
+                self.intake.revision,
+            ) => return Err(self.replace_silent_connection(missed)),
         };
         let CallOutcome { result, era } = match answer {
             Ok(answer) => self.store.read_answer(answer).await,
@@ -395,16 +405,33 @@
 
     /// Abandons a watch whose connection seems to be silent. The next call uses a new connection, as
     /// the unused ones may be silent too.
-    fn replace_silent_connection(&mut self) -> PollOutcome {
-        self.backoff.record_replaced();
+    fn replace_silent_connection(&mut self, missed: MissedChange) -> PollOutcome {
         self.store.close();
         let kind = self.kind.as_str();
-        self.gateway.metrics.count_store_call(kind, "overtaken");
-        let fields = [("kind", Field::Text(kind))];
-        self.gateway.log.write(LogEvent::WatchOvertaken, &fields);
+        self.gateway
+            .metrics
+            .count_store_call(kind, missed.outcome());
+        // Suspicions come no faster than short calls are made, which leaves each call enough time.
+        if missed == MissedChange::ReadByRouters {
+            self.backoff.record_replaced();
+            let fields = [("kind", Field::Text(kind))];
+            self.gateway.log.write(LogEvent::WatchOvertaken, &fields);
+        }
         PollOutcome::PollAgain
     }
 
+    /// Tells the other followers of changes that an answer to a short call reveals.
+    fn report_foreign_changes(&self, asked_at: Instant, mode: ReadMode, changes: &Changes) {
+        if !matches!(self.role, FollowerRole::ConfirmConfiguration(_)) {
+            return;
+        }
+        let took = self.gateway.now().since(asked_at);
+        let found = ForeignChanges::find(mode, changes.revision, changes.events.len(), took);
+        if found.is_some() {
+            self.gateway.foreign_changes.send_replace(found);
+        }
+    }
+
     /// Logs calls for the configuration that returned one or failed.
     fn log_configuration_call(&self, wait: Duration, asked_at: Instant, result: &CallResult) {
         let bytes = match result {
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use peppercrank_direct::era::Era;
 use peppercrank_direct::era::EraOrder;
 use peppercrank_direct::features::Features;
+use peppercrank_direct::foreign_changes::ForeignChanges;
 use peppercrank_direct::freshness::Source;
 use peppercrank_direct::quarantine::Subject;
 use peppercrank_log::Field;
@@ -123,6 +124,8 @@
     pub leaving_heard: Notify,
     /// Wakes the watch of the configuration when another router has a newer one.
     pub newer_version_heard: Notify,
+    /// Tells pending watches of changes that their connections should have brought.
+    pub foreign_changes: watch::Sender<Option<ForeignChanges>>,
     /// Wakes the task that registers this router when its entry has disappeared.
     pub entry_missing: Notify,
     /// The limits for callers, which follow the configuration in force.
@@ -175,6 +178,7 @@
             evacuations_outdated: Notify::new(),
             leaving_heard: Notify::new(),
             newer_version_heard: Notify::new(),
+            foreign_changes: watch::Sender::new(None),
             entry_missing: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
             peer_socket,
--- a/crates/peppercrank-gateway/src/missed.rs
+++ b/crates/peppercrank-gateway/src/missed.rs
@@ -1,19 +1,22 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! Detects watches of the store that missed a change which other routers have read.
+//! Detects watches of the store that missed a change.
 //!
 //! A connection to the store may go silent without a reset, which its router would notice only when
-//! the store's wait is over.
+//! the store's wait is over. Other routers may have read the change, or the revision in an answer on
+//! another connection shows that there may be one.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use peppercrank_direct::call_backoff::CallBackoff;
 use peppercrank_direct::directory::State as TargetState;
+use peppercrank_direct::foreign_changes::ForeignChanges;
+use peppercrank_direct::foreign_changes::TRANSIT_TIME;
 use peppercrank_direct::peers::Datagram;
 use peppercrank_direct::peers::TargetId;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
@@ -21,17 +24,50 @@
 use crate::gossip::DATAGRAM_HEADER_BYTES;
 use crate::role::FollowerRole;
 
-/// Time in which a change that another router has read arrives over a sound connection too, also
-/// over a link that is shared with streams.
-const TRANSIT_TIME: Duration = Duration::from_millis(250);
-
 /// Number of routers to which each router announces a target that leaves. All routers announce it,
 /// so in a large fleet each one hears of it about this often.
 const ANNOUNCE_PEERS: usize = 10;
 
-/// Returns once a watch of this role has missed a change that other routers have read, but not
-/// before the backoff of its call is over. Waits forever for roles whose changes are not announced.
-pub async fn missed_change(gateway: &Gateway, role: &FollowerRole, backoff: CallBackoff) {
+/// How it became known that a watch missed a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MissedChange {
+    /// Other routers have read it.
+    ReadByRouters,
+    /// The store's revision has grown, which may be due to a change of another kind.
+    Suspected,
+}
+
+impl MissedChange {
+    /// Returns the outcome of the replaced call in metrics.
+    #[must_use]
+    pub const fn outcome(self) -> &'static str {
+        match self {
+            Self::ReadByRouters => "overtaken",
+            Self::Suspected => "behind",
+        }
+    }
+}
+
+/// Returns once a watch of this role from `revision` seems to have missed a change, but not before
+/// the backoff of its call is over.
+pub async fn missed_change(
+    gateway: &Gateway,
+    role: &FollowerRole,
+    backoff: CallBackoff,
+    revision: Option<u64>,
+) -> MissedChange {
+    // What is announced or revealed during the backoff is kept.
+    let foreign_changes = gateway.foreign_changes.subscribe();
+    sleep(backoff.delay()).await;
+    tokio::select! {
+        () = missed_announced_change(gateway, role) => MissedChange::ReadByRouters,
+        () = missed_foreign_change(foreign_changes, role, revision) => MissedChange::Suspected,
+    }
+}
+
+/// Waits until other routers have read a change that the watch has not told. Waits forever for roles
+/// whose changes are not announced.
+async fn missed_announced_change(gateway: &Gateway, role: &FollowerRole) {
     let (reported, is_behind): (_, fn(&Gateway) -> bool) = match role {
         FollowerRole::Targets => (&gateway.leaving_heard, is_behind_on_targets),
         FollowerRole::WatchConfiguration(_) => {
@@ -41,8 +77,6 @@
         | FollowerRole::Evacuations(_)
         | FollowerRole::ConfirmConfiguration(_) => return std::future::pending().await,
     };
-    // What is announced meanwhile is kept.
-    sleep(backoff.delay()).await;
     loop {
         reported.notified().await;
         sleep(TRANSIT_TIME).await;
@@ -52,6 +86,26 @@
     }
 }
 
+/// Waits until a call that was answered after the watch was sent has revealed a change that the
+/// watch may have missed. Waits forever for roles whose own wait is short enough.
+async fn missed_foreign_change(
+    mut foreign_changes: watch::Receiver<Option<ForeignChanges>>,
+    role: &FollowerRole,
+    revision: Option<u64>,
+) {
+    let Some(revision) = revision.filter(|_| role.outlasts_its_bound()) else {
+        return std::future::pending().await;
+    };
+    while foreign_changes.changed().await.is_ok() {
+        let revealed = *foreign_changes.borrow_and_update();
+        if let Some(changes) = revealed.filter(|c| c.are_after(revision)) {
+            sleep(changes.transit_time()).await;
+            return;
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
 /// Returns whether another router knows that a target leaves to which this one still sends
 /// requests. Each announcement counts once.
 fn is_behind_on_targets(gateway: &Gateway) -> bool {
--- a/crates/peppercrank-gateway/src/role.rs
+++ b/crates/peppercrank-gateway/src/role.rs
@@ -19,8 +19,8 @@
 /// fetched.
 const CONFIG_WAIT: Duration = Duration::from_secs(18);
 
-/// Wait of the targets watch. Changes end it at once, and a connection that silently broke is
-/// noticed after it.
+/// Wait of the targets watch. Changes end it at once. A connection that silently broke is noticed
+/// after it at the latest.
 const TARGETS_WAIT: Duration = Duration::from_secs(5);
 
 /// Wait of the routers watch. Routers change rarely, and datagrams show which are alive.
@@ -105,6 +105,21 @@
         }
     }
 
+    /// Returns whether the wait is longer than the time within which a change must take effect, so
+    /// that the end of the wait shows a silent connection too late.
+    #[must_use]
+    pub const fn outlasts_its_bound(&self) -> bool {
+        match self {
+            Self::Targets => true,
+            // The configuration is confirmed beside its watch, the wait for evacuations is within
+            // their time, and datagrams show which routers live.
+            Self::WatchConfiguration(_)
+            | Self::Evacuations(_)
+            | Self::Routers
+            | Self::ConfirmConfiguration(_) => false,
+        }
+    }
+
     /// Returns the pause between two calls in a fleet of `routers` routers.
     #[must_use]
     pub fn pace(&self, routers: usize) -> Duration {
