wire: read each request under the limits in force when it begins

Cause: a connection took the limits once, as it was accepted. The checks of the head, the body, the times and the buffer sizes of hyper used these for its whole life.

Fix: the stream that checks the heads looks up the limits at the first byte of each. Where they differ from those of the request before, the task of the connection gives the same stream to a new instance of hyper, whose buffers fit them; between two requests it holds no bytes. A request in progress keeps its limits, and so does the idle time that follows it.

--- a/crates/peppercrank-wire/src/edge/connection.rs
+++ b/crates/peppercrank-wire/src/edge/connection.rs
@@ -67,7 +67,7 @@
 }
 
 impl<F> Shared<F> {
-    /// Returns the current limits; a connection keeps those with which it started.
+    /// Returns the current limits.
     pub(super) fn limits(&self) -> Arc<Limits> {
         Arc::clone(&self.limits.borrow())
     }
@@ -136,38 +136,65 @@
     F: Fn(Call) -> R + Send + Sync + 'static,
     R: Future<Output = Reply> + Send,
 {
-    let limits = shared.limits();
     let state = Arc::new(ConnectionState::new());
-    let stream = CheckedStream::new(io, Arc::clone(&state), Arc::clone(&limits));
-    let service = {
-        let state = Arc::clone(&state);
-        let shared = Arc::clone(&shared);
-        let limits = Arc::clone(&limits);
-        let stop = stop.clone();
-        service_fn(move |request| {
-            let in_progress = CallInProgress::new(&state, &shared.counters);
-            let call = ReceivedRequest {
-                request,
-                peer,
-                limits: Arc::clone(&limits),
-            };
-            handle_request(call, Arc::clone(&shared), stop.clone(), in_progress)
-        })
+    let mut stream = CheckedStream::new(io, Arc::clone(&state), shared.limits.clone());
+    let (end, busy) = loop {
+        let served = serve_under_limits(stream, peer, &shared, &state, &stop).await;
+        stream = served.stream;
+        if let Some(end) = served.end {
+            break (end, served.busy);
+        }
     };
+    let limits = stream.limits();
+    let io = stream.into_inner();
+    match next_step(end, busy, &state) {
+        NextStep::Reject(reason) => reject(io, reason, &state, &limits, &shared.counters).await,
+        NextStep::Close => close(io, &limits).await,
+        NextStep::CallerGone => shared.counters.caller_gone(),
+    }
+}
+
+/// A connection that hyper no longer serves.
+struct Served {
+    stream: CheckedStream,
+    /// How the connection ended; `None` if the next request has other limits.
+    end: Option<ConnectionEnd>,
+    /// Whether a response was in progress.
+    busy: bool,
+}
+
+/// Serves a connection until it ends, or a request with other limits begins.
+async fn serve_under_limits<F, R>(
+    stream: CheckedStream,
+    peer: SocketAddr,
+    shared: &Arc<Shared<F>>,
+    state: &Arc<ConnectionState>,
+    stop: &Stop,
+) -> Served
+where
+    F: Fn(Call) -> R + Send + Sync + 'static,
+    R: Future<Output = Reply> + Send,
+{
+    let limits = stream.limits();
+    let service = service_fn(|request| {
+        let in_progress = CallInProgress::new(state, &shared.counters);
+        let call = ReceivedRequest {
+            request,
+            peer,
+            limits: Arc::clone(&limits),
+        };
+        handle_request(call, Arc::clone(shared), stop.clone(), in_progress)
+    });
     let mut conn = http1::Builder::new()
         // The checked stream has read the whole head and limits the time for it.
         .header_read_timeout(None)
         .max_buf_size(limits.head.saturating_mul(2).max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let end = drive(&mut conn, &state, &limits, &stop).await;
+    let end = drive(&mut conn, state, &limits, stop).await;
     let busy = state.phase() == Phase::Busy;
     // This drops the response in progress, which cancels the work for it.
-    let io = conn.into_parts().io.into_inner().into_inner();
-    match next_step(end, busy, &state) {
-        NextStep::Reject(reason) => reject(io, reason, &state, &limits, &shared.counters).await,
-        NextStep::Close => close(io, &limits).await,
-        NextStep::CallerGone => shared.counters.caller_gone(),
-    }
+    let stream = conn.into_parts().io.into_inner();
+    Served { stream, end, busy }
 }
 
 /// What remains to be done with a connection after hyper has finished.
@@ -255,13 +282,14 @@
     }
 }
 
-/// Drives the connection until it closes or one of its timeouts expires.
+/// Drives the connection until it closes or one of its timeouts expires; `None` if a request with
+/// other limits begins.
 async fn drive<C>(
     conn: &mut C,
     state: &ConnectionState,
     limits: &Limits,
     stop: &Stop,
-) -> ConnectionEnd
+) -> Option<ConnectionEnd>
 where
     C: Future<Output = hyper::Result<()>> + Unpin,
 {
@@ -271,7 +299,10 @@
     let mut sleep = pin!(sleep_until(state.deadline(limits, stop.sent_at()).0));
     poll_fn(|cx| {
         if let Poll::Ready(done) = Pin::new(&mut *conn).poll(cx) {
-            return Poll::Ready(connection_end(&done));
+            return Poll::Ready(Some(connection_end(&done)));
+        }
+        if state.take_limits_changed() {
+            return Poll::Ready(None);
         }
         // The signal wakes this task, so that its deadline is shortened.
         signalled = signalled || signal.as_mut().poll(cx).is_ready();
@@ -280,7 +311,7 @@
             sleep.as_mut().reset(at);
         }
         ready!(sleep.as_mut().poll(cx));
-        Poll::Ready(ConnectionEnd::Expired(expired))
+        Poll::Ready(Some(ConnectionEnd::Expired(expired)))
     })
     .await
 }
--- a/crates/peppercrank-wire/src/edge/flow.rs
+++ b/crates/peppercrank-wire/src/edge/flow.rs
@@ -61,6 +61,8 @@
     bytes_without_data: usize,
     refused: Option<Refused>,
     response_started: bool,
+    /// Whether the request that has begun has other limits than the one before.
+    limits_changed: bool,
 }
 
 /// State of a connection.
@@ -78,6 +80,7 @@
             bytes_without_data: 0,
             refused: None,
             response_started: false,
+            limits_changed: false,
         }))
     }
 
@@ -150,6 +153,16 @@
         self.lock().refused
     }
 
+    /// Records that the request that has begun has other limits than the one before.
+    pub(super) fn limits_changed(&self) {
+        self.lock().limits_changed = true;
+    }
+
+    /// Returns whether the limits have changed since the last call.
+    pub(super) fn take_limits_changed(&self) -> bool {
+        std::mem::take(&mut self.lock().limits_changed)
+    }
+
     /// Returns whether any part of the current response was written.
     pub(super) fn response_started(&self) -> bool {
         self.lock().response_started
--- a/crates/peppercrank-wire/src/edge/gate.rs
+++ b/crates/peppercrank-wire/src/edge/gate.rs
@@ -20,6 +20,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use super::flow::ConnectionState;
 use super::flow::Phase;
@@ -43,30 +44,53 @@
     Rest,
 }
 
+/// Whether the limits have changed since the head before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HeadLimits {
+    Unchanged,
+    Changed,
+}
+
 /// A TCP stream that checks request heads before it passes them on to hyper.
 #[derive(Debug)]
 pub(super) struct CheckedStream {
     io: TcpStream,
     state: Arc<ConnectionState>,
+    /// The limits of the current request.
     limits: Arc<Limits>,
+    newest_limits: watch::Receiver<Arc<Limits>>,
     buf: BytesMut,
+    /// Whether a byte of the next head was received.
+    head_begun: bool,
     /// Number of bytes at the start of `buf` in which no head ends.
     scanned: usize,
     forward: Forward,
 }
 
 impl CheckedStream {
-    pub(super) fn new(io: TcpStream, state: Arc<ConnectionState>, limits: Arc<Limits>) -> Self {
+    pub(super) fn new(
+        io: TcpStream,
+        state: Arc<ConnectionState>,
+        newest_limits: watch::Receiver<Arc<Limits>>,
+    ) -> Self {
+        let limits = Arc::clone(&newest_limits.borrow());
         Self {
             io,
             state,
             limits,
+            newest_limits,
             buf: BytesMut::new(),
+            head_begun: false,
             scanned: 0,
             forward: Forward::Head,
         }
     }
 
+    /// Returns the limits of the current request.
+    pub(super) fn limits(&self) -> Arc<Limits> {
+        Arc::clone(&self.limits)
+    }
+
     pub(super) fn into_inner(self) -> TcpStream {
         self.io
     }
@@ -86,8 +110,10 @@
             if self.state.phase() == Phase::Busy {
                 return self.poll_while_busy(cx);
             }
-            if !self.buf.is_empty() && self.state.phase() == Phase::Idle {
-                self.state.head_started();
+            if !self.buf.is_empty() && self.begin_head() == HeadLimits::Changed {
+                // hyper's buffers depend on the limits, so the task of the connection replaces it
+                // before it is given the head.
+                return Poll::Pending;
             }
             match self.find_head() {
                 HeadStatus::Complete { len, framing } => {
@@ -103,6 +129,23 @@
         }
     }
 
+    /// Records the first byte of a head, and adopts the limits that apply to it.
+    fn begin_head(&mut self) -> HeadLimits {
+        if std::mem::replace(&mut self.head_begun, true) {
+            return HeadLimits::Unchanged;
+        }
+        if self.state.phase() == Phase::Idle {
+            self.state.head_started();
+        }
+        let newest = Arc::clone(&self.newest_limits.borrow());
+        if newest == self.limits {
+            return HeadLimits::Unchanged;
+        }
+        self.limits = newest;
+        self.state.limits_changed();
+        HeadLimits::Changed
+    }
+
     /// Holds back data that arrives before the end of the response, and detects disconnects.
     fn poll_while_busy(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
         loop {
@@ -135,6 +178,7 @@
 
     fn begin_request(&mut self, len: usize, framing: Framing) {
         self.scanned = 0;
+        self.head_begun = false;
         self.state.head_complete();
         self.forward = match framing {
             Framing::Length(body) => Forward::Bytes(body.saturating_add(len as u64)),
--- a/crates/peppercrank-wire/src/edge/mod.rs
+++ b/crates/peppercrank-wire/src/edge/mod.rs
@@ -121,7 +121,7 @@
 
     /// Serves callers like [`Edge::serve`], with limits that may change.
     ///
-    /// A connection keeps the limits with which it started.
+    /// Each request is read under the limits that apply when its first byte is received.
     pub async fn serve_within<F, R>(
         self,
         limits: watch::Receiver<Arc<Limits>>,
