wire: count the memory of answers that come in tiny parts

Cause: an answer that is collected kept an allocation and a list entry for each part, and counted the bytes of the part alone. A part of one byte took some 64, so the share of answers in collection, and the 32 KiB that each may have besides, were exceeded as many times over.

Fix: small parts are put together in blocks of 4 KiB, and what counts is the capacity of the blocks. Sound answers in small chunks are collected as before.

--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -20,8 +20,8 @@
 use peppercrank_platform::call::RouterHeaders;
 use peppercrank_wire::Error as WireError;
 use peppercrank_wire::body;
+use peppercrank_wire::buffer::CollectedAnswer;
 use peppercrank_wire::buffer::Room;
-use peppercrank_wire::buffer::counted;
 use peppercrank_wire::client::Cause;
 use peppercrank_wire::client::ClientResponse;
 use peppercrank_wire::client::Framing;
@@ -387,33 +387,21 @@
     gateway: &Gateway,
     body: &mut ResponseBody,
 ) -> Result<(Bytes, bool), AttemptError> {
-    let mut counter = gateway.answers.hold();
-    let mut parts = Vec::new();
+    let mut collected = CollectedAnswer::new(gateway.answers.hold());
     while let Some(part) = next_part(body).await.map_err(AttemptError::broken_body)? {
-        let room = counter.add(part.len());
-        if room == Room::Exceeded && gateway.features().memory_limits {
-            return Err(AttemptError::new(
-                ExecutionState::Unknown,
-                "answer exceeds memory",
-                Blame::None,
-            ));
-        }
-        // A part may be a slice of a read buffer, all of which it would keep.
-        parts.push(Bytes::copy_from_slice(&part));
-        if room != Room::Enough {
-            return Ok((counted(joined(parts), counter), false));
+        match collected.add(&part) {
+            Room::Enough => {}
+            Room::Exceeded if gateway.features().memory_limits => {
+                return Err(AttemptError::new(
+                    ExecutionState::Unknown,
+                    "answer exceeds memory",
+                    Blame::None,
+                ));
+            }
+            Room::Exceeded | Room::Collected => return Ok((collected.into_bytes(), false)),
         }
     }
-    counter.complete();
-    Ok((counted(joined(parts), counter), true))
-}
-
-/// Joins the parts of a body.
-fn joined(mut parts: Vec<Bytes>) -> Bytes {
-    match parts.len() {
-        1 => parts.remove(0),
-        _ => parts.concat().into(),
-    }
+    Ok((collected.complete(), true))
 }
 
 /// Reads a refusal's body so that its connection can be reused.
--- a/crates/peppercrank-wire/src/buffer.rs
+++ b/crates/peppercrank-wire/src/buffer.rs
@@ -28,8 +28,10 @@
 use crate::Result;
 use crate::body::Body;
 
+mod collected;
 mod stream;
 
+pub use collected::CollectedAnswer;
 pub use stream::BufferWriter;
 use stream::BufferedBody;
 
--- a/crates/peppercrank-wire/tests/verify_buffer.rs
+++ b/crates/peppercrank-wire/tests/verify_buffer.rs
@@ -12,6 +12,7 @@
 use peppercrank_wire::Error;
 use peppercrank_wire::buffer::BufferBudget;
 use peppercrank_wire::buffer::BufferLimits;
+use peppercrank_wire::buffer::CollectedAnswer;
 use peppercrank_wire::buffer::Room;
 use peppercrank_wire::buffer::Unread;
 use peppercrank_wire::buffer::counted;
@@ -183,6 +184,34 @@
     assert_eq!(budget.usage().bytes, 0);
 }
 
+/// Guards against answers in tiny parts, each of which took some 64 times the memory that it counted.
+#[test]
+fn verify_tiny_parts_of_an_answer_share_their_memory() {
+    let limit = 1_024 * 1_024;
+    let budget = BufferBudget::new(BufferLimits {
+        stream: limit,
+        collected: limit,
+        total: limit,
+    });
+    let mut answer = CollectedAnswer::new(budget.hold());
+    let mut sent = Vec::new();
+    for (n, letter) in (b'a'..=b'z').cycle().take(20_000).enumerate() {
+        let size = if n % 1_000 == 0 { 5_000 } else { 1 };
+        let part = vec![letter; size];
+        assert_eq!(answer.add(&part), Room::Enough);
+        sent.extend(part);
+        let (bytes, taken) = (sent.len(), budget.usage().bytes);
+        assert!(
+            taken >= bytes && taken <= 2 * bytes + 4_096,
+            "{bytes} take {taken}"
+        );
+    }
+    let whole = answer.complete();
+    assert_eq!(whole, sent);
+    drop(whole);
+    assert_eq!(budget.usage().bytes, 0);
+}
+
 struct SharedBuffer(Arc<Vec<u8>>);
 
 impl AsRef<[u8]> for SharedBuffer {
