A stream whose target's process ended is not complete

What callers saw: a stream without a length or chunks whose target's process was killed between two events ended with status 200 and looked complete: events 1 and 2 of 6.

Cause: the kernel closes the connections of a process that ends as regularly as a process closes one after its answer, and the end of the connection was all that was looked at.

Why it works: where only the connection's end tells that of the stream, a connection is opened to a target that is in service. If it is refused, the process has ended, and the stream has broken off. A target that leaves may end as soon as its last stream is complete, and is not asked. A connection that is established is kept for the next request, and one that takes over 100 ms says nothing. A process that starts again at its address within that time, or that breaks off one answer between two events and runs on, is still not noticed.

--- a/crates/peppercrank-gateway/src/flight.rs
+++ b/crates/peppercrank-gateway/src/flight.rs
@@ -159,6 +159,14 @@
         targets::apply_changes(&self.gateway, vec![change], None);
     }
 
+    /// Returns whether the target still accepts new work, as far as this router knows.
+    #[must_use]
+    pub fn is_in_service(&self) -> bool {
+        let now = self.gateway.now();
+        let key = self.in_flight.choice.key;
+        self.gateway.state().directory.is_usable(now, key)
+    }
+
     /// Returns the log text for how the answer's end is determined.
     #[must_use]
     pub fn framing_name(&self) -> &'static str {
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -22,6 +22,7 @@
 use peppercrank_wire::Error as WireError;
 use peppercrank_wire::body::Body;
 use peppercrank_wire::buffer::Unread;
+use peppercrank_wire::client::Framing;
 use peppercrank_wire::client::ResponseBody;
 
 use crate::attempt::AttemptError;
@@ -49,6 +50,14 @@
 /// Log text and metrics label of a stream that was not complete, or not read, at its deadline.
 const DEADLINE_PASSED: &str = "deadline passed";
 
+/// Wait before the check whether a target's process has ended, since the kernel may close its
+/// connections some milliseconds before its address.
+const END_CHECK_DELAY: Duration = Duration::from_millis(20);
+
+/// Time for the check whether a target's process has ended, after which it counts as running. A
+/// machine that runs refuses a connection within a round trip.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A stream being forwarded to its caller.
 struct Relay {
     request: ActiveRequest,
@@ -147,7 +156,7 @@
                         None => return self.pass_deadline(),
                     }
                 }
-                StreamEvent::End if self.is_complete() => {
+                StreamEvent::End if self.is_complete().await => {
                     return self.finish().await;
                 }
                 StreamEvent::End | StreamEvent::Truncated => {
@@ -260,13 +269,29 @@
     }
 
     /// Returns whether what has arrived is the whole answer, if its body has ended.
-    const fn is_complete(&self) -> bool {
+    async fn is_complete(&self) -> bool {
         match self.content {
-            Content::Events => self.flight.boundary.is_between_events(),
+            Content::Events => {
+                self.flight.boundary.is_between_events() && !self.has_target_ended().await
+            }
             Content::Bytes => true,
         }
     }
 
+    /// Returns whether the end of the connection, which alone ended the stream, came with the end
+    /// of the target's process.
+    async fn has_target_ended(&self) -> bool {
+        // A target that leaves may end as soon as its last stream is complete.
+        if self.flight.framing != Some(Framing::Close) || !self.flight.is_in_service() {
+            return false;
+        }
+        let gateway = &self.request.gateway;
+        gateway.sleep_until(gateway.now() + END_CHECK_DELAY).await;
+        let until = gateway.now() + END_CHECK_TIMEOUT;
+        let ended = gateway.timeout_at(until, crashes::has_ended(gateway, &self.flight));
+        ended.await == Some(true)
+    }
+
     /// Returns whether the route allows another target to continue the stream, and the caller has
     /// received complete events only.
     fn can_resume(&self) -> bool {
