--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -50,6 +50,10 @@
 /// Log text and metrics label of a stream that was not complete, or not read, at its deadline.
 const DEADLINE_PASSED: &str = "deadline passed";
 
+/// Wait before the check whether a target's process has ended, since the kernel may close its
+/// connections some milliseconds before its address.
+const END_CHECK_DELAY: Duration = Duration::from_millis(20);
+
 /// Time for the check whether a target's process has ended, after which it counts as running. A
 /// machine that runs refuses a connection within a round trip.
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
@@ -282,6 +286,7 @@
             return false;
         }
         let gateway = &self.request.gateway;
+        gateway.sleep_until(gateway.now() + END_CHECK_DELAY).await;
         let until = gateway.now() + END_CHECK_TIMEOUT;
         let ended = gateway.timeout_at(until, crashes::has_ended(gateway, &self.flight));
         ended.await == Some(true)
