--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`events`]: where the events of streams end.
 //! - [`failures`]: targets that fail part of their requests, known from all routers.
 //! - [`features`]: optional behaviour that a deployment's settings call for.
+//! - [`foreign_changes`]: what an answer of the store reveals about other kinds of entries.
 //! - [`freshness`]: how old the knowledge of API keys may be before requests are refused.
 //! - [`in_flight`]: accounting of one attempt at its target.
 //! - [`leaving`]: announcements between routers that targets leave.
@@ -42,9 +43,11 @@
 //! - [`start_check`]: whether a router that has started may trust the store.
 //! - [`starts`]: which start of a target is meant.
 //! - [`stats`]: load, latency and failures of each target.
+//! - [`stored_origins`]: origins of a router's own streams, kept in the store.
 //! - [`suspension`]: whether the machine was suspended.
 //! - [`target`]: whether a target takes new work, and why not.
 //! - [`truncation`]: whether an answer of the store may have been truncated.
+//! - [`version_records`]: records in the store of the versions that served each pool.
 //! - [`warm_up`]: limits on the work of a cold target, summed over all routers.
 
 pub mod admission;
@@ -62,6 +65,7 @@
 pub mod events;
 pub mod failures;
 pub mod features;
+pub mod foreign_changes;
 pub mod freshness;
 pub mod in_flight;
 pub mod leaving;
@@ -88,7 +92,9 @@
 pub mod start_check;
 pub mod starts;
 pub mod stats;
+pub mod stored_origins;
 pub mod suspension;
 pub mod target;
 pub mod truncation;
+pub mod version_records;
 pub mod warm_up;
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -40,10 +40,13 @@
 use peppercrank_direct::rates::Rates;
 use peppercrank_direct::retries::RetryBudget;
 use peppercrank_direct::retries::RetryLimits;
+use peppercrank_direct::retries::RetrySharers;
 use peppercrank_direct::shares::Shares;
 use peppercrank_direct::start_check::StartCheck;
 use peppercrank_direct::starts::Start;
 use peppercrank_direct::stats::StatsMap;
+use peppercrank_direct::stored_origins::StoredOrigins;
+use peppercrank_direct::version_records::VersionRecords;
 use peppercrank_direct::warm_up::COLD_MARGIN;
 use peppercrank_direct::warm_up::Gate;
 use peppercrank_settings::GatewaySettings;
@@ -103,6 +106,8 @@
     pub shares: HashMap<PoolId, Shares>,
     /// This router's view of the fleet's retry budget.
     pub retry_budget: RetryBudget,
+    /// The routers among which the fleet's extra retries are divided.
+    retry_sharers: RetrySharers,
     /// Requests suspected of crashing targets.
     pub quarantine: Quarantine,
     /// Parts of prompts suspected of crashing targets.
@@ -115,6 +120,13 @@
     pub origins: Origins,
     /// Streams whose origins are not reported to other routers yet, with their pools.
     pub origin_queue: OriginQueue,
+    /// This router's own streams, whose origins it keeps in the store.
+    pub stored_origins: StoredOrigins,
+    /// The software versions that the store has on record for each pool.
+    pub version_records: VersionRecords,
+    /// Whether it was read from the store which versions served, and where streams began if that
+    /// matters.
+    pub records_read: bool,
     /// Limits requests to cold targets.
     pub warm_up_gate: Gate,
     /// The load reported by other routers.
@@ -209,12 +221,16 @@
             admission: HashMap::new(),
             shares: HashMap::new(),
             retry_budget: RetryBudget::new(now, retry_limits(settings)),
+            retry_sharers: RetrySharers::default(),
             quarantine: Quarantine::default(),
             part_quarantine: Quarantine::of_parts(now),
             request_gossip: Gossip::new(now),
             part_gossip: Gossip::new(now),
             origins: Origins::default(),
             origin_queue: OriginQueue::default(),
+            stored_origins: StoredOrigins::default(),
+            version_records: VersionRecords::default(),
+            records_read: false,
             warm_up_gate: Gate::default(),
             peers: Peers::default(),
             routers: HashMap::new(),
@@ -229,6 +245,8 @@
     pub fn store_restored(&mut self, now: Instant) {
         self.directory.store_restored(now);
         self.catch_up.reset();
+        self.version_records.invalidate();
+        self.stored_origins.invalidate();
         for router in self.routers.values_mut() {
             // The known revision no longer identifies the router's entry, which therefore must not
             // be removed: the router counts as alive until its entry is read again.
@@ -329,9 +347,11 @@
 
     /// Returns the number of routers that share the extra retries. Before the list of routers was
     /// read it is unbounded, so that this router takes none of them.
-    fn retry_sharers(&self, now: Instant) -> usize {
+    fn retry_sharers(&mut self, now: Instant) -> usize {
         if self.routers_read {
-            self.router_count(now)
+            let routers = self.router_count(now);
+            let window = self.retry_budget.window();
+            self.retry_sharers.count(now, routers, window)
         } else {
             usize::MAX
         }
@@ -359,7 +379,7 @@
     /// routers among which the extra ones are divided; 0 while that is unknown.
     pub fn retry_counts(&mut self, now: Instant, pool: &Arc<str>) -> (usize, usize) {
         let routers = if self.routers_read {
-            self.router_count(now)
+            self.retry_sharers(now)
         } else {
             0
         };
