Records of versions hold for routers that start, run on, or were out of touch

- For a minute after a version had left the routers' sight, its record still named it: routers that started refused what those that ran had neither told nor stored.
- A return of unknown origin was not bound to the only version, so that its second attempt could go to one that joined in between; records were not read again after an outage or a history that is gone; failed calls had no growing pause, and a kind that cannot be read kept a router from being ready.
- The origins of a router were deleted although its entry was not, and the last write before an exit left out what an aborted write had taken.

--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -31,6 +31,7 @@
 use crate::notice::Notice;
 use crate::origins::SoftwareVersion;
 use crate::pool_versions::PoolVersions;
+use crate::pool_versions::RecentVersion;
 use crate::starts::Relation;
 use crate::warm_up::COLD_MARGIN;
 
@@ -293,12 +294,10 @@
         self.versions.is_mixed(now, pool)
     }
 
-    /// Returns the software versions that the targets of a pool run, or did until recently, with
-    /// their names.
+    /// Returns the software versions that the targets of a pool run, or did until recently.
     #[must_use]
-    pub fn software_versions(&self, now: Instant, pool: &str) -> Vec<(SoftwareVersion, Arc<str>)> {
-        let recent = self.versions.recent(now, pool);
-        recent.map(|(v, name)| (v, Arc::clone(name))).collect()
+    pub fn software_versions(&self, now: Instant, pool: &str) -> Vec<RecentVersion> {
+        self.versions.recent(now, pool).collect()
     }
 
     /// Records that the store holds a software version as one that served a pool.
--- a/crates/peppercrank-direct/src/pool_versions.rs
+++ b/crates/peppercrank-direct/src/pool_versions.rs
@@ -24,6 +24,8 @@
     name: Arc<str>,
     /// Number of targets that run it.
     targets: usize,
+    /// Whether this process has known a target of it, and not only the record in the store.
+    seen: bool,
     /// Time at which a target of it last left, or at which the process read that it had served.
     left_at: Instant,
 }
@@ -34,6 +36,17 @@
     }
 }
 
+/// A version that the targets of a pool run, or did until recently.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecentVersion {
+    /// The version.
+    pub version: SoftwareVersion,
+    /// Its name.
+    pub name: Arc<str>,
+    /// Whether this process has known a target of it, and not only the record in the store.
+    pub seen: bool,
+}
+
 /// `PoolVersions` holds the versions that each pool runs, or did until recently.
 #[derive(Debug, Clone, Default)]
 pub struct PoolVersions {
@@ -43,7 +56,9 @@
 impl PoolVersions {
     /// Records that a target joined a pool.
     pub fn joined(&mut self, now: Instant, pool: &Arc<str>, name: &Arc<str>) {
-        self.presence(now, pool, name).targets += 1;
+        let presence = self.presence(now, pool, name);
+        presence.targets += 1;
+        presence.seen = true;
     }
 
     /// Records that a version served a pool until this process learnt of it, at the latest. The
@@ -62,6 +77,7 @@
                 version,
                 name: Arc::clone(name),
                 targets: 0,
+                seen: false,
                 left_at: now,
             });
         }
@@ -82,16 +98,21 @@
         &'a self,
         now: Instant,
         pool: &str,
-    ) -> impl Iterator<Item = (SoftwareVersion, &'a Arc<str>)> + use<'a> {
+    ) -> impl Iterator<Item = RecentVersion> + use<'a> {
         let versions = self.by_pool.get(pool).into_iter().flatten();
         let recent = versions.filter(move |p| p.is_recent(now));
-        recent.map(|p| (p.version, &p.name))
+        recent.map(|p| RecentVersion {
+            version: p.version,
+            name: Arc::clone(&p.name),
+            seen: p.seen,
+        })
     }
 
     /// Returns whether the targets of a pool run several versions, or did until recently.
     #[must_use]
     pub fn is_mixed(&self, now: Instant, pool: &str) -> bool {
-        self.recent(now, pool).count() > 1
+        let versions = self.by_pool.get(pool).into_iter().flatten();
+        versions.filter(|p| p.is_recent(now)).count() > 1
     }
 
     /// Drops versions whose last targets left long ago.
--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -18,10 +18,20 @@
 
 use crate::origins::SoftwareVersion;
 use crate::pool_versions::RETENTION;
+use crate::pool_versions::RecentVersion;
 
-/// How much longer a router waits before it retires a version than before it records one, as a
-/// factor. Retiring is not urgent, and any one router may do it.
-const RETIREMENT_SPREAD: u32 = 20;
+/// How much later each further router records a version than the one before, so that mostly one
+/// writes.
+const RANK_DELAY: Duration = Duration::from_millis(30);
+
+/// Longest such delay.
+const MAX_DELAY: Duration = Duration::from_secs(1);
+
+/// Time after which a router that does not write first looks whether the first one has written.
+const RECHECK_DELAY: Duration = Duration::from_millis(50);
+
+/// How much later each further router retires a version than the one before.
+const RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
 /// One software version on a pool's record.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,6 +50,8 @@
     pub revision: Option<u64>,
     /// Versions in the order in which they were recorded.
     pub versions: Vec<RecordedVersion>,
+    /// Whether the record in the store cannot be read. It may name any version, and is left alone.
+    pub unreadable: bool,
 }
 
 /// What a router does next about a pool's record.
@@ -63,8 +75,8 @@
     confirmed: HashSet<SoftwareVersion>,
     /// Versions of targets that the latest read looked for.
     checked: HashSet<SoftwareVersion>,
-    /// Versions of targets at the time at which a read was decided.
-    checking: HashSet<SoftwareVersion>,
+    /// Versions of targets when the pool was last looked at.
+    present: HashSet<SoftwareVersion>,
     /// Since when a version is known to be missing on the record.
     missing_since: Option<Instant>,
     /// Since when versions on record are not run by any target.
@@ -97,13 +109,27 @@
         state.is_some_and(|s| s.confirmed.contains(&version))
     }
 
+    /// Returns whether the records were read since they may last have changed unseen.
+    #[must_use]
+    pub const fn are_current(&self) -> bool {
+        self.read_at.is_some()
+    }
+
+    /// Returns whether a pool's record names several versions, or may.
+    #[must_use]
+    pub fn names_several(&self, pool: &str) -> bool {
+        let record = self.pools.get(pool).map(|s| &s.record);
+        record.is_some_and(|r| r.versions.len() > 1 || r.unreadable)
+    }
+
     /// Returns the number of versions on a pool's record.
     #[must_use]
     pub fn version_count(&self, pool: &str) -> usize {
         self.pools.get(pool).map_or(0, |s| s.record.versions.len())
     }
 
-    /// Records that the store may hold older records than were read.
+    /// Records that the store may hold other records than were read: an older copy, or what others
+    /// wrote while this router was out of touch.
     pub fn invalidate(&mut self) {
         self.read_at = None;
     }
@@ -126,7 +152,7 @@
             let names = record.versions.iter().map(|v| Arc::clone(&v.name));
             let new = names.filter(|name| !known(name));
             unknown.extend(new.map(|name| (Arc::clone(&pool), name)));
-            state.checked = std::mem::take(&mut state.checking);
+            state.checked.clone_from(&state.present);
             state.apply(asked_at, record);
         }
         self.read_at = Some(asked_at);
@@ -140,52 +166,52 @@
         state.apply(now, record);
     }
 
-    /// Decides what to do next about a pool. `needed` are the versions that its targets run or did
-    /// until recently, with their names. A router that is to write something writes it after
-    /// `delay`, unless another one has done so before.
+    /// Decides what to do next about a pool, whose targets run the versions that are `recent`, or
+    /// did. `rank` is the number of routers that write before this one.
     pub fn next_step(
         &mut self,
         now: Instant,
         pool: &Arc<str>,
-        needed: &[(SoftwareVersion, Arc<str>)],
-        delay: Duration,
+        recent: &[RecentVersion],
+        rank: u32,
     ) -> RecordStep {
         let read_at = self.read_at;
         let state = self.pools.entry(Arc::clone(pool)).or_default();
-        let versions = needed.iter().map(|(version, _)| *version);
-        let versions = versions.collect::<HashSet<_>>();
+        let seen = recent.iter().filter(|r| r.seen);
+        state.present = seen.map(|r| r.version).collect();
         // What was confirmed before a version's targets left says nothing once it joins again.
-        state.confirmed.retain(|v| versions.contains(v));
-        state.checked.retain(|v| versions.contains(v));
-        let missing = versions.difference(&state.confirmed).copied();
-        let missing = missing.collect::<Vec<_>>();
+        state.confirmed.retain(|v| state.present.contains(v));
+        state.checked.retain(|v| state.present.contains(v));
         let Some(read_at) = read_at else {
-            return state.read(versions);
+            return RecordStep::Read;
         };
+        let missing = state.present.difference(&state.confirmed);
+        let missing = missing.copied().collect::<Vec<_>>();
         if missing.iter().any(|v| !state.checked.contains(v)) {
-            return state.read(versions);
+            return RecordStep::Read;
+        }
+        if state.record.unreadable {
+            return RecordStep::Done;
         }
         if missing.is_empty() {
             state.missing_since = None;
-            return state.next_retirement(now, &versions, delay * RETIREMENT_SPREAD);
+            let delay = RETIREMENT_DELAY.saturating_mul(rank);
+            return state.next_retirement(now, read_at, recent, delay);
         }
-        let due = *state.missing_since.get_or_insert(now) + delay;
-        if now < due {
-            return RecordStep::WaitUntil(due);
+        let missing_since = *state.missing_since.get_or_insert(now);
+        let due = missing_since + RANK_DELAY.saturating_mul(rank).min(MAX_DELAY);
+        let recheck = due.min(missing_since + RECHECK_DELAY);
+        match (now < recheck, now < due) {
+            (true, _) => RecordStep::WaitUntil(recheck),
+            (false, true) if read_at < recheck => RecordStep::Read,
+            (false, true) => RecordStep::WaitUntil(due),
+            (false, false) if rank > 0 && read_at < due => RecordStep::Read,
+            (false, false) => RecordStep::Write(state.record.with(recent)),
         }
-        if !delay.is_zero() && read_at < due {
-            return state.read(versions);
-        }
-        RecordStep::Write(state.record.with(needed))
     }
 }
 
 impl PoolState {
-    fn read(&mut self, versions: HashSet<SoftwareVersion>) -> RecordStep {
-        self.checking = versions;
-        RecordStep::Read
-    }
-
     fn apply(&mut self, now: Instant, record: VersionRecord) {
         let in_use = record.versions.iter().filter(|v| !v.retired);
         self.confirmed = in_use.map(RecordedVersion::software).collect();
@@ -203,15 +229,17 @@
     fn next_retirement(
         &mut self,
         now: Instant,
-        needed: &HashSet<SoftwareVersion>,
+        read_at: Instant,
+        recent: &[RecentVersion],
         delay: Duration,
     ) -> RecordStep {
-        self.absent_since.retain(|v, _| !needed.contains(v));
+        let is_recent = |version| recent.iter().any(|r| r.version == version);
+        self.absent_since.retain(|v, _| !is_recent(*v));
         let mut next = None::<Instant>;
         let mut versions = Vec::new();
         for recorded in &self.record.versions {
             let version = recorded.software();
-            if needed.contains(&version) {
+            if is_recent(version) {
                 versions.push(recorded.clone());
                 continue;
             }
@@ -221,6 +249,8 @@
             if now < due {
                 next = Some(next.map_or(due, |n| n.min(due)));
                 versions.push(recorded.clone());
+            } else if read_at < due {
+                return RecordStep::Read;
             } else if retired.is_none() {
                 versions.push(RecordedVersion {
                     retired: true,
@@ -232,8 +262,8 @@
             return next.map_or(RecordStep::Done, RecordStep::WaitUntil);
         }
         RecordStep::Write(VersionRecord {
-            revision: self.record.revision,
             versions,
+            ..self.record.clone()
         })
     }
 }
@@ -245,12 +275,12 @@
 }
 
 impl VersionRecord {
-    /// Returns this record with all of these versions in use.
-    fn with(&self, needed: &[(SoftwareVersion, Arc<str>)]) -> Self {
+    /// Returns this record with all of these versions in use that were seen.
+    fn with(&self, recent: &[RecentVersion]) -> Self {
         let mut record = self.clone();
-        for (version, name) in needed {
-            let known = record.versions.iter_mut();
-            match known.into_iter().find(|v| v.software() == *version) {
+        for RecentVersion { version, name, .. } in recent.iter().filter(|r| r.seen) {
+            let mut known = record.versions.iter_mut();
+            match known.find(|v| v.software() == *version) {
                 Some(known) => known.retired = false,
                 None => record.versions.push(RecordedVersion {
                     name: Arc::clone(name),
--- a/crates/peppercrank-gateway/src/admin.rs
+++ b/crates/peppercrank-gateway/src/admin.rs
@@ -27,6 +27,10 @@
 /// confirm that its keys are current, it does not learn of targets that join and leave.
 const MAX_STORE_OUTAGE: Duration = Duration::from_millis(1_500);
 
+/// Time after the first list of targets for which a router that has not read which software versions
+/// served is not ready. After it, streams whose origin it does not know are refused.
+const MAX_RECORDS_WAIT: Duration = Duration::from_secs(2);
+
 /// Returns whether the router should get new callers.
 #[must_use]
 pub fn is_ready(gateway: &Gateway) -> bool {
@@ -44,7 +48,12 @@
         .is_none_or(|since| now.since(since) < MAX_STORE_OUTAGE);
     let listed =
         state.directory.first_listed_at().is_some() && state.directory.evacuations.is_listed();
-    keys_fresh && in_touch && listed && state.records_read && !gateway.stop_signal.is_stopping()
+    let waited = state
+        .directory
+        .first_listed_at()
+        .is_some_and(|at| now.since(at) >= MAX_RECORDS_WAIT);
+    let records_read = state.records_read || waited;
+    keys_fresh && in_touch && listed && records_read && !gateway.stop_signal.is_stopping()
 }
 
 /// Answers the load balancer's health check, and logs when the router's readiness changes.
--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -163,7 +163,7 @@
     eligible: &mut Eligible,
 ) -> Result<Vec<TargetKey>, Rejection> {
     let must_be_recorded = matches!(job.kind, RouteKind::Stream { resumable: true })
-        && state.directory.runs_several_versions(now, &job.pool)
+        && state.may_cross_versions(now, &job.pool)
         && !state.directory.is_store_down();
     if !must_be_recorded {
         return Ok(allowed);
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -207,6 +207,9 @@
             PollOutcome::PossiblyTruncated => sleep(GATHER_PAUSE).await,
             PollOutcome::Relist => {
                 self.intake.revision = None;
+                if self.kind == Kind::Targets {
+                    self.forget_records();
+                }
                 if self.kind == Kind::Configuration {
                     self.gateway.state().catch_up.reset();
                 }
@@ -452,6 +455,12 @@
         self.gateway.log.write(LogEvent::ChangesRead, &fields);
     }
 
+    /// Has the records of software versions read again, as targets may have come and gone unseen.
+    fn forget_records(&self) {
+        self.gateway.state().version_records.invalidate();
+        self.gateway.versions_changed.notify_one();
+    }
+
     /// Records that the store does not answer.
     fn record_store_lost(&self, cause: &'static str) {
         let now = self.gateway.now();
@@ -473,6 +482,7 @@
         state.store_down_since = None;
         drop(state);
         if self.outage.set_store_down(false) {
+            self.forget_records();
             self.gateway.log.write(LogEvent::PlatformUp, &[]);
         }
     }
--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -20,6 +20,7 @@
 use crate::gossip::send;
 use crate::job::Job;
 use crate::state::State;
+use crate::state::may_cross_versions;
 
 /// Time for other routers' answers, after which the origin counts as unknown: a few round trips
 /// between availability zones, plus the delay of a busy router.
@@ -50,13 +51,21 @@
     };
     let now = gateway.now();
     let state = gateway.state();
-    let several = state.directory.runs_several_versions(now, &job.pool);
+    let several = state.may_cross_versions(now, &job.pool);
     // Targets of a second version may have joined while the store did not answer, or served before
     // this process started. A caller that names no origin belongs to a fleet that runs one version
     // at a time.
-    let is_known = state.records_read && !state.directory.is_store_down();
+    let is_known = state.records_read
+        && state.version_records.are_current()
+        && !state.directory.is_store_down();
     let outdated = resumption.origin.is_some() && !is_known;
-    Resumption::decide(origin, !several && !outdated)
+    let decided = Resumption::decide(origin, !several && !outdated);
+    let versions = state.directory.software_versions(now, &job.pool);
+    match (decided, versions.as_slice()) {
+        // Another version may join before the stream goes on.
+        (Resumption::Anywhere, [only]) => Resumption::At(only.version),
+        _ => decided,
+    }
 }
 
 /// Returns the version that began a stream, and asks other routers if this one does not know it.
@@ -153,6 +162,7 @@
         origin_queue,
         origins,
         directory,
+        version_records,
         routers,
         ..
     } = &mut *state;
@@ -160,7 +170,7 @@
         return Vec::new();
     }
     let reports = origin_queue.take_reports(now, origins, |pool| {
-        directory.runs_several_versions(now, pool)
+        may_cross_versions(directory, version_records, now, pool)
     });
     let names = routers.keys().map(|name| &**name).collect::<Vec<_>>();
     let addressed = address_reports(&reports, &own, &names);
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -27,28 +27,28 @@
 use crate::follow::jittered;
 use crate::gateway::Gateway;
 use crate::state::State;
+use crate::state::may_cross_versions;
 use crate::store::CallResult;
 use crate::store::Store;
 
 /// Time within which the store's answer to a read must begin.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Pause after a failed call.
+/// Pause after a failed call. It doubles with each further failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Maximum pause between failed calls.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(3_200);
+
 /// Pause after which a router looks again although nothing has changed.
 const IDLE_PAUSE: Duration = Duration::from_secs(1);
 
-/// How much later each further router writes a record than the one before, so that mostly one
-/// writes.
-const RANK_DELAY: Duration = Duration::from_millis(30);
-
-/// Longest such delay.
-const MAX_DELAY: Duration = Duration::from_secs(1);
-
 /// Time per router over which routers that start together spread their reads of origins.
 const READ_SPREAD: Duration = Duration::from_millis(1);
 
+/// Rank of a router before it has read the list of routers.
+const UNKNOWN_RANK: u32 = 60;
+
 /// Seed of the hash that orders routers for a pool.
 const RANK_SEED: u64 = 0x7265_636f_7264;
 
@@ -63,8 +63,9 @@
 /// Keeps the versions of all pools with resumable streams on record, and reads the origins of
 /// streams at the start if several versions may have begun them.
 pub async fn keep_versions(gateway: Arc<Gateway>, store: Store) {
+    let mut failures = 0;
     loop {
-        let is_done = match next_action(&gateway) {
+        let done = match next_action(&gateway) {
             Action::WaitUntil(at) => {
                 let changed = gateway.versions_changed.notified();
                 let _changed = gateway.timeout_at(at, changed).await;
@@ -76,9 +77,13 @@
             }
             Action::ReadOrigins => read_origins(&gateway, &store).await,
         };
-        if is_done.is_none() {
-            sleep(jittered(RETRY_PAUSE)).await;
+        if done.is_some() {
+            failures = 0;
+            continue;
         }
+        let pause = RETRY_PAUSE * 2_u32.saturating_pow(failures);
+        failures = (failures + 1).min(4);
+        sleep(jittered(pause.min(MAX_RETRY_PAUSE))).await;
     }
 }
 
@@ -97,9 +102,7 @@
     if pools.is_empty() {
         state.records_read = true;
     }
-    let is_mixed = pools
-        .iter()
-        .any(|pool| state.directory.runs_several_versions(now, pool));
+    let is_mixed = pools.iter().any(|p| state.may_cross_versions(now, p));
     if state.version_records.are_known() && !state.records_read {
         if is_mixed {
             return Action::ReadOrigins;
@@ -107,9 +110,9 @@
         state.records_read = true;
     }
     for pool in pools {
-        let needed = state.directory.software_versions(now, &pool);
-        let delay = write_delay(&state, &own, &pool);
-        let step = state.version_records.next_step(now, &pool, &needed, delay);
+        let recent = state.directory.software_versions(now, &pool);
+        let rank = write_rank(&state, &own, &pool);
+        let step = state.version_records.next_step(now, &pool, &recent, rank);
         match step {
             RecordStep::Done => {}
             RecordStep::WaitUntil(at) => wake = wake.min(at),
@@ -126,17 +129,16 @@
     Some(index.desired().resumable_pools())
 }
 
-/// Returns after which time this router writes a pool's record, by its rank among all routers.
-fn write_delay(state: &State, own: &str, pool: &str) -> Duration {
+/// Returns how many routers write a pool's record before this one.
+fn write_rank(state: &State, own: &str, pool: &str) -> u32 {
     if !state.routers_read {
-        return MAX_DELAY;
+        return UNKNOWN_RANK;
     }
     let seed = hash64(RANK_SEED, pool.as_bytes());
     let rank = |name: &str| hash64(seed, name.as_bytes());
     let own_rank = rank(own);
     let before = state.routers.keys().filter(|name| rank(name) < own_rank);
-    let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
-    RANK_DELAY.saturating_mul(before).min(MAX_DELAY)
+    u32::try_from(before.count()).unwrap_or(u32::MAX)
 }
 
 async fn read_versions(gateway: &Gateway, store: &Store) -> Option<()> {
@@ -204,8 +206,7 @@
         state.version_records.invalidate();
     }
     let pools = resumable_pools(&state).unwrap_or_default();
-    let mixed = |pool: &Arc<str>| state.directory.runs_several_versions(now, pool);
-    removed && !pools.iter().any(mixed)
+    removed && !pools.iter().any(|p| state.may_cross_versions(now, p))
 }
 
 /// Reads the origins that all routers wrote, and keeps those of this router's own object in it.
@@ -244,34 +245,46 @@
     loop {
         let routers = gateway.state().routers.len() + 1;
         sleep(jittered(write_interval(routers))).await;
-        write_origins(&gateway, &store).await;
+        if write_origins(&gateway, &store).await == OriginsWrite::Failed {
+            sleep(jittered(MAX_RETRY_PAUSE)).await;
+        }
     }
 }
 
+/// Outcome of a write of origins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginsWrite {
+    /// The store holds all that it is to hold.
+    Complete,
+    /// The write has to be repeated.
+    Failed,
+}
+
 /// Writes the origins of this router's streams if there are new ones that several versions may have
 /// begun.
-pub async fn write_origins(gateway: &Gateway, store: &Store) {
+pub async fn write_origins(gateway: &Gateway, store: &Store) -> OriginsWrite {
     let now = gateway.now();
     let batch = {
         let mut state = gateway.state();
         if state.directory.is_store_down() || !state.records_read {
-            return;
+            return OriginsWrite::Complete;
         }
         let State {
             stored_origins,
             origins,
             directory,
+            version_records,
             ..
         } = &mut *state;
-        let is_mixed = |pool: &str| directory.runs_several_versions(now, pool);
+        let is_mixed = |pool: &str| may_cross_versions(directory, version_records, now, pool);
         stored_origins.take_batch(now, origins, is_mixed)
     };
     let Some(batch) = batch else {
-        return;
+        return OriginsWrite::Complete;
     };
     let name = gateway.settings().name.clone();
     let Ok(body) = records::origins_body(&name, &batch) else {
-        return;
+        return OriginsWrite::Failed;
     };
     let kind = RecordKind::Origins;
     let replaced = store.put(&kind.path(&name), body.clone()).await.result;
@@ -284,9 +297,11 @@
         }
         other => other,
     };
-    if !matches!(result, CallResult::Done(_)) {
-        gateway.state().stored_origins.invalidate();
+    if matches!(result, CallResult::Done(_)) {
+        return OriginsWrite::Complete;
     }
+    gateway.state().stored_origins.invalidate();
+    OriginsWrite::Failed
 }
 
 /// Deletes the origins that a router wrote which is gone.
--- a/crates/peppercrank-gateway/src/register.rs
+++ b/crates/peppercrank-gateway/src/register.rs
@@ -128,7 +128,9 @@
                 ("outcome", Field::Text(removed.code())),
             ];
             gateway.log.write(Event::MemberDead, &fields);
-            records::delete_origins(&gateway, &store, &name).await;
+            if matches!(removed, CallResult::Done(_)) {
+                records::delete_origins(&gateway, &store, &name).await;
+            }
         }
     }
 }
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -180,6 +180,8 @@
         self.serve_stopper.stop();
         let finished = self.serve_task.await.map_err(|e| Error::Start(e.into()))?;
         self.tasks.shutdown().await;
+        // A write may just have been aborted.
+        self.gateway.state().stored_origins.invalidate();
         let writing = records::write_origins(&self.gateway, &self.store);
         // The next router may be told of these streams by others.
         let _in_time = timeout(LAST_WRITE_TIMEOUT, writing).await;
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -183,6 +183,18 @@
     pub struct InProgressKey;
 }
 
+/// Returns whether several software versions may have begun streams of a pool: its targets run
+/// them, or did until recently, or its record names them.
+#[must_use]
+pub fn may_cross_versions(
+    directory: &Directory,
+    records: &VersionRecords,
+    now: Instant,
+    pool: &str,
+) -> bool {
+    directory.runs_several_versions(now, pool) || records.names_several(pool)
+}
+
 /// Returns the retry limits from the settings.
 #[must_use]
 pub fn retry_limits(settings: &GatewaySettings) -> RetryLimits {
@@ -290,6 +302,12 @@
         self.heard_version > self.config.index().map(|i| i.desired().version)
     }
 
+    /// As [`may_cross_versions`].
+    #[must_use]
+    pub fn may_cross_versions(&self, now: Instant, pool: &str) -> bool {
+        may_cross_versions(&self.directory, &self.version_records, now, pool)
+    }
+
     /// Drops everything known about an incarnation of a target that is gone.
     pub fn forget(&mut self, key: TargetKey) {
         self.board.remove(key);
