Count a retry until it has arrived, or may no longer arrive

What callers saw: in one report, repeats at a pool beyond a fifth of its requests and the extra, over all routers.

Cause: a retry left the window 10 s after it was decided, while the rule counts arrivals. What stood still at targets or on the way arrived in one moment, up to seconds later, followed by the retries of the next window.

Why it works: a guard ends with its attempt. An attempt that was answered, refused or reset has arrived by then, and counts from its end. One that was abandoned without an answer counts for one more window, so that what is held back for up to a window is within what was counted.

--- a/crates/peppercrank-direct/src/retries.rs
+++ b/crates/peppercrank-direct/src/retries.rs
@@ -131,6 +131,15 @@
     retries: VecDeque<Instant>,
 }
 
+/// What is known when a retry's attempt ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryEnd {
+    /// The request has reached its target, or never will.
+    Settled,
+    /// The request may still reach its target.
+    Abandoned,
+}
+
 /// Number of routers that share the extra. One that left counts until the retries that it may have
 /// made have left the window.
 #[derive(Debug, Default)]
@@ -211,6 +220,23 @@
         fits
     }
 
+    /// Records that the attempt for which a retry was taken at `spent_at` has ended.
+    ///
+    /// The request may have reached its target at any time until then. If it was abandoned, what a
+    /// connection or a target holds back may still arrive, so that it counts for one more window.
+    pub fn record_end(&mut self, now: Instant, pool: &Arc<str>, spent_at: Instant, end: RetryEnd) {
+        let latest = match end {
+            RetryEnd::Settled => now,
+            RetryEnd::Abandoned => now + self.limits.window,
+        };
+        let retries = &mut self.history(pool).retries;
+        if let Ok(index) = retries.binary_search(&spent_at) {
+            retries.remove(index);
+        }
+        let index = retries.partition_point(|at| *at <= latest);
+        retries.insert(index, latest);
+    }
+
     /// Returns whether at least one retry is left.
     pub fn can_spend(&mut self, now: Instant, pool: &Arc<str>, routers: usize) -> bool {
         self.remaining(now, pool, routers) >= 1.0
--- a/crates/peppercrank-direct/tests/verify_retry_windows.rs
+++ b/crates/peppercrank-direct/tests/verify_retry_windows.rs
@@ -5,10 +5,12 @@
 
 mod retry_ledger;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use peppercrank_core::time::Instant;
 use peppercrank_direct::retries::RetryBudget;
+use peppercrank_direct::retries::RetryEnd;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -126,3 +128,27 @@
     let used = f64::from(u32::try_from(late.count()).expect("few"));
     assert!(used >= 0.75 * allowed, "{used} of {allowed}");
 }
+
+/// What a standstill of the targets held back arrived together with the retries of the next window.
+#[test]
+fn verify_retries_that_arrive_after_a_standstill_keep_to_the_budget() {
+    let mut fleet = Fleet::new(1);
+    let mut attempts = VecDeque::new();
+    for millis in (0..40_000).step_by(20) {
+        let now = Instant::from_millis(millis);
+        fleet.receive(millis, 0);
+        while attempts.front().is_some_and(|at| *at + 300 <= millis) {
+            let spent_at = attempts.pop_front().map(Instant::from_millis);
+            let (pool, spent_at) = (Arc::clone(&fleet.pool), spent_at.expect("an attempt"));
+            fleet.budgets[0].record_end(now, &pool, spent_at, RetryEnd::Abandoned);
+        }
+        // Targets receive nothing from 21 s to 25 s, and answer no request from 21 s on.
+        let pool = Arc::clone(&fleet.pool);
+        if millis >= 21_000 && fleet.budgets[0].try_spend(now, &pool, 1) {
+            attempts.push_back(millis);
+            fleet.ledger.retries.push(millis.max(25_000));
+        }
+    }
+    let excess = fleet.ledger.worst_excess();
+    assert!(excess <= 0.0, "{excess} retries over the limit");
+}
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`gossip`] exchanges loads and cached prompts with other routers.
 //! - [`origins`] shares with other routers at which software version streams began.
 //! - [`failures`] shares with other routers which targets fail part of their requests.
+//! - [`retry`] takes retries from the fleet's budget.
 //! - [`downstream`] holds parts of streams for callers that are behind.
 //! - [`room`] checks which targets have the memory for a request.
 //! - [`crashes`] shares with other routers which requests crash targets.
@@ -55,6 +56,7 @@
 pub mod relay;
 pub mod reload;
 mod request_log;
+pub mod retry;
 pub mod role;
 pub mod room;
 pub mod run;
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -37,6 +37,7 @@
 use crate::flight::Flight;
 use crate::gateway::Gateway;
 use crate::origins;
+use crate::retry::RetryGuard;
 use crate::serve::ActiveRequest;
 
 /// Log text and metrics label of a stream that was cut since its caller was behind.
@@ -252,16 +253,17 @@
     /// Resumes at another target after the last complete event. `execution` is how the attempt
     /// before ended. Returns whether that succeeded.
     async fn try_resume(&mut self, mut execution: ExecutionState) -> bool {
+        let mut retry = None;
         while self.can_resume() {
-            let may_retry = match self.request.plan.record_attempt(execution) {
-                NextStep::Retry => true,
-                NextStep::RetryWithinBudget => self.request.spend_retry(),
-                NextStep::Refuse | NextStep::Fail => false,
-            };
-            if !may_retry {
-                return false;
+            match self.request.plan.record_attempt(execution) {
+                NextStep::Retry => {}
+                NextStep::RetryWithinBudget => match self.request.spend_retry() {
+                    Some(next) => retry = Some(next),
+                    None => return false,
+                },
+                NextStep::Refuse | NextStep::Fail => return false,
             }
-            match self.resume_at_next_target().await {
+            match self.resume_at_next_target(retry.as_mut()).await {
                 Resumption::Resumed => return true,
                 Resumption::Lost(state) => execution = state,
                 Resumption::Impossible => return false,
@@ -270,7 +272,7 @@
         false
     }
 
-    async fn resume_at_next_target(&mut self) -> Resumption {
+    async fn resume_at_next_target(&mut self, mut retry: Option<&mut RetryGuard>) -> Resumption {
         let request = &mut self.request;
         if crashes::quarantine_delay(&request.gateway, &request.job).is_some() {
             return Resumption::Impossible;
@@ -287,6 +289,9 @@
         let last = self.events.as_ref().and_then(EventBuffer::last_event_id);
         let last = last.map(str::to_owned);
         let first_part_deadline = request.first_part_deadline(&flight);
+        if let Some(retry) = retry.as_deref_mut() {
+            retry.begin();
+        }
         let sent = send(
             &request.gateway,
             &request.job,
@@ -295,6 +300,9 @@
             last.as_deref(),
         )
         .await;
+        if let Some(retry) = retry {
+            retry.record(sent.as_ref());
+        }
         match sent {
             Ok(TargetAnswer::Stream { first, rest, .. }) => {
                 if let Some(events) = &mut self.events {
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -47,6 +47,7 @@
 use crate::refuse::Reason;
 use crate::refuse::refuse;
 use crate::relay;
+use crate::retry::RetryGuard;
 use crate::state::InProgressKey;
 
 /// Share of a request's latency goal after which a repeatable request is sent to another target.
@@ -100,9 +101,11 @@
         Resumption::Anywhere => {}
         Resumption::Refused => return request.give_up(Reason::OriginUnknown),
     }
+    let mut retry = None;
     loop {
-        if let RequestStep::Answer(reply) = request.attempt().await {
-            return reply;
+        match request.attempt(retry).await {
+            RequestStep::Answer(reply) => return reply,
+            RequestStep::Retry(next) => retry = next,
         }
     }
 }
@@ -111,8 +114,9 @@
 enum RequestStep {
     /// The caller gets this answer.
     Answer(Reply),
-    /// Another attempt is made.
-    Retry,
+    /// Another attempt is made, with a retry from the fleet's budget unless no attempt before has
+    /// reached a target.
+    Retry(Option<RetryGuard>),
 }
 
 /// Counts a request as in progress until it is dropped.
@@ -164,7 +168,7 @@
 }
 
 impl ActiveRequest {
-    async fn attempt(&mut self) -> RequestStep {
+    async fn attempt(&mut self, mut retry: Option<RetryGuard>) -> RequestStep {
         if self.gateway.now() >= self.job.deadline {
             return RequestStep::Answer(self.give_up(Reason::Late));
         }
@@ -181,6 +185,9 @@
         };
         self.tried.push(flight.in_flight.choice.key);
         let first_part_deadline = self.first_part_deadline(&flight);
+        if let Some(retry) = &mut retry {
+            retry.begin();
+        }
         let result = send(
             &self.gateway,
             &self.job,
@@ -189,9 +196,12 @@
             None,
         )
         .await;
+        if let Some(retry) = &mut retry {
+            retry.record(result.as_ref());
+        }
         match result {
             Ok(answer) => self.handle_answer(flight, answer),
-            Err(error) => self.handle_error(&flight, error).await,
+            Err(error) => self.handle_error(&flight, error, retry).await,
         }
     }
 
@@ -271,7 +281,7 @@
                 self.log_failed_attempt(&flight, TARGET_FAILURE);
                 let after = self.plan.record_attempt(ExecutionState::Failed);
                 self.failure = Some(whole);
-                self.retry_or_give_up(after, Reason::Failed)
+                self.retry_or_give_up(after, Reason::Failed, None)
             }
             TargetAnswer::Stream {
                 content,
@@ -304,7 +314,12 @@
     }
 
     /// Handles an attempt that produced no answer.
-    async fn handle_error(&mut self, flight: &Flight, error: AttemptError) -> RequestStep {
+    async fn handle_error(
+        &mut self,
+        flight: &Flight,
+        error: AttemptError,
+        retry: Option<RetryGuard>,
+    ) -> RequestStep {
         self.log_failed_attempt(flight, error.cause);
         self.record_loss(flight, error.crash_evidence).await;
         let execution = self.execution_after_loss(flight, &error).await;
@@ -319,17 +334,27 @@
                 Reason::Failed
             }
         };
-        self.retry_or_give_up(after, reason)
+        self.retry_or_give_up(after, reason, retry)
     }
 
-    fn retry_or_give_up(&mut self, after: NextStep, reason: Reason) -> RequestStep {
+    /// Returns the next step. `unused` is the retry of an attempt that was not sent.
+    fn retry_or_give_up(
+        &mut self,
+        after: NextStep,
+        reason: Reason,
+        unused: Option<RetryGuard>,
+    ) -> RequestStep {
         match after {
-            NextStep::Retry => RequestStep::Retry,
-            NextStep::RetryWithinBudget if self.spend_retry() => RequestStep::Retry,
-            NextStep::RetryWithinBudget | NextStep::Refuse | NextStep::Fail => {
-                RequestStep::Answer(self.give_up(reason))
+            NextStep::Retry => return RequestStep::Retry(unused),
+            NextStep::RetryWithinBudget => {
+                let retry = self.spend_retry();
+                if retry.is_some() {
+                    return RequestStep::Retry(retry);
+                }
             }
+            NextStep::Refuse | NextStep::Fail => {}
         }
+        RequestStep::Answer(self.give_up(reason))
     }
 
     /// Returns whether a retry is useful and the fleet's budget allows it. When all targets of the
@@ -355,12 +380,10 @@
             && can_reserve_target(&self.gateway, &self.job, &self.tried, self.version)
     }
 
-    /// Takes a retry from the fleet's budget, and returns whether there was one.
-    pub fn spend_retry(&self) -> bool {
-        let now = self.gateway.now();
-        let allowed = self.gateway.state().spend_retry(now, &self.job.pool);
-        self.gateway.metrics.count_retry(allowed);
-        allowed
+    /// Takes a retry from the fleet's budget; returns `None` if none is left.
+    #[must_use]
+    pub fn spend_retry(&self) -> Option<RetryGuard> {
+        RetryGuard::take(&self.gateway, &self.job.pool)
     }
 
     /// Ends the request with the best available answer.
