--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -189,7 +189,7 @@
             {
                 let until = self.job.received_at + RECORD_WAIT;
                 let _in_time = gateway.timeout_at(until, recorded).await;
-                return RequestStep::Retry;
+                return RequestStep::Retry(None);
             }
             Err(refusal) => {
                 self.retry_after = refusal.rejection.retry_after;
