--- a/crates/peppercrank-direct/src/origins.rs
+++ b/crates/peppercrank-direct/src/origins.rs
@@ -7,8 +7,9 @@
 //! version that began it. The caller of a broken stream names the request that brought its first
 //! event, usually to another router. So a router reports each stream that begins to the few routers
 //! that rendezvous hashing gives for the request's id, and a router that does not know an origin
-//! asks the same ones. Reports are sent once and may be lost; then the origin is unknown, and a
-//! pool with several versions refuses to resume the stream.
+//! asks the same ones. Reports are sent once and may be lost, and all routers may end together, for
+//! which the store keeps origins ([`crate::stored_origins`]). Where an origin is unknown
+//! nevertheless, a pool with several versions refuses to resume the stream.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -31,8 +31,9 @@
 /// Time for which an idle connection is kept. It is used about once a second.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
-/// Maximum idle connections: one for each kind of entries that is followed, and one for writes.
-const MAX_IDLE_CONNECTIONS: usize = 5;
+/// Maximum idle connections: one for each kind of entries that is followed, one for writes, and one
+/// each for the records of versions and of origins.
+const MAX_IDLE_CONNECTIONS: usize = 7;
 
 /// Time limit between two parts of an answer. A link that is shared with streams may be slow, but
 /// the limit only needs to cover a round trip and one retransmission.
