A request that waits for a version's record keeps its retry

A request whose first attempt had failed and that found, for its second, only versions that are not on record dropped the retry that it had taken, and went on without one. The retry then counted from the moment of the wait and not from the end of the attempt, so that what arrives later could lie outside the window in which it was counted, as before.

The retry is passed on. No test of its own: it needs a retry in the milliseconds in which all other versions are gone.

--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -189,7 +189,7 @@
             {
                 let until = self.job.received_at + RECORD_WAIT;
                 let _in_time = gateway.timeout_at(until, recorded).await;
-                return RequestStep::Retry(None);
+                return RequestStep::Retry(retry);
             }
             Err(refusal) => {
                 self.retry_after = refusal.rejection.retry_after;
