Attempts with a retry are made in one place

First attempts and attempts that go on with a stream each marked their retry as begun, sent, and recorded the result, in the same lines. `retry::track` does so for both; its two steps are private now. Behaviour is the same; tests of gateway, platform, stand-ins and soak pass (250).

--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -39,6 +39,7 @@
 use crate::flight::Flight;
 use crate::gateway::Gateway;
 use crate::origins;
+use crate::retry;
 use crate::retry::RetryGuard;
 use crate::serve::ActiveRequest;
 
@@ -321,7 +322,7 @@
         false
     }
 
-    async fn resume_at_next_target(&mut self, mut retry: Option<&mut RetryGuard>) -> Resumption {
+    async fn resume_at_next_target(&mut self, retry: Option<&mut RetryGuard>) -> Resumption {
         let request = &mut self.request;
         if crashes::quarantine_delay(&request.gateway, &request.job).is_some() {
             return Resumption::Impossible;
@@ -338,21 +339,14 @@
         let last = self.events.as_ref().and_then(EventBuffer::last_event_id);
         let last = last.map(str::to_owned);
         let first_part_deadline = request.first_part_deadline(&flight);
-        if let Some(retry) = retry.as_deref_mut() {
-            retry.begin();
-        }
-        let sent = send(
+        let sending = send(
             &request.gateway,
             &request.job,
             &mut flight,
             first_part_deadline,
             last.as_deref(),
-        )
-        .await;
-        if let Some(retry) = retry {
-            retry.record(sent.as_ref());
-        }
-        match sent {
+        );
+        match retry::track(retry, sending).await {
             Ok(TargetAnswer::Stream { first, rest, .. }) => {
                 if let Some(events) = &mut self.events {
                     events.discard_partial();
--- a/crates/peppercrank-gateway/src/retry.rs
+++ b/crates/peppercrank-gateway/src/retry.rs
@@ -39,12 +39,12 @@
     }
 
     /// Records that the attempt begins, and is abandoned unless its result is recorded.
-    pub const fn begin(&mut self) {
+    const fn begin(&mut self) {
         self.end = RetryEnd::Abandoned;
     }
 
     /// Records the result of the attempt.
-    pub const fn record(&mut self, result: Result<&TargetAnswer, &AttemptError>) {
+    const fn record(&mut self, result: Result<&TargetAnswer, &AttemptError>) {
         self.end = match result {
             Ok(_) => RetryEnd::Settled,
             Err(error) => end_of(error),
@@ -52,6 +52,25 @@
     }
 }
 
+/// Makes an attempt, with the retry that was taken for it if there is one.
+///
+/// # Errors
+///
+/// Returns the error of the attempt.
+pub async fn track(
+    mut retry: Option<&mut RetryGuard>,
+    attempt: impl Future<Output = Result<TargetAnswer, AttemptError>>,
+) -> Result<TargetAnswer, AttemptError> {
+    if let Some(retry) = retry.as_deref_mut() {
+        retry.begin();
+    }
+    let result = attempt.await;
+    if let Some(retry) = retry {
+        retry.record(result.as_ref());
+    }
+    result
+}
+
 /// Returns whether a failed attempt may still reach its target.
 const fn end_of(error: &AttemptError) -> RetryEnd {
     match (error.execution, error.crash_evidence) {
--- a/crates/peppercrank-gateway/src/serve.rs
+++ b/crates/peppercrank-gateway/src/serve.rs
@@ -47,6 +47,7 @@
 use crate::refuse::Reason;
 use crate::refuse::refuse;
 use crate::relay;
+use crate::retry;
 use crate::retry::RetryGuard;
 use crate::state::InProgressKey;
 
@@ -199,20 +200,14 @@
         };
         self.tried.push(flight.in_flight.choice.key);
         let first_part_deadline = self.first_part_deadline(&flight);
-        if let Some(retry) = &mut retry {
-            retry.begin();
-        }
-        let result = send(
+        let sending = send(
             &self.gateway,
             &self.job,
             &mut flight,
             first_part_deadline,
             None,
-        )
-        .await;
-        if let Some(retry) = &mut retry {
-            retry.record(result.as_ref());
-        }
+        );
+        let result = retry::track(retry.as_mut(), sending).await;
         match result {
             Ok(answer) => self.handle_answer(flight, answer),
             Err(error) => self.handle_error(&flight, error, retry).await,
