Jitter of store calls stands with the store's client; readiness looks up one time

`records` took the jitter of its pauses from `follow`, with which it shares nothing else. The check of readiness read the time of the first list twice.

--- a/crates/peppercrank-gateway/src/admin.rs
+++ b/crates/peppercrank-gateway/src/admin.rs
@@ -46,14 +46,10 @@
     let in_touch = state
         .store_down_since
         .is_none_or(|since| now.since(since) < MAX_STORE_OUTAGE);
-    let listed =
-        state.directory.first_listed_at().is_some() && state.directory.evacuations.is_listed();
-    let waited = state
-        .directory
-        .first_listed_at()
-        .is_some_and(|at| now.since(at) >= MAX_RECORDS_WAIT);
-    let records_read = state.records_read || waited;
-    keys_fresh && in_touch && listed && records_read && !gateway.stop_signal.is_stopping()
+    let knows_records = |listed_at| state.records_read || now.since(listed_at) >= MAX_RECORDS_WAIT;
+    let listed_at = state.directory.first_listed_at();
+    let listed = listed_at.is_some_and(knows_records) && state.directory.evacuations.is_listed();
+    keys_fresh && in_touch && listed && !gateway.stop_signal.is_stopping()
 }
 
 /// Answers the load balancer's health check, and logs when the router's readiness changes.
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -38,6 +38,7 @@
 use crate::store::CallOutcome;
 use crate::store::CallResult;
 use crate::store::Store;
+use crate::store::jittered;
 
 /// Pause after the first failed call. It doubles with each further failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -495,8 +496,3 @@
         Kind::Configuration | Kind::Targets | Kind::Routers => std::future::pending().await,
     }
 }
-
-/// Returns a random pause of 80% to 100% of `max`, so that routers do not call in lockstep.
-pub(crate) fn jittered(max: Duration) -> Duration {
-    max.mul_f64(rand::random_range(0.8..1.0))
-}
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -24,12 +24,12 @@
 use peppercrank_platform::records::RecordPage;
 use tokio::time::sleep;
 
-use crate::follow::jittered;
 use crate::gateway::Gateway;
 use crate::state::State;
 use crate::state::may_cross_versions;
 use crate::store::CallResult;
 use crate::store::Store;
+use crate::store::jittered;
 
 /// Time within which the store's answer to a read must begin.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -233,3 +233,9 @@
         status => CallResult::Rejected(status),
     }
 }
+
+/// Returns a random pause of 80% to 100% of `max`, so that routers do not call in lockstep.
+#[must_use]
+pub fn jittered(max: Duration) -> Duration {
+    max.mul_f64(rand::random_range(0.8..1.0))
+}
