gateway: notice a silent watch of evacuations by the store's revision

What callers saw: nothing was reported. Where the connections over which all routers watch evacuations go silent and all others work, an evacuation is known at the routers that ask the store only once their wait of 2.5 s and 1.2 s for the answer are over and a short call has shown that the store answers (0.9 s), and at the others by up to 1.1 s more: 5.7 s, where the users allow 5.0 s.

The silence of a watch was taken for no change.

Fix: the answers of the short calls tell the store's revision; a watch of evacuations that has told nothing 250 ms later is repeated on a new connection, as that of targets is.

--- a/crates/peppercrank-gateway/src/role.rs
+++ b/crates/peppercrank-gateway/src/role.rs
@@ -27,8 +27,8 @@
 const ROUTERS_WAIT: Duration = Duration::from_secs(20);
 
 /// Wait of the evacuations watch at a router that confirms with the store for others. A connection
-/// that silently broke is noticed after it, within half of the time in which an evacuation usually
-/// has to take effect.
+/// that silently broke is noticed after it at the latest, and other routers hear of the evacuation
+/// only then.
 const EVACUATIONS_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Wait of the evacuations watch at a router that other routers tell when its evacuations differ
@@ -105,18 +105,16 @@
         }
     }
 
-    /// Returns whether the wait is longer than the time within which a change must take effect, so
-    /// that the end of the wait shows a silent connection too late.
+    /// Returns whether the end of the wait shows a silent connection too late for the time within
+    /// which a change must take effect at all routers.
     #[must_use]
     pub const fn outlasts_its_bound(&self) -> bool {
         match self {
-            Self::Targets => true,
-            // The configuration is confirmed beside its watch, the wait for evacuations is within
-            // their time, and datagrams show which routers live.
-            Self::WatchConfiguration(_)
-            | Self::Evacuations(_)
-            | Self::Routers
-            | Self::ConfirmConfiguration(_) => false,
+            // Routers that do not ask the store hear of evacuations from those that do.
+            Self::Targets | Self::Evacuations(_) => true,
+            // The configuration is confirmed beside its watch, and datagrams show which routers
+            // live.
+            Self::WatchConfiguration(_) | Self::Routers | Self::ConfirmConfiguration(_) => false,
         }
     }
 
