gateway: a write to the store without an answer closes the unused connections

What callers saw: nothing was reported. Where the connections to the store go silent, a write of a router's entry, of versions or of origins waits 1.5 s on one of them, and left the others for the next calls: origins, of which a stream that returns needs its own, could be written up to seven times 4.7 s late (from the code; the lost reads of other calls close the connections at routers that ask the store).

Only reads took a lost answer for a sign that other connections may be silent, in two places.

Fix: the client of the store does it, for every call without a whole answer.

--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -395,11 +395,7 @@
             }
             CallResult::HistoryGone => Err(PollOutcome::Relist),
             CallResult::Rejected(_) => Err(PollOutcome::Failed("refused")),
-            CallResult::NoAnswer => {
-                // If this connection went silent, the unused ones may have too.
-                self.store.close();
-                Err(PollOutcome::Failed("no answer"))
-            }
+            CallResult::NoAnswer => Err(PollOutcome::Failed("no answer")),
             CallResult::Truncated => Err(PollOutcome::Failed("answer broke off")),
             CallResult::Conflict | CallResult::Missing => {
                 Err(PollOutcome::Failed("unexpected answer"))
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -363,11 +363,6 @@
     }
     match outcome.result {
         CallResult::Done(body) => Some(body),
-        CallResult::NoAnswer => {
-            // If this connection went silent, the unused ones may have too.
-            store.close();
-            None
-        }
         _ => None,
     }
 }
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -132,7 +132,7 @@
         }
     }
 
-    /// Closes idle connections.
+    /// Closes idle connections. A call without a whole answer closes them too.
     pub fn close(&self) {
         self.client.close_all();
     }
@@ -185,10 +185,12 @@
         let json = HeaderValue::from_static("application/json");
         request.headers_mut().insert(header::CONTENT_TYPE, json);
         let sent = self.client.send(self.address, request, Reuse::Allowed);
-        match timeout(within, sent).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(_)) | Err(_) => Err(CallOutcome::no_answer()),
+        if let Ok(Ok(answer)) = timeout(within, sent).await {
+            return Ok(answer);
         }
+        // If this connection went silent, the unused ones may have too.
+        self.close();
+        Err(CallOutcome::no_answer())
     }
 
     /// Reads an answer to its end, which may take long as long as parts keep arriving.
@@ -200,7 +202,10 @@
         let era = store::era(&head.headers);
         let whole = timeout(BODY_TIMEOUT, self.read_body(body)).await;
         let result = match whole.unwrap_or(None) {
-            None => CallResult::Truncated,
+            None => {
+                self.close();
+                CallResult::Truncated
+            }
             Some(whole) => classify(head.status, whole),
         };
         CallOutcome { result, era }
