gateway: a success that ends before its unframed body is cut

Cause: an answer without a length or chunks ends with its connection. That an empty one may be cut was asked of streams only.

Fix: a success without a body is complete only if a length or chunks frame it, whatever the route. A target that means an empty body and does not frame it gets 502, or another target takes over; none of ours does.

--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -343,9 +343,8 @@
         }
         let first = next_part(&mut body).await;
         let first = first.map_err(AttemptError::broken_body)?;
-        // Only a length or a last chunk can show that a stream without events is complete.
-        if first.is_none() && body.framing() == Framing::Close {
-            return Err(AttemptError::connection_lost("answer cut"));
+        if first.is_none() {
+            check_empty_success(body.framing())?;
         }
         flight.record_first_part();
         return Ok(TargetAnswer::Stream {
@@ -357,6 +356,9 @@
         });
     }
     let (bytes, is_whole) = read_held(&flight.gateway, &mut body).await?;
+    if answer_head.kind == AnswerKind::Success && bytes.is_empty() {
+        check_empty_success(body.framing())?;
+    }
     if status.is_server_error() && !is_whole {
         // Another target may still answer, so a failure cannot be passed on as it arrives.
         return Err(AttemptError::new(
@@ -386,6 +388,15 @@
     })
 }
 
+/// Checks that a success without a body is complete, which only a length or a last chunk can show:
+/// where its framing has neither, the target may have stopped before the body.
+const fn check_empty_success(framing: Framing) -> Result<(), AttemptError> {
+    match framing {
+        Framing::Length | Framing::Chunked => Ok(()),
+        Framing::Close => Err(AttemptError::connection_lost("answer cut")),
+    }
+}
+
 /// Reads a body as far as there is room, and returns whether that is all of it. An answer is held
 /// until it is complete, so that another target can take over if it breaks off, and a caller that
 /// reads slowly gets all of it. What is held counts toward the process's budget until the caller was
