wire: a switch of protocols is no answer to a request

What callers saw (by a play of odd answers): status 101 where a target answered so, and the connection ended (bytes that are no answer, MIXED).

Cause: hyper hands a 101 to whoever reads, also where no request asked to switch protocols, and the gateway passed it on like any failure of the target with a stamp.

Fix: the client takes it as malformed: 502, or another target where the route allows it.

--- a/crates/peppercrank-wire/src/client/answer.rs
+++ b/crates/peppercrank-wire/src/client/answer.rs
@@ -57,7 +57,7 @@
     pub(super) fn of_response(response: &Response<Incoming>) -> Self {
         let bare = matches!(
             response.status(),
-            StatusCode::SWITCHING_PROTOCOLS | StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
         );
         if bare {
             return Self::Length;
--- a/crates/peppercrank-wire/src/client/head.rs
+++ b/crates/peppercrank-wire/src/client/head.rs
@@ -4,17 +4,24 @@
 //! Checks of the head of a response that hyper does not make.
 
 use http::Response;
+use http::StatusCode;
 use hyper::ext::ReasonPhrase;
 
 /// Start of a status line, before the minor version.
 const STATUS_LINE_START: &[u8] = b"HTTP/1.";
 
+/// Returns whether a head can be that of the answer to a request. No request asks to switch
+/// protocols.
+pub(super) fn is_answer<B>(response: &Response<B>) -> bool {
+    response.status() != StatusCode::SWITCHING_PROTOCOLS && !is_spliced(response)
+}
+
 /// Returns whether a head was cut and continued by that of another response, which a server writes
 /// if it fails while it writes the first one.
 ///
 /// The status line of the second head is then a part of the line in which the first one was cut,
 /// and the response has the status of the first head and the framing of the second.
-pub(super) fn is_spliced<B>(response: &Response<B>) -> bool {
+fn is_spliced<B>(response: &Response<B>) -> bool {
     let reason = response.extensions().get::<ReasonPhrase>();
     let values = response.headers().values().map(AsRef::as_ref);
     let mut texts = values.chain(reason.map(ReasonPhrase::as_bytes));
--- a/crates/peppercrank-wire/src/client/mod.rs
+++ b/crates/peppercrank-wire/src/client/mod.rs
@@ -276,7 +276,7 @@
             return SendOutcome::Failed(Cause::FirstByte);
         };
         match sent {
-            Ok(response) if head::is_spliced(&response) => SendOutcome::Failed(Cause::Malformed),
+            Ok(response) if !head::is_answer(&response) => SendOutcome::Failed(Cause::Malformed),
             Ok(response) => SendOutcome::Response(self.wrap_response(response, connection, to)),
             Err(mut e) => match e.take_message() {
                 Some(request) => SendOutcome::Unsent(request, Cause::Closed),
--- a/crates/peppercrank-wire/tests/verify_cut_answers.rs
+++ b/crates/peppercrank-wire/tests/verify_cut_answers.rs
@@ -290,3 +290,12 @@
     let read = play(Case::new(answer, End::Closed)).await;
     assert_eq!(read, Some((StatusCode::OK, "good".to_owned())));
 }
+
+/// Guards against an answer without a status of its own: a switch of protocols, which no request asks
+/// for, ended the connection of the caller it was passed on to.
+#[tokio::test]
+async fn verify_a_switch_of_protocols_is_no_answer() {
+    let answer = "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: a\r\n\r\n";
+    let read = play(Case::new(answer, End::Closed)).await;
+    assert_eq!(read, None);
+}
