--- a/crates/peppercrank-wire/tests/verify_platform.rs
+++ b/crates/peppercrank-wire/tests/verify_platform.rs
@@ -96,6 +96,8 @@
 const OUTAGE: &str = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 const FAULT: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
 const FORBIDDEN: &str = "HTTP/1.1 403 Forbidden\r\ncontent-length: 0\r\n\r\n";
+const MOVED: &str =
+    "HTTP/1.1 302 Found\r\nlocation: /elsewhere\r\ncontent-length: 0\r\na: b\r\n\r\n";
 const GARBAGE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n{]}";
 const DONE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"version\":8}";
 const CONFLICT: &str = "HTTP/1.1 412 Precondition Failed\r\ncontent-length: 28\r\n\r\n{\"version\":7,\"body\":{\"a\":1}}";
@@ -229,6 +231,31 @@
     }
 }
 
+/// Guards against a read or write that counts as decided by an answer that was cut at any byte.
+#[test]
+fn verify_an_answer_cut_at_any_byte_decides_nothing() {
+    for answer in [
+        FOUND, ABSENT, DONE, CONFLICT, THROTTLED, OUTAGE, FORBIDDEN, MOVED,
+    ] {
+        for cut in 0..answer.len() {
+            let part = &answer[..cut];
+            let (access, server) = play(Script::Answer(part));
+            let read = Platform::new(&access).get("pool", "galley-llm");
+            assert_eq!(read, Err(Failure::Down), "{part:?}");
+            server.join().expect("a script played");
+            let (access, server) = play(Script::Answer(part));
+            let written = Platform::new(&access).put(
+                "pool",
+                "galley-llm",
+                Condition::Version(7),
+                &json!({"a": 1}),
+            );
+            assert_eq!(written, Err(Failure::Unknown), "{part:?}");
+            server.join().expect("a script played");
+        }
+    }
+}
+
 #[test]
 fn verify_delete_names_its_version() {
     let (access, server) = play(Script::Answer(DONE));
