gateway: the entry of a router names the era that is complete again

What callers saw: refusals for 0.6 s after a start of the whole fleet, if the store had been restored at any time before while the fleet ran (from the code; the test shows the entry).

Cause: the entry was written at the start only. It then named the era before, and no entry could show that the store had not been restored since.

--- a/crates/peppercrank-gateway/src/register.rs
+++ b/crates/peppercrank-gateway/src/register.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use peppercrank_core::events::Event;
+use peppercrank_direct::era::Era;
 use peppercrank_direct::peers::peer_timeout;
 use peppercrank_log::Field;
 use peppercrank_platform::router::RouterEntry;
@@ -22,6 +23,7 @@
 use crate::state::State;
 use crate::store::CallResult;
 use crate::store::Store;
+use crate::store::jittered;
 
 /// Pause after a failed call. It may be long, as routers can serve for a while without knowing of
 /// each other.
@@ -38,6 +40,10 @@
 /// Longest time for which this router's entry is not written while that check lasts.
 const MAX_START_CHECK: Duration = Duration::from_secs(1);
 
+/// Interval between checks whether the era that this router's entry names is outdated. The routers
+/// of a fleet notice a restore of the store together, and spread their writes over a part of it.
+const ERA_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Interval between checks for entries of dead routers.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -45,14 +51,35 @@
 /// delay the exit beyond the allowed time.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Writes this router's entry, and writes it again whenever it disappears.
+/// Writes this router's entry, and writes it again whenever it disappears, or the store holds
+/// everything in another era than it names.
 pub async fn keep_registered(gateway: Arc<Gateway>, store: Store) {
     wait_for_start_check(&gateway).await;
     loop {
-        while !write_entry(&gateway, &store).await {
+        let era = known_era(&gateway);
+        if !write_entry(&gateway, &store, era).await {
             sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        tokio::select! {
+            () = gateway.entry_missing.notified() => {}
+            () = wait_for_other_era(&gateway, era) => {}
+        }
+    }
+}
+
+fn known_era(gateway: &Gateway) -> Option<Era> {
+    gateway.state().known_era(gateway.now())
+}
+
+/// Waits until the store is known to hold everything in another era than this one.
+async fn wait_for_other_era(gateway: &Gateway, named: Option<Era>) {
+    loop {
+        sleep(jittered(ERA_CHECK_INTERVAL)).await;
+        let known = known_era(gateway);
+        if known.is_some() && known != named {
+            return;
         }
-        gateway.entry_missing.notified().await;
     }
 }
 
@@ -67,15 +94,14 @@
     let _ended = timeout(MAX_START_CHECK, ended).await;
 }
 
-/// Writes the entry once and returns whether that succeeded.
-async fn write_entry(gateway: &Gateway, store: &Store) -> bool {
+/// Writes the entry, which names this era, once and returns whether that succeeded.
+async fn write_entry(gateway: &Gateway, store: &Store, era: Option<Era>) -> bool {
     let settings = gateway.settings();
-    let now = gateway.now();
     let entry = RouterEntry {
         name: settings.name.as_str().into(),
         revision: 0,
         address: gateway.peer_address,
-        era: gateway.state().known_era(now).map(|era| era.0),
+        era: era.map(|era| era.0),
     };
     let Ok(body) = store::router_body(&entry) else {
         return false;
