direct, gateway: a copy of the store is not trusted because nobody answers

Cause: a router that starts asks others whether the copy lacks anything, and takes five rounds without an answer for a store that nobody knows more than. Where all have just started, none can answer.

Fix: the entries of routers in the copy name an era before the store's present one. If none names the present one, no router has known the store to be complete since, and it is trusted only once all writers have had time to write again (2 s after the first read).

--- a/crates/peppercrank-direct/src/start_check.rs
+++ b/crates/peppercrank-direct/src/start_check.rs
@@ -5,8 +5,8 @@
 //!
 //! The store may have been restored from an older copy right before the start. Routers that ran
 //! then have seen its era change, and know what the copy lacks; this one has not. So it asks other
-//! routers first, and trusts the store alone only if none is there, or once all writers have had
-//! time to write again.
+//! routers first, and trusts the store alone only if none is there and nothing shows a restore, or
+//! once all writers have had time to write again.
 
 use peppercrank_core::time::Instant;
 
@@ -28,6 +28,8 @@
         proof: Option<Instant>,
         /// Rounds of questions without an answer; `None` once a router has answered.
         unanswered: Option<u32>,
+        /// Whether the store is known to have been restored since routers wrote to it last.
+        is_copy: bool,
     },
     /// The store's answers are trusted.
     Passed,
@@ -43,6 +45,7 @@
                 first_read: None,
                 proof: None,
                 unanswered: Some(0),
+                is_copy: false,
             }
         } else {
             Self::Passed
@@ -88,17 +91,26 @@
         }
     }
 
-    /// Records that a round of questions ended without a confirmation. Returns whether no router is
-    /// taken to be there.
+    /// Records that the store was restored since routers wrote to it last, so that it may lack what
+    /// no router that runs now has seen.
+    pub const fn suspect_copy(&mut self) {
+        if let Self::Pending { is_copy, .. } = self {
+            *is_copy = true;
+        }
+    }
+
+    /// Records that a round of questions ended without a confirmation. Returns whether the store is
+    /// to be trusted, as no router is taken to be there and nothing shows a restore.
     #[must_use]
     pub const fn record_round(&mut self) -> bool {
         if let Self::Pending {
             unanswered: Some(rounds),
+            is_copy,
             ..
         } = self
         {
             *rounds += 1;
-            return *rounds >= MAX_UNANSWERED_ROUNDS;
+            return *rounds >= MAX_UNANSWERED_ROUNDS && !*is_copy;
         }
         false
     }
--- a/crates/peppercrank-direct/tests/verify_start_check.rs
+++ b/crates/peppercrank-direct/tests/verify_start_check.rs
@@ -44,6 +44,20 @@
     assert!(check.can_prove_newest(at(200)));
 }
 
+/// Guards against a fleet that trusts an older copy of the store since all its routers have just
+/// started, and none can answer.
+#[test]
+fn verify_an_older_copy_is_not_trusted_because_no_router_answers() {
+    let mut check = StartCheck::new(true);
+    check.record_read(at(100));
+    check.suspect_copy();
+    for _ in 0..10 * MAX_UNANSWERED_ROUNDS {
+        assert!(!check.record_round());
+    }
+    assert!(!check.can_prove_newest(at(99) + REWRITE_PERIOD));
+    assert!(check.can_prove_newest(at(100) + REWRITE_PERIOD));
+}
+
 #[test]
 fn verify_a_confirmation_ends_the_check() {
     let mut check = StartCheck::new(true);
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -84,15 +84,18 @@
                     self.gateway.entry_missing.notify_one();
                 }
                 let era = self.gateway.state().eras.newest();
-                let was_not_restored = was_not_restored(era, &entries);
+                let history = StoreHistory::of_entries(era, &entries);
                 self.gateway.state().routers.clear();
                 for entry in entries {
                     self.apply_router(entry);
                 }
                 let mut state = self.gateway.state();
                 state.routers_read = true;
-                if was_not_restored || state.routers.is_empty() {
-                    state.trust_store();
+                match history {
+                    StoreHistory::Complete => state.trust_store(),
+                    StoreHistory::Restored => state.start_check.suspect_copy(),
+                    StoreHistory::Unknown if state.routers.is_empty() => state.trust_store(),
+                    StoreHistory::Unknown => {}
                 }
                 state.routers_changed(&own);
                 drop(state);
@@ -195,6 +198,7 @@
         let can_prove = state.eras.can_prove_newest(asked_at) && state.config.index().is_some();
         if proof == Proof::Newest && can_prove {
             if state.can_trust_store_after_start(asked_at) {
+                let _proof = state.start_check.pass();
                 state.freshness.confirm(asked_at, Source::Store);
             } else {
                 state.start_check.record_proof(asked_at);
@@ -304,17 +308,33 @@
     }
 }
 
-/// Returns whether the store is known not to have been restored from an older copy since one of
-/// these routers wrote its entry. A store that reports no era is never restored.
-fn was_not_restored(era: Option<Era>, routers: &[Entry]) -> bool {
-    let Some(Era(era)) = era else {
-        return true;
-    };
-    let mut eras = routers.iter().map(|entry| match entry {
-        Entry::Router(router) => router.era,
-        _ => None,
-    });
-    eras.any(|written_in| written_in == Some(era))
+/// What the entries of routers show of the store's history since they were written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoreHistory {
+    /// The store was not restored from an older copy.
+    Complete,
+    /// The store was restored, and no router has known it to hold everything since.
+    Restored,
+    /// No entry tells.
+    Unknown,
+}
+
+impl StoreHistory {
+    /// Returns the history of a store in this era. A store that reports no era is never restored.
+    fn of_entries(era: Option<Era>, routers: &[Entry]) -> Self {
+        let Some(Era(era)) = era else {
+            return Self::Complete;
+        };
+        let named = routers.iter().filter_map(|entry| match entry {
+            Entry::Router(router) => router.era,
+            _ => None,
+        });
+        match named.max() {
+            Some(newest) if newest == era => Self::Complete,
+            Some(newest) if newest < era => Self::Restored,
+            Some(_) | None => Self::Unknown,
+        }
+    }
 }
 
 /// Returns the beginning of a text of arbitrary length from another writer.
