direct: a leaving mark of a start in doubt counts at once

An entry with an earlier start than the known one is in doubt for 4 s, and nothing of it counted meanwhile; a pool without other targets goes on with the known start, which is the same address.

Fix: while the entry in doubt is marked as leaving, the target gets no work. If the mark was late word of a process that has ended, the known start loses work until it speaks again or 4 s are over, and only in a pool that has no other.

Evidence: the test fails without the change and passes with it.

--- a/crates/peppercrank-direct/src/target.rs
+++ b/crates/peppercrank-direct/src/target.rs
@@ -122,10 +122,21 @@
             .map(|(entry, from)| (entry, *from))
     }
 
+    /// Returns whether the entry of another start, which may be the one that runs, is marked as
+    /// leaving.
+    fn is_conflicting_start_leaving(&self) -> bool {
+        self.conflicting
+            .as_ref()
+            .is_some_and(|(entry, _)| entry.leaving)
+    }
+
     /// Returns why the target's entry keeps it from new work; `None` if it does not.
     #[must_use]
     pub fn withheld_reason(&self, now: Instant) -> Option<WithheldReason> {
         match self.state {
+            State::Ready | State::Missing(_) if self.is_conflicting_start_leaving() => {
+                Some(WithheldReason::Leaving)
+            }
             State::Ready => None,
             State::Missing(until) => (now >= until).then_some(WithheldReason::Missing),
             State::Leaving => Some(WithheldReason::Leaving),
--- a/crates/peppercrank-direct/tests/verify_directory.rs
+++ b/crates/peppercrank-direct/tests/verify_directory.rs
@@ -412,6 +412,31 @@
     assert!(ready(&directory, ZERO + OLDER_START_DELAY).is_empty());
 }
 
+/// Guards against requests to a target that is marked as leaving right after it has started again by
+/// a clock that was set back: the mark was not heeded while its start was in doubt.
+#[test]
+fn verify_a_leaving_mark_counts_while_its_start_is_in_doubt() {
+    let leaving = |millis| {
+        Change::Put(Registration {
+            start: Start(Some(millis)),
+            ..entry("one", true)
+        })
+    };
+    let mut directory = Directory::default();
+    directory.apply(ZERO, entry_of_start(Some(5)));
+    directory.apply(ZERO, entry_of_start(Some(4)));
+    assert_eq!(ready(&directory, ZERO), ["one"]);
+    directory.apply(ZERO, leaving(4));
+    assert!(ready(&directory, ZERO).is_empty());
+    assert_eq!(directory.draining(ZERO, "pool").count(), 1);
+    // The known start goes on, so the mark was late word of an earlier one.
+    directory.apply(ZERO, entry_of_start(Some(5)));
+    assert_eq!(ready(&directory, ZERO), ["one"]);
+    directory.apply(ZERO, leaving(4));
+    directory.expire(ZERO + OLDER_START_DELAY);
+    assert!(ready(&directory, ZERO + OLDER_START_DELAY).is_empty());
+}
+
 fn put_version(instance: &str, version: &str) -> Change {
     Change::Put(Registration {
         version: version.into(),
