gateway: the time for a silent watch of the configuration counts from the report's proof

What callers saw: nothing was reported.

Cause: up to 0.9 s until a router that asks the store reads the version, up to 0.9 s until it is asked for a confirmation, and then 250 ms more for the watch, which has had most of them already.

Fix: a confirmation tells how long ago its router knew the version to be the newest; a sound watch told of it then, and the 250 ms count from there. A router that has just read a version may tell the age of its proof before, for the milliseconds until the next proof; then the watch is repeated once in vain.

--- a/crates/peppercrank-direct/src/confirm.rs
+++ b/crates/peppercrank-direct/src/confirm.rs
@@ -86,8 +86,9 @@
 pub enum Verdict {
     /// The version in force here was the newest one at this time.
     CurrentAsOf(Instant),
-    /// The store has a newer version.
-    Outdated,
+    /// The store has a newer version, which the answering router has known to be the newest at this
+    /// time.
+    Outdated(Instant),
     /// It answers another request, or is too old to be of use.
     Unusable,
 }
@@ -111,11 +112,10 @@
         let Some(since) = self.sent_at.since_origin().checked_sub(age) else {
             return Verdict::Unusable;
         };
+        let since = Instant::from_origin(since);
         match version {
-            Some(version) if version >= confirmation.version => {
-                Verdict::CurrentAsOf(Instant::from_origin(since))
-            }
-            _ => Verdict::Outdated,
+            Some(version) if version >= confirmation.version => Verdict::CurrentAsOf(since),
+            _ => Verdict::Outdated(since),
         }
     }
 }
--- a/crates/peppercrank-direct/tests/verify_confirm.rs
+++ b/crates/peppercrank-direct/tests/verify_confirm.rs
@@ -61,8 +61,9 @@
             Some(5),
             Verdict::CurrentAsOf(at(9_299)),
         ),
-        (confirmation(6, 0), Some(5), Verdict::Outdated),
-        (confirmation(5, 0), None, Verdict::Outdated),
+        (confirmation(6, 0), Some(5), Verdict::Outdated(at(9_999))),
+        (confirmation(6, 700), Some(5), Verdict::Outdated(at(9_299))),
+        (confirmation(5, 0), None, Verdict::Outdated(at(9_999))),
         (confirmation(5, 1_300), Some(5), Verdict::Unusable),
         (other, Some(5), Verdict::Unusable),
     ];
--- a/crates/peppercrank-gateway/src/confirm.rs
+++ b/crates/peppercrank-gateway/src/confirm.rs
@@ -163,7 +163,8 @@
         }
         // The request stays pending, by which the waiting task sees that the answer confirmed
         // nothing.
-        Verdict::Outdated => {
+        Verdict::Outdated(since) => {
+            state.newer_version_since = since;
             gateway.newer_version_heard.notify_one();
         }
         Verdict::Unusable => return,
--- a/crates/peppercrank-gateway/src/missed.rs
+++ b/crates/peppercrank-gateway/src/missed.rs
@@ -8,6 +8,7 @@
 //! another connection shows that there may be one.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use peppercrank_direct::call_backoff::CallBackoff;
 use peppercrank_direct::directory::State as TargetState;
@@ -79,13 +80,28 @@
     };
     loop {
         reported.notified().await;
-        sleep(TRANSIT_TIME).await;
+        sleep(remaining_transit(gateway, role)).await;
         if is_behind(gateway) {
             return;
         }
     }
 }
 
+/// Returns how long a sound watch may still take to tell of a change that has just been reported.
+fn remaining_transit(gateway: &Gateway, role: &FollowerRole) -> Duration {
+    match role {
+        FollowerRole::WatchConfiguration(_) => {
+            let since = gateway.state().newer_version_since;
+            TRANSIT_TIME.saturating_sub(gateway.now().since(since))
+        }
+        // Changes of targets are announced once they are read.
+        FollowerRole::Targets
+        | FollowerRole::Routers
+        | FollowerRole::Evacuations(_)
+        | FollowerRole::ConfirmConfiguration(_) => TRANSIT_TIME,
+    }
+}
+
 /// Waits until a call that was answered after the watch was sent has revealed a change that the
 /// watch may have missed. Waits forever for roles whose own wait is short enough.
 async fn missed_foreign_change(
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -72,6 +72,8 @@
     pub eras: EraTracker,
     /// The newest configuration version that another router reported.
     pub heard_version: Option<u64>,
+    /// Time at which a router that reported a newer version knew it to be the newest.
+    pub newer_version_since: Instant,
     /// Whether the store may be trusted after this router's start.
     pub start_check: StartCheck,
     /// The registered targets.
@@ -216,6 +218,7 @@
             catch_up: CatchUp::default(),
             eras: EraTracker::default(),
             heard_version: None,
+            newer_version_since: now,
             start_check: StartCheck::new(settings.keys.is_some()),
             directory: Directory::default(),
             leaving: LeavingTargets::default(),
