gateway: the entry of a router that waits after a restore still shows it

A router that waits for 2 s writes its entry after 1 s, without an era. Once all had done so, a router that starts found no entry that shows the restore, and would trust the copy after 0.6 s without an answer.

Cause: the entry replaced the only sign of the restore.

Fix: until the store is known to be complete, the entry names the era that the entries before named.

Evidence: the test fails with entries without an era, and passes; the others of the file passed (one run).

--- a/crates/peppercrank-direct/src/start_check.rs
+++ b/crates/peppercrank-direct/src/start_check.rs
@@ -10,6 +10,7 @@
 
 use peppercrank_core::time::Instant;
 
+use crate::era::Era;
 use crate::era::REWRITE_PERIOD;
 
 /// Number of rounds of questions without any answer after which no other router is taken to be
@@ -28,8 +29,9 @@
         proof: Option<Instant>,
         /// Rounds of questions without an answer; `None` once a router has answered.
         unanswered: Option<u32>,
-        /// Whether the store is known to have been restored since routers wrote to it last.
-        is_copy: bool,
+        /// The last era in which routers knew the store to hold everything, if it is known to have
+        /// been restored since.
+        copied_era: Option<Era>,
     },
     /// The store's answers are trusted.
     Passed,
@@ -45,7 +47,7 @@
                 first_read: None,
                 proof: None,
                 unanswered: Some(0),
-                is_copy: false,
+                copied_era: None,
             }
         } else {
             Self::Passed
@@ -91,11 +93,21 @@
         }
     }
 
-    /// Records that the store was restored since routers wrote to it last, so that it may lack what
-    /// no router that runs now has seen.
-    pub const fn suspect_copy(&mut self) {
-        if let Self::Pending { is_copy, .. } = self {
-            *is_copy = true;
+    /// Records that the store was restored since routers knew it to hold everything, in this era, so
+    /// that it may lack what no router that runs now has seen.
+    pub const fn suspect_copy(&mut self, era: Era) {
+        if let Self::Pending { copied_era, .. } = self {
+            *copied_era = Some(era);
+        }
+    }
+
+    /// Returns the last era in which routers knew the store to hold everything, if it is known to
+    /// have been restored since.
+    #[must_use]
+    pub const fn copied_era(&self) -> Option<Era> {
+        match self {
+            Self::Pending { copied_era, .. } => *copied_era,
+            Self::Passed => None,
         }
     }
 
@@ -105,12 +117,12 @@
     pub const fn record_round(&mut self) -> bool {
         if let Self::Pending {
             unanswered: Some(rounds),
-            is_copy,
+            copied_era,
             ..
         } = self
         {
             *rounds += 1;
-            return *rounds >= MAX_UNANSWERED_ROUNDS && !*is_copy;
+            return *rounds >= MAX_UNANSWERED_ROUNDS && copied_era.is_none();
         }
         false
     }
--- a/crates/peppercrank-direct/tests/verify_start_check.rs
+++ b/crates/peppercrank-direct/tests/verify_start_check.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use peppercrank_core::time::Instant;
+use peppercrank_direct::era::Era;
 use peppercrank_direct::era::REWRITE_PERIOD;
 use peppercrank_direct::start_check::MAX_UNANSWERED_ROUNDS;
 use peppercrank_direct::start_check::StartCheck;
@@ -50,12 +51,16 @@
 fn verify_an_older_copy_is_not_trusted_because_no_router_answers() {
     let mut check = StartCheck::new(true);
     check.record_read(at(100));
-    check.suspect_copy();
+    check.suspect_copy(Era(1));
     for _ in 0..10 * MAX_UNANSWERED_ROUNDS {
         assert!(!check.record_round());
     }
     assert!(!check.can_prove_newest(at(99) + REWRITE_PERIOD));
     assert!(check.can_prove_newest(at(100) + REWRITE_PERIOD));
+    // Others that start meanwhile are told the same.
+    assert_eq!(check.copied_era(), Some(Era(1)));
+    let _proof = check.pass();
+    assert_eq!(check.copied_era(), None);
 }
 
 #[test]
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -93,7 +93,7 @@
                 state.routers_read = true;
                 match history {
                     StoreHistory::Complete => state.trust_store(),
-                    StoreHistory::Restored => state.start_check.suspect_copy(),
+                    StoreHistory::Restored(since) => state.start_check.suspect_copy(since),
                     StoreHistory::Unknown if state.routers.is_empty() => state.trust_store(),
                     StoreHistory::Unknown => {}
                 }
@@ -313,8 +313,8 @@
 enum StoreHistory {
     /// The store was not restored from an older copy.
     Complete,
-    /// The store was restored, and no router has known it to hold everything since.
-    Restored,
+    /// The store was restored, and no router has known it to hold everything since this era.
+    Restored(Era),
     /// No entry tells.
     Unknown,
 }
@@ -331,7 +331,7 @@
         });
         match named.max() {
             Some(newest) if newest == era => Self::Complete,
-            Some(newest) if newest < era => Self::Restored,
+            Some(newest) if newest < era => Self::Restored(Era(newest)),
             Some(_) | None => Self::Unknown,
         }
     }
--- a/crates/peppercrank-gateway/src/register.rs
+++ b/crates/peppercrank-gateway/src/register.rs
@@ -56,7 +56,9 @@
 pub async fn keep_registered(gateway: Arc<Gateway>, store: Store) {
     wait_for_start_check(&gateway).await;
     loop {
-        let era = known_era(&gateway);
+        // Until then the entry shows others that start that the store may be a copy.
+        let copied = gateway.state().start_check.copied_era();
+        let era = known_era(&gateway).or(copied);
         if !write_entry(&gateway, &store, era).await {
             sleep(RETRY_PAUSE).await;
             continue;
