direct, wire: the mark in doubt asks the accessor that was there; one more answer is cut

What was written twice: whether the start in doubt leaves read the field beside conflicting_start(), which returns the same entry.

The client's tests of cut answers had none without a length or chunks.

--- a/crates/peppercrank-direct/src/target.rs
+++ b/crates/peppercrank-direct/src/target.rs
@@ -125,8 +125,7 @@
     /// Returns whether the entry of another start, which may be the one that runs, is marked as
     /// leaving.
     fn is_conflicting_start_leaving(&self) -> bool {
-        self.conflicting
-            .as_ref()
+        self.conflicting_start()
             .is_some_and(|(entry, _)| entry.leaving)
     }
 
--- a/crates/peppercrank-wire/tests/verify_cut_answers.rs
+++ b/crates/peppercrank-wire/tests/verify_cut_answers.rs
@@ -26,7 +26,7 @@
 use tokio::task::yield_now;
 
 /// Whole answers, each with another framing or form.
-const ANSWERS: [&str; 7] = [
+const ANSWERS: [&str; 8] = [
     "HTTP/1.1 200 OK\r\na: b\r\ncontent-length: 8\r\n\r\ngoodgood",
     "HTTP/1.1 200 OK\r\ncontent-length: 800\r\ncontent-length: 800\r\n\r\n",
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;a=b\r\ngood\r\n0\r\na: b\r\n\r\n",
@@ -34,6 +34,7 @@
     "HTTP/1.0 200 OK\r\ncontent-length: 4\r\n\r\ngood",
     "HTTP/1.1 200 OK\na: b\ncontent-length: 4\n\ngood",
     "HTTP/1.1 204 No Content\r\na: b\r\n\r\n",
+    "HTTP/1.1 200 OK\r\na: b\r\nconnection: close\r\n\r\n",
 ];
 
 /// Size of a request that no socket buffers hold.
