gateway: announce a target whose entry is missing after an outage

What callers saw: nothing was reported.

Routers that have noticed the silence hold a removed entry for missing for 2 s, as after any outage, send nothing there, and announced it only when it counted as gone, if at all. A router whose own short call went on a new connection has noticed nothing, and its watch of targets stays silent for up to 6.2 s.

Fix: an entry that is missing is announced like one that is gone. An announcement proves nothing: who hears it asks the store once.

--- a/crates/peppercrank-gateway/src/targets.rs
+++ b/crates/peppercrank-gateway/src/targets.rs
@@ -54,7 +54,12 @@
                 gateway.state().target_info.insert(key, info);
             }
             TargetEvent::Paused(key) => log_paused(gateway, key),
-            TargetEvent::Missing(key) => log_change(LogEvent::TargetMissing, key),
+            TargetEvent::Missing(key) => {
+                // Others may not know of the outage for which this router waits for the entry.
+                let info = target_info(gateway, key);
+                announce_leaving(gateway, &info, revision);
+                log_event(gateway, LogEvent::TargetMissing, &info, revision);
+            }
             TargetEvent::InDoubt(key) => log_change(LogEvent::TargetInDoubt, key),
             TargetEvent::Unreadable(key) => log_change(LogEvent::TargetUnreadable, key),
             TargetEvent::NoChange => {}
