Stand-in of the store: a connection is known by an id of its own

Cause: not the gateway. The stand-in knew a connection by the caller's port.

Change: a call names its connection by an id instead of the caller's address, which nothing else used.

No product behaviour changes.

--- a/crates/peppercrank-wire/src/edge/call.rs
+++ b/crates/peppercrank-wire/src/edge/call.rs
@@ -3,7 +3,6 @@
 
 //! A call to a server, and its incoming body.
 
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -51,8 +50,21 @@
     pub head: Parts,
     /// The body, subject to the size and time limits of the server.
     pub body: CallBody,
-    /// The address of the caller.
-    pub peer: SocketAddr,
+    /// The connection on which it was received.
+    pub connection: ConnectionId,
+}
+
+/// Identifies a connection among all that this process has accepted, unlike the address of the
+/// caller, whose port may be used again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ConnectionId(u64);
+
+impl ConnectionId {
+    /// Returns the id of another connection.
+    pub(super) fn next() -> Self {
+        static ACCEPTED: AtomicU64 = AtomicU64::new(0);
+        Self(ACCEPTED.fetch_add(1, Ordering::Relaxed))
+    }
 }
 
 /// Reads the body of a call, subject to the size and time limits of the server.
--- a/crates/peppercrank-wire/src/edge/connection.rs
+++ b/crates/peppercrank-wire/src/edge/connection.rs
@@ -5,7 +5,6 @@
 
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
@@ -40,6 +39,7 @@
 use super::call::BodyMemory;
 use super::call::Call;
 use super::call::CallBody;
+use super::call::ConnectionId;
 use super::call::Reply;
 use super::call::raw_response;
 use super::call::refuse;
@@ -127,19 +127,16 @@
 }
 
 /// Serves a connection until it ends.
-pub(super) async fn serve_connection<F, R>(
-    io: TcpStream,
-    peer: SocketAddr,
-    shared: Arc<Shared<F>>,
-    stop: Stop,
-) where
+pub(super) async fn serve_connection<F, R>(io: TcpStream, shared: Arc<Shared<F>>, stop: Stop)
+where
     F: Fn(Call) -> R + Send + Sync + 'static,
     R: Future<Output = Reply> + Send,
 {
+    let id = ConnectionId::next();
     let state = Arc::new(ConnectionState::new());
     let mut stream = CheckedStream::new(io, Arc::clone(&state), shared.limits.clone());
     let (end, busy) = loop {
-        let served = serve_under_limits(stream, peer, &shared, &state, &stop).await;
+        let served = serve_under_limits(stream, id, &shared, &state, &stop).await;
         stream = served.stream;
         if let Some(end) = served.end {
             break (end, served.busy);
@@ -166,7 +163,7 @@
 /// Serves a connection until it ends, or a request with other limits begins.
 async fn serve_under_limits<F, R>(
     stream: CheckedStream,
-    peer: SocketAddr,
+    id: ConnectionId,
     shared: &Arc<Shared<F>>,
     state: &Arc<ConnectionState>,
     stop: &Stop,
@@ -180,7 +177,7 @@
         let in_progress = CallInProgress::new(state, &shared.counters);
         let call = ReceivedRequest {
             request,
-            peer,
+            connection: id,
             limits: Arc::clone(&limits),
         };
         handle_request(call, Arc::clone(shared), stop.clone(), in_progress)
@@ -217,7 +214,7 @@
 /// A request as received from hyper.
 struct ReceivedRequest {
     request: Request<Incoming>,
-    peer: SocketAddr,
+    connection: ConnectionId,
     limits: Arc<Limits>,
 }
 
@@ -231,7 +228,7 @@
     F: Fn(Call) -> R,
     R: Future<Output = Reply>,
 {
-    let peer = received.peer;
+    let connection = received.connection;
     let (head, body) = received.request.into_parts();
     // The checked stream cannot detect the end of a chunked body, so no request may follow it.
     let closes_after = head.headers.contains_key(header::TRANSFER_ENCODING);
@@ -243,7 +240,12 @@
         Arc::clone(&in_progress.state),
     );
     let mut reply = if accepts_requests(&stop, &limits) {
-        (shared.handler)(Call { head, body, peer }).await
+        let call = Call {
+            head,
+            body,
+            connection,
+        };
+        (shared.handler)(call).await
     } else {
         shared.counters.refuse(Refused::Stopping);
         refuse(Refused::Stopping)
--- a/crates/peppercrank-wire/src/edge/mod.rs
+++ b/crates/peppercrank-wire/src/edge/mod.rs
@@ -34,6 +34,7 @@
 
 pub use call::Call;
 pub use call::CallBody;
+pub use call::ConnectionId;
 pub use call::Reply;
 pub use call::refuse;
 pub use call::refuse_body;
@@ -151,8 +152,8 @@
         let late = self.accept(&mut tasks, &shared, &stop);
         let accept_until = deadline_after(stopped_at, limits.stop_idle).min(end);
         let _over = timeout_at(accept_until, late).await;
-        while let Some(Ok((io, peer))) = self.listener.accept().now_or_never() {
-            admit(&mut tasks, io, peer, &shared, &stop);
+        while let Some(Ok((io, _))) = self.listener.accept().now_or_never() {
+            admit(&mut tasks, io, &shared, &stop);
         }
         drop(self.listener);
         let cut = drain(tasks, end, &self.counters).await;
@@ -171,12 +172,12 @@
         loop {
             tokio::select! {
                 accepted = self.listener.accept() => {
-                    let Ok((io, peer)) = accepted else {
+                    let Ok((io, _)) = accepted else {
                         self.counters.accept_failed();
                         sleep(ACCEPT_PAUSE).await;
                         continue;
                     };
-                    admit(tasks, io, peer, shared, stop);
+                    admit(tasks, io, shared, stop);
                 }
                 Some(_) = tasks.join_next(), if !tasks.is_empty() => {}
             }
@@ -205,13 +206,8 @@
     }
 }
 
-fn admit<F, R>(
-    tasks: &mut JoinSet<()>,
-    io: TcpStream,
-    peer: SocketAddr,
-    shared: &Arc<Shared<F>>,
-    stop: &Stop,
-) where
+fn admit<F, R>(tasks: &mut JoinSet<()>, io: TcpStream, shared: &Arc<Shared<F>>, stop: &Stop)
+where
     F: Fn(Call) -> R + Send + Sync + 'static,
     R: Future<Output = Reply> + Send + 'static,
 {
@@ -231,7 +227,7 @@
     let shared = Arc::clone(shared);
     let stop = stop.clone();
     tasks.spawn(async move {
-        connection::serve_connection(io, peer, shared, stop).await;
+        connection::serve_connection(io, shared, stop).await;
         drop(open);
     });
 }
