Spec: a model of streams, records, writes without an answer, kills and cuts

What callers see today: streams whose version serves are refused as origin_unknown after a kill of all routers, once the store has lost answers; and (a report, not seen in a play of ours) streams that go on at another version at a router that was out of step. The model has two routers, two streams, one version that joins, writes that are done without an answer or late, kills of all routers and cuts.

--- a/crates/peppercrank-spec/src/lib.rs
+++ b/crates/peppercrank-spec/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod search;
 pub mod silence;
 pub mod starts;
+pub mod streams;
