--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod foreign_changes;
 pub mod freshness;
 pub mod in_flight;
+pub mod joining;
 pub mod leaving;
 pub mod memory;
 pub mod notice;
--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -122,6 +122,13 @@
         record.is_some_and(|r| r.versions.len() > 1 || r.unreadable)
     }
 
+    /// Returns whether a pool's record names a version.
+    #[must_use]
+    pub fn names(&self, pool: &str, version: SoftwareVersion) -> bool {
+        let record = self.pools.get(pool).map(|s| &s.record);
+        record.is_some_and(|r| r.versions.iter().any(|v| v.software() == version))
+    }
+
     /// Returns the number of versions on a pool's record.
     #[must_use]
     pub fn version_count(&self, pool: &str) -> usize {
