gateway: read the record of versions before one counts as the only one

Callers of a stream that began at a new version got its rest from the old one, 200 and whole, at a router that was out of touch while the new version joined: cut off from the store without a reset, with a silent watch of targets, or with datagrams lost, before it had noticed.

Cause: one version counted as certain as long as the router had not noticed that it was out of touch. None of what it judged by is bounded in time.

Streams begin at a version only once it is on its pool's record. A record that is read after the caller returned, and names one version, proves that its stream began there. All returns that wait share a call; without an answer they are refused.

--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -122,6 +122,17 @@
         record.is_some_and(|r| r.versions.len() > 1 || r.unreadable)
     }
 
+    /// Returns the only version on a pool's record, if that was read at `since` or later.
+    #[must_use]
+    pub fn only_version(&self, pool: &str, since: Instant) -> Option<SoftwareVersion> {
+        let record = &self.pools.get(pool)?.record;
+        let is_read = self.read_at.is_some_and(|read_at| read_at >= since);
+        match record.versions.as_slice() {
+            [only] if is_read && !record.unreadable => Some(only.software()),
+            _ => None,
+        }
+    }
+
     /// Returns the number of versions on a pool's record.
     #[must_use]
     pub fn version_count(&self, pool: &str) -> usize {
@@ -141,6 +152,10 @@
         asked_at: Instant,
         listed: Vec<(Arc<str>, VersionRecord)>,
     ) -> Vec<(Arc<str>, Arc<str>)> {
+        if self.read_at.is_some_and(|read_at| asked_at < read_at) {
+            // An answer to a later call was applied first.
+            return Vec::new();
+        }
         let mut listed = listed.into_iter().collect::<HashMap<_, _>>();
         for pool in self.pools.keys() {
             listed.entry(Arc::clone(pool)).or_default();
--- a/crates/peppercrank-direct/tests/verify_version_records.rs
+++ b/crates/peppercrank-direct/tests/verify_version_records.rs
@@ -311,3 +311,35 @@
     assert!(pool.records.names_several("pool"));
     assert!(!pool.is_confirmed("v1"));
 }
+
+/// Guards against a version that is taken for the only one although another was put on record after
+/// the read.
+#[test]
+fn verify_only_a_read_after_the_question_proves_one_version() {
+    let mut records = VersionRecords::default();
+    let at = |millis| Instant::ZERO + Duration::from_millis(millis);
+    let one = record(Some(1), &[("v1", false)]);
+    let two = record(Some(2), &[("v1", true), ("v2", false)]);
+    assert_eq!(records.only_version("pool", at(10)), None);
+    records.apply_list(at(10), vec![(pool(), one.clone())]);
+    let v1 = SoftwareVersion::of("v1");
+    assert_eq!(records.only_version("pool", at(10)), Some(v1));
+    assert_eq!(records.only_version("pool", at(11)), None);
+    assert_eq!(records.only_version("other", at(10)), None);
+    records.apply_list(at(20), vec![(pool(), two)]);
+    assert_eq!(records.only_version("pool", at(20)), None);
+    // The answer to the first call arrives late.
+    records.apply_list(at(15), vec![(pool(), one.clone())]);
+    assert!(records.names_several("pool"));
+    assert_eq!(records.only_version("pool", at(15)), None);
+    records.apply_list(at(30), vec![(pool(), one.clone())]);
+    assert_eq!(records.only_version("pool", at(30)), Some(v1));
+    records.invalidate();
+    assert_eq!(records.only_version("pool", at(30)), None);
+    let unreadable = VersionRecord {
+        unreadable: true,
+        ..one
+    };
+    records.apply_list(at(40), vec![(pool(), unreadable)]);
+    assert_eq!(records.only_version("pool", at(40)), None);
+}
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -132,6 +132,8 @@
     pub versions_changed: Notify,
     /// Wakes requests that wait until a software version is on record.
     pub versions_recorded: Notify,
+    /// Wakes the task that reads the records for callers that resume streams.
+    pub record_wanted: Notify,
     /// The limits for callers, which follow the configuration in force.
     pub limits: watch::Sender<Arc<Limits>>,
     /// The socket for datagrams between routers.
@@ -186,6 +188,7 @@
             entry_missing: Notify::new(),
             versions_changed: Notify::new(),
             versions_recorded: Notify::new(),
+            record_wanted: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
             peer_socket,
             peer_address,
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod serve;
 pub mod share_metrics;
 pub mod shares;
+pub mod single_version;
 pub mod state;
 pub mod store;
 pub mod suspension;
--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -19,6 +19,7 @@
 use crate::gossip::DATAGRAM_HEADER_BYTES;
 use crate::gossip::send;
 use crate::job::Job;
+use crate::single_version;
 use crate::state::State;
 use crate::state::may_cross_versions;
 
@@ -45,21 +46,22 @@
     let Some(resumption) = &job.resumption else {
         return Resumption::Anywhere;
     };
-    let origin = match &resumption.origin {
-        Some(request) => find_origin(gateway, StreamId::of(request)).await,
-        None => None,
+    let Some(request) = &resumption.origin else {
+        return resume_unnamed(gateway, job);
     };
+    let origin = match find_origin(gateway, StreamId::of(request)).await {
+        Some(version) => Some(version),
+        None => single_version::find(gateway, &job.pool, job.received_at).await,
+    };
+    Resumption::decide(origin, false)
+}
+
+/// Decides where a stream goes on whose caller does not name its origin. It belongs to a fleet that
+/// runs one version at a time.
+fn resume_unnamed(gateway: &Gateway, job: &Job) -> Resumption {
     let now = gateway.now();
     let state = gateway.state();
-    let several = state.may_cross_versions(now, &job.pool);
-    // Targets of a second version may have joined while the store did not answer, or served before
-    // this process started. A caller that names no origin belongs to a fleet that runs one version
-    // at a time.
-    let is_known = state.records_read
-        && state.version_records.are_current()
-        && !state.directory.is_store_down();
-    let outdated = resumption.origin.is_some() && !is_known;
-    let decided = Resumption::decide(origin, !several && !outdated);
+    let decided = Resumption::decide(None, !state.may_cross_versions(now, &job.pool));
     let versions = state.directory.software_versions(now, &job.pool);
     match (decided, versions.as_slice()) {
         // Another version may join before the stream goes on.
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -141,7 +141,8 @@
     u32::try_from(before.count()).unwrap_or(u32::MAX)
 }
 
-async fn read_versions(gateway: &Gateway, store: &Store) -> Option<()> {
+/// Reads which versions are on record; `None` if the store does not tell.
+pub async fn read_versions(gateway: &Gateway, store: &Store) -> Option<()> {
     let asked_at = gateway.now();
     let kind = RecordKind::Versions;
     let listed = list(gateway, store, kind, records::parse_versions).await?;
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -46,6 +46,7 @@
 use crate::reload;
 use crate::role::FollowerRole;
 use crate::serve;
+use crate::single_version;
 use crate::store::Store;
 use crate::suspension;
 use crate::targets;
@@ -225,6 +226,10 @@
         store.clone(),
     ));
     tasks.spawn(records::keep_versions(Arc::clone(gateway), store.clone()));
+    tasks.spawn(single_version::answer_doubts(
+        Arc::clone(gateway),
+        store.clone(),
+    ));
     tasks.spawn(records::keep_origins(Arc::clone(gateway), store.clone()));
     tasks.spawn(gossip::send_summaries(
         Arc::clone(gateway),
--- /dev/null
+++ b/crates/peppercrank-gateway/src/single_version.rs
@@ -0,0 +1,93 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Makes sure with the store that a pool has one software version.
+//!
+//! A router that is cut off, or stood still, does not know of a version that has just joined, nor
+//! that it is out of touch. Streams begin at a version only once it is on its pool's record. So a
+//! record that was read after a caller returned, and names one version, proves that its stream
+//! began there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use peppercrank_core::time::Instant;
+use peppercrank_direct::origins::SoftwareVersion;
+use peppercrank_direct::stored_origins::write_interval;
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+use crate::records;
+use crate::state::State;
+use crate::store::Store;
+use crate::store::jittered;
+
+/// Time for the store to answer, after which the origin counts as unknown: a few calls, or one to a
+/// slow store.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Maximum pause between two reads, after which no caller has waited too long.
+const MAX_READ_PAUSE: Duration = Duration::from_millis(250);
+
+/// What is known of the versions that may have begun a stream.
+enum Proof {
+    /// Only this one.
+    Single(SoftwareVersion),
+    /// One at most, unless another has joined unseen.
+    InDoubt,
+    /// Several, or any.
+    None,
+}
+
+/// Returns the only software version that may have begun a stream of a pool before
+/// `returned_at`, when its caller returned; `None` if there may be others.
+pub async fn find(gateway: &Gateway, pool: &str, returned_at: Instant) -> Option<SoftwareVersion> {
+    let until = gateway.now() + PROOF_TIMEOUT;
+    let proof = wait_for_proof(gateway, pool, returned_at);
+    gateway.timeout_at(until, proof).await.flatten()
+}
+
+async fn wait_for_proof(
+    gateway: &Gateway,
+    pool: &str,
+    returned_at: Instant,
+) -> Option<SoftwareVersion> {
+    let mut is_wanted = false;
+    loop {
+        let read = gateway.versions_recorded.notified();
+        tokio::pin!(read);
+        read.as_mut().enable();
+        match proof(&gateway.state(), gateway.now(), pool, returned_at) {
+            Proof::Single(version) => return Some(version),
+            Proof::None => return None,
+            Proof::InDoubt => {}
+        }
+        if !is_wanted {
+            gateway.record_wanted.notify_one();
+            is_wanted = true;
+        }
+        read.await;
+    }
+}
+
+fn proof(state: &State, now: Instant, pool: &str, returned_at: Instant) -> Proof {
+    let is_in_touch = state.records_read && !state.directory.is_store_down();
+    // A restored store may lack versions until routers have written them again.
+    let is_whole = state.eras.can_prove_newest(returned_at);
+    if !is_in_touch || !is_whole || state.may_cross_versions(now, pool) {
+        return Proof::None;
+    }
+    let only = state.version_records.only_version(pool, returned_at);
+    only.map_or(Proof::InDoubt, Proof::Single)
+}
+
+/// Reads the records whenever a caller's return depends on them. One call answers all callers that
+/// returned before it, and reads are paced, as each call has a cost.
+pub async fn answer_doubts(gateway: Arc<Gateway>, store: Store) {
+    loop {
+        gateway.record_wanted.notified().await;
+        let _read = records::read_versions(&gateway, &store).await;
+        let routers = gateway.state().routers.len() + 1;
+        sleep(jittered(write_interval(routers).min(MAX_READ_PAUSE))).await;
+    }
+}
