gateway: a version is put on record once origins of earlier streams had time to be written

Cause: a router puts the version on record within some 50 ms of its joining, while the origins of streams that are in progress follow with the next write, up to 1.9 s later at 370 routers. Once two versions are on record, an origin that nobody has written is not known. Change: a version that joins beside one on record which serves is held back for two writes of origins and 300 ms, and for 3 s after the start of the router, in which callers return. Without such a target nothing is held back.

--- a/crates/peppercrank-direct/src/joining.rs
+++ b/crates/peppercrank-direct/src/joining.rs
@@ -45,9 +45,8 @@
 }
 
 impl Joining {
-    /// Returns which of the `recent` versions of a pool may be put on record, in a fleet of so many
-    /// routers of which this one started at `started`. Versions are held back only if `serves`: a
-    /// target of a version on record accepts work.
+    /// Returns which of the `recent` versions of a pool may be put on record. None that the record
+    /// names is held back.
     pub fn admit(
         &mut self,
         now: Instant,
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -12,6 +12,8 @@
 use peppercrank_core::hash::hash64;
 use peppercrank_core::time::Instant;
 use peppercrank_direct::era::EraOrder;
+use peppercrank_direct::joining::Admitted;
+use peppercrank_direct::joining::Hold;
 use peppercrank_direct::origins::OriginReport;
 use peppercrank_direct::pool_versions::RETENTION;
 use peppercrank_direct::stored_origins::write_interval;
@@ -110,9 +112,13 @@
         state.records_read = true;
     }
     for pool in pools {
-        let recent = state.directory.software_versions(now, &pool);
+        let admitted = admitted_versions(&mut state, now, &pool);
+        if let Some(at) = admitted.next {
+            wake = wake.min(at);
+        }
+        let recent = &admitted.versions;
         let rank = write_rank(&state, &own, &pool);
-        let step = state.version_records.next_step(now, &pool, &recent, rank);
+        let step = state.version_records.next_step(now, &pool, recent, rank);
         match step {
             RecordStep::Done => {}
             RecordStep::WaitUntil(at) => wake = wake.min(at),
@@ -123,6 +129,18 @@
     Action::WaitUntil(wake)
 }
 
+/// Returns the versions of a pool's targets without those that have just joined.
+fn admitted_versions(state: &mut State, now: Instant, pool: &Arc<str>) -> Admitted {
+    let recent = state.directory.software_versions(now, pool);
+    let hold = Hold {
+        routers: state.routers.len() + 1,
+        started: state.started,
+        serves: state.serves_recorded_version(now, pool),
+    };
+    let records = &state.version_records;
+    state.joining.admit(now, pool, recent, records, hold)
+}
+
 /// Returns the pools to which resumable streams are sent; `None` before a configuration was read.
 fn resumable_pools(state: &State) -> Option<Vec<Arc<str>>> {
     let index = state.config.index()?;
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -21,6 +21,7 @@
 use peppercrank_direct::failures::Failures;
 use peppercrank_direct::freshness::Freshness;
 use peppercrank_direct::freshness::Source;
+use peppercrank_direct::joining::Joining;
 use peppercrank_direct::leaving::LeavingTargets;
 use peppercrank_direct::memory::TargetMemory;
 use peppercrank_direct::occupancy::Occupancy;
@@ -126,6 +127,10 @@
     pub stored_origins: StoredOrigins,
     /// The software versions that the store has on record for each pool.
     pub version_records: VersionRecords,
+    /// Software versions that have just joined and are not put on record yet.
+    pub joining: Joining,
+    /// When this router started.
+    pub started: Instant,
     /// Whether it was read from the store which versions served, and where streams began if that
     /// matters.
     pub records_read: bool,
@@ -245,6 +250,8 @@
             origin_queue: OriginQueue::default(),
             stored_origins: StoredOrigins::default(),
             version_records: VersionRecords::default(),
+            joining: Joining::default(),
+            started: now,
             records_read: false,
             warm_up_gate: Gate::default(),
             peers: Peers::default(),
@@ -311,6 +318,14 @@
         may_cross_versions(&self.directory, &self.version_records, now, pool)
     }
 
+    /// Returns whether a target of a pool accepts work whose software version is on record.
+    #[must_use]
+    pub fn serves_recorded_version(&self, now: Instant, pool: &str) -> bool {
+        let usable = self.directory.pool(now, pool).into_iter();
+        let mut targets = usable.filter_map(|key| self.directory.get(key));
+        targets.any(|t| self.version_records.is_confirmed(pool, t.software))
+    }
+
     /// Drops everything known about an incarnation of a target that is gone.
     pub fn forget(&mut self, key: TargetKey) {
         self.board.remove(key);
