gateway: streams begin at versions on record alone, also while the store is away

What callers would see: a stream that begins at a version which is not on record, at a router whose store is away, goes on at the version on record elsewhere (ORDER). Cause: while the store did not answer, streams began at all versions, whereas others conclude from the record where a stream began. Evidence: verify_streams_begin_at_versions_on_record_alone_while_the_store_is_away failed before (stream 0 began at v2) and passes. The model spec::streams finds the joined stream where this rule is taken away (BeginsUnrecorded). Why it works: a version that is not on record gets no stream unless no target of one on record is left, at which a stream might be joined.

--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -153,8 +153,9 @@
 }
 
 /// Withholds the targets whose software version is not on record yet, in a pool with several
-/// versions. Streams that may be resumed must not begin there: once the routers end, nobody would
-/// know that the version served. While the store is down, what is known of the pool decides.
+/// versions. Streams that may be resumed must not begin there, as other routers conclude from the
+/// record where a stream began. While the store is down, they begin there if no target of a version
+/// on record is left at which they might be taken up.
 fn withhold_unrecorded_versions(
     state: &State,
     now: Instant,
@@ -163,8 +164,7 @@
     eligible: &mut Eligible,
 ) -> Result<Vec<TargetKey>, Rejection> {
     let must_be_recorded = matches!(job.kind, RouteKind::Stream { resumable: true })
-        && state.may_cross_versions(now, &job.pool)
-        && !state.directory.is_store_down();
+        && state.may_cross_versions(now, &job.pool);
     if !must_be_recorded {
         return Ok(allowed);
     }
@@ -174,11 +174,16 @@
         target.is_some_and(|t| records.is_confirmed(&job.pool, t.software))
     };
     let (recorded, others) = allowed.into_iter().partition::<Vec<_>, _>(is_recorded);
-    eligible.withheld.extend(others);
-    if recorded.is_empty() {
-        return Err(Rejection::with_default_delay(Reason::VersionUnrecorded));
+    if !recorded.is_empty() {
+        eligible.withheld.extend(others);
+        return Ok(recorded);
+    }
+    let mut leaving = state.directory.draining(now, &job.pool);
+    let is_left = leaving.any(|(key, _)| is_recorded(&key));
+    if state.directory.is_store_down() && state.version_records.are_known() && !is_left {
+        return Ok(others);
     }
-    Ok(recorded)
+    Err(Rejection::with_default_delay(Reason::VersionUnrecorded))
 }
 
 /// Returns whether a target runs the given software version; always true if none is given.
