gateway: the record alone decides which version began a stream of unknown origin

What callers saw: as a second version had just joined, all routers were killed; streams of the first one were refused as origin_unknown, although nothing had begun at the second one yet. Cause: a router that sees targets of two versions took any stream of unknown origin for one of either. Change: streams begin at versions on record alone, so a record that is read after the return and names one version tells where the stream began, whatever targets are seen. A record may be of a copy to which the store was restored; it names the era in which it was written, and one of another era proves nothing beside targets of two versions.

--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -16,6 +16,7 @@
 
 use peppercrank_core::time::Instant;
 
+use crate::era::Era;
 use crate::origins::SoftwareVersion;
 use crate::pool_versions::RETENTION;
 use crate::pool_versions::RecentVersion;
@@ -50,6 +51,8 @@
     pub revision: Option<u64>,
     /// Versions in the order in which they were recorded.
     pub versions: Vec<RecordedVersion>,
+    /// Era of the store in which the record was written; `None` if that is not known.
+    pub era: Option<Era>,
     /// Whether the record in the store cannot be read. It may name any version, and is left alone.
     pub unreadable: bool,
 }
@@ -140,6 +143,13 @@
         }
     }
 
+    /// Returns whether a pool's record was written in this era of the store.
+    #[must_use]
+    pub fn is_of_era(&self, pool: &str, era: Option<Era>) -> bool {
+        let record = self.pools.get(pool).map(|s| &s.record);
+        record.is_some_and(|r| r.era == era)
+    }
+
     /// Returns the number of versions on a pool's record.
     #[must_use]
     pub fn version_count(&self, pool: &str) -> usize {
--- a/crates/peppercrank-direct/tests/verify_joining.rs
+++ b/crates/peppercrank-direct/tests/verify_joining.rs
@@ -47,6 +47,7 @@
     let record = VersionRecord {
         revision: Some(1),
         versions: versions.collect(),
+        era: None,
         unreadable: false,
     };
     let mut records = VersionRecords::default();
--- a/crates/peppercrank-direct/tests/verify_version_records.rs
+++ b/crates/peppercrank-direct/tests/verify_version_records.rs
@@ -49,6 +49,7 @@
     VersionRecord {
         revision,
         versions: versions.collect(),
+        era: None,
         unreadable: false,
     }
 }
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -181,6 +181,10 @@
     pool: &Arc<str>,
     record: VersionRecord,
 ) -> Option<()> {
+    let record = VersionRecord {
+        era: gateway.state().eras.newest(),
+        ..record
+    };
     let body = records::versions_body(pool, &record).ok()?;
     let kind = RecordKind::Versions;
     let path = record.revision.map_or_else(
--- a/crates/peppercrank-gateway/src/single_version.rs
+++ b/crates/peppercrank-gateway/src/single_version.rs
@@ -1,7 +1,7 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! Makes sure with the store that a pool has one software version.
+//! Makes sure with the store that streams of a pool began at one software version.
 //!
 //! A router that is cut off, or stood still, does not know of a version that has just joined, nor
 //! that it is out of touch. Streams begin at a version only once it is on its pool's record. So a
@@ -74,7 +74,13 @@
     let is_in_touch = state.records_read && !state.directory.is_store_down();
     // A restored store may lack versions until routers have written them again.
     let is_whole = state.eras.can_prove_newest(returned_at);
-    if !is_in_touch || !is_whole || state.may_cross_versions(now, pool) {
+    if !is_in_touch || !is_whole || state.version_records.names_several(pool) {
+        return Proof::None;
+    }
+    // Targets of another version may be known already, and begin streams once it is on record. A
+    // record of an earlier era may lack what was on record before the store was restored.
+    let era = state.eras.newest();
+    if state.may_cross_versions(now, pool) && !state.version_records.is_of_era(pool, era) {
         return Proof::None;
     }
     let only = state.version_records.only_version(pool, returned_at);
