gateway: begin streams at recorded versions alone while the store is away

Callers of a stream that began at a new version got its rest from the old one: a router that had lost the store just after it saw the version join began streams there before it was on record, and a router whose watch was silent read a record with the old version alone.

Cause: while the store was away, streams began at all versions known, on record or not.

They begin at versions that were found on record, as long as one of these has a target, and at any only where none is left.

--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -154,7 +154,8 @@
 
 /// Withholds the targets whose software version is not on record yet, in a pool with several
 /// versions. Streams that may be resumed must not begin there: once the routers end, nobody would
-/// know that the version served. While the store is down, what is known of the pool decides.
+/// know that the version served, and a router that is out of step would take another one for the
+/// only one. While the store is down, they begin there if no target of a recorded version is left.
 fn withhold_unrecorded_versions(
     state: &State,
     now: Instant,
@@ -163,8 +164,7 @@
     eligible: &mut Eligible,
 ) -> Result<Vec<TargetKey>, Rejection> {
     let must_be_recorded = matches!(job.kind, RouteKind::Stream { resumable: true })
-        && state.may_cross_versions(now, &job.pool)
-        && !state.directory.is_store_down();
+        && state.may_cross_versions(now, &job.pool);
     if !must_be_recorded {
         return Ok(allowed);
     }
@@ -174,10 +174,13 @@
         target.is_some_and(|t| records.is_confirmed(&job.pool, t.software))
     };
     let (recorded, others) = allowed.into_iter().partition::<Vec<_>, _>(is_recorded);
-    eligible.withheld.extend(others);
     if recorded.is_empty() {
+        if state.directory.is_store_down() {
+            return Ok(others);
+        }
         return Err(Rejection::with_default_delay(Reason::VersionUnrecorded));
     }
+    eligible.withheld.extend(others);
     Ok(recorded)
 }
 
