gateway: read origins again where a caller resumes a stream that no router knows

Callers were refused on and on at a router that had missed the reports of others, cut off from them or by lost datagrams, once those had ended: the origins lay in the store, and were read after a start alone.

Cause: reports are sent once, and only a start counted as a time in which they are missed.

The origins are read again when a return depends on it, paced, for all that wait; a router's own ones are taken up after a start alone.

--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -134,6 +134,8 @@
     pub versions_recorded: Notify,
     /// Wakes the task that reads the records for callers that resume streams.
     pub record_wanted: Notify,
+    /// Wakes the task that reads origins from the store for callers that resume streams.
+    pub origins_wanted: Notify,
     /// The limits for callers, which follow the configuration in force.
     pub limits: watch::Sender<Arc<Limits>>,
     /// The socket for datagrams between routers.
@@ -189,6 +191,7 @@
             versions_changed: Notify::new(),
             versions_recorded: Notify::new(),
             record_wanted: Notify::new(),
+            origins_wanted: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
             peer_socket,
             peer_address,
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod limits;
 pub mod metrics;
 pub mod missed;
+pub mod missed_origins;
 pub mod origins;
 pub mod outage;
 pub mod progress;
--- /dev/null
+++ b/crates/peppercrank-gateway/src/missed_origins.rs
@@ -0,0 +1,70 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Reads from the store the origins of streams whose reports did not reach this router.
+//!
+//! Reports are sent once. A router that was out of touch has missed them, and those that sent them
+//! may have ended meanwhile.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use peppercrank_direct::origins::SoftwareVersion;
+use peppercrank_direct::origins::StreamId;
+use peppercrank_direct::stored_origins::write_interval;
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+use crate::origins::known_version;
+use crate::records;
+use crate::store::Store;
+use crate::store::jittered;
+
+/// Time for which a caller waits for a read.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Minimum time between two reads, as a multiple of the time between two writes: what a read brings
+/// is what the writes have added, and it costs more.
+const READ_INTERVAL_FACTOR: u32 = 10;
+
+/// Returns the version that began a stream of a pool with several versions, if a router has written
+/// it to the store; `None` if none has, or the store does not tell in time.
+pub async fn find(gateway: &Gateway, pool: &str, stream: StreamId) -> Option<SoftwareVersion> {
+    let now = gateway.now();
+    {
+        let state = gateway.state();
+        // After a start, the origins are being read already.
+        let is_in_touch = state.records_read && !state.directory.is_store_down();
+        if !is_in_touch || !state.may_cross_versions(now, pool) {
+            return None;
+        }
+    }
+    let until = now + READ_TIMEOUT;
+    gateway
+        .timeout_at(until, wait_for_origin(gateway, stream))
+        .await
+}
+
+async fn wait_for_origin(gateway: &Gateway, stream: StreamId) -> SoftwareVersion {
+    gateway.origins_wanted.notify_one();
+    loop {
+        let answered = gateway.origin_answered.notified();
+        tokio::pin!(answered);
+        answered.as_mut().enable();
+        if let Some(version) = known_version(gateway, stream) {
+            return version;
+        }
+        answered.await;
+    }
+}
+
+/// Reads the origins whenever a caller resumes a stream that no router knows. Reads are paced, as
+/// each has a cost that grows with the number of routers.
+pub async fn read_missed(gateway: Arc<Gateway>, store: Store) {
+    loop {
+        gateway.origins_wanted.notified().await;
+        let _read = records::read_origins(&gateway, &store).await;
+        let routers = gateway.state().routers.len() + 1;
+        sleep(jittered(write_interval(routers) * READ_INTERVAL_FACTOR)).await;
+    }
+}
--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -19,6 +19,7 @@
 use crate::gossip::DATAGRAM_HEADER_BYTES;
 use crate::gossip::send;
 use crate::job::Job;
+use crate::missed_origins;
 use crate::single_version;
 use crate::state::State;
 use crate::state::may_cross_versions;
@@ -51,11 +52,19 @@
     };
     let origin = match find_origin(gateway, StreamId::of(request)).await {
         Some(version) => Some(version),
-        None => single_version::find(gateway, &job.pool, job.received_at).await,
+        None => find_in_store(gateway, job, StreamId::of(request)).await,
     };
     Resumption::decide(origin, false)
 }
 
+/// Returns the version that began a stream which no router knows, by what the store has on record.
+async fn find_in_store(gateway: &Gateway, job: &Job, stream: StreamId) -> Option<SoftwareVersion> {
+    match single_version::find(gateway, &job.pool, job.received_at).await {
+        Some(version) => Some(version),
+        None => missed_origins::find(gateway, &job.pool, stream).await,
+    }
+}
+
 /// Decides where a stream goes on whose caller does not name its origin. It belongs to a fleet that
 /// runs one version at a time.
 fn resume_unnamed(gateway: &Gateway, job: &Job) -> Resumption {
@@ -95,7 +104,8 @@
     origin
 }
 
-fn known_version(gateway: &Gateway, stream: StreamId) -> Option<SoftwareVersion> {
+/// Returns the version that began a stream, if this router knows it.
+pub fn known_version(gateway: &Gateway, stream: StreamId) -> Option<SoftwareVersion> {
     gateway.state().origins.version(gateway.now(), stream)
 }
 
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -210,8 +210,9 @@
     removed && !pools.iter().any(|p| state.may_cross_versions(now, p))
 }
 
-/// Reads the origins that all routers wrote, and keeps those of this router's own object in it.
-async fn read_origins(gateway: &Gateway, store: &Store) -> Option<()> {
+/// Reads the origins that all routers wrote, and after a start keeps those of this router's own object
+/// in it; `None` if the store does not tell.
+pub async fn read_origins(gateway: &Gateway, store: &Store) -> Option<()> {
     let routers = u32::try_from(gateway.state().routers.len()).unwrap_or(u32::MAX);
     let spread = READ_SPREAD.saturating_mul(routers);
     sleep(spread.mul_f64(rand::random_range(0.0..1.0))).await;
@@ -231,13 +232,15 @@
                     kept_ms,
                 };
                 state.origins.record_report(now, report);
-                if *name == *own {
+                if *name == *own && !state.records_read {
                     state.stored_origins.push_earlier(now, stream);
                 }
             }
         }
     }
     state.records_read = true;
+    drop(state);
+    gateway.origin_answered.notify_waiters();
     Some(())
 }
 
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -39,6 +39,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::MAX_IDLE_PER_TARGET;
 use crate::gossip;
+use crate::missed_origins;
 use crate::outage::Outage;
 use crate::progress;
 use crate::records;
@@ -226,6 +227,10 @@
         store.clone(),
     ));
     tasks.spawn(records::keep_versions(Arc::clone(gateway), store.clone()));
+    tasks.spawn(missed_origins::read_missed(
+        Arc::clone(gateway),
+        store.clone(),
+    ));
     tasks.spawn(single_version::answer_doubts(
         Arc::clone(gateway),
         store.clone(),
