gateway: a stream does not go on at another service once its route has moved

Cause: a version was a hash of its name without its pool, and a return of unknown origin asked about the route's pool of today, where one version was certain. What remains: several pools with such streams, and all routers restarted right after a move between them.

--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -198,12 +198,32 @@
 }
 
 impl Desired {
+    /// Returns whether a stream that began with an earlier configuration may be resumed at another
+    /// pool with this one.
+    #[must_use]
+    pub fn moves_streams(&self, earlier: &Self) -> bool {
+        let mut pools = earlier.resumable_pools();
+        pools.extend(self.resumable_pools());
+        pools.sort_unstable();
+        pools.dedup();
+        let is_alike =
+            |a: &Route, b: &Route| a.host == b.host && a.prefix == b.prefix && a.pools == b.pools;
+        let routes = self.resumable_routes().zip(earlier.resumable_routes());
+        let count = self.resumable_routes().count();
+        let unchanged = count == earlier.resumable_routes().count();
+        pools.len() > 1 && !(unchanged && routes.into_iter().all(|(a, b)| is_alike(a, b)))
+    }
+
+    fn resumable_routes(&self) -> impl Iterator<Item = &Route> {
+        let streams = RouteKind::Stream { resumable: true };
+        self.routes.iter().filter(move |r| r.kind == streams)
+    }
+
     /// Returns the pools to which streams are sent that another run may continue.
     #[must_use]
     pub fn resumable_pools(&self) -> Vec<Arc<str>> {
-        let streams = RouteKind::Stream { resumable: true };
-        let routes = self.routes.iter().filter(|r| r.kind == streams);
-        let mut pools = routes
+        let mut pools = self
+            .resumable_routes()
             .flat_map(|r| &r.pools)
             .map(|share| Arc::clone(&share.pool))
             .collect::<Vec<_>>();
--- a/crates/peppercrank-direct/src/directory.rs
+++ b/crates/peppercrank-direct/src/directory.rs
@@ -232,7 +232,7 @@
         };
         let cold_until = now + entry.cold_for;
         let registration = entry;
-        let software = SoftwareVersion::of(&registration.version);
+        let software = SoftwareVersion::of(&pool, &registration.version);
         self.versions.joined(now, &pool, &registration.version);
         let key = self.targets.insert(Target {
             software,
@@ -294,6 +294,17 @@
         self.versions.is_mixed(now, pool)
     }
 
+    /// Records that a route whose streams may be resumed moved to a pool from another one.
+    pub fn record_moved_route(&mut self, now: Instant, pool: &Arc<str>) {
+        self.versions.route_moved(now, pool);
+    }
+
+    /// Returns whether callers may resume streams at a pool that began at another one.
+    #[must_use]
+    pub fn has_moved_routes(&self, now: Instant, pool: &str) -> bool {
+        self.versions.has_moved_routes(now, pool)
+    }
+
     /// Returns the software versions that the targets of a pool run, or did until recently.
     #[must_use]
     pub fn software_versions(&self, now: Instant, pool: &str) -> Vec<RecentVersion> {
--- a/crates/peppercrank-direct/src/origins.rs
+++ b/crates/peppercrank-direct/src/origins.rs
@@ -55,15 +55,17 @@
     }
 }
 
-/// `SoftwareVersion` is a hash of the version of a target's software. Versions have no order.
+/// `SoftwareVersion` is a hash of a pool and the version of a target's software there. Versions have no
+/// order, and those of two pools differ also where they bear the same name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SoftwareVersion(pub u32);
 
 impl SoftwareVersion {
-    /// Returns the version with this name.
+    /// Returns the version with this name in a pool.
     #[must_use]
-    pub fn of(name: &str) -> Self {
-        Self((hash64(VERSION_SEED, name.as_bytes()) >> 32) as u32)
+    pub fn of(pool: &str, name: &str) -> Self {
+        let seed = hash64(VERSION_SEED, pool.as_bytes());
+        Self((hash64(seed, name.as_bytes()) >> 32) as u32)
     }
 }
 
--- a/crates/peppercrank-direct/src/pool_versions.rs
+++ b/crates/peppercrank-direct/src/pool_versions.rs
@@ -51,6 +51,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct PoolVersions {
     by_pool: HashMap<Arc<str>, Vec<Presence>>,
+    /// When routes last moved to a pool from another one.
+    moved: HashMap<Arc<str>, Instant>,
 }
 
 impl PoolVersions {
@@ -68,7 +70,7 @@
     }
 
     fn presence(&mut self, now: Instant, pool: &Arc<str>, name: &Arc<str>) -> &mut Presence {
-        let version = SoftwareVersion::of(name);
+        let version = SoftwareVersion::of(pool, name);
         let versions = self.by_pool.entry(Arc::clone(pool)).or_default();
         let found = versions.iter().position(|p| p.version == version);
         let index = found.unwrap_or(versions.len());
@@ -108,6 +110,19 @@
         })
     }
 
+    /// Records that a route whose streams may be resumed moved to a pool from another one.
+    pub fn route_moved(&mut self, now: Instant, pool: &Arc<str>) {
+        self.moved.insert(Arc::clone(pool), now);
+    }
+
+    /// Returns whether a route moved to a pool recently, so that streams of its callers may have begun
+    /// at another one.
+    #[must_use]
+    pub fn has_moved_routes(&self, now: Instant, pool: &str) -> bool {
+        let moved = self.moved.get(pool);
+        moved.is_some_and(|at| now.since(*at) < RETENTION)
+    }
+
     /// Returns whether the targets of a pool run several versions, or did until recently.
     #[must_use]
     pub fn is_mixed(&self, now: Instant, pool: &str) -> bool {
@@ -117,6 +132,7 @@
 
     /// Drops versions whose last targets left long ago.
     pub fn expire(&mut self, now: Instant) {
+        self.moved.retain(|_, at| now.since(*at) < RETENTION);
         self.by_pool.retain(|_, versions| {
             versions.retain(|p| p.is_recent(now));
             !versions.is_empty()
--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -129,7 +129,7 @@
     #[must_use]
     pub fn names(&self, pool: &str, version: SoftwareVersion) -> bool {
         let record = self.pools.get(pool).map(|s| &s.record);
-        record.is_some_and(|r| r.versions.iter().any(|v| v.software() == version))
+        record.is_some_and(|r| r.versions.iter().any(|v| v.software(pool) == version))
     }
 
     /// Returns the only version on a pool's record, if that was read at `since` or later.
@@ -138,7 +138,7 @@
         let record = &self.pools.get(pool)?.record;
         let is_read = self.read_at.is_some_and(|read_at| read_at >= since);
         match record.versions.as_slice() {
-            [only] if is_read && !record.unreadable => Some(only.software()),
+            [only] if is_read && !record.unreadable => Some(only.software(pool)),
             _ => None,
         }
     }
@@ -150,6 +150,16 @@
         record.is_some_and(|r| r.era == era)
     }
 
+    /// Returns the pools with versions on record, or with a record that can't be read, beside the
+    /// given ones.
+    #[must_use]
+    pub fn other_pools(&self, pools: &[Arc<str>]) -> Vec<Arc<str>> {
+        let served = |r: &VersionRecord| !r.versions.is_empty() || r.unreadable;
+        let recorded = self.pools.iter().filter(|(_, s)| served(&s.record));
+        let others = recorded.filter(|(pool, _)| !pools.contains(*pool));
+        others.map(|(pool, _)| Arc::clone(pool)).collect()
+    }
+
     /// Returns the number of versions on a pool's record.
     #[must_use]
     pub fn version_count(&self, pool: &str) -> usize {
@@ -185,7 +195,7 @@
             let new = names.filter(|name| !known(name));
             unknown.extend(new.map(|name| (Arc::clone(&pool), name)));
             state.checked.clone_from(&state.present);
-            state.apply(asked_at, record);
+            state.apply(asked_at, &pool, record);
         }
         self.read_at = Some(asked_at);
         self.known = true;
@@ -195,7 +205,7 @@
     /// Applies a record that this router has written.
     pub fn apply_written(&mut self, now: Instant, pool: &Arc<str>, record: VersionRecord) {
         let state = self.pools.entry(Arc::clone(pool)).or_default();
-        state.apply(now, record);
+        state.apply(now, pool, record);
     }
 
     /// Decides what to do next about a pool, whose targets run the versions that are `recent`, or
@@ -228,7 +238,7 @@
         if missing.is_empty() {
             state.missing_since = None;
             let delay = RETIREMENT_DELAY.saturating_mul(rank);
-            return state.next_retirement(now, read_at, recent, delay);
+            return state.next_retirement(now, pool, read_at, recent, delay);
         }
         let missing_since = *state.missing_since.get_or_insert(now);
         let due = missing_since + RANK_DELAY.saturating_mul(rank).min(MAX_DELAY);
@@ -244,12 +254,12 @@
 }
 
 impl PoolState {
-    fn apply(&mut self, now: Instant, record: VersionRecord) {
+    fn apply(&mut self, now: Instant, pool: &str, record: VersionRecord) {
         let in_use = record.versions.iter().filter(|v| !v.retired);
-        self.confirmed = in_use.map(RecordedVersion::software).collect();
+        self.confirmed = in_use.map(|v| v.software(pool)).collect();
         let retired = record.versions.iter().filter(|v| v.retired);
         let retired = retired.map(|v| {
-            let version = v.software();
+            let version = v.software(pool);
             (version, self.retired_since.get(&version).copied())
         });
         let retired = retired.map(|(version, since)| (version, since.unwrap_or(now)));
@@ -261,6 +271,7 @@
     fn next_retirement(
         &mut self,
         now: Instant,
+        pool: &str,
         read_at: Instant,
         recent: &[RecentVersion],
         delay: Duration,
@@ -270,7 +281,7 @@
         let mut next = None::<Instant>;
         let mut versions = Vec::new();
         for recorded in &self.record.versions {
-            let version = recorded.software();
+            let version = recorded.software(pool);
             if is_recent(version) {
                 versions.push(recorded.clone());
                 continue;
@@ -301,8 +312,8 @@
 }
 
 impl RecordedVersion {
-    fn software(&self) -> SoftwareVersion {
-        SoftwareVersion::of(&self.name)
+    fn software(&self, pool: &str) -> SoftwareVersion {
+        SoftwareVersion::of(pool, &self.name)
     }
 }
 
@@ -310,9 +321,9 @@
     /// Returns this record with all of these versions in use that were seen.
     fn with(&self, recent: &[RecentVersion]) -> Self {
         let mut record = self.clone();
-        for RecentVersion { version, name, .. } in recent.iter().filter(|r| r.seen) {
+        for RecentVersion { name, .. } in recent.iter().filter(|r| r.seen) {
             let mut known = record.versions.iter_mut();
-            match known.find(|v| v.software() == *version) {
+            match known.find(|v| v.name == *name) {
                 Some(known) => known.retired = false,
                 None => record.versions.push(RecordedVersion {
                     name: Arc::clone(name),
--- a/crates/peppercrank-direct/tests/verify_cut_datagrams.rs
+++ b/crates/peppercrank-direct/tests/verify_cut_datagrams.rs
@@ -41,7 +41,7 @@
         }),
         Datagram::Origins(vec![OriginReport {
             stream: StreamId(u64::MAX),
-            version: SoftwareVersion::of("v1"),
+            version: SoftwareVersion::of("pool", "v1"),
             kept_ms: 60_000,
         }]),
         Datagram::OriginQuery(StreamId(300)),
--- a/crates/peppercrank-direct/tests/verify_joining.rs
+++ b/crates/peppercrank-direct/tests/verify_joining.rs
@@ -32,7 +32,7 @@
 
 fn recent(names: &[&str]) -> Vec<RecentVersion> {
     let versions = names.iter().map(|name| RecentVersion {
-        version: SoftwareVersion::of(name),
+        version: SoftwareVersion::of("pool", name),
         name: (*name).into(),
         seen: true,
     });
--- a/crates/peppercrank-direct/tests/verify_origins.rs
+++ b/crates/peppercrank-direct/tests/verify_origins.rs
@@ -27,7 +27,7 @@
 }
 
 fn version(name: &str) -> SoftwareVersion {
-    SoftwareVersion::of(name)
+    SoftwareVersion::of("pool", name)
 }
 
 fn report(number: u64) -> OriginReport {
--- a/crates/peppercrank-direct/tests/verify_stored_origins.rs
+++ b/crates/peppercrank-direct/tests/verify_stored_origins.rs
@@ -30,7 +30,7 @@
 
     fn begin(&mut self, stream: u64, until: Instant) {
         let pool: Arc<str> = "pool".into();
-        let version = SoftwareVersion::of("v1");
+        let version = SoftwareVersion::of("pool", "v1");
         self.origins.record(START, StreamId(stream), version, until);
         self.stored.push(StreamId(stream), &pool, until);
     }
@@ -69,7 +69,7 @@
 #[test]
 fn verify_streams_of_an_earlier_process_stay_in_the_object() {
     let mut router = Router::new();
-    let version = SoftwareVersion::of("v1");
+    let version = SoftwareVersion::of("pool", "v1");
     let until = START + Duration::from_secs(10);
     router.origins.record(START, StreamId(7), version, until);
     router.stored.push_earlier(START, StreamId(7));
--- a/crates/peppercrank-direct/tests/verify_version_records.rs
+++ b/crates/peppercrank-direct/tests/verify_version_records.rs
@@ -36,7 +36,7 @@
 
 fn recent(names: &[&str]) -> Vec<RecentVersion> {
     let versions = names.iter().map(|name| RecentVersion {
-        version: SoftwareVersion::of(name),
+        version: SoftwareVersion::of("pool", name),
         name: (*name).into(),
         seen: true,
     });
@@ -112,7 +112,7 @@
     }
 
     fn is_confirmed(&self, name: &str) -> bool {
-        let version = SoftwareVersion::of(name);
+        let version = SoftwareVersion::of("pool", name);
         self.records.is_confirmed("pool", version)
     }
 }
@@ -323,7 +323,7 @@
     let two = record(Some(2), &[("v1", true), ("v2", false)]);
     assert_eq!(records.only_version("pool", at(10)), None);
     records.apply_list(at(10), vec![(pool(), one.clone())]);
-    let v1 = SoftwareVersion::of("v1");
+    let v1 = SoftwareVersion::of("pool", "v1");
     assert_eq!(records.only_version("pool", at(10)), Some(v1));
     assert_eq!(records.only_version("pool", at(11)), None);
     assert_eq!(records.only_version("other", at(10)), None);
@@ -344,3 +344,18 @@
     records.apply_list(at(40), vec![(pool(), unreadable)]);
     assert_eq!(records.only_version("pool", at(40)), None);
 }
+
+/// Guards against a record that counts for ever once no route sends streams to its pool.
+#[test]
+fn verify_the_record_of_a_pool_without_routes_is_retired_and_emptied() {
+    let mut former = Pool::new(&[("v1", false)]);
+    former.settle(&["v1"], 0);
+    let others = |pool: &Pool| pool.records.other_pools(&["next".into()]);
+    assert_eq!(others(&former), [pool()]);
+    for _ in 0..3 {
+        former.settle(&[], 0);
+        former.now = former.now + RETENTION;
+    }
+    assert!(others(&former).is_empty());
+    assert!(former.stored.versions.is_empty());
+}
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -211,7 +211,8 @@
     /// already ready rejected long requests that its configuration allowed.
     pub fn apply_configuration(&self, desired: Desired) -> ApplyOutcome {
         let bounds = desired.caller_limits;
-        let applied = self.state().config.apply(self.now(), desired);
+        let now = self.now();
+        let applied = self.state().apply_configuration(now, desired);
         if applied == ApplyOutcome::Activated {
             let limits = edge_limits(&self.settings(), bounds);
             self.limits.send_replace(Arc::new(limits));
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -111,14 +111,17 @@
         }
         state.records_read = true;
     }
-    for pool in pools {
-        let admitted = admitted_versions(&mut state, now, &pool);
-        if let Some(at) = admitted.next {
-            wake = wake.min(at);
+    let current = pools.into_iter().map(|pool| (pool, true));
+    let former = state.former_pools().into_iter().map(|pool| (pool, false));
+    for (pool, is_current) in current.chain(former) {
+        let mut recent = Vec::new();
+        if is_current {
+            let admitted = admitted_versions(&mut state, now, &pool);
+            wake = admitted.next.map_or(wake, |at| wake.min(at));
+            recent = admitted.versions;
         }
-        let recent = &admitted.versions;
         let rank = write_rank(&state, &own, &pool);
-        let step = state.version_records.next_step(now, &pool, recent, rank);
+        let step = state.version_records.next_step(now, &pool, &recent, rank);
         match step {
             RecordStep::Done => {}
             RecordStep::WaitUntil(at) => wake = wake.min(at),
--- a/crates/peppercrank-gateway/src/single_version.rs
+++ b/crates/peppercrank-gateway/src/single_version.rs
@@ -77,6 +77,11 @@
     if !is_in_touch || !is_whole || state.version_records.names_several(pool) {
         return Proof::None;
     }
+    // Streams of a pool whose routes have moved are resumed at another one.
+    let moved = state.directory.has_moved_routes(now, pool);
+    if moved || !state.former_pools().is_empty() {
+        return Proof::None;
+    }
     // Targets of another version may be known already, and begin streams once it is on record. A
     // record of an earlier era may lack what was on record before the store was restored.
     let era = state.eras.newest();
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -13,6 +13,8 @@
 use peppercrank_direct::catch_up::CatchUp;
 use peppercrank_direct::confirm::PendingRequest;
 use peppercrank_direct::desired::ActiveConfiguration;
+use peppercrank_direct::desired::ApplyOutcome;
+use peppercrank_direct::desired::Desired;
 use peppercrank_direct::directory::Directory;
 use peppercrank_direct::directory::Registration;
 use peppercrank_direct::directory::TargetKey;
@@ -191,7 +193,7 @@
 }
 
 /// Returns whether several software versions may have begun streams of a pool: its targets run
-/// them, or did until recently, or its record names them.
+/// them, or did until recently, its record names them, or a route has moved to it.
 #[must_use]
 pub fn may_cross_versions(
     directory: &Directory,
@@ -199,7 +201,9 @@
     now: Instant,
     pool: &str,
 ) -> bool {
-    directory.runs_several_versions(now, pool) || records.names_several(pool)
+    directory.runs_several_versions(now, pool)
+        || records.names_several(pool)
+        || directory.has_moved_routes(now, pool)
 }
 
 /// Returns the retry limits from the settings.
@@ -318,6 +322,29 @@
         may_cross_versions(&self.directory, &self.version_records, now, pool)
     }
 
+    /// Returns the pools on record to which no route sends streams that may be resumed any more.
+    #[must_use]
+    pub fn former_pools(&self) -> Vec<Arc<str>> {
+        let pools = self.config.index().map(|i| i.desired().resumable_pools());
+        let pools = pools.unwrap_or_default();
+        self.version_records.other_pools(&pools)
+    }
+
+    /// Applies a configuration unless a newer version is in force, and records the pools to which it
+    /// moves streams.
+    pub fn apply_configuration(&mut self, now: Instant, desired: Desired) -> ApplyOutcome {
+        let earlier = self.config.index().map(|i| i.desired());
+        let moves = earlier.is_some_and(|earlier| desired.moves_streams(earlier));
+        let pools = desired.resumable_pools();
+        let applied = self.config.apply(now, desired);
+        if moves && applied == ApplyOutcome::Activated {
+            for pool in &pools {
+                self.directory.record_moved_route(now, pool);
+            }
+        }
+        applied
+    }
+
     /// Returns whether a target of a pool accepts work whose software version is on record.
     #[must_use]
     pub fn serves_recorded_version(&self, now: Instant, pool: &str) -> bool {
