platform, gateway: one long entry no longer stops the list

What callers saw: with one entry of some 7 MB among the targets, or many odd ones, or a long page, a new target got no requests and one that left went on getting them, at every router, while the entry was there.

Cause: an answer of the store was held whole and thrown away once it was over 4 MiB, so one entry of another writer took all others with it.

Fix: an answer is split into items as it arrives, and each is decoded alone. A list goes on after the latest name that fits a path, and a page with more to follow but no such name fails in place of ending the list.

--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use peppercrank_core::events::Event as LogEvent;
 use peppercrank_core::time::Instant;
 use peppercrank_direct::call_backoff::CallBackoff;
@@ -20,6 +19,9 @@
 use peppercrank_direct::truncation::Next;
 use peppercrank_direct::truncation::Truncation;
 use peppercrank_log::Field;
+use peppercrank_platform::read::AnswerReader;
+use peppercrank_platform::read::ChangesReader;
+use peppercrank_platform::read::PageReader;
 use peppercrank_platform::store;
 use peppercrank_platform::store::Changes;
 use peppercrank_platform::store::Entry;
@@ -35,6 +37,7 @@
 use crate::outage::Outage;
 use crate::outage::OutageListener;
 use crate::role::FollowerRole;
+use crate::store::BodyContent;
 use crate::store::CallOutcome;
 use crate::store::CallResult;
 use crate::store::Store;
@@ -255,14 +258,19 @@
         let mut first = None;
         loop {
             let path = store::list_path(self.kind, after.as_deref());
-            let body = match self.call(&path, Duration::ZERO).await {
-                Ok(body) => body,
-                Err(outcome) => return outcome,
-            };
-            let Ok(page) = store::parse_page(self.kind, &body) else {
+            let reader = PageReader::new(self.kind);
+            let BodyContent { bytes, content } =
+                match self.call(&path, Duration::ZERO, reader).await {
+                    Ok(body) => body,
+                    Err(outcome) => return outcome,
+                };
+            let Ok(page) = content else {
                 return PollOutcome::Failed("malformed list");
             };
-            self.truncation.record_list_page(body.len());
+            if page.next.is_some() && page.next == after {
+                return PollOutcome::Failed("list without end");
+            }
+            self.truncation.record_list_page(bytes);
             entries.extend(page.entries);
             // Later pages may lack changes made since the first one, so watch from the first page's
             // revision.
@@ -304,11 +312,12 @@
         let wait = self.role.wait();
         let asked_at = self.gateway.now();
         let path = store::watch_path(self.kind, revision, wait);
-        let body = match self.call(&path, wait).await {
+        let reader = ChangesReader::new(self.kind);
+        let BodyContent { bytes, content } = match self.call(&path, wait, reader).await {
             Ok(body) => body,
             Err(outcome) => return outcome,
         };
-        let Ok(changes) = store::parse_changes(self.kind, &body) else {
+        let Ok(changes) = content else {
             return PollOutcome::Failed("malformed changes");
         };
         let reading = ReadMode::Changes(revision);
@@ -320,7 +329,7 @@
         }
         let next = self.truncation.record_answer(AnswerSize {
             changes: changes.events.len(),
-            bytes: body.len(),
+            bytes,
         });
         self.intake.revision = Some(changes.revision);
         self.intake.apply(asked_at, changes.events);
@@ -348,7 +357,12 @@
         }
     }
 
-    async fn call(&mut self, path: &str, wait: Duration) -> Result<Bytes, PollOutcome> {
+    async fn call<R: AnswerReader>(
+        &mut self,
+        path: &str,
+        wait: Duration,
+        reader: R,
+    ) -> Result<BodyContent<R::Output>, PollOutcome> {
         let answer_timeout = if self.failures == 0 {
             ANSWER_TIMEOUT
         } else {
@@ -373,8 +387,8 @@
             ) => return Err(self.replace_silent_connection(missed)),
         };
         let CallOutcome { result, era } = match answer {
-            Ok(answer) => self.store.read_answer(answer).await,
-            Err(outcome) => outcome,
+            Ok(answer) => self.store.read_answer_with(answer, reader).await,
+            Err(_) => CallOutcome::no_answer(),
         };
         self.gateway
             .metrics
@@ -433,9 +447,14 @@
     }
 
     /// Logs calls for the configuration that returned one or failed.
-    fn log_configuration_call(&self, wait: Duration, asked_at: Instant, result: &CallResult) {
+    fn log_configuration_call<T>(
+        &self,
+        wait: Duration,
+        asked_at: Instant,
+        result: &CallResult<BodyContent<T>>,
+    ) {
         let bytes = match result {
-            CallResult::Done(body) => body.len(),
+            CallResult::Done(body) => body.bytes,
             _ => 0,
         };
         let empty = matches!(result, CallResult::Done(_)) && bytes < MIN_CONFIGURATION_BYTES;
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use peppercrank_core::events::Event;
 use peppercrank_core::hash::hash64;
 use peppercrank_core::time::Instant;
@@ -18,10 +17,11 @@
 use peppercrank_direct::version_records::RecordStep;
 use peppercrank_direct::version_records::VersionRecord;
 use peppercrank_log::Field;
+use peppercrank_platform::read::AnswerReader;
 use peppercrank_platform::records;
 use peppercrank_platform::records::OriginsObject;
 use peppercrank_platform::records::RecordKind;
-use peppercrank_platform::records::RecordPage;
+use peppercrank_platform::records::RecordReader;
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
@@ -144,7 +144,7 @@
 async fn read_versions(gateway: &Gateway, store: &Store) -> Option<()> {
     let asked_at = gateway.now();
     let kind = RecordKind::Versions;
-    let listed = list(gateway, store, kind, records::parse_versions).await?;
+    let listed = list(gateway, store, kind, records::versions_reader).await?;
     log_read(gateway, kind, listed.len());
     let now = gateway.now();
     let mut state = gateway.state();
@@ -215,7 +215,7 @@
     let spread = READ_SPREAD.saturating_mul(routers);
     sleep(spread.mul_f64(rand::random_range(0.0..1.0))).await;
     let kind = RecordKind::Origins;
-    let listed = list(gateway, store, kind, records::parse_origins).await?;
+    let listed = list(gateway, store, kind, records::origins_reader).await?;
     log_read(gateway, kind, listed.len());
     let own = gateway.settings().name.clone();
     let now = gateway.now();
@@ -314,7 +314,7 @@
 /// Deletes the origins of routers that have left, once no stream can go on at an earlier version.
 async fn delete_orphans(gateway: &Gateway, store: &Store) {
     let kind = RecordKind::Origins;
-    let Some(listed) = list(gateway, store, kind, records::parse_origins).await else {
+    let Some(listed) = list(gateway, store, kind, records::origins_reader).await else {
         return;
     };
     let own = gateway.settings().name.clone();
@@ -336,13 +336,16 @@
     gateway: &Gateway,
     store: &Store,
     kind: RecordKind,
-    parse: impl Fn(&[u8]) -> peppercrank_platform::Result<RecordPage<T>>,
+    reader: impl Fn() -> RecordReader<T>,
 ) -> Option<Vec<(Arc<str>, T)>> {
     let mut objects = Vec::new();
     let mut after = None;
     loop {
-        let body = read(gateway, store, kind, &kind.list_path(after.as_deref())).await?;
-        let page = parse(&body).ok()?;
+        let path = kind.list_path(after.as_deref());
+        let page = read(gateway, store, kind, &path, reader()).await?;
+        if page.next.is_some() && page.next == after {
+            return None;
+        }
         objects.extend(page.objects);
         after = page.next;
         if after.is_none() {
@@ -351,23 +354,26 @@
     }
 }
 
-async fn read(gateway: &Gateway, store: &Store, kind: RecordKind, path: &str) -> Option<Bytes> {
+async fn read<R: AnswerReader>(
+    gateway: &Gateway,
+    store: &Store,
+    kind: RecordKind,
+    path: &str,
+    reader: R,
+) -> Option<R::Output> {
     let asked_era = gateway.state().eras.newest();
-    let outcome = match store.get(path, ANSWER_TIMEOUT).await {
-        Ok(answer) => store.read_answer(answer).await,
-        Err(outcome) => outcome,
-    };
+    let outcome = store.read(path, ANSWER_TIMEOUT, reader).await;
     count_call(gateway, kind, &outcome.result);
     if gateway.observe_era(outcome.era, asked_era) != EraOrder::Same {
         return None;
     }
     match outcome.result {
-        CallResult::Done(body) => Some(body),
+        CallResult::Done(body) => body.content.ok(),
         _ => None,
     }
 }
 
-fn count_call(gateway: &Gateway, kind: RecordKind, result: &CallResult) {
+fn count_call<T>(gateway: &Gateway, kind: RecordKind, result: &CallResult<T>) {
     let outcome = result.code();
     gateway.metrics.count_store_call(kind.as_str(), outcome);
 }
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -15,6 +15,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use peppercrank_direct::era::Era;
+use peppercrank_platform::read::AnswerReader;
 use peppercrank_platform::store;
 use peppercrank_wire::body;
 use peppercrank_wire::client::Client;
@@ -43,7 +44,8 @@
 /// MiB, which takes this long over a tenth of the slowest link.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Maximum size of an answer's body. The store's answers end near 1 MiB.
+/// Maximum size of an answer's body that is held as a whole: one object, or the reason of a refusal.
+/// Lists are read item by item.
 const MAX_BODY_BYTES: usize = 4 * 1_024 * 1_024;
 
 /// Time from sending a write until its answer must begin.
@@ -60,9 +62,9 @@
 
 /// How the store answered a call, or why there is no usable answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum CallResult {
-    /// Success, with the answer's body.
-    Done(Bytes),
+pub enum CallResult<T = Bytes> {
+    /// Success, with the answer's body or what it tells.
+    Done(T),
     /// The store no longer has the requested history.
     HistoryGone,
     /// The entry already exists, or has another revision.
@@ -79,14 +81,23 @@
 
 /// The result of a call and the store era of its answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CallOutcome {
+pub struct CallOutcome<T = Bytes> {
     /// How the store answered, or why there is no usable answer.
-    pub result: CallResult,
+    pub result: CallResult<T>,
     /// The era; `None` without an answer, or if the store does not report it.
     pub era: Option<Era>,
 }
 
-impl CallOutcome {
+/// What a body tells.
+#[derive(Debug)]
+pub struct BodyContent<T> {
+    /// Length of the body, as far as it was read.
+    pub bytes: usize,
+    /// What it tells; an error if it is not what was asked for.
+    pub content: peppercrank_platform::Result<T>,
+}
+
+impl<T> CallOutcome<T> {
     /// Returns the outcome of a call without an answer.
     #[must_use]
     pub const fn no_answer() -> Self {
@@ -97,7 +108,24 @@
     }
 }
 
-impl CallResult {
+impl CallOutcome {
+    /// Returns the outcome of a call that failed.
+    fn without_body<T>(self) -> CallOutcome<T> {
+        let result = match self.result {
+            // No answer that was read here is a success.
+            CallResult::Done(_) | CallResult::Truncated => CallResult::Truncated,
+            CallResult::HistoryGone => CallResult::HistoryGone,
+            CallResult::Conflict => CallResult::Conflict,
+            CallResult::Missing => CallResult::Missing,
+            CallResult::Rejected(status) => CallResult::Rejected(status),
+            CallResult::NoAnswer => CallResult::NoAnswer,
+        };
+        let era = self.era;
+        CallOutcome { result, era }
+    }
+}
+
+impl<T> CallResult<T> {
     /// Returns the result's stable name in metrics and logs.
     #[must_use]
     pub const fn code(&self) -> &'static str {
@@ -146,6 +174,20 @@
         self.send(Method::GET, path, Bytes::new(), within).await
     }
 
+    /// Sends a GET request, whose answer must begin within the given time, and reads what the answer
+    /// tells as it arrives.
+    pub async fn read<R: AnswerReader>(
+        &self,
+        path: &str,
+        within: Duration,
+        reader: R,
+    ) -> CallOutcome<BodyContent<R::Output>> {
+        match self.get(path, within).await {
+            Ok(answer) => self.read_answer_with(answer, reader).await,
+            Err(_) => CallOutcome::no_answer(),
+        }
+    }
+
     /// Creates an entry.
     pub async fn post(&self, path: &str, body: Bytes) -> CallOutcome {
         self.call(Method::POST, path, body).await
@@ -198,36 +240,93 @@
     /// A time limit on the whole call made routers on slow links abandon half-read answers and
     /// start over from the first byte for 8 s.
     pub async fn read_answer(&self, answer: ClientResponse) -> CallOutcome {
+        let (head, body) = answer.into_parts();
+        let mut whole = BytesMut::new();
+        let result = self.read_parts(body, |part| {
+            let fits = whole.len() + part.len() <= MAX_BODY_BYTES;
+            whole.extend_from_slice(if fits { part } else { &[] });
+            fits
+        });
+        let result = match result.await {
+            BodyEnd::Whole => classify(head.status, whole.freeze()),
+            BodyEnd::Stopped | BodyEnd::Truncated => {
+                self.close();
+                CallResult::Truncated
+            }
+        };
+        let era = store::era(&head.headers);
+        CallOutcome { result, era }
+    }
+
+    /// As [`Store::read_answer`], for a list, whose items are decoded as they arrive.
+    pub async fn read_answer_with<R: AnswerReader>(
+        &self,
+        answer: ClientResponse,
+        mut reader: R,
+    ) -> CallOutcome<BodyContent<R::Output>> {
+        if !answer.status().is_success() {
+            return self.read_answer(answer).await.without_body();
+        }
         let (head, body) = answer.into_parts();
         let era = store::era(&head.headers);
-        let whole = timeout(BODY_TIMEOUT, self.read_body(body)).await;
-        let result = match whole.unwrap_or(None) {
-            None => {
+        let (mut bytes, mut error) = (0, None);
+        let end = self.read_parts(body, |part| {
+            bytes += part.len();
+            error = reader.push(part).err();
+            error.is_none()
+        });
+        let end = end.await;
+        let result = match (end, error) {
+            (BodyEnd::Truncated, _) => {
                 self.close();
                 CallResult::Truncated
             }
-            Some(whole) => classify(head.status, whole),
+            (BodyEnd::Whole | BodyEnd::Stopped, error) => CallResult::Done(BodyContent {
+                bytes,
+                content: error.map_or_else(|| reader.finish(), Err),
+            }),
         };
         CallOutcome { result, era }
     }
 
-    /// Reads the complete body of an answer; `None` if it broke off.
-    async fn read_body(&self, mut body: ResponseBody) -> Option<Bytes> {
-        let mut whole = BytesMut::new();
+    /// Passes on the parts of a body until `push` returns false.
+    async fn read_parts(&self, body: ResponseBody, push: impl FnMut(&[u8]) -> bool) -> BodyEnd {
+        let end = timeout(BODY_TIMEOUT, self.read_untimed(body, push)).await;
+        end.unwrap_or(BodyEnd::Truncated)
+    }
+
+    async fn read_untimed(
+        &self,
+        mut body: ResponseBody,
+        mut push: impl FnMut(&[u8]) -> bool,
+    ) -> BodyEnd {
         while let Some(frame) = body.frame().await {
-            let Ok(part) = frame.ok()?.into_data() else {
+            let Ok(frame) = frame else {
+                return BodyEnd::Truncated;
+            };
+            let Ok(part) = frame.into_data() else {
                 continue;
             };
             self.bytes_read.inc_by(part.len() as u64);
-            if whole.len() + part.len() > MAX_BODY_BYTES {
-                return None;
+            if !push(&part) {
+                return BodyEnd::Stopped;
             }
-            whole.extend_from_slice(&part);
         }
-        Some(whole.freeze())
+        BodyEnd::Whole
     }
 }
 
+/// How the reading of a body ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyEnd {
+    /// With the body.
+    Whole,
+    /// Because the reader wants no more.
+    Stopped,
+    /// The body broke off, or took too long.
+    Truncated,
+}
+
 /// Maps the status of an answer to the result of its call.
 fn classify(status: StatusCode, whole: Bytes) -> CallResult {
     match status {
