direct: a record of versions that can't be read is written anew

What callers saw, or would have seen: after another writer had spoiled a pool's record, returns of unknown origin were refused after each restart, and streams began at versions that were not on record, until an operator removed it.

Cause: an unreadable record was left alone for ever.

Fix: once a target has joined, the record is replaced, if it still has its revision, by the versions that are seen and a retired one of an unknown name, which stands for whatever the record named. So the pool counts as one of several versions until the usual removal of retired versions, after the retention, by a router that has watched for that long.

--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -33,6 +33,9 @@
 /// How much later each further router retires a version than the one before.
 const RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
+/// Name on a record of whatever versions it named while it could not be read.
+const UNKNOWN_VERSION: &str = "(unreadable)";
+
 /// One software version on a pool's record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordedVersion {
@@ -50,7 +53,7 @@
     pub revision: Option<u64>,
     /// Versions in the order in which they were recorded.
     pub versions: Vec<RecordedVersion>,
-    /// Whether the record in the store cannot be read. It may name any version, and is left alone.
+    /// Whether the record in the store cannot be read. It may name any version.
     pub unreadable: bool,
 }
 
@@ -190,7 +193,7 @@
         if missing.iter().any(|v| !state.checked.contains(v)) {
             return RecordStep::Read;
         }
-        if state.record.unreadable {
+        if state.record.unreadable && state.record.revision.is_none() {
             return RecordStep::Done;
         }
         if missing.is_empty() {
@@ -275,9 +278,16 @@
 }
 
 impl VersionRecord {
-    /// Returns this record with all of these versions in use that were seen.
+    /// Returns this record with all of these versions in use that were seen. What an unreadable one
+    /// named counts as a further version that has retired.
     fn with(&self, recent: &[RecentVersion]) -> Self {
         let mut record = self.clone();
+        if std::mem::take(&mut record.unreadable) {
+            record.versions.push(RecordedVersion {
+                name: UNKNOWN_VERSION.into(),
+                retired: true,
+            });
+        }
         for RecentVersion { version, name, .. } in recent.iter().filter(|r| r.seen) {
             let mut known = record.versions.iter_mut();
             match known.find(|v| v.software() == *version) {
--- a/crates/peppercrank-direct/tests/verify_version_records.rs
+++ b/crates/peppercrank-direct/tests/verify_version_records.rs
@@ -311,3 +311,58 @@
     assert!(pool.records.names_several("pool"));
     assert!(!pool.is_confirmed("v1"));
 }
+
+/// Guards against streams that are refused for ever, and begin at any version, since another writer
+/// spoiled a record that no router writes anew.
+#[test]
+fn verify_a_spoiled_record_is_replaced_by_one_that_counts_as_several() {
+    let mut pool = Pool::new(&[("v1", false)]);
+    pool.stored = VersionRecord {
+        unreadable: true,
+        ..record(Some(7), &[])
+    };
+    assert_eq!(pool.settle(&["v1"], 0), (1, 1));
+    assert_eq!(pool.stored.revision, Some(8));
+    assert!(pool.is_confirmed("v1"));
+    assert!(pool.records.names_several("pool"));
+    // A router that starts now learns as much.
+    let mut other = Pool::new(&[]);
+    other.stored.clone_from(&pool.stored);
+    other.read();
+    assert!(other.records.names_several("pool"));
+    // It counts as several until the usual two steps have removed what is not known.
+    pool.settle(&["v1"], 0);
+    assert!(pool.records.names_several("pool"));
+    pool.now = pool.now + RETENTION;
+    pool.settle(&["v1"], 0);
+    assert_eq!(pool.stored.versions, [recorded("v1", false)]);
+    assert!(!pool.records.names_several("pool"));
+}
+
+/// Guards against a record that a router replaces although it may have one that it can read.
+#[test]
+fn verify_a_spoiled_record_of_unknown_revision_is_left_alone() {
+    let mut pool = Pool::new(&[]);
+    pool.stored.unreadable = true;
+    for _ in 0..3 {
+        let (_, writes) = pool.settle(&["v1"], 0);
+        assert_eq!(writes, 0);
+        pool.now = pool.now + RETENTION;
+        pool.read();
+        assert!(pool.records.names_several("pool"));
+    }
+}
+
+/// Guards against a spoiled record that a router replaces while it knows no version of the pool.
+#[test]
+fn verify_a_spoiled_record_stays_while_no_target_has_joined() {
+    let mut pool = Pool::new(&[]);
+    pool.stored = VersionRecord {
+        unreadable: true,
+        ..record(Some(7), &[])
+    };
+    pool.read();
+    let (_, writes) = pool.settle(&[], 0);
+    assert_eq!(writes, 0);
+    assert!(pool.records.names_several("pool"));
+}
