gateway: a large timeout in the configuration no longer ends the task that reads it

What callers saw, or would have seen: after an operator wrote a headerTimeoutMs or idleTimeoutMs of some 1e22 ms, no later configuration came into force at any router: revoked keys, new routes and limits were not read.

Cause: the limits of an edge are twice these times, and the multiplication panicked in the task that follows the configuration. What a duration holds was checked, twice that was not.

Fix: the multiplication saturates.

Evidence: verify_an_odd_number_in_the_configuration_does_not_keep_later_ones_out (15 numbers of the configuration, 9 odd values each, a sound configuration and a request after each number) failed before with 'overflow when multiplying duration by scalar', and passes, in 118 s on the loaded machine.

--- a/crates/peppercrank-gateway/src/limits.rs
+++ b/crates/peppercrank-gateway/src/limits.rs
@@ -41,8 +41,8 @@
         body: bounds.body_bytes,
         bodies: (settings.memory / BODY_MEMORY_DIVISOR) as u64,
         head_time: bounds.head_timeout,
-        body_time: bounds.head_timeout * 2,
-        idle: bounds.idle_timeout * IDLE_FACTOR,
+        body_time: bounds.head_timeout.saturating_mul(2),
+        idle: bounds.idle_timeout.saturating_mul(IDLE_FACTOR),
         stop_idle: ACCEPT_AFTER_STOP,
         drain: settings.stop_seconds.saturating_sub(EXIT_RESERVE),
         ..Limits::default()
