Origins: several objects a router, conditional writes, and no pause after a missing answer

Each router wrote to one object, one write at a time: an answer that was missing cost 1.5 s and a pause of 2.6 to 3.2 s in which nothing was written, and a write without a condition that was done late overwrote newer content.

Now a router has up to eight objects (lanes). A write goes out at each interval on a lane without one on its way, holds all streams, and is conditional on the lane's revision. An answer missing for 400 ms is followed by another write on another lane; after 800 ms the lane's object is read before it is used again. 409 brings the object: it may be the lost write itself, or one of a previous process, which is kept. Refusals double the interval up to eight times. Writes of versions are in doubt after 400 ms, reads at the start are repeated on a new connection then, and nothing pauses for seconds.

--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -397,7 +397,7 @@
             CallResult::Rejected(_) => Err(PollOutcome::Failed("refused")),
             CallResult::NoAnswer => Err(PollOutcome::Failed("no answer")),
             CallResult::Truncated => Err(PollOutcome::Failed("answer broke off")),
-            CallResult::Conflict | CallResult::Missing => {
+            CallResult::Conflict(_) | CallResult::Missing => {
                 Err(PollOutcome::Failed("unexpected answer"))
             }
         }
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod shares;
 pub mod state;
 pub mod store;
+pub mod stored_origins;
 pub mod suspension;
 pub mod target_metrics;
 pub mod targets;
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -1,44 +1,46 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! Keeps in the store what must outlive all routers: the software versions that served each pool,
-//! and where streams began.
+//! Keeps in the store which software versions served each pool, and reads where streams began.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Method;
 use peppercrank_core::events::Event;
 use peppercrank_core::hash::hash64;
 use peppercrank_core::time::Instant;
 use peppercrank_direct::era::EraOrder;
-use peppercrank_direct::origins::OriginReport;
-use peppercrank_direct::pool_versions::RETENTION;
-use peppercrank_direct::stored_origins::write_interval;
 use peppercrank_direct::version_records::RecordStep;
 use peppercrank_direct::version_records::VersionRecord;
 use peppercrank_log::Field;
 use peppercrank_platform::records;
-use peppercrank_platform::records::OriginsObject;
 use peppercrank_platform::records::RecordKind;
 use peppercrank_platform::records::RecordPage;
+use peppercrank_wire::client::ClientResponse;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::gateway::Gateway;
 use crate::state::State;
-use crate::state::may_cross_versions;
+use crate::store::CallOutcome;
 use crate::store::CallResult;
+use crate::store::DOUBT_TIMEOUT;
 use crate::store::Store;
 use crate::store::jittered;
+use crate::stored_origins::delete_orphans;
+use crate::stored_origins::keep_listed;
 
 /// Time within which the store's answer to a read must begin.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Pause after a failed call. It doubles with each further failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a call that was refused. It doubles with each further one. A call that is not answered
+/// is repeated at once, since the next one may be answered.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// Maximum pause between failed calls.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(3_200);
+/// Maximum of these doublings.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// Pause after which a router looks again although nothing has changed.
 const IDLE_PAUSE: Duration = Duration::from_secs(1);
@@ -65,6 +67,7 @@
 pub async fn keep_versions(gateway: Arc<Gateway>, store: Store) {
     let mut failures = 0;
     loop {
+        let asked_at = gateway.now();
         let done = match next_action(&gateway) {
             Action::WaitUntil(at) => {
                 let changed = gateway.versions_changed.notified();
@@ -81,9 +84,11 @@
             failures = 0;
             continue;
         }
-        let pause = RETRY_PAUSE * 2_u32.saturating_pow(failures);
-        failures = (failures + 1).min(4);
-        sleep(jittered(pause.min(MAX_RETRY_PAUSE))).await;
+        if gateway.now().since(asked_at) >= DOUBT_TIMEOUT {
+            continue;
+        }
+        sleep(jittered(RETRY_PAUSE * 2_u32.pow(failures))).await;
+        failures = MAX_DOUBLINGS.min(failures + 1);
     }
 }
 
@@ -164,15 +169,11 @@
 ) -> Option<()> {
     let body = records::versions_body(pool, &record).ok()?;
     let kind = RecordKind::Versions;
-    let path = record.revision.map_or_else(
-        || kind.list_path(None),
-        |revision| kind.path_at_revision(pool, revision),
-    );
-    let outcome = if record.revision.is_some() {
-        store.put(&path, body).await
-    } else {
-        store.post(&path, body).await
+    let (method, path) = match record.revision {
+        Some(revision) => (Method::PUT, kind.path_at_revision(pool, revision)),
+        None => (Method::POST, kind.list_path(None)),
     };
+    let outcome = store.write(method, &path, body, DOUBT_TIMEOUT).await;
     count_call(gateway, kind, &outcome.result);
     log_versions(gateway, pool, &record, &outcome.result);
     let CallResult::Done(written) = outcome.result else {
@@ -220,119 +221,13 @@
     let own = gateway.settings().name.clone();
     let now = gateway.now();
     let mut state = gateway.state();
-    let kept_ms = u32::try_from(RETENTION.as_millis()).unwrap_or(u32::MAX);
-    for (name, object) in listed {
-        for (version, streams) in object.streams {
-            for stream in streams {
-                let report = OriginReport {
-                    stream,
-                    version,
-                    kept_ms,
-                };
-                state.origins.record_report(now, report);
-                if *name == *own {
-                    state.stored_origins.push_earlier(now, stream);
-                }
-            }
-        }
-    }
+    keep_listed(&mut state, now, &own, listed);
     state.records_read = true;
     Some(())
 }
 
-/// Writes the origins of this router's streams as they begin.
-pub async fn keep_origins(gateway: Arc<Gateway>, store: Store) {
-    loop {
-        let routers = gateway.state().routers.len() + 1;
-        sleep(jittered(write_interval(routers))).await;
-        if write_origins(&gateway, &store).await == OriginsWrite::Failed {
-            sleep(jittered(MAX_RETRY_PAUSE)).await;
-        }
-    }
-}
-
-/// Outcome of a write of origins.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OriginsWrite {
-    /// The store holds all that it is to hold.
-    Complete,
-    /// The write has to be repeated.
-    Failed,
-}
-
-/// Writes the origins of this router's streams if there are new ones that several versions may have
-/// begun.
-pub async fn write_origins(gateway: &Gateway, store: &Store) -> OriginsWrite {
-    let now = gateway.now();
-    let batch = {
-        let mut state = gateway.state();
-        if state.directory.is_store_down() || !state.records_read {
-            return OriginsWrite::Complete;
-        }
-        let State {
-            stored_origins,
-            origins,
-            directory,
-            version_records,
-            ..
-        } = &mut *state;
-        let is_mixed = |pool: &str| may_cross_versions(directory, version_records, now, pool);
-        stored_origins.take_batch(now, origins, is_mixed)
-    };
-    let Some(batch) = batch else {
-        return OriginsWrite::Complete;
-    };
-    let name = gateway.settings().name.clone();
-    let Ok(body) = records::origins_body(&name, &batch) else {
-        return OriginsWrite::Failed;
-    };
-    let kind = RecordKind::Origins;
-    let replaced = store.put(&kind.path(&name), body.clone()).await.result;
-    count_call(gateway, kind, &replaced);
-    let result = match replaced {
-        CallResult::Missing => {
-            let created = store.post(&kind.list_path(None), body).await.result;
-            count_call(gateway, kind, &created);
-            created
-        }
-        other => other,
-    };
-    if matches!(result, CallResult::Done(_)) {
-        return OriginsWrite::Complete;
-    }
-    gateway.state().stored_origins.invalidate();
-    OriginsWrite::Failed
-}
-
-/// Deletes the origins that a router wrote which is gone.
-pub async fn delete_origins(gateway: &Gateway, store: &Store, router: &str) {
-    let kind = RecordKind::Origins;
-    let deleted = store.delete(&kind.path(router)).await.result;
-    count_call(gateway, kind, &deleted);
-}
-
-/// Deletes the origins of routers that have left, once no stream can go on at an earlier version.
-async fn delete_orphans(gateway: &Gateway, store: &Store) {
-    let kind = RecordKind::Origins;
-    let Some(listed) = list(gateway, store, kind, records::parse_origins).await else {
-        return;
-    };
-    let own = gateway.settings().name.clone();
-    let orphans = {
-        let state = gateway.state();
-        let gone = |name: &Arc<str>| **name != *own && !state.routers.contains_key(name);
-        let orphans = listed.into_iter().filter(|(name, _)| gone(name));
-        orphans.collect::<Vec<(_, OriginsObject)>>()
-    };
-    for (name, object) in orphans {
-        let path = kind.path_at_revision(&name, object.revision);
-        let deleted = store.delete(&path).await.result;
-        count_call(gateway, kind, &deleted);
-    }
-}
-
 /// Reads all objects of a kind; `None` if the store does not answer, or is restored meanwhile.
-async fn list<T>(
+pub async fn list<T>(
     gateway: &Gateway,
     store: &Store,
     kind: RecordKind,
@@ -353,7 +248,7 @@
 
 async fn read(gateway: &Gateway, store: &Store, kind: RecordKind, path: &str) -> Option<Bytes> {
     let asked_era = gateway.state().eras.newest();
-    let outcome = match store.get(path, ANSWER_TIMEOUT).await {
+    let outcome = match get(store, path).await {
         Ok(answer) => store.read_answer(answer).await,
         Err(outcome) => outcome,
     };
@@ -367,7 +262,23 @@
     }
 }
 
-fn count_call(gateway: &Gateway, kind: RecordKind, result: &CallResult) {
+/// Asks once more, on another connection, if an answer does not begin for long.
+async fn get(store: &Store, path: &str) -> Result<ClientResponse, CallOutcome> {
+    let mut first = std::pin::pin!(store.get(path, ANSWER_TIMEOUT));
+    if let Ok(answer) = timeout(DOUBT_TIMEOUT, &mut first).await {
+        return answer;
+    }
+    // The unused connections may be silent as well.
+    store.close();
+    let mut second = std::pin::pin!(store.get(path, ANSWER_TIMEOUT));
+    tokio::select! {
+        Ok(answer) = &mut first => Ok(answer),
+        answer = &mut second => answer,
+    }
+}
+
+/// Counts a call for records.
+pub fn count_call(gateway: &Gateway, kind: RecordKind, result: &CallResult) {
     let outcome = result.code();
     gateway.metrics.count_store_call(kind.as_str(), outcome);
 }
--- a/crates/peppercrank-gateway/src/register.rs
+++ b/crates/peppercrank-gateway/src/register.rs
@@ -18,12 +18,12 @@
 
 use crate::confirm::Confirmer;
 use crate::gateway::Gateway;
-use crate::records;
 use crate::state::RegisteredRouter;
 use crate::state::State;
 use crate::store::CallResult;
 use crate::store::Store;
 use crate::store::jittered;
+use crate::stored_origins;
 
 /// Pause after a failed call. It may be long, as routers can serve for a while without knowing of
 /// each other.
@@ -114,7 +114,7 @@
         .metrics
         .count_store_call("register", created.result.code());
     let written = match created.result {
-        CallResult::Conflict => {
+        CallResult::Conflict(_) => {
             let path = store::entry_path(Kind::Routers, &entry.name);
             store.put(&path, body).await.result
         }
@@ -157,7 +157,7 @@
             ];
             gateway.log.write(Event::MemberDead, &fields);
             if matches!(removed, CallResult::Done(_)) {
-                records::delete_origins(&gateway, &store, &name).await;
+                stored_origins::delete_origins(&gateway, &store, &name).await;
             }
         }
     }
--- a/crates/peppercrank-gateway/src/run.rs
+++ b/crates/peppercrank-gateway/src/run.rs
@@ -47,6 +47,7 @@
 use crate::role::FollowerRole;
 use crate::serve;
 use crate::store::Store;
+use crate::stored_origins;
 use crate::suspension;
 use crate::targets;
 
@@ -181,8 +182,7 @@
         let finished = self.serve_task.await.map_err(|e| Error::Start(e.into()))?;
         self.tasks.shutdown().await;
         // A write may just have been aborted.
-        self.gateway.state().stored_origins.invalidate();
-        let writing = records::write_origins(&self.gateway, &self.store);
+        let writing = stored_origins::write_last_origins(&self.gateway, &self.store);
         // The next router may be told of these streams by others.
         let _in_time = timeout(LAST_WRITE_TIMEOUT, writing).await;
         register::deregister(&self.gateway, &self.store).await;
@@ -225,7 +225,10 @@
         store.clone(),
     ));
     tasks.spawn(records::keep_versions(Arc::clone(gateway), store.clone()));
-    tasks.spawn(records::keep_origins(Arc::clone(gateway), store.clone()));
+    tasks.spawn(stored_origins::keep_origins(
+        Arc::clone(gateway),
+        store.clone(),
+    ));
     tasks.spawn(gossip::send_summaries(
         Arc::clone(gateway),
         Arc::clone(&socket),
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -49,6 +49,10 @@
 /// Time from sending a write until its answer must begin.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after which a call whose answer matters at once is sent again. A slow store takes up to 300
+/// ms for an answer.
+pub const DOUBT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A client of the platform's store.
 #[derive(Debug, Clone)]
 pub struct Store {
@@ -65,8 +69,8 @@
     Done(Bytes),
     /// The store no longer has the requested history.
     HistoryGone,
-    /// The entry already exists, or has another revision.
-    Conflict,
+    /// The entry already exists, or has another revision; with the answer's body, mostly the entry.
+    Conflict(Bytes),
     /// The entry does not exist.
     Missing,
     /// The store rejected the call without effect.
@@ -104,7 +108,7 @@
         match self {
             Self::Done(_) => "done",
             Self::HistoryGone => "history_gone",
-            Self::Conflict => "conflict",
+            Self::Conflict(_) => "conflict",
             Self::Missing => "missing",
             Self::Rejected(_) => "refused",
             Self::NoAnswer => "lost",
@@ -162,7 +166,18 @@
     }
 
     async fn call(&self, method: Method, path: &str, body: Bytes) -> CallOutcome {
-        match self.send(method, path, body, WRITE_TIMEOUT).await {
+        self.write(method, path, body, WRITE_TIMEOUT).await
+    }
+
+    /// Sends a call that changes an entry, whose answer must begin within the given time.
+    pub async fn write(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        within: Duration,
+    ) -> CallOutcome {
+        match self.send(method, path, body, within).await {
             Ok(answer) => self.read_answer(answer).await,
             Err(outcome) => outcome,
         }
@@ -233,7 +248,7 @@
     match status {
         status if status.is_success() => CallResult::Done(whole),
         StatusCode::GONE => CallResult::HistoryGone,
-        StatusCode::CONFLICT => CallResult::Conflict,
+        StatusCode::CONFLICT => CallResult::Conflict(whole),
         StatusCode::NOT_FOUND => CallResult::Missing,
         status => CallResult::Rejected(status),
     }
