--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod single_version;
 pub mod state;
 pub mod store;
+pub mod stored_origins;
 pub mod suspension;
 pub mod target_metrics;
 pub mod targets;
--- a/crates/peppercrank-gateway/src/store.rs
+++ b/crates/peppercrank-gateway/src/store.rs
@@ -51,6 +51,10 @@
 /// Time from sending a write until its answer must begin.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after which a call whose answer matters at once is sent again. A slow store takes up to 300
+/// ms for an answer.
+pub const DOUBT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A client of the platform's store.
 #[derive(Debug, Clone)]
 pub struct Store {
@@ -67,8 +71,8 @@
     Done(T),
     /// The store no longer has the requested history.
     HistoryGone,
-    /// The entry already exists, or has another revision.
-    Conflict,
+    /// The entry already exists, or has another revision; with the answer's body, mostly the entry.
+    Conflict(Bytes),
     /// The entry does not exist.
     Missing,
     /// The store rejected the call without effect.
@@ -115,7 +119,7 @@
             // No answer that was read here is a success.
             CallResult::Done(_) | CallResult::Truncated => CallResult::Truncated,
             CallResult::HistoryGone => CallResult::HistoryGone,
-            CallResult::Conflict => CallResult::Conflict,
+            CallResult::Conflict(body) => CallResult::Conflict(body),
             CallResult::Missing => CallResult::Missing,
             CallResult::Rejected(status) => CallResult::Rejected(status),
             CallResult::NoAnswer => CallResult::NoAnswer,
@@ -132,7 +136,7 @@
         match self {
             Self::Done(_) => "done",
             Self::HistoryGone => "history_gone",
-            Self::Conflict => "conflict",
+            Self::Conflict(_) => "conflict",
             Self::Missing => "missing",
             Self::Rejected(_) => "refused",
             Self::NoAnswer => "lost",
@@ -204,7 +208,18 @@
     }
 
     async fn call(&self, method: Method, path: &str, body: Bytes) -> CallOutcome {
-        match self.send(method, path, body, WRITE_TIMEOUT).await {
+        self.write(method, path, body, WRITE_TIMEOUT).await
+    }
+
+    /// Sends a call that changes an entry, whose answer must begin within the given time.
+    pub async fn write(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        within: Duration,
+    ) -> CallOutcome {
+        match self.send(method, path, body, within).await {
             Ok(answer) => self.read_answer(answer).await,
             Err(outcome) => outcome,
         }
@@ -332,7 +347,7 @@
     match status {
         status if status.is_success() => CallResult::Done(whole),
         StatusCode::GONE => CallResult::HistoryGone,
-        StatusCode::CONFLICT => CallResult::Conflict,
+        StatusCode::CONFLICT => CallResult::Conflict(whole),
         StatusCode::NOT_FOUND => CallResult::Missing,
         status => CallResult::Rejected(status),
     }
