gateway: a record of versions that can't be read is reported

Cause: the record was passed over without a log line, so that nobody could tell why returns were refused.

--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -29,7 +29,7 @@
 
 /// Maximum log lines per answer about malformed entries: enough to identify their writer without
 /// flooding the log.
-const MAX_LOGGED_ENTRIES: u32 = 20;
+pub const MAX_LOGGED_ENTRIES: usize = 20;
 
 /// Applies entries of one kind.
 #[derive(Debug)]
@@ -41,7 +41,7 @@
     /// Whether a complete list was applied before.
     listed: bool,
     /// The number of malformed entries in the current answer.
-    malformed_entries: u32,
+    malformed_entries: usize,
 }
 
 impl Intake {
@@ -338,7 +338,8 @@
 }
 
 /// Returns the beginning of a text of arbitrary length from another writer.
-fn shorten(text: &str) -> String {
+#[must_use]
+pub fn shorten(text: &str) -> String {
     /// Maximum characters in a log line.
     const MAX_CHARS: usize = 200;
     text.chars().take(MAX_CHARS).collect()
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -25,6 +25,8 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
+use crate::intake::MAX_LOGGED_ENTRIES;
+use crate::intake::shorten;
 use crate::state::State;
 use crate::state::may_cross_versions;
 use crate::store::CallResult;
@@ -146,6 +148,7 @@
     let kind = RecordKind::Versions;
     let listed = list(gateway, store, kind, records::versions_reader).await?;
     log_read(gateway, kind, listed.len());
+    report_unreadable(gateway, &listed);
     let now = gateway.now();
     let mut state = gateway.state();
     for (pool, name) in state.version_records.apply_list(asked_at, listed) {
@@ -386,6 +389,25 @@
     gateway.log.write(Event::RecordsRead, &fields);
 }
 
+/// Counts records that cannot be read, and logs the first of them.
+fn report_unreadable(gateway: &Gateway, listed: &[(Arc<str>, VersionRecord)]) {
+    let kind = RecordKind::Versions.as_str();
+    let unreadable = listed.iter().filter(|(_, record)| record.unreadable);
+    for (n, (name, _)) in unreadable.enumerate() {
+        gateway.metrics.count_invalid_entry(kind);
+        if n >= MAX_LOGGED_ENTRIES {
+            continue;
+        }
+        let name = shorten(name);
+        let fields = [
+            ("kind", Field::Text(kind)),
+            ("name", Field::Text(&name)),
+            ("error", Field::Text("unreadable record")),
+        ];
+        gateway.log.write(Event::EntryInvalid, &fields);
+    }
+}
+
 fn log_versions(gateway: &Gateway, pool: &str, record: &VersionRecord, result: &CallResult) {
     let names = |retired| {
         let versions = record.versions.iter().filter(|v| v.retired == retired);
