Tests of a router's several objects with origins

A write that is not answered holds up no other, a doubtful one is repeated on another lane unless a newer one is stored, and objects are found by their router.

--- a/crates/peppercrank-direct/tests/verify_stored_origins.rs
+++ b/crates/peppercrank-direct/tests/verify_stored_origins.rs
@@ -10,7 +10,12 @@
 use peppercrank_direct::origins::Origins;
 use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::origins::StreamId;
+use peppercrank_direct::stored_origins::LaneObject;
+use peppercrank_direct::stored_origins::LaneWrite;
 use peppercrank_direct::stored_origins::StoredOrigins;
+use peppercrank_direct::stored_origins::lane_of;
+use peppercrank_direct::stored_origins::object_name;
+use peppercrank_direct::stored_origins::owner;
 use peppercrank_direct::stored_origins::write_interval;
 
 const START: Instant = Instant::ZERO;
@@ -35,6 +40,10 @@
         self.stored.push(StreamId(stream), &pool, until);
     }
 
+    fn write(&mut self) -> Option<LaneWrite> {
+        self.stored.begin_write(START, &self.origins, |_| true)
+    }
+
     /// Returns the streams to be written now; `None` if nothing is.
     fn take(&mut self, now: Instant, mixed: bool) -> Option<Vec<u64>> {
         let batch = self.stored.take_batch(now, &self.origins, |_| mixed)?;
@@ -94,3 +103,44 @@
         assert!(writes(routers) <= 200.0, "{routers} routers");
     }
 }
+
+#[test]
+fn verify_a_write_that_is_not_answered_holds_up_no_other() {
+    let mut router = Router::new();
+    for stream in 0..8 {
+        router.begin(stream, START + Duration::from_secs(10));
+        let write = router.write().expect("a free lane");
+        assert_eq!(write.lane, usize::try_from(stream).expect("a small number"));
+    }
+    router.begin(8, START + Duration::from_secs(10));
+    assert_eq!(router.write(), None);
+}
+
+#[test]
+fn verify_a_doubtful_write_is_repeated_unless_a_newer_one_is_stored() {
+    let mut router = Router::new();
+    router.begin(1, START + Duration::from_secs(10));
+    let first = router.write().expect("a write");
+    assert_eq!(router.write(), None);
+    router.stored.record_doubt(first.number);
+    let second = router.write().expect("the same streams again");
+    assert_eq!((second.lane, &second.batch), (1, &first.batch));
+    router.stored.end_write(&second, LaneObject::At(5), true);
+    router.stored.end_write(&first, LaneObject::Unread, false);
+    assert_eq!(router.write(), None);
+    router.begin(2, START + Duration::from_secs(10));
+    let third = router.write().expect("a write");
+    assert_eq!((third.lane, third.object), (1, LaneObject::At(5)));
+}
+
+#[test]
+fn verify_objects_are_found_by_their_router() {
+    assert_eq!(object_name("edge.9", 0), "edge.9");
+    for lane in 0..8 {
+        let name = object_name("edge-1", lane);
+        assert_eq!(lane_of(&name, "edge-1"), Some(lane));
+        assert_eq!(owner(&name), "edge-1");
+    }
+    assert_eq!(lane_of("edge-1.8", "edge-1"), None);
+    assert_eq!(owner("edge.9"), "edge.9");
+}
