--- a/crates/peppercrank-direct/src/joining.rs
+++ b/crates/peppercrank-direct/src/joining.rs
@@ -27,7 +27,7 @@
 
 /// Time after the start of a router in which it puts no version on record beside another one. The
 /// callers of streams that ended with all routers return in it.
-const START_TIME: Duration = Duration::from_secs(3);
+pub const START_TIME: Duration = Duration::from_secs(3);
 
 /// The versions that may be put on record now.
 #[derive(Debug, Clone, PartialEq, Eq)]
