gateway: a return is refused once a read of origins that began after it does not know the stream

What callers saw: a stream whose origin nobody has was refused after 500 ms, or later by the pace of reads. Cause: the wait for origins read from the store ended only when one was found, or by its timeout. Change: a read that began after the return ends the wait; reads follow each other three write intervals apart in place of ten.

--- a/crates/peppercrank-gateway/src/missed_origins.rs
+++ b/crates/peppercrank-gateway/src/missed_origins.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use peppercrank_core::time::Instant;
 use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::origins::StreamId;
 use peppercrank_direct::stored_origins::write_interval;
@@ -25,11 +26,17 @@
 
 /// Minimum time between two reads, as a multiple of the time between two writes: what a read brings
 /// is what the writes have added, and it costs more.
-const READ_INTERVAL_FACTOR: u32 = 10;
+const READ_INTERVAL_FACTOR: u32 = 3;
 
 /// Returns the version that began a stream of a pool with several versions, if a router has written
-/// it to the store; `None` if none has, or the store does not tell in time.
-pub async fn find(gateway: &Gateway, pool: &str, stream: StreamId) -> Option<SoftwareVersion> {
+/// it to the store; `None` if none has by a read after `returned_at`, or the store does not tell in
+/// time.
+pub async fn find(
+    gateway: &Gateway,
+    pool: &str,
+    stream: StreamId,
+    returned_at: Instant,
+) -> Option<SoftwareVersion> {
     let now = gateway.now();
     {
         let state = gateway.state();
@@ -41,18 +48,27 @@
     }
     let until = now + READ_TIMEOUT;
     gateway
-        .timeout_at(until, wait_for_origin(gateway, stream))
+        .timeout_at(until, wait_for_origin(gateway, stream, returned_at))
         .await
+        .flatten()
 }
 
-async fn wait_for_origin(gateway: &Gateway, stream: StreamId) -> SoftwareVersion {
+async fn wait_for_origin(
+    gateway: &Gateway,
+    stream: StreamId,
+    returned_at: Instant,
+) -> Option<SoftwareVersion> {
     gateway.origins_wanted.notify_one();
     loop {
         let answered = gateway.origin_answered.notified();
         tokio::pin!(answered);
         answered.as_mut().enable();
         if let Some(version) = known_version(gateway, stream) {
-            return version;
+            return Some(version);
+        }
+        let read_at = gateway.state().origins_read_at;
+        if read_at.is_some_and(|at| at >= returned_at) {
+            return None;
         }
         answered.await;
     }
--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -61,7 +61,7 @@
 async fn find_in_store(gateway: &Gateway, job: &Job, stream: StreamId) -> Option<SoftwareVersion> {
     match single_version::find(gateway, &job.pool, job.received_at).await {
         Some(version) => Some(version),
-        None => missed_origins::find(gateway, &job.pool, stream).await,
+        None => missed_origins::find(gateway, &job.pool, stream, job.received_at).await,
     }
 }
 
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -246,6 +246,7 @@
     let spread = READ_SPREAD.saturating_mul(routers);
     sleep(spread.mul_f64(rand::random_range(0.0..1.0))).await;
     let kind = RecordKind::Origins;
+    let asked_at = gateway.now();
     let listed = list(gateway, store, kind, records::origins_reader).await?;
     log_read(gateway, kind, listed.len());
     let own = gateway.settings().name.clone();
@@ -253,6 +254,7 @@
     let mut state = gateway.state();
     keep_listed(&mut state, now, &own, listed);
     state.records_read = true;
+    state.origins_read_at = Some(asked_at);
     drop(state);
     gateway.origin_answered.notify_waiters();
     Some(())
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -136,6 +136,8 @@
     /// Whether it was read from the store which versions served, and where streams began if that
     /// matters.
     pub records_read: bool,
+    /// When the stored origins were last asked for.
+    pub origins_read_at: Option<Instant>,
     /// Limits requests to cold targets.
     pub warm_up_gate: Gate,
     /// The load reported by other routers.
@@ -257,6 +259,7 @@
             joining: Joining::default(),
             started: now,
             records_read: false,
+            origins_read_at: None,
             warm_up_gate: Gate::default(),
             peers: Peers::default(),
             routers: HashMap::new(),
