--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -16,6 +16,7 @@
 
 use peppercrank_core::time::Instant;
 
+use crate::era::Era;
 use crate::origins::SoftwareVersion;
 use crate::pool_versions::RETENTION;
 use crate::pool_versions::RecentVersion;
@@ -33,6 +34,9 @@
 /// How much later each further router retires a version than the one before.
 const RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
+/// Name on a record of whatever versions it named while it could not be read.
+const UNKNOWN_VERSION: &str = "(unreadable)";
+
 /// One software version on a pool's record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordedVersion {
@@ -50,7 +54,9 @@
     pub revision: Option<u64>,
     /// Versions in the order in which they were recorded.
     pub versions: Vec<RecordedVersion>,
-    /// Whether the record in the store cannot be read. It may name any version, and is left alone.
+    /// Era of the store in which the record was written; `None` if that is not known.
+    pub era: Option<Era>,
+    /// Whether the record in the store cannot be read. It may name any version.
     pub unreadable: bool,
 }
 
@@ -122,6 +128,41 @@
         record.is_some_and(|r| r.versions.len() > 1 || r.unreadable)
     }
 
+    /// Returns whether a pool's record names a version.
+    #[must_use]
+    pub fn names(&self, pool: &str, version: SoftwareVersion) -> bool {
+        let record = self.pools.get(pool).map(|s| &s.record);
+        record.is_some_and(|r| r.versions.iter().any(|v| v.software(pool) == version))
+    }
+
+    /// Returns the only version on a pool's record, if that was read at `since` or later.
+    #[must_use]
+    pub fn only_version(&self, pool: &str, since: Instant) -> Option<SoftwareVersion> {
+        let record = &self.pools.get(pool)?.record;
+        let is_read = self.read_at.is_some_and(|read_at| read_at >= since);
+        match record.versions.as_slice() {
+            [only] if is_read && !record.unreadable => Some(only.software(pool)),
+            _ => None,
+        }
+    }
+
+    /// Returns whether a pool's record was written in this era of the store.
+    #[must_use]
+    pub fn is_of_era(&self, pool: &str, era: Option<Era>) -> bool {
+        let record = self.pools.get(pool).map(|s| &s.record);
+        record.is_some_and(|r| r.era == era)
+    }
+
+    /// Returns the pools with versions on record, or with a record that can't be read, beside the
+    /// given ones.
+    #[must_use]
+    pub fn other_pools(&self, pools: &[Arc<str>]) -> Vec<Arc<str>> {
+        let served = |r: &VersionRecord| !r.versions.is_empty() || r.unreadable;
+        let recorded = self.pools.iter().filter(|(_, s)| served(&s.record));
+        let others = recorded.filter(|(pool, _)| !pools.contains(*pool));
+        others.map(|(pool, _)| Arc::clone(pool)).collect()
+    }
+
     /// Returns the number of versions on a pool's record.
     #[must_use]
     pub fn version_count(&self, pool: &str) -> usize {
@@ -141,6 +182,10 @@
         asked_at: Instant,
         listed: Vec<(Arc<str>, VersionRecord)>,
     ) -> Vec<(Arc<str>, Arc<str>)> {
+        if self.read_at.is_some_and(|read_at| asked_at < read_at) {
+            // An answer to a later call was applied first.
+            return Vec::new();
+        }
         let mut listed = listed.into_iter().collect::<HashMap<_, _>>();
         for pool in self.pools.keys() {
             listed.entry(Arc::clone(pool)).or_default();
@@ -153,7 +198,7 @@
             let new = names.filter(|name| !known(name));
             unknown.extend(new.map(|name| (Arc::clone(&pool), name)));
             state.checked.clone_from(&state.present);
-            state.apply(asked_at, record);
+            state.apply(asked_at, &pool, record);
         }
         self.read_at = Some(asked_at);
         self.known = true;
@@ -163,7 +208,7 @@
     /// Applies a record that this router has written.
     pub fn apply_written(&mut self, now: Instant, pool: &Arc<str>, record: VersionRecord) {
         let state = self.pools.entry(Arc::clone(pool)).or_default();
-        state.apply(now, record);
+        state.apply(now, pool, record);
     }
 
     /// Decides what to do next about a pool, whose targets run the versions that are `recent`, or
@@ -190,13 +235,13 @@
         if missing.iter().any(|v| !state.checked.contains(v)) {
             return RecordStep::Read;
         }
-        if state.record.unreadable {
+        if state.record.unreadable && state.record.revision.is_none() {
             return RecordStep::Done;
         }
         if missing.is_empty() {
             state.missing_since = None;
             let delay = RETIREMENT_DELAY.saturating_mul(rank);
-            return state.next_retirement(now, read_at, recent, delay);
+            return state.next_retirement(now, pool, read_at, recent, delay);
         }
         let missing_since = *state.missing_since.get_or_insert(now);
         let due = missing_since + RANK_DELAY.saturating_mul(rank).min(MAX_DELAY);
@@ -212,12 +257,12 @@
 }
 
 impl PoolState {
-    fn apply(&mut self, now: Instant, record: VersionRecord) {
+    fn apply(&mut self, now: Instant, pool: &str, record: VersionRecord) {
         let in_use = record.versions.iter().filter(|v| !v.retired);
-        self.confirmed = in_use.map(RecordedVersion::software).collect();
+        self.confirmed = in_use.map(|v| v.software(pool)).collect();
         let retired = record.versions.iter().filter(|v| v.retired);
         let retired = retired.map(|v| {
-            let version = v.software();
+            let version = v.software(pool);
             (version, self.retired_since.get(&version).copied())
         });
         let retired = retired.map(|(version, since)| (version, since.unwrap_or(now)));
@@ -229,6 +274,7 @@
     fn next_retirement(
         &mut self,
         now: Instant,
+        pool: &str,
         read_at: Instant,
         recent: &[RecentVersion],
         delay: Duration,
@@ -238,7 +284,7 @@
         let mut next = None::<Instant>;
         let mut versions = Vec::new();
         for recorded in &self.record.versions {
-            let version = recorded.software();
+            let version = recorded.software(pool);
             if is_recent(version) {
                 versions.push(recorded.clone());
                 continue;
@@ -269,18 +315,25 @@
 }
 
 impl RecordedVersion {
-    fn software(&self) -> SoftwareVersion {
-        SoftwareVersion::of(&self.name)
+    fn software(&self, pool: &str) -> SoftwareVersion {
+        SoftwareVersion::of(pool, &self.name)
     }
 }
 
 impl VersionRecord {
-    /// Returns this record with all of these versions in use that were seen.
+    /// Returns this record with all of these versions in use that were seen. What an unreadable one
+    /// named counts as a further version that has retired.
     fn with(&self, recent: &[RecentVersion]) -> Self {
         let mut record = self.clone();
-        for RecentVersion { version, name, .. } in recent.iter().filter(|r| r.seen) {
+        if std::mem::take(&mut record.unreadable) {
+            record.versions.push(RecordedVersion {
+                name: UNKNOWN_VERSION.into(),
+                retired: true,
+            });
+        }
+        for RecentVersion { name, .. } in recent.iter().filter(|r| r.seen) {
             let mut known = record.versions.iter_mut();
-            match known.find(|v| v.software() == *version) {
+            match known.find(|v| v.name == *name) {
                 Some(known) => known.retired = false,
                 None => record.versions.push(RecordedVersion {
                     name: Arc::clone(name),
--- a/crates/peppercrank-direct/tests/verify_version_records.rs
+++ b/crates/peppercrank-direct/tests/verify_version_records.rs
@@ -36,7 +36,7 @@
 
 fn recent(names: &[&str]) -> Vec<RecentVersion> {
     let versions = names.iter().map(|name| RecentVersion {
-        version: SoftwareVersion::of(name),
+        version: SoftwareVersion::of("pool", name),
         name: (*name).into(),
         seen: true,
     });
@@ -49,6 +49,7 @@
     VersionRecord {
         revision,
         versions: versions.collect(),
+        era: None,
         unreadable: false,
     }
 }
@@ -111,7 +112,7 @@
     }
 
     fn is_confirmed(&self, name: &str) -> bool {
-        let version = SoftwareVersion::of(name);
+        let version = SoftwareVersion::of("pool", name);
         self.records.is_confirmed("pool", version)
     }
 }
@@ -311,3 +312,105 @@
     assert!(pool.records.names_several("pool"));
     assert!(!pool.is_confirmed("v1"));
 }
+
+/// Guards against a version that is taken for the only one although another was put on record after
+/// the read.
+#[test]
+fn verify_only_a_read_after_the_question_proves_one_version() {
+    let mut records = VersionRecords::default();
+    let at = |millis| Instant::ZERO + Duration::from_millis(millis);
+    let one = record(Some(1), &[("v1", false)]);
+    let two = record(Some(2), &[("v1", true), ("v2", false)]);
+    assert_eq!(records.only_version("pool", at(10)), None);
+    records.apply_list(at(10), vec![(pool(), one.clone())]);
+    let v1 = SoftwareVersion::of("pool", "v1");
+    assert_eq!(records.only_version("pool", at(10)), Some(v1));
+    assert_eq!(records.only_version("pool", at(11)), None);
+    assert_eq!(records.only_version("other", at(10)), None);
+    records.apply_list(at(20), vec![(pool(), two)]);
+    assert_eq!(records.only_version("pool", at(20)), None);
+    // The answer to the first call arrives late.
+    records.apply_list(at(15), vec![(pool(), one.clone())]);
+    assert!(records.names_several("pool"));
+    assert_eq!(records.only_version("pool", at(15)), None);
+    records.apply_list(at(30), vec![(pool(), one.clone())]);
+    assert_eq!(records.only_version("pool", at(30)), Some(v1));
+    records.invalidate();
+    assert_eq!(records.only_version("pool", at(30)), None);
+    let unreadable = VersionRecord {
+        unreadable: true,
+        ..one
+    };
+    records.apply_list(at(40), vec![(pool(), unreadable)]);
+    assert_eq!(records.only_version("pool", at(40)), None);
+}
+
+/// Guards against a record that counts for ever once no route sends streams to its pool.
+#[test]
+fn verify_the_record_of_a_pool_without_routes_is_retired_and_emptied() {
+    let mut former = Pool::new(&[("v1", false)]);
+    former.settle(&["v1"], 0);
+    let others = |pool: &Pool| pool.records.other_pools(&["next".into()]);
+    assert_eq!(others(&former), [pool()]);
+    for _ in 0..3 {
+        former.settle(&[], 0);
+        former.now = former.now + RETENTION;
+    }
+    assert!(others(&former).is_empty());
+    assert!(former.stored.versions.is_empty());
+}
+
+/// Guards against streams that are refused for ever, and begin at any version, since another writer
+/// spoiled a record that no router writes anew.
+#[test]
+fn verify_a_spoiled_record_is_replaced_by_one_that_counts_as_several() {
+    let mut pool = Pool::new(&[("v1", false)]);
+    pool.stored = VersionRecord {
+        unreadable: true,
+        ..record(Some(7), &[])
+    };
+    assert_eq!(pool.settle(&["v1"], 0), (1, 1));
+    assert_eq!(pool.stored.revision, Some(8));
+    assert!(pool.is_confirmed("v1"));
+    assert!(pool.records.names_several("pool"));
+    // A router that starts now learns as much.
+    let mut other = Pool::new(&[]);
+    other.stored.clone_from(&pool.stored);
+    other.read();
+    assert!(other.records.names_several("pool"));
+    // It counts as several until the usual two steps have removed what is not known.
+    pool.settle(&["v1"], 0);
+    assert!(pool.records.names_several("pool"));
+    pool.now = pool.now + RETENTION;
+    pool.settle(&["v1"], 0);
+    assert_eq!(pool.stored.versions, [recorded("v1", false)]);
+    assert!(!pool.records.names_several("pool"));
+}
+
+/// Guards against a record that a router replaces although it may have one that it can read.
+#[test]
+fn verify_a_spoiled_record_of_unknown_revision_is_left_alone() {
+    let mut pool = Pool::new(&[]);
+    pool.stored.unreadable = true;
+    for _ in 0..3 {
+        let (_, writes) = pool.settle(&["v1"], 0);
+        assert_eq!(writes, 0);
+        pool.now = pool.now + RETENTION;
+        pool.read();
+        assert!(pool.records.names_several("pool"));
+    }
+}
+
+/// Guards against a spoiled record that a router replaces while it knows no version of the pool.
+#[test]
+fn verify_a_spoiled_record_stays_while_no_target_has_joined() {
+    let mut pool = Pool::new(&[]);
+    pool.stored = VersionRecord {
+        unreadable: true,
+        ..record(Some(7), &[])
+    };
+    pool.read();
+    let (_, writes) = pool.settle(&[], 0);
+    assert_eq!(writes, 0);
+    assert!(pool.records.names_several("pool"));
+}
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -132,6 +132,10 @@
     pub versions_changed: Notify,
     /// Wakes requests that wait until a software version is on record.
     pub versions_recorded: Notify,
+    /// Wakes the task that reads the records for callers that resume streams.
+    pub record_wanted: Notify,
+    /// Wakes the task that reads origins from the store for callers that resume streams.
+    pub origins_wanted: Notify,
     /// The limits for callers, which follow the configuration in force.
     pub limits: watch::Sender<Arc<Limits>>,
     /// The socket for datagrams between routers.
@@ -186,6 +190,8 @@
             entry_missing: Notify::new(),
             versions_changed: Notify::new(),
             versions_recorded: Notify::new(),
+            record_wanted: Notify::new(),
+            origins_wanted: Notify::new(),
             limits: watch::Sender::new(Arc::new(limits)),
             peer_socket,
             peer_address,
@@ -205,7 +211,8 @@
     /// already ready rejected long requests that its configuration allowed.
     pub fn apply_configuration(&self, desired: Desired) -> ApplyOutcome {
         let bounds = desired.caller_limits;
-        let applied = self.state().config.apply(self.now(), desired);
+        let now = self.now();
+        let applied = self.state().apply_configuration(now, desired);
         if applied == ApplyOutcome::Activated {
             let limits = edge_limits(&self.settings(), bounds);
             self.limits.send_replace(Arc::new(limits));
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -1,44 +1,50 @@
 // Copyright (c) the peppercrank maintainers.
 // SPDX-License-Identifier: MIT OR Apache-2.0
 
-//! Keeps in the store what must outlive all routers: the software versions that served each pool,
-//! and where streams began.
+//! Keeps in the store which software versions served each pool, and reads where streams began.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use http::Method;
 use peppercrank_core::events::Event;
 use peppercrank_core::hash::hash64;
 use peppercrank_core::time::Instant;
 use peppercrank_direct::era::EraOrder;
-use peppercrank_direct::origins::OriginReport;
-use peppercrank_direct::pool_versions::RETENTION;
-use peppercrank_direct::stored_origins::write_interval;
+use peppercrank_direct::joining::Admitted;
+use peppercrank_direct::joining::Hold;
 use peppercrank_direct::version_records::RecordStep;
 use peppercrank_direct::version_records::VersionRecord;
 use peppercrank_log::Field;
+use peppercrank_platform::read::AnswerReader;
 use peppercrank_platform::records;
-use peppercrank_platform::records::OriginsObject;
 use peppercrank_platform::records::RecordKind;
-use peppercrank_platform::records::RecordPage;
+use peppercrank_platform::records::RecordReader;
+use peppercrank_wire::client::ClientResponse;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::gateway::Gateway;
+use crate::intake::MAX_LOGGED_ENTRIES;
+use crate::intake::shorten;
 use crate::state::State;
-use crate::state::may_cross_versions;
+use crate::store::CallOutcome;
 use crate::store::CallResult;
+use crate::store::DOUBT_TIMEOUT;
 use crate::store::Store;
 use crate::store::jittered;
+use crate::stored_origins::delete_orphans;
+use crate::stored_origins::keep_listed;
 
 /// Time within which the store's answer to a read must begin.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Pause after a failed call. It doubles with each further failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a call that was refused. It doubles with each further one. A call that is not answered
+/// is repeated at once, since the next one may be answered.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// Maximum pause between failed calls.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(3_200);
+/// Maximum of these doublings.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// Pause after which a router looks again although nothing has changed.
 const IDLE_PAUSE: Duration = Duration::from_secs(1);
@@ -65,6 +71,7 @@
 pub async fn keep_versions(gateway: Arc<Gateway>, store: Store) {
     let mut failures = 0;
     loop {
+        let asked_at = gateway.now();
         let done = match next_action(&gateway) {
             Action::WaitUntil(at) => {
                 let changed = gateway.versions_changed.notified();
@@ -81,9 +88,11 @@
             failures = 0;
             continue;
         }
-        let pause = RETRY_PAUSE * 2_u32.saturating_pow(failures);
-        failures = (failures + 1).min(4);
-        sleep(jittered(pause.min(MAX_RETRY_PAUSE))).await;
+        if gateway.now().since(asked_at) >= DOUBT_TIMEOUT {
+            continue;
+        }
+        sleep(jittered(RETRY_PAUSE * 2_u32.pow(failures))).await;
+        failures = MAX_DOUBLINGS.min(failures + 1);
     }
 }
 
@@ -109,8 +118,15 @@
         }
         state.records_read = true;
     }
-    for pool in pools {
-        let recent = state.directory.software_versions(now, &pool);
+    let current = pools.into_iter().map(|pool| (pool, true));
+    let former = state.former_pools().into_iter().map(|pool| (pool, false));
+    for (pool, is_current) in current.chain(former) {
+        let mut recent = Vec::new();
+        if is_current {
+            let admitted = admitted_versions(&mut state, now, &pool);
+            wake = admitted.next.map_or(wake, |at| wake.min(at));
+            recent = admitted.versions;
+        }
         let rank = write_rank(&state, &own, &pool);
         let step = state.version_records.next_step(now, &pool, &recent, rank);
         match step {
@@ -123,6 +139,18 @@
     Action::WaitUntil(wake)
 }
 
+/// Returns the versions of a pool's targets without those that have just joined.
+fn admitted_versions(state: &mut State, now: Instant, pool: &Arc<str>) -> Admitted {
+    let recent = state.directory.software_versions(now, pool);
+    let hold = Hold {
+        routers: state.routers.len() + 1,
+        started: state.started,
+        serves: state.serves_recorded_version(now, pool),
+    };
+    let records = &state.version_records;
+    state.joining.admit(now, pool, recent, records, hold)
+}
+
 /// Returns the pools to which resumable streams are sent; `None` before a configuration was read.
 fn resumable_pools(state: &State) -> Option<Vec<Arc<str>>> {
     let index = state.config.index()?;
@@ -141,11 +169,13 @@
     u32::try_from(before.count()).unwrap_or(u32::MAX)
 }
 
-async fn read_versions(gateway: &Gateway, store: &Store) -> Option<()> {
+/// Reads which versions are on record; `None` if the store does not tell.
+pub async fn read_versions(gateway: &Gateway, store: &Store) -> Option<()> {
     let asked_at = gateway.now();
     let kind = RecordKind::Versions;
-    let listed = list(gateway, store, kind, records::parse_versions).await?;
+    let listed = list(gateway, store, kind, records::versions_reader).await?;
     log_read(gateway, kind, listed.len());
+    report_unreadable(gateway, &listed);
     let now = gateway.now();
     let mut state = gateway.state();
     for (pool, name) in state.version_records.apply_list(asked_at, listed) {
@@ -162,17 +192,17 @@
     pool: &Arc<str>,
     record: VersionRecord,
 ) -> Option<()> {
+    let record = VersionRecord {
+        era: gateway.state().eras.newest(),
+        ..record
+    };
     let body = records::versions_body(pool, &record).ok()?;
     let kind = RecordKind::Versions;
-    let path = record.revision.map_or_else(
-        || kind.list_path(None),
-        |revision| kind.path_at_revision(pool, revision),
-    );
-    let outcome = if record.revision.is_some() {
-        store.put(&path, body).await
-    } else {
-        store.post(&path, body).await
+    let (method, path) = match record.revision {
+        Some(revision) => (Method::PUT, kind.path_at_revision(pool, revision)),
+        None => (Method::POST, kind.list_path(None)),
     };
+    let outcome = store.write(method, &path, body, DOUBT_TIMEOUT).await;
     count_call(gateway, kind, &outcome.result);
     log_versions(gateway, pool, &record, &outcome.result);
     let CallResult::Done(written) = outcome.result else {
@@ -209,140 +239,42 @@
     removed && !pools.iter().any(|p| state.may_cross_versions(now, p))
 }
 
-/// Reads the origins that all routers wrote, and keeps those of this router's own object in it.
-async fn read_origins(gateway: &Gateway, store: &Store) -> Option<()> {
+/// Reads the origins that all routers wrote, and after a start keeps those of this router's own object
+/// in it; `None` if the store does not tell.
+pub async fn read_origins(gateway: &Gateway, store: &Store) -> Option<()> {
     let routers = u32::try_from(gateway.state().routers.len()).unwrap_or(u32::MAX);
     let spread = READ_SPREAD.saturating_mul(routers);
     sleep(spread.mul_f64(rand::random_range(0.0..1.0))).await;
     let kind = RecordKind::Origins;
-    let listed = list(gateway, store, kind, records::parse_origins).await?;
+    let asked_at = gateway.now();
+    let listed = list(gateway, store, kind, records::origins_reader).await?;
     log_read(gateway, kind, listed.len());
     let own = gateway.settings().name.clone();
     let now = gateway.now();
     let mut state = gateway.state();
-    let kept_ms = u32::try_from(RETENTION.as_millis()).unwrap_or(u32::MAX);
-    for (name, object) in listed {
-        for (version, streams) in object.streams {
-            for stream in streams {
-                let report = OriginReport {
-                    stream,
-                    version,
-                    kept_ms,
-                };
-                state.origins.record_report(now, report);
-                if *name == *own {
-                    state.stored_origins.push_earlier(now, stream);
-                }
-            }
-        }
-    }
+    keep_listed(&mut state, now, &own, listed);
     state.records_read = true;
+    state.origins_read_at = Some(asked_at);
+    drop(state);
+    gateway.origin_answered.notify_waiters();
     Some(())
 }
 
-/// Writes the origins of this router's streams as they begin.
-pub async fn keep_origins(gateway: Arc<Gateway>, store: Store) {
-    loop {
-        let routers = gateway.state().routers.len() + 1;
-        sleep(jittered(write_interval(routers))).await;
-        if write_origins(&gateway, &store).await == OriginsWrite::Failed {
-            sleep(jittered(MAX_RETRY_PAUSE)).await;
-        }
-    }
-}
-
-/// Outcome of a write of origins.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OriginsWrite {
-    /// The store holds all that it is to hold.
-    Complete,
-    /// The write has to be repeated.
-    Failed,
-}
-
-/// Writes the origins of this router's streams if there are new ones that several versions may have
-/// begun.
-pub async fn write_origins(gateway: &Gateway, store: &Store) -> OriginsWrite {
-    let now = gateway.now();
-    let batch = {
-        let mut state = gateway.state();
-        if state.directory.is_store_down() || !state.records_read {
-            return OriginsWrite::Complete;
-        }
-        let State {
-            stored_origins,
-            origins,
-            directory,
-            version_records,
-            ..
-        } = &mut *state;
-        let is_mixed = |pool: &str| may_cross_versions(directory, version_records, now, pool);
-        stored_origins.take_batch(now, origins, is_mixed)
-    };
-    let Some(batch) = batch else {
-        return OriginsWrite::Complete;
-    };
-    let name = gateway.settings().name.clone();
-    let Ok(body) = records::origins_body(&name, &batch) else {
-        return OriginsWrite::Failed;
-    };
-    let kind = RecordKind::Origins;
-    let replaced = store.put(&kind.path(&name), body.clone()).await.result;
-    count_call(gateway, kind, &replaced);
-    let result = match replaced {
-        CallResult::Missing => {
-            let created = store.post(&kind.list_path(None), body).await.result;
-            count_call(gateway, kind, &created);
-            created
-        }
-        other => other,
-    };
-    if matches!(result, CallResult::Done(_)) {
-        return OriginsWrite::Complete;
-    }
-    gateway.state().stored_origins.invalidate();
-    OriginsWrite::Failed
-}
-
-/// Deletes the origins that a router wrote which is gone.
-pub async fn delete_origins(gateway: &Gateway, store: &Store, router: &str) {
-    let kind = RecordKind::Origins;
-    let deleted = store.delete(&kind.path(router)).await.result;
-    count_call(gateway, kind, &deleted);
-}
-
-/// Deletes the origins of routers that have left, once no stream can go on at an earlier version.
-async fn delete_orphans(gateway: &Gateway, store: &Store) {
-    let kind = RecordKind::Origins;
-    let Some(listed) = list(gateway, store, kind, records::parse_origins).await else {
-        return;
-    };
-    let own = gateway.settings().name.clone();
-    let orphans = {
-        let state = gateway.state();
-        let gone = |name: &Arc<str>| **name != *own && !state.routers.contains_key(name);
-        let orphans = listed.into_iter().filter(|(name, _)| gone(name));
-        orphans.collect::<Vec<(_, OriginsObject)>>()
-    };
-    for (name, object) in orphans {
-        let path = kind.path_at_revision(&name, object.revision);
-        let deleted = store.delete(&path).await.result;
-        count_call(gateway, kind, &deleted);
-    }
-}
-
 /// Reads all objects of a kind; `None` if the store does not answer, or is restored meanwhile.
-async fn list<T>(
+pub async fn list<T>(
     gateway: &Gateway,
     store: &Store,
     kind: RecordKind,
-    parse: impl Fn(&[u8]) -> peppercrank_platform::Result<RecordPage<T>>,
+    reader: impl Fn() -> RecordReader<T>,
 ) -> Option<Vec<(Arc<str>, T)>> {
     let mut objects = Vec::new();
     let mut after = None;
     loop {
-        let body = read(gateway, store, kind, &kind.list_path(after.as_deref())).await?;
-        let page = parse(&body).ok()?;
+        let path = kind.list_path(after.as_deref());
+        let page = read(gateway, store, kind, &path, reader()).await?;
+        if page.next.is_some() && page.next == after {
+            return None;
+        }
         objects.extend(page.objects);
         after = page.next;
         if after.is_none() {
@@ -351,23 +283,45 @@
     }
 }
 
-async fn read(gateway: &Gateway, store: &Store, kind: RecordKind, path: &str) -> Option<Bytes> {
+async fn read<R: AnswerReader>(
+    gateway: &Gateway,
+    store: &Store,
+    kind: RecordKind,
+    path: &str,
+    reader: R,
+) -> Option<R::Output> {
     let asked_era = gateway.state().eras.newest();
-    let outcome = match store.get(path, ANSWER_TIMEOUT).await {
-        Ok(answer) => store.read_answer(answer).await,
-        Err(outcome) => outcome,
+    let outcome = match get(store, path).await {
+        Ok(answer) => store.read_answer_with(answer, reader).await,
+        Err(_) => CallOutcome::no_answer(),
     };
     count_call(gateway, kind, &outcome.result);
     if gateway.observe_era(outcome.era, asked_era) != EraOrder::Same {
         return None;
     }
     match outcome.result {
-        CallResult::Done(body) => Some(body),
+        CallResult::Done(body) => body.content.ok(),
         _ => None,
     }
 }
 
-fn count_call(gateway: &Gateway, kind: RecordKind, result: &CallResult) {
+/// Asks once more, on another connection, if an answer does not begin for long.
+async fn get(store: &Store, path: &str) -> Result<ClientResponse, CallOutcome> {
+    let mut first = std::pin::pin!(store.get(path, ANSWER_TIMEOUT));
+    if let Ok(answer) = timeout(DOUBT_TIMEOUT, &mut first).await {
+        return answer;
+    }
+    // The unused connections may be silent as well.
+    store.close();
+    let mut second = std::pin::pin!(store.get(path, ANSWER_TIMEOUT));
+    tokio::select! {
+        Ok(answer) = &mut first => Ok(answer),
+        answer = &mut second => answer,
+    }
+}
+
+/// Counts a call for records.
+pub fn count_call<T>(gateway: &Gateway, kind: RecordKind, result: &CallResult<T>) {
     let outcome = result.code();
     gateway.metrics.count_store_call(kind.as_str(), outcome);
 }
@@ -380,6 +334,25 @@
     gateway.log.write(Event::RecordsRead, &fields);
 }
 
+/// Counts records that cannot be read, and logs the first of them.
+fn report_unreadable(gateway: &Gateway, listed: &[(Arc<str>, VersionRecord)]) {
+    let kind = RecordKind::Versions.as_str();
+    let unreadable = listed.iter().filter(|(_, record)| record.unreadable);
+    for (n, (name, _)) in unreadable.enumerate() {
+        gateway.metrics.count_invalid_entry(kind);
+        if n >= MAX_LOGGED_ENTRIES {
+            continue;
+        }
+        let name = shorten(name);
+        let fields = [
+            ("kind", Field::Text(kind)),
+            ("name", Field::Text(&name)),
+            ("error", Field::Text("unreadable record")),
+        ];
+        gateway.log.write(Event::EntryInvalid, &fields);
+    }
+}
+
 fn log_versions(gateway: &Gateway, pool: &str, record: &VersionRecord, result: &CallResult) {
     let names = |retired| {
         let versions = record.versions.iter().filter(|v| v.retired == retired);
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -13,6 +13,8 @@
 use peppercrank_direct::catch_up::CatchUp;
 use peppercrank_direct::confirm::PendingRequest;
 use peppercrank_direct::desired::ActiveConfiguration;
+use peppercrank_direct::desired::ApplyOutcome;
+use peppercrank_direct::desired::Desired;
 use peppercrank_direct::directory::Directory;
 use peppercrank_direct::directory::Registration;
 use peppercrank_direct::directory::TargetKey;
@@ -21,6 +23,7 @@
 use peppercrank_direct::failures::Failures;
 use peppercrank_direct::freshness::Freshness;
 use peppercrank_direct::freshness::Source;
+use peppercrank_direct::joining::Joining;
 use peppercrank_direct::leaving::LeavingTargets;
 use peppercrank_direct::memory::TargetMemory;
 use peppercrank_direct::occupancy::Occupancy;
@@ -126,9 +129,15 @@
     pub stored_origins: StoredOrigins,
     /// The software versions that the store has on record for each pool.
     pub version_records: VersionRecords,
+    /// Software versions that have just joined and are not put on record yet.
+    pub joining: Joining,
+    /// When this router started.
+    pub started: Instant,
     /// Whether it was read from the store which versions served, and where streams began if that
     /// matters.
     pub records_read: bool,
+    /// When the stored origins were last asked for.
+    pub origins_read_at: Option<Instant>,
     /// Limits requests to cold targets.
     pub warm_up_gate: Gate,
     /// The load reported by other routers.
@@ -186,7 +195,7 @@
 }
 
 /// Returns whether several software versions may have begun streams of a pool: its targets run
-/// them, or did until recently, or its record names them.
+/// them, or did until recently, its record names them, or a route has moved to it.
 #[must_use]
 pub fn may_cross_versions(
     directory: &Directory,
@@ -194,7 +203,9 @@
     now: Instant,
     pool: &str,
 ) -> bool {
-    directory.runs_several_versions(now, pool) || records.names_several(pool)
+    directory.runs_several_versions(now, pool)
+        || records.names_several(pool)
+        || directory.has_moved_routes(now, pool)
 }
 
 /// Returns the retry limits from the settings.
@@ -245,7 +256,10 @@
             origin_queue: OriginQueue::default(),
             stored_origins: StoredOrigins::default(),
             version_records: VersionRecords::default(),
+            joining: Joining::default(),
+            started: now,
             records_read: false,
+            origins_read_at: None,
             warm_up_gate: Gate::default(),
             peers: Peers::default(),
             routers: HashMap::new(),
@@ -311,6 +325,37 @@
         may_cross_versions(&self.directory, &self.version_records, now, pool)
     }
 
+    /// Returns the pools on record to which no route sends streams that may be resumed any more.
+    #[must_use]
+    pub fn former_pools(&self) -> Vec<Arc<str>> {
+        let pools = self.config.index().map(|i| i.desired().resumable_pools());
+        let pools = pools.unwrap_or_default();
+        self.version_records.other_pools(&pools)
+    }
+
+    /// Applies a configuration unless a newer version is in force, and records the pools to which it
+    /// moves streams.
+    pub fn apply_configuration(&mut self, now: Instant, desired: Desired) -> ApplyOutcome {
+        let earlier = self.config.index().map(|i| i.desired());
+        let moves = earlier.is_some_and(|earlier| desired.moves_streams(earlier));
+        let pools = desired.resumable_pools();
+        let applied = self.config.apply(now, desired);
+        if moves && applied == ApplyOutcome::Activated {
+            for pool in &pools {
+                self.directory.record_moved_route(now, pool);
+            }
+        }
+        applied
+    }
+
+    /// Returns whether a target of a pool accepts work whose software version is on record.
+    #[must_use]
+    pub fn serves_recorded_version(&self, now: Instant, pool: &str) -> bool {
+        let usable = self.directory.pool(now, pool).into_iter();
+        let mut targets = usable.filter_map(|key| self.directory.get(key));
+        targets.any(|t| self.version_records.is_confirmed(pool, t.software))
+    }
+
     /// Drops everything known about an incarnation of a target that is gone.
     pub fn forget(&mut self, key: TargetKey) {
         self.board.remove(key);
