--- a/crates/peppercrank-direct/src/stored_origins.rs
+++ b/crates/peppercrank-direct/src/stored_origins.rs
@@ -36,7 +36,7 @@
 
 /// Maximum number of objects of one router, so that one is free at each interval although no write
 /// is answered.
-const MAX_LANES: usize = 8;
+pub const MAX_LANES: usize = 8;
 
 /// Returns the time between two writes of one router out of `routers`.
 #[must_use]
--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -153,11 +153,12 @@
         record.is_some_and(|r| r.era == era)
     }
 
-    /// Returns the pools with versions on record, or with a record that can't be read, beside the
-    /// given ones.
+    /// Returns the pools with versions on record, or with a record that can't be read and can be
+    /// written anew, beside the given ones.
     #[must_use]
     pub fn other_pools(&self, pools: &[Arc<str>]) -> Vec<Arc<str>> {
-        let served = |r: &VersionRecord| !r.versions.is_empty() || r.unreadable;
+        let is_spoiled = |r: &VersionRecord| r.unreadable && r.revision.is_some();
+        let served = |r: &VersionRecord| !r.versions.is_empty() || is_spoiled(r);
         let recorded = self.pools.iter().filter(|(_, s)| served(&s.record));
         let others = recorded.filter(|(pool, _)| !pools.contains(*pool));
         others.map(|(pool, _)| Arc::clone(pool)).collect()
@@ -254,6 +255,21 @@
             (false, false) => RecordStep::Write(state.record.with(recent)),
         }
     }
+
+    /// Decides what to do next about a pool on record to which no route sends streams any more: its
+    /// versions are retired and removed, also those that a record names which can't be read.
+    pub fn next_step_of_former(&mut self, now: Instant, pool: &Arc<str>, rank: u32) -> RecordStep {
+        let read_at = self.read_at;
+        let state = self.pools.entry(Arc::clone(pool)).or_default();
+        let Some(read_at) = read_at else {
+            return RecordStep::Read;
+        };
+        if state.record.unreadable {
+            return RecordStep::Write(state.record.with(&[]));
+        }
+        let delay = RETENTION + RETIREMENT_DELAY.saturating_mul(rank);
+        state.next_retirement(now, pool, read_at, &[], delay)
+    }
 }
 
 impl PoolState {
--- a/crates/peppercrank-direct/tests/verify_version_records.rs
+++ b/crates/peppercrank-direct/tests/verify_version_records.rs
@@ -111,6 +111,22 @@
         }
     }
 
+    /// Takes all steps about a pool without routes, until its versions are removed.
+    fn retire(&mut self) {
+        for _ in 0..20 {
+            match self.records.next_step_of_former(self.now, &pool(), 0) {
+                RecordStep::Read => self.read(),
+                RecordStep::Write(record) => {
+                    assert!(self.store(record), "the revision is known");
+                    let stored = self.stored.clone();
+                    self.records.apply_written(self.now, &pool(), stored);
+                }
+                RecordStep::WaitUntil(at) => self.now = at,
+                RecordStep::Done => return,
+            }
+        }
+    }
+
     fn is_confirmed(&self, name: &str) -> bool {
         let version = SoftwareVersion::of("pool", name);
         self.records.is_confirmed("pool", version)
@@ -352,14 +368,27 @@
     former.settle(&["v1"], 0);
     let others = |pool: &Pool| pool.records.other_pools(&["next".into()]);
     assert_eq!(others(&former), [pool()]);
-    for _ in 0..3 {
-        former.settle(&[], 0);
-        former.now = former.now + RETENTION;
-    }
+    former.retire();
     assert!(others(&former).is_empty());
     assert!(former.stored.versions.is_empty());
 }
 
+/// Guards against a spoiled record of a name that is no pool, for which streams of all pools are
+/// refused until an operator removes it.
+#[test]
+fn verify_a_spoiled_record_of_a_pool_without_routes_is_emptied() {
+    let mut former = Pool::new(&[]);
+    former.stored = VersionRecord {
+        unreadable: true,
+        ..record(Some(7), &[])
+    };
+    former.read();
+    assert_eq!(former.records.other_pools(&[]), [pool()]);
+    former.retire();
+    assert!(former.records.other_pools(&[]).is_empty());
+    assert!(!former.stored.unreadable);
+}
+
 /// Guards against streams that are refused for ever, and begin at any version, since another writer
 /// spoiled a record that no router writes anew.
 #[test]
--- a/crates/peppercrank-gateway/src/missed_origins.rs
+++ b/crates/peppercrank-gateway/src/missed_origins.rs
@@ -28,6 +28,9 @@
 /// is what the writes have added, and it costs more.
 const READ_INTERVAL_FACTOR: u32 = 3;
 
+/// Maximum time between two reads, after which no caller has waited too long.
+const MAX_READ_PAUSE: Duration = Duration::from_millis(400);
+
 /// Returns the version that began a stream of a pool with several versions, if a router has written
 /// it to the store; `None` if none has by a read after `returned_at`, or the store does not tell in
 /// time.
@@ -81,6 +84,7 @@
         gateway.origins_wanted.notified().await;
         let _read = records::read_origins(&gateway, &store).await;
         let routers = gateway.state().routers.len() + 1;
-        sleep(jittered(write_interval(routers) * READ_INTERVAL_FACTOR)).await;
+        let pause = write_interval(routers) * READ_INTERVAL_FACTOR;
+        sleep(jittered(pause.min(MAX_READ_PAUSE))).await;
     }
 }
--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -59,7 +59,9 @@
 
 /// Returns the version that began a stream which no router knows, by what the store has on record.
 async fn find_in_store(gateway: &Gateway, job: &Job, stream: StreamId) -> Option<SoftwareVersion> {
-    match single_version::find(gateway, &job.pool, job.received_at).await {
+    let single = single_version::find(gateway, &job.pool, job.received_at).await;
+    // A report may have arrived meanwhile.
+    match known_version(gateway, stream).or(single) {
         Some(version) => Some(version),
         None => missed_origins::find(gateway, &job.pool, stream, job.received_at).await,
     }
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -121,14 +121,16 @@
     let current = pools.into_iter().map(|pool| (pool, true));
     let former = state.former_pools().into_iter().map(|pool| (pool, false));
     for (pool, is_current) in current.chain(former) {
-        let mut recent = Vec::new();
-        if is_current {
+        let rank = write_rank(&state, &own, &pool);
+        let step = if is_current {
             let admitted = admitted_versions(&mut state, now, &pool);
             wake = admitted.next.map_or(wake, |at| wake.min(at));
-            recent = admitted.versions;
-        }
-        let rank = write_rank(&state, &own, &pool);
-        let step = state.version_records.next_step(now, &pool, &recent, rank);
+            let recent = &admitted.versions;
+            state.version_records.next_step(now, &pool, recent, rank)
+        } else {
+            let records = &mut state.version_records;
+            records.next_step_of_former(now, &pool, rank)
+        };
         match step {
             RecordStep::Done => {}
             RecordStep::WaitUntil(at) => wake = wake.min(at),
--- a/crates/peppercrank-gateway/src/stored_origins.rs
+++ b/crates/peppercrank-gateway/src/stored_origins.rs
@@ -14,6 +14,7 @@
 use peppercrank_direct::stored_origins::Batch;
 use peppercrank_direct::stored_origins::LaneObject;
 use peppercrank_direct::stored_origins::LaneWrite;
+use peppercrank_direct::stored_origins::MAX_LANES;
 use peppercrank_direct::stored_origins::lane_of;
 use peppercrank_direct::stored_origins::object_name;
 use peppercrank_direct::stored_origins::owner;
@@ -253,7 +254,7 @@
 /// is left of the others is deleted by [`delete_orphans`].
 pub async fn delete_origins(gateway: &Gateway, store: &Store, router: &str) {
     let kind = RecordKind::Origins;
-    for lane in 0.. {
+    for lane in 0..MAX_LANES {
         let name = object_name(router, lane);
         let deleted = store.delete(&kind.path(&name)).await.result;
         count_call(gateway, kind, &deleted);
