direct: routes that moved are compared as lists in place of a count and pairs

No behaviour changes: both lists of resumable routes were compared by their number and pair by pair; the lists of host, prefix and pools say the same. The four tests of verify_moved_routes pass; formatter and linter of the crate pass.

--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -206,12 +206,13 @@
         pools.extend(self.resumable_pools());
         pools.sort_unstable();
         pools.dedup();
-        let is_alike =
-            |a: &Route, b: &Route| a.host == b.host && a.prefix == b.prefix && a.pools == b.pools;
-        let routes = self.resumable_routes().zip(earlier.resumable_routes());
-        let count = self.resumable_routes().count();
-        let unchanged = count == earlier.resumable_routes().count();
-        pools.len() > 1 && !(unchanged && routes.into_iter().all(|(a, b)| is_alike(a, b)))
+        let ways = |desired: &Self| {
+            let routes = desired.resumable_routes();
+            let ways =
+                routes.map(|r| (Arc::clone(&r.host), Arc::clone(&r.prefix), r.pools.clone()));
+            ways.collect::<Vec<_>>()
+        };
+        pools.len() > 1 && ways(self) != ways(earlier)
     }
 
     fn resumable_routes(&self) -> impl Iterator<Item = &Route> {
