wire: a connection that has just opened is not idle before its first request

What callers saw: where a configuration sets the idle time close to zero, a connection that opened was closed without an answer if its first request arrived a moment later.

Cause: the idle time, which is the time between two requests of a connection, was counted from its opening as well.

The first request now has the time for a head, if that is longer. verify_silent_callers_are_closed sets the time for a head to the idle time, so that it waits as long as before.

--- a/crates/peppercrank-wire/src/edge/flow.rs
+++ b/crates/peppercrank-wire/src/edge/flow.rs
@@ -24,7 +24,9 @@
 /// What a connection waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
-    /// The first byte of a request.
+    /// The first byte of the first request, which is on its way.
+    New,
+    /// The first byte of a further request.
     Idle,
     /// The rest of a head.
     Head,
@@ -72,7 +74,7 @@
 impl ConnectionState {
     pub(super) fn new() -> Self {
         Self(Mutex::new(Inner {
-            phase: Phase::Idle,
+            phase: Phase::New,
             phase_since: Instant::now(),
             write_blocked_since: None,
             held: Held::default(),
@@ -190,11 +192,10 @@
         stopping: Option<Instant>,
     ) -> (Instant, Expired) {
         let state = self.lock();
+        let idle = |time| idle_deadline(state.phase_since, time, limits, stopping);
         let phase = match state.phase {
-            Phase::Idle => (
-                idle_deadline(state.phase_since, limits, stopping),
-                Expired::Idle,
-            ),
+            Phase::New => (idle(limits.idle.max(limits.head_time)), Expired::Idle),
+            Phase::Idle => (idle(limits.idle), Expired::Idle),
             Phase::Head => {
                 let reason = Expired::Refused(Refused::HeadTimeout);
                 (deadline_after(state.phase_since, limits.head_time), reason)
@@ -225,8 +226,13 @@
     }
 }
 
-fn idle_deadline(since: Instant, limits: &Limits, stopping: Option<Instant>) -> Instant {
-    let end = deadline_after(since, limits.idle);
+fn idle_deadline(
+    since: Instant,
+    time: Duration,
+    limits: &Limits,
+    stopping: Option<Instant>,
+) -> Instant {
+    let end = deadline_after(since, time);
     match stopping {
         Some(at) => end.min(deadline_after(at, limits.stop_idle)),
         None => end,
--- a/crates/peppercrank-wire/src/edge/gate.rs
+++ b/crates/peppercrank-wire/src/edge/gate.rs
@@ -134,7 +134,7 @@
         if std::mem::replace(&mut self.head_begun, true) {
             return HeadLimits::Unchanged;
         }
-        if self.state.phase() == Phase::Idle {
+        if matches!(self.state.phase(), Phase::New | Phase::Idle) {
             self.state.head_started();
         }
         let newest = Arc::clone(&self.newest_limits.borrow());
--- a/crates/peppercrank-wire/src/edge/limits.rs
+++ b/crates/peppercrank-wire/src/edge/limits.rs
@@ -20,7 +20,8 @@
     pub head_time: Duration,
     /// Maximum time from the end of the head to the last byte of the body.
     pub body_time: Duration,
-    /// Maximum time that a connection stays open without a request.
+    /// Maximum time that a connection stays open without a request; before its first one, `head_time`
+    /// if that is longer.
     pub idle: Duration,
     /// Maximum time that a caller may leave a response unread.
     pub write: Duration,
--- a/crates/peppercrank-wire/tests/verify_limits.rs
+++ b/crates/peppercrank-wire/tests/verify_limits.rs
@@ -95,6 +95,7 @@
 async fn verify_silent_callers_are_closed() {
     let limits = Limits {
         idle: LONG,
+        head_time: LONG,
         ..Limits::default()
     };
     let running = start(limits, echo).await;
@@ -105,6 +106,25 @@
     assert_eq!(running.counters.calls(), 1);
 }
 
+/// Guards against a first request that is not answered, as its connection counts as idle before it
+/// arrives.
+#[tokio::test]
+async fn verify_a_short_idle_time_leaves_time_for_the_first_request() {
+    let limits = Limits {
+        idle: Duration::ZERO,
+        ..Limits::default()
+    };
+    let running = start(limits, echo).await;
+    let mut io = TcpStream::connect(running.address)
+        .await
+        .expect("a connection");
+    tokio::time::sleep(SHORT).await;
+    io.write_all(GET).await.expect("sent");
+    // The connection is closed right after the answer.
+    let answer = read_all(&mut io).await;
+    assert!(answer.ends_with("GET / "), "{answer}");
+}
+
 #[tokio::test]
 async fn verify_slow_heads_are_bounded_by_the_total_time() {
     let limits = Limits {
