--- a/crates/peppercrank-gateway/src/attempt.rs
+++ b/crates/peppercrank-gateway/src/attempt.rs
@@ -46,8 +46,12 @@
 /// still answer in time.
 const NO_SIGN: &str = "no sign of an answer";
 
-/// Log text and metrics label of an answer whose framing has no end.
-pub const ENDLESS: &str = "answer without end";
+/// Log text and metrics label of an answer whose head, or interim responses, have no end.
+const ENDLESS_HEAD: &str = "head without end";
+
+/// Log text and metrics label of an answer whose chunk sizes, chunk extensions and trailers have no
+/// end.
+pub const ENDLESS_FRAMING: &str = "framing without end";
 
 /// An answer that was read completely.
 #[derive(Debug, Clone)]
@@ -153,7 +157,7 @@
     const fn broken_body(error: WireError) -> Self {
         match error {
             WireError::ResponseEndless => {
-                Self::new(ExecutionState::Unknown, ENDLESS, Blame::Target)
+                Self::new(ExecutionState::Unknown, ENDLESS_FRAMING, Blame::Target)
             }
             _ => Self::connection_lost("answer cut"),
         }
@@ -251,7 +255,7 @@
         )),
         Err(SendError::MayHaveBeenSent(Cause::Endless)) => Err(AttemptError::new(
             ExecutionState::Unknown,
-            ENDLESS,
+            ENDLESS_HEAD,
             Blame::Target,
         )),
         Err(SendError::MayHaveBeenSent(_)) => Err(AttemptError::connection_lost("connection lost")),
--- a/crates/peppercrank-gateway/src/relay.rs
+++ b/crates/peppercrank-gateway/src/relay.rs
@@ -28,7 +28,7 @@
 use crate::attempt::AttemptError;
 use crate::attempt::Content;
 use crate::attempt::CrashEvidence;
-use crate::attempt::ENDLESS;
+use crate::attempt::ENDLESS_FRAMING;
 use crate::attempt::TARGET_FAILURE;
 use crate::attempt::TargetAnswer;
 use crate::attempt::next_part;
@@ -170,8 +170,8 @@
                     }
                 }
                 StreamEvent::Endless => {
-                    if !self.fail_over(ENDLESS, CrashEvidence::None).await {
-                        return self.abort(ENDLESS);
+                    if !self.fail_over(ENDLESS_FRAMING, CrashEvidence::None).await {
+                        return self.abort(ENDLESS_FRAMING);
                     }
                 }
                 StreamEvent::TargetRestarted => {
