direct, gateway: the routing between pools stands on their records, so that no stream crosses services unseen

Cause: a router took the routing that it knew for the only one there had been. The proof by records says which versions served a pool, and nothing of which pool a route led to; the mark of a move lived in the process that saw it, and no pool leaves the records where both services keep such streams.

Fix: where several pools have such streams, their records also name the routing, a hash of hosts, prefixes, pools and weights. It is recorded, retired and removed like a version. While any record names another one than the router's own, no unknown origin is certain there. The record is read after the caller's return already, so no call is added to a return; a fleet with one such pool has no routing.

VersionRecord moved to a file of its own.

--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -12,6 +12,7 @@
 
 use crate::ranks::Ranks;
 use crate::regions::Regions;
+use crate::routing;
 use crate::warm_up::WarmUp;
 
 /// Seed of the hash that selects one of a route's pools.
@@ -232,6 +233,14 @@
         pools.dedup();
         pools
     }
+
+    /// Returns the name of the way in which streams that may be resumed are divided among several
+    /// pools; `None` if there is one such pool at most.
+    #[must_use]
+    pub fn routing(&self) -> Option<Arc<str>> {
+        let is_divided = self.resumable_pools().len() > 1;
+        is_divided.then(|| routing::name_of(self.resumable_routes()))
+    }
 }
 
 /// `Index` looks up the routes, pools and organisations of one configuration.
@@ -244,6 +253,8 @@
     keys: HashMap<Arc<str>, usize>,
     /// Ranks by which requests for a pool are ordered.
     ranks: Ranks,
+    /// Pools with streams that another run may continue.
+    resumable_pools: Vec<Arc<str>>,
 }
 
 /// `Access` is whether a request may run, and for whom.
@@ -276,6 +287,7 @@
         }
         Self {
             ranks: Ranks::new(&desired),
+            resumable_pools: desired.resumable_pools(),
             desired,
             hosts,
             keys,
@@ -288,6 +300,12 @@
         &self.desired
     }
 
+    /// As [`Desired::resumable_pools`].
+    #[must_use]
+    pub fn resumable_pools(&self) -> &[Arc<str>] {
+        &self.resumable_pools
+    }
+
     /// Returns the ranks by which the urgency of requests is compared.
     #[must_use]
     pub const fn ranks(&self) -> &Ranks {
--- a/crates/peppercrank-direct/src/lib.rs
+++ b/crates/peppercrank-direct/src/lib.rs
@@ -37,6 +37,7 @@
 //! - [`registration`]: what targets register about themselves.
 //! - [`reports`]: load reports of targets, relayed between routers.
 //! - [`retries`]: the fleet's retry budget, and the next step after a failed attempt.
+//! - [`routing`]: names of the ways in which routes divide streams among pools.
 //! - [`shares`]: division of an overloaded pool's room between organisations.
 //! - [`silence`]: detection of streams that have stalled.
 //! - [`slowdown`]: how much slower than usual targets work at the moment.
@@ -87,6 +88,7 @@
 pub mod registration;
 pub mod reports;
 pub mod retries;
+pub mod routing;
 pub mod shares;
 pub mod silence;
 pub mod slowdown;
@@ -97,5 +99,6 @@
 pub mod suspension;
 pub mod target;
 pub mod truncation;
+mod version_record;
 pub mod version_records;
 pub mod warm_up;
--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -8,6 +8,9 @@
 //! streams begin at it, and a process reads the records when it starts. A version is removed in two
 //! steps, each after no target ran it for [`RETENTION`]: it is marked as retired first. Both are
 //! conditional writes, so that neither undoes what another router has just written.
+//!
+//! Where routes divide streams among several pools, a record also names the routing in force, which is
+//! recorded, retired and removed like a version ([`crate::routing`]).
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -20,6 +23,8 @@
 use crate::origins::SoftwareVersion;
 use crate::pool_versions::RETENTION;
 use crate::pool_versions::RecentVersion;
+pub use crate::version_record::RecordedVersion;
+pub use crate::version_record::VersionRecord;
 
 /// How much later each further router records a version than the one before, so that mostly one
 /// writes.
@@ -34,32 +39,6 @@
 /// How much later each further router retires a version than the one before.
 const RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
-/// Name on a record of whatever versions it named while it could not be read.
-const UNKNOWN_VERSION: &str = "(unreadable)";
-
-/// One software version on a pool's record.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RecordedVersion {
-    /// Name of the version.
-    pub name: Arc<str>,
-    /// Whether a router found that no target has run it for [`RETENTION`]. It still counts as one
-    /// that may have begun streams.
-    pub retired: bool,
-}
-
-/// The record of one pool.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct VersionRecord {
-    /// Store revision of the record; `None` while the store has none.
-    pub revision: Option<u64>,
-    /// Versions in the order in which they were recorded.
-    pub versions: Vec<RecordedVersion>,
-    /// Era of the store in which the record was written; `None` if that is not known.
-    pub era: Option<Era>,
-    /// Whether the record in the store cannot be read. It may name any version.
-    pub unreadable: bool,
-}
-
 /// What a router does next about a pool's record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RecordStep {
@@ -98,6 +77,9 @@
     read_at: Option<Instant>,
     /// Whether the records were ever read.
     known: bool,
+    /// Routing of this router's configuration; `None` if one pool at most has streams that may be
+    /// resumed.
+    routing: Option<Arc<str>>,
     pools: HashMap<Arc<str>, PoolState>,
 }
 
@@ -121,11 +103,37 @@
         self.read_at.is_some()
     }
 
-    /// Returns whether a pool's record names several versions, or may.
+    /// Sets the routing of this router's configuration, and returns the one of before.
+    pub fn set_routing(&mut self, routing: Option<Arc<str>>) -> Option<Arc<str>> {
+        std::mem::replace(&mut self.routing, routing)
+    }
+
+    /// Returns this router's routing as a pool's record is to name it.
+    #[must_use]
+    pub fn own_routing(&self, pool: &str) -> Option<RecentVersion> {
+        self.routing.as_ref().map(|name| RecentVersion {
+            version: SoftwareVersion::of(pool, name),
+            name: Arc::clone(name),
+            seen: true,
+        })
+    }
+
+    /// Returns whether a record names another routing than this router's, or may. Streams may have
+    /// begun at other pools then than those to which this router sends their callers.
+    #[must_use]
+    pub fn names_other_routing(&self) -> bool {
+        let routing = self.routing.as_ref();
+        let mut records = self.pools.values().map(|s| &s.record);
+        records.any(|r| r.names_other_routing(routing))
+    }
+
+    /// Returns whether a pool's record names several versions, or may, or another routing than this
+    /// router's.
     #[must_use]
     pub fn names_several(&self, pool: &str) -> bool {
         let record = self.pools.get(pool).map(|s| &s.record);
-        record.is_some_and(|r| r.versions.len() > 1 || r.unreadable)
+        let routing = self.routing.as_ref();
+        record.is_some_and(|r| r.unreadable || r.without(routing).count() > 1)
     }
 
     /// Returns whether a pool's record names a version.
@@ -140,8 +148,9 @@
     pub fn only_version(&self, pool: &str, since: Instant) -> Option<SoftwareVersion> {
         let record = &self.pools.get(pool)?.record;
         let is_read = self.read_at.is_some_and(|read_at| read_at >= since);
-        match record.versions.as_slice() {
-            [only] if is_read && !record.unreadable => Some(only.software(pool)),
+        let mut versions = record.without(self.routing.as_ref());
+        match (versions.next(), versions.next()) {
+            (Some(only), None) if is_read && !record.unreadable => Some(only.software(pool)),
             _ => None,
         }
     }
@@ -195,7 +204,8 @@
         for (pool, record) in listed {
             let state = self.pools.entry(Arc::clone(&pool)).or_default();
             let known = |name: &Arc<str>| state.record.versions.iter().any(|v| v.name == *name);
-            let names = record.versions.iter().map(|v| Arc::clone(&v.name));
+            let others = record.without(self.routing.as_ref());
+            let names = others.map(|v| Arc::clone(&v.name));
             let new = names.filter(|name| !known(name));
             unknown.extend(new.map(|name| (Arc::clone(&pool), name)));
             state.checked.clone_from(&state.present);
@@ -329,34 +339,3 @@
         })
     }
 }
-
-impl RecordedVersion {
-    fn software(&self, pool: &str) -> SoftwareVersion {
-        SoftwareVersion::of(pool, &self.name)
-    }
-}
-
-impl VersionRecord {
-    /// Returns this record with all of these versions in use that were seen. What an unreadable one
-    /// named counts as a further version that has retired.
-    fn with(&self, recent: &[RecentVersion]) -> Self {
-        let mut record = self.clone();
-        if std::mem::take(&mut record.unreadable) {
-            record.versions.push(RecordedVersion {
-                name: UNKNOWN_VERSION.into(),
-                retired: true,
-            });
-        }
-        for RecentVersion { name, .. } in recent.iter().filter(|r| r.seen) {
-            let mut known = record.versions.iter_mut();
-            match known.find(|v| v.name == *name) {
-                Some(known) => known.retired = false,
-                None => record.versions.push(RecordedVersion {
-                    name: Arc::clone(name),
-                    retired: false,
-                }),
-            }
-        }
-        record
-    }
-}
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -141,7 +141,7 @@
     Action::WaitUntil(wake)
 }
 
-/// Returns the versions of a pool's targets without those that have just joined.
+/// Returns the versions of a pool's targets without those that have just joined, and the routing.
 fn admitted_versions(state: &mut State, now: Instant, pool: &Arc<str>) -> Admitted {
     let recent = state.directory.software_versions(now, pool);
     let hold = Hold {
@@ -150,13 +150,15 @@
         serves: state.serves_recorded_version(now, pool),
     };
     let records = &state.version_records;
-    state.joining.admit(now, pool, recent, records, hold)
+    let mut admitted = state.joining.admit(now, pool, recent, records, hold);
+    admitted.versions.extend(records.own_routing(pool));
+    admitted
 }
 
 /// Returns the pools to which resumable streams are sent; `None` before a configuration was read.
 fn resumable_pools(state: &State) -> Option<Vec<Arc<str>>> {
     let index = state.config.index()?;
-    Some(index.desired().resumable_pools())
+    Some(index.resumable_pools().to_vec())
 }
 
 /// Returns how many routers write a pool's record before this one.
--- a/crates/peppercrank-gateway/src/single_version.rs
+++ b/crates/peppercrank-gateway/src/single_version.rs
@@ -77,9 +77,12 @@
     if !is_in_touch || !is_whole || state.version_records.names_several(pool) {
         return Proof::None;
     }
-    // Streams of a pool whose routes have moved are resumed at another one.
-    let moved = state.directory.has_moved_routes(now, pool);
-    if moved || !state.former_pools().is_empty() {
+    // Streams of a pool whose routes have moved are resumed at another one. Others may have begun
+    // streams by a configuration that this router has not read yet.
+    let moved = state.directory.has_moved_routes(now, pool)
+        || state.version_records.names_other_routing()
+        || !state.former_pools().is_empty();
+    if moved {
         return Proof::None;
     }
     // Targets of another version may be known already, and begin streams once it is on record. A
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -328,9 +328,8 @@
     /// Returns the pools on record to which no route sends streams that may be resumed any more.
     #[must_use]
     pub fn former_pools(&self) -> Vec<Arc<str>> {
-        let pools = self.config.index().map(|i| i.desired().resumable_pools());
-        let pools = pools.unwrap_or_default();
-        self.version_records.other_pools(&pools)
+        let pools = self.config.index().map(|i| i.resumable_pools());
+        self.version_records.other_pools(pools.unwrap_or_default())
     }
 
     /// Applies a configuration unless a newer version is in force, and records the pools to which it
@@ -339,10 +338,17 @@
         let earlier = self.config.index().map(|i| i.desired());
         let moves = earlier.is_some_and(|earlier| desired.moves_streams(earlier));
         let pools = desired.resumable_pools();
+        let routing = desired.routing();
         let applied = self.config.apply(now, desired);
-        if moves && applied == ApplyOutcome::Activated {
-            for pool in &pools {
-                self.directory.record_moved_route(now, pool);
+        if applied != ApplyOutcome::Activated {
+            return applied;
+        }
+        let earlier = self.version_records.set_routing(routing.clone());
+        let earlier = earlier.filter(|_| moves);
+        for pool in pools.iter().filter(|_| moves) {
+            self.directory.record_moved_route(now, pool);
+            if let Some(earlier) = &earlier {
+                self.directory.record_served_version(now, pool, earlier);
             }
         }
         applied
