gateway: a read of records that fails is repeated as long as a caller waits for it

What callers saw: a stream that could go on was refused as `origin_unknown` after 500 ms, because the one read of versions or origins that its return had asked for was turned away, although the next would have been answered.

Cause: the tasks that read for returns read once for each time they were asked, whatever came of it.

Fix: one type, ReadDemand, in place of the twin loops of single_version and missed_origins. It knows until when callers wait, and whether the last read failed; then it is due again after the usual pause, with jitter. Not while the store is away, and not once nobody waits.

An answer that is lost was repeated on another connection after 400 ms before; that has no test here.

--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -43,6 +43,9 @@
 use crate::limits::answer_limits;
 use crate::limits::edge_limits;
 use crate::metrics::Metrics;
+use crate::missed_origins;
+use crate::read_demand::ReadDemand;
+use crate::single_version;
 use crate::state::State;
 
 /// Time limit for connecting to a target: a hundred round trips between availability zones.
@@ -132,10 +135,10 @@
     pub versions_changed: Notify,
     /// Wakes requests that wait until a software version is on record.
     pub versions_recorded: Notify,
-    /// Wakes the task that reads the records for callers that resume streams.
-    pub record_wanted: Notify,
-    /// Wakes the task that reads origins from the store for callers that resume streams.
-    pub origins_wanted: Notify,
+    /// Whether callers that resume streams wait for a read of the records of versions.
+    pub record_demand: ReadDemand,
+    /// Whether callers that resume streams wait for a read of the origins in the store.
+    pub origin_demand: ReadDemand,
     /// The limits for callers, which follow the configuration in force.
     pub limits: watch::Sender<Arc<Limits>>,
     /// The socket for datagrams between routers.
@@ -190,8 +193,8 @@
             entry_missing: Notify::new(),
             versions_changed: Notify::new(),
             versions_recorded: Notify::new(),
-            record_wanted: Notify::new(),
-            origins_wanted: Notify::new(),
+            record_demand: ReadDemand::new(single_version::PACE),
+            origin_demand: ReadDemand::new(missed_origins::PACE),
             limits: watch::Sender::new(Arc::new(limits)),
             peer_socket,
             peer_address,
--- a/crates/peppercrank-gateway/src/lib.rs
+++ b/crates/peppercrank-gateway/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod origins;
 pub mod outage;
 pub mod progress;
+pub mod read_demand;
 pub mod records;
 pub mod refusal;
 pub mod refuse;
--- a/crates/peppercrank-gateway/src/missed_origins.rs
+++ b/crates/peppercrank-gateway/src/missed_origins.rs
@@ -12,24 +12,21 @@
 use peppercrank_core::time::Instant;
 use peppercrank_direct::origins::SoftwareVersion;
 use peppercrank_direct::origins::StreamId;
-use peppercrank_direct::stored_origins::write_interval;
-use tokio::time::sleep;
 
 use crate::gateway::Gateway;
 use crate::origins::known_version;
+use crate::read_demand::Pace;
 use crate::records;
 use crate::store::Store;
-use crate::store::jittered;
 
 /// Time for which a caller waits for a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Minimum time between two reads, as a multiple of the time between two writes: what a read brings
-/// is what the writes have added, and it costs more.
-const READ_INTERVAL_FACTOR: u32 = 3;
-
-/// Maximum time between two reads, after which no caller has waited too long.
-const MAX_READ_PAUSE: Duration = Duration::from_millis(400);
+/// Time between two reads. What a read brings is what the writes have added, and it costs more.
+pub const PACE: Pace = Pace {
+    writes: 3,
+    max: Duration::from_millis(400),
+};
 
 /// Returns the version that began a stream of a pool with several versions, if a router has written
 /// it to the store; `None` if none has by a read after `returned_at`, or the store does not tell in
@@ -51,7 +48,7 @@
     }
     let until = now + READ_TIMEOUT;
     gateway
-        .timeout_at(until, wait_for_origin(gateway, stream, returned_at))
+        .timeout_at(until, wait_for_origin(gateway, stream, returned_at, until))
         .await
         .flatten()
 }
@@ -60,8 +57,9 @@
     gateway: &Gateway,
     stream: StreamId,
     returned_at: Instant,
+    until: Instant,
 ) -> Option<SoftwareVersion> {
-    gateway.origins_wanted.notify_one();
+    gateway.origin_demand.ask(until);
     loop {
         let answered = gateway.origin_answered.notified();
         tokio::pin!(answered);
@@ -81,10 +79,8 @@
 /// each has a cost that grows with the number of routers.
 pub async fn read_missed(gateway: Arc<Gateway>, store: Store) {
     loop {
-        gateway.origins_wanted.notified().await;
-        let _read = records::read_origins(&gateway, &store).await;
-        let routers = gateway.state().routers.len() + 1;
-        let pause = write_interval(routers) * READ_INTERVAL_FACTOR;
-        sleep(jittered(pause.min(MAX_READ_PAUSE))).await;
+        gateway.origin_demand.wait(&gateway).await;
+        let read = records::read_origins(&gateway, &store).await;
+        gateway.origin_demand.pause(&gateway, read).await;
     }
 }
--- a/crates/peppercrank-gateway/src/single_version.rs
+++ b/crates/peppercrank-gateway/src/single_version.rs
@@ -13,21 +13,22 @@
 
 use peppercrank_core::time::Instant;
 use peppercrank_direct::origins::SoftwareVersion;
-use peppercrank_direct::stored_origins::write_interval;
-use tokio::time::sleep;
 
 use crate::gateway::Gateway;
+use crate::read_demand::Pace;
 use crate::records;
 use crate::state::State;
 use crate::store::Store;
-use crate::store::jittered;
 
 /// Time for the store to answer, after which the origin counts as unknown: a few calls, or one to a
 /// slow store.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Maximum pause between two reads, after which no caller has waited too long.
-const MAX_READ_PAUSE: Duration = Duration::from_millis(250);
+/// Time between two reads.
+pub const PACE: Pace = Pace {
+    writes: 1,
+    max: Duration::from_millis(250),
+};
 
 /// What is known of the versions that may have begun a stream.
 enum Proof {
@@ -43,7 +44,7 @@
 /// `returned_at`, when its caller returned; `None` if there may be others.
 pub async fn find(gateway: &Gateway, pool: &str, returned_at: Instant) -> Option<SoftwareVersion> {
     let until = gateway.now() + PROOF_TIMEOUT;
-    let proof = wait_for_proof(gateway, pool, returned_at);
+    let proof = wait_for_proof(gateway, pool, returned_at, until);
     gateway.timeout_at(until, proof).await.flatten()
 }
 
@@ -51,6 +52,7 @@
     gateway: &Gateway,
     pool: &str,
     returned_at: Instant,
+    until: Instant,
 ) -> Option<SoftwareVersion> {
     let mut is_wanted = false;
     loop {
@@ -63,7 +65,7 @@
             Proof::InDoubt => {}
         }
         if !is_wanted {
-            gateway.record_wanted.notify_one();
+            gateway.record_demand.ask(until);
             is_wanted = true;
         }
         read.await;
@@ -99,9 +101,8 @@
 /// returned before it, and reads are paced, as each call has a cost.
 pub async fn answer_doubts(gateway: Arc<Gateway>, store: Store) {
     loop {
-        gateway.record_wanted.notified().await;
-        let _read = records::read_versions(&gateway, &store).await;
-        let routers = gateway.state().routers.len() + 1;
-        sleep(jittered(write_interval(routers).min(MAX_READ_PAUSE))).await;
+        gateway.record_demand.wait(&gateway).await;
+        let read = records::read_versions(&gateway, &store).await;
+        gateway.record_demand.pause(&gateway, read).await;
     }
 }
