direct: a late answer to a write of versions undoes no newer read

What callers might have seen: a stream that began at a version which another router had just put on record went on at the other one. The cause: a router's write and its reads for returns run at the same time. A write that was answered after a newer read replaced what that read had brought, while the time of the read stayed. So the older record, which may name one version, counted as read after the caller returned.

Evidence: verify_a_late_answer_to_a_write_undoes_no_newer_read failed before (only_version gave v1 where the newer record names v1 and v2) and passes. The record's revision decides now. A router whose write rests on an old read loses nothing, as its write names the revision: the second test passed before.

--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -206,10 +206,12 @@
         unknown
     }
 
-    /// Applies a record that this router has written.
+    /// Applies a record that this router has written, unless it has read a newer one meanwhile.
     pub fn apply_written(&mut self, now: Instant, pool: &Arc<str>, record: VersionRecord) {
         let state = self.pools.entry(Arc::clone(pool)).or_default();
-        state.apply(now, pool, record);
+        if record.revision > state.record.revision {
+            state.apply(now, pool, record);
+        }
     }
 
     /// Decides what to do next about a pool, whose targets run the versions that are `recent`, or
--- /dev/null
+++ b/crates/peppercrank-direct/tests/verify_records_out_of_step.rs
@@ -0,0 +1,112 @@
+// Copyright (c) the peppercrank maintainers.
+// SPDX-License-Identifier: MIT OR Apache-2.0
+
+//! Records of software versions at routers that are out of step with others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use peppercrank_core::time::Instant;
+use peppercrank_direct::origins::SoftwareVersion;
+use peppercrank_direct::pool_versions::RETENTION;
+use peppercrank_direct::pool_versions::RecentVersion;
+use peppercrank_direct::version_records::RecordStep;
+use peppercrank_direct::version_records::RecordedVersion;
+use peppercrank_direct::version_records::VersionRecord;
+use peppercrank_direct::version_records::VersionRecords;
+
+fn pool() -> Arc<str> {
+    "pool".into()
+}
+
+fn at(seconds: u64) -> Instant {
+    Instant::ZERO + Duration::from_secs(seconds)
+}
+
+fn recent(names: &[&str]) -> Vec<RecentVersion> {
+    let versions = names.iter().map(|name| RecentVersion {
+        version: SoftwareVersion::of("pool", name),
+        name: (*name).into(),
+        seen: true,
+    });
+    versions.collect()
+}
+
+fn record(revision: u64, names: &[&str]) -> VersionRecord {
+    let versions = names.iter().map(|name| RecordedVersion {
+        name: (*name).into(),
+        retired: false,
+    });
+    VersionRecord {
+        revision: Some(revision),
+        versions: versions.collect(),
+        era: None,
+        unreadable: false,
+    }
+}
+
+/// What the store holds of one pool.
+struct Stored(VersionRecord);
+
+impl Stored {
+    fn names(&self) -> Vec<&str> {
+        self.0.versions.iter().map(|v| &*v.name).collect()
+    }
+
+    fn read(&self, now: Instant, records: &mut VersionRecords) {
+        let _unknown = records.apply_list(now, vec![(pool(), self.0.clone())]);
+    }
+
+    fn write(&mut self, record: VersionRecord) -> bool {
+        if record.revision != self.0.revision {
+            return false;
+        }
+        let revision = record.revision.map(|r| r + 1);
+        self.0 = VersionRecord { revision, ..record };
+        true
+    }
+
+    /// Takes one step of a router, and returns whether it called the store.
+    fn step(&mut self, now: Instant, records: &mut VersionRecords, names: &[&str]) -> bool {
+        match records.next_step(now, &pool(), &recent(names), 0) {
+            RecordStep::Read => self.read(now, records),
+            RecordStep::Write(record) if self.write(record.clone()) => {
+                records.apply_written(now, &pool(), self.0.clone());
+            }
+            RecordStep::Write(_) => records.invalidate(),
+            RecordStep::Done | RecordStep::WaitUntil(_) => return false,
+        }
+        true
+    }
+}
+
+/// Guards against a record that is taken for newer than it is, as a write is answered late.
+#[test]
+fn verify_a_late_answer_to_a_write_undoes_no_newer_read() {
+    let mut records = VersionRecords::default();
+    Stored(record(1, &["v1"])).read(at(1), &mut records);
+    Stored(record(3, &["v1", "v2"])).read(at(2), &mut records);
+    records.apply_written(at(2), &pool(), record(2, &["v1"]));
+    assert_eq!(records.only_version("pool", at(2)), None);
+    let joined = SoftwareVersion::of("pool", "v2");
+    assert!(records.is_confirmed("pool", joined));
+}
+
+/// Guards against a version that is lost as a router writes what it read before others wrote.
+#[test]
+fn verify_a_write_from_an_old_read_loses_no_version() {
+    let mut stored = Stored(record(1, &["v1"]));
+    let mut records = VersionRecords::default();
+    stored.read(at(1), &mut records);
+    while !matches!(
+        records.next_step(at(1), &pool(), &recent(&["v1", "v3"]), 0),
+        RecordStep::Write(_)
+    ) {
+        stored.read(at(1), &mut records);
+    }
+    // The router stands still, while another one puts two versions on record.
+    stored.0 = record(3, &["v1", "v2", "v4"]);
+    let now = at(1) + RETENTION;
+    while stored.step(now, &mut records, &["v1", "v3"]) {}
+    assert_eq!(stored.names(), ["v1", "v2", "v4", "v3"]);
+}
