direct: one router alone removes no version that serves

The cause: a router whose list of targets lacked a version that the record named marked it as retired after a minute and removed it a minute later. The others held it for confirmed and did not look again. Then one version was on record, which proves to any router where a stream began.

The first three routers by rank now read a record of several versions every half minute. One that sees the version finds it retired, and puts it in use again well before it would be removed.

Evidence: verify_one_router_alone_removes_no_version_that_serves failed before (the version was off the record at 64 s) and passes.

--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -34,6 +34,14 @@
 /// How much later each further router retires a version than the one before.
 const RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
+/// Number of routers that look again at a record of several versions, so that none is retired, and
+/// then removed, by one that does not know its targets.
+const OBSERVERS: u32 = 3;
+
+/// How often they do. A version that is retired by mistake is in use again well before it would be
+/// removed.
+const OBSERVATION_INTERVAL: Duration = Duration::from_secs(RETENTION.as_secs() / 2);
+
 /// Name on a record of whatever versions it named while it could not be read.
 const UNKNOWN_VERSION: &str = "(unreadable)";
 
@@ -244,7 +252,13 @@
         if missing.is_empty() {
             state.missing_since = None;
             let delay = RETIREMENT_DELAY.saturating_mul(rank);
-            return state.next_retirement(now, pool, read_at, recent, delay);
+            let step = state.next_retirement(now, pool, read_at, recent, delay);
+            let is_observed = rank < OBSERVERS && state.record.versions.len() > 1;
+            return if is_observed {
+                step.or_read_at(now, read_at + OBSERVATION_INTERVAL)
+            } else {
+                step
+            };
         }
         let missing_since = *state.missing_since.get_or_insert(now);
         let due = missing_since + RANK_DELAY.saturating_mul(rank).min(MAX_DELAY);
@@ -332,6 +346,18 @@
     }
 }
 
+impl RecordStep {
+    /// Returns this step, or a read once that is due and there is nothing else to do.
+    fn or_read_at(self, now: Instant, due: Instant) -> Self {
+        match self {
+            Self::Done | Self::WaitUntil(_) if now >= due => Self::Read,
+            Self::Done => Self::WaitUntil(due),
+            Self::WaitUntil(at) => Self::WaitUntil(at.min(due)),
+            Self::Read | Self::Write(_) => self,
+        }
+    }
+}
+
 impl RecordedVersion {
     fn software(&self, pool: &str) -> SoftwareVersion {
         SoftwareVersion::of(pool, &self.name)
