--- a/crates/peppercrank-direct/src/freshness.rs
+++ b/crates/peppercrank-direct/src/freshness.rs
@@ -83,6 +83,12 @@
         self.source
     }
 
+    /// Returns as of when the known state was the newest; `None` before the first answer.
+    #[must_use]
+    pub const fn confirmed_at(&self) -> Option<Instant> {
+        self.asked_at
+    }
+
     /// Returns the age of the known state; `None` before the first answer.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -34,6 +34,13 @@
 /// How much later each further router retires a version than the one before.
 const RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
+/// Maximum age of what a router knows of a pool's targets, or of its routes, when it retires a
+/// version. A sound watch is answered sooner.
+const MAX_KNOWLEDGE_AGE: Duration = Duration::from_secs(10);
+
+/// Pause after which a router looks again whether it knows enough to retire a version.
+const KNOWLEDGE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Number of routers that look again at a record of several versions, so that none is retired, and
 /// then removed, by one that does not know its targets.
 const OBSERVERS: u32 = 3;
@@ -223,12 +230,14 @@
     }
 
     /// Decides what to do next about a pool, whose targets run the versions that are `recent`, or
-    /// did. `rank` is the number of routers that write before this one.
+    /// did, as far as was known at `known_at`. `rank` is the number of routers that write before
+    /// this one.
     pub fn next_step(
         &mut self,
         now: Instant,
         pool: &Arc<str>,
         recent: &[RecentVersion],
+        known_at: Option<Instant>,
         rank: u32,
     ) -> RecordStep {
         let read_at = self.read_at;
@@ -252,7 +261,8 @@
         if missing.is_empty() {
             state.missing_since = None;
             let delay = RETIREMENT_DELAY.saturating_mul(rank);
-            let step = state.next_retirement(now, pool, read_at, recent, delay);
+            let basis = Basis { read_at, known_at };
+            let step = state.next_retirement(now, pool, basis, recent, delay);
             let is_observed = rank < OBSERVERS && state.record.versions.len() > 1;
             return if is_observed {
                 step.or_read_at(now, read_at + OBSERVATION_INTERVAL)
@@ -272,9 +282,16 @@
         }
     }
 
-    /// Decides what to do next about a pool on record to which no route sends streams any more: its
-    /// versions are retired and removed, also those that a record names which can't be read.
-    pub fn next_step_of_former(&mut self, now: Instant, pool: &Arc<str>, rank: u32) -> RecordStep {
+    /// Decides what to do next about a pool on record to which no route sends streams any more, as far
+    /// as was known at `known_at`: its versions are retired and removed, also those that a record
+    /// names which can't be read.
+    pub fn next_step_of_former(
+        &mut self,
+        now: Instant,
+        pool: &Arc<str>,
+        known_at: Option<Instant>,
+        rank: u32,
+    ) -> RecordStep {
         let read_at = self.read_at;
         let state = self.pools.entry(Arc::clone(pool)).or_default();
         let Some(read_at) = read_at else {
@@ -284,7 +301,24 @@
             return RecordStep::Write(state.record.with(&[]));
         }
         let delay = RETENTION + RETIREMENT_DELAY.saturating_mul(rank);
-        state.next_retirement(now, pool, read_at, &[], delay)
+        let basis = Basis { read_at, known_at };
+        state.next_retirement(now, pool, basis, &[], delay)
+    }
+}
+
+/// What a router goes by when it retires versions.
+#[derive(Debug, Clone, Copy)]
+struct Basis {
+    /// When the records were last asked for.
+    read_at: Instant,
+    /// As of when the pool's targets, or its routes, are known; `None` if they are not.
+    known_at: Option<Instant>,
+}
+
+impl Basis {
+    fn is_known(self, now: Instant) -> bool {
+        self.known_at
+            .is_some_and(|at| now.since(at) <= MAX_KNOWLEDGE_AGE)
     }
 }
 
@@ -307,7 +341,7 @@
         &mut self,
         now: Instant,
         pool: &str,
-        read_at: Instant,
+        basis: Basis,
         recent: &[RecentVersion],
         delay: Duration,
     ) -> RecordStep {
@@ -327,7 +361,11 @@
             if now < due {
                 next = Some(next.map_or(due, |n| n.min(due)));
                 versions.push(recorded.clone());
-            } else if read_at < due {
+            } else if !basis.is_known(now) {
+                let look = now + KNOWLEDGE_PAUSE;
+                next = Some(next.map_or(look, |n| n.min(look)));
+                versions.push(recorded.clone());
+            } else if basis.read_at < due {
                 return RecordStep::Read;
             } else if retired.is_none() {
                 versions.push(RecordedVersion {
--- a/crates/peppercrank-direct/tests/verify_records_out_of_step.rs
+++ b/crates/peppercrank-direct/tests/verify_records_out_of_step.rs
@@ -79,7 +79,7 @@
         names: &[&str],
         rank: u32,
     ) -> bool {
-        match records.next_step(now, &pool(), &recent(names), rank) {
+        match records.next_step(now, &pool(), &recent(names), Some(now), rank) {
             RecordStep::Read => self.read(now, records),
             RecordStep::Write(record) if self.write(record.clone()) => {
                 records.apply_written(now, &pool(), self.0.clone());
@@ -110,7 +110,7 @@
     let mut records = VersionRecords::default();
     stored.read(at(1), &mut records);
     while !matches!(
-        records.next_step(at(1), &pool(), &recent(&["v1", "v3"]), 0),
+        records.next_step(at(1), &pool(), &recent(&["v1", "v3"]), None, 0),
         RecordStep::Write(_)
     ) {
         stored.read(at(1), &mut records);
@@ -153,3 +153,35 @@
     }
     assert!(calls < 2 * 370, "{calls} calls");
 }
+
+/// Guards against a version that is retired by a router that knows no targets that joined since long.
+#[test]
+fn verify_a_router_whose_list_stands_still_retires_no_version() {
+    let stored = Stored(record(1, &["v1", "v2"]));
+    let mut records = VersionRecords::default();
+    stored.read(at(1), &mut records);
+    for second in 12..400 {
+        let seen = recent(&["v1"]);
+        let step = records.next_step(at(second), &pool(), &seen, Some(at(1)), 0);
+        match step {
+            RecordStep::Read => stored.read(at(second), &mut records),
+            RecordStep::Write(record) => panic!("{second} s: {record:?}"),
+            RecordStep::Done | RecordStep::WaitUntil(_) => {}
+        }
+    }
+}
+
+/// Guards against a pool whose versions are retired by a router that does not know its new route.
+#[test]
+fn verify_a_router_whose_configuration_is_old_retires_no_pool() {
+    let stored = Stored(record(1, &["v1"]));
+    let mut records = VersionRecords::default();
+    stored.read(at(1), &mut records);
+    for second in 2..400 {
+        match records.next_step_of_former(at(second), &pool(), Some(at(1)), 0) {
+            RecordStep::Read => stored.read(at(second), &mut records),
+            RecordStep::Write(record) => panic!("{second} s: {record:?}"),
+            RecordStep::Done | RecordStep::WaitUntil(_) => {}
+        }
+    }
+}
--- a/crates/peppercrank-direct/tests/verify_version_records.rs
+++ b/crates/peppercrank-direct/tests/verify_version_records.rs
@@ -72,7 +72,9 @@
 
     fn next(&mut self, names: &[&str], rank: u32) -> RecordStep {
         let recent = recent(names);
-        self.records.next_step(self.now, &pool(), &recent, rank)
+        let known_at = Some(self.now);
+        self.records
+            .next_step(self.now, &pool(), &recent, known_at, rank)
     }
 
     fn read(&mut self) {
@@ -114,7 +116,11 @@
     /// Takes all steps about a pool without routes, until its versions are removed.
     fn retire(&mut self) {
         for _ in 0..20 {
-            match self.records.next_step_of_former(self.now, &pool(), 0) {
+            let known_at = Some(self.now);
+            match self
+                .records
+                .next_step_of_former(self.now, &pool(), known_at, 0)
+            {
                 RecordStep::Read => self.read(),
                 RecordStep::Write(record) => {
                     assert!(self.store(record), "the revision is known");
@@ -248,7 +254,7 @@
     while now < start + DUE {
         let steps = pools
             .iter()
-            .map(|p| records.next_step(now, p, &recent(&["v1", "v2"]), RANK));
+            .map(|p| records.next_step(now, p, &recent(&["v1", "v2"]), Some(now), RANK));
         if steps.collect::<Vec<_>>().contains(&RecordStep::Read) {
             reads += 1;
             let stored = |p: &Arc<str>| (Arc::clone(p), record(Some(1), &[("v1", false)]));
@@ -273,7 +279,7 @@
     for ms in (0..400_000).step_by(1_000) {
         let now = start + Duration::from_millis(ms);
         for (rank, records) in (0..).zip(&mut routers) {
-            match records.next_step(now, &pool(), &recent(&["v2"]), rank) {
+            match records.next_step(now, &pool(), &recent(&["v2"]), Some(now), rank) {
                 RecordStep::Read => {
                     let _unknown = records.apply_list(now, vec![(pool(), stored.clone())]);
                 }
@@ -305,7 +311,9 @@
     }
     for _ in 0..3 {
         let recent = directory.software_versions(pool.now, "pool");
-        let step = pool.records.next_step(pool.now, &"pool".into(), &recent, 0);
+        let known_at = Some(pool.now);
+        let records = &mut pool.records;
+        let step = records.next_step(pool.now, &"pool".into(), &recent, known_at, 0);
         assert!(!matches!(step, RecordStep::Write(_)), "{step:?}");
         pool.read();
     }
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -305,6 +305,7 @@
         self.record_store_back();
         self.intake.replace(asked_at, entries);
         self.intake.revision = Some(revision);
+        self.record_known(asked_at);
         PollOutcome::Done
     }
 
@@ -335,7 +336,17 @@
         self.intake.apply(asked_at, changes.events);
         match next {
             Next::Soon => PollOutcome::PossiblyTruncated,
-            Next::Paced => PollOutcome::Done,
+            Next::Paced => {
+                self.record_known(asked_at);
+                PollOutcome::Done
+            }
+        }
+    }
+
+    /// Records that all entries are known as of `asked_at`.
+    fn record_known(&self, asked_at: Instant) {
+        if self.kind == Kind::Targets {
+            self.gateway.state().targets_known_at = Some(asked_at);
         }
     }
 
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -126,10 +126,13 @@
             let admitted = admitted_versions(&mut state, now, &pool);
             wake = admitted.next.map_or(wake, |at| wake.min(at));
             let recent = &admitted.versions;
-            state.version_records.next_step(now, &pool, recent, rank)
+            let known_at = state.targets_known_at;
+            let records = &mut state.version_records;
+            records.next_step(now, &pool, recent, known_at, rank)
         } else {
+            let known_at = state.freshness.confirmed_at();
             let records = &mut state.version_records;
-            records.next_step_of_former(now, &pool, rank)
+            records.next_step_of_former(now, &pool, known_at, rank)
         };
         match step {
             RecordStep::Done => {}
--- a/crates/peppercrank-gateway/src/state.rs
+++ b/crates/peppercrank-gateway/src/state.rs
@@ -81,6 +81,8 @@
     pub start_check: StartCheck,
     /// The registered targets.
     pub directory: Directory,
+    /// As of when all targets are known; `None` before they were read.
+    pub targets_known_at: Option<Instant>,
     /// Targets that leave, announced by this router and by others.
     pub leaving: LeavingTargets,
     /// Since when the store has not answered this router; `None` while it does.
@@ -232,6 +234,7 @@
             newer_version_since: now,
             start_check: StartCheck::new(settings.keys.is_some()),
             directory: Directory::default(),
+            targets_known_at: None,
             leaving: LeavingTargets::default(),
             store_down_since: None,
             peers_heard_at: now,
