direct, gateway: a version is retired by recent knowledge of targets and routes alone

The cause: a router whose list of targets stood still, while its other calls worked, retired a version that had joined meanwhile, as it saw no target of it. In the same way a router with an old configuration retired the versions of a pool to which a newer one leads.

A router retires or removes a version only if its list of targets (for a pool without routes: its configuration) was asked for within the last 10 s. Where that is older, since the watch is silent or is replaced again and again while origins are written, it asks for the targets at once: one call that does not wait, by the router that is about to write.

--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -35,12 +35,9 @@
 const RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
 /// Maximum age of what a router knows of a pool's targets, or of its routes, when it retires a
-/// version. A sound watch is answered sooner.
+/// version. A sound watch is mostly answered sooner.
 const MAX_KNOWLEDGE_AGE: Duration = Duration::from_secs(10);
 
-/// Pause after which a router looks again whether it knows enough to retire a version.
-const KNOWLEDGE_PAUSE: Duration = Duration::from_secs(1);
-
 /// Number of routers that look again at a record of several versions, so that none is retired, and
 /// then removed, by one that does not know its targets.
 const OBSERVERS: u32 = 3;
@@ -84,6 +81,9 @@
     WaitUntil(Instant),
     /// Read the records.
     Read,
+    /// Learn which targets serve the pool, or which routes lead to it: what is known is too old to
+    /// retire a version.
+    Refresh,
     /// Write this record, if the stored one still has its revision.
     Write(VersionRecord),
 }
@@ -361,12 +361,10 @@
             if now < due {
                 next = Some(next.map_or(due, |n| n.min(due)));
                 versions.push(recorded.clone());
-            } else if !basis.is_known(now) {
-                let look = now + KNOWLEDGE_PAUSE;
-                next = Some(next.map_or(look, |n| n.min(look)));
-                versions.push(recorded.clone());
             } else if basis.read_at < due {
                 return RecordStep::Read;
+            } else if !basis.is_known(now) {
+                return RecordStep::Refresh;
             } else if retired.is_none() {
                 versions.push(RecordedVersion {
                     retired: true,
@@ -388,10 +386,10 @@
     /// Returns this step, or a read once that is due and there is nothing else to do.
     fn or_read_at(self, now: Instant, due: Instant) -> Self {
         match self {
-            Self::Done | Self::WaitUntil(_) if now >= due => Self::Read,
+            Self::Done | Self::WaitUntil(_) | Self::Refresh if now >= due => Self::Read,
             Self::Done => Self::WaitUntil(due),
             Self::WaitUntil(at) => Self::WaitUntil(at.min(due)),
-            Self::Read | Self::Write(_) => self,
+            Self::Read | Self::Refresh | Self::Write(_) => self,
         }
     }
 }
--- a/crates/peppercrank-direct/tests/verify_records_out_of_step.rs
+++ b/crates/peppercrank-direct/tests/verify_records_out_of_step.rs
@@ -85,7 +85,7 @@
                 records.apply_written(now, &pool(), self.0.clone());
             }
             RecordStep::Write(_) => records.invalidate(),
-            RecordStep::Done | RecordStep::WaitUntil(_) => return false,
+            RecordStep::Done | RecordStep::Refresh | RecordStep::WaitUntil(_) => return false,
         }
         true
     }
@@ -166,7 +166,7 @@
         match step {
             RecordStep::Read => stored.read(at(second), &mut records),
             RecordStep::Write(record) => panic!("{second} s: {record:?}"),
-            RecordStep::Done | RecordStep::WaitUntil(_) => {}
+            RecordStep::Done | RecordStep::Refresh | RecordStep::WaitUntil(_) => {}
         }
     }
 }
@@ -181,7 +181,7 @@
         match records.next_step_of_former(at(second), &pool(), Some(at(1)), 0) {
             RecordStep::Read => stored.read(at(second), &mut records),
             RecordStep::Write(record) => panic!("{second} s: {record:?}"),
-            RecordStep::Done | RecordStep::WaitUntil(_) => {}
+            RecordStep::Done | RecordStep::Refresh | RecordStep::WaitUntil(_) => {}
         }
     }
 }
--- a/crates/peppercrank-direct/tests/verify_version_records.rs
+++ b/crates/peppercrank-direct/tests/verify_version_records.rs
@@ -108,7 +108,9 @@
                     let stored = self.stored.clone();
                     self.records.apply_written(self.now, &pool(), stored);
                 }
-                RecordStep::Done | RecordStep::WaitUntil(_) => return (reads, writes),
+                RecordStep::Done | RecordStep::Refresh | RecordStep::WaitUntil(_) => {
+                    return (reads, writes);
+                }
             }
         }
     }
@@ -128,7 +130,7 @@
                     self.records.apply_written(self.now, &pool(), stored);
                 }
                 RecordStep::WaitUntil(at) => self.now = at,
-                RecordStep::Done => return,
+                RecordStep::Done | RecordStep::Refresh => return,
             }
         }
     }
@@ -293,7 +295,7 @@
                     refused += 1;
                     records.invalidate();
                 }
-                RecordStep::Done | RecordStep::WaitUntil(_) => {}
+                RecordStep::Done | RecordStep::Refresh | RecordStep::WaitUntil(_) => {}
             }
         }
     }
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -36,6 +36,7 @@
 use crate::missed::MissedChange;
 use crate::outage::Outage;
 use crate::outage::OutageListener;
+use crate::role::CONFIRM_WAIT;
 use crate::role::FollowerRole;
 use crate::store::BodyContent;
 use crate::store::CallOutcome;
@@ -87,6 +88,8 @@
     unproven_answers: u32,
     /// Detects answers that the store may have truncated.
     truncation: Truncation,
+    /// Whether the next call is to be answered at once.
+    is_hasty: bool,
     /// How long a call is left alone although other routers know more.
     backoff: CallBackoff,
 }
@@ -117,6 +120,7 @@
             failures: 0,
             unproven_answers: 0,
             truncation: Truncation::default(),
+            is_hasty: false,
             backoff: CallBackoff::default(),
         }
     }
@@ -310,7 +314,11 @@
     }
 
     async fn watch(&mut self, revision: u64) -> PollOutcome {
-        let wait = self.role.wait();
+        let wait = if std::mem::take(&mut self.is_hasty) {
+            CONFIRM_WAIT
+        } else {
+            self.role.wait()
+        };
         let asked_at = self.gateway.now();
         let path = store::watch_path(self.kind, revision, wait);
         let reader = ChangesReader::new(self.kind);
@@ -390,6 +398,10 @@
                 self.store.close();
                 return Err(PollOutcome::Relist);
             }
+            () = targets_wanted(&self.gateway, self.kind), if wait > CONFIRM_WAIT => {
+                self.is_hasty = true;
+                return Err(PollOutcome::PollAgain);
+            }
             missed = missed::missed_change(
                 &self.gateway,
                 &self.role,
@@ -515,6 +527,14 @@
     }
 }
 
+/// Returns when it is to be read which targets there are now. Waits forever for other kinds.
+async fn targets_wanted(gateway: &Gateway, kind: Kind) {
+    match kind {
+        Kind::Targets => gateway.targets_wanted.notified().await,
+        Kind::Configuration | Kind::Evacuations | Kind::Routers => std::future::pending().await,
+    }
+}
+
 /// Returns when another router knows of different evacuations. Waits forever for other kinds.
 async fn evacuations_outdated(gateway: &Gateway, kind: Kind) {
     match kind {
--- a/crates/peppercrank-gateway/src/gateway.rs
+++ b/crates/peppercrank-gateway/src/gateway.rs
@@ -120,6 +120,8 @@
     pub routers_listed: Notify,
     /// Wakes the follower of evacuations when another router knows of different ones.
     pub evacuations_outdated: Notify,
+    /// Wakes the follower of targets when it is to be read at once which there are.
+    pub targets_wanted: Notify,
     /// Wakes the follower of targets when another router announced that some leave.
     pub leaving_heard: Notify,
     /// Wakes the watch of the configuration when another router has a newer one.
@@ -184,6 +186,7 @@
             machine_resumed: Notify::new(),
             routers_listed: Notify::new(),
             evacuations_outdated: Notify::new(),
+            targets_wanted: Notify::new(),
             leaving_heard: Notify::new(),
             newer_version_heard: Notify::new(),
             foreign_changes: watch::Sender::new(None),
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -135,8 +135,10 @@
             records.next_step_of_former(now, &pool, known_at, rank)
         };
         match step {
-            RecordStep::Done => {}
             RecordStep::WaitUntil(at) => wake = wake.min(at),
+            RecordStep::Refresh if is_current => gateway.targets_wanted.notify_one(),
+            // The configuration is confirmed all the time.
+            RecordStep::Done | RecordStep::Refresh => {}
             RecordStep::Read => return Action::ReadVersions,
             RecordStep::Write(record) => return Action::WriteVersions(pool, record),
         }
--- a/crates/peppercrank-gateway/src/role.rs
+++ b/crates/peppercrank-gateway/src/role.rs
@@ -12,7 +12,7 @@
 /// Wait of calls that confirm what is known about keys. An answer confirms the state at the time at
 /// which the call was made, so the known state is fresher with calls that are answered at once than
 /// with the same number of calls that wait for a change.
-const CONFIRM_WAIT: Duration = Duration::from_millis(1);
+pub const CONFIRM_WAIT: Duration = Duration::from_millis(1);
 
 /// Wait of the configuration watch, below the history that the store keeps. Changes end it at once.
 /// A connection that silently broke does no harm: a version that another router reports twice is
