--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -39,6 +39,18 @@
 /// How much later each further router retires a version than the one before.
 const RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
+/// Maximum age of what a router knows of a pool's targets, or of its routes, when it retires a
+/// version. A sound watch is mostly answered sooner.
+const MAX_KNOWLEDGE_AGE: Duration = Duration::from_secs(10);
+
+/// Number of routers that look again at a record of several versions, so that none is retired, and
+/// then removed, by one that does not know its targets.
+const OBSERVERS: u32 = 3;
+
+/// How often they do. A version that is retired by mistake is in use again well before it would be
+/// removed.
+const OBSERVATION_INTERVAL: Duration = Duration::from_secs(RETENTION.as_secs() / 2);
+
 /// What a router does next about a pool's record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RecordStep {
@@ -48,6 +60,9 @@
     WaitUntil(Instant),
     /// Read the records.
     Read,
+    /// Learn which targets serve the pool, or which routes lead to it: what is known is too old to
+    /// retire a version.
+    Refresh,
     /// Write this record, if the stored one still has its revision.
     Write(VersionRecord),
 }
@@ -216,19 +231,23 @@
         unknown
     }
 
-    /// Applies a record that this router has written.
+    /// Applies a record that this router has written, unless it has read a newer one meanwhile.
     pub fn apply_written(&mut self, now: Instant, pool: &Arc<str>, record: VersionRecord) {
         let state = self.pools.entry(Arc::clone(pool)).or_default();
-        state.apply(now, pool, record);
+        if record.revision > state.record.revision {
+            state.apply(now, pool, record);
+        }
     }
 
     /// Decides what to do next about a pool, whose targets run the versions that are `recent`, or
-    /// did. `rank` is the number of routers that write before this one.
+    /// did, as far as was known at `known_at`. `rank` is the number of routers that write before
+    /// this one.
     pub fn next_step(
         &mut self,
         now: Instant,
         pool: &Arc<str>,
         recent: &[RecentVersion],
+        known_at: Option<Instant>,
         rank: u32,
     ) -> RecordStep {
         let read_at = self.read_at;
@@ -252,7 +271,15 @@
         if missing.is_empty() {
             state.missing_since = None;
             let delay = RETIREMENT_DELAY.saturating_mul(rank);
-            return state.next_retirement(now, pool, read_at, recent, delay);
+            let basis = Basis { read_at, known_at };
+            let step = state.next_retirement(now, pool, basis, recent, delay);
+            let others = state.record.without(self.routing.as_ref());
+            let is_observed = rank < OBSERVERS && others.count() > 1;
+            return if is_observed {
+                step.or_read_at(now, read_at + OBSERVATION_INTERVAL)
+            } else {
+                step
+            };
         }
         let missing_since = *state.missing_since.get_or_insert(now);
         let due = missing_since + RANK_DELAY.saturating_mul(rank).min(MAX_DELAY);
@@ -266,9 +293,16 @@
         }
     }
 
-    /// Decides what to do next about a pool on record to which no route sends streams any more: its
-    /// versions are retired and removed, also those that a record names which can't be read.
-    pub fn next_step_of_former(&mut self, now: Instant, pool: &Arc<str>, rank: u32) -> RecordStep {
+    /// Decides what to do next about a pool on record to which no route sends streams any more, as far
+    /// as was known at `known_at`: its versions are retired and removed, also those that a record
+    /// names which can't be read.
+    pub fn next_step_of_former(
+        &mut self,
+        now: Instant,
+        pool: &Arc<str>,
+        known_at: Option<Instant>,
+        rank: u32,
+    ) -> RecordStep {
         let read_at = self.read_at;
         let state = self.pools.entry(Arc::clone(pool)).or_default();
         let Some(read_at) = read_at else {
@@ -278,7 +312,24 @@
             return RecordStep::Write(state.record.with(&[]));
         }
         let delay = RETENTION + RETIREMENT_DELAY.saturating_mul(rank);
-        state.next_retirement(now, pool, read_at, &[], delay)
+        let basis = Basis { read_at, known_at };
+        state.next_retirement(now, pool, basis, &[], delay)
+    }
+}
+
+/// What a router goes by when it retires versions.
+#[derive(Debug, Clone, Copy)]
+struct Basis {
+    /// When the records were last asked for.
+    read_at: Instant,
+    /// As of when the pool's targets, or its routes, are known; `None` if they are not.
+    known_at: Option<Instant>,
+}
+
+impl Basis {
+    fn is_known(self, now: Instant) -> bool {
+        self.known_at
+            .is_some_and(|at| now.since(at) <= MAX_KNOWLEDGE_AGE)
     }
 }
 
@@ -301,7 +352,7 @@
         &mut self,
         now: Instant,
         pool: &str,
-        read_at: Instant,
+        basis: Basis,
         recent: &[RecentVersion],
         delay: Duration,
     ) -> RecordStep {
@@ -321,8 +372,10 @@
             if now < due {
                 next = Some(next.map_or(due, |n| n.min(due)));
                 versions.push(recorded.clone());
-            } else if read_at < due {
+            } else if basis.read_at < due {
                 return RecordStep::Read;
+            } else if !basis.is_known(now) {
+                return RecordStep::Refresh;
             } else if retired.is_none() {
                 versions.push(RecordedVersion {
                     retired: true,
@@ -339,3 +392,15 @@
         })
     }
 }
+
+impl RecordStep {
+    /// Returns this step, or a read once that is due and there is nothing else to do.
+    fn or_read_at(self, now: Instant, due: Instant) -> Self {
+        match self {
+            Self::Done | Self::WaitUntil(_) | Self::Refresh if now >= due => Self::Read,
+            Self::Done => Self::WaitUntil(due),
+            Self::WaitUntil(at) => Self::WaitUntil(at.min(due)),
+            Self::Read | Self::Refresh | Self::Write(_) => self,
+        }
+    }
+}
--- a/crates/peppercrank-direct/tests/verify_routing.rs
+++ b/crates/peppercrank-direct/tests/verify_routing.rs
@@ -132,10 +132,10 @@
     }];
     recent.extend(records.own_routing("pool"));
     let pool = "pool".into();
-    let step = records.next_step(NOW, &pool, &recent, 0);
+    let step = records.next_step(NOW, &pool, &recent, Some(NOW), 0);
     assert_eq!(step, RecordStep::Read);
     let _unknown = records.apply_list(NOW, listed(&["v1"]));
-    let step = records.next_step(NOW, &pool, &recent, 0);
+    let step = records.next_step(NOW, &pool, &recent, Some(NOW), 0);
     let RecordStep::Write(record) = step else {
         panic!("{step:?}");
     };
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -118,6 +118,7 @@
         }
         state.records_read = true;
     }
+    let routes_known_at = state.freshness.confirmed_at();
     let current = pools.into_iter().map(|pool| (pool, true));
     let former = state.former_pools().into_iter().map(|pool| (pool, false));
     for (pool, is_current) in current.chain(former) {
@@ -126,14 +127,20 @@
             let admitted = admitted_versions(&mut state, now, &pool);
             wake = admitted.next.map_or(wake, |at| wake.min(at));
             let recent = &admitted.versions;
-            state.version_records.next_step(now, &pool, recent, rank)
+            let known_at = state.targets_known_at.min(routes_known_at);
+            let records = &mut state.version_records;
+            records.next_step(now, &pool, recent, known_at, rank)
         } else {
             let records = &mut state.version_records;
-            records.next_step_of_former(now, &pool, rank)
+            records.next_step_of_former(now, &pool, routes_known_at, rank)
         };
         match step {
-            RecordStep::Done => {}
             RecordStep::WaitUntil(at) => wake = wake.min(at),
+            RecordStep::Refresh if is_current && state.targets_known_at <= routes_known_at => {
+                gateway.targets_wanted.notify_one();
+            }
+            // The configuration is confirmed all the time.
+            RecordStep::Done | RecordStep::Refresh => {}
             RecordStep::Read => return Action::ReadVersions,
             RecordStep::Write(record) => return Action::WriteVersions(pool, record),
         }
