gateway: no stream that may be resumed begins at a version that is not on record

The cause: in a pool with one version, streams began before it was on record. If all routers are killed before that, as the store does not take the write, and another version comes, the record names that one alone.

Streams wait for the record at a pool's only version too, as they did beside other versions: 200 ms at the most, and are refused as version_unrecorded then. A version that serves stays on record, so nothing waits in a fleet that runs on. Exceptions stay: the store is away, or the records could not be read since the start. The list of routers wakes the task that writes records, since a router that does not know its rank yet waits for a second.

--- a/crates/peppercrank-gateway/src/eligible.rs
+++ b/crates/peppercrank-gateway/src/eligible.rs
@@ -152,10 +152,11 @@
     Ok(same)
 }
 
-/// Withholds the targets whose software version is not on record yet, in a pool with several
-/// versions. Streams that may be resumed must not begin there, as other routers conclude from the
-/// record where a stream began. While the store is down, they begin there if no target of a version
-/// on record is left at which they might be taken up.
+/// Withholds the targets whose software version is not on record yet. Streams that may be resumed
+/// must not begin there, as routers conclude from the record where a stream began, also after all
+/// have started again. While the store is down, they begin there if no target of a version on
+/// record is left at which they might be taken up, and in a pool with one version if the records
+/// were never read.
 fn withhold_unrecorded_versions(
     state: &State,
     now: Instant,
@@ -163,9 +164,9 @@
     allowed: Vec<TargetKey>,
     eligible: &mut Eligible,
 ) -> Result<Vec<TargetKey>, Rejection> {
-    let must_be_recorded = matches!(job.kind, RouteKind::Stream { resumable: true })
-        && state.may_cross_versions(now, &job.pool);
-    if !must_be_recorded {
+    let is_resumable = matches!(job.kind, RouteKind::Stream { resumable: true });
+    let can_be_recorded = state.version_records.are_known();
+    if !is_resumable || !(can_be_recorded || state.may_cross_versions(now, &job.pool)) {
         return Ok(allowed);
     }
     let is_recorded = |key: &TargetKey| {
@@ -180,7 +181,7 @@
     }
     let mut leaving = state.directory.draining(now, &job.pool);
     let is_left = leaving.any(|(key, _)| is_recorded(&key));
-    if state.directory.is_store_down() && state.version_records.are_known() && !is_left {
+    if state.directory.is_store_down() && can_be_recorded && !is_left {
         return Ok(others);
     }
     Err(Rejection::with_default_delay(Reason::VersionUnrecorded))
--- a/crates/peppercrank-gateway/src/intake.rs
+++ b/crates/peppercrank-gateway/src/intake.rs
@@ -100,6 +100,8 @@
                 state.routers_changed(&own);
                 drop(state);
                 if !listed_before {
+                    // Which router writes a record first is known now.
+                    self.gateway.versions_changed.notify_one();
                     self.gateway.routers_listed.notify_one();
                 }
             }
