direct: the last version on record stays until another one serves

While no target of a pool serves, nothing of its record is retired now.

Evidence: verify_the_last_version_on_record_stays_until_another_one_serves failed before (off the record at 61 s) and passes.

--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -262,7 +262,12 @@
             state.missing_since = None;
             let delay = RETIREMENT_DELAY.saturating_mul(rank);
             let basis = Basis { read_at, known_at };
-            let step = state.next_retirement(now, pool, basis, recent, delay);
+            let step = if state.present.is_empty() {
+                // Where no target serves, the record still tells where streams began.
+                RecordStep::Done
+            } else {
+                state.next_retirement(now, pool, basis, recent, delay)
+            };
             let is_observed = rank < OBSERVERS && state.record.versions.len() > 1;
             return if is_observed {
                 step.or_read_at(now, read_at + OBSERVATION_INTERVAL)
--- a/crates/peppercrank-direct/tests/verify_records_out_of_step.rs
+++ b/crates/peppercrank-direct/tests/verify_records_out_of_step.rs
@@ -185,3 +185,21 @@
         }
     }
 }
+
+/// Guards against a record that names nothing where no target serves for long: the next version's
+/// streams count as all there were, at a router that starts.
+#[test]
+fn verify_the_last_version_on_record_stays_until_another_one_serves() {
+    let mut stored = Stored(record(1, &["v1"]));
+    let mut records = VersionRecords::default();
+    for second in 1..400 {
+        while stored.step(at(second), &mut records, &[]) {}
+        assert_eq!(stored.names(), ["v1"], "{second} s");
+    }
+    while stored.step(at(400), &mut records, &["v2"]) {}
+    assert_eq!(stored.names(), ["v1", "v2"]);
+    for second in 401..500 {
+        while stored.step(at(second), &mut records, &["v2"]) {}
+    }
+    assert_eq!(stored.names(), ["v2"]);
+}
