--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -23,6 +23,7 @@
 use crate::origins::SoftwareVersion;
 use crate::pool_versions::RETENTION;
 use crate::pool_versions::RecentVersion;
+use crate::routing::is_routing;
 pub use crate::version_record::RecordedVersion;
 pub use crate::version_record::VersionRecord;
 
@@ -272,7 +273,13 @@
             state.missing_since = None;
             let delay = RETIREMENT_DELAY.saturating_mul(rank);
             let basis = Basis { read_at, known_at };
-            let step = state.next_retirement(now, pool, basis, recent, delay);
+            let serves = recent.iter().any(|r| r.seen && !is_routing(&r.name));
+            let step = if serves {
+                state.next_retirement(now, pool, basis, recent, delay)
+            } else {
+                // Where no target serves, the record still tells where streams began.
+                RecordStep::Done
+            };
             let others = state.record.without(self.routing.as_ref());
             let is_observed = rank < OBSERVERS && others.count() > 1;
             return if is_observed {
