gateway: returns wait for the first read of origins after a start

What callers saw: streams whose origins were on record were refused as origin_unknown by a router that had started some milliseconds before, while it was still reading them; the next try went on.

Cause: before the first read after a start ended, find_in_store concluded at once that the store does not tell.

verify_streams_go_on_that_return_before_the_origins_are_read: refused as origin_unknown in 4 of 4 runs before, passes with the change (one run of the file, ten of ten tests).

--- a/crates/peppercrank-gateway/src/missed_origins.rs
+++ b/crates/peppercrank-gateway/src/missed_origins.rs
@@ -56,6 +56,28 @@
         .flatten()
 }
 
+/// Waits after a start until the origins that the store holds were read, or the store does not tell
+/// in time.
+pub async fn wait_for_first_read(gateway: &Gateway) {
+    let until = gateway.now() + READ_TIMEOUT;
+    let _read = gateway.timeout_at(until, wait_until_read(gateway)).await;
+}
+
+async fn wait_until_read(gateway: &Gateway) {
+    loop {
+        let answered = gateway.origin_answered.notified();
+        tokio::pin!(answered);
+        answered.as_mut().enable();
+        {
+            let state = gateway.state();
+            if state.records_read || state.directory.is_store_down() {
+                return;
+            }
+        }
+        answered.await;
+    }
+}
+
 async fn wait_for_origin(
     gateway: &Gateway,
     stream: StreamId,
--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -59,6 +59,7 @@
 
 /// Returns the version that began a stream which no router knows, by what the store has on record.
 async fn find_in_store(gateway: &Gateway, job: &Job, stream: StreamId) -> Option<SoftwareVersion> {
+    missed_origins::wait_for_first_read(gateway).await;
     let single = single_version::find(gateway, &job.pool, job.received_at).await;
     // A report may have arrived meanwhile.
     match known_version(gateway, stream).or(single) {
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -109,14 +109,14 @@
         return Action::WaitUntil(wake);
     }
     if pools.is_empty() {
-        state.records_read = true;
+        end_first_read(gateway, &mut state);
     }
     let is_mixed = pools.iter().any(|p| state.may_cross_versions(now, p));
     if state.version_records.are_known() && !state.records_read {
         if is_mixed {
             return Action::ReadOrigins;
         }
-        state.records_read = true;
+        end_first_read(gateway, &mut state);
     }
     let current = pools.into_iter().map(|pool| (pool, true));
     let former = state.former_pools().into_iter().map(|pool| (pool, false));
@@ -141,6 +141,12 @@
     Action::WaitUntil(wake)
 }
 
+/// Records that no origins are to be read after a start, for which callers may wait.
+fn end_first_read(gateway: &Gateway, state: &mut State) {
+    state.records_read = true;
+    gateway.origin_answered.notify_waiters();
+}
+
 /// Returns the versions of a pool's targets without those that have just joined.
 fn admitted_versions(state: &mut State, now: Instant, pool: &Arc<str>) -> Admitted {
     let recent = state.directory.software_versions(now, pool);
