direct, gateway: origins are written 20 ms after one another while the store answers

What callers saw: after a kill of all routers, streams that had begun in the last tenth of a second were refused as origin_unknown, and again at each try.

Cause: a router looked for new streams ten times a second, also where the store answers within some milliseconds and the fleet's rate leaves room for more. Now it looks each 20 ms (at four routers; the fleet's rate, 200 writes a second, is as it was), unless a write is not answered yet, in which case the next one follows after 100 ms as before, so that lanes are left.

--- a/crates/peppercrank-direct/src/stored_origins.rs
+++ b/crates/peppercrank-direct/src/stored_origins.rs
@@ -24,8 +24,11 @@
 use crate::origins::StreamId;
 use crate::pool_versions::RETENTION;
 
-/// Shortest time between two writes of a router. A kill of all routers loses the origins of the
-/// streams that began in it.
+/// Shortest time between two looks of a router for streams to be written.
+const MIN_LOOK: Duration = Duration::from_millis(20);
+
+/// Shortest time between two writes of a router while the first one is not answered, so that lanes
+/// are left.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Maximum number of such writes per second, over all routers.
@@ -38,12 +41,20 @@
 /// is answered.
 pub const MAX_LANES: usize = 8;
 
-/// Returns the time between two writes of one router out of `routers`.
+/// Returns the time between two writes of one router out of `routers` while the first one is not
+/// answered.
 #[must_use]
 pub fn write_interval(routers: usize) -> Duration {
+    look_interval(routers).max(MIN_INTERVAL)
+}
+
+/// Returns the time between two looks of one router out of `routers` for streams to be written. A
+/// kill of all routers loses the origins of the streams that began in it.
+#[must_use]
+pub fn look_interval(routers: usize) -> Duration {
     let routers = u32::try_from(routers).unwrap_or(u32::MAX);
     let fair = Duration::from_secs(routers.into()) / FLEET_RATE;
-    fair.max(MIN_INTERVAL)
+    fair.max(MIN_LOOK)
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/peppercrank-gateway/src/stored_origins.rs
+++ b/crates/peppercrank-gateway/src/stored_origins.rs
@@ -16,6 +16,7 @@
 use peppercrank_direct::stored_origins::LaneWrite;
 use peppercrank_direct::stored_origins::MAX_LANES;
 use peppercrank_direct::stored_origins::lane_of;
+use peppercrank_direct::stored_origins::look_interval;
 use peppercrank_direct::stored_origins::object_name;
 use peppercrank_direct::stored_origins::owner;
 use peppercrank_direct::stored_origins::write_interval;
@@ -62,9 +63,14 @@
 pub async fn keep_origins(gateway: Arc<Gateway>, store: Store) {
     let mut writes = JoinSet::new();
     let mut refusals = 0;
+    let mut begun = gateway.now();
     loop {
         let routers = gateway.state().routers.len() + 1;
-        sleep(jittered(write_interval(routers) * 2_u32.pow(refusals))).await;
+        let pause = match refusals {
+            0 => look_interval(routers),
+            _ => write_interval(routers) * 2_u32.pow(refusals),
+        };
+        sleep(jittered(pause)).await;
         while let Some(ended) = writes.try_join_next() {
             refusals = match ended {
                 Ok(WriteResult::Stored) => 0,
@@ -72,7 +78,13 @@
                 Ok(WriteResult::Repeat | WriteResult::Doubtful) | Err(_) => refusals,
             };
         }
+        let now = gateway.now();
+        // Unanswered writes occupy lanes.
+        if !writes.is_empty() && now.since(begun) < write_interval(routers) {
+            continue;
+        }
         if let Some(write) = next_write(&gateway) {
+            begun = now;
             let (gateway, store) = (Arc::clone(&gateway), store.clone());
             writes.spawn(async move { finish_write(&gateway, &store, write).await });
         }
