--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -59,6 +59,7 @@
 
 /// Returns the version that began a stream which no router knows, by what the store has on record.
 async fn find_in_store(gateway: &Gateway, job: &Job, stream: StreamId) -> Option<SoftwareVersion> {
+    missed_origins::wait_for_first_read(gateway).await;
     let single = single_version::find(gateway, &job.pool, job.received_at).await;
     // A report may have arrived meanwhile.
     match known_version(gateway, stream).or(single) {
@@ -183,9 +184,10 @@
     if origin_queue.is_empty() {
         return Vec::new();
     }
-    let reports = origin_queue.take_reports(now, origins, |pool| {
+    let mut reports = origin_queue.take_reports(now, origins, |pool| {
         may_cross_versions(directory, version_records, now, pool)
     });
+    reports.extend(origin_queue.take_new(now, origins));
     let names = routers.keys().map(|name| &**name).collect::<Vec<_>>();
     let addressed = address_reports(&reports, &own, &names);
     let addressed = addressed.into_iter();
