platform, direct: a record of versions without a name counts for any pool, and not as missing

Cause: a record without a name was left out of the list. A pool whose record is not listed counts as one that has none, so that one version was certain: absence of knowledge was taken for knowledge of absence. Returns that name their origin were refused already, since a missing record proves nothing.

Now the list tells that there are such records, and any pool without one of its own may then have several versions. A pool that truly has none is put on record by a write that creates it, which the store refuses if it is there; after that the nameless record does not concern it. It is counted and logged with an empty name.

--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -98,6 +98,8 @@
     read_at: Option<Instant>,
     /// Whether the records were ever read.
     known: bool,
+    /// Whether the store holds records whose pools are not known.
+    has_nameless: bool,
     pools: HashMap<Arc<str>, PoolState>,
 }
 
@@ -125,7 +127,10 @@
     #[must_use]
     pub fn names_several(&self, pool: &str) -> bool {
         let record = self.pools.get(pool).map(|s| &s.record);
-        record.is_some_and(|r| r.versions.len() > 1 || r.unreadable)
+        let is_listed = record.is_some_and(|r| r.revision.is_some());
+        // A record whose name can't be read may be that of any pool without one.
+        self.has_nameless && !is_listed
+            || record.is_some_and(|r| r.versions.len() > 1 || r.unreadable)
     }
 
     /// Returns whether a pool's record names a version.
@@ -176,6 +181,14 @@
         self.read_at = None;
     }
 
+    /// Records whether the store held records whose names can't be read, when all were asked for at
+    /// `asked_at`. It comes before these are applied.
+    pub fn record_nameless(&mut self, asked_at: Instant, has_nameless: bool) {
+        if self.read_at.is_none_or(|read_at| asked_at >= read_at) {
+            self.has_nameless = has_nameless;
+        }
+    }
+
     /// Applies all records, which were asked for at `asked_at`, and returns the pools and versions
     /// that this router did not know to be on record.
     pub fn apply_list(
--- a/crates/peppercrank-direct/tests/verify_version_records.rs
+++ b/crates/peppercrank-direct/tests/verify_version_records.rs
@@ -443,3 +443,22 @@
     assert_eq!(writes, 0);
     assert!(pool.records.names_several("pool"));
 }
+
+/// Guards against a record that counts as missing, since it has no name that can be read.
+#[test]
+fn verify_a_pool_without_a_record_may_have_several_versions_beside_a_nameless_one() {
+    let mut records = VersionRecords::default();
+    let now = Instant::ZERO + Duration::from_secs(1);
+    let _new = records.apply_list(now, Vec::new());
+    assert!(!records.names_several("pool"));
+    records.record_nameless(now, true);
+    let _new = records.apply_list(now, Vec::new());
+    assert!(records.names_several("pool") && records.names_several("other"));
+    records.apply_written(now, &pool(), record(Some(3), &[("v1", false)]));
+    assert!(!records.names_several("pool") && records.names_several("other"));
+    // An answer to an earlier call.
+    records.record_nameless(Instant::ZERO, false);
+    assert!(records.names_several("other"));
+    records.record_nameless(now, false);
+    assert!(!records.names_several("other"));
+}
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -19,6 +19,7 @@
 use peppercrank_platform::read::AnswerReader;
 use peppercrank_platform::records;
 use peppercrank_platform::records::RecordKind;
+use peppercrank_platform::records::RecordPage;
 use peppercrank_platform::records::RecordReader;
 use peppercrank_wire::client::ClientResponse;
 use tokio::time::sleep;
@@ -159,15 +160,21 @@
     Some(index.desired().resumable_pools())
 }
 
+/// Returns a router's place among those that write a pool's record, the lowest one first.
+#[must_use]
+pub fn record_order(pool: &str, router: &str) -> u64 {
+    let seed = hash64(RANK_SEED, pool.as_bytes());
+    hash64(seed, router.as_bytes())
+}
+
 /// Returns how many routers write a pool's record before this one.
 fn write_rank(state: &State, own: &str, pool: &str) -> u32 {
     if !state.routers_read {
         return UNKNOWN_RANK;
     }
-    let seed = hash64(RANK_SEED, pool.as_bytes());
-    let rank = |name: &str| hash64(seed, name.as_bytes());
-    let own_rank = rank(own);
-    let before = state.routers.keys().filter(|name| rank(name) < own_rank);
+    let own_order = record_order(pool, own);
+    let others = state.routers.keys();
+    let before = others.filter(|name| record_order(pool, name) < own_order);
     u32::try_from(before.count()).unwrap_or(u32::MAX)
 }
 
@@ -176,11 +183,13 @@
     let asked_at = gateway.now();
     let kind = RecordKind::Versions;
     let listed = list(gateway, store, kind, records::versions_reader).await?;
-    log_read(gateway, kind, listed.len());
+    log_read(gateway, kind, listed.objects.len());
     report_unreadable(gateway, &listed);
     let now = gateway.now();
     let mut state = gateway.state();
-    for (pool, name) in state.version_records.apply_list(asked_at, listed) {
+    let records = &mut state.version_records;
+    records.record_nameless(asked_at, listed.has_nameless);
+    for (pool, name) in records.apply_list(asked_at, listed.objects) {
         state.directory.record_served_version(now, &pool, &name);
     }
     drop(state);
@@ -250,6 +259,7 @@
     let kind = RecordKind::Origins;
     let asked_at = gateway.now();
     let listed = list(gateway, store, kind, records::origins_reader).await?;
+    let listed = listed.objects;
     log_read(gateway, kind, listed.len());
     let own = gateway.settings().name.clone();
     let now = gateway.now();
@@ -262,14 +272,15 @@
     Some(())
 }
 
-/// Reads all objects of a kind; `None` if the store does not answer, or is restored meanwhile.
+/// Reads all objects of a kind as one page; `None` if the store does not answer, or is restored meanwhile.
 pub async fn list<T>(
     gateway: &Gateway,
     store: &Store,
     kind: RecordKind,
     reader: impl Fn() -> RecordReader<T>,
-) -> Option<Vec<(Arc<str>, T)>> {
+) -> Option<RecordPage<T>> {
     let mut objects = Vec::new();
+    let mut has_nameless = false;
     let mut after = None;
     loop {
         let path = kind.list_path(after.as_deref());
@@ -278,9 +289,14 @@
             return None;
         }
         objects.extend(page.objects);
+        has_nameless |= page.has_nameless;
         after = page.next;
         if after.is_none() {
-            return Some(objects);
+            return Some(RecordPage {
+                objects,
+                has_nameless,
+                next: None,
+            });
         }
     }
 }
@@ -336,11 +352,14 @@
     gateway.log.write(Event::RecordsRead, &fields);
 }
 
-/// Counts records that cannot be read, and logs the first of them.
-fn report_unreadable(gateway: &Gateway, listed: &[(Arc<str>, VersionRecord)]) {
+/// Counts records that cannot be read, and logs the first of them. Those without a name count as
+/// one, whose name is empty.
+fn report_unreadable(gateway: &Gateway, listed: &RecordPage<VersionRecord>) {
     let kind = RecordKind::Versions.as_str();
-    let unreadable = listed.iter().filter(|(_, record)| record.unreadable);
-    for (n, (name, _)) in unreadable.enumerate() {
+    let unreadable = listed.objects.iter().filter(|(_, r)| r.unreadable);
+    let unreadable = unreadable.map(|(name, _)| &**name);
+    let nameless = listed.has_nameless.then_some("");
+    for (n, name) in nameless.into_iter().chain(unreadable).enumerate() {
         gateway.metrics.count_invalid_entry(kind);
         if n >= MAX_LOGGED_ENTRIES {
             continue;
--- a/crates/peppercrank-gateway/src/stored_origins.rs
+++ b/crates/peppercrank-gateway/src/stored_origins.rs
@@ -275,7 +275,7 @@
         let state = gateway.state();
         let is_here = |name: &str| *name == *own || state.routers.contains_key(name);
         let gone = |name: &Arc<str>| !is_here(name) && !is_here(owner(name));
-        let orphans = listed.into_iter().filter(|(name, _)| gone(name));
+        let orphans = listed.objects.into_iter().filter(|(name, _)| gone(name));
         orphans.collect::<Vec<_>>()
     };
     for (name, object) in orphans {
