--- a/crates/peppercrank-spec/src/streams.rs
+++ b/crates/peppercrank-spec/src/streams.rs
@@ -44,6 +44,8 @@
     BeginsUnrecorded,
     /// A router that starts does not read where streams began.
     ForgetsOrigins,
+    /// A router takes a version off the record that serves, as its list of targets stands still.
+    RetiresUnseen,
 }
 
 /// `Streams` is the model with its bounds.
@@ -111,6 +113,8 @@
     Read(usize),
     /// A router puts the new version on record.
     Record(usize, Fate),
+    /// A router takes versions that serve off the record, as it does not see them.
+    Retire(usize),
     /// A stream begins at a router.
     Begin(usize, usize, Versions),
     /// A router writes where streams began.
@@ -292,6 +296,20 @@
         }
     }
 
+    /// Returns the versions on record that serve and are unknown to a router. Others stay on record
+    /// for longer than the model lasts.
+    const fn unseen(&self, router: &Router) -> Versions {
+        Versions(self.record.content.0 & self.serving.0 & !router.seen.0)
+    }
+
+    fn retire(&mut self, router: usize) {
+        let unseen = self.unseen(&self.routers[router]);
+        let kept = self.record.content.without(unseen);
+        self.record.replace(None, kept);
+        self.routers[router].recorded = kept;
+        self.routers[router].record_revision = self.record.revision;
+    }
+
     fn write_origins(&mut self, router: usize, fate: Fate, flaw: Flaw) {
         self.count(fate);
         let known = &mut self.routers[router];
@@ -454,6 +472,9 @@
         if !router.recorded.contains(router.seen) {
             steps.extend(fates.iter().map(|fate| Step::Record(index, *fate)));
         }
+        if self.flaw == Flaw::RetiresUnseen && state.unseen(router) != Versions::NONE {
+            steps.push(Step::Retire(index));
+        }
         if router.must_write() && !router.wrote {
             steps.extend(fates.iter().map(|fate| Step::Write(index, *fate)));
         }
@@ -477,6 +498,7 @@
             Step::Leave(version) => next.serving = next.serving.without(version),
             Step::Read(router) => next.read(router),
             Step::Record(router, fate) => next.record_version(router, fate),
+            Step::Retire(router) => next.retire(router),
             Step::Begin(router, stream, version) => next.begin(router, stream, version),
             Step::Write(router, fate) => next.write_origins(router, fate, self.flaw),
             Step::Arrive(index) => next.arrive(index),
--- a/crates/peppercrank-spec/tests/verify_streams.rs
+++ b/crates/peppercrank-spec/tests/verify_streams.rs
@@ -53,6 +53,7 @@
         (Flaw::TrustsKnowledge, CUT, JOINED),
         (Flaw::BeginsUnrecorded, LOST, JOINED),
         (Flaw::ForgetsOrigins, LOST, NOT_RESUMED),
+        (Flaw::RetiresUnseen, LOST, JOINED),
     ];
     for (flaw, model, property) in rows {
         let model = Streams { flaw, ..model };
