--- a/crates/peppercrank-direct/tests/verify_routing.rs
+++ b/crates/peppercrank-direct/tests/verify_routing.rs
@@ -12,7 +12,9 @@
 use peppercrank_direct::desired::PoolShare;
 use peppercrank_direct::desired::Route;
 use peppercrank_direct::desired::RouteKind;
+use peppercrank_direct::directory::Directory;
 use peppercrank_direct::origins::SoftwareVersion;
+use peppercrank_direct::pool_versions::RETENTION;
 use peppercrank_direct::pool_versions::RecentVersion;
 use peppercrank_direct::regions::Regions;
 use peppercrank_direct::routing::UNKNOWN_ROUTING;
@@ -23,6 +25,9 @@
 
 const NOW: Instant = Instant::ZERO;
 
+/// Time between two looks of a router.
+const STEP: Duration = Duration::from_secs(5);
+
 /// Returns a configuration with one route of streams, which splits them among these pools.
 fn configuration(pools: &[(&str, u32)], resumable: bool) -> Desired {
     let pools = pools.iter().map(|(pool, weight)| PoolShare {
@@ -125,11 +130,7 @@
 fn verify_the_routing_before_the_first_counts_as_another() {
     let own = routing(&[("pool", 1), ("other", 1)]).expect("a routing");
     let mut records = read(Some(&own), &["v1"]);
-    let mut recent = vec![RecentVersion {
-        version: SoftwareVersion::of("pool", "v1"),
-        name: "v1".into(),
-        seen: true,
-    }];
+    let mut recent = vec![version("v1")];
     recent.extend(records.own_routing("pool"));
     let pool = "pool".into();
     let step = records.next_step(NOW, &pool, &recent, 0);
@@ -144,3 +145,48 @@
     let expected = [("v1", false), (UNKNOWN_ROUTING, true), (&*own, false)];
     assert_eq!(names, expected);
 }
+
+/// Guards against a routing that leaves the record while callers may still resume streams that began by
+/// it, and against returns that are refused for good after a move.
+#[test]
+fn verify_a_routing_leaves_the_record_a_minute_after_it_was_retired() {
+    let old = routing(&[("pool", 1), ("other", 1)]).expect("a routing");
+    let own = routing(&[("pool", 1), ("other", 9)]).expect("a routing");
+    let pool: Arc<str> = "pool".into();
+    let mut records = VersionRecords::default();
+    let _earlier = records.set_routing(Some(Arc::clone(&own)));
+    let mut directory = Directory::default();
+    let mut stored = listed(&["v1", &old, &own]);
+    let mut now = NOW;
+    for (pool, name) in records.apply_list(now, stored.clone()) {
+        assert_ne!(name, own);
+        directory.record_served_version(now, &pool, &name);
+    }
+    let mut kept = Vec::new();
+    for _ in 0..40 {
+        let mut recent = directory.software_versions(now, "pool");
+        recent.retain(|r| *r.name != *"v1");
+        recent.extend([version("v1")]);
+        recent.extend(records.own_routing("pool"));
+        match records.next_step(now, &pool, &recent, 0) {
+            RecordStep::Read => drop(records.apply_list(now, stored.clone())),
+            RecordStep::Write(record) => {
+                kept.push((now, record.versions.len()));
+                records.apply_written(now, &pool, record.clone());
+                stored = vec![(Arc::clone(&pool), record)];
+            }
+            RecordStep::Done | RecordStep::WaitUntil(_) => now = now + STEP,
+        }
+    }
+    let expected = [(NOW + RETENTION, 3), (NOW + RETENTION * 2, 2)];
+    assert_eq!(kept, expected);
+    assert!(!records.names_several("pool") && !records.names_other_routing());
+}
+
+fn version(name: &str) -> RecentVersion {
+    RecentVersion {
+        version: SoftwareVersion::of("pool", name),
+        name: name.into(),
+        seen: true,
+    }
+}
