direct, gateway: a record of before a restore of the store proves nothing to routers that start later

What callers saw: a store was restored from a copy older than the record of a second version, that version's targets had ended, and all routers restarted. Its streams, of unknown origin, went on at the only version on the copy's record, with 200 and whole.

Cause: the era that a record names was compared only where targets of several versions are seen, and any write of a record, as for a version that joins, gave it the newest era.

Fix: a record of an earlier era counts only at routers that were there when the store was restored. A write keeps the era; a router renews it 2 s after the restore if it was there, as before, or else after a minute, in which it has learnt which versions still serve. One write for each pool and restore.

--- a/crates/peppercrank-direct/src/era.rs
+++ b/crates/peppercrank-direct/src/era.rs
@@ -57,6 +57,12 @@
         self.newest
     }
 
+    /// Returns whether this process has seen an era before the newest one.
+    #[must_use]
+    pub const fn has_changed(&self) -> bool {
+        self.newest_since.is_some()
+    }
+
     /// Records the era of an answer, and compares it with the newest one.
     pub fn observe(&mut self, now: Instant, era: Era) -> EraOrder {
         let Some(newest) = self.newest else {
--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -68,6 +68,17 @@
     absent_since: HashMap<SoftwareVersion, Instant>,
     /// Since when versions are known to be retired.
     retired_since: HashMap<SoftwareVersion, Instant>,
+    /// Since when the record is known to be of an earlier era.
+    outdated_since: Option<Instant>,
+}
+
+/// When records of an earlier era are written again, so that they count as whole.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Renewal {
+    /// The newest era of the store.
+    pub era: Option<Era>,
+    /// Time after which this router knows of all versions that the store may have lost.
+    pub after: Duration,
 }
 
 /// `VersionRecords` holds what a router knows of the records of all pools.
@@ -80,6 +91,7 @@
     /// Routing of this router's configuration; `None` if one pool at most has streams that may be
     /// resumed.
     routing: Option<Arc<str>>,
+    renewal: Renewal,
     pools: HashMap<Arc<str>, PoolState>,
 }
 
@@ -108,6 +120,16 @@
         std::mem::replace(&mut self.routing, routing)
     }
 
+    /// Sets when records of an earlier era are renewed.
+    pub fn set_renewal(&mut self, renewal: Renewal) {
+        if self.renewal.era != renewal.era {
+            for state in self.pools.values_mut() {
+                state.outdated_since = None;
+            }
+        }
+        self.renewal = renewal;
+    }
+
     /// Returns this router's routing as a pool's record is to name it.
     #[must_use]
     pub fn own_routing(&self, pool: &str) -> Option<RecentVersion> {
@@ -252,7 +274,8 @@
         if missing.is_empty() {
             state.missing_since = None;
             let delay = RETIREMENT_DELAY.saturating_mul(rank);
-            return state.next_retirement(now, pool, read_at, recent, delay);
+            let step = state.next_retirement(now, pool, read_at, recent, delay);
+            return state.next_renewal(now, read_at, self.renewal, delay, step);
         }
         let missing_since = *state.missing_since.get_or_insert(now);
         let due = missing_since + RANK_DELAY.saturating_mul(rank).min(MAX_DELAY);
@@ -296,6 +319,33 @@
         self.record = record;
     }
 
+    /// Writes a record of an earlier era again if there is nothing else to do.
+    fn next_renewal(
+        &mut self,
+        now: Instant,
+        read_at: Instant,
+        renewal: Renewal,
+        delay: Duration,
+        step: RecordStep,
+    ) -> RecordStep {
+        if self.record.era == renewal.era || self.record.revision.is_none() {
+            self.outdated_since = None;
+            return step;
+        }
+        let since = *self.outdated_since.get_or_insert(now);
+        let due = since + renewal.after + delay;
+        match step {
+            RecordStep::Read | RecordStep::Write(_) => step,
+            RecordStep::WaitUntil(at) if now < due => RecordStep::WaitUntil(at.min(due)),
+            RecordStep::Done if now < due => RecordStep::WaitUntil(due),
+            RecordStep::Done | RecordStep::WaitUntil(_) if read_at < due => RecordStep::Read,
+            RecordStep::Done | RecordStep::WaitUntil(_) => RecordStep::Write(VersionRecord {
+                era: renewal.era,
+                ..self.record.clone()
+            }),
+        }
+    }
+
     /// Retires or removes versions that no target runs any more.
     fn next_retirement(
         &mut self,
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -11,9 +11,12 @@
 use peppercrank_core::hash::hash64;
 use peppercrank_core::time::Instant;
 use peppercrank_direct::era::EraOrder;
+use peppercrank_direct::era::REWRITE_PERIOD;
 use peppercrank_direct::joining::Admitted;
 use peppercrank_direct::joining::Hold;
+use peppercrank_direct::pool_versions::RETENTION;
 use peppercrank_direct::version_records::RecordStep;
+use peppercrank_direct::version_records::Renewal;
 use peppercrank_direct::version_records::VersionRecord;
 use peppercrank_log::Field;
 use peppercrank_platform::read::AnswerReader;
@@ -118,6 +121,8 @@
         }
         state.records_read = true;
     }
+    let renewal = renewal(&state);
+    state.version_records.set_renewal(renewal);
     let current = pools.into_iter().map(|pool| (pool, true));
     let former = state.former_pools().into_iter().map(|pool| (pool, false));
     for (pool, is_current) in current.chain(former) {
@@ -141,6 +146,20 @@
     Action::WaitUntil(wake)
 }
 
+/// Returns when records of an earlier era are renewed. A router that has seen the store being restored
+/// knows what was on record before; one that has started since learns of what still serves.
+fn renewal(state: &State) -> Renewal {
+    let after = if state.eras.has_changed() {
+        REWRITE_PERIOD
+    } else {
+        RETENTION
+    };
+    Renewal {
+        era: state.eras.newest(),
+        after,
+    }
+}
+
 /// Returns the versions of a pool's targets without those that have just joined, and the routing.
 fn admitted_versions(state: &mut State, now: Instant, pool: &Arc<str>) -> Admitted {
     let recent = state.directory.software_versions(now, pool);
@@ -196,9 +215,12 @@
     pool: &Arc<str>,
     record: VersionRecord,
 ) -> Option<()> {
-    let record = VersionRecord {
-        era: gateway.state().eras.newest(),
-        ..record
+    let record = match record.revision {
+        Some(_) => record,
+        None => VersionRecord {
+            era: gateway.state().eras.newest(),
+            ..record
+        },
     };
     let body = records::versions_body(pool, &record).ok()?;
     let kind = RecordKind::Versions;
--- a/crates/peppercrank-gateway/src/single_version.rs
+++ b/crates/peppercrank-gateway/src/single_version.rs
@@ -88,9 +88,11 @@
         return Proof::None;
     }
     // Targets of another version may be known already, and begin streams once it is on record. A
-    // record of an earlier era may lack what was on record before the store was restored.
+    // record of an earlier era may lack what was on record before the store was restored, and only
+    // a router that was there knows.
     let era = state.eras.newest();
-    if state.may_cross_versions(now, pool) && !state.version_records.is_of_era(pool, era) {
+    let must_be_whole = state.may_cross_versions(now, pool) || !state.eras.has_changed();
+    if must_be_whole && !state.version_records.is_of_era(pool, era) {
         return Proof::None;
     }
     let only = state.version_records.only_version(pool, returned_at);
