--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -84,6 +84,17 @@
     absent_since: HashMap<SoftwareVersion, Instant>,
     /// Since when versions are known to be retired.
     retired_since: HashMap<SoftwareVersion, Instant>,
+    /// Since when the record is known to be of an earlier era.
+    outdated_since: Option<Instant>,
+}
+
+/// When records of an earlier era are written again, so that they count as whole.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Renewal {
+    /// The newest era of the store.
+    pub era: Option<Era>,
+    /// Time after which this router knows of all versions that the store may have lost.
+    pub after: Duration,
 }
 
 /// `VersionRecords` holds what a router knows of the records of all pools.
@@ -98,6 +109,7 @@
     routing: Option<Arc<str>>,
     /// Whether the store holds records whose pools are not known.
     has_nameless: bool,
+    renewal: Renewal,
     pools: HashMap<Arc<str>, PoolState>,
 }
 
@@ -126,6 +138,16 @@
         std::mem::replace(&mut self.routing, routing)
     }
 
+    /// Sets when records of an earlier era are renewed.
+    pub fn set_renewal(&mut self, renewal: Renewal) {
+        if self.renewal.era != renewal.era {
+            for state in self.pools.values_mut() {
+                state.outdated_since = None;
+            }
+        }
+        self.renewal = renewal;
+    }
+
     /// Returns this router's routing as a pool's record is to name it.
     #[must_use]
     pub fn own_routing(&self, pool: &str) -> Option<RecentVersion> {
@@ -285,14 +307,13 @@
         if missing.is_empty() {
             state.missing_since = None;
             let delay = RETIREMENT_DELAY.saturating_mul(rank);
-            let basis = Basis { read_at, known_at };
-            let serves = recent.iter().any(|r| r.seen && !is_routing(&r.name));
-            let step = if serves {
-                state.next_retirement(now, pool, basis, recent, delay)
-            } else {
-                // Where no target serves, the record still tells where streams began.
-                RecordStep::Done
+            let basis = Basis {
+                read_at,
+                known_at,
+                is_served: recent.iter().any(|r| r.seen && !is_routing(&r.name)),
             };
+            let step = state.next_retirement(now, pool, basis, recent, delay);
+            let step = state.next_renewal(now, read_at, self.renewal, delay, step);
             let others = state.record.without(self.routing.as_ref());
             let is_observed = rank < OBSERVERS && others.count() > 1;
             return if is_observed {
@@ -332,7 +353,11 @@
             return RecordStep::Write(state.record.with(&[]));
         }
         let delay = RETENTION + RETIREMENT_DELAY.saturating_mul(rank);
-        let basis = Basis { read_at, known_at };
+        let basis = Basis {
+            read_at,
+            known_at,
+            is_served: true,
+        };
         state.next_retirement(now, pool, basis, &[], delay)
     }
 }
@@ -344,6 +369,9 @@
     read_at: Instant,
     /// As of when the pool's targets, or its routes, are known; `None` if they are not.
     known_at: Option<Instant>,
+    /// Whether versions may end. Where no target of a pool serves, its record still tells where streams
+    /// began.
+    is_served: bool,
 }
 
 impl Basis {
@@ -367,6 +395,33 @@
         self.record = record;
     }
 
+    /// Writes a record of an earlier era again if there is nothing else to do.
+    fn next_renewal(
+        &mut self,
+        now: Instant,
+        read_at: Instant,
+        renewal: Renewal,
+        delay: Duration,
+        step: RecordStep,
+    ) -> RecordStep {
+        if self.record.era == renewal.era || self.record.revision.is_none() {
+            self.outdated_since = None;
+            return step;
+        }
+        let since = *self.outdated_since.get_or_insert(now);
+        let due = since + renewal.after + delay;
+        match step {
+            RecordStep::Read | RecordStep::Refresh | RecordStep::Write(_) => step,
+            RecordStep::WaitUntil(at) if now < due => RecordStep::WaitUntil(at.min(due)),
+            RecordStep::Done if now < due => RecordStep::WaitUntil(due),
+            RecordStep::Done | RecordStep::WaitUntil(_) if read_at < due => RecordStep::Read,
+            RecordStep::Done | RecordStep::WaitUntil(_) => RecordStep::Write(VersionRecord {
+                era: renewal.era,
+                ..self.record.clone()
+            }),
+        }
+    }
+
     /// Retires or removes versions that no target runs any more.
     fn next_retirement(
         &mut self,
@@ -382,7 +437,8 @@
         let mut versions = Vec::new();
         for recorded in &self.record.versions {
             let version = recorded.software(pool);
-            if is_recent(version) {
+            let stays = !basis.is_served && !is_routing(&recorded.name);
+            if stays || is_recent(version) {
                 versions.push(recorded.clone());
                 continue;
             }
