direct: an origin that is reported again takes no second place

Cause: a router that starts reads the objects of all lanes, which hold most streams twice or more (63 objects of 30 routers). Each report took a place in the queue whose length is bounded by 16,384, and a stream was forgotten with its first place although it had a later one. Test: verify_origins_that_are_reported_again_displace_no_others failed before, with 6,384 of 10,000 origins known.

--- a/crates/peppercrank-direct/src/origins.rs
+++ b/crates/peppercrank-direct/src/origins.rs
@@ -13,6 +13,7 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::collections::hash_map::Entry;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -114,7 +115,7 @@
 #[derive(Debug, Default)]
 pub struct Origins {
     by_stream: HashMap<StreamId, Origin>,
-    /// Streams in the order in which they were recorded, and until when they were to be kept then.
+    /// Each stream once, in the order in which they were recorded, and until when it was to be kept then.
     recorded: VecDeque<(StreamId, Instant)>,
     /// Number of routers that have not answered, for each origin that was asked for.
     unanswered: HashMap<StreamId, usize>,
@@ -151,10 +152,17 @@
     }
 
     fn insert(&mut self, now: Instant, stream: StreamId, origin: Origin) {
-        // The first version that is recorded is the one that began the stream.
-        let known = self.by_stream.entry(stream).or_insert(origin);
-        known.kept_until = known.kept_until.max(origin.kept_until);
-        self.recorded.push_back((stream, known.kept_until));
+        match self.by_stream.entry(stream) {
+            // The first version that is recorded is the one that began the stream.
+            Entry::Occupied(known) => {
+                let known = known.into_mut();
+                known.kept_until = known.kept_until.max(origin.kept_until);
+            }
+            Entry::Vacant(unknown) => {
+                let _known = unknown.insert(origin);
+                self.recorded.push_back((stream, origin.kept_until));
+            }
+        }
         self.prune(now);
     }
 
@@ -165,8 +173,10 @@
                 return;
             }
             self.recorded.pop_front();
-            let known = self.by_stream.get(&stream);
-            if known.is_some_and(|origin| origin.kept_until <= kept_until) {
+            let known = self.by_stream.get(&stream).map(|o| o.kept_until);
+            if let Some(longer) = known.filter(|until| *until > kept_until) {
+                self.recorded.push_back((stream, longer));
+            } else {
                 self.by_stream.remove(&stream);
             }
         }
--- a/crates/peppercrank-direct/tests/verify_origins.rs
+++ b/crates/peppercrank-direct/tests/verify_origins.rs
@@ -272,3 +272,36 @@
         assert!(lost > 0 && found * 100 >= lost * 95, "{found} of {lost}");
     }
 }
+
+/// A router that starts reads each stream from two or more objects of the router that began it.
+#[test]
+fn verify_origins_that_are_reported_again_displace_no_others() {
+    let mut origins = Origins::default();
+    for _ in 0..4 {
+        for number in 0..10_000 {
+            origins.record_report(START, report(number));
+        }
+    }
+    let known = (0..10_000).filter(|n| origins.version(START, report(*n).stream).is_some());
+    assert_eq!((known.count(), origins.len()), (10_000, 10_000));
+}
+
+/// As many are dropped as are too many, and first those that were reported longest ago.
+#[test]
+fn verify_an_origin_that_is_reported_again_is_dropped_as_late_as_a_new_one() {
+    let mut origins = Origins::default();
+    origins.record_report(START, report(0));
+    let mut number = 1_u64;
+    while u64::try_from(origins.len()) == Ok(number) {
+        origins.record_report(START, report(number));
+        if number == 1 {
+            origins.record_report(after(1), report(0));
+        }
+        number += 1;
+    }
+    assert!(origins.version(after(1), report(0).stream).is_some());
+    assert!(origins.version(after(1), report(1).stream).is_none());
+    assert!(origins.version(after(1), report(2).stream).is_some());
+    assert!(origins.version(after(30), report(0).stream).is_some());
+    assert!(origins.version(after(31), report(0).stream).is_none());
+}
