--- a/crates/peppercrank-direct/src/origins.rs
+++ b/crates/peppercrank-direct/src/origins.rs
@@ -241,15 +241,13 @@
         .collect()
 }
 
-/// `OriginQueue` holds the streams that began at this router and are still to be reported.
+/// `OriginQueue` holds the streams that began at this router and are not reported yet.
 ///
-/// They are reported as they begin, and once more when their pool runs several software versions,
-/// since routers that have started meanwhile have missed the first report.
+/// They are reported once their pool runs several software versions, so that the streams that began
+/// shortly before a second version joined are reported too.
 #[derive(Debug, Default)]
 pub struct OriginQueue {
     by_pool: HashMap<Arc<str>, VecDeque<StreamId>>,
-    /// Number of the newest streams of each pool that were never reported.
-    new: HashMap<Arc<str>, usize>,
 }
 
 impl OriginQueue {
@@ -260,17 +258,6 @@
             streams.pop_front();
         }
         streams.push_back(stream);
-        *self.new.entry(Arc::clone(pool)).or_default() += 1;
-    }
-
-    /// Returns the reports of streams that were never reported.
-    pub fn take_new(&mut self, now: Instant, origins: &Origins) -> Vec<OriginReport> {
-        let new = std::mem::take(&mut self.new);
-        let streams = new.into_iter().flat_map(|(pool, count)| {
-            let streams = self.by_pool.get(&pool).into_iter().flatten();
-            streams.rev().take(count)
-        });
-        streams.filter_map(|s| origins.report(now, *s)).collect()
     }
 
     /// Takes the reports of streams whose pools are `mixed`, and drops streams whose origins are no
@@ -286,7 +273,6 @@
             if mixed(pool) {
                 let known = streams.drain(..).filter_map(|s| origins.report(now, s));
                 reports.extend(known);
-                self.new.remove(pool);
             }
             while let Some(oldest) = streams.front()
                 && origins.version(now, *oldest).is_none()
--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -184,10 +184,9 @@
     if origin_queue.is_empty() {
         return Vec::new();
     }
-    let mut reports = origin_queue.take_reports(now, origins, |pool| {
+    let reports = origin_queue.take_reports(now, origins, |pool| {
         may_cross_versions(directory, version_records, now, pool)
     });
-    reports.extend(origin_queue.take_new(now, origins));
     let names = routers.keys().map(|name| &**name).collect::<Vec<_>>();
     let addressed = address_reports(&reports, &own, &names);
     let addressed = addressed.into_iter();
