--- a/crates/peppercrank-direct/tests/verify_renewed_records.rs
+++ b/crates/peppercrank-direct/tests/verify_renewed_records.rs
@@ -58,7 +58,7 @@
             RecordStep::Read => drop(records.apply_list(now, listed(era))),
             RecordStep::Write(record) => return Some((now, record)),
             RecordStep::WaitUntil(at) => now = at,
-            RecordStep::Done => now = end,
+            RecordStep::Done | RecordStep::Refresh => now = end,
         }
     }
     None
--- a/crates/peppercrank-direct/tests/verify_routing.rs
+++ b/crates/peppercrank-direct/tests/verify_routing.rs
@@ -146,10 +146,9 @@
     assert_eq!(names, expected);
 }
 
-/// Guards against a routing that leaves the record while callers may still resume streams that began by
-/// it, and against returns that are refused for good after a move.
-#[test]
-fn verify_a_routing_leaves_the_record_a_minute_after_it_was_retired() {
+/// Returns when the record of a pool with targets of these versions is written after its routes have moved,
+/// and how many names are on it then.
+fn writes_after_a_move(served: &[&str]) -> Vec<(Instant, usize)> {
     let old = routing(&[("pool", 1), ("other", 1)]).expect("a routing");
     let own = routing(&[("pool", 1), ("other", 9)]).expect("a routing");
     let pool: Arc<str> = "pool".into();
@@ -166,21 +165,37 @@
     for _ in 0..40 {
         let mut recent = directory.software_versions(now, "pool");
         recent.retain(|r| *r.name != *"v1");
-        recent.extend([version("v1")]);
+        recent.extend(served.iter().map(|name| version(name)));
         recent.extend(records.own_routing("pool"));
-        match records.next_step(now, &pool, &recent, 0) {
+        match records.next_step(now, &pool, &recent, Some(now), 0) {
             RecordStep::Read => drop(records.apply_list(now, stored.clone())),
             RecordStep::Write(record) => {
                 kept.push((now, record.versions.len()));
+                let revision = record.revision.map(|r| r + 1);
+                let record = VersionRecord { revision, ..record };
                 records.apply_written(now, &pool, record.clone());
                 stored = vec![(Arc::clone(&pool), record)];
             }
-            RecordStep::Done | RecordStep::WaitUntil(_) => now = now + STEP,
+            RecordStep::Done | RecordStep::Refresh | RecordStep::WaitUntil(_) => now = now + STEP,
         }
     }
-    let expected = [(NOW + RETENTION, 3), (NOW + RETENTION * 2, 2)];
-    assert_eq!(kept, expected);
     assert!(!records.names_several("pool") && !records.names_other_routing());
+    kept
+}
+
+/// Guards against a routing that leaves the record while callers may still resume streams that began by
+/// it, and against returns that are refused for good after a move.
+#[test]
+fn verify_a_routing_leaves_the_record_a_minute_after_it_was_retired() {
+    let expected = [(NOW + RETENTION, 3), (NOW + RETENTION * 2, 2)];
+    assert_eq!(writes_after_a_move(&["v1"]), expected);
+}
+
+/// Guards against returns that are refused for good after a move to or from a pool without targets.
+#[test]
+fn verify_a_routing_leaves_the_record_of_a_pool_without_targets() {
+    let expected = [(NOW + RETENTION, 3), (NOW + RETENTION * 2, 2)];
+    assert_eq!(writes_after_a_move(&[]), expected);
 }
 
 fn version(name: &str) -> RecentVersion {
