direct: the order of routes in a configuration is no part of their routing

What callers might have seen (a review's finding): routes written in another order counted as moved, so that for two minutes returns of unknown origin were refused in all pools. verify_the_order_of_routes_does_not_belong_to_a_routing failed before and passes.

--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -208,7 +208,7 @@
         pools.sort_unstable();
         pools.dedup();
         let ways = |desired: &Self| {
-            let routes = desired.resumable_routes();
+            let routes = desired.resumable_routes().into_iter();
             let ways =
                 routes.map(|r| (Arc::clone(&r.host), Arc::clone(&r.prefix), r.pools.clone()));
             ways.collect::<Vec<_>>()
@@ -216,9 +216,14 @@
         pools.len() > 1 && ways(self) != ways(earlier)
     }
 
-    fn resumable_routes(&self) -> impl Iterator<Item = &Route> {
+    /// Returns the routes of streams that another run may continue, in an order that does not depend on
+    /// the configuration's.
+    fn resumable_routes(&self) -> Vec<&Route> {
         let streams = RouteKind::Stream { resumable: true };
-        self.routes.iter().filter(move |r| r.kind == streams)
+        let routes = self.routes.iter().filter(|r| r.kind == streams);
+        let mut routes = routes.collect::<Vec<_>>();
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        routes
     }
 
     /// Returns the pools to which streams are sent that another run may continue.
@@ -226,6 +231,7 @@
     pub fn resumable_pools(&self) -> Vec<Arc<str>> {
         let mut pools = self
             .resumable_routes()
+            .into_iter()
             .flat_map(|r| &r.pools)
             .map(|share| Arc::clone(&share.pool))
             .collect::<Vec<_>>();
@@ -239,7 +245,7 @@
     #[must_use]
     pub fn routing(&self) -> Option<Arc<str>> {
         let is_divided = self.resumable_pools().len() > 1;
-        is_divided.then(|| routing::name_of(self.resumable_routes()))
+        is_divided.then(|| routing::name_of(&self.resumable_routes()))
     }
 }
 
--- a/crates/peppercrank-direct/src/routing.rs
+++ b/crates/peppercrank-direct/src/routing.rs
@@ -26,7 +26,7 @@
 
 /// Returns the name of the routing of these routes.
 #[must_use]
-pub fn name_of<'a>(routes: impl Iterator<Item = &'a Route>) -> Arc<str> {
+pub fn name_of(routes: &[&Route]) -> Arc<str> {
     let mut hash = ROUTING_SEED;
     for route in routes {
         hash = hash64(hash, route.host.as_bytes());
--- a/crates/peppercrank-direct/tests/verify_routing.rs
+++ b/crates/peppercrank-direct/tests/verify_routing.rs
@@ -103,6 +103,19 @@
     assert!(is_certain(&read(None, &["v1"])));
 }
 
+/// Guards against returns that are refused after routes were written in another order.
+#[test]
+fn verify_the_order_of_routes_does_not_belong_to_a_routing() {
+    let mut sorted = configuration(&[("pool", 1), ("other", 1)], true);
+    let mut second = sorted.routes[0].clone();
+    second.prefix = "/draft/".into();
+    sorted.routes.push(second);
+    let mut reversed = sorted.clone();
+    reversed.routes.reverse();
+    assert_eq!(reversed.routing(), sorted.routing());
+    assert!(!reversed.moves_streams(&sorted));
+}
+
 #[test]
 fn verify_weights_belong_to_a_routing() {
     let even = routing(&[("pool", 1), ("other", 1)]);
