direct: a late answer to a read of versions undoes no newer one, also once that is in doubt

Found by a review: the guard compared with a time that doubt clears. verify_a_late_answer_to_a_read_undoes_no_newer_one failed before and passes.

--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -102,6 +102,8 @@
 pub struct VersionRecords {
     /// When the records were last asked for; `None` if they must be read.
     read_at: Option<Instant>,
+    /// When the newest records that were applied were asked for.
+    newest_read: Option<Instant>,
     /// Whether the records were ever read.
     known: bool,
     /// Routing of this router's configuration; `None` if one pool at most has streams that may be
@@ -231,7 +233,7 @@
     /// Records whether the store held records whose names can't be read, when all were asked for at
     /// `asked_at`. It comes before these are applied.
     pub fn record_nameless(&mut self, asked_at: Instant, has_nameless: bool) {
-        if self.read_at.is_none_or(|read_at| asked_at >= read_at) {
+        if self.newest_read.is_none_or(|newest| asked_at >= newest) {
             self.has_nameless = has_nameless;
         }
     }
@@ -243,7 +245,7 @@
         asked_at: Instant,
         listed: Vec<(Arc<str>, VersionRecord)>,
     ) -> Vec<(Arc<str>, Arc<str>)> {
-        if self.read_at.is_some_and(|read_at| asked_at < read_at) {
+        if self.newest_read.is_some_and(|newest| asked_at < newest) {
             // An answer to a later call was applied first.
             return Vec::new();
         }
@@ -263,6 +265,7 @@
             state.apply(asked_at, &pool, record);
         }
         self.read_at = Some(asked_at);
+        self.newest_read = Some(asked_at);
         self.known = true;
         unknown
     }
--- a/crates/peppercrank-direct/tests/verify_records_out_of_step.rs
+++ b/crates/peppercrank-direct/tests/verify_records_out_of_step.rs
@@ -103,6 +103,17 @@
     assert!(records.is_confirmed("pool", joined));
 }
 
+/// Guards against knowledge that a late answer to a read replaces, after a router has doubted it.
+#[test]
+fn verify_a_late_answer_to_a_read_undoes_no_newer_one() {
+    let mut records = VersionRecords::default();
+    Stored(record(3, &["v1", "v2"])).read(at(2), &mut records);
+    records.invalidate();
+    Stored(record(1, &["v1"])).read(at(1), &mut records);
+    assert!(!records.are_current());
+    assert!(records.is_confirmed("pool", SoftwareVersion::of("pool", "v2")));
+}
+
 /// Guards against a version that is lost as a router writes what it read before others wrote.
 #[test]
 fn verify_a_write_from_an_old_read_loses_no_version() {
