direct: long writes of origins follow each other more slowly

Each write holds all streams that are kept, so that writes 20 ms after one another cost five times the bytes of before (a review's finding). From 328 streams on the time between them grows, up to the 100 ms of before at 1,639. verify_long_writes_follow_each_other_more_slowly names the steps.

--- a/crates/peppercrank-direct/src/stored_origins.rs
+++ b/crates/peppercrank-direct/src/stored_origins.rs
@@ -27,6 +27,10 @@
 /// Shortest time between two looks of a router for streams to be written.
 const MIN_LOOK: Duration = Duration::from_millis(20);
 
+/// Maximum number of streams per second that the writes of a router hold, each of which holds all that
+/// are kept.
+const STREAM_RATE: u32 = 16_384;
+
 /// Shortest time between two writes of a router while the first one is not answered, so that lanes
 /// are left.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -45,16 +49,22 @@
 /// answered.
 #[must_use]
 pub fn write_interval(routers: usize) -> Duration {
-    look_interval(routers).max(MIN_INTERVAL)
+    fair_interval(routers).max(MIN_INTERVAL)
 }
 
-/// Returns the time between two looks of one router out of `routers` for streams to be written. A
-/// kill of all routers loses the origins of the streams that began in it.
+/// Returns the time between two looks of one router out of `routers` for streams to be written, each
+/// write of which holds `streams`. A kill of all routers loses the origins of the streams that began
+/// in it.
 #[must_use]
-pub fn look_interval(routers: usize) -> Duration {
+pub fn look_interval(routers: usize, streams: usize) -> Duration {
+    let streams = u32::try_from(streams).unwrap_or(u32::MAX);
+    let paced = Duration::from_secs(streams.into()) / STREAM_RATE;
+    fair_interval(routers).max(paced.clamp(MIN_LOOK, MIN_INTERVAL))
+}
+
+fn fair_interval(routers: usize) -> Duration {
     let routers = u32::try_from(routers).unwrap_or(u32::MAX);
-    let fair = Duration::from_secs(routers.into()) / FLEET_RATE;
-    fair.max(MIN_LOOK)
+    Duration::from_secs(routers.into()) / FLEET_RATE
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -248,6 +258,13 @@
         Some(by_version.into_iter().collect())
     }
 
+    /// Returns the number of streams that are kept.
+    #[must_use]
+    pub fn stream_count(&self) -> usize {
+        let own = self.by_pool.values().map(VecDeque::len).sum::<usize>();
+        own + self.earlier.len()
+    }
+
     fn expire(&mut self, now: Instant) {
         let is_over = |s: &OwnStream| now >= s.until;
         self.by_pool.retain(|_, streams| {
--- a/crates/peppercrank-direct/tests/verify_stored_origins.rs
+++ b/crates/peppercrank-direct/tests/verify_stored_origins.rs
@@ -97,13 +97,24 @@
     assert_eq!(router.take(until, true), Some(vec![2]));
 }
 
+/// Guards against writes that grow with the number of streams and follow each other as fast as short ones.
+#[test]
+fn verify_long_writes_follow_each_other_more_slowly() {
+    let millis = |streams| look_interval(4, streams).as_millis();
+    assert_eq!(
+        [0, 100, 1_000, 2_000, 16_384].map(millis),
+        [20, 20, 61, 100, 100]
+    );
+}
+
 #[test]
 fn verify_a_large_fleet_writes_within_the_rate_of_the_store() {
     let rate = |routers: u32, interval: Duration| f64::from(routers) / interval.as_secs_f64();
     for routers in [1, 4, 30, 68, 370] {
-        for interval in [write_interval, look_interval] {
-            let writes = rate(routers, interval(routers as usize));
-            assert!(writes <= 200.0, "{routers} routers");
+        let number = routers as usize;
+        let looks = [0, 2_000, 16_384].map(|streams| look_interval(number, streams));
+        for interval in looks.into_iter().chain([write_interval(number)]) {
+            assert!(rate(routers, interval) <= 200.0, "{routers} routers");
         }
     }
 }
--- a/crates/peppercrank-gateway/src/stored_origins.rs
+++ b/crates/peppercrank-gateway/src/stored_origins.rs
@@ -65,9 +65,12 @@
     let mut refusals = 0;
     let mut begun = gateway.now();
     loop {
-        let routers = gateway.state().routers.len() + 1;
+        let (routers, streams) = {
+            let state = gateway.state();
+            (state.routers.len() + 1, state.stored_origins.stream_count())
+        };
         let pause = match refusals {
-            0 => look_interval(routers),
+            0 => look_interval(routers, streams),
             _ => write_interval(routers) * 2_u32.pow(refusals),
         };
         sleep(jittered(pause)).await;
