gateway: the pause between refused writes of versions grows; what a restored store lacks is written at once

Found by a review, by reading; no failing test: each read that succeeded between two refused writes reset their pause (some 50 ms for ever, at each router); a read for a caller's return did not wake the task that writes what it showed to be missing; and a caller that names no origin did not wait for the first read after a start.

--- a/crates/peppercrank-gateway/src/origins.rs
+++ b/crates/peppercrank-gateway/src/origins.rs
@@ -48,6 +48,7 @@
         return Resumption::Anywhere;
     };
     let Some(request) = &resumption.origin else {
+        missed_origins::wait_for_first_read(gateway).await;
         return resume_unnamed(gateway, job);
     };
     let origin = match find_origin(gateway, StreamId::of(request)).await {
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -80,6 +80,7 @@
             Action::WaitUntil(at) => {
                 let changed = gateway.versions_changed.notified();
                 let _changed = gateway.timeout_at(at, changed).await;
+                failures = 0;
                 continue;
             }
             Action::ReadVersions => read_versions(&gateway, &store).await,
@@ -88,8 +89,8 @@
             }
             Action::ReadOrigins => read_origins(&gateway, &store).await,
         };
+        // A read that succeeds between two refused writes leaves the pause as it is.
         if done.is_some() {
-            failures = 0;
             continue;
         }
         if gateway.now().since(asked_at) >= DOUBT_TIMEOUT {
@@ -228,6 +229,8 @@
     }
     drop(state);
     gateway.versions_recorded.notify_waiters();
+    // What a restored store lacks is written again.
+    gateway.versions_changed.notify_one();
     Some(())
 }
 
