--- a/crates/peppercrank-direct/src/routing.rs
+++ b/crates/peppercrank-direct/src/routing.rs
@@ -19,10 +19,10 @@
 const ROUTING_SEED: u64 = 0x726f_7574_6573;
 
 /// Prefix of the names of routings, which tells them from those of versions.
-const PREFIX: &str = "(routes ";
+const PREFIX: &str = "(routes:";
 
 /// Name on a record of whatever routing was in force before one was put on it.
-pub const UNKNOWN_ROUTING: &str = "(routes unknown)";
+pub const UNKNOWN_ROUTING: &str = "(routes:unknown)";
 
 /// Returns the name of the routing of these routes.
 #[must_use]
--- a/crates/peppercrank-direct/src/version_record.rs
+++ b/crates/peppercrank-direct/src/version_record.rs
@@ -19,7 +19,7 @@
 pub struct RecordedVersion {
     /// Name of the version.
     pub name: Arc<str>,
-    /// Whether a router found that no target has run it for [`RETENTION`]. It still counts as one
+    /// Whether a router found that no target has run it for a minute. It still counts as one
     /// that may have begun streams.
     pub retired: bool,
 }
