--- a/crates/peppercrank-direct/src/desired.rs
+++ b/crates/peppercrank-direct/src/desired.rs
@@ -12,6 +12,7 @@
 
 use crate::ranks::Ranks;
 use crate::regions::Regions;
+use crate::routing;
 use crate::warm_up::WarmUp;
 
 /// Seed of the hash that selects one of a route's pools.
@@ -207,7 +208,7 @@
         pools.sort_unstable();
         pools.dedup();
         let ways = |desired: &Self| {
-            let routes = desired.resumable_routes();
+            let routes = desired.resumable_routes().into_iter();
             let ways =
                 routes.map(|r| (Arc::clone(&r.host), Arc::clone(&r.prefix), r.pools.clone()));
             ways.collect::<Vec<_>>()
@@ -215,9 +216,14 @@
         pools.len() > 1 && ways(self) != ways(earlier)
     }
 
-    fn resumable_routes(&self) -> impl Iterator<Item = &Route> {
+    /// Returns the routes of streams that another run may continue, in an order that does not depend on
+    /// the configuration's.
+    fn resumable_routes(&self) -> Vec<&Route> {
         let streams = RouteKind::Stream { resumable: true };
-        self.routes.iter().filter(move |r| r.kind == streams)
+        let routes = self.routes.iter().filter(|r| r.kind == streams);
+        let mut routes = routes.collect::<Vec<_>>();
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        routes
     }
 
     /// Returns the pools to which streams are sent that another run may continue.
@@ -225,6 +231,7 @@
     pub fn resumable_pools(&self) -> Vec<Arc<str>> {
         let mut pools = self
             .resumable_routes()
+            .into_iter()
             .flat_map(|r| &r.pools)
             .map(|share| Arc::clone(&share.pool))
             .collect::<Vec<_>>();
@@ -232,6 +239,14 @@
         pools.dedup();
         pools
     }
+
+    /// Returns the name of the way in which streams that may be resumed are divided among several
+    /// pools; `None` if there is one such pool at most.
+    #[must_use]
+    pub fn routing(&self) -> Option<Arc<str>> {
+        let is_divided = self.resumable_pools().len() > 1;
+        is_divided.then(|| routing::name_of(&self.resumable_routes()))
+    }
 }
 
 /// `Index` looks up the routes, pools and organisations of one configuration.
@@ -244,6 +259,8 @@
     keys: HashMap<Arc<str>, usize>,
     /// Ranks by which requests for a pool are ordered.
     ranks: Ranks,
+    /// Pools with streams that another run may continue.
+    resumable_pools: Vec<Arc<str>>,
 }
 
 /// `Access` is whether a request may run, and for whom.
@@ -276,6 +293,7 @@
         }
         Self {
             ranks: Ranks::new(&desired),
+            resumable_pools: desired.resumable_pools(),
             desired,
             hosts,
             keys,
@@ -288,6 +306,12 @@
         &self.desired
     }
 
+    /// As [`Desired::resumable_pools`].
+    #[must_use]
+    pub fn resumable_pools(&self) -> &[Arc<str>] {
+        &self.resumable_pools
+    }
+
     /// Returns the ranks by which the urgency of requests is compared.
     #[must_use]
     pub const fn ranks(&self) -> &Ranks {
--- a/crates/peppercrank-direct/src/version_records.rs
+++ b/crates/peppercrank-direct/src/version_records.rs
@@ -8,6 +8,9 @@
 //! streams begin at it, and a process reads the records when it starts. A version is removed in two
 //! steps, each after no target ran it for [`RETENTION`]: it is marked as retired first. Both are
 //! conditional writes, so that neither undoes what another router has just written.
+//!
+//! Where routes divide streams among several pools, a record also names the routing in force, which is
+//! recorded, retired and removed like a version ([`crate::routing`]).
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -20,6 +23,9 @@
 use crate::origins::SoftwareVersion;
 use crate::pool_versions::RETENTION;
 use crate::pool_versions::RecentVersion;
+use crate::routing::is_routing;
+pub use crate::version_record::RecordedVersion;
+pub use crate::version_record::VersionRecord;
 
 /// How much later each further router records a version than the one before, so that mostly one
 /// writes.
@@ -34,31 +40,17 @@
 /// How much later each further router retires a version than the one before.
 const RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
-/// Name on a record of whatever versions it named while it could not be read.
-const UNKNOWN_VERSION: &str = "(unreadable)";
+/// Maximum age of what a router knows of a pool's targets, or of its routes, when it retires a
+/// version. A sound watch is mostly answered sooner.
+const MAX_KNOWLEDGE_AGE: Duration = Duration::from_secs(10);
 
-/// One software version on a pool's record.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RecordedVersion {
-    /// Name of the version.
-    pub name: Arc<str>,
-    /// Whether a router found that no target has run it for [`RETENTION`]. It still counts as one
-    /// that may have begun streams.
-    pub retired: bool,
-}
+/// Number of routers that look again at a record of several versions, so that none is retired, and
+/// then removed, by one that does not know its targets.
+const OBSERVERS: u32 = 3;
 
-/// The record of one pool.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct VersionRecord {
-    /// Store revision of the record; `None` while the store has none.
-    pub revision: Option<u64>,
-    /// Versions in the order in which they were recorded.
-    pub versions: Vec<RecordedVersion>,
-    /// Era of the store in which the record was written; `None` if that is not known.
-    pub era: Option<Era>,
-    /// Whether the record in the store cannot be read. It may name any version.
-    pub unreadable: bool,
-}
+/// How often they do. A version that is retired by mistake is in use again well before it would be
+/// removed.
+const OBSERVATION_INTERVAL: Duration = Duration::from_secs(RETENTION.as_secs() / 2);
 
 /// What a router does next about a pool's record.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,6 +61,9 @@
     WaitUntil(Instant),
     /// Read the records.
     Read,
+    /// Learn which targets serve the pool, or which routes lead to it: what is known is too old to
+    /// retire a version.
+    Refresh,
     /// Write this record, if the stored one still has its revision.
     Write(VersionRecord),
 }
@@ -89,6 +84,17 @@
     absent_since: HashMap<SoftwareVersion, Instant>,
     /// Since when versions are known to be retired.
     retired_since: HashMap<SoftwareVersion, Instant>,
+    /// Since when the record is known to be of an earlier era.
+    outdated_since: Option<Instant>,
+}
+
+/// When records of an earlier era are written again, so that they count as whole.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Renewal {
+    /// The newest era of the store.
+    pub era: Option<Era>,
+    /// Time after which this router knows of all versions that the store may have lost.
+    pub after: Duration,
 }
 
 /// `VersionRecords` holds what a router knows of the records of all pools.
@@ -96,8 +102,16 @@
 pub struct VersionRecords {
     /// When the records were last asked for; `None` if they must be read.
     read_at: Option<Instant>,
+    /// When the newest records that were applied were asked for.
+    newest_read: Option<Instant>,
     /// Whether the records were ever read.
     known: bool,
+    /// Routing of this router's configuration; `None` if one pool at most has streams that may be
+    /// resumed.
+    routing: Option<Arc<str>>,
+    /// Whether the store holds records whose pools are not known.
+    has_nameless: bool,
+    renewal: Renewal,
     pools: HashMap<Arc<str>, PoolState>,
 }
 
@@ -121,11 +135,50 @@
         self.read_at.is_some()
     }
 
-    /// Returns whether a pool's record names several versions, or may.
+    /// Sets the routing of this router's configuration, and returns the one of before.
+    pub fn set_routing(&mut self, routing: Option<Arc<str>>) -> Option<Arc<str>> {
+        std::mem::replace(&mut self.routing, routing)
+    }
+
+    /// Sets when records of an earlier era are renewed.
+    pub fn set_renewal(&mut self, renewal: Renewal) {
+        if self.renewal.era != renewal.era {
+            for state in self.pools.values_mut() {
+                state.outdated_since = None;
+            }
+        }
+        self.renewal = renewal;
+    }
+
+    /// Returns this router's routing as a pool's record is to name it.
+    #[must_use]
+    pub fn own_routing(&self, pool: &str) -> Option<RecentVersion> {
+        self.routing.as_ref().map(|name| RecentVersion {
+            version: SoftwareVersion::of(pool, name),
+            name: Arc::clone(name),
+            seen: true,
+        })
+    }
+
+    /// Returns whether a record names another routing than this router's, or may. Streams may have
+    /// begun at other pools then than those to which this router sends their callers.
+    #[must_use]
+    pub fn names_other_routing(&self) -> bool {
+        let routing = self.routing.as_ref();
+        let mut records = self.pools.values().map(|s| &s.record);
+        records.any(|r| r.names_other_routing(routing))
+    }
+
+    /// Returns whether a pool's record names several versions, or may, or another routing than this
+    /// router's.
     #[must_use]
     pub fn names_several(&self, pool: &str) -> bool {
         let record = self.pools.get(pool).map(|s| &s.record);
-        record.is_some_and(|r| r.versions.len() > 1 || r.unreadable)
+        let routing = self.routing.as_ref();
+        let is_listed = record.is_some_and(|r| r.revision.is_some());
+        // A record whose name can't be read may be that of any pool without one.
+        self.has_nameless && !is_listed
+            || record.is_some_and(|r| r.unreadable || r.without(routing).count() > 1)
     }
 
     /// Returns whether a pool's record names a version.
@@ -140,8 +193,9 @@
     pub fn only_version(&self, pool: &str, since: Instant) -> Option<SoftwareVersion> {
         let record = &self.pools.get(pool)?.record;
         let is_read = self.read_at.is_some_and(|read_at| read_at >= since);
-        match record.versions.as_slice() {
-            [only] if is_read && !record.unreadable => Some(only.software(pool)),
+        let mut versions = record.without(self.routing.as_ref());
+        match (versions.next(), versions.next()) {
+            (Some(only), None) if is_read && !record.unreadable => Some(only.software(pool)),
             _ => None,
         }
     }
@@ -176,6 +230,14 @@
         self.read_at = None;
     }
 
+    /// Records whether the store held records whose names can't be read, when all were asked for at
+    /// `asked_at`. It comes before these are applied.
+    pub fn record_nameless(&mut self, asked_at: Instant, has_nameless: bool) {
+        if self.newest_read.is_none_or(|newest| asked_at >= newest) {
+            self.has_nameless = has_nameless;
+        }
+    }
+
     /// Applies all records, which were asked for at `asked_at`, and returns the pools and versions
     /// that this router did not know to be on record.
     pub fn apply_list(
@@ -183,7 +245,7 @@
         asked_at: Instant,
         listed: Vec<(Arc<str>, VersionRecord)>,
     ) -> Vec<(Arc<str>, Arc<str>)> {
-        if self.read_at.is_some_and(|read_at| asked_at < read_at) {
+        if self.newest_read.is_some_and(|newest| asked_at < newest) {
             // An answer to a later call was applied first.
             return Vec::new();
         }
@@ -195,30 +257,36 @@
         for (pool, record) in listed {
             let state = self.pools.entry(Arc::clone(&pool)).or_default();
             let known = |name: &Arc<str>| state.record.versions.iter().any(|v| v.name == *name);
-            let names = record.versions.iter().map(|v| Arc::clone(&v.name));
+            let others = record.without(self.routing.as_ref());
+            let names = others.map(|v| Arc::clone(&v.name));
             let new = names.filter(|name| !known(name));
             unknown.extend(new.map(|name| (Arc::clone(&pool), name)));
             state.checked.clone_from(&state.present);
             state.apply(asked_at, &pool, record);
         }
         self.read_at = Some(asked_at);
+        self.newest_read = Some(asked_at);
         self.known = true;
         unknown
     }
 
-    /// Applies a record that this router has written.
+    /// Applies a record that this router has written, unless it has read a newer one meanwhile.
     pub fn apply_written(&mut self, now: Instant, pool: &Arc<str>, record: VersionRecord) {
         let state = self.pools.entry(Arc::clone(pool)).or_default();
-        state.apply(now, pool, record);
+        if record.revision > state.record.revision {
+            state.apply(now, pool, record);
+        }
     }
 
     /// Decides what to do next about a pool, whose targets run the versions that are `recent`, or
-    /// did. `rank` is the number of routers that write before this one.
+    /// did, as far as was known at `known_at`. `rank` is the number of routers that write before
+    /// this one.
     pub fn next_step(
         &mut self,
         now: Instant,
         pool: &Arc<str>,
         recent: &[RecentVersion],
+        known_at: Option<Instant>,
         rank: u32,
     ) -> RecordStep {
         let read_at = self.read_at;
@@ -242,7 +310,20 @@
         if missing.is_empty() {
             state.missing_since = None;
             let delay = RETIREMENT_DELAY.saturating_mul(rank);
-            return state.next_retirement(now, pool, read_at, recent, delay);
+            let basis = Basis {
+                read_at,
+                known_at,
+                is_served: recent.iter().any(|r| r.seen && !is_routing(&r.name)),
+            };
+            let step = state.next_retirement(now, pool, basis, recent, delay);
+            let step = state.next_renewal(now, read_at, self.renewal, delay, step);
+            let others = state.record.without(self.routing.as_ref());
+            let is_observed = rank < OBSERVERS && others.count() > 1;
+            return if is_observed {
+                step.or_read_at(now, read_at + OBSERVATION_INTERVAL)
+            } else {
+                step
+            };
         }
         let missing_since = *state.missing_since.get_or_insert(now);
         let due = missing_since + RANK_DELAY.saturating_mul(rank).min(MAX_DELAY);
@@ -256,9 +337,16 @@
         }
     }
 
-    /// Decides what to do next about a pool on record to which no route sends streams any more: its
-    /// versions are retired and removed, also those that a record names which can't be read.
-    pub fn next_step_of_former(&mut self, now: Instant, pool: &Arc<str>, rank: u32) -> RecordStep {
+    /// Decides what to do next about a pool on record to which no route sends streams any more, as far
+    /// as was known at `known_at`: its versions are retired and removed, also those that a record
+    /// names which can't be read.
+    pub fn next_step_of_former(
+        &mut self,
+        now: Instant,
+        pool: &Arc<str>,
+        known_at: Option<Instant>,
+        rank: u32,
+    ) -> RecordStep {
         let read_at = self.read_at;
         let state = self.pools.entry(Arc::clone(pool)).or_default();
         let Some(read_at) = read_at else {
@@ -268,7 +356,31 @@
             return RecordStep::Write(state.record.with(&[]));
         }
         let delay = RETENTION + RETIREMENT_DELAY.saturating_mul(rank);
-        state.next_retirement(now, pool, read_at, &[], delay)
+        let basis = Basis {
+            read_at,
+            known_at,
+            is_served: true,
+        };
+        state.next_retirement(now, pool, basis, &[], delay)
+    }
+}
+
+/// What a router goes by when it retires versions.
+#[derive(Debug, Clone, Copy)]
+struct Basis {
+    /// When the records were last asked for.
+    read_at: Instant,
+    /// As of when the pool's targets, or its routes, are known; `None` if they are not.
+    known_at: Option<Instant>,
+    /// Whether versions may end. Where no target of a pool serves, its record still tells where streams
+    /// began.
+    is_served: bool,
+}
+
+impl Basis {
+    fn is_known(self, now: Instant) -> bool {
+        self.known_at
+            .is_some_and(|at| now.since(at) <= MAX_KNOWLEDGE_AGE)
     }
 }
 
@@ -286,12 +398,39 @@
         self.record = record;
     }
 
+    /// Writes a record of an earlier era again if there is nothing else to do.
+    fn next_renewal(
+        &mut self,
+        now: Instant,
+        read_at: Instant,
+        renewal: Renewal,
+        delay: Duration,
+        step: RecordStep,
+    ) -> RecordStep {
+        if self.record.era == renewal.era || self.record.revision.is_none() {
+            self.outdated_since = None;
+            return step;
+        }
+        let since = *self.outdated_since.get_or_insert(now);
+        let due = since + renewal.after + delay;
+        match step {
+            RecordStep::Read | RecordStep::Refresh | RecordStep::Write(_) => step,
+            RecordStep::WaitUntil(at) if now < due => RecordStep::WaitUntil(at.min(due)),
+            RecordStep::Done if now < due => RecordStep::WaitUntil(due),
+            RecordStep::Done | RecordStep::WaitUntil(_) if read_at < due => RecordStep::Read,
+            RecordStep::Done | RecordStep::WaitUntil(_) => RecordStep::Write(VersionRecord {
+                era: renewal.era,
+                ..self.record.clone()
+            }),
+        }
+    }
+
     /// Retires or removes versions that no target runs any more.
     fn next_retirement(
         &mut self,
         now: Instant,
         pool: &str,
-        read_at: Instant,
+        basis: Basis,
         recent: &[RecentVersion],
         delay: Duration,
     ) -> RecordStep {
@@ -301,7 +440,8 @@
         let mut versions = Vec::new();
         for recorded in &self.record.versions {
             let version = recorded.software(pool);
-            if is_recent(version) {
+            let stays = !basis.is_served && !is_routing(&recorded.name);
+            if stays || is_recent(version) {
                 versions.push(recorded.clone());
                 continue;
             }
@@ -311,8 +451,10 @@
             if now < due {
                 next = Some(next.map_or(due, |n| n.min(due)));
                 versions.push(recorded.clone());
-            } else if read_at < due {
+            } else if basis.read_at < due {
                 return RecordStep::Read;
+            } else if !basis.is_known(now) {
+                return RecordStep::Refresh;
             } else if retired.is_none() {
                 versions.push(RecordedVersion {
                     retired: true,
@@ -330,33 +472,14 @@
     }
 }
 
-impl RecordedVersion {
-    fn software(&self, pool: &str) -> SoftwareVersion {
-        SoftwareVersion::of(pool, &self.name)
-    }
-}
-
-impl VersionRecord {
-    /// Returns this record with all of these versions in use that were seen. What an unreadable one
-    /// named counts as a further version that has retired.
-    fn with(&self, recent: &[RecentVersion]) -> Self {
-        let mut record = self.clone();
-        if std::mem::take(&mut record.unreadable) {
-            record.versions.push(RecordedVersion {
-                name: UNKNOWN_VERSION.into(),
-                retired: true,
-            });
-        }
-        for RecentVersion { name, .. } in recent.iter().filter(|r| r.seen) {
-            let mut known = record.versions.iter_mut();
-            match known.find(|v| v.name == *name) {
-                Some(known) => known.retired = false,
-                None => record.versions.push(RecordedVersion {
-                    name: Arc::clone(name),
-                    retired: false,
-                }),
-            }
+impl RecordStep {
+    /// Returns this step, or a read once that is due and there is nothing else to do.
+    fn or_read_at(self, now: Instant, due: Instant) -> Self {
+        match self {
+            Self::Done | Self::WaitUntil(_) | Self::Refresh if now >= due => Self::Read,
+            Self::Done => Self::WaitUntil(due),
+            Self::WaitUntil(at) => Self::WaitUntil(at.min(due)),
+            Self::Read | Self::Refresh | Self::Write(_) => self,
         }
-        record
     }
 }
--- a/crates/peppercrank-gateway/src/follow.rs
+++ b/crates/peppercrank-gateway/src/follow.rs
@@ -36,6 +36,7 @@
 use crate::missed::MissedChange;
 use crate::outage::Outage;
 use crate::outage::OutageListener;
+use crate::role::CONFIRM_WAIT;
 use crate::role::FollowerRole;
 use crate::store::BodyContent;
 use crate::store::CallOutcome;
@@ -87,6 +88,8 @@
     unproven_answers: u32,
     /// Detects answers that the store may have truncated.
     truncation: Truncation,
+    /// Whether the next call is to be answered at once.
+    is_hasty: bool,
     /// How long a call is left alone although other routers know more.
     backoff: CallBackoff,
 }
@@ -117,6 +120,7 @@
             failures: 0,
             unproven_answers: 0,
             truncation: Truncation::default(),
+            is_hasty: false,
             backoff: CallBackoff::default(),
         }
     }
@@ -305,11 +309,16 @@
         self.record_store_back();
         self.intake.replace(asked_at, entries);
         self.intake.revision = Some(revision);
+        self.record_known(asked_at);
         PollOutcome::Done
     }
 
     async fn watch(&mut self, revision: u64) -> PollOutcome {
-        let wait = self.role.wait();
+        let wait = if std::mem::take(&mut self.is_hasty) {
+            CONFIRM_WAIT
+        } else {
+            self.role.wait()
+        };
         let asked_at = self.gateway.now();
         let path = store::watch_path(self.kind, revision, wait);
         let reader = ChangesReader::new(self.kind);
@@ -335,7 +344,17 @@
         self.intake.apply(asked_at, changes.events);
         match next {
             Next::Soon => PollOutcome::PossiblyTruncated,
-            Next::Paced => PollOutcome::Done,
+            Next::Paced => {
+                self.record_known(asked_at);
+                PollOutcome::Done
+            }
+        }
+    }
+
+    /// Records that all entries are known as of `asked_at`.
+    fn record_known(&self, asked_at: Instant) {
+        if self.kind == Kind::Targets {
+            self.gateway.state().targets_known_at = Some(asked_at);
         }
     }
 
@@ -379,6 +398,10 @@
                 self.store.close();
                 return Err(PollOutcome::Relist);
             }
+            () = targets_wanted(&self.gateway, self.kind), if wait > CONFIRM_WAIT => {
+                self.is_hasty = true;
+                return Err(PollOutcome::PollAgain);
+            }
             missed = missed::missed_change(
                 &self.gateway,
                 &self.role,
@@ -504,6 +527,14 @@
     }
 }
 
+/// Returns when it is to be read which targets there are now. Waits forever for other kinds.
+async fn targets_wanted(gateway: &Gateway, kind: Kind) {
+    match kind {
+        Kind::Targets => gateway.targets_wanted.notified().await,
+        Kind::Configuration | Kind::Evacuations | Kind::Routers => std::future::pending().await,
+    }
+}
+
 /// Returns when another router knows of different evacuations. Waits forever for other kinds.
 async fn evacuations_outdated(gateway: &Gateway, kind: Kind) {
     match kind {
--- a/crates/peppercrank-gateway/src/records.rs
+++ b/crates/peppercrank-gateway/src/records.rs
@@ -11,14 +11,18 @@
 use peppercrank_core::hash::hash64;
 use peppercrank_core::time::Instant;
 use peppercrank_direct::era::EraOrder;
+use peppercrank_direct::era::REWRITE_PERIOD;
 use peppercrank_direct::joining::Admitted;
 use peppercrank_direct::joining::Hold;
+use peppercrank_direct::pool_versions::RETENTION;
 use peppercrank_direct::version_records::RecordStep;
+use peppercrank_direct::version_records::Renewal;
 use peppercrank_direct::version_records::VersionRecord;
 use peppercrank_log::Field;
 use peppercrank_platform::read::AnswerReader;
 use peppercrank_platform::records;
 use peppercrank_platform::records::RecordKind;
+use peppercrank_platform::records::RecordPage;
 use peppercrank_platform::records::RecordReader;
 use peppercrank_wire::client::ClientResponse;
 use tokio::time::sleep;
@@ -76,6 +80,7 @@
             Action::WaitUntil(at) => {
                 let changed = gateway.versions_changed.notified();
                 let _changed = gateway.timeout_at(at, changed).await;
+                failures = 0;
                 continue;
             }
             Action::ReadVersions => read_versions(&gateway, &store).await,
@@ -84,8 +89,8 @@
             }
             Action::ReadOrigins => read_origins(&gateway, &store).await,
         };
+        // A read that succeeds between two refused writes leaves the pause as it is.
         if done.is_some() {
-            failures = 0;
             continue;
         }
         if gateway.now().since(asked_at) >= DOUBT_TIMEOUT {
@@ -109,15 +114,18 @@
         return Action::WaitUntil(wake);
     }
     if pools.is_empty() {
-        state.records_read = true;
+        end_first_read(gateway, &mut state);
     }
     let is_mixed = pools.iter().any(|p| state.may_cross_versions(now, p));
     if state.version_records.are_known() && !state.records_read {
         if is_mixed {
             return Action::ReadOrigins;
         }
-        state.records_read = true;
+        end_first_read(gateway, &mut state);
     }
+    let routes_known_at = state.freshness.confirmed_at();
+    let renewal = renewal(&state);
+    state.version_records.set_renewal(renewal);
     let current = pools.into_iter().map(|pool| (pool, true));
     let former = state.former_pools().into_iter().map(|pool| (pool, false));
     for (pool, is_current) in current.chain(former) {
@@ -126,14 +134,20 @@
             let admitted = admitted_versions(&mut state, now, &pool);
             wake = admitted.next.map_or(wake, |at| wake.min(at));
             let recent = &admitted.versions;
-            state.version_records.next_step(now, &pool, recent, rank)
+            let known_at = state.targets_known_at.min(routes_known_at);
+            let records = &mut state.version_records;
+            records.next_step(now, &pool, recent, known_at, rank)
         } else {
             let records = &mut state.version_records;
-            records.next_step_of_former(now, &pool, rank)
+            records.next_step_of_former(now, &pool, routes_known_at, rank)
         };
         match step {
-            RecordStep::Done => {}
             RecordStep::WaitUntil(at) => wake = wake.min(at),
+            RecordStep::Refresh if is_current && state.targets_known_at <= routes_known_at => {
+                gateway.targets_wanted.notify_one();
+            }
+            // The configuration is confirmed all the time.
+            RecordStep::Done | RecordStep::Refresh => {}
             RecordStep::Read => return Action::ReadVersions,
             RecordStep::Write(record) => return Action::WriteVersions(pool, record),
         }
@@ -141,7 +155,27 @@
     Action::WaitUntil(wake)
 }
 
-/// Returns the versions of a pool's targets without those that have just joined.
+/// Records that no origins are to be read after a start, for which callers may wait.
+fn end_first_read(gateway: &Gateway, state: &mut State) {
+    state.records_read = true;
+    gateway.origin_answered.notify_waiters();
+}
+
+/// Returns when records of an earlier era are renewed. A router that has seen the store being restored
+/// knows what was on record before; one that has started since learns of what still serves.
+fn renewal(state: &State) -> Renewal {
+    let after = if state.eras.has_changed() {
+        REWRITE_PERIOD
+    } else {
+        RETENTION
+    };
+    Renewal {
+        era: state.eras.newest(),
+        after,
+    }
+}
+
+/// Returns the versions of a pool's targets without those that have just joined, and the routing.
 fn admitted_versions(state: &mut State, now: Instant, pool: &Arc<str>) -> Admitted {
     let recent = state.directory.software_versions(now, pool);
     let hold = Hold {
@@ -150,13 +184,22 @@
         serves: state.serves_recorded_version(now, pool),
     };
     let records = &state.version_records;
-    state.joining.admit(now, pool, recent, records, hold)
+    let mut admitted = state.joining.admit(now, pool, recent, records, hold);
+    admitted.versions.extend(records.own_routing(pool));
+    admitted
 }
 
 /// Returns the pools to which resumable streams are sent; `None` before a configuration was read.
 fn resumable_pools(state: &State) -> Option<Vec<Arc<str>>> {
     let index = state.config.index()?;
-    Some(index.desired().resumable_pools())
+    Some(index.resumable_pools().to_vec())
+}
+
+/// Returns a router's place among those that write a pool's record, the lowest one first.
+#[must_use]
+pub fn record_order(pool: &str, router: &str) -> u64 {
+    let seed = hash64(RANK_SEED, pool.as_bytes());
+    hash64(seed, router.as_bytes())
 }
 
 /// Returns how many routers write a pool's record before this one.
@@ -164,10 +207,9 @@
     if !state.routers_read {
         return UNKNOWN_RANK;
     }
-    let seed = hash64(RANK_SEED, pool.as_bytes());
-    let rank = |name: &str| hash64(seed, name.as_bytes());
-    let own_rank = rank(own);
-    let before = state.routers.keys().filter(|name| rank(name) < own_rank);
+    let own_order = record_order(pool, own);
+    let others = state.routers.keys();
+    let before = others.filter(|name| record_order(pool, name) < own_order);
     u32::try_from(before.count()).unwrap_or(u32::MAX)
 }
 
@@ -176,15 +218,19 @@
     let asked_at = gateway.now();
     let kind = RecordKind::Versions;
     let listed = list(gateway, store, kind, records::versions_reader).await?;
-    log_read(gateway, kind, listed.len());
+    log_read(gateway, kind, listed.objects.len());
     report_unreadable(gateway, &listed);
     let now = gateway.now();
     let mut state = gateway.state();
-    for (pool, name) in state.version_records.apply_list(asked_at, listed) {
+    let records = &mut state.version_records;
+    records.record_nameless(asked_at, listed.has_nameless);
+    for (pool, name) in records.apply_list(asked_at, listed.objects) {
         state.directory.record_served_version(now, &pool, &name);
     }
     drop(state);
     gateway.versions_recorded.notify_waiters();
+    // What a restored store lacks is written again.
+    gateway.versions_changed.notify_one();
     Some(())
 }
 
@@ -194,9 +240,12 @@
     pool: &Arc<str>,
     record: VersionRecord,
 ) -> Option<()> {
-    let record = VersionRecord {
-        era: gateway.state().eras.newest(),
-        ..record
+    let record = match record.revision {
+        Some(_) => record,
+        None => VersionRecord {
+            era: gateway.state().eras.newest(),
+            ..record
+        },
     };
     let body = records::versions_body(pool, &record).ok()?;
     let kind = RecordKind::Versions;
@@ -250,6 +299,7 @@
     let kind = RecordKind::Origins;
     let asked_at = gateway.now();
     let listed = list(gateway, store, kind, records::origins_reader).await?;
+    let listed = listed.objects;
     log_read(gateway, kind, listed.len());
     let own = gateway.settings().name.clone();
     let now = gateway.now();
@@ -262,14 +312,15 @@
     Some(())
 }
 
-/// Reads all objects of a kind; `None` if the store does not answer, or is restored meanwhile.
+/// Reads all objects of a kind as one page; `None` if the store does not answer, or is restored meanwhile.
 pub async fn list<T>(
     gateway: &Gateway,
     store: &Store,
     kind: RecordKind,
     reader: impl Fn() -> RecordReader<T>,
-) -> Option<Vec<(Arc<str>, T)>> {
+) -> Option<RecordPage<T>> {
     let mut objects = Vec::new();
+    let mut has_nameless = false;
     let mut after = None;
     loop {
         let path = kind.list_path(after.as_deref());
@@ -278,9 +329,14 @@
             return None;
         }
         objects.extend(page.objects);
+        has_nameless |= page.has_nameless;
         after = page.next;
         if after.is_none() {
-            return Some(objects);
+            return Some(RecordPage {
+                objects,
+                has_nameless,
+                next: None,
+            });
         }
     }
 }
@@ -336,11 +392,14 @@
     gateway.log.write(Event::RecordsRead, &fields);
 }
 
-/// Counts records that cannot be read, and logs the first of them.
-fn report_unreadable(gateway: &Gateway, listed: &[(Arc<str>, VersionRecord)]) {
+/// Counts records that cannot be read, and logs the first of them. Those without a name count as
+/// one, whose name is empty.
+fn report_unreadable(gateway: &Gateway, listed: &RecordPage<VersionRecord>) {
     let kind = RecordKind::Versions.as_str();
-    let unreadable = listed.iter().filter(|(_, record)| record.unreadable);
-    for (n, (name, _)) in unreadable.enumerate() {
+    let unreadable = listed.objects.iter().filter(|(_, r)| r.unreadable);
+    let unreadable = unreadable.map(|(name, _)| &**name);
+    let nameless = listed.has_nameless.then_some("");
+    for (n, name) in nameless.into_iter().chain(unreadable).enumerate() {
         gateway.metrics.count_invalid_entry(kind);
         if n >= MAX_LOGGED_ENTRIES {
             continue;
